--- /dev/null
+++ b/include/hyssopdeal/transport/http_message.hpp
@@ -0,0 +1,55 @@
+#ifndef HYSSOPDEAL_TRANSPORT_HTTP_MESSAGE_HPP
+#define HYSSOPDEAL_TRANSPORT_HTTP_MESSAGE_HPP
+
+/// @file
+/// Plain HTTP message structures shared by the server and the client.
+///
+/// Index: [http_header] [http_request] [http_response]
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hyssopdeal::transport
+{
+
+// [http_header] --------------------------------------------------------------
+
+/// One header line.
+struct http_header
+{
+    std::string name;  ///< As received; compared without regard to case.
+    std::string value; ///< Without surrounding spaces.
+};
+
+/// Finds the first header of a name, without regard to case.
+///
+/// @return Its value, or an empty view when there is none.
+[[nodiscard]] std::string_view
+find_header(const std::vector<http_header>& headers,
+            std::string_view name) noexcept;
+
+// [http_request] -------------------------------------------------------------
+
+/// A request, read whole by the server or to be sent by the client.
+struct http_request
+{
+    std::string method = "GET";       ///< In capitals.
+    std::string target = "/";         ///< Path and query.
+    std::vector<http_header> headers; ///< In the order received.
+    std::string body;                 ///< Whole body.
+};
+
+// [http_response] ------------------------------------------------------------
+
+/// A whole answer.
+struct http_response
+{
+    int status = 200;                 ///< HTTP status code.
+    std::vector<http_header> headers; ///< Without Content-Length.
+    std::string body;                 ///< Whole body.
+};
+
+} // namespace hyssopdeal::transport
+
+#endif
