--- a/include/hyssopdeal/coordination/concurrency_limit.hpp
+++ b/include/hyssopdeal/coordination/concurrency_limit.hpp
@@ -20,11 +20,12 @@
 /// Bounds and speed of the adaptation.
 struct concurrency_settings
 {
-    std::uint32_t lowest = 1;    ///< Never fewer.
-    std::uint32_t highest = 512; ///< Never more.
-    std::uint32_t initial = 16;  ///< Before any answer.
-    double tolerance = 2;        ///< Slowdown accepted as no queueing.
-    double decrease = 0.8;       ///< Factor at congestion.
+    std::uint32_t lowest = 1;             ///< Never fewer.
+    std::uint32_t highest = 512;          ///< Never more.
+    std::uint32_t initial = 16;           ///< Before any answer.
+    double tolerance = 2;                 ///< Slowdown accepted as no queueing.
+    std::chrono::milliseconds slack{100}; ///< Accepted besides.
+    double decrease = 0.8;                ///< Factor at congestion.
     std::chrono::milliseconds decrease_interval{500}; ///< Between decreases.
 };
 
--- a/include/hyssopdeal/coordination/load_balancer_shares.hpp
+++ b/include/hyssopdeal/coordination/load_balancer_shares.hpp
@@ -27,28 +27,31 @@
 
 // [version_shares] -----------------------------------------------------------
 
-/// Gives each request to the version that is furthest behind its share, so that
+/// Gives each request to the version whose next request is due first, so that
 /// after n requests each version has its share of n to within one request.
-/// A version without a usable server gives its requests to the others.
+/// A version without a usable server leaves its requests to the others.
 class version_shares
 {
 public:
     /// Sets the shares; counting starts anew when they changed.
     void set(std::span<const version_weight> weights);
 
-    /// Sets how many servers of a version can be used now.
-    void set_usable(std::uint16_t version, std::uint32_t usable_servers);
-
     /// @return The version of the next request, if any can be served.
-    [[nodiscard]] std::optional<std::uint16_t> next();
+    [[nodiscard]] std::optional<std::uint16_t> next() const;
+
+    /// Counts a request for the version that next() named, also when another
+    /// version had to serve it: a share is never made up for later.
+    void count(std::uint16_t version);
 
 private:
     struct entry
     {
         version_weight weight;
-        double credit = 0; ///< Requests owed.
+        std::uint64_t requests = 0;
     };
     std::vector<entry> entries_;
+    std::uint64_t requests_ = 0;
+    double usable_share_ = 0;
 };
 
 } // namespace hyssopdeal::coordination
--- a/include/hyssopdeal/coordination/outlier_detector.hpp
+++ b/include/hyssopdeal/coordination/outlier_detector.hpp
@@ -49,6 +49,9 @@
     /// Sets how many servers there are; positions at and above are forgotten.
     void resize(std::uint32_t servers);
 
+    /// Another server has the position now.
+    void forget(server_index server);
+
     /// Counts an attempt's end.
     ///
     /// @return Whether this ejected the server.
--- /dev/null
+++ b/src/coordination/load_balancer.cpp
@@ -0,0 +1,238 @@
+#include <hyssopdeal/coordination/load_balancer.hpp>
+
+#include <algorithm>
+
+namespace hyssopdeal::coordination
+{
+
+namespace
+{
+
+constexpr double seconds_per_hour = 3'600;
+
+double to_seconds(std::chrono::microseconds time) noexcept
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+std::size_t random_below(std::mt19937_64& random, std::size_t bound) noexcept
+{
+    // Multiplication maps 32 random bits to the range without a division.
+    const std::uint64_t bits = random() >> 32U;
+    return static_cast<std::size_t>((bits * bound) >> 32U);
+}
+
+double cached_on(std::span<const prefix_match> matches,
+                 server_index position) noexcept
+{
+    for (const auto& match : matches)
+    {
+        if (match.server == position)
+        {
+            return match.cached_tokens;
+        }
+    }
+    return 0;
+}
+
+/// The first eligible position at or after a random one, all around.
+server_index any_eligible(const request_facts& request,
+                          std::span<const routing_candidate> candidates,
+                          std::mt19937_64& random) noexcept
+{
+    if (candidates.empty())
+    {
+        return no_server;
+    }
+    const auto start = random_below(random, candidates.size());
+    for (std::size_t step = 0; step < candidates.size(); ++step)
+    {
+        const auto position =
+            static_cast<server_index>((start + step) % candidates.size());
+        if (is_eligible(candidates[position], request, position))
+        {
+            return position;
+        }
+    }
+    return no_server;
+}
+
+/// Remembers the cheapest candidate seen.
+class best_candidate
+{
+public:
+    void offer(server_index position, double cost) noexcept
+    {
+        if (position_ == no_server || cost < cost_)
+        {
+            position_ = position;
+            cost_ = cost;
+        }
+    }
+
+    [[nodiscard]] server_index position() const noexcept
+    {
+        return position_;
+    }
+
+private:
+    server_index position_ = no_server;
+    double cost_ = 0;
+};
+
+} // namespace
+
+bool is_eligible(const routing_candidate& candidate,
+                 const request_facts& request, server_index position) noexcept
+{
+    return candidate.state == server_availability::available &&
+           candidate.version == request.version &&
+           candidate.own_in_flight < candidate.concurrency_limit &&
+           std::find(request.avoid.begin(), request.avoid.end(), position) ==
+               request.avoid.end();
+}
+
+predicted_first_token::predicted_first_token(
+    predicted_first_token_settings settings)
+    : settings_(settings)
+{}
+
+double
+predicted_first_token::first_token_seconds(const routing_candidate& candidate,
+                                           double prompt_tokens,
+                                           double cached_tokens) noexcept
+{
+    const double prefill_rate =
+        std::max(candidate.prefill_tokens_per_second, 1.0);
+    const double decode_rate =
+        std::max(candidate.decode_tokens_per_second, 1.0);
+    const double slots = std::max(candidate.slots, 1U);
+    const double uncached = std::max(prompt_tokens - cached_tokens, 0.0);
+    double seconds = 2 * to_seconds(candidate.hop) +
+                     to_seconds(candidate.slowdown) +
+                     (candidate.queued_prompt_tokens + uncached) / prefill_rate;
+    const double ahead = candidate.in_flight - slots + 1;
+    if (ahead > 0)
+    {
+        seconds += ahead * candidate.mean_output_tokens / decode_rate / slots;
+    }
+    return seconds;
+}
+
+double predicted_first_token::score(const routing_candidate& candidate,
+                                    const request_facts& request,
+                                    double cached_tokens) const noexcept
+{
+    double cost =
+        first_token_seconds(candidate, request.prompt_tokens, cached_tokens);
+    if (candidate.where == locality::other_failure_domain)
+    {
+        cost += settings_.spill_penalty;
+    }
+    cost += settings_.seconds_per_price * candidate.price_per_hour;
+    const double remaining_hours =
+        request.expected_output_tokens /
+        std::max(candidate.decode_tokens_per_second, 1.0) / seconds_per_hour;
+    const double recompute_seconds =
+        (request.prompt_tokens + request.expected_output_tokens / 2) /
+        std::max(candidate.prefill_tokens_per_second, 1.0);
+    return cost + settings_.recompute_weight *
+                      candidate.reclaim_hazard_per_hour * remaining_hours *
+                      recompute_seconds;
+}
+
+server_index
+predicted_first_token::choose(transport::monotonic_time,
+                              const request_facts& request,
+                              std::span<const routing_candidate> candidates,
+                              std::mt19937_64& random) const noexcept
+{
+    best_candidate best;
+    const auto look = [&](server_index position) {
+        const auto& candidate = candidates[position];
+        if (is_eligible(candidate, request, position))
+        {
+            const double cached = cached_on(request.matches, position);
+            best.offer(position, score(candidate, request, cached));
+        }
+    };
+    if (candidates.size() <= settings_.scan_up_to)
+    {
+        for (server_index position = 0; position < candidates.size();
+             ++position)
+        {
+            look(position);
+        }
+        return best.position();
+    }
+    for (const auto& match : request.matches)
+    {
+        if (match.server < candidates.size())
+        {
+            look(match.server);
+        }
+    }
+    for (std::uint32_t sample = 0; sample < settings_.samples; ++sample)
+    {
+        look(
+            static_cast<server_index>(random_below(random, candidates.size())));
+    }
+    return best.position() != no_server
+               ? best.position()
+               : any_eligible(request, candidates, random);
+}
+
+server_index round_robin::choose(transport::monotonic_time,
+                                 const request_facts& request,
+                                 std::span<const routing_candidate> candidates,
+                                 std::mt19937_64&) noexcept
+{
+    for (std::size_t step = 0; step < candidates.size(); ++step)
+    {
+        const auto position =
+            static_cast<server_index>((next_ + step) % candidates.size());
+        if (is_eligible(candidates[position], request, position))
+        {
+            next_ = position + 1;
+            return position;
+        }
+    }
+    return no_server;
+}
+
+server_index
+least_reported_load::choose(transport::monotonic_time,
+                            const request_facts& request,
+                            std::span<const routing_candidate> candidates,
+                            std::mt19937_64&) const noexcept
+{
+    best_candidate best;
+    for (server_index position = 0; position < candidates.size(); ++position)
+    {
+        if (is_eligible(candidates[position], request, position))
+        {
+            best.offer(position, candidates[position].reported_in_flight);
+        }
+    }
+    return best.position();
+}
+
+server_index
+power_of_two_reported::choose(transport::monotonic_time,
+                              const request_facts& request,
+                              std::span<const routing_candidate> candidates,
+                              std::mt19937_64& random) const noexcept
+{
+    best_candidate best;
+    for (int sample = 0; sample < 2; ++sample)
+    {
+        const auto position = any_eligible(request, candidates, random);
+        if (position != no_server)
+        {
+            best.offer(position, candidates[position].reported_in_flight);
+        }
+    }
+    return best.position();
+}
+
+} // namespace hyssopdeal::coordination
