--- a/include/hyssopdeal/state/control_state.hpp
+++ b/include/hyssopdeal/state/control_state.hpp
@@ -5,18 +5,16 @@
 /// The deterministic state machine behind the replicated log. The same records
 /// give the same state on every replica: all times come in the records.
 ///
-/// Index: [settings] [control_tables] [control_state] [control_view]
+/// Index: [settings] [control_tables] [control_state]
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 
-#include <hyssopdeal/protocol/contract.hpp>
 #include <hyssopdeal/state/commands.hpp>
+#include <hyssopdeal/state/declarations.hpp>
 #include <hyssopdeal/state/records.hpp>
 
 namespace hyssopdeal::state
@@ -36,17 +34,11 @@
 
 // [control_tables] -----------------------------------------------------------
 
-template <class Record>
-using record_table = std::map<std::string, Record, std::less<>>;
-
 /// The tables, read only.
-struct control_tables
+struct control_tables : declarations
 {
-    record_table<contract_record> contracts; ///< By organisation.
-    record_table<service_record> services;   ///< By name.
     record_table<move_record> moves;         ///< By service.
     record_table<purchase_record> purchases; ///< By order id.
-    record_table<leaving_record> leaving;    ///< By instance.
     record_table<grant_record> grants;       ///< By organisation.
     replica_set replicas;                    ///< As last committed.
     std::uint64_t fence_counter = 0;         ///< Last one given out.
@@ -117,20 +109,11 @@
     [[nodiscard]] transport::result<void>
     restore_snapshot(std::string_view bytes);
 
-    /// @return The declarations alone, without ledger, grants and purchases,
-    ///     for a learner; read by restore_snapshot().
-    [[nodiscard]] std::string encode_declarations() const;
-
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
 };
 
-// [control_view] -------------------------------------------------------------
-
-/// @return What an entry needs of the state.
-[[nodiscard]] protocol::control_view make_view(const control_state& state);
-
 } // namespace hyssopdeal::state
 
 #endif
--- a/include/hyssopdeal/state/records.hpp
+++ b/include/hyssopdeal/state/records.hpp
@@ -107,8 +107,8 @@
 /// The latest move of a service.
 struct move_record
 {
-    move_order order;                  ///< As ordered.
-    std::vector<std::string> from;     ///< Versions with a share before.
+    move_order order;                            ///< As ordered.
+    std::vector<protocol::version_share> before; ///< Shares when ordered.
     transport::wall_time ordered_at{}; ///< Time of the order's record.
     move_status status;                ///< Set by the leader.
     revision ordered = 0;              ///< Log index of the order.
@@ -198,8 +198,9 @@
 /// What is known of the call of an idempotency key.
 enum class claim_phase : std::uint8_t
 {
-    open,    ///< Claimed; dispatched or about to be: may have run.
-    finished ///< The outcome is recorded.
+    open,     ///< Claimed; dispatched or about to be: may have run.
+    finished, ///< The outcome is recorded.
+    released  ///< Surely not dispatched; the key is free for a new claim.
 };
 
 /// One header of a recorded answer.
@@ -233,6 +234,7 @@
     std::string request_digest; ///< Of method, path and body.
     std::string claimant;       ///< Entry that may dispatch.
     std::uint64_t number = 0;   ///< Log index of the claim.
+    std::uint64_t nonce = 0;    ///< Of the claim command.
     claim_phase phase = claim_phase::open;
     transport::wall_time claimed_at{};  ///< Time of the claim's record.
     transport::wall_time dispatch_by{}; ///< No dispatch from then on.
