Keep streams whole across losses of engine, entry and holder

Cause: an accepted stream must be delivered whole after a reclaim, by one owner at a time, on text equal to what the caller has.

--- a/include/hyssopdeal/coordination/stream_copies.hpp
+++ b/include/hyssopdeal/coordination/stream_copies.hpp
@@ -30,6 +30,7 @@
 {
     std::size_t max_bytes = 268'435'456;         ///< Origins and events.
     std::chrono::milliseconds retention{60'000}; ///< After the last word.
+    std::chrono::milliseconds closed_retention{10'000}; ///< Once delivered.
 };
 
 // [stream_copy] --------------------------------------------------------------
@@ -89,7 +90,7 @@
     take_over(transport::monotonic_time now, std::string_view stream,
               std::string_view organisation, std::string_view new_owner);
 
-    /// Forgets a copy whose stream is delivered.
+    /// The stream is delivered; its copy is forgotten soon.
     void close(std::string_view stream, owner_epoch epoch);
 
     /// Forgets copies beyond their retention.
--- a/include/hyssopdeal/coordination/stream_record.hpp
+++ b/include/hyssopdeal/coordination/stream_record.hpp
@@ -13,9 +13,9 @@
 /// actions that it returns. At most one owner produces: every action of an
 /// owner with an older epoch is refused by holders and callers' entries.
 
-#include <array>
 #include <chrono>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -112,10 +112,13 @@
 // [actions] ------------------------------------------------------------------
 
 /// Send a batch to the holder; it answers with the last number that it has.
+/// `to` below `from`: no events, only the origin and the attempt.
 struct copy_events
 {
-    std::uint64_t from = 0; ///< Number of the first.
-    std::uint64_t to = 0;   ///< Number of the last.
+    std::uint64_t from = 1;     ///< Number of the first.
+    std::uint64_t to = 0;       ///< Number of the last.
+    attempt_id attempt;         ///< All zero: none can be gone on with.
+    std::uint64_t sequence = 0; ///< Of the attempt, at event `to`.
 };
 
 /// Send events to the caller.
@@ -154,6 +157,11 @@
 struct stream_finished
 {};
 
+/// Another owner produces the stream; end the caller's connection here without
+/// an end mark.
+struct stream_handed_over
+{};
+
 /// The stream cannot go on; tell the caller at once.
 struct stream_failed
 {
@@ -162,7 +170,7 @@
 
 using stream_action =
     std::variant<copy_events, deliver_events, resume_stream, cancel_attempt,
-                 stream_finished, stream_failed>;
+                 stream_finished, stream_handed_over, stream_failed>;
 
 // [settings] -----------------------------------------------------------------
 
@@ -211,6 +219,13 @@
     handed_over ///< Another owner has a newer epoch.
 };
 
+/// Whether another entry instance can keep a copy.
+enum class holder_presence : std::uint8_t
+{
+    chosen,
+    none ///< `Hyssopdeal-Copies: 1`.
+};
+
 // [stream_record] ------------------------------------------------------------
 
 /// One stream on its owner.
@@ -225,10 +240,16 @@
                   attempt_id attempt, owner_epoch epoch,
                   stream_settings settings);
 
-    /// Takes a stream over with what its copy holds; call resume() next.
+    /// Takes a stream over with what its copy holds. Unless the copy is whole,
+    /// call on_engine_loss() next: connection_lost when the attempt may still
+    /// run, engine_gone when there is none.
+    ///
+    /// @param attempt The attempt that the copy names.
+    /// @param sequence Its last engine sequence in the copy.
     stream_record(transport::monotonic_time now, stream_origin origin,
                   std::vector<stream_event> copied, attempt_id attempt,
-                  owner_epoch epoch, stream_settings settings);
+                  std::uint64_t sequence, owner_epoch epoch,
+                  stream_settings settings);
     stream_record(stream_record&&) noexcept;
     stream_record& operator=(stream_record&&) noexcept;
     ~stream_record();
@@ -249,18 +270,18 @@
     /// The way that was taken did not work (engine gone, no KV target).
     void on_resume_failed(transport::monotonic_time now, attempt_id next);
 
-    /// The holder has the stream's origin and events up to a number.
+    /// No server can go on with the stream in time.
+    void on_given_up(transport::monotonic_time now,
+                     const transport::failure& error);
+
+    /// The holder has the stream's origin and events up to a number. Answers of
+    /// a former holder must not be passed on.
     void on_copied(transport::monotonic_time now, std::uint64_t up_to);
 
     /// The holder is lost; copies start again at the next one.
     void on_holder_lost(transport::monotonic_time now);
 
-    /// A holder was chosen, or there is none (`Hyssopdeal-Copies: 1`).
-    enum class holder_presence : std::uint8_t
-    {
-        chosen,
-        none
-    };
+    /// A holder was chosen, or there is none.
     void on_holder_chosen(transport::monotonic_time now,
                           holder_presence presence);
 
--- /dev/null
+++ b/src/coordination/stream_record.cpp
@@ -0,0 +1,598 @@
+#include <hyssopdeal/coordination/stream_record.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace hyssopdeal::coordination
+{
+
+namespace
+{
+
+using transport::monotonic_time;
+using transport::reason;
+using transport::verdict;
+
+constexpr auto never = monotonic_time::max();
+
+std::size_t bytes_of(const stream_event& event)
+{
+    return sizeof(stream_event) + event.text.size() + event.data.size();
+}
+
+int digit_of(char character) noexcept
+{
+    if (character >= '0' && character <= '9')
+    {
+        return character - '0';
+    }
+    return character >= 'a' && character <= 'f' ? character - 'a' + 10 : -1;
+}
+
+/// State of the copies of one stream.
+enum class holder_state : std::uint8_t
+{
+    unknown, ///< Nobody is chosen; nothing leaves for the caller.
+    asked,   ///< The origin is on its way.
+    holding, ///< It has the origin.
+    absent   ///< There is nobody.
+};
+
+/// Whether the current attempt's events are coming.
+enum class engine_state : std::uint8_t
+{
+    producing,
+    resuming ///< A resume was ordered; nothing came yet.
+};
+
+} // namespace
+
+std::string to_string(const attempt_id& id)
+{
+    return fmt::format("{:016x}{:016x}", id.high, id.low);
+}
+
+transport::result<attempt_id> parse_attempt_id(std::string_view text)
+{
+    constexpr std::size_t digits = 32;
+    const bool is_hex =
+        std::all_of(text.begin(), text.end(),
+                    [](char character) { return digit_of(character) >= 0; });
+    if (text.size() != digits || !is_hex)
+    {
+        return transport::fail(reason::bad_request,
+                               "An attempt's id is 32 hex digits.");
+    }
+    attempt_id id;
+    for (std::size_t at = 0; at < digits; ++at)
+    {
+        auto& half = at < digits / 2 ? id.high : id.low;
+        half = half << 4U | static_cast<std::uint64_t>(digit_of(text[at]));
+    }
+    return id;
+}
+
+struct stream_record::impl
+{
+    stream_origin origin;
+    stream_settings settings;
+    owner_epoch epoch = 1;
+    stream_phase phase = stream_phase::running;
+    std::vector<stream_event> events{};
+    std::size_t bytes = 0;
+
+    attempt_id attempt{};
+    std::uint64_t attempt_base = 0; ///< Events before the attempt's first.
+    engine_state engine = engine_state::producing;
+    resume_way last_way = resume_way::prefill;
+    std::uint32_t resumes = 0;
+    double recomputed = 0;
+    monotonic_time heard_at{};
+
+    holder_state holder = holder_state::unknown;
+    std::uint64_t copy_sent_to = 0;
+    std::uint64_t copied_to = 0;
+    std::vector<std::uint64_t> batches{}; ///< Last numbers, in flight.
+    bool attempt_uncopied = true; ///< The holder does not know the attempt.
+    monotonic_time oldest_uncopied{};
+
+    bool caller_here = false;
+    std::uint64_t delivered_to = 0;
+    monotonic_time left_at{};
+    std::vector<stream_action> actions{};
+
+    [[nodiscard]] std::uint64_t next_sequence() const
+    {
+        return events.size() - attempt_base + 1;
+    }
+
+    [[nodiscard]] bool is_live() const
+    {
+        return phase == stream_phase::running || phase == stream_phase::ended;
+    }
+
+    [[nodiscard]] std::uint64_t deliverable_to() const
+    {
+        const bool all = holder == holder_state::absent ||
+                         (holder == holder_state::holding &&
+                          settings.copies == copy_order::behind);
+        return all ? events.size() : std::max(copied_to, delivered_to);
+    }
+
+    void deliver()
+    {
+        const auto limit = deliverable_to();
+        if (!is_live() || !caller_here)
+        {
+            return;
+        }
+        if (limit > delivered_to)
+        {
+            actions.emplace_back(deliver_events{delivered_to + 1, limit});
+            delivered_to = limit;
+        }
+        if (phase == stream_phase::ended && delivered_to == events.size())
+        {
+            phase = stream_phase::finished;
+            actions.emplace_back(stream_finished{});
+        }
+    }
+
+    [[nodiscard]] bool batch_is_due(monotonic_time now) const
+    {
+        const auto waiting = events.size() - copy_sent_to;
+        if (holder != holder_state::asked && holder != holder_state::holding)
+        {
+            return false;
+        }
+        if (batches.size() >= settings.batches_in_flight ||
+            (waiting == 0 && !attempt_uncopied))
+        {
+            return false;
+        }
+        return batches.empty() || waiting >= settings.batch_events ||
+               phase == stream_phase::ended ||
+               now >= oldest_uncopied + settings.batch_time;
+    }
+
+    void copy(monotonic_time now)
+    {
+        while (is_live() && batch_is_due(now))
+        {
+            const auto to = static_cast<std::uint64_t>(events.size());
+            const bool in_attempt = to >= attempt_base;
+            actions.emplace_back(copy_events{
+                copy_sent_to + 1, to, in_attempt ? attempt : attempt_id{},
+                in_attempt ? to - attempt_base : 0});
+            batches.push_back(to);
+            copy_sent_to = to;
+            attempt_uncopied = false;
+        }
+    }
+
+    void fail(transport::failure error)
+    {
+        if (!is_live())
+        {
+            return;
+        }
+        if (phase == stream_phase::running)
+        {
+            actions.emplace_back(cancel_attempt{attempt});
+        }
+        phase = stream_phase::failed;
+        actions.emplace_back(stream_failed{std::move(error)});
+    }
+
+    void accept(monotonic_time now, engine_event event)
+    {
+        heard_at = now;
+        engine = engine_state::producing;
+        if (copy_sent_to == events.size())
+        {
+            oldest_uncopied = now;
+        }
+        stream_event taken;
+        taken.number = events.size() + 1;
+        taken.kind = event.kind;
+        taken.text = std::move(event.text);
+        taken.data = std::move(event.data);
+        bytes += bytes_of(taken);
+        events.push_back(std::move(taken));
+        if (bytes > settings.max_bytes)
+        {
+            fail({verdict::ran, reason::too_large,
+                  "The answer is larger than one stream may be."});
+            return;
+        }
+        if (events.back().kind == stream_event_kind::done)
+        {
+            phase = stream_phase::ended;
+        }
+        copy(now);
+        deliver();
+    }
+
+    /// @return Whether the stream may try once more.
+    bool count_resume()
+    {
+        ++resumes;
+        if (resumes <= settings.max_resumes)
+        {
+            return true;
+        }
+        fail({verdict::may_have_run, reason::connection_lost,
+              "The stream was lost too often."});
+        return false;
+    }
+
+    void reattach(monotonic_time now)
+    {
+        if (!count_resume())
+        {
+            return;
+        }
+        engine = engine_state::resuming;
+        heard_at = now;
+        last_way = resume_way::resume_on_engine;
+        resume_stream order;
+        order.way = last_way;
+        order.attempt = attempt;
+        order.previous = attempt;
+        order.from_sequence = next_sequence();
+        order.text_events = events.size();
+        actions.emplace_back(order);
+    }
+
+    void start_elsewhere(monotonic_time now, resume_way way, attempt_id next)
+    {
+        if (!count_resume())
+        {
+            return;
+        }
+        resume_stream order;
+        order.way = way;
+        order.attempt = next;
+        order.previous = attempt;
+        order.text_events = events.size();
+        if (way == resume_way::prefill)
+        {
+            order.recomputed_tokens =
+                origin.prompt_tokens + static_cast<double>(events.size());
+            recomputed += order.recomputed_tokens;
+        }
+        attempt = next;
+        attempt_base = events.size();
+        attempt_uncopied = true;
+        engine = engine_state::resuming;
+        heard_at = now;
+        last_way = way;
+        actions.emplace_back(order);
+        copy(now);
+    }
+};
+
+stream_record::stream_record(monotonic_time now, stream_origin origin,
+                             attempt_id attempt, owner_epoch epoch,
+                             stream_settings settings)
+    : impl_(std::make_unique<impl>(impl{std::move(origin), settings, epoch}))
+{
+    impl_->attempt = attempt;
+    impl_->heard_at = now;
+    impl_->caller_here = true;
+}
+
+stream_record::stream_record(monotonic_time now, stream_origin origin,
+                             std::vector<stream_event> copied,
+                             attempt_id attempt, std::uint64_t sequence,
+                             owner_epoch epoch, stream_settings settings)
+    : impl_(std::make_unique<impl>(impl{std::move(origin), settings, epoch}))
+{
+    impl_->attempt = attempt;
+    impl_->events = std::move(copied);
+    impl_->attempt_base =
+        impl_->events.size() - std::min(sequence, impl_->events.size());
+    impl_->heard_at = now;
+    impl_->left_at = now;
+    for (const auto& event : impl_->events)
+    {
+        impl_->bytes += bytes_of(event);
+    }
+    if (!impl_->events.empty() &&
+        impl_->events.back().kind == stream_event_kind::done)
+    {
+        impl_->phase = stream_phase::ended;
+    }
+}
+
+stream_record::stream_record(stream_record&&) noexcept = default;
+stream_record& stream_record::operator=(stream_record&&) noexcept = default;
+stream_record::~stream_record() = default;
+
+event_outcome stream_record::on_engine_event(monotonic_time now,
+                                             engine_event event)
+{
+    if (event.attempt != impl_->attempt)
+    {
+        return event_outcome::stale_attempt;
+    }
+    if (impl_->phase != stream_phase::running)
+    {
+        return event_outcome::after_end;
+    }
+    const auto next = impl_->next_sequence();
+    if (event.sequence < next)
+    {
+        return event_outcome::duplicate;
+    }
+    if (event.sequence > next)
+    {
+        // Events behind the gap keep coming until the engine is asked again.
+        if (impl_->engine == engine_state::producing)
+        {
+            impl_->reattach(now);
+        }
+        return event_outcome::gap;
+    }
+    impl_->accept(now, std::move(event));
+    return event_outcome::accepted;
+}
+
+void stream_record::on_engine_closed(monotonic_time now, attempt_id attempt)
+{
+    if (impl_->phase == stream_phase::running && attempt == impl_->attempt &&
+        impl_->engine == engine_state::producing)
+    {
+        impl_->reattach(now);
+    }
+}
+
+void stream_record::on_engine_loss(monotonic_time now, const engine_loss& loss,
+                                   attempt_id next)
+{
+    if (impl_->phase != stream_phase::running)
+    {
+        return;
+    }
+    switch (loss.why)
+    {
+    case engine_loss::cause::connection_lost:
+    case engine_loss::cause::gap:
+        impl_->reattach(now);
+        return;
+    case engine_loss::cause::engine_gone:
+        impl_->start_elsewhere(now, resume_way::prefill, next);
+        return;
+    case engine_loss::cause::reclaim_notice:
+        break;
+    }
+    const bool can_move = loss.kv_move_time.count() > 0 &&
+                          now + loss.kv_move_time <= loss.gone_at;
+    const auto previous = impl_->attempt;
+    impl_->start_elsewhere(
+        now, can_move ? resume_way::move_kv : resume_way::prefill, next);
+    if (!can_move && impl_->phase == stream_phase::running)
+    {
+        impl_->actions.emplace_back(cancel_attempt{previous});
+    }
+}
+
+void stream_record::on_resume_failed(monotonic_time now, attempt_id next)
+{
+    if (impl_->phase == stream_phase::running &&
+        impl_->engine == engine_state::resuming)
+    {
+        impl_->start_elsewhere(now, resume_way::prefill, next);
+    }
+}
+
+void stream_record::on_given_up(monotonic_time, const transport::failure& error)
+{
+    if (impl_->phase == stream_phase::running)
+    {
+        impl_->fail(error);
+    }
+}
+
+void stream_record::on_copied(monotonic_time now, std::uint64_t up_to)
+{
+    auto& batches = impl_->batches;
+    if (impl_->holder != holder_state::asked &&
+        impl_->holder != holder_state::holding)
+    {
+        return;
+    }
+    impl_->holder = holder_state::holding;
+    if (!batches.empty() && up_to < batches.front())
+    {
+        // The holder missed something: everything after it is sent again.
+        batches.clear();
+        impl_->copy_sent_to = up_to;
+    }
+    batches.erase(std::remove_if(batches.begin(), batches.end(),
+                                 [up_to](auto to) { return to <= up_to; }),
+                  batches.end());
+    impl_->copied_to = std::min<std::uint64_t>(up_to, impl_->events.size());
+    impl_->copy(now);
+    impl_->deliver();
+}
+
+void stream_record::on_holder_lost(monotonic_time)
+{
+    impl_->holder = holder_state::unknown;
+    impl_->copied_to = 0;
+    impl_->copy_sent_to = 0;
+    impl_->batches.clear();
+}
+
+void stream_record::on_holder_chosen(monotonic_time now,
+                                     holder_presence presence)
+{
+    on_holder_lost(now);
+    const bool chosen = presence == holder_presence::chosen;
+    impl_->holder = chosen ? holder_state::asked : holder_state::absent;
+    impl_->attempt_uncopied = true;
+    impl_->copy(now);
+    impl_->deliver();
+}
+
+transport::result<void> stream_record::on_caller(monotonic_time,
+                                                 std::string_view organisation,
+                                                 std::uint64_t last_event)
+{
+    if (organisation != impl_->origin.organisation)
+    {
+        return transport::fail(reason::forbidden,
+                               "Another organisation opened the stream.");
+    }
+    if (!impl_->is_live() && impl_->phase != stream_phase::finished)
+    {
+        return transport::fail(reason::not_found,
+                               "The stream cannot go on here.",
+                               verdict::may_have_run);
+    }
+    if (last_event > impl_->events.size())
+    {
+        return transport::fail(reason::bad_request,
+                               "Last-Event-ID is beyond the stream.",
+                               verdict::may_have_run);
+    }
+    if (impl_->phase == stream_phase::finished)
+    {
+        impl_->phase = stream_phase::ended;
+    }
+    impl_->caller_here = true;
+    impl_->delivered_to = last_event;
+    impl_->deliver();
+    return {};
+}
+
+void stream_record::on_caller_left(monotonic_time now)
+{
+    if (impl_->caller_here)
+    {
+        impl_->caller_here = false;
+        impl_->left_at = now;
+    }
+}
+
+void stream_record::on_newer_epoch(monotonic_time, owner_epoch epoch)
+{
+    if (epoch > impl_->epoch && impl_->phase != stream_phase::handed_over)
+    {
+        impl_->phase = stream_phase::handed_over;
+        impl_->actions.emplace_back(stream_handed_over{});
+    }
+}
+
+void stream_record::on_time(monotonic_time now)
+{
+    if (!impl_->is_live())
+    {
+        return;
+    }
+    if (!impl_->caller_here &&
+        now >= impl_->left_at + impl_->settings.resume_window)
+    {
+        impl_->fail({verdict::may_have_run, reason::timed_out,
+                     "The caller did not come back."});
+        return;
+    }
+    if (impl_->phase == stream_phase::running &&
+        now >= impl_->heard_at + impl_->settings.engine_silence)
+    {
+        impl_->reattach(now);
+    }
+    impl_->copy(now);
+}
+
+std::vector<stream_action> stream_record::take_actions()
+{
+    return std::exchange(impl_->actions, {});
+}
+
+monotonic_time stream_record::next_time() const noexcept
+{
+    auto next = never;
+    if (!impl_->is_live())
+    {
+        return next;
+    }
+    if (impl_->phase == stream_phase::running)
+    {
+        next = impl_->heard_at + impl_->settings.engine_silence;
+    }
+    if (!impl_->caller_here)
+    {
+        next = std::min(next, impl_->left_at + impl_->settings.resume_window);
+    }
+    const bool batch_waits =
+        impl_->copy_sent_to < impl_->events.size() &&
+        impl_->batches.size() < impl_->settings.batches_in_flight &&
+        !impl_->batches.empty();
+    if (batch_waits)
+    {
+        next =
+            std::min(next, impl_->oldest_uncopied + impl_->settings.batch_time);
+    }
+    return next;
+}
+
+const stream_origin& stream_record::origin() const noexcept
+{
+    return impl_->origin;
+}
+
+const std::vector<stream_event>& stream_record::events() const noexcept
+{
+    return impl_->events;
+}
+
+attempt_id stream_record::attempt() const noexcept
+{
+    return impl_->attempt;
+}
+
+owner_epoch stream_record::epoch() const noexcept
+{
+    return impl_->epoch;
+}
+
+stream_phase stream_record::phase() const noexcept
+{
+    return impl_->phase;
+}
+
+std::uint64_t stream_record::copied_to() const noexcept
+{
+    return impl_->copied_to;
+}
+
+std::uint64_t stream_record::delivered_to() const noexcept
+{
+    return impl_->delivered_to;
+}
+
+std::size_t stream_record::bytes() const noexcept
+{
+    return impl_->bytes;
+}
+
+double stream_record::recomputed_tokens() const noexcept
+{
+    return impl_->recomputed;
+}
+
+std::string stream_record::text() const
+{
+    std::string text;
+    for (const auto& event : impl_->events)
+    {
+        text += event.text;
+    }
+    return text;
+}
+
+} // namespace hyssopdeal::coordination
