--- a/include/hyssopdeal/coordination/grant_allocator.hpp
+++ b/include/hyssopdeal/coordination/grant_allocator.hpp
@@ -40,7 +40,7 @@
 /// What a node asks for, with what it holds now.
 struct grant_request
 {
-    std::string node;
+    std::string node;              ///< Unique for each start of a process.
     std::uint64_t held_term = 0;   ///< Of the leader that granted it.
     std::uint64_t held_number = 0; ///< Newest answer in force on the node.
     std::vector<held_grant> held;  ///< Unexpired.
--- a/include/hyssopdeal/coordination/grant_holder.hpp
+++ b/include/hyssopdeal/coordination/grant_holder.hpp
@@ -24,7 +24,7 @@
 /// When a node asks.
 struct grant_holder_settings
 {
-    std::string node;                          ///< Name of this process.
+    std::string node;                          ///< Unique for each start.
     std::chrono::milliseconds interval{1'000}; ///< Between requests.
 };
 
--- a/include/hyssopdeal/coordination/limiter.hpp
+++ b/include/hyssopdeal/coordination/limiter.hpp
@@ -114,6 +114,13 @@
 
 // [limiter] ------------------------------------------------------------------
 
+/// Level of a new bucket.
+enum class bucket_start : std::uint8_t
+{
+    full, ///< The contract is new.
+    empty ///< The process is: what it admitted before is not known.
+};
+
 /// Buckets of every organisation on this node; one thread at a time.
 class limiter
 {
@@ -123,13 +130,9 @@
     limiter& operator=(limiter&&) noexcept;
     ~limiter();
 
-    /// Takes over the contracts in force. Buckets of organisations that are
-    /// new here start full at their floor; `restarted` starts them empty.
-    enum class bucket_start
-    {
-        full,
-        empty
-    };
+    /// Takes over the contracts in force.
+    ///
+    /// @param start Level of the buckets of organisations that are new here.
     void
     set_contracts(transport::monotonic_time now,
                   const std::vector<protocol::organisation_contract>& contracts,
@@ -147,6 +150,11 @@
     admit(transport::monotonic_time now, std::string_view organisation,
           const limit_request& request);
 
+    /// Counts a stream that another node had admitted and this one took over,
+    /// within the limit or not.
+    [[nodiscard]] permit adopt_stream(std::string_view organisation,
+                                      protocol::priority_class priority);
+
     /// Ends a request: gives back unused tokens and its stream.
     ///
     /// @param used_tokens Prompt and generated tokens; 0 when it did not run.
