Queue by class, refuse early, and shut an entry down in steps

Cause: under overload interactive calls must hold their target and a request that cannot be done must hear so at once; a planned stop may cut nothing off. Change: admission_queue (bounded, strict priority, one start in ten by age, refusal from the observed pace of starts with Retry-After), drain_entry (readiness, refusal, hand-over, end; second signal, short and later notices).

--- a/include/hyssopdeal/coordination/admission_queue.hpp
+++ b/include/hyssopdeal/coordination/admission_queue.hpp
@@ -31,7 +31,7 @@
 {
     std::array<std::size_t, priority_classes> capacity{256, 256, 256};
     std::chrono::milliseconds aging_bound{5'000}; ///< Then before any class.
-    double aged_share = 0.1; ///< Of all starts, at most, by age alone.
+    std::uint32_t aged_every = 10; ///< Of so many starts one by age alone.
     std::chrono::milliseconds retry_floor{250};      ///< Shortest Retry-After.
     std::chrono::milliseconds retry_ceiling{30'000}; ///< Longest.
 };
--- a/include/hyssopdeal/coordination/drain_entry.hpp
+++ b/include/hyssopdeal/coordination/drain_entry.hpp
@@ -9,7 +9,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <memory>
 #include <vector>
 
 #include <hyssopdeal/transport/clock.hpp>
@@ -36,7 +35,6 @@
     refuse_queue,      ///< Waiting requests are answered not_run.
     refuse_new,        ///< New requests are answered not_run, draining.
     hand_over_streams, ///< Each open stream goes to its holder.
-    finish_plain,      ///< Only plain calls go on.
     close_rest,        ///< What is left is cut; verdict may_have_run.
     exit
 };
@@ -89,7 +87,7 @@
     [[nodiscard]] drain_phase phase() const noexcept;
 
 private:
-    void enter(drain_phase phase, transport::monotonic_time now);
+    void enter(drain_phase phase);
 
     drain_settings settings_;
     drain_phase phase_ = drain_phase::serving;
--- /dev/null
+++ b/tests/admission_queue_test.cpp
@@ -0,0 +1,229 @@
+/// @file
+/// Tests of coordination/admission_queue.hpp and concurrency_limit.hpp.
+
+#include <hyssopdeal/coordination/admission_queue.hpp>
+#include <hyssopdeal/coordination/concurrency_limit.hpp>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hyssopdeal;
+using namespace hyssopdeal::coordination;
+using namespace std::chrono_literals;
+using protocol::priority_class;
+
+TEST_GROUP(admission_tests)
+{
+    transport::manual_clock clock;
+    admission_settings settings;
+    admission_queue queue;
+    request_number last = 0;
+
+    transport::monotonic_time now()
+    {
+        return clock.monotonic_now();
+    }
+
+    queued_request make_request(priority_class priority,
+                                std::chrono::milliseconds deadline = 60s)
+    {
+        return {++last, priority, now() + deadline, 100ms};
+    }
+
+    std::optional<admission_refusal> push(
+        priority_class priority, std::chrono::milliseconds deadline = 60s)
+    {
+        return queue.push(now(), make_request(priority, deadline));
+    }
+};
+
+TEST(admission_tests, serves_strictly_by_class_then_in_order)
+{
+    CHECK_FALSE(push(priority_class::batch).has_value());
+    CHECK_FALSE(push(priority_class::standard).has_value());
+    CHECK_FALSE(push(priority_class::interactive).has_value());
+    CHECK_FALSE(push(priority_class::interactive).has_value());
+    LONGS_EQUAL(3, queue.pop(now())->number);
+    LONGS_EQUAL(4, queue.pop(now())->number);
+    LONGS_EQUAL(2, queue.pop(now())->number);
+    LONGS_EQUAL(1, queue.pop(now())->number);
+    CHECK_FALSE(queue.pop(now()).has_value());
+}
+
+TEST(admission_tests, full_class_is_refused_at_once_and_others_are_not)
+{
+    for (int i = 0; i < 256; ++i)
+    {
+        CHECK_FALSE(push(priority_class::standard).has_value());
+    }
+    const auto refused = push(priority_class::standard);
+    CHECK(refused->error.code == transport::reason::overloaded);
+    CHECK(refused->error.ran == transport::verdict::not_run);
+    CHECK(refused->retry_after >= 250ms);
+    CHECK_FALSE(push(priority_class::interactive).has_value());
+}
+
+TEST(admission_tests, aged_request_passes_within_its_share)
+{
+    CHECK_FALSE(push(priority_class::batch).has_value());
+    const auto aged = last;
+    clock.advance(5s);
+    int before = 0;
+    bool served = false;
+    while (!served)
+    {
+        CHECK_FALSE(push(priority_class::interactive).has_value());
+        served = queue.pop(now())->number == aged;
+        before += served ? 0 : 1;
+        CHECK(before <= 10);
+    }
+    LONGS_EQUAL(9, before);
+}
+
+TEST(admission_tests, refuses_what_cannot_meet_its_deadline_before_it_starts)
+{
+    CHECK(push(priority_class::standard, 50ms)->error.code ==
+          transport::reason::overloaded);
+    CHECK(push(priority_class::standard, 0ms)->error.code ==
+          transport::reason::deadline_passed);
+    for (int i = 0; i < 40; ++i)
+    {
+        CHECK_FALSE(push(priority_class::standard).has_value());
+    }
+    for (int i = 0; i < 20; ++i)
+    {
+        clock.advance(100ms);
+        CHECK(queue.pop(now()).has_value());
+    }
+    // 20 wait, one starts each 100 ms.
+    CHECK_FALSE(push(priority_class::standard, 3s).has_value());
+    const auto refused = push(priority_class::standard, 1'500ms);
+    CHECK(refused.has_value());
+    CHECK(refused->retry_after >= 2s);
+    CHECK(refused->retry_after <= 4s);
+}
+
+TEST(admission_tests, slower_pace_refuses_waiting_requests_early)
+{
+    for (int i = 0; i < 30; ++i)
+    {
+        CHECK_FALSE(push(priority_class::standard, 10s).has_value());
+    }
+    for (int i = 0; i < 10; ++i)
+    {
+        clock.advance(100ms);
+        CHECK(queue.pop(now()).has_value());
+    }
+    LONGS_EQUAL(0, queue.take_refusals(now()).size());
+    // Nothing starts any more: those at the back are told long before the end.
+    clock.advance(2s);
+    const auto refused = queue.take_refusals(now());
+    CHECK(refused.size() >= 10);
+    CHECK(queue.size() > 0);
+    for (const auto& refusal : refused)
+    {
+        CHECK(refusal.error.ran == transport::verdict::not_run);
+        CHECK(refusal.retry_after >= 250ms);
+    }
+}
+
+TEST(admission_tests, each_request_ends_exactly_once)
+{
+    std::mt19937_64 random{11};
+    std::multiset<request_number> ended;
+    std::set<request_number> pushed;
+    const auto end_all = [&](const std::vector<admission_refusal>& refusals) {
+        for (const auto& refusal : refusals)
+        {
+            ended.insert(refusal.number);
+        }
+    };
+    for (int i = 0; i < 5'000; ++i)
+    {
+        clock.advance(std::chrono::milliseconds{random() % 20});
+        const auto request =
+            make_request(static_cast<priority_class>(random() % 3),
+                         std::chrono::milliseconds{random() % 5'000});
+        pushed.insert(request.number);
+        if (queue.push(now(), request))
+        {
+            ended.insert(request.number);
+        }
+        if (random() % 3 == 0)
+        {
+            const auto started = queue.pop(now());
+            if (started)
+            {
+                ended.insert(started->number);
+                CHECK(now() <= started->deadline - started->service_time);
+            }
+        }
+        const auto left = request.number - random() % 50;
+        if (random() % 20 == 0 && queue.remove(left))
+        {
+            ended.insert(left);
+        }
+        if (random() % 10 == 0)
+        {
+            end_all(queue.take_refusals(now()));
+        }
+    }
+    end_all(queue.refuse_all(now(), transport::reason::draining));
+    LONGS_EQUAL(0, queue.size());
+    CHECK(std::equal(ended.begin(), ended.end(), pushed.begin(), pushed.end()));
+}
+
+TEST_GROUP(concurrency_tests)
+{
+    transport::manual_clock clock;
+    concurrency_limit limit;
+
+    void sample(concurrency_sample kind, std::chrono::microseconds observed)
+    {
+        limit.on_sample(clock.monotonic_now(), kind, observed, 200ms);
+    }
+};
+
+TEST(concurrency_tests, grows_while_it_is_used_and_answers_are_quick)
+{
+    while (limit.has_room())
+    {
+        limit.on_sent();
+    }
+    LONGS_EQUAL(16, limit.open());
+    for (int i = 0; i < 100; ++i)
+    {
+        sample(concurrency_sample::answered, 200ms);
+    }
+    CHECK(limit.limit() >= 20);
+    CHECK(limit.has_room());
+}
+
+TEST(concurrency_tests, does_not_grow_unused)
+{
+    for (int i = 0; i < 100; ++i)
+    {
+        sample(concurrency_sample::answered, 200ms);
+    }
+    LONGS_EQUAL(16, limit.limit());
+}
+
+TEST(concurrency_tests, shrinks_once_an_interval_and_not_below_its_floor)
+{
+    clock.advance(1s);
+    for (int i = 0; i < 10; ++i)
+    {
+        sample(concurrency_sample::overloaded, 0ms);
+    }
+    LONGS_EQUAL(12, limit.limit());
+    for (int i = 0; i < 100; ++i)
+    {
+        clock.advance(500ms);
+        sample(concurrency_sample::answered, 5s);
+    }
+    LONGS_EQUAL(1, limit.limit());
+    CHECK(limit.has_room());
+}
--- a/tests/grant_allocator_test.cpp
+++ b/tests/grant_allocator_test.cpp
@@ -223,7 +223,7 @@
     }
 
     /// Lost while cut off, else late, sometimes very late, sometimes twice.
-    void send(message sent)
+    void send(const message& sent)
     {
         if (cut_[sent.node] && chance() < 0.9)
         {
