Serve and call HTTP on the event loop

Callers' HTTP is on RESTinio, calls to backend servers are on libcurl's multi interface driven by Asio. RESTinio closes the connection of a request that it cannot read without an answer; a socket type of our own sends the JSON error with its verdict first (400, 408, 413, 414, 431) and reads on for a second so that the answer is not lost to a reset.

RESTinio does not hand on the HTTP version, so callers of HTTP/1.0 get chunked streams too.

--- a/include/hyssopdeal/transport/http_client.hpp
+++ b/include/hyssopdeal/transport/http_client.hpp
@@ -25,9 +25,17 @@
 
 // [settings] -----------------------------------------------------------------
 
+/// Which connection a call goes out on.
+enum class connection_choice
+{
+    pooled, ///< One that is open, if there is any.
+    fresh   ///< A new one: it cannot have been closed by the server meanwhile.
+};
+
 /// Limits of one call.
 struct http_call_settings
 {
+    connection_choice connection = connection_choice::pooled;
     std::chrono::milliseconds connect_time_limit{1'000}; ///< TCP connect.
     std::chrono::milliseconds total_time_limit{60'000};  ///< Whole answer.
     std::size_t max_body_bytes = 16'777'216;             ///< Whole answer.
@@ -72,6 +80,12 @@
     /// Stops the call; no handler is called afterwards.
     void cancel() noexcept;
 
+    /// Holds the answer back: on_data is not called until resume().
+    void pause() noexcept;
+
+    /// Lets a paused answer go on.
+    void resume() noexcept;
+
 private:
     std::shared_ptr<impl> state_;
 };
--- a/include/hyssopdeal/transport/http_message.hpp
+++ b/include/hyssopdeal/transport/http_message.hpp
@@ -22,6 +22,10 @@
     std::string value; ///< Without surrounding spaces.
 };
 
+/// @return Whether two header names are the same, without regard to case.
+[[nodiscard]] bool same_header_name(std::string_view left,
+                                    std::string_view right) noexcept;
+
 /// Finds the first header of a name, without regard to case.
 ///
 /// @return Its value, or an empty view when there is none.
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -17,13 +17,18 @@
 
 } // namespace
 
+bool same_header_name(std::string_view left, std::string_view right) noexcept
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      same_letter);
+}
+
 std::string_view find_header(const std::vector<http_header>& headers,
                              std::string_view name) noexcept
 {
     for (const auto& header : headers)
     {
-        if (std::equal(header.name.begin(), header.name.end(), name.begin(),
-                       name.end(), same_letter))
+        if (same_header_name(header.name, name))
         {
             return header.value;
         }
--- /dev/null
+++ b/src/transport/http_refusal.cpp
@@ -0,0 +1,187 @@
+#include "http_refusal.hpp"
+
+#include <array>
+#include <chrono>
+#include <memory>
+
+#include <asio/buffer.hpp>
+#include <asio/steady_timer.hpp>
+#include <fmt/format.h>
+
+#include <hyssopdeal/transport/logging.hpp>
+
+namespace hyssopdeal::transport
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds linger_time_limit{1};
+constexpr std::size_t linger_buffer_bytes = 16'384;
+
+constexpr refusal timed_out_refusal{408, reason::timed_out,
+                                    "The request was not sent whole in time."};
+
+constexpr refusal cut_off_refusal{
+    400, reason::bad_request,
+    "The connection was closed before the request was whole."};
+
+/// What the parser's message holds, and the answer to it.
+struct refusal_rule
+{
+    std::string_view logged;
+    refusal answer;
+};
+
+constexpr std::array<refusal_rule, 7> refusal_rules{{
+    {"HPE_CB_url",
+     {414, reason::too_large, "The request's target is too long."}},
+    {"HPE_CB_header",
+     {431, reason::too_large, "The request's header lines are too large."}},
+    {"HPE_HEADER_OVERFLOW",
+     {431, reason::too_large, "The request's header lines are too large."}},
+    {"HPE_CB_headers_complete",
+     {413, reason::too_large, "The request's body is too large."}},
+    {"HPE_CB_body",
+     {413, reason::too_large, "The request's body is too large."}},
+    {"parser error",
+     {400, reason::bad_request, "The request is not valid HTTP."}},
+    {"read socket error", cut_off_refusal},
+}};
+
+// Set by the logger and read by the socket's close, which follows it in the
+// same call.
+thread_local std::optional<refusal> pending_refusal;
+
+/// Reads and drops what still comes, then closes: closing with unread bytes
+/// would reset the connection and take the answer with it.
+class lingerer : public std::enable_shared_from_this<lingerer>
+{
+public:
+    explicit lingerer(asio::ip::tcp::socket socket)
+        : socket_(std::move(socket)),
+          timer_(socket_.get_executor())
+    {}
+
+    void start()
+    {
+        timer_.expires_after(linger_time_limit);
+        timer_.async_wait([self = shared_from_this()](const auto&) {
+            asio::error_code ignored;
+            self->socket_.close(ignored);
+        });
+        read();
+    }
+
+private:
+    void read()
+    {
+        socket_.async_read_some(
+            asio::buffer(buffer_),
+            [self = shared_from_this()](const auto& error, std::size_t) {
+                if (error)
+                {
+                    self->timer_.cancel();
+                    return;
+                }
+                self->read();
+            });
+    }
+
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::array<char, linger_buffer_bytes> buffer_{};
+};
+
+std::string_view status_text(int status) noexcept
+{
+    switch (status)
+    {
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Payload Too Large";
+    case 414:
+        return "URI Too Long";
+    case 431:
+        return "Request Header Fields Too Large";
+    default:
+        return "Bad Request";
+    }
+}
+
+} // namespace
+
+std::optional<refusal> refusal_for(std::string_view logged) noexcept
+{
+    if (logged.find("HPE_CB_headers_complete") != std::string_view::npos)
+    {
+        return refusal_rules[3].answer;
+    }
+    for (const auto& rule : refusal_rules)
+    {
+        if (logged.find(rule.logged) != std::string_view::npos)
+        {
+            return rule.answer;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string error_body(reason code, std::string_view text, verdict ran)
+{
+    return fmt::format(
+        R"({{"error":{{"reason":"{}","text":"{}","verdict":"{}"}}}})",
+        to_string(code), text, to_string(ran));
+}
+
+void parser_logger::note_error(std::string_view message)
+{
+    pending_refusal = refusal_for(message);
+}
+
+void refusing_socket::shutdown(shutdown_type what, asio::error_code& error)
+{
+    const auto cause =
+        std::exchange(pending_refusal, std::nullopt)
+            .value_or(ended_ ? cut_off_refusal : timed_out_refusal);
+    if (received_ > 0 && is_open())
+    {
+        refuse(cause);
+        return;
+    }
+    base::shutdown(what, error);
+}
+
+void refusing_socket::close()
+{
+    if (!lingers_)
+    {
+        base::close();
+        return;
+    }
+    lingers_ = false;
+    asio::error_code ignored;
+    cancel(ignored);
+    std::make_shared<lingerer>(std::move(static_cast<base&>(*this)))->start();
+}
+
+void refusing_socket::refuse(const refusal& cause)
+{
+    received_ = 0;
+    const auto body = error_body(cause.code, cause.text, verdict::not_run);
+    const auto answer = fmt::format(
+        "HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Type: "
+        "application/json\r\nHyssopdeal-Verdict: not_run\r\nContent-Length: "
+        "{}\r\n\r\n{}",
+        cause.status, status_text(cause.status), body.size(), body);
+    asio::error_code error;
+    non_blocking(true, error);
+    write_some(asio::buffer(answer), error);
+    base::shutdown(shutdown_send, error);
+    lingers_ = !error;
+    log_info(log_part::http, "Refused an unread request. status={} reason={}",
+             cause.status, to_string(cause.code));
+}
+
+} // namespace hyssopdeal::transport
--- /dev/null
+++ b/src/transport/http_refusal.hpp
@@ -0,0 +1,122 @@
+#ifndef HYSSOPDEAL_SRC_TRANSPORT_HTTP_REFUSAL_HPP
+#define HYSSOPDEAL_SRC_TRANSPORT_HTTP_REFUSAL_HPP
+
+/// @file
+/// Internal: answers requests that the HTTP parser gives up on. RESTinio closes
+/// such connections without a word; this socket type sends a JSON error first
+/// and reads on for a moment, so that the caller gets to see it.
+///
+/// Index: [refusal] [parser_logger] [refusing_socket]
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <asio/bind_executor.hpp>
+#include <asio/error.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <hyssopdeal/transport/failure.hpp>
+
+namespace hyssopdeal::transport
+{
+
+// [refusal] ------------------------------------------------------------------
+
+/// Why a request is answered before it was read whole.
+struct refusal
+{
+    int status = 400;                  ///< HTTP status.
+    reason code = reason::bad_request; ///< Machine-readable cause.
+    std::string_view text;             ///< One sentence for a person.
+};
+
+/// Chooses the answer by the message that RESTinio logs before it closes.
+///
+/// @return Empty when the message is not about the request.
+[[nodiscard]] std::optional<refusal>
+refusal_for(std::string_view logged) noexcept;
+
+/// @return JSON body of an error answer; the text must need no escapes.
+[[nodiscard]] std::string error_body(reason code, std::string_view text,
+                                     verdict ran);
+
+// [parser_logger] ------------------------------------------------------------
+
+/// Takes RESTinio's log: keeps the cause of the next close, drops the rest.
+class parser_logger
+{
+public:
+    template <class Builder>
+    void trace(Builder&&) const noexcept
+    {}
+
+    template <class Builder>
+    void info(Builder&&) const noexcept
+    {}
+
+    template <class Builder>
+    void warn(Builder&&) const noexcept
+    {}
+
+    template <class Builder>
+    void error(Builder&& builder) const
+    {
+        note_error(builder());
+    }
+
+private:
+    static void note_error(std::string_view message);
+};
+
+// [refusing_socket] ----------------------------------------------------------
+
+/// TCP socket that answers a partly read request when it is closed.
+class refusing_socket : public asio::ip::tcp::socket
+{
+    using base = asio::ip::tcp::socket;
+
+public:
+    explicit refusing_socket(asio::io_context& context)
+        : base(context)
+    {}
+
+    template <class Buffers, class Handler>
+    void async_read_some(const Buffers& buffers, Handler&& handler)
+    {
+        const auto executor =
+            asio::get_associated_executor(handler, get_executor());
+        base::async_read_some(
+            buffers, asio::bind_executor(
+                         executor, [this, run = std::forward<Handler>(handler)](
+                                       const asio::error_code& error,
+                                       std::size_t length) mutable {
+                             received_ += length;
+                             ended_ = error == asio::error::eof;
+                             run(error, length);
+                         }));
+    }
+
+    template <class Buffers, class Handler>
+    void async_write_some(const Buffers& buffers, Handler&& handler)
+    {
+        received_ = 0;
+        base::async_write_some(buffers, std::forward<Handler>(handler));
+    }
+
+    void shutdown(shutdown_type what, asio::error_code& error);
+    void close();
+
+private:
+    void refuse(const refusal& cause);
+
+    std::size_t received_ = 0; // bytes of a request that is not answered
+    bool ended_ = false;       // the caller has closed its sending side
+    bool lingers_ = false;
+};
+
+} // namespace hyssopdeal::transport
+
+#endif
--- /dev/null
+++ b/tests/http_loopback_test.cpp
@@ -0,0 +1,352 @@
+/// @file
+/// Tests of transport/http_server.hpp and transport/http_client.hpp against
+/// each other on loopback.
+
+#include <hyssopdeal/transport/http_client.hpp>
+#include <hyssopdeal/transport/http_server.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+#include "loop_helper.hpp"
+
+using namespace hyssopdeal::transport;
+using namespace std::chrono_literals;
+using hyssopdeal::tests::after_sending;
+using hyssopdeal::tests::raw_exchange;
+using hyssopdeal::tests::run_until;
+
+namespace
+{
+
+http_server_settings small_limits()
+{
+    http_server_settings settings;
+    settings.max_body_bytes = 1'000;
+    settings.max_header_bytes = 2'000;
+    settings.read_time_limit = 300ms;
+    return settings;
+}
+
+bool contains(const std::string& text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_GROUP(http_loopback_tests)
+{
+    event_loop loop;
+    std::vector<http_responder> open;
+    std::string last_method;
+    std::string last_body;
+    http_server server{
+        loop, small_limits(),
+        [this](const http_request& request, http_responder responder) {
+            answer(request, std::move(responder));
+        }};
+    http_client client{loop};
+    std::string address;
+    std::uint16_t port = 0;
+
+    void setup() override
+    {
+        const auto started = server.start();
+        CHECK_TRUE(started.has_value());
+        port = *started;
+        address = "127.0.0.1:" + std::to_string(port);
+    }
+
+    void answer(const http_request& request, http_responder responder)
+    {
+        last_method = request.method;
+        last_body = request.body;
+        if (request.target == "/dropped")
+        {
+            return;
+        }
+        if (request.target == "/held")
+        {
+            open.push_back(std::move(responder));
+            return;
+        }
+        if (request.target == "/stream" || request.target == "/cut")
+        {
+            responder.begin_stream(200, {{"Content-Type", "text/plain"}});
+            responder.write("one ");
+            responder.write("two ");
+            request.target == "/cut" ? responder.abort_stream()
+                                     : responder.end_stream();
+            return;
+        }
+        http_response response;
+        response.headers = {
+            {"X-Echo", std::string{find_header(request.headers, "x-sent")}}};
+        response.body = request.body;
+        responder.send(std::move(response));
+    }
+
+    result<http_response> fetch(const http_request& request,
+                                const http_call_settings& settings = {})
+    {
+        std::optional<result<http_response>> got;
+        const auto call =
+            client.fetch(address, request, settings,
+                         [&](auto outcome) { got = std::move(outcome); });
+        CHECK_TRUE(run_until(loop, [&] { return got.has_value(); }));
+        return std::move(*got);
+    }
+};
+
+TEST(http_loopback_tests, passes_method_headers_and_body)
+{
+    http_request request{"PUT", "/echo", {{"X-Sent", "a b"}}, "hello"};
+    const auto answer = fetch(request);
+    CHECK_TRUE(answer.has_value());
+    STRCMP_EQUAL("hello", answer->body.c_str());
+    CHECK(find_header(answer->headers, "x-echo") == "a b");
+    STRCMP_EQUAL("PUT", last_method.c_str());
+}
+
+TEST(http_loopback_tests, streams_to_the_proper_end)
+{
+    const auto answer = fetch({"GET", "/stream", {}, ""});
+    CHECK_TRUE(answer.has_value());
+    STRCMP_EQUAL("one two ", answer->body.c_str());
+}
+
+TEST(http_loopback_tests, aborted_stream_is_a_fault)
+{
+    const auto answer = fetch({"GET", "/cut", {}, ""});
+    CHECK_FALSE(answer.has_value());
+    CHECK(answer.error().code == reason::connection_lost);
+    CHECK(answer.error().ran == verdict::may_have_run);
+}
+
+TEST(http_loopback_tests, connection_is_used_again_after_a_whole_answer)
+{
+    for (int round = 0; round < 3; ++round)
+    {
+        CHECK_TRUE(fetch({"GET", "/stream", {}, ""}).has_value());
+    }
+    LONGS_EQUAL(1, server.open_connections());
+}
+
+TEST(http_loopback_tests, dropped_responder_answers_500)
+{
+    const auto answer = fetch({"GET", "/dropped", {}, ""});
+    CHECK_TRUE(answer.has_value());
+    LONGS_EQUAL(500, answer->status);
+    CHECK(find_header(answer->headers, "Hyssopdeal-Verdict") == "may_have_run");
+}
+
+TEST(http_loopback_tests, refused_connection_is_not_run)
+{
+    address = "127.0.0.1:1";
+    const auto answer = fetch({"POST", "/echo", {}, "x"});
+    CHECK_FALSE(answer.has_value());
+    CHECK(answer.error().code == reason::connect_failed);
+    CHECK(answer.error().ran == verdict::not_run);
+}
+
+TEST(http_loopback_tests, names_are_not_resolved)
+{
+    address = "localhost:80";
+    const auto answer = fetch({"GET", "/", {}, ""});
+    CHECK_FALSE(answer.has_value());
+    CHECK(answer.error().code == reason::bad_request);
+    CHECK(answer.error().ran == verdict::not_run);
+}
+
+TEST(http_loopback_tests, total_time_limit_ends_a_call)
+{
+    http_call_settings settings;
+    settings.total_time_limit = 100ms;
+    const auto answer = fetch({"POST", "/held", {}, "x"}, settings);
+    CHECK_FALSE(answer.has_value());
+    CHECK(answer.error().code == reason::timed_out);
+    CHECK(answer.error().ran == verdict::may_have_run);
+}
+
+TEST(http_loopback_tests, answer_above_its_cap_is_a_fault)
+{
+    http_call_settings settings;
+    settings.max_body_bytes = 4;
+    const auto answer = fetch({"GET", "/stream", {}, ""}, settings);
+    CHECK_FALSE(answer.has_value());
+    CHECK(answer.error().code == reason::too_large);
+}
+
+TEST(http_loopback_tests, cancelled_call_calls_nothing)
+{
+    int called = 0;
+    auto call = client.fetch(address, {"GET", "/stream", {}, ""}, {},
+                             [&](const auto&) { ++called; });
+    call.cancel();
+    loop.run_for(50ms);
+    LONGS_EQUAL(0, called);
+}
+
+TEST(http_loopback_tests, cancel_within_a_handler_is_safe)
+{
+    int pieces = 0;
+    int ends = 0;
+    http_call call;
+    http_call_handlers handlers;
+    handlers.on_data = [&](std::string_view) {
+        ++pieces;
+        call.cancel();
+    };
+    handlers.on_end = [&](const auto&) { ++ends; };
+    call = client.start(address, {"GET", "/stream", {}, ""}, {}, handlers);
+    run_until(loop, [&] { return pieces > 0; });
+    loop.run_for(50ms);
+    LONGS_EQUAL(1, pieces);
+    LONGS_EQUAL(0, ends);
+}
+
+TEST(http_loopback_tests, paused_call_goes_on_after_resume)
+{
+    std::string got;
+    bool ended = false;
+    http_call_handlers handlers;
+    handlers.on_data = [&](std::string_view piece) { got += piece; };
+    handlers.on_end = [&](const auto& end) { ended = end.complete; };
+    auto call = client.start(address, {"GET", "/stream", {}, ""}, {}, handlers);
+    call.pause();
+    loop.run_for(100ms);
+    STRCMP_EQUAL("", got.c_str());
+    call.resume();
+    CHECK_TRUE(run_until(loop, [&] { return ended; }));
+    STRCMP_EQUAL("one two ", got.c_str());
+}
+
+TEST(http_loopback_tests, write_reports_that_the_caller_left)
+{
+    std::optional<write_status> last;
+    auto call = client.start(address, {"GET", "/held", {}, ""}, {}, {});
+    CHECK_TRUE(run_until(loop, [&] { return !open.empty(); }));
+    open.front().begin_stream(200, {});
+    loop.run_for(20ms);
+    call.cancel();
+    loop.run_for(20ms);
+    CHECK_TRUE(run_until(loop, [&] {
+        open.front().write("x", [&](write_status status) { last = status; });
+        return last == write_status::caller_left;
+    }));
+}
+
+TEST(http_loopback_tests, body_above_the_cap_gets_413)
+{
+    const auto answer = fetch({"POST", "/echo", {}, std::string(1'001, 'x')});
+    CHECK_TRUE(answer.has_value());
+    LONGS_EQUAL(413, answer->status);
+    CHECK(find_header(answer->headers, "Hyssopdeal-Verdict") == "not_run");
+}
+
+TEST(http_loopback_tests, chunked_body_above_the_cap_gets_413)
+{
+    const auto got = raw_exchange(
+        loop, port,
+        "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "7d0\r\n" +
+            std::string(2'000, 'x') + "\r\n0\r\n\r\n");
+    CHECK_TRUE(contains(got, "HTTP/1.1 413"));
+    CHECK_TRUE(contains(got, "too_large"));
+}
+
+TEST(http_loopback_tests, long_header_gets_431)
+{
+    const auto got = raw_exchange(loop, port,
+                                  "GET / HTTP/1.1\r\nHost: a\r\nX-Long: " +
+                                      std::string(3'000, 'x') + "\r\n\r\n");
+    CHECK_TRUE(contains(got, "HTTP/1.1 431"));
+}
+
+TEST(http_loopback_tests, many_headers_get_431)
+{
+    std::string text = "GET / HTTP/1.1\r\nHost: a\r\n";
+    for (int line = 0; line < 60; ++line)
+    {
+        text += "X-Many: 0123456789012345678901234567890123456789\r\n";
+    }
+    text += "Connection: close\r\n\r\n";
+    CHECK_TRUE(contains(raw_exchange(loop, port, text), "HTTP/1.1 431"));
+}
+
+TEST(http_loopback_tests, long_target_gets_414)
+{
+    const auto got = raw_exchange(
+        loop, port, "GET /" + std::string(9'000, 'x') + " HTTP/1.1\r\n\r\n");
+    CHECK_TRUE(contains(got, "HTTP/1.1 414"));
+}
+
+TEST(http_loopback_tests, garbage_gets_400_with_verdict)
+{
+    const auto got = raw_exchange(loop, port, "no such thing\r\n\r\n");
+    CHECK_TRUE(contains(got, "HTTP/1.1 400"));
+    CHECK_TRUE(contains(got, "Hyssopdeal-Verdict: not_run"));
+    CHECK_TRUE(contains(got, "\"reason\":\"bad_request\""));
+}
+
+TEST(http_loopback_tests, slow_request_gets_408)
+{
+    const auto got = raw_exchange(
+        loop, port, "POST /echo HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
+    CHECK_TRUE(contains(got, "HTTP/1.1 408"));
+    CHECK_TRUE(contains(got, "timed_out"));
+}
+
+TEST(http_loopback_tests, half_closed_unfinished_request_gets_400)
+{
+    const auto got = raw_exchange(
+        loop, port, "POST /echo HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf",
+        after_sending::half_close);
+    CHECK_TRUE(contains(got, "HTTP/1.1 400"));
+}
+
+TEST(http_loopback_tests, half_closed_whole_request_is_answered)
+{
+    const auto got =
+        raw_exchange(loop, port, "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n",
+                     after_sending::half_close);
+    CHECK_TRUE(contains(got, "one"));
+    CHECK_TRUE(contains(got, "0\r\n\r\n"));
+}
+
+TEST(http_loopback_tests, idle_connection_is_closed_without_an_answer)
+{
+    STRCMP_EQUAL("", raw_exchange(loop, port, "").c_str());
+}
+
+TEST_GROUP(http_connection_limit_tests){};
+
+TEST(http_connection_limit_tests, past_the_limit_gets_503)
+{
+    event_loop loop;
+    auto settings = small_limits();
+    settings.max_connections = 1;
+    std::vector<http_responder> open;
+    http_server server{loop, settings,
+                       [&](const http_request&, http_responder responder) {
+                           open.push_back(std::move(responder));
+                       }};
+    const auto port = *server.start();
+    http_client client{loop};
+    const auto address = "127.0.0.1:" + std::to_string(port);
+    const auto held = client.start(address, {"GET", "/", {}, ""}, {}, {});
+    CHECK_TRUE(run_until(loop, [&] { return !open.empty(); }));
+    std::optional<result<http_response>> got;
+    const auto second =
+        client.fetch(address, {"GET", "/", {}, ""}, {},
+                     [&](auto outcome) { got = std::move(outcome); });
+    CHECK_TRUE(run_until(loop, [&] { return got.has_value(); }));
+    CHECK_TRUE(got->has_value());
+    LONGS_EQUAL(503, (*got)->status);
+    CHECK(find_header((*got)->headers, "Hyssopdeal-Verdict") == "not_run");
+    CHECK_FALSE(find_header((*got)->headers, "Retry-After").empty());
+}
