--- a/src/coordination/admission_queue.cpp
+++ b/src/coordination/admission_queue.cpp
@@ -139,7 +139,7 @@
     {
         auto& waiting = classes.at(index).waiting;
         std::deque<waiting_request> kept;
-        for (auto& item : waiting)
+        for (const auto& item : waiting)
         {
             const auto start = now + wait_of(now, index, kept.size());
             if (start > item.latest_start())
@@ -147,7 +147,7 @@
                 refusals.push_back(refuse_late(now, item.request));
                 continue;
             }
-            kept.push_back(std::move(item));
+            kept.push_back(item);
         }
         waiting = std::move(kept);
     }
