Fence owners that lost their stream unheard; test every fault at every step

Cause: with the holder that granted a take-over dead, a former owner did not learn of the newer epoch and served a returning caller from its own, shorter record; the pair test (caller returns elsewhere, then the holder dies) showed it. Change: a caller that has more than was sent from here is refused with revision_conflict and the newest epoch decides; silence counts only once a server accepted the attempt; resumes are counted without progress. Only both instances of a copy dying within one repair lose it. Delivering before the copy, or taking events of older attempts, fails these tests.

--- a/include/hyssopdeal/coordination/stream_record.hpp
+++ b/include/hyssopdeal/coordination/stream_record.hpp
@@ -117,7 +117,7 @@
 {
     std::uint64_t from = 1;     ///< Number of the first.
     std::uint64_t to = 0;       ///< Number of the last.
-    attempt_id attempt;         ///< All zero: none can be gone on with.
+    attempt_id attempt;         ///< The one that produces now.
     std::uint64_t sequence = 0; ///< Of the attempt, at event `to`.
 };
 
@@ -190,8 +190,9 @@
     std::chrono::milliseconds batch_time{5};
     std::chrono::milliseconds resume_window{30'000};  ///< For a gone caller.
     std::chrono::milliseconds engine_silence{10'000}; ///< Then it is lost.
-    std::uint32_t max_resumes = 8;     ///< Then the stream fails.
-    std::size_t max_bytes = 4'194'304; ///< Of one answer.
+    std::uint32_t max_resumes = 8;      ///< Without progress; then it fails.
+    std::uint32_t progress_events = 16; ///< That count as progress.
+    std::size_t max_bytes = 4'194'304;  ///< Of one answer.
 };
 
 /// What is known of an engine that was lost or will be.
@@ -267,6 +268,10 @@
     void on_engine_loss(transport::monotonic_time now, const engine_loss& loss,
                         attempt_id next);
 
+    /// A server has accepted the attempt that was ordered; its silence counts
+    /// from now on. Until then the time limits of the call to it apply.
+    void on_attempt_started(transport::monotonic_time now, attempt_id attempt);
+
     /// The way that was taken did not work (engine gone, no KV target).
     void on_resume_failed(transport::monotonic_time now, attempt_id next);
 
@@ -287,8 +292,9 @@
 
     /// A caller is connected and has everything up to a number.
     ///
-    /// @return forbidden for another organisation; bad_request when the number
-    ///     is beyond the stream.
+    /// @return forbidden for another organisation; revision_conflict when the
+    ///     caller has more than was ever sent from here: a newer owner sent it,
+    ///     whose copy must be looked for.
     [[nodiscard]] transport::result<void>
     on_caller(transport::monotonic_time now, std::string_view organisation,
               std::uint64_t last_event);
