--- a/include/hyssopdeal/coordination/move_controller.hpp
+++ b/include/hyssopdeal/coordination/move_controller.hpp
@@ -37,9 +37,9 @@
     double unjudged_share_limit = 0.5; ///< From here every route with enough
                                        ///< traffic must have passed.
     std::chrono::milliseconds proposal_time_limit{2'000}; ///< Then again.
-    std::chrono::milliseconds status_interval{5'000}; ///< Between records
-                                                      ///< that only inform.
-    std::chrono::milliseconds shortest_grace{1'800'000}; ///< After the
+    std::chrono::milliseconds status_interval{5'000};     ///< Between records
+                                                          ///< that only inform.
+    std::chrono::milliseconds shortest_grace{1'800'000};  ///< After the
         ///< deadline; a move not complete by then is taken back.
 };
 
@@ -70,8 +70,8 @@
     transport::wall_time now{};
     state::move_record move;             ///< As committed.
     std::vector<version_server> servers; ///< Of the new version.
-    double needed_slots = 0;    ///< For all of the service's traffic.
-    double requests_per_second = 0;        ///< Of the service; 0: unknown.
+    double needed_slots = 0;             ///< For all of the service's traffic.
+    double requests_per_second = 0;      ///< Of the service; 0: unknown.
     std::chrono::milliseconds load_time{}; ///< For all servers, with the
                                            ///< weight store's rate limit.
     std::chrono::milliseconds first_token_target{500}; ///< Of the service.
@@ -79,13 +79,11 @@
 
 // [move_actions] -------------------------------------------------------------
 
-/// What an operator is told without asking.
+/// What an operator is told before the move has ended.
 enum class move_notice : std::uint8_t
 {
     none,
-    will_be_late, ///< The deadline will be missed; safety goes first.
-    done,
-    taken_back
+    will_be_late ///< The deadline will be missed; safety goes first.
 };
 
 /// What is to be done now.
@@ -129,6 +127,10 @@
 [[nodiscard]] std::vector<protocol::version_share>
 shares_during(const state::move_record& move, double new_share);
 
+/// @return Versions that a move takes the traffic from.
+[[nodiscard]] std::vector<std::string>
+versions_before(const state::move_record& move);
+
 } // namespace hyssopdeal::coordination
 
 #endif
--- a/include/hyssopdeal/coordination/move_plan.hpp
+++ b/include/hyssopdeal/coordination/move_plan.hpp
@@ -21,13 +21,13 @@
 /// Bounds of a plan.
 struct move_plan_settings
 {
-    double first_share = 0.01;  ///< Never more at the first step.
-    double samples = 120;       ///< Answers needed to judge a step.
-    double reserve = 0.2;       ///< Part of the time kept for faults.
-    std::chrono::milliseconds shortest_stay{10'000};  ///< At any step.
+    double first_share = 0.01; ///< Never more at the first step.
+    double samples = 120;      ///< Answers needed to judge a step.
+    double reserve = 0.2;      ///< Part of the time kept for faults.
+    std::chrono::milliseconds shortest_stay{10'000};   ///< At any step.
     std::chrono::milliseconds longest_stay{1'800'000}; ///< At any step.
-    std::chrono::milliseconds sample_wait{600'000}; ///< Longest to plan for
-                                                    ///< samples at a step.
+    std::chrono::milliseconds sample_wait{600'000};    ///< Longest to plan for
+                                                       ///< samples at a step.
 };
 
 // [plan_input] ---------------------------------------------------------------
@@ -35,9 +35,10 @@
 /// What a plan depends on.
 struct plan_input
 {
-    transport::wall_time now{};         ///< Begin of step `from_step`.
-    transport::wall_time complete_by{}; ///< All traffic moved by then.
-    double canary_share = 0.01;         ///< Largest share not yet judged.
+    transport::wall_time now{};            ///< Begin of step `from_step`.
+    transport::wall_time ordered_at{};     ///< Begin of the whole move.
+    transport::wall_time complete_by{};    ///< All traffic moved by then.
+    double canary_share = 0.01;            ///< Largest share not yet judged.
     std::chrono::milliseconds load_time{}; ///< Until the steps can begin.
     double requests_per_second = 0;        ///< Of the service; 0: unknown.
     std::uint32_t from_step = 0;           ///< First step that remains.
--- a/include/hyssopdeal/coordination/version_comparison.hpp
+++ b/include/hyssopdeal/coordination/version_comparison.hpp
@@ -26,13 +26,13 @@
 {
     sequential_test_settings failures; ///< Failed, broken or empty answers.
     sequential_test_settings latency{.effect = 0.2}; ///< Slow answers.
-    double failure_tolerance = 0.01;  ///< Added to the old version's rate.
+    double failure_tolerance = 0.005; ///< Added to the old version's rate.
     double slow_quantile = 0.9;       ///< Of the old version; slower is slow.
     double slow_tolerance = 0.05;     ///< Added to the old version's rate.
     std::uint64_t reference_requests = 50; ///< Fewer give no reference.
     double failure_rate_unknown = 0.05;    ///< Without any reference.
-    std::uint64_t memory = 4'000;   ///< Old answers kept for each cell.
-    std::size_t confirming_entries = 2; ///< Guards that count as proof.
+    std::uint64_t memory = 4'000;          ///< Old answers kept for each cell.
+    std::size_t confirming_entries = 2;    ///< Guards that count as proof.
 };
 
 // [route_evidence] -----------------------------------------------------------
--- a/include/hyssopdeal/coordination/version_guard.hpp
+++ b/include/hyssopdeal/coordination/version_guard.hpp
@@ -26,9 +26,9 @@
 /// When a guard trips and for how long.
 struct version_guard_settings
 {
-    std::uint32_t failures_in_a_row = 4; ///< On one route; trips the guard.
-    double peer_failure_limit = 0.5;     ///< Others failing more: no trip.
-    double memory = 0.05;                ///< Weight of the newest answer.
+    std::uint32_t failures_in_a_row = 4;    ///< On one route; trips the guard.
+    double peer_failure_limit = 0.5;        ///< Others failing more: no trip.
+    double memory = 0.05;                   ///< Weight of the newest answer.
     std::chrono::milliseconds hold{60'000}; ///< Without share; then tried
                                             ///< again.
 };
@@ -65,9 +65,9 @@
     /// parts when they have no share.
     ///
     /// @param declared Shares in force.
-    [[nodiscard]] std::vector<protocol::version_share>
-    effective_shares(transport::monotonic_time now,
-                     const std::vector<protocol::version_share>& declared) const;
+    [[nodiscard]] std::vector<protocol::version_share> effective_shares(
+        transport::monotonic_time now,
+        const std::vector<protocol::version_share>& declared) const;
 
     /// @return Trips in force, for the next report.
     [[nodiscard]] std::vector<guard_trip>
--- a/include/hyssopdeal/coordination/version_observer.hpp
+++ b/include/hyssopdeal/coordination/version_observer.hpp
@@ -30,11 +30,10 @@
     std::string service;
     std::string version;
     std::string route;
-    load_bucket load = load_bucket::light;     ///< When it was sent.
-    answer_kind answer = answer_kind::whole;   ///< How it ended.
-    std::chrono::microseconds first_token{};   ///< 0: none came.
+    load_bucket load = load_bucket::light;      ///< When it was sent.
+    answer_kind answer = answer_kind::whole;    ///< How it ended.
     std::chrono::microseconds between_tokens{}; ///< Mean gap; 0: unknown.
-    std::chrono::microseconds busy{};          ///< Slot time used.
+    std::chrono::microseconds busy{};           ///< Slot time used.
 };
 
 // [version_observer] ---------------------------------------------------------
@@ -55,6 +54,13 @@
     void on_offered(std::string_view service,
                     protocol::priority_class priority);
 
+    /// Counts a first token as soon as it comes, so that a slow version is
+    /// seen before its answers end. Call it as well, with the time so far,
+    /// when a request is given up without one.
+    void on_first_token(std::string_view service, std::string_view version,
+                        std::string_view route, load_bucket load,
+                        std::chrono::microseconds after);
+
     /// Counts an answer that ended.
     void on_answer(const version_observation& seen);
 
--- a/include/hyssopdeal/coordination/version_summary.hpp
+++ b/include/hyssopdeal/coordination/version_summary.hpp
@@ -106,8 +106,8 @@
 struct guard_trip
 {
     std::string version;
-    std::string route;                    ///< Where it failed.
-    std::uint64_t failures_in_a_row = 0;  ///< How often.
+    std::string route;                   ///< Where it failed.
+    std::uint64_t failures_in_a_row = 0; ///< How often.
 };
 
 // [version_report] -----------------------------------------------------------
--- a/src/coordination/move_controller.cpp
+++ b/src/coordination/move_controller.cpp
@@ -69,23 +69,35 @@
     return !ready.empty() && ready == possible;
 }
 
-/// One server of each failure domain first, then the others.
-std::vector<std::string> load_order(const move_view& view)
+/// Servers that shall hold the version: those that do, one of each failure
+/// domain, and as many as a share needs. Loading no more keeps them about as
+/// busy as the old version's, so that a fault under load shows early.
+std::vector<std::string> servers_to_hold(const move_view& view, double share)
 {
+    std::vector<std::string> held;
     std::vector<std::string> first;
     std::vector<std::string> rest;
     std::set<std::string> domains;
+    std::size_t candidates = 0;
     for (const auto& server : view.servers)
     {
         if (!may_serve(server))
         {
             continue;
         }
+        ++candidates;
         const bool new_domain = domains.insert(server.failure_domain).second;
-        (new_domain ? first : rest).push_back(server.name);
+        const bool loaded = server.state != version_state::absent;
+        (loaded ? held : new_domain ? first : rest).push_back(server.name);
     }
-    first.insert(first.end(), rest.begin(), rest.end());
-    return first;
+    const auto wanted = static_cast<std::size_t>(
+        std::ceil(share * static_cast<double>(candidates)));
+    held.insert(held.end(), first.begin(), first.end());
+    for (std::size_t i = 0; i < rest.size() && held.size() < wanted; ++i)
+    {
+        held.push_back(rest[i]);
+    }
+    return held;
 }
 
 } // namespace
@@ -94,15 +106,36 @@
 shares_during(const state::move_record& move, double new_share)
 {
     std::vector<protocol::version_share> shares;
-    const auto old_count = static_cast<double>(move.from.size());
-    for (const auto& version : move.from)
+    double old_sum = 0;
+    for (const auto& before : move.before)
+    {
+        if (before.version != move.order.version && before.share > 0)
+        {
+            shares.push_back(before);
+            old_sum += before.share;
+        }
+    }
+    for (auto& share : shares)
     {
-        shares.push_back({version, (1 - new_share) / old_count});
+        share.share *= (1 - new_share) / old_sum;
     }
-    shares.push_back({move.order.version, move.from.empty() ? 1 : new_share});
+    shares.push_back({move.order.version, shares.empty() ? 1 : new_share});
     return shares;
 }
 
+std::vector<std::string> versions_before(const state::move_record& move)
+{
+    std::vector<std::string> versions;
+    for (const auto& before : move.before)
+    {
+        if (before.version != move.order.version && before.share > 0)
+        {
+            versions.push_back(before.version);
+        }
+    }
+    return versions;
+}
+
 struct move_controller::impl
 {
     move_settings settings;
@@ -128,10 +161,11 @@
         const bool stepping = move.status.phase == move_phase::shifting;
         plan_input input;
         input.now = stepping ? move.status.step_since : view.now;
+        input.ordered_at = move.ordered_at;
         input.complete_by = move.order.complete_by;
         input.canary_share = move.order.largest_canary_share;
-        input.load_time = stepping ? std::chrono::milliseconds{0}
-                                   : view.load_time;
+        input.load_time =
+            stepping ? std::chrono::milliseconds{0} : view.load_time;
         input.requests_per_second = view.requests_per_second;
         input.from_step = stepping ? move.status.step : 0;
         return make_plan(settings.plan, input);
@@ -148,8 +182,8 @@
             return plan.expected_at;
         }
         const auto planned = status.step_since + plan.steps[status.step].stay;
-        const auto late = std::max(view.now - planned,
-                                   transport::wall_time::duration{0});
+        const auto late =
+            std::max(view.now - planned, transport::wall_time::duration{0});
         return plan.expected_at + late;
     }
 
@@ -193,7 +227,6 @@
             shares.pop_back();
         }
         propose(view, actions, status, std::move(shares));
-        actions.notice = move_notice::taken_back;
     }
 
     /// Writes what an operator should see, at most every status_interval.
@@ -231,10 +264,9 @@
             const bool judged = route.verdict == test_verdict::not_worse;
             const double expected =
                 now_share < 1 ? old * now_share / (1 - now_share) : old;
-            const bool required =
-                next_share > settings.unjudged_share_limit
-                    ? old >= settings.plan.samples
-                    : expected >= settings.plan.samples;
+            const bool required = next_share > settings.unjudged_share_limit
+                                      ? old >= settings.plan.samples
+                                      : expected >= settings.plan.samples;
             if (!judged && required)
             {
                 return fmt::format("evidence on route {}", route.route);
@@ -269,7 +301,10 @@
             return "loaded backend servers of the new version";
         }
         const bool large = next_step.share > settings.unjudged_share_limit;
-        if (large && !comparison.seen_at_load() && since < 2 * now_step.stay)
+        const bool time_left = since < 2 * now_step.stay &&
+                               expected_at(view, plan) + view.load_time <
+                                   view.move.order.complete_by;
+        if (large && time_left && !comparison.seen_at_load())
         {
             return "the load that the old version sees";
         }
@@ -330,9 +365,8 @@
         }
         const auto next = static_cast<std::uint32_t>(at + 1);
         const bool last = next + 1 == plan.steps.size();
-        enter(view, actions,
-              last ? move_phase::watching : move_phase::shifting, next,
-              plan.steps[next].share);
+        enter(view, actions, last ? move_phase::watching : move_phase::shifting,
+              next, plan.steps[next].share);
     }
 
     void watch(const move_view& view, move_actions& actions)
@@ -358,7 +392,6 @@
         status.evidence = comparison.text();
         status.waits_for.clear();
         propose(view, actions, status, {{move.order.version, 1}});
-        actions.notice = move_notice::done;
     }
 
     [[nodiscard]] bool overdue(const move_view& view) const
@@ -386,10 +419,17 @@
                     move_actions& actions) const
     {
         const auto& status = view.move.status;
-        const auto next =
-            std::min<std::size_t>(status.step + 1, plan.steps.size() - 1);
+        const auto last = plan.steps.size() - 1;
+        const auto at = std::min<std::size_t>(status.step, last);
+        const auto next = std::min<std::size_t>(at + 1, last);
         actions.slots_wanted = view.needed_slots * plan.steps[next].share;
-        actions.hold = load_order(view);
+        const auto load_next_at =
+            status.step_since + plan.steps[at].stay -
+            std::max(plan.steps[at].stay / 2, 2 * view.load_time);
+        const bool for_next =
+            status.phase == move_phase::shifting && view.now >= load_next_at;
+        actions.hold =
+            servers_to_hold(view, plan.steps[for_next ? next : at].share);
     }
 };
 
@@ -398,10 +438,9 @@
                                  std::chrono::milliseconds first_token_target)
     : impl_{std::make_unique<impl>(
           impl{settings,
-               version_comparison{settings.comparison, move.from,
+               version_comparison{settings.comparison, versions_before(move),
                                   move.order.version, first_token_target}})}
-{
-}
+{}
 
 move_controller::move_controller(move_controller&&) noexcept = default;
 move_controller::~move_controller() = default;
--- a/src/coordination/move_plan.cpp
+++ b/src/coordination/move_plan.cpp
@@ -13,8 +13,8 @@
 
 milliseconds scaled(milliseconds time, double factor)
 {
-    return milliseconds{static_cast<std::int64_t>(
-        static_cast<double>(time.count()) * factor)};
+    return milliseconds{
+        static_cast<std::int64_t>(static_cast<double>(time.count()) * factor)};
 }
 
 std::vector<double> shares_of(const move_plan_settings& settings,
@@ -40,9 +40,8 @@
         return settings.shortest_stay;
     }
     const double seconds = settings.samples / (requests_per_second * share);
-    const double capped =
-        std::min(seconds * 1'000,
-                 static_cast<double>(settings.sample_wait.count()));
+    const double capped = std::min(
+        seconds * 1'000, static_cast<double>(settings.sample_wait.count()));
     return std::max(settings.shortest_stay,
                     milliseconds{static_cast<std::int64_t>(capped)});
 }
@@ -71,10 +70,12 @@
         weight_sum += weights.at(std::min(i, weights.size() - 1));
     }
     const auto left = input.complete_by - input.now - input.load_time;
-    const auto usable =
-        scaled(std::chrono::duration_cast<milliseconds>(left),
-               1 - settings.reserve);
-    const auto extra = std::max(usable - needed, milliseconds{0});
+    const auto reserve = scaled(std::chrono::duration_cast<milliseconds>(
+                                    input.complete_by - input.ordered_at),
+                                settings.reserve);
+    const auto extra = std::max(std::chrono::duration_cast<milliseconds>(left) -
+                                    reserve - needed,
+                                milliseconds{0});
     auto at = input.now + input.load_time;
     for (std::size_t i = input.from_step; i + 1 < plan.steps.size(); ++i)
     {
--- a/src/coordination/version_comparison.cpp
+++ b/src/coordination/version_comparison.cpp
@@ -46,8 +46,8 @@
         bad /= 2;
         std::ranges::transform(first_token.bins, first_token.bins.begin(),
                                halve);
-        std::ranges::transform(between_tokens.bins,
-                               between_tokens.bins.begin(), halve);
+        std::ranges::transform(between_tokens.bins, between_tokens.bins.begin(),
+                               halve);
     }
 };
 
@@ -61,9 +61,9 @@
 
 struct load_cell
 {
-    side old_memory;  ///< Of all windows, aged.
-    side old_window;  ///< Since the last judgement.
-    side new_window;  ///< Since the last judgement.
+    side old_memory; ///< Of all windows, aged.
+    side old_window; ///< Since the last judgement.
+    side new_window; ///< Since the last judgement.
     bool old_seen = false;
     bool new_seen = false;
     sequential_test failures;
@@ -113,7 +113,12 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
 
-    auto operator<=>(const report_position&) const = default;
+    [[nodiscard]] bool after(const report_position& other) const
+    {
+        return incarnation != other.incarnation
+                   ? incarnation > other.incarnation
+                   : sequence > other.sequence;
+    }
 };
 
 /// Which latency is meant.
@@ -131,6 +136,9 @@
     std::map<std::string, report_position, std::less<>> seen;
     std::map<std::string, std::vector<guard_trip>, std::less<>> trips;
     std::uint64_t new_requests = 0;
+    sequential_test all_failures; ///< Over all routes and loads.
+    sequential_test all_first_token;
+    sequential_test all_between_tokens;
 
     route_state& route_of(const std::string& name)
     {
@@ -191,7 +199,7 @@
 
     void judge_latency(route_state& route, std::size_t load,
                        latency_member member, sequential_test& by_load,
-                       sequential_test& by_route)
+                       sequential_test& by_route, sequential_test& overall)
     {
         const auto& fresh = route.loads.at(load).new_window.*member;
         const auto total = fresh.total();
@@ -228,6 +236,7 @@
         const auto slow = fresh.above(bin);
         by_load.add(slow, total, rate + settings.slow_tolerance);
         by_route.add(slow, total, rate + settings.slow_tolerance);
+        overall.add(slow, total, rate + settings.slow_tolerance);
     }
 
     /// A leader elected after the old version lost its traffic never saw it.
@@ -245,11 +254,12 @@
             const auto rate = failure_reference(route, cell);
             cell.failures.add(fresh.bad, fresh.requests, rate);
             route.failures.add(fresh.bad, fresh.requests, rate);
+            all_failures.add(fresh.bad, fresh.requests, rate);
         }
         judge_latency(route, load, &side::first_token, cell.first_token,
-                      route.first_token);
+                      route.first_token, all_first_token);
         judge_latency(route, load, &side::between_tokens, cell.between_tokens,
-                      route.between_tokens);
+                      route.between_tokens, all_between_tokens);
     }
 
     void remember_old(route_state& route) const
@@ -271,6 +281,9 @@
     : impl_{std::make_unique<impl>()}
 {
     impl_->settings = settings;
+    impl_->all_failures = sequential_test{settings.failures};
+    impl_->all_first_token = sequential_test{settings.latency};
+    impl_->all_between_tokens = sequential_test{settings.latency};
     impl_->old_versions = std::move(old_versions);
     impl_->new_version = std::move(new_version);
     impl_->first_token_target = first_token_target;
@@ -285,7 +298,7 @@
 {
     auto& last = impl_->seen[report.entry];
     const report_position position{report.incarnation, report.sequence};
-    if (position <= last)
+    if (!position.after(last))
     {
         return;
     }
@@ -351,6 +364,14 @@
     {
         return true;
     }
+    for (const auto* test : {&impl_->all_failures, &impl_->all_first_token,
+                             &impl_->all_between_tokens})
+    {
+        if (test->verdict() == test_verdict::worse)
+        {
+            return true;
+        }
+    }
     return std::ranges::any_of(impl_->routes, [](const auto& item) {
         return item.second.verdict() == test_verdict::worse;
     });
--- a/src/coordination/version_guard.cpp
+++ b/src/coordination/version_guard.cpp
@@ -23,11 +23,10 @@
 
     [[nodiscard]] bool out(transport::monotonic_time now) const
     {
-        return std::any_of(routes.begin(), routes.end(),
-                           [now](const auto& item) {
-                               return item.second.tripped &&
-                                      now < item.second.until;
-                           });
+        return std::any_of(
+            routes.begin(), routes.end(), [now](const auto& item) {
+                return item.second.tripped && now < item.second.until;
+            });
     }
 };
 
@@ -71,10 +70,10 @@
 version_guard::version_guard(version_guard&&) noexcept = default;
 version_guard::~version_guard() = default;
 
-std::vector<guard_trip>
-version_guard::on_answer(transport::monotonic_time now,
-                         std::string_view version, std::string_view route,
-                         answer_kind answer)
+std::vector<guard_trip> version_guard::on_answer(transport::monotonic_time now,
+                                                 std::string_view version,
+                                                 std::string_view route,
+                                                 answer_kind answer)
 {
     const auto& settings = impl_->settings;
     auto& state = impl_->state_of(version);
--- a/src/coordination/version_observer.cpp
+++ b/src/coordination/version_observer.cpp
@@ -28,22 +28,24 @@
     }
 
     static version_cell& cell_of(version_report& report,
-                                 const version_observation& seen)
+                                 std::string_view version,
+                                 std::string_view route, load_bucket load)
     {
-        const auto found = std::find_if(
-            report.cells.begin(), report.cells.end(),
-            [&seen](const version_cell& cell) {
-                return cell.load == seen.load && cell.version == seen.version &&
-                       cell.route == seen.route;
-            });
+        const auto found =
+            std::find_if(report.cells.begin(), report.cells.end(),
+                         [&](const version_cell& cell) {
+                             return cell.load == load &&
+                                    cell.version == version &&
+                                    cell.route == route;
+                         });
         if (found != report.cells.end())
         {
             return *found;
         }
         auto& made = report.cells.emplace_back();
-        made.version = seen.version;
-        made.route = seen.route;
-        made.load = seen.load;
+        made.version = version;
+        made.route = route;
+        made.load = load;
         return made;
     }
 };
@@ -71,19 +73,24 @@
     }
 }
 
+void version_observer::on_first_token(std::string_view service,
+                                      std::string_view version,
+                                      std::string_view route, load_bucket load,
+                                      std::chrono::microseconds after)
+{
+    auto& report = impl_->report_of(service);
+    impl::cell_of(report, version, route, load).first_token.add(after);
+}
+
 void version_observer::on_answer(const version_observation& seen)
 {
     auto& report = impl_->report_of(seen.service);
     report.busy += seen.busy;
-    auto& cell = impl::cell_of(report, seen);
+    auto& cell = impl::cell_of(report, seen.version, seen.route, seen.load);
     ++cell.requests;
     cell.failed += seen.answer == answer_kind::failed ? 1 : 0;
     cell.broken += seen.answer == answer_kind::broken ? 1 : 0;
     cell.empty += seen.answer == answer_kind::empty ? 1 : 0;
-    if (seen.first_token.count() > 0)
-    {
-        cell.first_token.add(seen.first_token);
-    }
     if (seen.between_tokens.count() > 0)
     {
         cell.between_tokens.add(seen.between_tokens);
@@ -97,9 +104,8 @@
     for (auto& [service, report] : impl_->open)
     {
         report.sequence = ++impl_->sequences[service];
-        report.period =
-            std::chrono::duration_cast<std::chrono::microseconds>(
-                now - impl_->since);
+        report.period = std::chrono::duration_cast<std::chrono::microseconds>(
+            now - impl_->since);
         reports.push_back(std::move(report));
     }
     impl_->open.clear();
--- a/src/coordination/version_report.cpp
+++ b/src/coordination/version_report.cpp
@@ -113,8 +113,7 @@
         return bad("The report's schema is not known.");
     }
     if (wire.cells.size() > max_report_cells || wire.offered_requests < 0 ||
-        wire.interactive_requests < 0 || wire.busy_us < 0 ||
-        wire.period_us < 0)
+        wire.interactive_requests < 0 || wire.busy_us < 0 || wire.period_us < 0)
     {
         return bad("The report holds a number that is out of range.");
     }
--- a/src/coordination/version_sequential_test.cpp
+++ b/src/coordination/version_sequential_test.cpp
@@ -23,8 +23,7 @@
 
 sequential_test::sequential_test(sequential_test_settings settings) noexcept
     : settings_{settings}
-{
-}
+{}
 
 void sequential_test::add(std::uint64_t hits, std::uint64_t total,
                           double reference) noexcept
--- a/src/coordination/version_summary.cpp
+++ b/src/coordination/version_summary.cpp
@@ -56,7 +56,8 @@
 {
     const auto us = std::max(static_cast<double>(value.count()), 1.0);
     // The axis gives -1 for underflow, which is bin 0 here.
-    ++bins.at(static_cast<std::size_t>(latency_axis().index(us) + 1));
+    const int bin = latency_axis().index(us) + 1;
+    ++bins.at(static_cast<std::size_t>(bin));
 }
 
 void latency_counts::merge(const latency_counts& other) noexcept
