--- a/idl/state.thrift
+++ b/idl/state.thrift
@@ -152,7 +152,7 @@
     6: i32 role
 }
 
-struct replica_set { 1: list<replica_member> members }
+struct replica_set { 1: list<replica_member> members, 2: i64 next_id }
 
 struct put_contract { 1: organisation_contract contract, 2: i64 expected }
 struct delete_contract { 1: string organisation, 2: i64 expected }
--- a/include/hyssopdeal/state/records.hpp
+++ b/include/hyssopdeal/state/records.hpp
@@ -270,6 +270,7 @@
 struct replica_set
 {
     std::vector<replica_member> members; ///< By id.
+    std::uint64_t next_id = 1;           ///< All ids below were used.
 
     bool operator==(const replica_set&) const = default;
 };
--- a/src/protocol/gen/state_types.cpp
+++ b/src/protocol/gen/state_types.cpp
@@ -4036,6 +4036,10 @@
 void replica_set::__set_members(const std::vector<replica_member> & val) {
   this->members = val;
 }
+
+void replica_set::__set_next_id(const int64_t val) {
+  this->next_id = val;
+}
 std::ostream& operator<<(std::ostream& out, const replica_set& obj)
 {
   obj.printTo(out);
@@ -4084,6 +4088,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->next_id);
+          this->__isset.next_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4113,6 +4125,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("next_id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->next_id);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4121,24 +4137,29 @@
 void swap(replica_set &a, replica_set &b) {
   using ::std::swap;
   swap(a.members, b.members);
+  swap(a.next_id, b.next_id);
   swap(a.__isset, b.__isset);
 }
 
 replica_set::replica_set(const replica_set& other130) {
   members = other130.members;
+  next_id = other130.next_id;
   __isset = other130.__isset;
 }
 replica_set::replica_set(replica_set&& other131) noexcept {
   members = std::move(other131.members);
+  next_id = other131.next_id;
   __isset = other131.__isset;
 }
 replica_set& replica_set::operator=(const replica_set& other132) {
   members = other132.members;
+  next_id = other132.next_id;
   __isset = other132.__isset;
   return *this;
 }
 replica_set& replica_set::operator=(replica_set&& other133) noexcept {
   members = std::move(other133.members);
+  next_id = other133.next_id;
   __isset = other133.__isset;
   return *this;
 }
@@ -4146,6 +4167,7 @@
   using ::apache::thrift::to_string;
   out << "replica_set(";
   out << "members=" << to_string(members);
+  out << ", " << "next_id=" << to_string(next_id);
   out << ")";
 }
 
--- a/src/protocol/gen/state_types.h
+++ b/src/protocol/gen/state_types.h
@@ -1578,8 +1578,9 @@
 std::ostream& operator<<(std::ostream& out, const replica_member& obj);
 
 typedef struct _replica_set__isset {
-  _replica_set__isset() : members(false) {}
+  _replica_set__isset() : members(false), next_id(false) {}
   bool members :1;
+  bool next_id :1;
 } _replica_set__isset;
 
 class replica_set : public virtual ::apache::thrift::TBase {
@@ -1589,20 +1590,26 @@
   replica_set(replica_set&&) noexcept;
   replica_set& operator=(const replica_set&);
   replica_set& operator=(replica_set&&) noexcept;
-  replica_set() noexcept {
+  replica_set() noexcept
+              : next_id(0) {
   }
 
   virtual ~replica_set() noexcept;
   std::vector<replica_member>  members;
+  int64_t next_id;
 
   _replica_set__isset __isset;
 
   void __set_members(const std::vector<replica_member> & val);
 
+  void __set_next_id(const int64_t val);
+
   bool operator == (const replica_set & rhs) const
   {
     if (!(members == rhs.members))
       return false;
+    if (!(next_id == rhs.next_id))
+      return false;
     return true;
   }
   bool operator != (const replica_set &rhs) const {
--- a/src/state/wire_fields.hpp
+++ b/src/state/wire_fields.hpp
@@ -417,6 +417,7 @@
     static void map(const Direction& copy, Record& a, Wire& b)
     {
         copy(a.members, b.members);
+        copy(a.next_id, b.next_id);
     }
 };
 
--- a/tests/control_state_test.cpp
+++ b/tests/control_state_test.cpp
@@ -298,8 +298,9 @@
         "pomar", "k", claim.claim.number, {200, {{"A", "b"}}, "x", false}});
     m.claim("open", 1);
     m.write(delete_contract{"litoral", 2});
-    m.state.apply({m.next++, 3}, replica_set{{{1, "c1", "a", "b", "sul-a",
-                                               replica_role::voter}}});
+    m.state.apply(
+        {m.next++, 3},
+        replica_set{{{1, "c1", "a", "b", "sul-a", replica_role::voter}}, 2});
     (void)pomar;
 }
 
