Link processes by authenticated messages and datagrams

Peer links carry Thrift envelopes in length frames. Before the first message both sides prove the shared key by an HMAC over both names, both challenges and the prover's side. A call whose frame still waits when its time is up is withdrawn, so not_run stays true; once its bytes were handed to the socket the verdict is may_have_run.

--- a/include/hyssopdeal/transport/datagram_socket.hpp
+++ b/include/hyssopdeal/transport/datagram_socket.hpp
@@ -52,7 +52,7 @@
 
 private:
     struct impl;
-    std::unique_ptr<impl> impl_;
+    std::shared_ptr<impl> impl_;
 };
 
 } // namespace hyssopdeal::transport
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,15 +1,15 @@
 #include <hyssopdeal/transport/http_client.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <unordered_set>
 #include <utility>
 
-#include <asio/ip/address.hpp>
+#include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <fmt/format.h>
 
 #include "curl_multi_loop.hpp"
+#include "ip_endpoint.hpp"
 
 namespace hyssopdeal::transport
 {
@@ -41,24 +41,7 @@
 // No names are resolved: only IP numbers reach libcurl.
 bool is_ip_and_port(std::string_view address)
 {
-    const auto colon = address.rfind(':');
-    if (colon == std::string_view::npos)
-    {
-        return false;
-    }
-    auto host = address.substr(0, colon);
-    if (host.starts_with('[') && host.ends_with(']'))
-    {
-        host = host.substr(1, host.size() - 2);
-    }
-    asio::error_code error;
-    asio::ip::make_address(std::string{host}, error);
-    std::uint16_t port = 0;
-    const auto digits = address.substr(colon + 1);
-    const auto parsed =
-        std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    return !error && parsed.ec == std::errc{} && port != 0 &&
-           parsed.ptr == digits.data() + digits.size();
+    return parse_endpoint<asio::ip::tcp::endpoint>(address).has_value();
 }
 
 bool has_control_characters(std::string_view text) noexcept
--- /dev/null
+++ b/tests/peer_hub_test.cpp
@@ -0,0 +1,204 @@
+/// @file
+/// Tests of protocol/peer_hub.hpp over loopback.
+
+#include <hyssopdeal/protocol/peer_hub.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+#include "loop_helper.hpp"
+
+using namespace hyssopdeal::protocol;
+using namespace hyssopdeal::transport;
+using namespace std::chrono_literals;
+using hyssopdeal::tests::raw_exchange;
+using hyssopdeal::tests::run_until;
+
+namespace
+{
+
+peer_hub_settings settings_of(std::string name, std::string key = "key")
+{
+    peer_hub_settings settings;
+    settings.self = std::move(name);
+    settings.shared_key = std::move(key);
+    settings.max_message_bytes = 100'000;
+    settings.connect_time_limit = 200ms;
+    return settings;
+}
+
+std::string local(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+TEST_GROUP(peer_hub_tests)
+{
+    event_loop loop;
+    std::unique_ptr<peer_hub> server =
+        std::make_unique<peer_hub>(loop, settings_of("server"));
+    peer_hub client{loop, settings_of("client")};
+    std::vector<std::string> received;
+    std::vector<peer_hub::reply_function> replies;
+    std::uint16_t port = 0;
+
+    void setup() override
+    {
+        port = server->start().value();
+        CHECK_TRUE(client.start().has_value());
+        client.set_peer("server", local(port));
+        listen(*server);
+    }
+
+    void listen(peer_hub & hub)
+    {
+        hub.on_message(peer_channel::grants,
+                       [this](const std::string& from,
+                              const std::string& payload,
+                              peer_hub::reply_function reply) {
+                           received.push_back(from + " " + payload);
+                           if (payload == "hold")
+                           {
+                               replies.push_back(std::move(reply));
+                               return;
+                           }
+                           reply("re: " + payload);
+                       });
+    }
+
+    result<std::string> call(peer_hub & hub, std::string_view to,
+                             std::string payload,
+                             std::chrono::milliseconds limit = 2s)
+    {
+        std::optional<result<std::string>> got;
+        hub.call(to, peer_channel::grants, std::move(payload), limit,
+                 [&](auto outcome) { got = std::move(outcome); });
+        CHECK_TRUE(run_until(loop, [&] { return got.has_value(); }));
+        return *got;
+    }
+};
+
+TEST(peer_hub_tests, call_gets_its_answer)
+{
+    const auto answer = call(client, "server", "one");
+    CHECK_TRUE(answer.has_value());
+    STRCMP_EQUAL("re: one", answer->c_str());
+    STRCMP_EQUAL("client one", received.front().c_str());
+}
+
+TEST(peer_hub_tests, messages_keep_their_order)
+{
+    for (int number = 0; number < 500; ++number)
+    {
+        client.send("server", peer_channel::grants, std::to_string(number));
+    }
+    CHECK_TRUE(run_until(loop, [&] { return received.size() == 500; }));
+    for (int number = 0; number < 500; ++number)
+    {
+        STRCMP_EQUAL(("client " + std::to_string(number)).c_str(),
+                     received[static_cast<std::size_t>(number)].c_str());
+    }
+}
+
+TEST(peer_hub_tests, large_message_passes_and_one_above_the_cap_does_not)
+{
+    CHECK_TRUE(call(client, "server", std::string(100'000, 'x')).has_value());
+    const auto refused = call(client, "server", std::string(100'100, 'x'));
+    CHECK_FALSE(refused.has_value());
+    CHECK(refused.error().ran == verdict::not_run);
+}
+
+TEST(peer_hub_tests, unknown_peer_is_not_run)
+{
+    const auto answer = call(client, "nobody", "x");
+    CHECK(answer.error().code == reason::connect_failed);
+    CHECK(answer.error().ran == verdict::not_run);
+}
+
+TEST(peer_hub_tests, refused_connection_is_not_run)
+{
+    client.set_peer("server", "127.0.0.1:1");
+    const auto answer = call(client, "server", "x");
+    CHECK(answer.error().code == reason::connect_failed);
+    CHECK(answer.error().ran == verdict::not_run);
+}
+
+TEST(peer_hub_tests, wrong_key_delivers_nothing)
+{
+    peer_hub stranger{loop, settings_of("stranger", "other")};
+    stranger.set_peer("server", local(port));
+    const auto answer = call(stranger, "server", "x");
+    CHECK(answer.error().ran == verdict::not_run);
+    CHECK_TRUE(received.empty());
+}
+
+TEST(peer_hub_tests, peer_of_another_name_gets_nothing)
+{
+    client.set_peer("wanted", local(port));
+    const auto answer = call(client, "wanted", "x");
+    CHECK(answer.error().ran == verdict::not_run);
+    CHECK_TRUE(received.empty());
+}
+
+TEST(peer_hub_tests, unanswered_call_times_out_and_may_have_run)
+{
+    const auto answer = call(client, "server", "hold", 100ms);
+    CHECK(answer.error().code == reason::timed_out);
+    CHECK(answer.error().ran == verdict::may_have_run);
+    replies.front()("late");
+    loop.run_for(20ms);
+    CHECK_TRUE(call(client, "server", "next").has_value());
+}
+
+TEST(peer_hub_tests, timed_out_before_the_handshake_is_withdrawn)
+{
+    std::optional<result<std::string>> got;
+    client.call("server", peer_channel::grants, "never", 0ms,
+                [&](auto outcome) { got = std::move(outcome); });
+    CHECK_TRUE(run_until(loop, [&] { return got.has_value(); }));
+    CHECK(got->error().ran == verdict::not_run);
+    CHECK_TRUE(call(client, "server", "next").has_value());
+    LONGS_EQUAL(1, received.size());
+}
+
+TEST(peer_hub_tests, broken_link_fails_its_calls_and_is_opened_again)
+{
+    std::optional<result<std::string>> got;
+    client.call("server", peer_channel::grants, "hold", 5s,
+                [&](auto outcome) { got = std::move(outcome); });
+    CHECK_TRUE(run_until(loop, [&] { return !replies.empty(); }));
+    server.reset();
+    CHECK_TRUE(run_until(loop, [&] { return got.has_value(); }));
+    CHECK(got->error().code == reason::connection_lost);
+    CHECK(got->error().ran == verdict::may_have_run);
+
+    auto settings = settings_of("server");
+    settings.port = port;
+    server = std::make_unique<peer_hub>(loop, settings);
+    CHECK_TRUE(server->start().has_value());
+    listen(*server);
+    CHECK_TRUE(call(client, "server", "again").has_value());
+}
+
+TEST(peer_hub_tests, garbage_and_oversized_frames_close_the_link)
+{
+    const auto greeting =
+        raw_exchange(loop, port, "GET / HTTP/1.1\r\n\r\n").size();
+    CHECK_TRUE(greeting > 0);
+    raw_exchange(loop, port, std::string("\0\0\0\4abcd", 8));
+    raw_exchange(loop, port, std::string("\0\0\0\0", 4));
+    CHECK_TRUE(call(client, "server", "after").has_value());
+    LONGS_EQUAL(1, received.size());
+}
+
+TEST(peer_hub_tests, silent_connection_is_closed_in_time)
+{
+    raw_exchange(loop, port, "");
+    CHECK_TRUE(call(client, "server", "after").has_value());
+}
