--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -91,11 +91,12 @@
           orders(settings.version, settings.checks_orders
                                        ? fence_check::refuses_old
                                        : fence_check::ignores),
-          cache(settings.cache_blocks), kv(loop, clock, cache),
+          cache(settings.cache_blocks),
+          kv(loop, clock, cache),
           scheduler(loop, clock, settings.slots,
                     [this](const engine_attempt& attempt) { ended(attempt); }),
           server(loop, server_settings(),
-                 [this](http_request request, http_responder responder) {
+                 [this](const http_request& request, http_responder responder) {
                      handle(std::move(request), std::move(responder));
                  })
     {
@@ -113,7 +114,7 @@
         return result;
     }
 
-    void handle(http_request request, http_responder responder)
+    void handle(const http_request& request, http_responder responder)
     {
         const std::string target = request.target;
         const auto path = path_of(target);
--- a/standins/engine_orders.cpp
+++ b/standins/engine_orders.cpp
@@ -25,7 +25,7 @@
     const auto& fence = order.at("fence");
     const fencing_token token{fence.at("term").get<std::uint64_t>(),
                               fence.at("counter").get<std::uint64_t>()};
-    if (token < newest_)
+    if (token.older_than(newest_))
     {
         ++stale_;
         if (check_ == fence_check::refuses_old)
@@ -33,7 +33,10 @@
             return error_answer(409, "stale_fence", "An older fencing token.");
         }
     }
-    newest_ = std::max(newest_, token);
+    if (newest_.older_than(token))
+    {
+        newest_ = token;
+    }
     const auto same = [&version](const loaded_version& known) {
         return known.name == version;
     };
--- a/standins/engine_orders.hpp
+++ b/standins/engine_orders.hpp
@@ -26,7 +26,12 @@
     std::uint64_t term = 0;    ///< Of the leader.
     std::uint64_t counter = 0; ///< Within the term.
 
-    auto operator<=>(const fencing_token&) const = default;
+    /// @return Whether this token is older than another.
+    [[nodiscard]] bool older_than(const fencing_token& other) const noexcept
+    {
+        return term < other.term ||
+               (term == other.term && counter < other.counter);
+    }
 };
 
 // [engine_orders] ------------------------------------------------------------
--- a/standins/plain_service.cpp
+++ b/standins/plain_service.cpp
@@ -59,7 +59,7 @@
           settings(std::move(wanted)),
           behaviour(settings.behaviour),
           server(loop, server_settings(),
-                 [this](http_request request, http_responder responder) {
+                 [this](const http_request& request, http_responder responder) {
                      handle(std::move(request), std::move(responder));
                  })
     {}
@@ -73,7 +73,7 @@
         return result;
     }
 
-    void handle(http_request request, http_responder responder)
+    void handle(const http_request& request, http_responder responder)
     {
         const std::string target = request.target;
         const auto path = std::string_view(target).substr(0, target.find('?'));
