--- a/include/hyssopdeal/coordination/load_balancer.hpp
+++ b/include/hyssopdeal/coordination/load_balancer.hpp
@@ -115,8 +115,8 @@
 /// Weights of the policy.
 struct predicted_first_token_settings
 {
-    std::uint32_t samples = 4;       ///< Random candidates for a request.
-    std::uint32_t scan_up_to = 16;   ///< Tables to this size are read whole.
+    std::uint32_t samples = 2;       ///< Random candidates for a request.
+    std::uint32_t scan_up_to = 3;    ///< Tables to this size are read whole.
     double spill_penalty = 0.05;     ///< Seconds, other failure domain.
     double seconds_per_price = 0.01; ///< Seconds that a price unit weighs.
     double recompute_weight = 1;     ///< Of expected seconds to recompute.
@@ -135,6 +135,10 @@
            std::span<const routing_candidate> candidates,
            std::mt19937_64& random) const noexcept;
 
+    /// @return The seconds that a request would wait before its prefill.
+    [[nodiscard]] static double
+    queue_seconds(const routing_candidate& candidate) noexcept;
+
     /// @return The predicted seconds to the first token on a server.
     [[nodiscard]] static double
     first_token_seconds(const routing_candidate& candidate,
--- a/include/hyssopdeal/coordination/load_balancer_router.hpp
+++ b/include/hyssopdeal/coordination/load_balancer_router.hpp
@@ -52,6 +52,9 @@
     std::chrono::microseconds cross_domain_hop{1'500}; ///< One way.
     double reclaimable_hazard_per_hour = 0.1;          ///< Until observed.
     double default_output_tokens = 256;
+    std::chrono::milliseconds max_queueing{1'000}; ///< Expected on a server;
+                                                   ///< beyond it requests wait
+                                                   ///< here, by priority.
 };
 
 // [route_request] ------------------------------------------------------------
@@ -106,6 +109,9 @@
     /// A server is cut off from this node, or reached again.
     void set_state(std::string_view server, server_availability state);
 
+    /// Sets how many entry instances, with this one, send to the servers.
+    void set_peers(std::uint32_t entries);
+
     /// Expected reclaims of a server in an hour.
     void set_hazard(std::string_view server, double reclaims_per_hour);
 
--- a/include/hyssopdeal/coordination/load_estimate.hpp
+++ b/include/hyssopdeal/coordination/load_estimate.hpp
@@ -54,6 +54,12 @@
     /// Sets the table's size; rows are the caller's to fill.
     void resize(std::uint32_t servers);
 
+    /// Sets how many entries send to the same servers. The others' requests
+    /// since a report are not seen here, but this node's are a sample of them:
+    /// each own step counts for the square root of their number, since a sample
+    /// of one says little.
+    void set_peers(std::uint32_t peers);
+
     /// @return The table; the load columns are this module's.
     [[nodiscard]] std::span<routing_candidate> table() noexcept;
     [[nodiscard]] std::span<const routing_candidate> table() const noexcept;
--- a/src/coordination/load_balancer.cpp
+++ b/src/coordination/load_balancer.cpp
@@ -1,6 +1,7 @@
 #include <hyssopdeal/coordination/load_balancer.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace hyssopdeal::coordination
 {
@@ -15,6 +16,17 @@
     return std::chrono::duration<double>(time).count();
 }
 
+/// Expected number of requests ahead when the estimate may be off by some: a
+/// smooth maximum of the estimate and zero, so that a server that is nearly
+/// full is not taken for an empty one.
+double expected_ahead(double estimate) noexcept
+{
+    constexpr double uncertainty = 1; // request // requests
+    return (estimate +
+            std::sqrt(estimate * estimate + 4 * uncertainty * uncertainty)) /
+           2;
+}
+
 std::size_t random_below(std::mt19937_64& random, std::size_t bound) noexcept
 {
     // Multiplication maps 32 random bits to the range without a division.
@@ -97,26 +109,27 @@
     : settings_(settings)
 {}
 
+double predicted_first_token::queue_seconds(
+    const routing_candidate& candidate) noexcept
+{
+    const double decode_rate =
+        std::max(candidate.decode_tokens_per_second, 1.0);
+    const double slots = std::max(candidate.slots, 1U);
+    const double ahead = expected_ahead(candidate.in_flight - slots + 1);
+    return candidate.queued_prompt_tokens /
+               std::max(candidate.prefill_tokens_per_second, 1.0) +
+           ahead * candidate.mean_output_tokens / decode_rate / slots;
+}
+
 double
 predicted_first_token::first_token_seconds(const routing_candidate& candidate,
                                            double prompt_tokens,
                                            double cached_tokens) noexcept
 {
-    const double prefill_rate =
-        std::max(candidate.prefill_tokens_per_second, 1.0);
-    const double decode_rate =
-        std::max(candidate.decode_tokens_per_second, 1.0);
-    const double slots = std::max(candidate.slots, 1U);
     const double uncached = std::max(prompt_tokens - cached_tokens, 0.0);
-    double seconds = 2 * to_seconds(candidate.hop) +
-                     to_seconds(candidate.slowdown) +
-                     (candidate.queued_prompt_tokens + uncached) / prefill_rate;
-    const double ahead = candidate.in_flight - slots + 1;
-    if (ahead > 0)
-    {
-        seconds += ahead * candidate.mean_output_tokens / decode_rate / slots;
-    }
-    return seconds;
+    return 2 * to_seconds(candidate.hop) + to_seconds(candidate.slowdown) +
+           queue_seconds(candidate) +
+           uncached / std::max(candidate.prefill_tokens_per_second, 1.0);
 }
 
 double predicted_first_token::score(const routing_candidate& candidate,
--- a/src/coordination/load_balancer_router.cpp
+++ b/src/coordination/load_balancer_router.cpp
@@ -309,6 +309,19 @@
                                         "No backend server can be used."};
     }
 
+    /// @return Whether a request would wait on a server longer than it should:
+    ///     here it can still be overtaken or refused. Only the policy predicts.
+    [[nodiscard]] bool is_congested(const routing_candidate& row) const
+    {
+        if (settings.balancer != balancer_kind::predicted_first_token)
+        {
+            return false;
+        }
+        const std::chrono::duration<double> queueing{
+            predicted_first_token::queue_seconds(row)};
+        return row.in_flight >= row.slots && queueing > settings.max_queueing;
+    }
+
     route_choice commit(transport::monotonic_time now, server_index at,
                         const request_facts& facts, double cached)
     {
@@ -424,6 +437,11 @@
     }
 }
 
+void service_router::set_peers(std::uint32_t entries)
+{
+    impl_->loads.set_peers(entries);
+}
+
 void service_router::set_hazard(std::string_view server,
                                 double reclaims_per_hour)
 {
@@ -480,7 +498,7 @@
     facts.matches = std::span{matches}.first(found);
     facts.avoid = avoid;
     const auto at = impl_->choose_version(now, request.version, facts, random);
-    if (at == no_server)
+    if (at == no_server || impl_->is_congested(impl_->loads.table()[at]))
     {
         return tl::unexpected{impl_->no_choice(request.version)};
     }
@@ -545,9 +563,10 @@
     impl_->refresh(now);
     const auto table = impl_->loads.table();
     return std::any_of(table.begin(), table.end(),
-                       [](const routing_candidate& row) {
+                       [this](const routing_candidate& row) {
                            return row.state == server_availability::available &&
-                                  row.own_in_flight < row.concurrency_limit;
+                                  row.own_in_flight < row.concurrency_limit &&
+                                  !impl_->is_congested(row);
                        });
 }
 
--- a/src/coordination/load_estimate.cpp
+++ b/src/coordination/load_estimate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <vector>
 
 namespace hyssopdeal::coordination
@@ -52,12 +53,13 @@
 {
     std::vector<routing_candidate> table;
     std::vector<server_steps> steps;
+    double weight = 1; ///< Of an own step, see set_peers().
 
     void count(transport::monotonic_time now, server_index server, int change)
     {
         auto& row = table.at(server);
         steps.at(server).add(now, change);
-        row.in_flight = std::max(row.in_flight + change,
+        row.in_flight = std::max(row.in_flight + weight * change,
                                  static_cast<double>(row.own_in_flight));
     }
 
@@ -83,6 +85,11 @@
     impl_->steps.resize(servers);
 }
 
+void load_estimate::set_peers(std::uint32_t peers)
+{
+    impl_->weight = std::sqrt(std::max(peers, 1U));
+}
+
 std::span<routing_candidate> load_estimate::table() noexcept
 {
     return impl_->table;
@@ -105,9 +112,9 @@
     auto& row = impl_->table.at(server);
     row.reported_in_flight = static_cast<double>(report.running) +
                              static_cast<double>(report.queued);
-    row.in_flight =
-        std::max(row.reported_in_flight + steps.since(report.taken_at),
-                 static_cast<double>(row.own_in_flight));
+    row.in_flight = std::max(row.reported_in_flight +
+                                 impl_->weight * steps.since(report.taken_at),
+                             static_cast<double>(row.own_in_flight));
     row.slots = report.slots != 0 ? report.slots : row.slots;
     row.slowdown = std::chrono::duration_cast<std::chrono::microseconds>(
         row.slowdown * slowdown_decay);
--- a/tests/load_balancer_test.cpp
+++ b/tests/load_balancer_test.cpp
@@ -172,6 +172,17 @@
     DOUBLES_EQUAL(0, row().queued_prompt_tokens, 0);
 }
 
+TEST(load_estimate_tests, own_requests_stand_for_those_of_other_entries)
+{
+    loads.set_peers(9);
+    loads.on_report(clock.monotonic_now(), 0,
+                    {clock.monotonic_now() - 500ms, 6, 0, 8});
+    const auto sent = loads.on_sent(clock.monotonic_now(), 0, 1);
+    DOUBLES_EQUAL(9, row().in_flight, 0);
+    loads.on_ended(clock.monotonic_now(), sent, 1);
+    DOUBLES_EQUAL(6, row().in_flight, 0);
+}
+
 TEST_GROUP(version_shares_tests){};
 
 TEST(version_shares_tests, each_version_stays_within_one_request_of_its_share)
