--- /dev/null
+++ b/src/coordination/capacity_model.cpp
@@ -0,0 +1,75 @@
+#include <hyssopdeal/coordination/capacity_model.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssopdeal::coordination
+{
+
+double waiting_probability(std::uint32_t slots, double busy_slots) noexcept
+{
+    if (busy_slots <= 0)
+    {
+        return 0;
+    }
+    if (slots <= busy_slots)
+    {
+        return 1;
+    }
+    // Erlang B by its recursion, then C from it: no large powers.
+    double blocked = 1;
+    for (std::uint32_t n = 1; n <= slots; ++n)
+    {
+        blocked = busy_slots * blocked / (n + busy_slots * blocked);
+    }
+    const double used = busy_slots / slots;
+    return blocked / (1 - used * (1 - blocked));
+}
+
+double within_wait_limit(const service_load& load, double busy_slots,
+                         std::uint32_t slots) noexcept
+{
+    if (busy_slots <= 0)
+    {
+        return 1;
+    }
+    if (slots <= busy_slots)
+    {
+        return 0;
+    }
+    const double limit = std::chrono::duration<double>(load.wait_limit).count();
+    const double duration =
+        std::max(std::chrono::duration<double>(load.duration).count(), 0.001);
+    const double late = waiting_probability(slots, busy_slots) *
+                        std::exp(-(slots - busy_slots) * limit / duration);
+    return 1 - late;
+}
+
+std::uint32_t slots_needed(const service_load& load, double busy_slots) noexcept
+{
+    if (busy_slots <= 0)
+    {
+        return 0;
+    }
+    auto low = static_cast<std::uint32_t>(busy_slots) + 1;
+    auto high = low;
+    while (within_wait_limit(load, busy_slots, high) < load.within_limit)
+    {
+        high *= 2;
+    }
+    while (low < high)
+    {
+        const auto middle = low + (high - low) / 2;
+        if (within_wait_limit(load, busy_slots, middle) >= load.within_limit)
+        {
+            high = middle;
+        }
+        else
+        {
+            low = middle + 1;
+        }
+    }
+    return low;
+}
+
+} // namespace hyssopdeal::coordination
