--- a/src/coordination/membership_probe.cpp
+++ b/src/coordination/membership_probe.cpp
@@ -7,7 +7,6 @@
 {
 
 using protocol::gossip_kind;
-using protocol::gossip_message;
 using protocol::member_kind;
 using protocol::member_state;
 using protocol::member_update;
--- a/src/coordination/membership_runner.cpp
+++ b/src/coordination/membership_runner.cpp
@@ -207,7 +207,7 @@
 
 transport::result<std::uint16_t> membership_runner::start()
 {
-    const auto port = impl_->socket.start();
+    auto port = impl_->socket.start();
     if (!port)
     {
         return port;
