--- a/include/hyssopdeal/coordination/control_machine.hpp
+++ b/include/hyssopdeal/coordination/control_machine.hpp
@@ -45,6 +45,7 @@
 struct committed_command
 {
     state::log_index index = 0;
+    state::term_number term = 0;
     state::command command;
     state::command_result result;
 };
--- a/src/coordination/control_machine.cpp
+++ b/src/coordination/control_machine.cpp
@@ -184,7 +184,7 @@
     auto result = state.apply(position, *command);
     resolve(record, result);
     out.committed.push_back(
-        {record.index, std::move(*command), std::move(result)});
+        {record.index, record.term, std::move(*command), std::move(result)});
 }
 
 void control_machine::impl::maybe_compact(monotonic_time now, wall_time wall)
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -91,7 +91,8 @@
           orders(settings.version, settings.checks_orders
                                        ? fence_check::refuses_old
                                        : fence_check::ignores),
-          cache(settings.cache_blocks), kv(loop, clock, cache),
+          cache(settings.cache_blocks),
+          kv(loop, clock, cache),
           scheduler(loop, clock, settings.slots,
                     [this](const engine_attempt& attempt) { ended(attempt); }),
           server(loop, server_settings(),
--- a/standins/kv_transfer.cpp
+++ b/standins/kv_transfer.cpp
@@ -21,18 +21,19 @@
 
 kv_transfer::kv_transfer(transport::event_loop& loop,
                          const transport::clock& clock, prefix_cache& cache)
-    : loop_(loop), clock_(clock), cache_(cache), client_(loop)
+    : loop_(loop),
+      clock_(clock),
+      cache_(cache),
+      client_(loop)
 {}
 
 transport::http_response kv_transfer::export_blocks(std::string_view attempt,
                                                     std::string_view text)
 {
     exported_[std::string(attempt)] = block_chain(text);
-    return json_answer(200,
-                       fmt::format("{{\"handle\":\"{}\",\"bytes\":{}}}",
-                                   attempt,
-                                   count_prompt_tokens(text) *
-                                       kv_bytes_per_token));
+    return json_answer(
+        200, fmt::format("{{\"handle\":\"{}\",\"bytes\":{}}}", attempt,
+                         count_prompt_tokens(text) * kv_bytes_per_token));
 }
 
 transport::http_response
@@ -62,8 +63,7 @@
     imports_[number] = client_.fetch(
         from, request, {},
         [this, responder, number, bytes_per_ms](
-            const transport::result<transport::http_response>& answer)
-        {
+            const transport::result<transport::http_response>& answer) {
             fetched(answer, bytes_per_ms, responder);
             loop_.post([this, number] { imports_.erase(number); });
         });
@@ -95,11 +95,9 @@
     const std::chrono::milliseconds time{tokens * kv_bytes_per_token /
                                          bytes_per_ms};
     const auto number = ++last_number_;
-    delays_[number] = loop_.after(
-        time,
-        [this, number, chain = std::move(chain),
-         responder = std::move(responder)]() mutable
-        {
+    delays_[number] =
+        loop_.after(time, [this, number, chain = std::move(chain),
+                           responder = std::move(responder)]() mutable {
             cache_.store(chain, clock_.monotonic_now());
             responder.send(json_answer(
                 200, fmt::format("{{\"blocks\":{}}}", chain.size())));
--- /dev/null
+++ b/tests/replica_test.cpp
@@ -0,0 +1,249 @@
+/// @file
+/// Tests of coordination/replica.hpp and coordination/control_machine.hpp
+/// without faults, or with one chosen fault.
+
+#include <CppUTest/TestHarness.h>
+
+#include "replica_harness.hpp"
+
+using namespace hyssopdeal;
+using namespace hyssopdeal::tests;
+
+namespace
+{
+
+state::command contract_command(const std::string& name, double rate,
+                                state::revision expected)
+{
+    state::put_contract body;
+    body.contract.organisation = name;
+    body.contract.requests_per_second = rate;
+    body.expected = expected;
+    return {{}, {}, body};
+}
+
+struct quiet_cluster : replica_harness
+{
+    explicit quiet_cluster(std::uint64_t voters, std::uint64_t seed = 1)
+        : replica_harness(seed, voters)
+    {
+        loss = 0;
+        duplication = 0;
+        run_for(3s);
+    }
+
+    /// Writes through the leader and waits.
+    transport::result<state::command_result> write(const std::string& name,
+                                                   double rate)
+    {
+        transport::result<state::command_result> answer =
+            transport::fail(transport::reason::timed_out, "");
+        const auto leader = reader();
+        if (leader == 0)
+        {
+            return answer;
+        }
+        const auto& contracts =
+            nodes.at(leader).machine->state().tables().contracts;
+        const auto found = contracts.find(name);
+        const auto revision =
+            found == contracts.end() ? 0 : found->second.changed;
+        propose(leader, contract_command(name, rate, revision),
+                [&](auto result) { answer = std::move(result); });
+        run_for(300ms);
+        return answer;
+    }
+
+    transport::result<state::command_result>
+    change_set(coordination::replica_change kind, std::uint64_t id)
+    {
+        transport::result<state::command_result> answer =
+            transport::fail(transport::reason::timed_out, "");
+        change(reader(), kind, member(id, state::replica_role::learner),
+               [&](auto result) { answer = std::move(result); });
+        run_for(500ms);
+        return answer;
+    }
+
+    void cut(std::uint64_t id)
+    {
+        for (const auto& [other, node] : nodes)
+        {
+            blocked.insert({id, other});
+            blocked.insert({other, id});
+        }
+    }
+};
+
+} // namespace
+
+TEST_GROUP(replica_tests){};
+
+TEST(replica_tests, one_leader_commits_on_all)
+{
+    quiet_cluster cluster{3};
+    CHECK(cluster.reader() != 0);
+    for (int round = 0; round < 150; ++round)
+    {
+        CHECK(cluster.write("pomar", round).has_value());
+    }
+    cluster.run_for(500ms);
+    cluster.check_converged({1, 2, 3});
+    cluster.check_replay();
+    CHECK(cluster.faults.empty());
+}
+
+TEST(replica_tests, single_replica_leads_alone)
+{
+    quiet_cluster cluster{1};
+    CHECK(cluster.write("pomar", 1).has_value());
+}
+
+TEST(replica_tests, cut_off_leader_stops_answering_within_its_lease)
+{
+    quiet_cluster cluster{3};
+    const auto old = cluster.reader();
+    cluster.cut(old);
+    cluster.run_for(cluster.settings.replica.lease + 20ms);
+    CHECK_FALSE(cluster.may_read(cluster.nodes.at(old)));
+    cluster.run_for(3s);
+    const auto next = cluster.reader();
+    CHECK(next != 0 && next != old);
+    CHECK(cluster.write("pomar", 1).has_value());
+    cluster.blocked.clear();
+    cluster.run_for(2s);
+    cluster.check_converged({1, 2, 3});
+    CHECK(cluster.faults.empty());
+}
+
+TEST(replica_tests, replica_back_from_a_partition_does_not_disturb_the_leader)
+{
+    quiet_cluster cluster{3};
+    const auto leader = cluster.reader();
+    const auto other = leader == 1 ? 2 : 1;
+    const auto term = cluster.leaders.rbegin()->first;
+    cluster.cut(other);
+    cluster.run_for(10s);
+    cluster.blocked.clear();
+    cluster.run_for(3s);
+    LONGS_EQUAL(leader, cluster.reader());
+    LONGS_EQUAL(term, cluster.leaders.rbegin()->first);
+}
+
+TEST(replica_tests, proposal_without_a_majority_may_have_run)
+{
+    quiet_cluster cluster{3};
+    const auto leader = cluster.reader();
+    cluster.cut(leader);
+    std::optional<transport::result<state::command_result>> answer;
+    cluster.propose(leader, contract_command("x", 1, 0),
+                    [&](auto result) { answer = std::move(result); });
+    cluster.run_for(3s);
+    CHECK(answer.has_value());
+    CHECK(answer->error().ran == transport::verdict::may_have_run);
+    CHECK(answer->error().code == transport::reason::no_quorum);
+    answer.reset();
+    cluster.propose(leader, contract_command("y", 1, 0),
+                    [&](auto result) { answer = std::move(result); });
+    CHECK(answer.has_value());
+    CHECK(answer->error().ran == transport::verdict::not_run);
+}
+
+TEST(replica_tests, learner_votes_only_after_it_caught_up_on_its_disk)
+{
+    quiet_cluster cluster{3};
+    for (int round = 0; round < 100; ++round)
+    {
+        (void)cluster.write("pomar", round);
+    }
+    using coordination::replica_change;
+    CHECK_FALSE(cluster.change_set(replica_change::add_learner, 3).has_value());
+    CHECK(cluster.change_set(replica_change::add_learner, 4).has_value());
+    CHECK_FALSE(cluster.change_set(replica_change::promote, 4).has_value());
+    cluster.add_node(4, coordination::join_request(4));
+    cluster.run_for(1s);
+    CHECK(cluster.change_set(replica_change::promote, 4).has_value());
+    const auto lost = cluster.reader() == 1 ? 2 : 1;
+    CHECK(cluster.change_set(replica_change::remove, lost).has_value());
+    cluster.crash(lost);
+    cluster.nodes.erase(lost);
+    cluster.run_for(1s);
+    std::set<std::uint64_t> rest;
+    for (const auto& [id, node] : cluster.nodes)
+    {
+        rest.insert(id);
+    }
+    cluster.check_converged(rest);
+    CHECK(cluster.write("pomar", 777).has_value());
+    CHECK(cluster.faults.empty());
+}
+
+TEST(replica_tests, second_change_waits_for_the_first)
+{
+    quiet_cluster cluster{3};
+    const auto leader = cluster.reader();
+    int refused = 0;
+    const auto count = [&](auto result) { refused += result ? 0 : 1; };
+    using coordination::replica_change;
+    const auto learner = state::replica_role::learner;
+    cluster.change(leader, replica_change::add_learner,
+                   replica_harness::member(4, learner), count);
+    cluster.change(leader, replica_change::add_learner,
+                   replica_harness::member(5, learner), count);
+    LONGS_EQUAL(1, refused);
+}
+
+TEST(replica_tests, transfer_hands_over_within_one_round)
+{
+    quiet_cluster cluster{3};
+    const auto old = cluster.reader();
+    cluster.step(cluster.nodes.at(old), coordination::transfer_event{});
+    CHECK_FALSE(cluster.may_read(cluster.nodes.at(old)));
+    cluster.run_for(250ms);
+    const auto next = cluster.reader();
+    CHECK(next != 0 && next != old);
+}
+
+TEST(replica_tests, failed_disk_silences_the_leader)
+{
+    quiet_cluster cluster{3};
+    const auto leader = cluster.reader();
+    auto& disk = *cluster.nodes.at(leader).disk;
+    disk.fault_at = disk.operations + 2;
+    disk.fault = disk_fault::error;
+    const auto answer = cluster.write("pomar", 1);
+    CHECK_FALSE(answer.has_value());
+    CHECK(answer.error().ran == transport::verdict::may_have_run);
+    cluster.run_for(3s);
+    const auto next = cluster.reader();
+    CHECK(next != 0 && next != leader);
+}
+
+TEST(replica_tests, one_wrong_wall_clock_does_not_move_the_time)
+{
+    quiet_cluster cluster{3};
+    const auto leader = cluster.reader();
+    cluster.nodes.at(leader).wall_shift = std::chrono::hours{24 * 365};
+    CHECK(cluster.write("pomar", 1).has_value());
+    const auto& node = cluster.nodes.at(leader);
+    const auto error =
+        cluster.wall_of(node) - node.wall_shift - node.machine->state().time();
+    CHECK(std::chrono::abs(error) < 2s);
+}
+
+TEST(replica_tests, lagging_replica_catches_up_by_snapshot_chunks)
+{
+    quiet_cluster cluster{3};
+    const auto leader = cluster.reader();
+    const auto other = leader == 1 ? 2 : 1;
+    cluster.crash(other);
+    for (int round = 0; round < 200; ++round)
+    {
+        (void)cluster.write(fmt::format("org-{}", round), round);
+    }
+    cluster.loss = 0.2;
+    cluster.start(other);
+    cluster.run_for(8s);
+    cluster.check_converged({1, 2, 3});
+    CHECK(cluster.faults.empty());
+}
