Make the fault schedules catch an early answer and a long lease

Change: disks up to 300 ms slow, all replicas but one dying at once, the leader cut off on purpose, up to ten faults a schedule.

--- a/tests/replica_fault_test.cpp
+++ b/tests/replica_fault_test.cpp
@@ -304,7 +304,7 @@
     void bring()
     {
         const auto id = any();
-        switch (cluster_.random() % 9)
+        switch (cluster_.random() % 12)
         {
         case 0:
             cluster_.crash(id);
@@ -326,6 +326,11 @@
             return;
         case 7:
             return lose_disk(id);
+        case 8:
+        case 9:
+            return lose_power();
+        case 10:
+            return cut_off(leader_or(id));
         default:
             return split();
         }
@@ -364,6 +369,26 @@
         });
     }
 
+    std::uint64_t leader_or(std::uint64_t other) const
+    {
+        const auto leader = cluster_.reader();
+        return leader == 0 ? other : leader;
+    }
+
+    /// All but one die at the same time.
+    void lose_power()
+    {
+        const auto spared = any();
+        for (const auto id : std::set<std::uint64_t>{live})
+        {
+            if (id != spared)
+            {
+                cluster_.crash(id);
+                repair([=, this] { restart(id); });
+            }
+        }
+    }
+
     void restart(std::uint64_t id)
     {
         const auto found = cluster_.nodes.find(id);
@@ -508,11 +533,13 @@
 schedule_result run_schedule(std::uint64_t seed, std::uint64_t voters)
 {
     replica_harness cluster{seed, voters};
+    const std::uint64_t disks[] = {8, 60, 300};
+    cluster.slowest_disk = disks[cluster.random() % 3];
     clients callers{cluster};
     trouble faults{cluster};
     cluster.run_for(1'500ms);
     callers.start(4);
-    const auto count = 2 + cluster.random() % 6;
+    const auto count = 2 + cluster.random() % 9;
     for (std::uint64_t at = 0; at < count; ++at)
     {
         cluster.after(milliseconds{cluster.random() % 5'000},
--- a/tests/replica_harness.hpp
+++ b/tests/replica_harness.hpp
@@ -66,6 +66,7 @@
     double duplication = 0.02;
     milliseconds least_delay{1};
     milliseconds most_delay{12};
+    std::uint64_t slowest_disk = 8; ///< Milliseconds for a batch.
     std::uint64_t messages = 0;
     std::vector<std::string> faults; ///< Violations found.
 
@@ -351,11 +352,12 @@
         {
             const auto request = std::make_shared<state::persist_request>(
                 std::move(*actions.persist));
-            after(milliseconds{1 + random() % 8}, [this, id, life, request] {
-                on_node(id, life, [this, request](harness_node& writer) {
-                    persist(writer, *request);
-                });
-            });
+            after(milliseconds{1 + random() % slowest_disk},
+                  [this, id, life, request] {
+                      on_node(id, life, [this, request](harness_node& writer) {
+                          persist(writer, *request);
+                      });
+                  });
         }
         for (auto& message : actions.sends)
         {
