--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -96,7 +96,7 @@
           scheduler(loop, clock, settings.slots,
                     [this](const engine_attempt& attempt) { ended(attempt); }),
           server(loop, server_settings(),
-                 [this](http_request request, http_responder responder) {
+                 [this](const http_request& request, http_responder responder) {
                      handle(std::move(request), std::move(responder));
                  })
     {
@@ -114,7 +114,7 @@
         return result;
     }
 
-    void handle(http_request request, http_responder responder)
+    void handle(const http_request& request, http_responder responder)
     {
         const std::string target = request.target;
         const auto path = path_of(target);
