--- /dev/null
+++ b/src/coordination/learner.cpp
@@ -0,0 +1,404 @@
+/// @file
+/// Following the committed declarations.
+
+#include <hyssopdeal/coordination/learner.hpp>
+
+#include <algorithm>
+#include <map>
+
+#include <xxhash.h>
+
+#include "learning_types.h"
+#include "protocol/thrift_bytes.hpp"
+
+namespace hyssopdeal::coordination
+{
+
+using state::log_index;
+using transport::monotonic_time;
+
+// [declaration_source] -------------------------------------------------------
+
+namespace
+{
+
+struct follower
+{
+    log_index applied = 0;
+    monotonic_time heard{};
+    monotonic_time pushed{};
+};
+
+/// The latest change that a follower would see.
+bool has_news(const state::declarations& own, log_index applied)
+{
+    const auto newer = [&](const auto& item) {
+        return item.second.changed > applied;
+    };
+    return std::any_of(own.contracts.begin(), own.contracts.end(), newer) ||
+           std::any_of(own.services.begin(), own.services.end(), newer) ||
+           std::any_of(own.leaving.begin(), own.leaving.end(), newer) ||
+           (!own.removals.empty() && own.removals.back().changed > applied);
+}
+
+} // namespace
+
+struct declaration_source::impl
+{
+    learning_settings settings;
+    std::map<std::string, follower, std::less<>> followers;
+    std::optional<monotonic_time> next;
+};
+
+declaration_source::declaration_source(learning_settings settings)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->settings = settings;
+}
+
+declaration_source::declaration_source(declaration_source&&) noexcept = default;
+declaration_source&
+declaration_source::operator=(declaration_source&&) noexcept = default;
+declaration_source::~declaration_source() = default;
+
+follow_update declaration_source::answer(monotonic_time now,
+                                         const state::declarations& own,
+                                         const follow_request& request)
+{
+    follow_update update{own.applied, {}};
+    if (own.applied > request.applied)
+    {
+        update.delta = state::delta_since(own, request.applied);
+    }
+    auto& known = impl_->followers[request.name];
+    known.heard = now;
+    known.applied = std::max(request.applied, own.applied);
+    return update;
+}
+
+std::vector<follow_push>
+declaration_source::push(monotonic_time now, const state::declarations& own)
+{
+    std::vector<follow_push> pushes;
+    impl_->next.reset();
+    std::erase_if(impl_->followers, [&](const auto& item) {
+        return now - item.second.heard > impl_->settings.follower_time;
+    });
+    for (auto& [name, known] : impl_->followers)
+    {
+        if (!has_news(own, known.applied))
+        {
+            continue;
+        }
+        const auto due = known.pushed + impl_->settings.push_gap;
+        if (due > now)
+        {
+            impl_->next = std::min(impl_->next.value_or(due), due);
+            continue;
+        }
+        pushes.push_back(
+            {name, {own.applied, state::delta_since(own, known.applied)}});
+        known.applied = own.applied;
+        known.pushed = now;
+    }
+    return pushes;
+}
+
+std::optional<monotonic_time> declaration_source::next_push() const
+{
+    return impl_->next;
+}
+
+std::size_t declaration_source::followers() const noexcept
+{
+    return impl_->followers.size();
+}
+
+// [learner] ------------------------------------------------------------------
+
+struct learner::impl
+{
+    learner_actions take(monotonic_time now, const follow_update& update);
+    [[nodiscard]] bool accepts(monotonic_time now,
+                               const follow_update& update) const;
+
+    std::string name;
+    learning_settings settings;
+    monotonic_time start{};
+    state::declarations own;
+    learning_phase phase = learning_phase::waiting;
+    std::string source;
+    log_index highest = 0;
+    monotonic_time next_pull{};
+    monotonic_time answered{}; ///< Last time that a source answered.
+    bool asking = false;
+    std::size_t failures = 0; ///< In a row; picks the next source.
+};
+
+learner::learner(std::string name, learning_settings settings,
+                 monotonic_time now)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->name = std::move(name);
+    impl_->settings = settings;
+    impl_->start = now;
+    impl_->next_pull = now;
+}
+
+learner::learner(learner&&) noexcept = default;
+learner& learner::operator=(learner&&) noexcept = default;
+learner::~learner() = default;
+
+learner_actions learner::tick(monotonic_time now,
+                              const learning_surroundings& surroundings)
+{
+    learner_actions actions;
+    auto& own = *impl_;
+    own.highest = std::max(own.highest, surroundings.highest_heard);
+    const auto silence = now - own.answered;
+    const bool cut_off =
+        silence > own.settings.pull_interval + own.settings.wait_for_latest;
+    if (own.own.applied != 0 && cut_off)
+    {
+        own.phase = learning_phase::behind;
+    }
+    if (own.asking || now < own.next_pull || surroundings.sources.empty())
+    {
+        return actions;
+    }
+    const auto& sources = surroundings.sources;
+    own.asking = true;
+    actions.pull = learner_pull{sources[own.failures % sources.size()],
+                                {own.name, own.own.applied}};
+    return actions;
+}
+
+/// After a restart nothing older than the highest index heard is put in force,
+/// as this entry may have served by it before; unless no such source shows up.
+bool learner::impl::accepts(monotonic_time now,
+                            const follow_update& update) const
+{
+    const bool has_state = own.applied != 0;
+    const bool is_latest = update.source_applied >= highest;
+    const bool waited = now - start >= settings.wait_for_latest;
+    return has_state || is_latest || waited;
+}
+
+learner_actions learner::impl::take(monotonic_time now,
+                                    const follow_update& update)
+{
+    learner_actions actions;
+    if (!accepts(now, update))
+    {
+        next_pull = now + settings.retry_wait;
+        ++failures;
+        return actions;
+    }
+    if (update.delta)
+    {
+        const auto outcome = state::apply_delta(own, *update.delta);
+        actions.publish = outcome == state::delta_outcome::applied;
+        if (outcome == state::delta_outcome::gap)
+        {
+            next_pull = now;
+        }
+    }
+    return actions;
+}
+
+learner_actions learner::answered(monotonic_time now, std::string_view from,
+                                  const follow_update& update)
+{
+    auto& own = *impl_;
+    own.asking = false;
+    own.answered = now;
+    own.source = from;
+    own.next_pull = now + own.settings.pull_interval;
+    const auto failures_before = own.failures;
+    auto actions = own.take(now, update);
+    if (own.failures != failures_before)
+    {
+        return actions;
+    }
+    // A source that is behind this entry is of no use to it.
+    const bool useless = update.source_applied < own.own.applied;
+    own.failures = useless ? own.failures + 1 : 0;
+    if (useless)
+    {
+        own.next_pull = now + own.settings.retry_wait;
+    }
+    const bool latest = own.own.applied >= own.highest;
+    own.phase = own.own.applied == 0 ? learning_phase::waiting
+                : latest || !useless ? learning_phase::current
+                                     : own.phase;
+    const bool took_older = own.own.applied != 0 &&
+                            own.own.applied < own.highest &&
+                            now - own.start >= own.settings.wait_for_latest &&
+                            update.source_applied < own.highest;
+    if (took_older)
+    {
+        own.phase = learning_phase::behind;
+        own.next_pull = now + own.settings.retry_wait;
+        ++own.failures;
+    }
+    return actions;
+}
+
+learner_actions learner::pushed(monotonic_time now, const follow_update& update)
+{
+    return impl_->take(now, update);
+}
+
+void learner::failed(monotonic_time now, std::string_view)
+{
+    impl_->asking = false;
+    ++impl_->failures;
+    impl_->next_pull = now + impl_->settings.retry_wait;
+}
+
+const state::declarations& learner::declarations() const noexcept
+{
+    return impl_->own;
+}
+
+learning_phase learner::phase() const noexcept
+{
+    return impl_->phase;
+}
+
+const std::string& learner::source() const noexcept
+{
+    return impl_->source;
+}
+
+// [source_choice] ------------------------------------------------------------
+
+namespace
+{
+
+struct ranked_source
+{
+    std::uint64_t rank = 0;
+    std::string name;
+
+    auto operator<=>(const ranked_source&) const = default;
+};
+
+ranked_source ranked(std::string_view name, std::string_view salt)
+{
+    const auto seed = XXH3_64bits(salt.data(), salt.size());
+    return {XXH3_64bits_withSeed(name.data(), name.size(), seed),
+            std::string{name}};
+}
+
+std::vector<std::string> names_of(std::vector<ranked_source> sources)
+{
+    std::sort(sources.begin(), sources.end());
+    std::vector<std::string> names;
+    for (auto& item : sources)
+    {
+        names.push_back(std::move(item.name));
+    }
+    return names;
+}
+
+} // namespace
+
+std::vector<std::string>
+choose_sources(const learning_settings& settings, std::string_view self,
+               std::string_view failure_domain,
+               const std::vector<source_candidate>& usable)
+{
+    std::vector<ranked_source> replicas;
+    std::vector<ranked_source> near;
+    near.push_back(ranked(self, failure_domain));
+    for (const auto& item : usable)
+    {
+        if (item.is_replica)
+        {
+            replicas.push_back(ranked(item.name, self));
+        }
+        else if (item.failure_domain == failure_domain && item.name != self)
+        {
+            near.push_back(ranked(item.name, failure_domain));
+        }
+    }
+    auto direct = names_of(std::move(replicas));
+    const std::size_t members = near.size();
+    auto relays = names_of(std::move(near));
+    relays.resize(std::min(relays.size(), settings.relays));
+    const bool is_relay =
+        std::find(relays.begin(), relays.end(), self) != relays.end();
+    if (members > settings.direct_members && !is_relay)
+    {
+        // Half of the followers ask each relay first.
+        const auto turn = ranked(self, "turn").rank % relays.size();
+        std::rotate(relays.begin(),
+                    relays.begin() + static_cast<std::ptrdiff_t>(turn),
+                    relays.end());
+        relays.insert(relays.end(), direct.begin(), direct.end());
+        return relays;
+    }
+    // Cut off from the replicas, a neighbour may know more.
+    for (auto& name : relays)
+    {
+        if (name != self)
+        {
+            direct.push_back(std::move(name));
+        }
+    }
+    return direct;
+}
+
+// [encoding] -----------------------------------------------------------------
+
+std::string encode(const follow_request& value)
+{
+    gen::follow_request wire;
+    wire.name = value.name;
+    wire.applied = static_cast<std::int64_t>(value.applied);
+    return protocol::to_bytes(wire);
+}
+
+transport::result<follow_request> decode_follow_request(std::string_view bytes)
+{
+    const auto wire = protocol::from_bytes<gen::follow_request>(bytes);
+    if (!wire)
+    {
+        return tl::make_unexpected(wire.error());
+    }
+    return follow_request{wire->name, static_cast<log_index>(wire->applied)};
+}
+
+std::string encode(const follow_update& value)
+{
+    gen::follow_update wire;
+    wire.source_applied = static_cast<std::int64_t>(value.source_applied);
+    if (value.delta)
+    {
+        wire.delta = state::encode(*value.delta);
+    }
+    return protocol::to_bytes(wire);
+}
+
+transport::result<follow_update> decode_follow_update(std::string_view bytes)
+{
+    const auto wire = protocol::from_bytes<gen::follow_update>(bytes);
+    if (!wire)
+    {
+        return tl::make_unexpected(wire.error());
+    }
+    follow_update update{static_cast<log_index>(wire->source_applied), {}};
+    if (!wire->delta.empty())
+    {
+        auto delta = state::decode_delta(wire->delta);
+        if (!delta)
+        {
+            return tl::make_unexpected(delta.error());
+        }
+        update.delta = std::move(*delta);
+    }
+    return update;
+}
+
+} // namespace hyssopdeal::coordination
--- a/src/state/commands.cpp
+++ b/src/state/commands.cpp
@@ -3,8 +3,8 @@
 
 #include <hyssopdeal/state/commands.hpp>
 
+#include "protocol/thrift_bytes.hpp"
 #include "state/result_codec.hpp"
-#include "state/thrift_bytes.hpp"
 #include "state/wire_fields.hpp"
 
 namespace hyssopdeal::state
@@ -230,12 +230,12 @@
 
 std::string encode(const command_result& value)
 {
-    return to_bytes(result_to_thrift(value));
+    return protocol::to_bytes(result_to_thrift(value));
 }
 
 transport::result<command_result> decode_result(std::string_view bytes)
 {
-    const auto wire = from_bytes<gen::command_result>(bytes);
+    const auto wire = protocol::from_bytes<gen::command_result>(bytes);
     if (!wire)
     {
         return tl::make_unexpected(wire.error());
@@ -259,12 +259,12 @@
     wire.at_ms = value.at.time_since_epoch().count();
     wire.order_id = value.order_id;
     std::visit(body_to_wire{wire.body}, value.body);
-    return to_bytes(wire);
+    return protocol::to_bytes(wire);
 }
 
 transport::result<command> decode_command(std::string_view bytes)
 {
-    const auto wire = from_bytes<gen::command>(bytes);
+    const auto wire = protocol::from_bytes<gen::command>(bytes);
     if (!wire)
     {
         return tl::make_unexpected(wire.error());
@@ -290,12 +290,12 @@
 
 std::string encode(const replica_set& value)
 {
-    return to_bytes(to_wire(value));
+    return protocol::to_bytes(to_wire(value));
 }
 
 transport::result<replica_set> decode_replica_set(std::string_view bytes)
 {
-    const auto wire = from_bytes<gen::replica_set>(bytes);
+    const auto wire = protocol::from_bytes<gen::replica_set>(bytes);
     if (!wire)
     {
         return tl::make_unexpected(wire.error());
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -8,9 +8,9 @@
 
 #include <xxhash.h>
 
+#include "protocol/thrift_bytes.hpp"
 #include "state/control_state_impl.hpp"
 #include "state/result_codec.hpp"
-#include "state/thrift_bytes.hpp"
 #include "state/wire_fields.hpp"
 
 namespace hyssopdeal::state
@@ -191,7 +191,7 @@
         item.answer = result_to_thrift(known.answer);
         wire.order_answers.push_back(std::move(item));
     }
-    return to_bytes(wire);
+    return protocol::to_bytes(wire);
 }
 
 namespace
@@ -236,7 +236,7 @@
 
 transport::result<void> control_state::restore_snapshot(std::string_view bytes)
 {
-    const auto wire = from_bytes<gen::snapshot>(bytes);
+    const auto wire = protocol::from_bytes<gen::snapshot>(bytes);
     if (!wire)
     {
         return tl::make_unexpected(wire.error());
--- a/src/state/declarations.cpp
+++ b/src/state/declarations.cpp
@@ -7,7 +7,7 @@
 
 #include <hyssopdeal/state/commands.hpp>
 
-#include "state/thrift_bytes.hpp"
+#include "protocol/thrift_bytes.hpp"
 #include "state/wire_fields.hpp"
 
 namespace hyssopdeal::state
@@ -162,12 +162,12 @@
     copy(value.leaving, wire.leaving);
     copy(value.removals, wire.removals);
     copy(value.removals_from, wire.removals_from);
-    return to_bytes(wire);
+    return protocol::to_bytes(wire);
 }
 
 transport::result<declaration_delta> decode_delta(std::string_view bytes)
 {
-    const auto wire = from_bytes<gen::declaration_delta>(bytes);
+    const auto wire = protocol::from_bytes<gen::declaration_delta>(bytes);
     if (!wire)
     {
         return tl::make_unexpected(wire.error());
