Add hyssopctl over the operators' API

Operators keep contracts and services as files under version control. Applying an unchanged file sends nothing; diff shows canonical texts; a file's shares count only for a new service, so that applying it later does not undo a move.

CMake: programs/PART/*.cpp are one library that tests use too.

Measured: hyssopctl_test, 16 tests pass against a small operators' API.

--- /dev/null
+++ b/programs/ctl/commands.cpp
@@ -0,0 +1,124 @@
+#include "ctl/commands.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <fmt/format.h>
+
+#include <hyssopdeal/protocol/settings_reader.hpp>
+
+#include "ctl/declaration_commands.hpp"
+#include "ctl/move_commands.hpp"
+#include "ctl/session.hpp"
+#include "ctl/trace_view.hpp"
+
+namespace hyssopdeal::ctl
+{
+
+namespace
+{
+
+constexpr int ok = 200;
+
+exit_code drain(session& run)
+{
+    const auto& words = run.options().words;
+    constexpr std::size_t words_needed = 3;
+    if (words.size() != words_needed || words[1] != "drain")
+    {
+        return run.refuse("instance: allowed drain NAME");
+    }
+    return run.finish(run.write("POST",
+                                fmt::format("/v1/instances/{}/drain", words[2]),
+                                "", 0),
+                      "drain of " + words[2]);
+}
+
+exit_code inspect(session& run)
+{
+    constexpr std::array<std::string_view, 6> pages = {
+        "members", "grants", "streams", "moves", "log", "routes"};
+    const auto& words = run.options().words;
+    const std::string page = words.size() > 1 ? words[1] : "";
+    if (std::find(pages.begin(), pages.end(), page) == pages.end())
+    {
+        return run.refuse(fmt::format("inspect: found \"{}\", allowed {}", page,
+                                      fmt::join(pages, ", ")));
+    }
+    const auto answer = run.get("/v1/inspect/" + page);
+    if (!answer)
+    {
+        return run.fail(answer.error());
+    }
+    if (answer->status != ok)
+    {
+        return run.report(*answer, "inspect " + page);
+    }
+    run.show(answer->body);
+    return exit_code::done;
+}
+
+exit_code trace(const ctl_options& options, command_output& output)
+{
+    constexpr std::size_t file_word = 1;
+    constexpr std::size_t trace_word = 2;
+    if (options.words.size() <= file_word)
+    {
+        output.errors += "trace: allowed FILE [TRACE_ID]\n";
+        return exit_code::bad_usage;
+    }
+    const auto text = protocol::read_text_file(options.words[file_word]);
+    if (!text)
+    {
+        output.errors += text.error().text + '\n';
+        return exit_code::bad_usage;
+    }
+    const auto& words = options.words;
+    const auto drawn =
+        draw_trace(*text, words.size() > trace_word ? words[trace_word] : "");
+    if (!drawn)
+    {
+        output.errors += drawn.error().text + '\n';
+        return exit_code::failed;
+    }
+    output.text += *drawn;
+    return exit_code::done;
+}
+
+} // namespace
+
+exit_code run_command(const ctl_options& options, const transport::clock& clock,
+                      command_output& output)
+{
+    const auto& command = options.words.front();
+    if (command == "trace")
+    {
+        return trace(options, output);
+    }
+    session run(options, clock, output);
+    if (command == "contract")
+    {
+        return run_declaration_command(run, declaration_kind::contract);
+    }
+    if (command == "service")
+    {
+        return run_declaration_command(run, declaration_kind::service);
+    }
+    if (command == "move")
+    {
+        return run_move_command(run);
+    }
+    if (command == "instance")
+    {
+        return drain(run);
+    }
+    if (command == "inspect")
+    {
+        return inspect(run);
+    }
+    return run.refuse(fmt::format("found \"{}\", allowed contract, service, "
+                                  "move, instance, inspect, trace",
+                                  command));
+}
+
+} // namespace hyssopdeal::ctl
--- /dev/null
+++ b/programs/ctl/json_table.hpp
@@ -0,0 +1,22 @@
+#ifndef HYSSOPDEAL_PROGRAMS_CTL_JSON_TABLE_HPP
+#define HYSSOPDEAL_PROGRAMS_CTL_JSON_TABLE_HPP
+
+/// @file
+/// Shows JSON answers to people.
+///
+/// Index: [json_table]
+
+#include <string>
+
+namespace hyssopdeal::ctl
+{
+
+// [json_table] ---------------------------------------------------------------
+
+/// Shows a JSON text: a list of objects, or an object that holds one, becomes
+/// a table with a column for each key; anything else is indented JSON.
+[[nodiscard]] std::string json_table(const std::string& json);
+
+} // namespace hyssopdeal::ctl
+
+#endif
--- /dev/null
+++ b/scripts/hyssopctl-completion.bash
@@ -0,0 +1,22 @@
+# Bash completion of hyssopctl: source this file from ~/.bashrc.
+_hyssopctl()
+{
+    local word=${COMP_WORDS[COMP_CWORD]} before=${COMP_WORDS[COMP_CWORD - 1]}
+    local options="--settings --control --token-file --wait --order-id
+        --revision --time-limit --json --check --by --canary --watch --help
+        --version"
+    local words=""
+    case "$before" in
+    --settings | --token-file | apply | diff | trace)
+        mapfile -t COMPREPLY < <(compgen -f -- "$word")
+        return
+        ;;
+    contract | service) words="apply get list diff delete" ;;
+    move) words="start status cancel" ;;
+    instance) words="drain" ;;
+    inspect) words="members grants streams moves log routes" ;;
+    *) words="contract service move instance inspect trace $options" ;;
+    esac
+    mapfile -t COMPREPLY < <(compgen -W "$words" -- "$word")
+}
+complete -F _hyssopctl hyssopctl
