Serve callers: a thin entry process, whole from request to last token

hyssop-entryd runs one event loop a thread, each with its own HTTP server on the shared port, HTTP client, routers, limits and streams, so that no request takes a lock. The configuration is an index over the control view behind read-copy-update; until a control replica is heard it comes from files, which SIGHUP reads again.

--- /dev/null
+++ b/src/coordination/entry_process.cpp
@@ -0,0 +1,275 @@
+#include <hyssopdeal/coordination/entry_process.hpp>
+
+#include <csignal>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <hyssopdeal/coordination/drain_entry.hpp>
+#include <hyssopdeal/protocol/contract_json.hpp>
+#include <hyssopdeal/transport/http_server.hpp>
+#include <hyssopdeal/transport/logging.hpp>
+
+#include "entry_service.hpp"
+#include "entry_shard.hpp"
+
+namespace hyssopdeal::coordination
+{
+
+using transport::http_request;
+using transport::http_responder;
+using transport::log_info;
+using transport::log_part;
+using transport::result;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds drain_tick{50};
+
+transport::http_server_settings server_settings_of(const entry_settings& from)
+{
+    transport::http_server_settings settings;
+    settings.address = from.address;
+    settings.port = from.port;
+    settings.reuse_port = from.shards > 1;
+    settings.max_connections = from.max_connections;
+    settings.max_header_bytes = from.max_header_bytes;
+    settings.max_body_bytes = from.max_body_bytes;
+    settings.read_time_limit = from.read_time_limit;
+    settings.write_time_limit = from.write_time_limit;
+    return settings;
+}
+
+/// A shard with its server and its thread.
+struct running_shard
+{
+    running_shard(entry_shared& shared, std::uint16_t port)
+        : shard(shared),
+          service(shard),
+          server(shard.loop, with_port(shared.settings, port),
+                 [this](http_request request, http_responder responder) {
+                     service.handle(std::move(request), std::move(responder));
+                 })
+    {}
+
+    running_shard(const running_shard&) = delete;
+    running_shard& operator=(const running_shard&) = delete;
+
+    ~running_shard()
+    {
+        shard.loop.stop();
+        if (thread.joinable())
+        {
+            thread.join();
+        }
+    }
+
+    static transport::http_server_settings with_port(const entry_settings& from,
+                                                     std::uint16_t port)
+    {
+        auto settings = server_settings_of(from);
+        settings.port = port;
+        return settings;
+    }
+
+    entry_shard shard;
+    entry_service service;
+    transport::http_server server;
+    std::thread thread;
+};
+
+/// Reads each file of a list; mistakes of all files are put together.
+template <class Item, class Read>
+std::vector<Item> read_files(const std::vector<std::string>& files, Read read,
+                             std::string& mistakes)
+{
+    std::vector<Item> items;
+    for (const auto& file : files)
+    {
+        const auto text = protocol::read_text_file(file);
+        auto item = text ? read(*text, file)
+                         : result<Item>{tl::unexpected(text.error())};
+        if (item)
+        {
+            items.push_back(std::move(*item));
+            continue;
+        }
+        mistakes += mistakes.empty() ? "" : "\n";
+        mistakes += item.error().text;
+    }
+    return items;
+}
+
+} // namespace
+
+result<protocol::control_view> read_static_view(const entry_settings& settings)
+{
+    std::string mistakes;
+    protocol::control_view view;
+    view.contracts = read_files<protocol::organisation_contract>(
+        settings.contract_files, protocol::read_contract, mistakes);
+    view.services = read_files<protocol::service>(
+        settings.service_files, protocol::read_service, mistakes);
+    if (!mistakes.empty())
+    {
+        return transport::fail(transport::reason::bad_settings, mistakes);
+    }
+    return view;
+}
+
+struct entry_process::impl
+{
+    impl(entry_settings settings, const transport::clock& clock)
+        : shared(std::move(settings), clock)
+    {}
+
+    void on_drain();
+    void tick();
+    void act(drain_action action);
+    [[nodiscard]] open_work count_work();
+
+    entry_shared shared;
+    transport::event_loop loop; // of the main thread
+    std::vector<std::unique_ptr<running_shard>> shards;
+    drain_entry drain;
+    transport::timer_handle drain_timer;
+    std::uint64_t published_index = 0;
+    bool published = false;
+};
+
+void entry_process::impl::on_drain()
+{
+    drain.on_signal(shared.clock.monotonic_now());
+    tick();
+}
+
+void entry_process::impl::tick()
+{
+    drain.on_progress(shared.clock.monotonic_now(), count_work());
+    for (const auto action : drain.take_actions())
+    {
+        act(action);
+    }
+    drain_timer = loop.after(drain_tick, [this] { tick(); });
+}
+
+open_work entry_process::impl::count_work()
+{
+    open_work work;
+    for (const auto& running : shards)
+    {
+        work.streams += running->shard.published_streams.load();
+        work.plain_calls += running->shard.published_calls.load();
+    }
+    return work;
+}
+
+void entry_process::impl::act(drain_action action)
+{
+    const auto on_each = [this](auto run) {
+        for (const auto& running : shards)
+        {
+            running->shard.loop.post(
+                [&target = *running, run] { run(target); });
+        }
+    };
+    switch (action)
+    {
+    case drain_action::fail_readiness:
+        shared.readiness = entry_readiness::unready;
+        break;
+    case drain_action::refuse_queue:
+        on_each([](running_shard& target) {
+            for (auto& [name, lane] : target.shard.lanes)
+            {
+                lane->refuse_all(transport::reason::draining);
+            }
+        });
+        break;
+    case drain_action::refuse_new:
+        shared.readiness = entry_readiness::draining;
+        break;
+    case drain_action::hand_over_streams:
+        break;
+    case drain_action::close_rest:
+        log_info(log_part::process, "Cutting what is left.");
+        break;
+    case drain_action::exit:
+        loop.stop();
+        break;
+    }
+}
+
+entry_process::entry_process(entry_settings settings,
+                             const transport::clock& clock)
+    : impl_(std::make_unique<impl>(std::move(settings), clock))
+{}
+
+entry_process::~entry_process() = default;
+
+result<std::uint16_t> entry_process::start()
+{
+    auto port = impl_->shared.settings.port;
+    for (std::uint32_t count = 0; count < impl_->shared.settings.shards;
+         ++count)
+    {
+        auto running = std::make_unique<running_shard>(impl_->shared, port);
+        const auto bound = running->server.start();
+        if (!bound)
+        {
+            return bound;
+        }
+        port = *bound;
+        impl_->shards.push_back(std::move(running));
+    }
+    for (const auto& running : impl_->shards)
+    {
+        running->shard.count_work();
+        running->thread =
+            std::thread{[&loop = running->shard.loop] { loop.run(); }};
+    }
+    return port;
+}
+
+void entry_process::publish(protocol::control_view view)
+{
+    if (std::exchange(impl_->published, true) &&
+        view.applied_index <= impl_->published_index)
+    {
+        return;
+    }
+    impl_->published_index = view.applied_index;
+    log_info(log_part::process, "Configuration is in force. index={}",
+             view.applied_index);
+    impl_->shared.catalog.publish(entry_catalog{std::move(view)});
+    for (const auto& running : impl_->shards)
+    {
+        running->shard.loop.post(
+            [&shard = running->shard] { shard.refresh(); });
+    }
+    auto expected = entry_readiness::starting;
+    impl_->shared.readiness.compare_exchange_strong(expected,
+                                                    entry_readiness::serving);
+}
+
+void entry_process::drain()
+{
+    impl_->loop.post([state = impl_.get()] { state->on_drain(); });
+}
+
+void entry_process::handle_signals(std::function<void()> on_reload)
+{
+    impl_->loop.on_signal(
+        [state = impl_.get(), reload = std::move(on_reload)](int number) {
+            number == SIGHUP ? reload() : state->on_drain();
+        });
+}
+
+void entry_process::wait()
+{
+    impl_->loop.run();
+    impl_->shards.clear();
+}
+
+} // namespace hyssopdeal::coordination
--- /dev/null
+++ b/src/coordination/request_flow.cpp
@@ -0,0 +1,255 @@
+#include "request_flow.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "attempt.hpp"
+#include "entry_answers.hpp"
+#include "entry_shard.hpp"
+#include "stream_session.hpp"
+
+namespace hyssopdeal::coordination
+{
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using transport::failure;
+using transport::reason;
+using transport::verdict;
+
+namespace
+{
+
+constexpr double bytes_per_token = 4;
+constexpr double default_output_tokens = 256;
+constexpr int first_server_error = 500;
+constexpr milliseconds default_retry_after{1'000};
+
+milliseconds left_until(transport::monotonic_time deadline,
+                        transport::monotonic_time now)
+{
+    return std::max(duration_cast<milliseconds>(deadline - now),
+                    milliseconds{0});
+}
+
+double reserved_tokens(const accepted_request& request)
+{
+    if (request.kind != protocol::service_kind::model)
+    {
+        return 0;
+    }
+    const double output = request.chat.max_tokens > 0
+                              ? static_cast<double>(request.chat.max_tokens)
+                              : default_output_tokens;
+    return static_cast<double>(request.chat.prompt.size()) / bytes_per_token +
+           output;
+}
+
+bool is_streamed(const accepted_request& request)
+{
+    return request.kind == protocol::service_kind::model &&
+           request.chat.mode == protocol::answer_mode::streamed;
+}
+
+} // namespace
+
+transport::http_request request_for_server(const accepted_request& request,
+                                           transport::monotonic_time now)
+{
+    transport::http_request sent;
+    sent.method = request.http.method;
+    sent.target = request.server_target;
+    sent.headers = headers_to_server(request.http.headers);
+    sent.headers.push_back({"Hyssopdeal-Route", request.route.name});
+    sent.headers.push_back(
+        {"Hyssopdeal-Priority",
+         std::to_string(static_cast<int>(request.route.priority))});
+    sent.headers.push_back(
+        {"X-Request-Deadline-Ms",
+         std::to_string(left_until(request.deadline, now).count())});
+    sent.headers.push_back(
+        {"traceparent", protocol::to_traceparent(request.trace)});
+    sent.body = request.http.body;
+    return sent;
+}
+
+transport::http_call_settings limits_for_server(const accepted_request& request,
+                                                const entry_shard& shard)
+{
+    transport::http_call_settings limits;
+    limits.connect_time_limit = shard.shared.settings.connect_time_limit;
+    limits.total_time_limit =
+        std::max(left_until(request.deadline, shard.now()), milliseconds{1});
+    limits.max_body_bytes = shard.shared.settings.max_answer_bytes;
+    if (request.route.repeats == protocol::repeatability::at_most_once)
+    {
+        limits.connection = transport::connection_choice::fresh;
+    }
+    return limits;
+}
+
+request_flow::request_flow(entry_shard& shard, accepted_request request,
+                           transport::http_responder responder)
+    : shard_(shard),
+      request_(std::move(request)),
+      responder_(std::move(responder))
+{}
+
+request_flow::~request_flow() = default;
+
+service_lane* request_flow::lane()
+{
+    return shard_.find_lane(request_.service);
+}
+
+void request_flow::start()
+{
+    limit_request wanted;
+    wanted.tokens = reserved_tokens(request_);
+    wanted.streams = is_streamed(request_) ? 1 : 0;
+    wanted.priority = request_.route.priority;
+    auto admitted =
+        shard_.limits.admit(shard_.now(), request_.organisation, wanted);
+    if (!admitted)
+    {
+        refuse(admitted.error().error, admitted.error().retry_after);
+        return;
+    }
+    request_.route.priority = admitted->priority;
+    shard_.retries.on_request(shard_.now(), request_.organisation,
+                              request_.service, request_.retry_ratio);
+    if (is_streamed(request_))
+    {
+        shard_.streams.open(shard_, std::move(request_), std::move(*admitted),
+                            responder_);
+        return;
+    }
+    permit_ = std::move(*admitted);
+    ++shard_.open_calls;
+    choose();
+}
+
+void request_flow::choose()
+{
+    auto* const to = lane();
+    if (to == nullptr)
+    {
+        refuse({ran_, reason::no_backend_server, "The service is gone."},
+               default_retry_after);
+        return;
+    }
+    lane_request wanted;
+    wanted.route.prompt = request_.chat.prompt;
+    wanted.route.max_new_tokens = request_.chat.max_tokens;
+    wanted.route.priority = request_.route.priority;
+    wanted.route.avoid = failed_servers_;
+    wanted.deadline = request_.deadline;
+    wanted.on_outcome = [self = shared_from_this()](lane_outcome outcome) {
+        self->on_outcome(std::move(outcome));
+    };
+    to->enter(std::move(wanted));
+}
+
+void request_flow::on_outcome(lane_outcome outcome)
+{
+    if (!outcome.choice)
+    {
+        auto error = outcome.choice.error();
+        error.ran = std::max(error.ran, ran_);
+        refuse(error, outcome.retry_after);
+        return;
+    }
+    choice_ = std::move(*outcome.choice);
+    dispatch();
+}
+
+void request_flow::dispatch()
+{
+    ++attempts_;
+    auto sent = request_for_server(request_, shard_.now());
+    if (request_.kind == protocol::service_kind::model)
+    {
+        sent.headers.push_back(
+            {"Hyssopdeal-Attempt", to_string(shard_.next_id())});
+    }
+    call_ = shard_.client.fetch(choice_->address, sent,
+                                limits_for_server(request_, shard_),
+                                [self = shared_from_this()](auto answer) {
+                                    self->on_answer(std::move(answer));
+                                });
+}
+
+void request_flow::on_answer(
+    transport::result<transport::http_response> response)
+{
+    auto choice = std::move(*choice_);
+    choice_.reset();
+    auto* const from = lane();
+    if (!response)
+    {
+        from->on_ended(choice, attempt_outcome::failed, 0);
+        failed_servers_.push_back(choice.server);
+        on_failure(response.error());
+        return;
+    }
+    if (is_refusal(response->status, response->headers))
+    {
+        from->on_refused(choice);
+        failed_servers_.push_back(choice.server);
+        on_failure({verdict::not_run, reason::overloaded,
+                    "The backend server refused the request."});
+        return;
+    }
+    const bool failed = response->status >= first_server_error;
+    from->on_first_token(choice);
+    from->on_ended(
+        choice, failed ? attempt_outcome::failed : attempt_outcome::succeeded,
+        0);
+    response->headers = headers_to_caller(response->headers);
+    response->headers.push_back({"Hyssopdeal-Verdict", "ran"});
+    answer(std::move(*response));
+}
+
+void request_flow::on_failure(const failure& error)
+{
+    ran_ = std::max(ran_, error.ran);
+    failed_attempt failed;
+    failed.organisation = request_.organisation;
+    failed.service = request_.service;
+    failed.attempts = attempts_;
+    failed.ran = error.ran;
+    failed.code = error.code;
+    failed.repeats = request_.route.repeats;
+    failed.deadline = request_.deadline;
+    const auto next =
+        shard_.retries.decide(shard_.now(), failed, shard_.random);
+    if (next.outcome != retry_outcome::retry)
+    {
+        auto told = error;
+        told.ran = ran_;
+        refuse(told, default_retry_after);
+        return;
+    }
+    retry_timer_ = shard_.loop.after(
+        next.delay, [self = shared_from_this()] { self->choose(); });
+}
+
+void request_flow::refuse(const failure& error, milliseconds retry_after)
+{
+    answer(failure_answer(error, retry_after));
+}
+
+void request_flow::answer(transport::http_response response)
+{
+    if (permit_)
+    {
+        --shard_.open_calls;
+        shard_.limits.settle(shard_.now(), *permit_, permit_->reserved_tokens);
+        permit_.reset();
+    }
+    responder_.send(std::move(response));
+}
+
+} // namespace hyssopdeal::coordination
--- /dev/null
+++ b/src/coordination/service_lane.cpp
@@ -0,0 +1,147 @@
+#include "service_lane.hpp"
+
+#include <utility>
+
+namespace hyssopdeal::coordination
+{
+
+using transport::reason;
+
+service_lane::service_lane(transport::event_loop& loop,
+                           const transport::clock& clock,
+                           std::mt19937_64& random, router_settings settings)
+    : loop_(loop),
+      clock_(clock),
+      random_(random),
+      router_(std::move(settings))
+{}
+
+service_lane::~service_lane() = default;
+
+void service_lane::set_service(const protocol::service& declared,
+                               const std::vector<std::string>& leaving)
+{
+    router_.set_service(declared, leaving);
+    pump();
+}
+
+void service_lane::enter(lane_request request)
+{
+    if (queue_.size() > 0)
+    {
+        wait(std::move(request));
+        pump();
+        return;
+    }
+    auto choice =
+        router_.choose(clock_.monotonic_now(), request.route, random_);
+    if (!choice && choice.error().code == reason::overloaded)
+    {
+        wait(std::move(request));
+        return;
+    }
+    request.on_outcome({std::move(choice)});
+}
+
+void service_lane::wait(lane_request request)
+{
+    queued_request queued;
+    queued.number = ++last_number_;
+    queued.priority = request.route.priority;
+    queued.deadline = request.deadline;
+    const auto refusal = queue_.push(clock_.monotonic_now(), queued);
+    waiting_.emplace(queued.number, std::move(request));
+    if (refusal)
+    {
+        refuse({*refusal});
+    }
+    set_timer();
+}
+
+void service_lane::pump()
+{
+    if (std::exchange(pumping_, true))
+    {
+        return;
+    }
+    while (queue_.size() > 0 && router_.has_room(clock_.monotonic_now()))
+    {
+        const auto next = queue_.pop(clock_.monotonic_now());
+        if (!next)
+        {
+            break;
+        }
+        auto found = waiting_.extract(next->number);
+        auto& request = found.mapped();
+        auto choice =
+            router_.choose(clock_.monotonic_now(), request.route, random_);
+        if (!choice && choice.error().code == reason::overloaded)
+        {
+            // Room for others, not for this one: it waits on.
+            wait(std::move(request));
+            break;
+        }
+        request.on_outcome({std::move(choice)});
+    }
+    pumping_ = false;
+    refuse(queue_.take_refusals(clock_.monotonic_now()));
+    set_timer();
+}
+
+void service_lane::refuse(const std::vector<admission_refusal>& refusals)
+{
+    for (const auto& refusal : refusals)
+    {
+        if (auto found = waiting_.extract(refusal.number))
+        {
+            found.mapped().on_outcome(
+                {tl::unexpected(refusal.error), refusal.retry_after});
+        }
+    }
+}
+
+void service_lane::set_timer()
+{
+    const auto next = queue_.next_refusal();
+    if (!next)
+    {
+        timer_.cancel();
+        return;
+    }
+    timer_ = loop_.after(*next - clock_.monotonic_now(), [this] { pump(); });
+}
+
+void service_lane::on_first_token(route_choice& choice)
+{
+    router_.on_first_token(clock_.monotonic_now(), choice);
+}
+
+void service_lane::on_ended(const route_choice& choice, attempt_outcome outcome,
+                            double output_tokens)
+{
+    router_.on_ended(clock_.monotonic_now(), choice, outcome, output_tokens);
+    pump();
+}
+
+void service_lane::on_refused(const route_choice& choice)
+{
+    router_.on_refused(clock_.monotonic_now(), choice);
+    pump();
+}
+
+void service_lane::refuse_all(reason code)
+{
+    refuse(queue_.refuse_all(clock_.monotonic_now(), code));
+}
+
+service_router& service_lane::router() noexcept
+{
+    return router_;
+}
+
+std::size_t service_lane::waiting() const noexcept
+{
+    return waiting_.size();
+}
+
+} // namespace hyssopdeal::coordination
--- /dev/null
+++ b/src/coordination/service_lane.hpp
@@ -0,0 +1,100 @@
+#ifndef HYSSOPDEAL_SRC_COORDINATION_SERVICE_LANE_HPP
+#define HYSSOPDEAL_SRC_COORDINATION_SERVICE_LANE_HPP
+
+/// @file
+/// Internal: one service on one shard. Requests enter, wait for a backend
+/// server if need be, and are told which one to use.
+///
+/// Index: [lane_request] [service_lane]
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <hyssopdeal/coordination/admission_queue.hpp>
+#include <hyssopdeal/coordination/load_balancer_router.hpp>
+#include <hyssopdeal/protocol/contract.hpp>
+#include <hyssopdeal/transport/clock.hpp>
+#include <hyssopdeal/transport/event_loop.hpp>
+#include <hyssopdeal/transport/failure.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+// [lane_request] -------------------------------------------------------------
+
+/// The server to use, or why there is none and when to come back.
+struct lane_outcome
+{
+    transport::result<route_choice> choice;
+    std::chrono::milliseconds retry_after{1'000}; ///< For a failure.
+};
+
+/// A request that needs a backend server. What its views refer to must stay
+/// until the handler was called.
+struct lane_request
+{
+    route_request route;
+    transport::monotonic_time deadline;
+    std::function<void(lane_outcome)> on_outcome; ///< Called once.
+};
+
+// [service_lane] -------------------------------------------------------------
+
+/// Router and queue of one service; used on the shard's thread.
+class service_lane
+{
+public:
+    service_lane(transport::event_loop& loop, const transport::clock& clock,
+                 std::mt19937_64& random, router_settings settings);
+    service_lane(const service_lane&) = delete;
+    service_lane& operator=(const service_lane&) = delete;
+    ~service_lane();
+
+    /// Takes over a declaration.
+    void set_service(const protocol::service& declared,
+                     const std::vector<std::string>& leaving);
+
+    /// Chooses at once or queues; the handler may be called within.
+    void enter(lane_request request);
+
+    /// Gives a choice back at each step, see service_router.
+    void on_first_token(route_choice& choice);
+    void on_ended(const route_choice& choice, attempt_outcome outcome,
+                  double output_tokens);
+    void on_refused(const route_choice& choice);
+
+    /// Refuses all that wait.
+    void refuse_all(transport::reason code);
+
+    /// @return The router, for reports and inspection.
+    [[nodiscard]] service_router& router() noexcept;
+
+    /// @return Requests waiting.
+    [[nodiscard]] std::size_t waiting() const noexcept;
+
+private:
+    void wait(lane_request request);
+    void pump();
+    void refuse(const std::vector<admission_refusal>& refusals);
+    void set_timer();
+
+    transport::event_loop& loop_;
+    const transport::clock& clock_;
+    std::mt19937_64& random_;
+    service_router router_;
+    admission_queue queue_;
+    std::unordered_map<request_number, lane_request> waiting_;
+    request_number last_number_ = 0;
+    transport::timer_handle timer_;
+    bool pumping_ = false;
+};
+
+} // namespace hyssopdeal::coordination
+
+#endif
