--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -215,7 +215,7 @@
          ++count)
     {
         auto running = std::make_unique<running_shard>(impl_->shared, port);
-        const auto bound = running->server.start();
+        auto bound = running->server.start();
         if (!bound)
         {
             return bound;
--- a/src/coordination/stream_session.cpp
+++ b/src/coordination/stream_session.cpp
@@ -223,10 +223,10 @@
             self->pump();
         }
     };
-    called.on_end = [weak](attempt_end end) {
+    called.on_end = [weak](const attempt_end& end) {
         if (const auto self = weak.lock())
         {
-            self->on_end(std::move(end));
+            self->on_end(end);
         }
     };
     attempt_ = std::make_unique<engine_attempt>(shard_.client, order,
@@ -254,7 +254,7 @@
     }
 }
 
-void stream_session::on_end(attempt_end end)
+void stream_session::on_end(const attempt_end& end)
 {
     attempt_.reset();
     if (closed_ || record_->phase() != stream_phase::running)
--- a/src/coordination/stream_session.hpp
+++ b/src/coordination/stream_session.hpp
@@ -70,7 +70,7 @@
     void reattach(const resume_stream& order);
     void run(attempt_order order);
     void on_event(engine_event event);
-    void on_end(attempt_end end);
+    void on_end(const attempt_end& end);
     void on_answer(const transport::http_response& answer);
     void lose_engine(const transport::failure& error);
     void retry_first(const transport::failure& error);
