--- a/standins/answer_text.cpp
+++ b/standins/answer_text.cpp
@@ -62,10 +62,8 @@
             prompt.begun = content;
             break;
         }
-        prompt.rendered += fmt::format(
-            "{}:{}\n", message.at("role").get<std::string>(), content);
+        prompt.rendered += content + '\n';
     }
-    prompt.rendered += "assistant:";
     prompt.model = body.value("model", std::string{});
     prompt.stream = body.value("stream", false);
     prompt.max_tokens = body.value("max_tokens", prompt.max_tokens);
