Link an entry process to the others

The main thread runs the peer hub and membership; each shard has a hub of its own that only sends and calls, so that shards share no lock. Membership tells the hubs of peers, the routers of leaving backend servers, and the drain that this instance was ordered to leave.

--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -10,6 +10,7 @@
 #include <hyssopdeal/transport/http_server.hpp>
 #include <hyssopdeal/transport/logging.hpp>
 
+#include "entry_links.hpp"
 #include "entry_service.hpp"
 #include "entry_shard.hpp"
 
@@ -124,6 +125,10 @@
         : shared(std::move(settings), clock)
     {}
 
+    [[nodiscard]] result<void> start_links();
+    [[nodiscard]] entry_links_handlers links_handlers();
+    template <class Action>
+    void on_each_shard(Action action);
     void on_drain();
     void tick();
     void act(drain_action action);
@@ -132,12 +137,74 @@
     entry_shared shared;
     transport::event_loop loop; // of the main thread
     std::vector<std::unique_ptr<running_shard>> shards;
+    std::unique_ptr<entry_links> links; // none without a shared key
     drain_entry drain;
     transport::timer_handle drain_timer;
     std::uint64_t published_index = 0;
     bool published = false;
 };
 
+template <class Action>
+void entry_process::impl::on_each_shard(Action action)
+{
+    for (const auto& running : shards)
+    {
+        running->shard.loop.post(
+            [&shard = running->shard, action] { action(shard); });
+    }
+}
+
+entry_links_handlers entry_process::impl::links_handlers()
+{
+    entry_links_handlers handlers;
+    handlers.on_peer = [this](const std::string& name,
+                              const std::string& address) {
+        on_each_shard([name, address](entry_shard& shard) {
+            if (shard.peers)
+            {
+                shard.peers->set_peer(name, address);
+            }
+        });
+    };
+    handlers.on_server_leaving = [this](const std::string& server) {
+        on_each_shard([server](entry_shard& shard) {
+            for (auto& [name, lane] : shard.lanes)
+            {
+                lane->router().set_leaving(server);
+            }
+        });
+    };
+    handlers.on_ordered_to_leave = [this] {
+        if (shared.readiness == entry_readiness::serving)
+        {
+            on_drain();
+        }
+    };
+    return handlers;
+}
+
+result<void> entry_process::impl::start_links()
+{
+    const auto& file = shared.settings.shared_key_file;
+    if (file.empty())
+    {
+        return {};
+    }
+    auto key = protocol::read_secret_file(file);
+    if (!key)
+    {
+        return tl::unexpected(key.error());
+    }
+    for (const auto& running : shards)
+    {
+        running->shard.peers.emplace(running->shard.loop,
+                                     hub_settings_of(shared.settings, *key));
+    }
+    links = std::make_unique<entry_links>(loop, shared.clock, shared.settings,
+                                          std::move(*key), links_handlers());
+    return links->start();
+}
+
 void entry_process::impl::on_drain()
 {
     drain.on_signal(shared.clock.monotonic_now());
@@ -167,21 +234,18 @@
 
 void entry_process::impl::act(drain_action action)
 {
-    const auto on_each = [this](auto run) {
-        for (const auto& running : shards)
-        {
-            running->shard.loop.post(
-                [&target = *running, run] { run(target); });
-        }
-    };
     switch (action)
     {
     case drain_action::fail_readiness:
         shared.readiness = entry_readiness::unready;
+        if (links)
+        {
+            links->announce_leaving();
+        }
         break;
     case drain_action::refuse_queue:
-        on_each([](running_shard& target) {
-            for (auto& [name, lane] : target.shard.lanes)
+        on_each_shard([](entry_shard& shard) {
+            for (auto& [name, lane] : shard.lanes)
             {
                 lane->refuse_all(transport::reason::draining);
             }
@@ -223,6 +287,10 @@
         port = *bound;
         impl_->shards.push_back(std::move(running));
     }
+    if (const auto linked = impl_->start_links(); !linked)
+    {
+        return tl::unexpected(linked.error());
+    }
     for (const auto& running : impl_->shards)
     {
         running->shard.count_work();
@@ -243,11 +311,7 @@
     log_info(log_part::process, "Configuration is in force. index={}",
              view.applied_index);
     impl_->shared.catalog.publish(entry_catalog{std::move(view)});
-    for (const auto& running : impl_->shards)
-    {
-        running->shard.loop.post(
-            [&shard = running->shard] { shard.refresh(); });
-    }
+    impl_->on_each_shard([](entry_shard& shard) { shard.refresh(); });
     auto expected = entry_readiness::starting;
     impl_->shared.readiness.compare_exchange_strong(expected,
                                                     entry_readiness::serving);
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -18,6 +19,7 @@
 #include <hyssopdeal/coordination/entry_settings.hpp>
 #include <hyssopdeal/coordination/limiter.hpp>
 #include <hyssopdeal/coordination/retry_policy.hpp>
+#include <hyssopdeal/protocol/peer_hub.hpp>
 #include <hyssopdeal/transport/clock.hpp>
 #include <hyssopdeal/transport/event_loop.hpp>
 #include <hyssopdeal/transport/http_client.hpp>
@@ -86,6 +88,8 @@
     entry_shared& shared;
     transport::event_loop loop;
     transport::http_client client{loop};
+    std::optional<protocol::peer_hub> peers; ///< Only sends and calls; the
+                                             ///< process's own hub listens.
     std::mt19937_64 random;
     limiter limits;
     budgeted_retry retries;
--- a/tests/entry_service_test.cpp
+++ b/tests/entry_service_test.cpp
@@ -41,7 +41,10 @@
 
 http_request get(std::string target, std::string key = "vale-key")
 {
-    return {"GET", std::move(target), {{"Authorization", fmt::format("Bearer {}", key)}}, ""};
+    return {"GET",
+            std::move(target),
+            {{"Authorization", fmt::format("Bearer {}", key)}},
+            ""};
 }
 
 } // namespace
@@ -285,8 +288,8 @@
 {
     const auto first = entry.fetch(entry_harness::chat());
     const std::string id{find_header(first->headers, "Hyssopdeal-Stream")};
-    expect(entry.fetch(get(fmt::format("/v1/streams/{}", id), "serra-key")), 404, "not_found",
-           "not_run");
+    expect(entry.fetch(get(fmt::format("/v1/streams/{}", id), "serra-key")),
+           404, "not_found", "not_run");
     expect(entry.fetch(get("/v1/streams/none")), 404, "not_found", "not_run");
     auto request = get(fmt::format("/v1/streams/{}", id));
     request.headers.push_back({"Last-Event-ID", "-1"});
