--- a/include/hyssopdeal/coordination/entry_process.hpp
+++ b/include/hyssopdeal/coordination/entry_process.hpp
@@ -55,7 +55,11 @@
     /// @param on_reload Runs on the thread that waits.
     void handle_signals(std::function<void()> on_reload);
 
-    /// Blocks until a graceful shutdown has ended.
+    /// Ends at once and cuts off what is open, as a crash would. Safe to call
+    /// from any thread.
+    void stop();
+
+    /// Blocks until a graceful shutdown has ended, or stop().
     void wait();
 
 private:
--- a/include/hyssopdeal/coordination/membership_runner.hpp
+++ b/include/hyssopdeal/coordination/membership_runner.hpp
@@ -47,6 +47,7 @@
     std::string name;
     std::string peer_address; ///< `IP:port` over TCP.
     std::string failure_domain;
+    protocol::member_kind kind = protocol::member_kind::entry;
     bool usable = false; ///< May get new work.
 };
 
--- a/src/coordination/entry_links.cpp
+++ b/src/coordination/entry_links.cpp
@@ -91,6 +91,8 @@
     settings.peer_address = address_text(settings_.peer_address_ip, *port);
     settings.shared_key = shared_key_;
     settings.seeds = seeds_of(settings_);
+    // The process holds its own streams' copies when there is nobody else.
+    handlers_.on_peer(settings_.name, settings.peer_address);
     for (const auto& seed : settings.seeds)
     {
         hub_.set_peer(seed.name, seed.peer_address);
--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -13,6 +13,7 @@
 #include "entry_links.hpp"
 #include "entry_service.hpp"
 #include "entry_shard.hpp"
+#include "stream_exchange.hpp"
 
 namespace hyssopdeal::coordination
 {
@@ -137,7 +138,8 @@
     entry_shared shared;
     transport::event_loop loop; // of the main thread
     std::vector<std::unique_ptr<running_shard>> shards;
-    std::unique_ptr<entry_links> links; // none without a shared key
+    std::unique_ptr<entry_links> links;        // none without a shared key
+    std::unique_ptr<stream_exchange> exchange; // with links
     drain_entry drain;
     transport::timer_handle drain_timer;
     std::uint64_t published_index = 0;
@@ -202,7 +204,14 @@
     }
     links = std::make_unique<entry_links>(loop, shared.clock, shared.settings,
                                           std::move(*key), links_handlers());
-    return links->start();
+    exchange =
+        std::make_unique<stream_exchange>(loop, shared.clock, links->hub());
+    const auto started = links->start();
+    if (started)
+    {
+        shared.members = &links->members().view();
+    }
+    return started;
 }
 
 void entry_process::impl::on_drain()
@@ -255,6 +264,7 @@
         shared.readiness = entry_readiness::draining;
         break;
     case drain_action::hand_over_streams:
+        on_each_shard([](entry_shard& shard) { shard.streams.hand_over(); });
         break;
     case drain_action::close_rest:
         log_info(log_part::process, "Cutting what is left.");
@@ -330,6 +340,11 @@
         });
 }
 
+void entry_process::stop()
+{
+    impl_->loop.stop();
+}
+
 void entry_process::wait()
 {
     impl_->loop.run();
--- a/src/coordination/entry_service.cpp
+++ b/src/coordination/entry_service.cpp
@@ -305,10 +305,40 @@
     }
     else if (!shard_.streams.resume(id, *organisation, *last, responder))
     {
-        responder.send(
-            failure_answer({transport::verdict::not_run, reason::not_found,
-                            "No such stream is known."}));
+        resume_elsewhere(request, id, *organisation, *last,
+                         std::move(responder));
     }
 }
 
+void entry_service::resume_elsewhere(const http_request& request,
+                                     std::string_view id,
+                                     const std::string& organisation,
+                                     std::uint64_t last,
+                                     http_responder responder)
+{
+    shard_.streams.look_elsewhere(
+        shard_, std::string{id}, organisation,
+        [this, request, last,
+         answer = std::move(responder)](auto copy) mutable {
+            if (!copy)
+            {
+                answer.send(failure_answer(copy.error()));
+                return;
+            }
+            http_request opened;
+            opened.method = "POST";
+            opened.target = copy->origin.target;
+            opened.headers = request.headers;
+            opened.body = copy->origin.body;
+            auto accepted = accept(std::move(opened));
+            if (!accepted)
+            {
+                answer.send(failure_answer(accepted.error()));
+                return;
+            }
+            shard_.streams.adopt(shard_, std::move(*accepted), std::move(*copy),
+                                 last, answer);
+        });
+}
+
 } // namespace hyssopdeal::coordination
--- a/src/coordination/entry_service.hpp
+++ b/src/coordination/entry_service.hpp
@@ -7,6 +7,8 @@
 ///
 /// Index: [entry_service]
 
+#include <cstdint>
+#include <string>
 #include <string_view>
 
 #include <hyssopdeal/transport/failure.hpp>
@@ -38,6 +40,10 @@
                transport::http_responder responder);
     void resume(const transport::http_request& request, std::string_view id,
                 transport::http_responder responder);
+    void resume_elsewhere(const transport::http_request& request,
+                          std::string_view id, const std::string& organisation,
+                          std::uint64_t last,
+                          transport::http_responder responder);
     [[nodiscard]] transport::http_response readiness() const;
 
     entry_shard& shard_;
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -18,6 +18,7 @@
 #include <hyssopdeal/coordination/entry_catalog.hpp>
 #include <hyssopdeal/coordination/entry_settings.hpp>
 #include <hyssopdeal/coordination/limiter.hpp>
+#include <hyssopdeal/coordination/membership_runner.hpp>
 #include <hyssopdeal/coordination/retry_policy.hpp>
 #include <hyssopdeal/protocol/peer_hub.hpp>
 #include <hyssopdeal/transport/clock.hpp>
@@ -53,6 +54,8 @@
     const entry_settings settings;
     const transport::clock& clock;
     transport::rcu_cell<entry_catalog> catalog{entry_catalog{}};
+    std::atomic<const transport::rcu_cell<member_view>*> members{
+        nullptr}; // written by the main thread before the shards run
     std::atomic<entry_readiness> readiness{
         entry_readiness::starting}; // written by the process's main thread
 };
--- a/src/coordination/membership_runner.cpp
+++ b/src/coordination/membership_runner.cpp
@@ -50,7 +50,7 @@
         if (entry.kind != member_kind::backend_server)
         {
             view.members.push_back({entry.name, entry.peer_address,
-                                    entry.failure_domain,
+                                    entry.failure_domain, entry.kind,
                                     state.is_usable(entry.name)});
         }
         else if (entry.state >= member_state::leaving)
--- a/src/coordination/stream_session.cpp
+++ b/src/coordination/stream_session.cpp
@@ -10,6 +10,7 @@
 
 #include "entry_answers.hpp"
 #include "entry_shard.hpp"
+#include "stream_exchange.hpp"
 
 namespace hyssopdeal::coordination
 {
@@ -48,6 +49,13 @@
     bytes += "\n\n";
 }
 
+stream_settings stream_settings_of(const entry_shard& shard)
+{
+    stream_settings settings;
+    settings.copies = shard.shared.settings.stream_copy;
+    return settings;
+}
+
 } // namespace
 
 stream_session::stream_session(entry_shard& shard, std::string id,
@@ -57,7 +65,8 @@
       id_(std::move(id)),
       request_(std::move(request)),
       permit_(std::move(admitted)),
-      responder_(std::move(responder))
+      responder_(std::move(responder)),
+      owner_(owner_name(shard))
 {}
 
 stream_session::~stream_session() = default;
@@ -146,11 +155,11 @@
         origin.priority = request_.route.priority;
         origin.prompt_tokens = choice_->prompt_tokens;
         origin.max_new_tokens = request_.chat.max_tokens;
-        stream_settings settings;
-        settings.copies = shard_.shared.settings.stream_copy;
         record_.emplace(shard_.now(), std::move(origin), shard_.next_id(), 1,
-                        settings);
-        record_->on_holder_chosen(shard_.now(), holder_presence::none);
+                        stream_settings_of(shard_));
+        launch();
+        choose_holder();
+        return;
     }
     launch();
     pump();
@@ -229,6 +238,7 @@
             self->on_end(end);
         }
     };
+    record_->on_attempt_started(shard_.now(), order.attempt);
     attempt_ = std::make_unique<engine_attempt>(shard_.client, order,
                                                 std::move(called));
 }
@@ -418,7 +428,30 @@
     set_timer();
 }
 
-void stream_session::perform(const copy_events& /*order*/) {}
+void stream_session::perform(const copy_events& order)
+{
+    const auto& events = record_->events();
+    stream_copy part;
+    part.origin = record_->origin();
+    part.owner = owner_;
+    part.epoch = record_->epoch();
+    part.attempt = order.attempt;
+    part.server = server_address_;
+    part.sequence = order.sequence;
+    part.events.assign(events.begin() +
+                           static_cast<std::ptrdiff_t>(order.from - 1),
+                       events.begin() + static_cast<std::ptrdiff_t>(order.to));
+    auto asked = question(stream_question_kind::copy);
+    asked.copy = std::move(part);
+    ask_about_stream(
+        shard_, holder_, asked,
+        [weak = weak_from_this(), holder = holder_](const auto& answer) {
+            if (const auto self = weak.lock())
+            {
+                self->on_copied(holder, answer);
+            }
+        });
+}
 
 void stream_session::perform(const deliver_events& order)
 {
@@ -455,9 +488,28 @@
 {
     attempt_.reset();
     end_choice(attempt_outcome::succeeded);
+    if (holder_.empty())
+    {
+        delete_attempt(order.attempt);
+        return;
+    }
+    // A newer owner may go on with the same attempt.
+    ask_about_stream(shard_, holder_, question(stream_question_kind::find),
+                     [self = shared_from_this(),
+                      attempt = order.attempt](const auto& answer) {
+                         if (!answer ||
+                             answer->done.epoch <= self->record_->epoch())
+                         {
+                             self->delete_attempt(attempt);
+                         }
+                     });
+}
+
+void stream_session::delete_attempt(attempt_id attempt)
+{
     transport::http_request request;
     request.method = "DELETE";
-    request.target = "/v1/attempts/" + to_string(order.attempt);
+    request.target = "/v1/attempts/" + to_string(attempt);
     auto call = std::make_shared<transport::http_call>();
     *call = shard_.client.fetch(server_address_, request,
                                 limits_for_server(request_, shard_),
@@ -470,6 +522,7 @@
     {
         responder_->end_stream();
     }
+    close_copy();
     close(delivered_retention);
 }
 
@@ -489,7 +542,7 @@
 
 // [the caller] ---------------------------------------------------------------
 
-void stream_session::resume(std::string_view organisation,
+bool stream_session::resume(std::string_view organisation,
                             std::uint64_t last_event,
                             const transport::http_responder& responder)
 {
@@ -498,14 +551,16 @@
     {
         answer.send(failure_answer(
             {verdict::not_run, reason::not_found, "No such stream is known."}));
-        return;
+        return true;
     }
     const auto taken =
         record_->on_caller(shard_.now(), organisation, last_event);
     if (!taken)
     {
-        answer.send(failure_answer(taken.error()));
-        return;
+        // Only a newer owner can have sent more than this one.
+        record_->on_newer_epoch(shard_.now(), record_->epoch() + 1);
+        pump();
+        return false;
     }
     if (auto former = std::exchange(responder_, std::move(answer)))
     {
@@ -514,6 +569,7 @@
     begun_ = false;
     begin_answer();
     pump();
+    return true;
 }
 
 void stream_session::begin_answer()
@@ -523,11 +579,16 @@
         return;
     }
     unsent_bytes_ = 0;
-    responder_->begin_stream(200, {{"Content-Type", "text/event-stream"},
-                                   {"Cache-Control", "no-store"},
-                                   {"Hyssopdeal-Stream", id_},
-                                   {"Hyssopdeal-Copies", "1"},
-                                   {"Hyssopdeal-Verdict", "ran"}});
+    std::vector<transport::http_header> headers{
+        {"Content-Type", "text/event-stream"},
+        {"Cache-Control", "no-store"},
+        {"Hyssopdeal-Stream", id_},
+        {"Hyssopdeal-Verdict", "ran"}};
+    if (spread_ == copy_spread::none)
+    {
+        headers.push_back({"Hyssopdeal-Copies", "1"});
+    }
+    responder_->begin_stream(200, std::move(headers));
     keep_alive();
 }
 
@@ -617,12 +678,14 @@
     keep_alive_timer_.cancel();
     if (permit_)
     {
-        shard_.limits.settle(shard_.now(), *permit_, permit_->reserved_tokens);
+        const double used =
+            record_ ? record_->origin().prompt_tokens + output_tokens_ : 0;
+        shard_.limits.settle(shard_.now(), *permit_, used);
         permit_.reset();
     }
     retry_timer_ = shard_.loop.after(retention, [self = shared_from_this()] {
         self->record_timer_.cancel();
-        self->shard_.streams.erase(self->id_);
+        self->shard_.streams.erase(*self);
     });
 }
 
@@ -645,4 +708,122 @@
     });
 }
 
+// [copies] -------------------------------------------------------------------
+
+std::string stream_session::owner_name(entry_shard& shard)
+{
+    return shard.shared.settings.name + "/" + to_string(shard.next_id());
+}
+
+stream_question stream_session::question(stream_question_kind kind) const
+{
+    stream_question made;
+    made.kind = kind;
+    made.stream = id_;
+    made.organisation = request_.organisation;
+    made.asker = owner_;
+    made.epoch = record_ ? record_->epoch() : 0;
+    return made;
+}
+
+void stream_session::choose_holder()
+{
+    const auto& self = shard_.shared.settings;
+    const auto members = entry_members(shard_);
+    auto pick = coordination::choose_holder(id_, self.name, self.failure_domain,
+                                            members, failed_holders_);
+    spread_ = pick.spread;
+    holder_ = std::move(pick.holder);
+    const bool own_copy =
+        holder_.empty() && !members.empty() && failed_holders_.empty();
+    if (own_copy)
+    {
+        // Lets the caller come back to another thread of this process.
+        holder_ = self.name;
+    }
+    record_->on_holder_chosen(shard_.now(), holder_.empty()
+                                                ? holder_presence::none
+                                                : holder_presence::chosen);
+    pump();
+}
+
+void stream_session::lose_holder(const std::string& holder)
+{
+    log_info(log_part::stream, "Lost a holder. stream={} holder={}", id_,
+             holder);
+    failed_holders_.push_back(holder);
+    record_->on_holder_lost(shard_.now());
+    choose_holder();
+}
+
+void stream_session::on_copied(const std::string& holder,
+                               const transport::result<stream_answer>& answer)
+{
+    if (closed_ || holder != holder_)
+    {
+        return;
+    }
+    if (answer)
+    {
+        record_->on_copied(shard_.now(), answer->done.copied_to);
+        pump();
+        return;
+    }
+    if (answer.error().code == reason::revision_conflict)
+    {
+        record_->on_newer_epoch(shard_.now(), record_->epoch() + 1);
+        pump();
+        return;
+    }
+    lose_holder(holder);
+}
+
+void stream_session::close_copy()
+{
+    if (!holder_.empty())
+    {
+        ask_about_stream(shard_, holder_, question(stream_question_kind::close),
+                         [](const auto&) {});
+    }
+}
+
+void stream_session::adopt(stream_copy copy, std::uint64_t last_event)
+{
+    owner_ = copy.owner;
+    server_address_ = copy.server;
+    record_.emplace(shard_.now(), std::move(copy.origin),
+                    std::move(copy.events), copy.attempt, copy.sequence,
+                    copy.epoch, stream_settings_of(shard_));
+    const auto joined =
+        record_->on_caller(shard_.now(), request_.organisation, last_event);
+    if (!joined)
+    {
+        fail(joined.error(), first_pause);
+        return;
+    }
+    engine_loss loss;
+    loss.why = server_address_.empty() ? engine_loss::cause::engine_gone
+                                       : engine_loss::cause::connection_lost;
+    record_->on_engine_loss(shard_.now(), loss, shard_.next_id());
+    choose_holder();
+    if (!closed_)
+    {
+        begin_answer();
+    }
+}
+
+void stream_session::hand_over()
+{
+    if (closed_ || holder_.empty())
+    {
+        return;
+    }
+    log_info(log_part::stream, "A stream is handed over. stream={}", id_);
+    if (responder_)
+    {
+        responder_->abort_stream();
+    }
+    close(milliseconds{0});
+}
+
 } // namespace hyssopdeal::coordination
--- a/src/coordination/stream_session.hpp
+++ b/src/coordination/stream_session.hpp
@@ -14,7 +14,9 @@
 #include <string_view>
 #include <vector>
 
+#include <hyssopdeal/coordination/holder_choice.hpp>
 #include <hyssopdeal/coordination/limiter.hpp>
+#include <hyssopdeal/coordination/stream_copies.hpp>
 #include <hyssopdeal/coordination/stream_record.hpp>
 #include <hyssopdeal/transport/event_loop.hpp>
 #include <hyssopdeal/transport/http_server.hpp>
@@ -22,6 +24,7 @@
 #include "attempt.hpp"
 #include "request_flow.hpp"
 #include "service_lane.hpp"
+#include "stream_wire.hpp"
 
 namespace hyssopdeal::coordination
 {
@@ -39,9 +42,21 @@
     /// Looks for the first engine.
     void start();
 
+    /// Goes on with a stream that was taken over.
+    void adopt(stream_copy copy, std::uint64_t last_event);
+
+    /// Ends here; whoever the caller asks next takes the stream over.
+    void hand_over();
+
+    /// @return A fresh name for the owner of a stream.
+    [[nodiscard]] static std::string owner_name(entry_shard& shard);
+
     /// A caller came back.
-    void resume(std::string_view organisation, std::uint64_t last_event,
-                const transport::http_responder& responder);
+    ///
+    /// @return Whether it was answered; else a newer owner must be looked for.
+    [[nodiscard]] bool resume(std::string_view organisation,
+                              std::uint64_t last_event,
+                              const transport::http_responder& responder);
 
     [[nodiscard]] const std::string& id() const noexcept;
     [[nodiscard]] const accepted_request& request() const noexcept;
@@ -69,6 +84,7 @@
     void launch();
     void reattach(const resume_stream& order);
     void run(attempt_order order);
+    void delete_attempt(attempt_id attempt);
     void on_event(engine_event event);
     void on_end(const attempt_end& end);
     void on_answer(const transport::http_response& answer);
@@ -88,6 +104,14 @@
     void close(std::chrono::milliseconds retention);
     void set_timer();
 
+    // The copies.
+    void choose_holder();
+    void lose_holder(const std::string& holder);
+    void on_copied(const std::string& holder,
+                   const transport::result<stream_answer>& answer);
+    [[nodiscard]] stream_question question(stream_question_kind kind) const;
+    void close_copy();
+
     entry_shard& shard_;
     std::string id_;
     accepted_request request_;
@@ -100,6 +124,10 @@
     std::vector<std::string> failed_servers_;
     std::uint64_t text_events_ = 0; ///< In the prefix of the next attempt.
     std::uint32_t attempts_ = 0;
+    std::string owner_;  ///< Of this session, to holders.
+    std::string holder_; ///< Empty: none.
+    copy_spread spread_ = copy_spread::none;
+    std::vector<std::string> failed_holders_;
     std::uint32_t fruitless_ = 0; ///< Attempts since the last event.
     std::uint32_t output_tokens_ = 0;
     std::size_t unsent_bytes_ = 0;
--- a/src/coordination/stream_table.hpp
+++ b/src/coordination/stream_table.hpp
@@ -8,12 +8,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
 #include <hyssopdeal/coordination/limiter.hpp>
+#include <hyssopdeal/coordination/stream_copies.hpp>
 #include <hyssopdeal/transport/http_server.hpp>
 
 namespace hyssopdeal::coordination
@@ -46,8 +48,28 @@
                               std::uint64_t last_event,
                               const transport::http_responder& responder);
 
+    /// Looks for a stream at the other instances and takes it over.
+    ///
+    /// @param on_copy Called once: the copy, to be given to adopt(), or why
+    ///     there is none.
+    void
+    look_elsewhere(entry_shard& shard, const std::string& stream,
+                   const std::string& organisation,
+                   std::function<void(transport::result<stream_copy>)> on_copy);
+
+    /// Goes on with a stream that was taken over.
+    ///
+    /// @param request The request that opened it.
+    void adopt(entry_shard& shard, accepted_request request, stream_copy copy,
+               std::uint64_t last_event,
+               const transport::http_responder& responder);
+
+    /// Ends all sessions here so that other instances can go on with their
+    /// streams; the engines keep producing.
+    void hand_over();
+
     /// Forgets a stream; its session is destroyed soon.
-    void erase(std::string_view stream);
+    void erase(const stream_session& session);
 
     /// @return Streams that are not delivered whole.
     [[nodiscard]] std::size_t open_streams() const noexcept;
