--- a/src/coordination/stream_record.cpp
+++ b/src/coordination/stream_record.cpp
@@ -260,8 +260,23 @@
         actions.emplace_back(order);
     }
 
+    /// Only the end mark is missing, and no engine can give it: another would
+    /// generate more text.
+    void end_here(monotonic_time now)
+    {
+        engine_event mark;
+        mark.kind = stream_event_kind::done;
+        mark.data = "[DONE]";
+        accept(now, std::move(mark));
+    }
+
     void start_elsewhere(monotonic_time now, resume_way way, attempt_id next)
     {
+        if (!events.empty() && events.back().kind == stream_event_kind::finish)
+        {
+            end_here(now);
+            return;
+        }
         if (!count_resume())
         {
             return;
@@ -405,8 +420,7 @@
 
 void stream_record::on_resume_failed(monotonic_time now, attempt_id next)
 {
-    if (impl_->phase == stream_phase::running &&
-        impl_->engine == engine_state::resuming)
+    if (impl_->phase == stream_phase::running)
     {
         impl_->start_elsewhere(now, resume_way::prefill, next);
     }
--- a/tests/linked_entries.cpp
+++ b/tests/linked_entries.cpp
@@ -176,7 +176,9 @@
         standins::engine_settings settings;
         engines.push_back(
             std::make_unique<standins::engine>(loop, clock, settings));
-        engine_ports_.push_back(engines.back()->start().value());
+        engine_links_.push_back(
+            std::make_unique<cut_relay>(loop, engines.back()->start().value()));
+        engine_ports_.push_back(engine_links_.back()->port());
     }
     entries_.resize(entries);
     for (std::size_t i = 0; i < entries; ++i)
@@ -218,7 +220,8 @@
     auto& starting = entries_[number];
     starting.process =
         std::make_unique<coordination::entry_process>(starting.settings, clock);
-    starting.port = starting.process->start().value();
+    starting.callers =
+        std::make_unique<cut_relay>(loop, starting.process->start().value());
     starting.process->publish(make_view(engine_ports_));
     starting.waiter =
         std::thread{[process = starting.process.get()] { process->wait(); }};
@@ -231,11 +234,17 @@
     {
         return;
     }
+    ending.callers->cut();
     ending.process->stop();
     ending.waiter.join();
     ending.process.reset();
 }
 
+void linked_entries::kill_engine(std::size_t number)
+{
+    engine_links_[number]->cut();
+}
+
 void linked_entries::drain_entry(std::size_t number)
 {
     entries_[number].process->drain();
@@ -243,7 +252,7 @@
 
 std::string linked_entries::address(std::size_t entry) const
 {
-    return loopback(entries_[entry].port);
+    return loopback(entries_[entry].callers->port());
 }
 
 bool linked_entries::run(const std::function<bool()>& holds,
--- a/tests/linked_entries.hpp
+++ b/tests/linked_entries.hpp
@@ -20,6 +20,7 @@
 #include <hyssopdeal/transport/event_loop.hpp>
 #include <hyssopdeal/transport/http_client.hpp>
 
+#include "cut_relay.hpp"
 #include "standins/engine.hpp"
 
 namespace hyssopdeal::tests
@@ -81,6 +82,9 @@
     /// Ends an entry as a crash does.
     void kill_entry(std::size_t number);
 
+    /// Ends an engine as a crash does.
+    void kill_engine(std::size_t number);
+
     /// Asks an entry to shut down; kill_entry() waits for its end.
     void drain_entry(std::size_t number);
 
@@ -101,10 +105,11 @@
         coordination::entry_settings settings;
         std::unique_ptr<coordination::entry_process> process;
         std::thread waiter;
-        std::uint16_t port = 0;
+        std::unique_ptr<cut_relay> callers; ///< What callers connect to.
     };
 
     std::string key_file_;
+    std::vector<std::unique_ptr<cut_relay>> engine_links_;
     std::vector<std::uint16_t> engine_ports_;
     std::vector<linked_entry> entries_;
 };
--- a/tests/stream_record_test.cpp
+++ b/tests/stream_record_test.cpp
@@ -192,6 +192,23 @@
     LONGS_EQUAL(6, record.events().back().number);
 }
 
+TEST(stream_record_tests, complete_answer_needs_no_other_engine_for_its_end)
+{
+    record.on_holder_chosen(now(), holder_presence::none);
+    take(1, 2);
+    CHECK(record.on_engine_event(
+              now(), make_event(3, first, stream_event_kind::finish)) ==
+          event_outcome::accepted);
+    record.on_engine_closed(now(), first);
+    CHECK(last_of<resume_stream>(record.take_actions()).way ==
+          resume_way::resume_on_engine);
+    record.on_resume_failed(now(), second);
+    const auto actions = record.take_actions();
+    LONGS_EQUAL(0, count_of<resume_stream>(actions));
+    LONGS_EQUAL(1, count_of<stream_finished>(actions));
+    LONGS_EQUAL(4, record.events().size());
+}
+
 TEST(stream_record_tests, notice_moves_kv_only_when_time_is_left)
 {
     choose_holder();
--- a/tests/stream_takeover_test.cpp
+++ b/tests/stream_takeover_test.cpp
@@ -24,6 +24,19 @@
 {
     linked_entries world{3, 2};
     stream_caller caller{world.client, "vale-key"};
+    void setup() override
+    {
+        if (getenv("LOGS"))
+            transport::setup_logging(transport::log_level::info);
+    }
+    void teardown() override
+    {
+        if (getenv("LOGS"))
+            fprintf(stderr, "status %d last %d conn %d defect %s text %zu\n",
+                    caller.status, (int)caller.last_event,
+                    caller.is_connected(), caller.defect.c_str(),
+                    caller.text.size());
+    }
 
     /// Waits until the entries know each other, then opens the stream.
     void open(std::size_t entry)
@@ -93,7 +106,7 @@
     open(0);
     const auto first =
         world.engines[0]->counters().requests > 0 ? std::size_t{0} : 1;
-    world.engines[first].reset();
+    world.kill_engine(first);
     CHECK_TRUE(world.run([&] { return caller.is_whole(); }));
     expect_whole();
     LONGS_EQUAL(1, world.engines[1 - first]->counters().continued);
