--- a/src/coordination/control_json.cpp
+++ b/src/coordination/control_json.cpp
@@ -175,6 +175,27 @@
     return list;
 }
 
+json log_json_of(const replica_status& status)
+{
+    auto list = json::array();
+    for (const auto& member : status.replicas.members)
+    {
+        auto item = to_json(member);
+        item["leads"] = member.id == status.leader_id;
+        if (member.id == status.id)
+        {
+            item["term"] = status.leads.term;
+            item["last"] = status.last;
+            item["durable"] = status.durable;
+            item["commit"] = status.commit;
+            item["applied"] = status.applied;
+            item["halted"] = status.halted;
+        }
+        list.push_back(std::move(item));
+    }
+    return list;
+}
+
 namespace
 {
 
--- a/src/coordination/control_json.hpp
+++ b/src/coordination/control_json.hpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <hyssopdeal/coordination/replica.hpp>
 #include <hyssopdeal/state/control_state.hpp>
 
 namespace hyssopdeal::coordination
@@ -26,6 +27,9 @@
 /// @return One object for each route of each service.
 [[nodiscard]] json routes_json(const state::control_tables& tables);
 
+/// @return One object for each replica, with this one's place in the log.
+[[nodiscard]] json log_json_of(const replica_status& status);
+
 /// @return Everything but the ledger's answers.
 [[nodiscard]] json export_json(const state::control_state& state);
 
