--- a/src/coordination/control_machine.cpp
+++ b/src/coordination/control_machine.cpp
@@ -51,7 +51,7 @@
     void apply(state::log_record& record);
     void resolve(const state::log_record& record, state::command_result result);
     void fail_overdue(monotonic_time now);
-    void fail_all(std::string text);
+    void fail_all(const std::string& text);
     void maybe_compact(monotonic_time now, wall_time wall);
 
     control_machine_settings settings;
@@ -119,7 +119,7 @@
     }
 }
 
-void control_machine::impl::fail_all(std::string text)
+void control_machine::impl::fail_all(const std::string& text)
 {
     for (const auto& [index, proposal] : pending)
     {
--- a/src/coordination/learner.cpp
+++ b/src/coordination/learner.cpp
@@ -121,6 +121,7 @@
     learner_actions take(monotonic_time now, const follow_update& update);
     [[nodiscard]] bool accepts(monotonic_time now,
                                const follow_update& update) const;
+    void judge(monotonic_time now);
 
     std::string name;
     learning_settings settings;
@@ -131,6 +132,7 @@
     log_index highest = 0;
     monotonic_time next_pull{};
     monotonic_time answered{}; ///< Last time that a source answered.
+    std::optional<monotonic_time> lags_since; ///< Below the highest heard.
     bool asking = false;
     std::size_t failures = 0; ///< In a row; picks the next source.
 };
@@ -142,6 +144,8 @@
     impl_->name = std::move(name);
     impl_->settings = settings;
     impl_->start = now;
+    impl_->answered = now;
+    impl_->lags_since = now;
     impl_->next_pull = now;
 }
 
@@ -155,13 +159,7 @@
     learner_actions actions;
     auto& own = *impl_;
     own.highest = std::max(own.highest, surroundings.highest_heard);
-    const auto silence = now - own.answered;
-    const bool cut_off =
-        silence > own.settings.pull_interval + own.settings.wait_for_latest;
-    if (own.own.applied != 0 && cut_off)
-    {
-        own.phase = learning_phase::behind;
-    }
+    own.judge(now);
     if (own.asking || now < own.next_pull || surroundings.sources.empty())
     {
         return actions;
@@ -184,14 +182,34 @@
     return has_state || is_latest || waited;
 }
 
+/// Gossip may run ahead of a source for a moment: only a lag that lasts counts.
+void learner::impl::judge(monotonic_time now)
+{
+    if (own.applied == 0)
+    {
+        return;
+    }
+    if (own.applied >= highest)
+    {
+        lags_since.reset();
+    }
+    else if (!lags_since)
+    {
+        lags_since = now;
+    }
+    const bool lags =
+        lags_since && now - *lags_since >= settings.wait_for_latest;
+    const bool silent =
+        now - answered > settings.pull_interval + settings.wait_for_latest;
+    phase = lags || silent ? learning_phase::behind : learning_phase::current;
+}
+
 learner_actions learner::impl::take(monotonic_time now,
                                     const follow_update& update)
 {
     learner_actions actions;
     if (!accepts(now, update))
     {
-        next_pull = now + settings.retry_wait;
-        ++failures;
         return actions;
     }
     if (update.delta)
@@ -213,34 +231,15 @@
     own.asking = false;
     own.answered = now;
     own.source = from;
-    own.next_pull = now + own.settings.pull_interval;
-    const auto failures_before = own.failures;
+    const bool accepted = own.accepts(now, update);
     auto actions = own.take(now, update);
-    if (own.failures != failures_before)
-    {
-        return actions;
-    }
-    // A source that is behind this entry is of no use to it.
-    const bool useless = update.source_applied < own.own.applied;
-    own.failures = useless ? own.failures + 1 : 0;
-    if (useless)
-    {
-        own.next_pull = now + own.settings.retry_wait;
-    }
-    const bool latest = own.own.applied >= own.highest;
-    own.phase = own.own.applied == 0 ? learning_phase::waiting
-                : latest || !useless ? learning_phase::current
-                                     : own.phase;
-    const bool took_older = own.own.applied != 0 &&
-                            own.own.applied < own.highest &&
-                            now - own.start >= own.settings.wait_for_latest &&
-                            update.source_applied < own.highest;
-    if (took_older)
-    {
-        own.phase = learning_phase::behind;
-        own.next_pull = now + own.settings.retry_wait;
-        ++own.failures;
-    }
+    // A source that is behind this entry, or behind what it has heard of after
+    // a restart, is of no use to it: the next one is asked soon.
+    const bool useful = accepted && update.source_applied >= own.own.applied;
+    own.failures = useful ? 0 : own.failures + 1;
+    own.next_pull =
+        now + (useful ? own.settings.pull_interval : own.settings.retry_wait);
+    own.judge(now);
     return actions;
 }
 
--- a/src/coordination/replica_follower.cpp
+++ b/src/coordination/replica_follower.cpp
@@ -127,7 +127,7 @@
                       log.term_at(body.index) == body.term || installing;
     if (have)
     {
-        return send(from.from, std::move(reply));
+        return send(from.from, reply);
     }
     const bool goes_on = incoming && incoming->index == body.index &&
                          incoming->term == body.term;
@@ -142,18 +142,18 @@
     reply.received = incoming->bytes.size();
     if (reply.received < body.total)
     {
-        return send(from.from, std::move(reply));
+        return send(from.from, reply);
     }
     auto bytes = std::move(incoming->bytes);
     incoming.reset();
     if (bytes.size() != body.total || checksum(bytes) != body.crc)
     {
         reply.received = 0;
-        return send(from.from, std::move(reply));
+        return send(from.from, reply);
     }
     take_snapshot({body.index, body.term, std::move(body.replicas),
                    std::make_shared<const std::string>(std::move(bytes))});
-    send(from.from, std::move(reply));
+    send(from.from, reply);
 }
 
 template <reconcile_strategy Strategy>
--- a/src/protocol/thrift_bytes.hpp
+++ b/src/protocol/thrift_bytes.hpp
@@ -6,6 +6,8 @@
 ///
 /// Index: [bytes]
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <exception>
 #include <limits>
@@ -24,6 +26,9 @@
 
 // [bytes] --------------------------------------------------------------------
 
+/// Room for bytes that Thrift counts twice.
+inline constexpr std::size_t count_slack_bytes = 1'024;
+
 /// @return The struct in the compact protocol.
 template <class Wire>
 std::string to_bytes(const Wire& value)
@@ -52,8 +57,12 @@
     try
     {
         const auto limit = static_cast<std::int32_t>(bytes.size());
+        // Thrift counts some bytes twice against the message's size, so that
+        // one long field would fail at the exact size.
+        const auto counted = static_cast<std::int32_t>(
+            std::min(largest, bytes.size() * 2 + count_slack_bytes));
         auto configuration =
-            std::make_shared<apache::thrift::TConfiguration>(limit, limit);
+            std::make_shared<apache::thrift::TConfiguration>(counted, counted);
         std::string copy{bytes};
         auto buffer = std::make_shared<TMemoryBuffer>(
             reinterpret_cast<std::uint8_t*>(copy.data()),
--- a/tests/control_state_test.cpp
+++ b/tests/control_state_test.cpp
@@ -24,7 +24,8 @@
 
     command_result run(command_body body, std::string order_id = {})
     {
-        const auto bytes = encode(command{now, std::move(order_id), body});
+        const auto bytes =
+            encode(command{now, std::move(order_id), std::move(body)});
         const auto decoded = decode_command(bytes);
         CHECK(decoded.has_value());
         return state.apply({next++, 3}, *decoded);
@@ -32,7 +33,8 @@
 
     write_result write(command_body body, std::string order_id = {})
     {
-        return std::get<write_result>(run(body, std::move(order_id)).body);
+        return std::get<write_result>(
+            run(std::move(body), std::move(order_id)).body);
     }
 
     claim_result claim(const std::string& key, std::uint64_t nonce,
