--- a/src/coordination/fleet_planner.cpp
+++ b/src/coordination/fleet_planner.cpp
@@ -61,6 +61,14 @@
     return found == view.leaving.end() ? nullptr : &*found;
 }
 
+std::vector<std::uint32_t>
+running_counts(const std::vector<instance_offer>& offers)
+{
+    std::vector<std::uint32_t> counts(offers.size());
+    std::ranges::transform(offers, counts.begin(), &instance_offer::running);
+    return counts;
+}
+
 } // namespace
 
 struct fleet_planner::impl
@@ -230,11 +238,7 @@
         std::ranges::stable_sort(order, std::greater<>{}, [&](std::size_t i) {
             return offered[i].expected_price(need.reclaim_cost);
         });
-        std::vector<std::uint32_t> counts;
-        for (const auto& offer : offered)
-        {
-            counts.push_back(offer.running);
-        }
+        auto counts = running_counts(offered);
         for (const auto at : order)
         {
             if (counts[at] == 0)
@@ -276,10 +280,7 @@
                                   const fleet_need& need)
     {
         fleet_plan running;
-        for (const auto& offer : offered)
-        {
-            running.counts.push_back(offer.running);
-        }
+        running.counts = running_counts(offered);
         if (!meets(offered, running.counts, need))
         {
             return plan_fleet(offered, need, plan_from::running);
--- /dev/null
+++ b/src/coordination/fleet_runner.cpp
@@ -0,0 +1,527 @@
+#include <hyssopdeal/coordination/fleet_runner.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include <hyssopdeal/protocol/platform_api.hpp>
+#include <hyssopdeal/transport/http_client.hpp>
+#include <hyssopdeal/transport/logging.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+namespace
+{
+
+using state::purchase_phase;
+using state::purchase_record;
+using transport::http_response;
+using transport::log_part;
+using transport::monotonic_time;
+
+/// Reads that are made again and again.
+struct periodic_reads
+{
+    monotonic_time notices{};
+    monotonic_time lists{};
+};
+
+} // namespace
+
+void describe(protocol::settings_fields& fields, fleet_runner_settings& value)
+{
+    using protocol::text_rule;
+    constexpr std::size_t max_services = 1'000;
+    fields.text("cloud", value.cloud);
+    fields.text("instance_list", value.instance_list);
+    fields.text_list("services", value.services, text_rule::name, max_services);
+    fields.duration("tick_ms", value.tick, std::chrono::milliseconds{100},
+                    std::chrono::milliseconds{60'000});
+    fields.duration("notice_interval_ms", value.notice_interval,
+                    std::chrono::milliseconds{100},
+                    std::chrono::milliseconds{10'000});
+    fields.duration("list_interval_ms", value.list_interval,
+                    std::chrono::milliseconds{500},
+                    std::chrono::milliseconds{600'000});
+    fields.duration("call_limit_ms", value.call_limit,
+                    std::chrono::milliseconds{50},
+                    std::chrono::milliseconds{60'000});
+    fields.real("wave", value.fleet.wave, 0, 1);
+    constexpr double max_spread = 10;
+    fields.real("wave_spread", value.fleet.wave_spread, 0, max_spread);
+    fields.duration("scale_in_delay_ms", value.fleet.scale_in_delay,
+                    std::chrono::milliseconds{1'000},
+                    std::chrono::milliseconds{86'400'000});
+    fields.duration("drain_limit_ms", value.fleet.drain_limit,
+                    std::chrono::milliseconds{1'000},
+                    std::chrono::milliseconds{86'400'000});
+}
+
+struct fleet_runner::impl
+{
+    impl(transport::event_loop& on_loop, const transport::clock& with,
+         control_node& of, const move_runner& with_moves,
+         fleet_runner_settings own, fleet_handlers own_handlers)
+        : loop{on_loop},
+          clock{with},
+          node{of},
+          moves{with_moves},
+          settings{std::move(own)},
+          handlers{std::move(own_handlers)},
+          client{on_loop},
+          planner{settings.fleet}
+    {}
+
+    using answer_handler =
+        std::function<void(const transport::result<http_response>&)>;
+
+    void tick();
+    void read_platform();
+    void decide();
+    void call(const std::string& address,
+              const transport::http_request& request, answer_handler handler);
+    void on_notices(const std::vector<protocol::reclaim_notice>& notices);
+    void
+    on_instances(const std::vector<protocol::cloud_instance_info>& instances,
+                 state::log_index applied_when_asked);
+    void start(const purchase_record& purchase);
+    void release(const std::string& instance);
+    void propose(std::vector<state::command_body> bodies);
+    void declare_bought(const state::control_tables& tables);
+    [[nodiscard]] fleet_view view() const;
+    [[nodiscard]] fleet_demand demand_of(const protocol::service& service,
+                                         const std::string& version,
+                                         double part) const;
+    void add_demands(const protocol::service& service, fleet_view& to) const;
+
+    transport::event_loop& loop;
+    const transport::clock& clock;
+    control_node& node;
+    const move_runner& moves;
+    fleet_runner_settings settings;
+    fleet_handlers handlers;
+    transport::http_client client;
+    fleet_planner planner;
+    std::vector<instance_price> prices;
+    std::uint64_t last_notice = 0;
+    std::map<std::string, transport::wall_time> noticed; ///< Gone when.
+    periodic_reads next;
+    std::map<std::uint64_t, transport::http_call> calls;
+    std::uint64_t next_call = 1;
+    std::vector<std::uint64_t> finished_calls;
+    std::map<std::string, monotonic_time> declared_at; ///< By service.
+    transport::timer_handle timer;
+};
+
+void fleet_runner::impl::call(const std::string& address,
+                              const transport::http_request& request,
+                              answer_handler handler)
+{
+    transport::http_call_settings limits;
+    limits.connect_time_limit = settings.call_limit;
+    limits.total_time_limit = settings.call_limit;
+    const auto id = next_call++;
+    calls.emplace(id, client.fetch(address, request, limits,
+                                   [this, id, handler = std::move(handler)](
+                                       const auto& answer) {
+                                       finished_calls.push_back(id);
+                                       handler(answer);
+                                   }));
+}
+
+void fleet_runner::impl::tick()
+{
+    for (const auto id : std::exchange(finished_calls, {}))
+    {
+        calls.erase(id);
+    }
+    read_platform();
+    const auto leads = node.leads();
+    if (!settings.cloud.empty() && may_order(leads, clock.monotonic_now()))
+    {
+        decide();
+    }
+    const auto soonest = std::min(settings.tick, settings.notice_interval);
+    timer = loop.after(soonest, [this] { tick(); });
+}
+
+void fleet_runner::impl::read_platform()
+{
+    const auto now = clock.monotonic_now();
+    if (!settings.cloud.empty() && now >= next.notices)
+    {
+        next.notices = now + settings.notice_interval;
+        call(settings.cloud, protocol::make_notices_request(last_notice),
+             [this](const auto& answer) {
+                 const auto read = answer.and_then(protocol::read_notices);
+                 if (read)
+                 {
+                     on_notices(*read);
+                 }
+             });
+    }
+    if (now < next.lists)
+    {
+        return;
+    }
+    next.lists = now + settings.list_interval;
+    if (!settings.cloud.empty())
+    {
+        call(settings.cloud, protocol::make_prices_request(),
+             [this](const auto& answer) {
+                 const auto read = answer.and_then(protocol::read_prices);
+                 if (!read)
+                 {
+                     return;
+                 }
+                 prices.clear();
+                 for (const auto& price : *read)
+                 {
+                     prices.push_back(
+                         {price.failure_domain, price.price, price.per_hour});
+                 }
+             });
+        const auto applied = node.state().applied_index();
+        call(settings.cloud, protocol::make_instances_request(),
+             [this, applied](const auto& answer) {
+                 const auto read = answer.and_then(protocol::read_instances);
+                 if (read)
+                 {
+                     on_instances(*read, applied);
+                 }
+             });
+    }
+    if (!settings.instance_list.empty() && handlers.on_list)
+    {
+        call(settings.instance_list, protocol::make_instance_list_request(),
+             [this](const auto& answer) {
+                 const auto read =
+                     answer.and_then(protocol::read_instance_list);
+                 if (!read)
+                 {
+                     return;
+                 }
+                 std::vector<listed_instance> list;
+                 for (const auto& line : *read)
+                 {
+                     list.push_back(
+                         {line.name,
+                          line.state == protocol::instance_state::leaving
+                              ? listed_state::leaving
+                              : listed_state::live,
+                          line.incarnation});
+                 }
+                 handlers.on_list(list);
+             });
+    }
+}
+
+void fleet_runner::impl::on_notices(
+    const std::vector<protocol::reclaim_notice>& notices)
+{
+    const auto now = clock.wall_now();
+    for (const auto& notice : notices)
+    {
+        last_notice = std::max(last_notice, notice.number);
+        noticed[notice.instance] = now + notice.reclaim_in;
+        transport::log_info(log_part::fleet,
+                            "A reclaim notice came. instance={} in_ms={}",
+                            notice.instance, notice.reclaim_in.count());
+        if (handlers.on_notice)
+        {
+            handlers.on_notice(notice.instance);
+        }
+    }
+}
+
+void fleet_runner::impl::on_instances(
+    const std::vector<protocol::cloud_instance_info>& instances,
+    state::log_index applied_when_asked)
+{
+    if (!may_order(node.leads(), clock.monotonic_now()))
+    {
+        return;
+    }
+    for (const auto& [id, purchase] : node.state().tables().purchases)
+    {
+        const bool there = std::ranges::any_of(
+            instances, [&purchase = purchase](const auto& instance) {
+                return instance.name == purchase.instance;
+            });
+        // A record that is younger than the question may be missing in it.
+        if (purchase.phase == purchase_phase::started && !there &&
+            purchase.changed <= applied_when_asked)
+        {
+            propose(planner.on_released(purchase));
+        }
+    }
+}
+
+fleet_demand fleet_runner::impl::demand_of(const protocol::service& service,
+                                           const std::string& version,
+                                           double part) const
+{
+    const auto measured = moves.load().of(clock.monotonic_now(), service.name);
+    fleet_demand demand;
+    demand.service = service.name;
+    demand.version = version;
+    demand.load.busy_slots = measured.busy_slots * part;
+    demand.load.interactive_slots =
+        demand.load.busy_slots * measured.interactive_part;
+    if (measured.requests_per_second > 0)
+    {
+        const std::chrono::duration<double> each{measured.busy_slots /
+                                                 measured.requests_per_second};
+        demand.load.duration =
+            std::chrono::duration_cast<std::chrono::milliseconds>(each);
+    }
+    demand.load.wait_limit = service.first_token_target / 2;
+    const auto& leaving = node.state().tables().leaving;
+    for (const auto& server : service.servers)
+    {
+        demand.slots_per_instance = std::max(server.slots, 1U);
+        const bool bought = std::ranges::any_of(
+            node.state().tables().purchases, [&server](const auto& item) {
+                return item.second.instance == server.name;
+            });
+        if (server.version == version && !bought &&
+            !leaving.contains(server.name))
+        {
+            demand.declared_slots += server.slots;
+        }
+    }
+    return demand;
+}
+
+void fleet_runner::impl::add_demands(const protocol::service& service,
+                                     fleet_view& to) const
+{
+    const auto wanted = moves.wanted_slots();
+    const auto measured = moves.load().of(clock.monotonic_now(), service.name);
+    for (const auto& share : service.shares)
+    {
+        double part = share.share;
+        const auto moving = std::ranges::find_if(wanted, [&](const auto& item) {
+            return item.service == service.name &&
+                   item.version == share.version;
+        });
+        if (moving != wanted.end())
+        {
+            // What its next step needs is there before the step.
+            const double next_part = measured.busy_slots > 0
+                                         ? moving->slots / measured.busy_slots
+                                         : part;
+            part = std::max(part, next_part);
+        }
+        else if (service.shares.size() > 1)
+        {
+            // The old version keeps all it had until the move has ended.
+            part = 1;
+        }
+        to.demands.push_back(demand_of(service, share.version, part));
+    }
+}
+
+fleet_view fleet_runner::impl::view() const
+{
+    const auto& tables = node.state().tables();
+    fleet_view result;
+    result.now = clock.wall_now();
+    result.term = node.leads().term;
+    result.prices = prices;
+    for (const auto& name : settings.services)
+    {
+        const auto service = tables.services.find(name);
+        if (service != tables.services.end())
+        {
+            add_demands(service->second.service, result);
+        }
+    }
+    for (const auto& [id, purchase] : tables.purchases)
+    {
+        if (purchase.phase == purchase_phase::ordered ||
+            purchase.phase == purchase_phase::started)
+        {
+            result.purchases.push_back(purchase);
+        }
+    }
+    for (const auto& [name, leaving] : tables.leaving)
+    {
+        result.leaving.push_back(leaving);
+        if (handlers.is_drained && handlers.is_drained(name))
+        {
+            result.drained.push_back(name);
+        }
+    }
+    return result;
+}
+
+void fleet_runner::impl::decide()
+{
+    const auto seen = view();
+    for (const auto& [instance, gone_at] : noticed)
+    {
+        propose(planner.on_notice(seen, instance, gone_at));
+    }
+    std::erase_if(noticed, [&](const auto& item) {
+        return node.state().tables().leaving.contains(item.first);
+    });
+    if (prices.empty())
+    {
+        return;
+    }
+    auto actions = planner.advance(seen);
+    propose(std::move(actions.proposals));
+    for (const auto& purchase : actions.starts)
+    {
+        start(purchase);
+    }
+    for (const auto& instance : actions.releases)
+    {
+        release(instance);
+    }
+    declare_bought(node.state().tables());
+}
+
+void fleet_runner::impl::start(const purchase_record& purchase)
+{
+    const protocol::instance_order order{
+        purchase.order_id, purchase.failure_domain, purchase.price,
+        purchase.service, purchase.version};
+    call(settings.cloud, protocol::make_start_request(order),
+         [this, purchase](const auto& answer) {
+             const auto started = answer.and_then(protocol::read_start_answer);
+             auto told = start_answer::started;
+             started_instance instance;
+             if (started)
+             {
+                 instance = {started->name, started->address};
+             }
+             else
+             {
+                 told = answer && started.error().code ==
+                                      transport::reason::overloaded
+                            ? start_answer::refused
+                            : start_answer::lost;
+             }
+             if (told != start_answer::lost)
+             {
+                 transport::log_info(
+                     log_part::fleet, "The cloud answered. order={} {}",
+                     purchase.order_id,
+                     started ? "instance=" + instance.name : "refused=1");
+             }
+             propose(planner.on_start_answer(clock.wall_now(), purchase, told,
+                                             instance));
+         });
+}
+
+void fleet_runner::impl::release(const std::string& instance)
+{
+    call(settings.cloud, protocol::make_release_request(instance),
+         [instance](const auto& answer) {
+             constexpr int first_redirect = 300;
+             constexpr int gone = 404;
+             if (answer &&
+                 (answer->status < first_redirect || answer->status == gone))
+             {
+                 transport::log_info(log_part::fleet,
+                                     "Gave an instance back. instance={}",
+                                     instance);
+             }
+         });
+}
+
+/// Bought servers get traffic once they are declared, and lose it when they
+/// are given back. An operator's write wins; then this one is made anew.
+void fleet_runner::impl::declare_bought(const state::control_tables& tables)
+{
+    const auto now = clock.monotonic_now();
+    for (const auto& name : settings.services)
+    {
+        const auto record = tables.services.find(name);
+        if (record == tables.services.end() || now < declared_at[name])
+        {
+            continue;
+        }
+        auto service = record->second.service;
+        std::set<std::string> gone;
+        for (const auto& [id, purchase] : tables.purchases)
+        {
+            if (purchase.service != name)
+            {
+                continue;
+            }
+            if (purchase.phase == purchase_phase::released)
+            {
+                gone.insert(purchase.instance);
+                continue;
+            }
+            const bool known = std::ranges::any_of(
+                service.servers, [&purchase = purchase](const auto& server) {
+                    return server.name == purchase.instance;
+                });
+            const bool ready =
+                service.kind == protocol::service_kind::plain ||
+                moves.serves(purchase.instance, purchase.version);
+            if (purchase.phase == purchase_phase::started && !known && ready)
+            {
+                auto server = service.servers.empty()
+                                  ? protocol::backend_server{}
+                                  : service.servers.front();
+                server.name = purchase.instance;
+                server.address = purchase.address;
+                server.failure_domain = purchase.failure_domain;
+                server.version = purchase.version;
+                server.price = purchase.price;
+                server.checks_orders = false;
+                service.servers.push_back(std::move(server));
+            }
+        }
+        std::erase_if(service.servers, [&gone](const auto& server) {
+            return gone.contains(server.name);
+        });
+        if (service.servers != record->second.service.servers)
+        {
+            declared_at[name] = now + settings.call_limit;
+            service.shares.clear();
+            propose({state::put_service{std::move(service),
+                                        record->second.changed}});
+        }
+    }
+}
+
+void fleet_runner::impl::propose(std::vector<state::command_body> bodies)
+{
+    for (auto& body : bodies)
+    {
+        node.propose({{}, {}, std::move(body)}, [](const auto& result) {
+            if (!result)
+            {
+                transport::log_warning(
+                    log_part::fleet, "A proposal failed. reason={}",
+                    transport::to_string(result.error().code));
+            }
+        });
+    }
+}
+
+fleet_runner::fleet_runner(transport::event_loop& loop,
+                           const transport::clock& clock, control_node& node,
+                           const move_runner& moves,
+                           fleet_runner_settings settings,
+                           fleet_handlers handlers)
+    : impl_{std::make_unique<impl>(loop, clock, node, moves,
+                                   std::move(settings), std::move(handlers))}
+{}
+
+fleet_runner::~fleet_runner() = default;
+
+void fleet_runner::start()
+{
+    impl_->tick();
+}
+
+} // namespace hyssopdeal::coordination
--- a/standins/cloud_model.hpp
+++ b/standins/cloud_model.hpp
@@ -105,6 +105,12 @@
         return instances_;
     }
 
+    /// @return Whether an order has started an instance.
+    [[nodiscard]] bool knows_order(std::string_view order_id) const
+    {
+        return by_order_.contains(order_id);
+    }
+
     /// @return Instances ever started.
     [[nodiscard]] std::uint64_t started() const
     {
