--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include <pthread.h>
+
 #include <hyssopdeal/coordination/drain_entry.hpp>
 #include <hyssopdeal/protocol/contract_json.hpp>
 #include <hyssopdeal/transport/http_server.hpp>
@@ -296,6 +298,7 @@
         running->shard.count_work();
         running->thread =
             std::thread{[&loop = running->shard.loop] { loop.run(); }};
+        pthread_setname_np(running->thread.native_handle(), "entry-shard");
     }
     return port;
 }
--- a/src/coordination/entry_service.cpp
+++ b/src/coordination/entry_service.cpp
@@ -24,6 +24,7 @@
 
 constexpr std::string_view api_prefix = "/v1/";
 constexpr std::string_view stream_prefix = "/v1/streams/";
+constexpr std::string_view engine_target = "/v1/chat/completions";
 constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr std::size_t max_key_bytes = 256;
 constexpr std::int64_t longest_deadline_ms = 86'400'000;
@@ -260,10 +261,13 @@
             return tl::unexpected(chat.error());
         }
         accepted.chat = std::move(*chat);
-        accepted.server_target = "/v1";
+        accepted.server_target = engine_target;
+    }
+    else
+    {
+        accepted.server_target = path;
+        accepted.server_target += target.query;
     }
-    accepted.server_target += path;
-    accepted.server_target += target.query;
     const auto parent = protocol::parse_traceparent(
         find_header(request.headers, "traceparent"));
     accepted.trace = parent ? protocol::child_of(*parent, shard_.random)
--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -24,6 +24,12 @@
 floor_settings floors_of(const entry_settings& from)
 {
     floor_settings floors;
+    if (from.control_replicas.empty())
+    {
+        // Nobody grants and nobody else admits: the whole limit is here.
+        floors.floor_share = 1;
+        floors.nodes = 1;
+    }
     floors.nodes *= from.shards;
     return floors;
 }
