Prove the control processes on loopback

Cause: the parts of hyssop-controld were each proved alone.

Change: three processes on threads with real links, disks and HTTP: leader lost, all restarted, an order resent to another leader, operators' API rules, an entry that follows pushes, folders verified, exported and refused.

--- /dev/null
+++ b/tests/control_process_test.cpp
@@ -0,0 +1,214 @@
+/// @file
+/// Tests of coordination/control_process.hpp: three processes on loopback,
+/// with an entry that follows them, and their folders afterwards.
+
+#include <CppUTest/TestHarness.h>
+
+#include <hyssopdeal/coordination/learner_runner.hpp>
+#include <hyssopdeal/transport/http_client.hpp>
+
+#include "control_cluster.hpp"
+
+using namespace hyssopdeal;
+using namespace hyssopdeal::tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+state::command contract_command(double rate, state::revision expected,
+                                std::string order_id = {})
+{
+    state::put_contract body;
+    body.contract.organisation = "pomar";
+    body.contract.requests_per_second = rate;
+    body.expected = expected;
+    return {{}, std::move(order_id), body};
+}
+
+struct three : control_cluster
+{
+    three()
+        : control_cluster(3)
+    {
+        for (std::size_t at = 0; at < 3; ++at)
+        {
+            STRCMP_EQUAL("", start(at).c_str());
+        }
+    }
+
+    std::size_t need_leader()
+    {
+        const auto found = leader();
+        CHECK(found.has_value());
+        return found.value_or(0);
+    }
+};
+
+/// Asks the operators' API of a process.
+transport::http_response ask(control_cluster& cluster, std::size_t at,
+                             const std::string& method,
+                             const std::string& target,
+                             const std::string& body = {},
+                             const std::string& token = "token")
+{
+    transport::event_loop loop;
+    transport::http_client client{loop};
+    transport::http_request request;
+    request.method = method;
+    request.target = target;
+    request.body = body;
+    request.headers = {{"Authorization", "Bearer " + token},
+                       {"Hyssopdeal-Order-Id", "order-" + body},
+                       {"If-Match", "0"}};
+    transport::http_response answer;
+    answer.status = 0;
+    const auto address =
+        fmt::format("127.0.0.1:{}", cluster.settings(at).operators_port);
+    const auto call = client.fetch(address, request, {}, [&](auto got) {
+        answer = got ? std::move(*got) : transport::http_response{0, {}, ""};
+        loop.stop();
+    });
+    loop.run_for(5s);
+    return answer;
+}
+
+} // namespace
+
+TEST_GROUP(control_process_tests){};
+
+TEST(control_process_tests, writes_survive_the_leader_and_all_restarts)
+{
+    three cluster;
+    const auto first = cluster.need_leader();
+    const auto written = cluster.propose(first, contract_command(7, 0, "o-1"));
+    CHECK(written.has_value());
+    cluster.stop(first);
+    const auto second = cluster.need_leader();
+    CHECK(second != first);
+    const auto again = cluster.propose(second, contract_command(7, 0, "o-1"));
+    CHECK(again.has_value());
+    CHECK(*again == *written);
+    for (std::size_t at = 0; at < 3; ++at)
+    {
+        cluster.stop(at);
+    }
+    for (std::size_t at = 0; at < 3; ++at)
+    {
+        STRCMP_EQUAL("", cluster.start(at).c_str());
+    }
+    double rate = 0;
+    cluster.on(cluster.need_leader(), [&](auto& process) {
+        rate = process.node()
+                   .state()
+                   .tables()
+                   .contracts.at("pomar")
+                   .contract.requests_per_second;
+    });
+    DOUBLES_EQUAL(7, rate, 0);
+}
+
+TEST(control_process_tests, operators_api_keeps_its_rules)
+{
+    three cluster;
+    const auto leader = cluster.need_leader();
+    const auto other = (leader + 1) % 3;
+    const std::string path = "/v1/contracts/pomar";
+    const std::string body = R"({"organisation":"pomar"})";
+    LONGS_EQUAL(401, ask(cluster, leader, "GET", path, "", "wrong").status);
+    LONGS_EQUAL(404, ask(cluster, leader, "GET", path).status);
+    LONGS_EQUAL(400, ask(cluster, leader, "PUT", path, "{").status);
+    LONGS_EQUAL(200, ask(cluster, leader, "PUT", path, body).status);
+    LONGS_EQUAL(200, ask(cluster, leader, "PUT", path, body).status);
+    const auto loser = ask(cluster, leader, "PUT", path,
+                           R"({"organisation":"pomar","retry_ratio":0.2})");
+    LONGS_EQUAL(409, loser.status);
+    STRCMP_CONTAINS("\"retry_ratio\":0.1", loser.body.c_str());
+    const auto elsewhere = ask(cluster, other, "GET", path);
+    LONGS_EQUAL(421, elsewhere.status);
+    const auto hint =
+        transport::find_header(elsewhere.headers, "Hyssopdeal-Leader");
+    CHECK(hint.ends_with(
+        std::to_string(cluster.settings(leader).operators_port)));
+    LONGS_EQUAL(200, ask(cluster, other, "GET", "/v1/inspect/log").status);
+    LONGS_EQUAL(404, ask(cluster, leader, "GET", "/v1/nothing").status);
+}
+
+TEST(control_process_tests, entry_follows_pushed_changes)
+{
+    three cluster;
+    const auto leader = cluster.need_leader();
+    transport::event_loop loop;
+    protocol::peer_hub_settings links;
+    links.self = "entry-1";
+    links.shared_key = "0123456789abcdef0123456789abcdef";
+    protocol::peer_hub hub{loop, links};
+    CHECK(hub.start().has_value());
+    coordination::membership_runner_settings own;
+    own.name = "entry-1";
+    own.failure_domain = "domain-1";
+    own.shared_key = links.shared_key;
+    coordination::membership_runner members{loop, cluster.clock(), own, 1};
+    CHECK(members.start().has_value());
+    std::vector<std::string> names;
+    for (const auto& item : cluster.settings(0).replicas)
+    {
+        hub.set_peer(item.name, item.address);
+        names.push_back(item.name);
+    }
+    state::log_index applied = 0;
+    double rate = 0;
+    coordination::learner_runner follow{
+        loop,
+        cluster.clock(),
+        hub,
+        members,
+        {"entry-1", "domain-1", names, {}},
+        [&](protocol::control_view view) {
+            CHECK(view.applied_index > applied);
+            applied = view.applied_index;
+            rate = view.contracts.empty()
+                       ? 0
+                       : view.contracts.front().requests_per_second;
+        }};
+    follow.start();
+    loop.run_for(1s);
+    CHECK(applied > 0);
+    CHECK(follow.phase() == coordination::learning_phase::current);
+    state::revision revision = 0;
+    for (int round = 1; round <= 5; ++round)
+    {
+        const auto written =
+            cluster.propose(leader, contract_command(round, revision));
+        CHECK(written.has_value());
+        revision = written->index;
+    }
+    loop.run_for(600ms);
+    CHECK(applied >= revision);
+    DOUBLES_EQUAL(5, rate, 0);
+}
+
+// [folders] ------------------------------------------------------------------
+
+TEST(control_process_tests, folders_are_checked_and_never_made_twice)
+{
+    three cluster;
+    const auto leader = cluster.need_leader();
+    CHECK(cluster.propose(leader, contract_command(7, 0)).has_value());
+    cluster.stop(leader);
+    auto& settings = cluster.settings(leader);
+    const auto report = coordination::verify_folder(settings.data_folder);
+    CHECK(report.has_value());
+    LONGS_EQUAL(leader + 1, report->id);
+    const auto text = coordination::export_folder(settings.data_folder);
+    CHECK(text.has_value());
+    STRCMP_CONTAINS("\"organisation\": \"pomar\"", text->c_str());
+    CHECK_FALSE(coordination::prepare_folder(
+                    settings, coordination::folder_start::new_cluster)
+                    .has_value());
+    CHECK_FALSE(coordination::verify_folder("/nonexistent").has_value());
+    std::filesystem::remove_all(settings.data_folder);
+    const auto lost = cluster.start(leader);
+    STRCMP_CONTAINS("--join", lost.c_str());
+    cluster.stop(leader);
+}
