--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -175,10 +175,16 @@
         result_.refused += refused ? 1 : 0;
     }
 
+    bool has_room(std::size_t entry)
+    {
+        const auto priority = queues_[entry].next_priority(loop_.now());
+        return priority && routers_[entry].has_room(loop_.now(), *priority);
+    }
+
     void start_waiting(std::size_t entry)
     {
         auto& queue = queues_[entry];
-        while (queue.size() > 0 && routers_[entry].has_room(loop_.now()))
+        while (has_room(entry))
         {
             const auto next = queue.pop(loop_.now());
             if (!next)
--- a/include/hyssopdeal/coordination/admission_queue.hpp
+++ b/include/hyssopdeal/coordination/admission_queue.hpp
@@ -82,6 +82,10 @@
     [[nodiscard]] std::optional<queued_request>
     pop(transport::monotonic_time now);
 
+    /// @return The class that pop() would start next, if any waits.
+    [[nodiscard]] std::optional<protocol::priority_class>
+    next_priority(transport::monotonic_time now) const;
+
     /// Drops a request whose caller has left.
     ///
     /// @return Whether it was waiting.
--- a/include/hyssopdeal/coordination/load_balancer_router.hpp
+++ b/include/hyssopdeal/coordination/load_balancer_router.hpp
@@ -55,6 +55,10 @@
     std::chrono::milliseconds max_queueing{1'000}; ///< Expected on a server;
                                                    ///< beyond it requests wait
                                                    ///< here, by priority.
+    double interactive_reserve = 0.25; ///< Of a server's slots; other classes
+                                       ///< leave them while interactive calls
+                                       ///< come.
+    std::chrono::milliseconds interactive_memory{10'000}; ///< Since the last.
 };
 
 // [route_request] ------------------------------------------------------------
@@ -82,6 +86,7 @@
     std::chrono::microseconds unloaded_first_token{0};
     double prompt_tokens = 0;
     double cached_tokens = 0; ///< Expected in the server's prefix cache.
+    protocol::priority_class priority = protocol::priority_class::standard;
     sent_request sent;
 };
 
@@ -144,8 +149,11 @@
     };
     [[nodiscard]] std::vector<table_row> rows() const;
 
-    /// @return Whether any server could take a request now.
-    [[nodiscard]] bool has_room(transport::monotonic_time now) const;
+    /// @return Whether any server could take a request of a class now.
+    [[nodiscard]] bool
+    has_room(transport::monotonic_time now,
+             protocol::priority_class priority =
+                 protocol::priority_class::interactive) const;
 
 private:
     struct impl;
--- a/src/coordination/admission_queue.cpp
+++ b/src/coordination/admission_queue.cpp
@@ -258,6 +258,18 @@
     return impl_->start(now, *first);
 }
 
+std::optional<protocol::priority_class>
+admission_queue::next_priority(transport::monotonic_time now) const
+{
+    const auto first = impl_->first_class();
+    if (!first)
+    {
+        return std::nullopt;
+    }
+    const auto aged = impl_->aged_class(now);
+    return static_cast<protocol::priority_class>(aged ? *aged : *first);
+}
+
 bool admission_queue::remove(request_number number)
 {
     for (auto& queue : impl_->classes)
--- a/src/coordination/load_balancer_router.cpp
+++ b/src/coordination/load_balancer_router.cpp
@@ -40,6 +40,11 @@
         std::chrono::duration<double>(seconds));
 }
 
+bool is_lower(const route_choice& choice)
+{
+    return choice.priority != protocol::priority_class::interactive;
+}
+
 /// What is known of a server beside its row in the table.
 struct server_facts
 {
@@ -73,6 +78,10 @@
     std::vector<protocol::version_share> declared_shares;
     std::vector<version_weight> weights; ///< Reused by refresh().
     transport::monotonic_time refresh_at{};
+    transport::monotonic_time interactive_until{}; ///< Slots are kept free.
+    std::uint32_t lower_in_flight = 0;             ///< Own, not interactive.
+    std::uint32_t peers = 1;
+    double usable_slots = 0; ///< Of all servers that may be used.
     bool dirty = true;
 
     [[nodiscard]] server_index position_of(std::string_view name) const
@@ -171,12 +180,14 @@
         dirty = false;
         refresh_at = now + refresh_interval;
         weights.assign(versions.size(), {});
+        usable_slots = 0;
         for (server_index at = 0; at < servers.size(); ++at)
         {
             auto& row = loads.table()[at];
             row.state = state_of(now, at);
-            weights[row.version].usable_servers +=
-                row.state == server_availability::available ? 1 : 0;
+            const bool is_usable = row.state == server_availability::available;
+            weights[row.version].usable_servers += is_usable ? 1 : 0;
+            usable_slots += is_usable ? row.slots : 0;
         }
         for (std::size_t at = 0; at < versions.size(); ++at)
         {
@@ -309,19 +320,70 @@
                                         "No backend server can be used."};
     }
 
+    [[nodiscard]] bool leaves_reserve(transport::monotonic_time now,
+                                      protocol::priority_class priority) const
+    {
+        return priority != protocol::priority_class::interactive &&
+               now < interactive_until;
+    }
+
+    /// @return This entry's equal part of the slots that other classes than
+    ///     interactive may use: reports are too late to keep a reserve by.
+    [[nodiscard]] double lower_quota() const
+    {
+        const double share = usable_slots * (1 - settings.interactive_reserve) /
+                             static_cast<double>(peers);
+        return std::max(share, 1.0);
+    }
+
     /// @return Whether a request would wait on a server longer than it should:
     ///     here it can still be overtaken or refused. Only the policy predicts.
-    [[nodiscard]] bool is_congested(const routing_candidate& row) const
+    [[nodiscard]] bool is_congested(transport::monotonic_time now,
+                                    const routing_candidate& row,
+                                    protocol::priority_class priority) const
     {
         if (settings.balancer != balancer_kind::predicted_first_token)
         {
             return false;
         }
+        const bool is_full =
+            row.in_flight >= row.slots * (1 - settings.interactive_reserve);
+        if (leaves_reserve(now, priority) &&
+            (is_full || lower_in_flight >= lower_quota()))
+        {
+            return true;
+        }
         const std::chrono::duration<double> queueing{
             predicted_first_token::queue_seconds(row)};
         return row.in_flight >= row.slots && queueing > settings.max_queueing;
     }
 
+    /// The quickest server that is not congested, when the balancer's choice
+    /// is.
+    [[nodiscard]] server_index
+    find_uncongested(transport::monotonic_time now,
+                     const request_facts& facts) const
+    {
+        const auto table = loads.table();
+        server_index best = no_server;
+        double shortest = 0;
+        for (server_index at = 0; at < table.size(); ++at)
+        {
+            if (!is_eligible(table[at], facts, at) ||
+                is_congested(now, table[at], facts.priority))
+            {
+                continue;
+            }
+            const double wait = predicted_first_token::queue_seconds(table[at]);
+            if (best == no_server || wait < shortest)
+            {
+                best = at;
+                shortest = wait;
+            }
+        }
+        return best;
+    }
+
     route_choice commit(transport::monotonic_time now, server_index at,
                         const request_facts& facts, double cached)
     {
@@ -331,6 +393,7 @@
         made.address = servers[at].address;
         made.version = servers[at].version;
         made.prompt_tokens = facts.prompt_tokens;
+        made.priority = facts.priority;
         made.cached_tokens = std::min(cached, facts.prompt_tokens);
         made.predicted_first_token =
             to_time(predicted_first_token::first_token_seconds(
@@ -345,6 +408,7 @@
         made.sent =
             loads.on_sent(now, at, facts.prompt_tokens - made.cached_tokens);
         servers[at].concurrency.on_sent();
+        lower_in_flight += is_lower(made) ? 1 : 0;
         return made;
     }
 
@@ -353,6 +417,7 @@
     {
         loads.on_ended(now, made.sent, output_tokens);
         servers[made.sent.server].concurrency.on_ended();
+        lower_in_flight -= is_lower(made) ? 1 : 0;
     }
 
     void learn(transport::monotonic_time now, const route_choice& made,
@@ -439,6 +504,7 @@
 
 void service_router::set_peers(std::uint32_t entries)
 {
+    impl_->peers = std::max(entries, 1U);
     impl_->loads.set_peers(entries);
 }
 
@@ -478,6 +544,10 @@
                        const route_request& request, std::mt19937_64& random)
 {
     impl_->refresh(now);
+    if (request.priority == protocol::priority_class::interactive)
+    {
+        impl_->interactive_until = now + impl_->settings.interactive_memory;
+    }
     const auto chain = make_prefix_chain(request.prompt);
     prefix_index::match_list matches;
     const auto found = impl_->prefixes.find(chain, matches);
@@ -497,8 +567,13 @@
     facts.priority = request.priority;
     facts.matches = std::span{matches}.first(found);
     facts.avoid = avoid;
-    const auto at = impl_->choose_version(now, request.version, facts, random);
-    if (at == no_server || impl_->is_congested(impl_->loads.table()[at]))
+    auto at = impl_->choose_version(now, request.version, facts, random);
+    if (at != no_server &&
+        impl_->is_congested(now, impl_->loads.table()[at], facts.priority))
+    {
+        at = impl_->find_uncongested(now, facts);
+    }
+    if (at == no_server)
     {
         return tl::unexpected{impl_->no_choice(request.version)};
     }
@@ -558,15 +633,16 @@
     return rows;
 }
 
-bool service_router::has_room(transport::monotonic_time now) const
+bool service_router::has_room(transport::monotonic_time now,
+                              protocol::priority_class priority) const
 {
     impl_->refresh(now);
     const auto table = impl_->loads.table();
     return std::any_of(table.begin(), table.end(),
-                       [this](const routing_candidate& row) {
+                       [&](const routing_candidate& row) {
                            return row.state == server_availability::available &&
                                   row.own_in_flight < row.concurrency_limit &&
-                                  !impl_->is_congested(row);
+                                  !impl_->is_congested(now, row, priority);
                        });
 }
 
--- a/src/coordination/service_lane.cpp
+++ b/src/coordination/service_lane.cpp
@@ -58,13 +58,20 @@
     set_timer();
 }
 
+bool service_lane::has_room() const
+{
+    const auto now = clock_.monotonic_now();
+    const auto priority = queue_.next_priority(now);
+    return priority && router_.has_room(now, *priority);
+}
+
 void service_lane::pump()
 {
     if (std::exchange(pumping_, true))
     {
         return;
     }
-    while (queue_.size() > 0 && router_.has_room(clock_.monotonic_now()))
+    while (has_room())
     {
         const auto next = queue_.pop(clock_.monotonic_now());
         if (!next)
