Keep slots for interactive calls while drafts overload the servers

Cause: interactive p95 was 2.3 s and 2.8 s against a target of 0.5 s with drafts at twice the capacity: drafts held every slot, reports came too late to keep a reserve by, and a class that was due by age but had no room held up the interactive ones in the entry's queue. Change: while interactive calls come, other classes leave a quarter of the slots, by an equal part for each entry and server; pop() starts only classes that have room; the adaptive limit does not hold up interactive calls, which are compared on all servers of a small table; when the balancer's choice is congested the quickest other server is taken.

--- a/bench/overload_bench.cpp
+++ b/bench/overload_bench.cpp
@@ -74,6 +74,7 @@
             settings.default_output_tokens = user.output_tokens;
             if (policy != overload_policy::classes_in_entry)
             {
+                settings.interactive_reserve = 0;
                 settings.max_queueing = 1h;
                 settings.concurrency.lowest = settings.concurrency.highest;
                 settings.concurrency.initial = settings.concurrency.highest;
@@ -186,18 +187,13 @@
         of(request.priority).refused += refused ? 1 : 0;
     }
 
-    bool has_room(std::size_t entry)
-    {
-        const auto priority = queues_[entry].next_priority(loop_.now());
-        return priority && routers_[entry].has_room(loop_.now(), *priority);
-    }
-
     void start_waiting(std::size_t entry)
     {
         auto& queue = queues_[entry];
-        while (has_room(entry))
+        while (queue.size() > 0)
         {
-            const auto next = queue.pop(loop_.now());
+            const auto next =
+                queue.pop(loop_.now(), routers_[entry].rooms(loop_.now()));
             if (!next)
             {
                 break;
--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -175,18 +175,13 @@
         result_.refused += refused ? 1 : 0;
     }
 
-    bool has_room(std::size_t entry)
-    {
-        const auto priority = queues_[entry].next_priority(loop_.now());
-        return priority && routers_[entry].has_room(loop_.now(), *priority);
-    }
-
     void start_waiting(std::size_t entry)
     {
         auto& queue = queues_[entry];
-        while (has_room(entry))
+        while (queue.size() > 0)
         {
-            const auto next = queue.pop(loop_.now());
+            const auto next =
+                queue.pop(loop_.now(), routers_[entry].rooms(loop_.now()));
             if (!next)
             {
                 break;
--- a/include/hyssopdeal/coordination/admission_queue.hpp
+++ b/include/hyssopdeal/coordination/admission_queue.hpp
@@ -4,7 +4,8 @@
 /// @file
 /// Bounded queue of requests that wait for a backend server, by priority class.
 ///
-/// Index: [settings] [queued_request] [refusals] [admission_queue]
+/// Index: [settings] [queued_request] [refusals] [class_rooms]
+///        [admission_queue]
 
 #include <array>
 #include <chrono>
@@ -60,6 +61,18 @@
     std::chrono::milliseconds retry_after{}; ///< For the Retry-After header.
 };
 
+// [class_rooms] --------------------------------------------------------------
+
+/// Whether a request of a class can be started.
+enum class class_room : std::uint8_t
+{
+    open,
+    full
+};
+
+/// The same for each class.
+using class_rooms = std::array<class_room, priority_classes>;
+
 // [admission_queue] ----------------------------------------------------------
 
 /// Strict priority with an aging bound; refuses what cannot meet its deadline.
@@ -79,12 +92,11 @@
 
     /// Takes the next request to start out of the queue; one for each free
     /// place. Refusals that became due are collected by take_refusals().
+    ///
+    /// @param rooms Classes that can be started now; a class without room never
+    ///     holds up another one.
     [[nodiscard]] std::optional<queued_request>
-    pop(transport::monotonic_time now);
-
-    /// @return The class that pop() would start next, if any waits.
-    [[nodiscard]] std::optional<protocol::priority_class>
-    next_priority(transport::monotonic_time now) const;
+    pop(transport::monotonic_time now, const class_rooms& rooms = {});
 
     /// Drops a request whose caller has left.
     ///
--- a/include/hyssopdeal/coordination/load_balancer.hpp
+++ b/include/hyssopdeal/coordination/load_balancer.hpp
@@ -90,6 +90,15 @@
     std::span<const server_index> avoid{};   ///< Failed this request.
 };
 
+/// @return Prompt tokens that a server probably has cached.
+[[nodiscard]] double cached_on(std::span<const prefix_match> matches,
+                               server_index position) noexcept;
+
+/// @return Requests of a class that this node may have open on a server.
+[[nodiscard]] std::uint32_t
+own_limit(const routing_candidate& candidate,
+          protocol::priority_class priority) noexcept;
+
 /// @return Whether a server may be chosen for a request.
 [[nodiscard]] bool is_eligible(const routing_candidate& candidate,
                                const request_facts& request,
@@ -115,8 +124,10 @@
 /// Weights of the policy.
 struct predicted_first_token_settings
 {
-    std::uint32_t samples = 2;       ///< Random candidates for a request.
-    std::uint32_t scan_up_to = 3;    ///< Tables to this size are read whole.
+    std::uint32_t samples = 2;    ///< Random candidates for a request.
+    std::uint32_t scan_up_to = 3; ///< Tables to this size are read whole.
+    std::uint32_t interactive_scan_up_to = 64; ///< The same for calls that
+                                               ///< nothing may delay.
     double spill_penalty = 0.05;     ///< Seconds, other failure domain.
     double seconds_per_price = 0.01; ///< Seconds that a price unit weighs.
     double recompute_weight = 1;     ///< Of expected seconds to recompute.
--- a/include/hyssopdeal/coordination/load_balancer_router.hpp
+++ b/include/hyssopdeal/coordination/load_balancer_router.hpp
@@ -16,6 +16,7 @@
 #include <variant>
 #include <vector>
 
+#include <hyssopdeal/coordination/admission_queue.hpp>
 #include <hyssopdeal/coordination/concurrency_limit.hpp>
 #include <hyssopdeal/coordination/load_balancer.hpp>
 #include <hyssopdeal/coordination/load_estimate.hpp>
@@ -149,6 +150,9 @@
     };
     [[nodiscard]] std::vector<table_row> rows() const;
 
+    /// @return The classes of which any server could take a request now.
+    [[nodiscard]] class_rooms rooms(transport::monotonic_time now) const;
+
     /// @return Whether any server could take a request of a class now.
     [[nodiscard]] bool
     has_room(transport::monotonic_time now,
--- a/src/coordination/admission_queue.cpp
+++ b/src/coordination/admission_queue.cpp
@@ -164,14 +164,14 @@
     /// @return The class whose oldest request has waited beyond the bound, if
     ///     the share for such starts allows one.
     [[nodiscard]] std::optional<std::size_t>
-    aged_class(monotonic_time now) const
+    aged_class(monotonic_time now, const class_rooms& rooms) const
     {
         std::optional<std::size_t> oldest;
         for (std::size_t index = 1; index < classes.size(); ++index)
         {
             const auto& waiting = classes.at(index).waiting;
             const bool aged =
-                !waiting.empty() &&
+                !waiting.empty() && rooms.at(index) == class_room::open &&
                 now - waiting.front().queued_at >= settings.aging_bound;
             if (aged &&
                 (!oldest || waiting.front().queued_at <
@@ -184,11 +184,13 @@
                                                           : std::nullopt;
     }
 
-    [[nodiscard]] std::optional<std::size_t> first_class() const
+    [[nodiscard]] std::optional<std::size_t>
+    first_class(const class_rooms& rooms) const
     {
         for (std::size_t index = 0; index < classes.size(); ++index)
         {
-            if (!classes.at(index).waiting.empty())
+            if (!classes.at(index).waiting.empty() &&
+                rooms.at(index) == class_room::open)
             {
                 return index;
             }
@@ -240,15 +242,15 @@
 }
 
 std::optional<queued_request>
-admission_queue::pop(transport::monotonic_time now)
+admission_queue::pop(transport::monotonic_time now, const class_rooms& rooms)
 {
     impl_->check(now);
-    const auto first = impl_->first_class();
+    const auto first = impl_->first_class(rooms);
     if (!first)
     {
         return std::nullopt;
     }
-    const auto aged = impl_->aged_class(now);
+    const auto aged = impl_->aged_class(now, rooms);
     if (aged && *aged != *first)
     {
         impl_->starts_in_order = 0;
@@ -258,18 +260,6 @@
     return impl_->start(now, *first);
 }
 
-std::optional<protocol::priority_class>
-admission_queue::next_priority(transport::monotonic_time now) const
-{
-    const auto first = impl_->first_class();
-    if (!first)
-    {
-        return std::nullopt;
-    }
-    const auto aged = impl_->aged_class(now);
-    return static_cast<protocol::priority_class>(aged ? *aged : *first);
-}
-
 bool admission_queue::remove(request_number number)
 {
     for (auto& queue : impl_->classes)
--- a/src/coordination/load_balancer.cpp
+++ b/src/coordination/load_balancer.cpp
@@ -34,19 +34,6 @@
     return static_cast<std::size_t>((bits * bound) >> 32U);
 }
 
-double cached_on(std::span<const prefix_match> matches,
-                 server_index position) noexcept
-{
-    for (const auto& match : matches)
-    {
-        if (match.server == position)
-        {
-            return match.cached_tokens;
-        }
-    }
-    return 0;
-}
-
 /// The first eligible position at or after a random one, all around.
 server_index any_eligible(const request_facts& request,
                           std::span<const routing_candidate> candidates,
@@ -94,12 +81,35 @@
 
 } // namespace
 
+double cached_on(std::span<const prefix_match> matches,
+                 server_index position) noexcept
+{
+    for (const auto& match : matches)
+    {
+        if (match.server == position)
+        {
+            return match.cached_tokens;
+        }
+    }
+    return 0;
+}
+
+std::uint32_t own_limit(const routing_candidate& candidate,
+                        protocol::priority_class priority) noexcept
+{
+    // The limit shrinks when drafts wait on the server; interactive calls, which
+    // it would start first, must not wait here for that.
+    return priority == protocol::priority_class::interactive
+               ? std::max(candidate.concurrency_limit, candidate.slots)
+               : candidate.concurrency_limit;
+}
+
 bool is_eligible(const routing_candidate& candidate,
                  const request_facts& request, server_index position) noexcept
 {
     return candidate.state == server_availability::available &&
            candidate.version == request.version &&
-           candidate.own_in_flight < candidate.concurrency_limit &&
+           candidate.own_in_flight < own_limit(candidate, request.priority) &&
            std::find(request.avoid.begin(), request.avoid.end(), position) ==
                request.avoid.end();
 }
@@ -169,7 +179,11 @@
             best.offer(position, score(candidate, request, cached));
         }
     };
-    if (candidates.size() <= settings_.scan_up_to)
+    const auto whole_up_to =
+        request.priority == protocol::priority_class::interactive
+            ? settings_.interactive_scan_up_to
+            : settings_.scan_up_to;
+    if (candidates.size() <= whole_up_to)
     {
         for (server_index position = 0; position < candidates.size();
              ++position)
--- a/src/coordination/load_balancer_router.cpp
+++ b/src/coordination/load_balancer_router.cpp
@@ -1,6 +1,7 @@
 #include <hyssopdeal/coordination/load_balancer_router.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 #include <hyssopdeal/coordination/load_balancer_shares.hpp>
@@ -40,11 +41,6 @@
         std::chrono::duration<double>(seconds));
 }
 
-bool is_lower(const route_choice& choice)
-{
-    return choice.priority != protocol::priority_class::interactive;
-}
-
 /// What is known of a server beside its row in the table.
 struct server_facts
 {
@@ -52,6 +48,7 @@
     std::string address;
     std::string version;
     bool leaving = false;
+    std::uint32_t lower_in_flight = 0; ///< Own, not interactive.
     server_availability reach = server_availability::available;
     concurrency_limit concurrency{concurrency_settings{}};
 };
@@ -82,6 +79,7 @@
     std::uint32_t lower_in_flight = 0;             ///< Own, not interactive.
     std::uint32_t peers = 1;
     double usable_slots = 0; ///< Of all servers that may be used.
+    std::uint32_t usable_servers = 0;
     bool dirty = true;
 
     [[nodiscard]] server_index position_of(std::string_view name) const
@@ -181,6 +179,7 @@
         refresh_at = now + refresh_interval;
         weights.assign(versions.size(), {});
         usable_slots = 0;
+        usable_servers = 0;
         for (server_index at = 0; at < servers.size(); ++at)
         {
             auto& row = loads.table()[at];
@@ -188,6 +187,7 @@
             const bool is_usable = row.state == server_availability::available;
             weights[row.version].usable_servers += is_usable ? 1 : 0;
             usable_slots += is_usable ? row.slots : 0;
+            usable_servers += is_usable ? 1 : 0;
         }
         for (std::size_t at = 0; at < versions.size(); ++at)
         {
@@ -348,8 +348,14 @@
         }
         const bool is_full =
             row.in_flight >= row.slots * (1 - settings.interactive_reserve);
-        if (leaves_reserve(now, priority) &&
-            (is_full || lower_in_flight >= lower_quota()))
+        const auto position =
+            static_cast<std::size_t>(&row - loads.table().data());
+        const auto quota = lower_quota();
+        const bool has_part =
+            lower_in_flight >= quota ||
+            servers[position].lower_in_flight >=
+                std::ceil(quota / std::max(usable_servers, 1U));
+        if (leaves_reserve(now, priority) && (is_full || has_part))
         {
             return true;
         }
@@ -374,7 +380,8 @@
             {
                 continue;
             }
-            const double wait = predicted_first_token::queue_seconds(table[at]);
+            const double wait = predicted_first_token::first_token_seconds(
+                table[at], facts.prompt_tokens, cached_on(facts.matches, at));
             if (best == no_server || wait < shortest)
             {
                 best = at;
@@ -408,16 +415,26 @@
         made.sent =
             loads.on_sent(now, at, facts.prompt_tokens - made.cached_tokens);
         servers[at].concurrency.on_sent();
-        lower_in_flight += is_lower(made) ? 1 : 0;
+        count_lower(made, 1);
         return made;
     }
 
+    void count_lower(const route_choice& made, int change)
+    {
+        if (made.priority != protocol::priority_class::interactive)
+        {
+            lower_in_flight += static_cast<std::uint32_t>(change);
+            servers[made.sent.server].lower_in_flight +=
+                static_cast<std::uint32_t>(change);
+        }
+    }
+
     void end(transport::monotonic_time now, const route_choice& made,
              double output_tokens)
     {
         loads.on_ended(now, made.sent, output_tokens);
         servers[made.sent.server].concurrency.on_ended();
-        lower_in_flight -= is_lower(made) ? 1 : 0;
+        count_lower(made, -1);
     }
 
     void learn(transport::monotonic_time now, const route_choice& made,
@@ -577,11 +594,7 @@
     {
         return tl::unexpected{impl_->no_choice(request.version)};
     }
-    double cached = 0;
-    for (const auto& match : facts.matches)
-    {
-        cached = match.server == at ? match.cached_tokens : cached;
-    }
+    const double cached = cached_on(facts.matches, at);
     impl_->prefixes.on_dispatch(at, chain);
     return impl_->commit(now, at, facts, cached);
 }
@@ -633,17 +646,29 @@
     return rows;
 }
 
+class_rooms service_router::rooms(transport::monotonic_time now) const
+{
+    class_rooms rooms{};
+    for (std::size_t index = 0; index < rooms.size(); ++index)
+    {
+        const auto priority = static_cast<protocol::priority_class>(index);
+        rooms.at(index) =
+            has_room(now, priority) ? class_room::open : class_room::full;
+    }
+    return rooms;
+}
+
 bool service_router::has_room(transport::monotonic_time now,
                               protocol::priority_class priority) const
 {
     impl_->refresh(now);
     const auto table = impl_->loads.table();
-    return std::any_of(table.begin(), table.end(),
-                       [&](const routing_candidate& row) {
-                           return row.state == server_availability::available &&
-                                  row.own_in_flight < row.concurrency_limit &&
-                                  !impl_->is_congested(now, row, priority);
-                       });
+    return std::any_of(
+        table.begin(), table.end(), [&](const routing_candidate& row) {
+            return row.state == server_availability::available &&
+                   row.own_in_flight < own_limit(row, priority) &&
+                   !impl_->is_congested(now, row, priority);
+        });
 }
 
 } // namespace hyssopdeal::coordination
--- a/src/coordination/service_lane.cpp
+++ b/src/coordination/service_lane.cpp
@@ -58,22 +58,16 @@
     set_timer();
 }
 
-bool service_lane::has_room() const
-{
-    const auto now = clock_.monotonic_now();
-    const auto priority = queue_.next_priority(now);
-    return priority && router_.has_room(now, *priority);
-}
-
 void service_lane::pump()
 {
     if (std::exchange(pumping_, true))
     {
         return;
     }
-    while (has_room())
+    while (queue_.size() > 0)
     {
-        const auto next = queue_.pop(clock_.monotonic_now());
+        const auto now = clock_.monotonic_now();
+        const auto next = queue_.pop(now, router_.rooms(now));
         if (!next)
         {
             break;
--- a/src/coordination/service_lane.hpp
+++ b/src/coordination/service_lane.hpp
@@ -80,7 +80,6 @@
 
 private:
     void wait(lane_request request);
-    [[nodiscard]] bool has_room() const;
     void pump();
     void refuse(const std::vector<admission_refusal>& refusals);
     void set_timer();
--- a/tests/admission_queue_test.cpp
+++ b/tests/admission_queue_test.cpp
@@ -83,6 +83,21 @@
     LONGS_EQUAL(9, before);
 }
 
+TEST(admission_tests, aged_class_without_room_holds_nothing_up)
+{
+    CHECK_FALSE(push(priority_class::standard).has_value());
+    clock.advance(6s);
+    class_rooms rooms{};
+    rooms.at(1) = class_room::full;
+    for (int i = 0; i < 30; ++i)
+    {
+        CHECK_FALSE(push(priority_class::interactive).has_value());
+        CHECK(queue.pop(now(), rooms)->priority == priority_class::interactive);
+    }
+    CHECK_FALSE(queue.pop(now(), rooms).has_value());
+    CHECK(queue.pop(now())->priority == priority_class::standard);
+}
+
 TEST(admission_tests, refuses_what_cannot_meet_its_deadline_before_it_starts)
 {
     CHECK(push(priority_class::standard, 50ms)->error.code ==
--- a/tests/load_balancer_test.cpp
+++ b/tests/load_balancer_test.cpp
@@ -429,7 +429,11 @@
     {
         CHECK(small.choose(clock.monotonic_now(), {}, random).has_value());
     }
-    CHECK_FALSE(small.has_room(clock.monotonic_now()));
+    CHECK_FALSE(small.has_room(clock.monotonic_now(),
+                               protocol::priority_class::standard));
+    // A shrunk limit does not hold up interactive calls.
+    CHECK(small.has_room(clock.monotonic_now(),
+                         protocol::priority_class::interactive));
     const auto full = small.choose(clock.monotonic_now(), {}, random);
     CHECK(full.error().code == transport::reason::overloaded);
     CHECK(full.error().ran == transport::verdict::not_run);
@@ -441,6 +445,35 @@
           transport::reason::no_backend_server);
 }
 
+TEST(router_tests, drafts_leave_slots_while_interactive_calls_come)
+{
+    router.set_peers(1);
+    route_request draft;
+    draft.version = "v1";
+    int started = 0;
+    while (choose(draft).has_value())
+    {
+        ++started;
+        CHECK(started < 100);
+    }
+    CHECK(started >= 16);
+    service_router busy{make_settings()};
+    busy.set_service(declared, {});
+    route_request call;
+    call.priority = protocol::priority_class::interactive;
+    auto last = busy.choose(clock.monotonic_now(), call, random).value();
+    busy.on_ended(clock.monotonic_now(), last, attempt_outcome::succeeded, 5);
+    int beside = 0;
+    while (busy.choose(clock.monotonic_now(), draft, random).has_value())
+    {
+        ++beside;
+    }
+    LONGS_EQUAL(12, beside); // Three quarters of two servers' slots.
+    CHECK(busy.choose(clock.monotonic_now(), call, random).has_value());
+    clock.advance(11s);
+    CHECK(busy.choose(clock.monotonic_now(), draft, random).has_value());
+}
+
 TEST(router_tests, redeclaration_keeps_open_requests_counted)
 {
     const auto open = choose();
--- a/tests/stream_takeover_test.cpp
+++ b/tests/stream_takeover_test.cpp
@@ -24,20 +24,6 @@
 {
     linked_entries world{3, 2};
     stream_caller caller{world.client, "vale-key"};
-    void setup() override
-    {
-        if (getenv("LOGS"))
-            transport::setup_logging(transport::log_level::info);
-    }
-    void teardown() override
-    {
-        if (getenv("LOGS"))
-            fprintf(stderr, "status %d last %d conn %d defect %s text %zu\n",
-                    caller.status, (int)caller.last_event,
-                    caller.is_connected(), caller.defect.c_str(),
-                    caller.text.size());
-    }
-
     /// Waits until the entries know each other, then opens the stream.
     void open(std::size_t entry)
     {
