--- a/bench/request_model.cpp
+++ b/bench/request_model.cpp
@@ -218,7 +218,8 @@
 void model_server::start(server_work work)
 {
     ++running_;
-    const double cached = std::min(lookup(work.chain), work.prompt_tokens);
+    const double cached =
+        std::min(cached_tokens(work.chain), work.prompt_tokens);
     const double uncached = work.prompt_tokens - cached;
     prefilled_ += uncached;
     prefill_free_at_ = std::max(prefill_free_at_, loop_.now()) +
@@ -236,7 +237,8 @@
     });
 }
 
-double model_server::lookup(const coordination::prefix_chain& chain)
+double
+model_server::cached_tokens(const coordination::prefix_chain& chain) const
 {
     std::size_t known = 0;
     while (known < chain.size && blocks_.contains(chain.blocks.at(known)))
--- a/bench/request_model.hpp
+++ b/bench/request_model.hpp
@@ -128,13 +128,16 @@
     [[nodiscard]] std::uint32_t queued() const noexcept;
     [[nodiscard]] double prefilled_tokens() const noexcept;
 
+    /// @return Prompt tokens that its cache holds.
+    [[nodiscard]] double
+    cached_tokens(const coordination::prefix_chain& chain) const;
+
     /// Called for each block that is stored or evicted.
     std::function<void(const coordination::cache_event&)> on_cache_event;
 
 private:
     void start_waiting();
     void start(server_work work);
-    double lookup(const coordination::prefix_chain& chain);
     void store(const coordination::prefix_chain& chain);
     void tell(coordination::cache_event_kind kind, std::uint64_t block);
 
--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -280,13 +280,16 @@
     print_line("routing",
                "user={} load={} policy={} requests={} p50_ms={:.0f} "
                "p95_ms={:.0f} p99_ms={:.0f} prefilled_tokens={:.0f} "
-               "hit_share={:.3f} refused={} on_target={} "
+               "prefilled_per_answer={:.0f} hit_share={:.3f} refused={} "
+               "on_target={} "
                "cost_per_1000_on_target={:.3f}",
                user.name, load, variant.name, run.requests,
                quantile_ms(run.first_token, 0.5),
                quantile_ms(run.first_token, 0.95),
-               quantile_ms(run.first_token, 0.99), run.prefilled_tokens, hits,
-               run.refused, run.on_target, cost);
+               quantile_ms(run.first_token, 0.99), run.prefilled_tokens,
+               run.prefilled_tokens / static_cast<double>(std::max<std::size_t>(
+                                          run.first_token.size(), 1)),
+               hits, run.refused, run.on_target, cost);
 }
 
 template <load_balancer Balancer>
--- a/src/coordination/stream_evacuation.cpp
+++ b/src/coordination/stream_evacuation.cpp
@@ -44,8 +44,14 @@
         steps.push_back({position, evacuation_way::prefill, now});
     }
     std::stable_sort(steps.begin(), steps.end(),
-                     [](const auto& left, const auto& right) {
-                         return left.start < right.start;
+                     [&](const auto& left, const auto& right) {
+                         if (left.start != right.start)
+                         {
+                             return left.start < right.start;
+                         }
+                         // Short prefills first: they hold up the others least.
+                         return streams[left.stream].recompute_tokens <
+                                streams[right.stream].recompute_tokens;
                      });
     return steps;
 }
