--- a/bench/first_token.cpp
+++ b/bench/first_token.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds probe_interval{5};
 constexpr milliseconds settle_time{2'000};
 constexpr std::size_t engines = 2;
+constexpr std::uint32_t shards = 2;
 
 /// First-token times of probes.
 struct probe_times
@@ -92,7 +93,7 @@
     token_engine quick{token_pace{1, {}}};
     const auto direct =
         probe(addresses, {quick.address()}, open_streams, probes);
-    entry_fixture entry{{addresses[0], addresses[1]}, 1, 20'000, 1};
+    entry_fixture entry{{addresses[0], addresses[1]}, shards, 20'000, 1};
     entry.declare_second(quick.address());
     const auto cpu_before = entry.cpu_time();
     const auto wait_before = entry.core_wait_time();
@@ -103,17 +104,17 @@
     const double added_p50 = through.p50 - direct.p50;
     const double added_p99 = through.p99 - direct.p99;
     const auto failed = direct.failed + through.failed;
-    print_line("first_token",
-               "open_streams={} probes={} direct_p50_ms={:.3f} "
-               "direct_p99_ms={:.3f} entry_p50_ms={:.3f} entry_p99_ms={:.3f} "
-               "added_p50_ms={:.3f} bound_p50_ms={:.0f} added_p99_ms={:.3f} "
-               "bound_p99_ms={:.0f} entry_core_wait_for_each_cpu_ms={:.2f} "
-               "failed={}",
-               open_streams, probes, direct.p50, direct.p99, through.p50,
-               through.p99, added_p50, bound_p50_ms, added_p99, bound_p99_ms,
-               static_cast<double>(wait.count()) /
-                   static_cast<double>(cpu.count()),
-               failed);
+    print_line(
+        "first_token",
+        "open_streams={} shards={} probes={} direct_p50_ms={:.3f} "
+        "direct_p99_ms={:.3f} entry_p50_ms={:.3f} entry_p99_ms={:.3f} "
+        "added_p50_ms={:.3f} bound_p50_ms={:.0f} added_p99_ms={:.3f} "
+        "bound_p99_ms={:.0f} entry_core_wait_for_each_cpu_ms={:.2f} "
+        "failed={}",
+        open_streams, shards, probes, direct.p50, direct.p99, through.p50,
+        through.p99, added_p50, bound_p50_ms, added_p99, bound_p99_ms,
+        static_cast<double>(wait.count()) / static_cast<double>(cpu.count()),
+        failed);
     return failed == 0 && added_p50 <= bound_p50_ms && added_p99 <= bound_p99_ms
                ? 0
                : 1;
