Follow the control replicas and guard calls that must run at most once

The entry's main thread runs the learner, which publishes each configuration that comes into force. Each shard has a ledger client of its own. A call of an at-most-once route is claimed before it looks for a server, one claim allows one dispatch: a surely not run attempt gives its claim back and the next attempt claims anew; a call that may have run leaves its key open.

--- a/programs/hyssop_entryd.cpp
+++ b/programs/hyssop_entryd.cpp
@@ -132,7 +132,10 @@
         return cannot_run;
     }
     std::uint64_t static_index = 0;
-    process.publish(std::move(view));
+    if (settings.control_replicas.empty() || !view.services.empty())
+    {
+        process.publish(std::move(view));
+    }
     process.handle_signals(
         [&] { reload(chosen.settings_file, process, static_index); });
     if (!chosen.port_file.empty() && !write_port_file(chosen.port_file, *port))
--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -8,6 +8,7 @@
 #include <pthread.h>
 
 #include <hyssopdeal/coordination/drain_entry.hpp>
+#include <hyssopdeal/coordination/learner_runner.hpp>
 #include <hyssopdeal/protocol/contract_json.hpp>
 #include <hyssopdeal/transport/http_server.hpp>
 #include <hyssopdeal/transport/logging.hpp>
@@ -129,6 +130,8 @@
 
     [[nodiscard]] result<void> start_links();
     [[nodiscard]] entry_links_handlers links_handlers();
+    void start_learner();
+    void publish(protocol::control_view view);
     template <class Action>
     void on_each_shard(Action action);
     void on_drain();
@@ -139,7 +142,8 @@
     entry_shared shared;
     transport::event_loop loop; // of the main thread
     std::vector<std::unique_ptr<running_shard>> shards;
-    std::unique_ptr<entry_links> links; // none without a shared key
+    std::unique_ptr<entry_links> links;      // none without a shared key
+    std::unique_ptr<learner_runner> learner; // none without replicas
     drain_entry drain;
     transport::timer_handle drain_timer;
     std::uint64_t published_index = 0;
@@ -199,12 +203,51 @@
     }
     for (const auto& running : shards)
     {
-        running->shard.peers.emplace(running->shard.loop,
-                                     hub_settings_of(shared.settings, *key));
+        running->shard.link(*key);
     }
     links = std::make_unique<entry_links>(loop, shared.clock, shared.settings,
                                           std::move(*key), links_handlers());
-    return links->start();
+    auto started = links->start();
+    if (started)
+    {
+        start_learner();
+    }
+    return started;
+}
+
+void entry_process::impl::start_learner()
+{
+    learner_runner_settings settings;
+    settings.name = shared.settings.name;
+    settings.failure_domain = shared.settings.failure_domain;
+    for (const auto& replica : shared.settings.control_replicas)
+    {
+        settings.replicas.push_back(replica.name);
+    }
+    if (settings.replicas.empty())
+    {
+        return;
+    }
+    learner = std::make_unique<learner_runner>(
+        loop, shared.clock, links->hub(), links->members(), std::move(settings),
+        [this](protocol::control_view view) { publish(std::move(view)); });
+    learner->start();
+}
+
+void entry_process::impl::publish(protocol::control_view view)
+{
+    if (std::exchange(published, true) && view.applied_index <= published_index)
+    {
+        return;
+    }
+    published_index = view.applied_index;
+    log_info(log_part::process, "Configuration is in force. index={}",
+             view.applied_index);
+    shared.catalog.publish(entry_catalog{std::move(view)});
+    on_each_shard([](entry_shard& shard) { shard.refresh(); });
+    auto expected = entry_readiness::starting;
+    shared.readiness.compare_exchange_strong(expected,
+                                             entry_readiness::serving);
 }
 
 void entry_process::impl::on_drain()
@@ -305,19 +348,7 @@
 
 void entry_process::publish(protocol::control_view view)
 {
-    if (std::exchange(impl_->published, true) &&
-        view.applied_index <= impl_->published_index)
-    {
-        return;
-    }
-    impl_->published_index = view.applied_index;
-    log_info(log_part::process, "Configuration is in force. index={}",
-             view.applied_index);
-    impl_->shared.catalog.publish(entry_catalog{std::move(view)});
-    impl_->on_each_shard([](entry_shard& shard) { shard.refresh(); });
-    auto expected = entry_readiness::starting;
-    impl_->shared.readiness.compare_exchange_strong(expected,
-                                                    entry_readiness::serving);
+    impl_->publish(std::move(view));
 }
 
 void entry_process::drain()
--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "entry_links.hpp"
 #include "stream_session.hpp"
 
 namespace hyssopdeal::coordination
@@ -11,6 +12,7 @@
 {
 
 constexpr std::chrono::milliseconds count_interval{50};
+constexpr std::chrono::milliseconds ledger_interval{50};
 
 router_settings router_settings_of(const entry_settings& from)
 {
@@ -72,6 +74,39 @@
     });
 }
 
+void entry_shard::link(std::string_view shared_key)
+{
+    peers.emplace(loop, hub_settings_of(shared.settings, shared_key));
+    if (shared.settings.control_replicas.empty())
+    {
+        return;
+    }
+    ledger_client_settings settings;
+    settings.entry = shared.settings.name;
+    ledger.emplace(
+        settings, shared.clock,
+        [this](const std::string& to, std::string payload,
+               std::chrono::milliseconds time_limit,
+               ledger_client::reply_handler on_reply) {
+            peers->call(to, protocol::peer_channel::ledger, std::move(payload),
+                        time_limit, std::move(on_reply));
+        },
+        random());
+    std::vector<std::string> names;
+    for (const auto& replica : shared.settings.control_replicas)
+    {
+        names.push_back(replica.name);
+    }
+    ledger->set_replicas(std::move(names));
+    tick_ledger();
+}
+
+void entry_shard::tick_ledger()
+{
+    ledger->tick();
+    ledger_timer = loop.after(ledger_interval, [this] { tick_ledger(); });
+}
+
 void entry_shard::count_work()
 {
     published_streams = static_cast<std::uint32_t>(streams.open_streams());
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -17,6 +17,7 @@
 
 #include <hyssopdeal/coordination/entry_catalog.hpp>
 #include <hyssopdeal/coordination/entry_settings.hpp>
+#include <hyssopdeal/coordination/ledger_client.hpp>
 #include <hyssopdeal/coordination/limiter.hpp>
 #include <hyssopdeal/coordination/retry_policy.hpp>
 #include <hyssopdeal/protocol/peer_hub.hpp>
@@ -79,6 +80,10 @@
         return shared.clock.monotonic_now();
     }
 
+    /// Joins the other processes: links out and, with control replicas, the
+    /// ledger. Call it before the thread runs.
+    void link(std::string_view shared_key);
+
     /// Publishes the counts of open work now and from then on.
     void count_work();
 
@@ -90,6 +95,7 @@
     transport::http_client client{loop};
     std::optional<protocol::peer_hub> peers; ///< Only sends and calls; the
                                              ///< process's own hub listens.
+    std::optional<ledger_client> ledger;     ///< Not without replicas.
     std::mt19937_64 random;
     limiter limits;
     budgeted_retry retries;
@@ -100,6 +106,10 @@
     std::atomic<std::uint32_t> published_streams{0}; // by this shard's thread
     std::atomic<std::uint32_t> published_calls{0};   // by this shard's thread
     transport::timer_handle count_timer;
+    transport::timer_handle ledger_timer;
+
+private:
+    void tick_ledger();
 };
 
 } // namespace hyssopdeal::coordination
--- a/src/coordination/request_flow.cpp
+++ b/src/coordination/request_flow.cpp
@@ -106,6 +106,13 @@
 
 void request_flow::start()
 {
+    if (is_guarded() && request_.idempotency_key.empty())
+    {
+        refuse({verdict::not_run, reason::bad_request,
+                "This route needs an Idempotency-Key."},
+               default_retry_after);
+        return;
+    }
     limit_request wanted;
     wanted.tokens = reserved_tokens(request_);
     wanted.streams = is_streamed(request_) ? 1 : 0;
@@ -128,7 +135,13 @@
     }
     permit_ = std::move(*admitted);
     ++shard_.open_calls;
-    choose();
+    look_for_server();
+}
+
+// A claim allows one dispatch: each further attempt needs a new one.
+void request_flow::look_for_server()
+{
+    is_guarded() ? claim() : choose();
 }
 
 void request_flow::choose()
@@ -136,6 +149,7 @@
     auto* const to = lane();
     if (to == nullptr)
     {
+        release_claim();
         refuse({ran_, reason::no_backend_server, "The service is gone."},
                default_retry_after);
         return;
@@ -156,6 +170,7 @@
 {
     if (!outcome.choice)
     {
+        release_claim();
         auto error = outcome.choice.error();
         error.ran = std::max(error.ran, ran_);
         refuse(error, outcome.retry_after);
@@ -167,6 +182,15 @@
 
 void request_flow::dispatch()
 {
+    if (claim_ && !shard_.ledger->may_dispatch(*claim_))
+    {
+        lane()->on_refused(*choice_);
+        release_claim();
+        refuse({verdict::not_run, reason::overloaded,
+                "The call waited longer than its claim holds."},
+               default_retry_after);
+        return;
+    }
     ++attempts_;
     auto sent = request_for_server(request_, shard_.now());
     if (request_.kind == protocol::service_kind::model)
@@ -208,12 +232,14 @@
         choice, failed ? attempt_outcome::failed : attempt_outcome::succeeded,
         0);
     response->headers = headers_to_caller(response->headers);
+    finish_claim(*response);
     response->headers.push_back({"Hyssopdeal-Verdict", "ran"});
     answer(std::move(*response));
 }
 
 void request_flow::on_failure(const failure& error)
 {
+    error.ran == verdict::not_run ? release_claim() : forget_claim();
     ran_ = std::max(ran_, error.ran);
     failed_attempt failed;
     failed.organisation = request_.organisation;
--- a/src/coordination/request_flow.hpp
+++ b/src/coordination/request_flow.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 
+#include <hyssopdeal/coordination/ledger_client.hpp>
 #include <hyssopdeal/coordination/limiter.hpp>
 #include <hyssopdeal/coordination/load_balancer_router.hpp>
 #include <hyssopdeal/protocol/chat_codec.hpp>
@@ -72,6 +73,16 @@
     void start();
 
 private:
+    // request_flow_claims.cpp: calls that must run at most once.
+    [[nodiscard]] bool is_guarded() const noexcept;
+    void claim();
+    void on_claim(ledger_answer answer);
+    void release_claim();
+    void finish_claim(const transport::http_response& answer);
+    void forget_claim();
+
+    // request_flow.cpp
+    void look_for_server();
     void choose();
     void on_outcome(lane_outcome outcome);
     void dispatch();
@@ -86,6 +97,7 @@
     accepted_request request_;
     transport::http_responder responder_;
     std::optional<permit> permit_;
+    std::optional<ledger_claim> claim_; ///< Allows one dispatch.
     std::optional<route_choice> choice_;
     std::vector<std::string> failed_servers_;
     std::uint32_t attempts_ = 0;
