--- a/include/hyssopdeal/coordination/control_machine.hpp
+++ b/include/hyssopdeal/coordination/control_machine.hpp
@@ -28,7 +28,7 @@
     replica_settings replica;
     state::ledger_bounds ledger;
     std::chrono::milliseconds propose_time_limit{5'000}; ///< To a result.
-    std::size_t snapshot_records = 10'000;   ///< A snapshot after so many.
+    std::size_t snapshot_records = 10'000;   ///< Between snapshots, at least.
     std::size_t snapshot_bytes = 67'108'864; ///< Or payload bytes.
 };
 
--- a/include/hyssopdeal/coordination/learner.hpp
+++ b/include/hyssopdeal/coordination/learner.hpp
@@ -35,8 +35,8 @@
     std::chrono::milliseconds wait_for_latest{3'000}; ///< After a restart.
     std::chrono::milliseconds push_gap{20}; ///< Between pushes, at least.
     std::chrono::milliseconds follower_time{4'000}; ///< Silent: forgotten.
-    std::size_t direct_members = 16; ///< Larger domains use relays.
-    std::size_t relays = 2;          ///< In a large domain.
+    std::size_t direct_members = 16;     ///< Larger domains use relays.
+    std::size_t followers_of_relay = 24; ///< On average; bounds its traffic.
 };
 
 // [declaration_source] -------------------------------------------------------
@@ -181,8 +181,8 @@
 };
 
 /// Orders the sources of an entry. In a small domain everyone follows the
-/// control replicas; in a large one a few relays do, and the others follow
-/// the relays. Which ones is drawn by a hash that all members agree on.
+/// control replicas; in a large one some relays do, so many that each has few
+/// followers, and the others follow the relays. Which ones is drawn by a hash that all members agree on.
 ///
 /// @param self Name of the entry.
 /// @param failure_domain Of the entry.
--- a/src/coordination/control_machine.cpp
+++ b/src/coordination/control_machine.cpp
@@ -61,6 +61,7 @@
     machine_actions out;
     log_index snapshot_index = 0;
     std::size_t bytes_since_snapshot = 0;
+    std::size_t last_snapshot_bytes = 0;
     std::string defect; ///< Why nothing is applied any more.
 };
 
@@ -142,6 +143,7 @@
     }
     snapshot_index = snap.index;
     bytes_since_snapshot = 0;
+    last_snapshot_bytes = snap.bytes ? snap.bytes->size() : 0;
     for (auto at = pending.begin();
          at != pending.end() && at->first <= snap.index;)
     {
@@ -202,6 +204,7 @@
     compact_event event;
     event.snap = {applied, state.applied_term(), state.tables().replicas,
                   std::make_shared<const std::string>(state.encode_snapshot())};
+    last_snapshot_bytes = event.snap.bytes->size();
     auto actions = core.step(now, wall, std::move(event));
     if (actions.persist)
     {
--- a/src/coordination/control_process.cpp
+++ b/src/coordination/control_process.cpp
@@ -25,7 +25,6 @@
 using transport::fail;
 using transport::log_part;
 using transport::reason;
-using transport::verdict;
 
 namespace
 {
@@ -67,9 +66,9 @@
     void on_replica_message(const std::string& from,
                             const std::string& payload);
     void on_follow(const std::string& payload,
-                   protocol::peer_hub::reply_function reply);
+                   const protocol::peer_hub::reply_function& reply);
     void on_ledger(const std::string& payload,
-                   protocol::peer_hub::reply_function reply);
+                   const protocol::peer_hub::reply_function& reply);
     void push_declarations();
     void promote_learners();
     void change(replica_change kind, state::replica_member member,
@@ -159,14 +158,12 @@
                     [this](auto from, auto payload, auto) {
                         on_replica_message(from, payload);
                     });
-    hub->on_message(peer_channel::learning,
-                    [this](auto, auto payload, auto reply) {
-                        on_follow(payload, std::move(reply));
-                    });
-    hub->on_message(peer_channel::ledger,
-                    [this](auto, auto payload, auto reply) {
-                        on_ledger(payload, std::move(reply));
-                    });
+    hub->on_message(
+        peer_channel::learning,
+        [this](auto, auto payload, auto reply) { on_follow(payload, reply); });
+    hub->on_message(
+        peer_channel::ledger,
+        [this](auto, auto payload, auto reply) { on_ledger(payload, reply); });
     const auto peers = hub->start();
     if (!peers)
     {
@@ -430,8 +427,8 @@
 
 // [entries] ------------------------------------------------------------------
 
-void control_process::impl::on_follow(const std::string& payload,
-                                      protocol::peer_hub::reply_function reply)
+void control_process::impl::on_follow(
+    const std::string& payload, const protocol::peer_hub::reply_function& reply)
 {
     const auto request = decode_follow_request(payload);
     if (!request)
@@ -452,8 +449,8 @@
     }
 }
 
-void control_process::impl::on_ledger(const std::string& payload,
-                                      protocol::peer_hub::reply_function reply)
+void control_process::impl::on_ledger(
+    const std::string& payload, const protocol::peer_hub::reply_function& reply)
 {
     auto command = decode_ledger_request(payload);
     if (!command)
--- a/src/coordination/learner.cpp
+++ b/src/coordination/learner.cpp
@@ -29,16 +29,24 @@
     monotonic_time pushed{};
 };
 
-/// The latest change that a follower would see.
-bool has_news(const state::declarations& own, log_index applied)
-{
-    const auto newer = [&](const auto& item) {
-        return item.second.changed > applied;
-    };
-    return std::any_of(own.contracts.begin(), own.contracts.end(), newer) ||
-           std::any_of(own.services.begin(), own.services.end(), newer) ||
-           std::any_of(own.leaving.begin(), own.leaving.end(), newer) ||
-           (!own.removals.empty() && own.removals.back().changed > applied);
+template <class Record>
+log_index latest_in(const state::record_table<Record>& table)
+{
+    log_index latest = 0;
+    for (const auto& [name, record] : table)
+    {
+        latest = std::max(latest, record.changed);
+    }
+    return latest;
+}
+
+/// @return Index of the latest change that followers need.
+log_index latest_change(const state::declarations& own)
+{
+    const log_index removed =
+        own.removals.empty() ? 0 : own.removals.back().changed;
+    return std::max({latest_in(own.contracts), latest_in(own.services),
+                     latest_in(own.leaving), removed});
 }
 
 } // namespace
@@ -48,6 +56,8 @@
     learning_settings settings;
     std::map<std::string, follower, std::less<>> followers;
     std::optional<monotonic_time> next;
+    log_index scanned = 0; ///< Index at which `latest` was worked out.
+    log_index latest = 0;
 };
 
 declaration_source::declaration_source(learning_settings settings)
@@ -84,9 +94,14 @@
     std::erase_if(impl_->followers, [&](const auto& item) {
         return now - item.second.heard > impl_->settings.follower_time;
     });
+    if (impl_->scanned != own.applied)
+    {
+        impl_->scanned = own.applied;
+        impl_->latest = latest_change(own);
+    }
     for (auto& [name, known] : impl_->followers)
     {
-        if (!has_news(own, known.applied))
+        if (known.applied >= impl_->latest)
         {
             continue;
         }
@@ -294,6 +309,7 @@
 {
     std::sort(sources.begin(), sources.end());
     std::vector<std::string> names;
+    names.reserve(sources.size());
     for (auto& item : sources)
     {
         names.push_back(std::move(item.name));
@@ -325,12 +341,16 @@
     auto direct = names_of(std::move(replicas));
     const std::size_t members = near.size();
     auto relays = names_of(std::move(near));
-    relays.resize(std::min(relays.size(), settings.relays));
+    constexpr std::size_t least_relays = 2;
+    const auto wanted =
+        std::max(least_relays, (members + settings.followers_of_relay - 1) /
+                                   settings.followers_of_relay);
+    relays.resize(std::min(relays.size(), wanted));
     const bool is_relay =
         std::find(relays.begin(), relays.end(), self) != relays.end();
     if (members > settings.direct_members && !is_relay)
     {
-        // Half of the followers ask each relay first.
+        // Each relay is the first one of an equal part of the followers.
         const auto turn = ranked(self, "turn").rank % relays.size();
         std::rotate(relays.begin(),
                     relays.begin() + static_cast<std::ptrdiff_t>(turn),
