--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -16,6 +16,7 @@
 #include "entry_links.hpp"
 #include "entry_service.hpp"
 #include "entry_shard.hpp"
+#include "stream_exchange.hpp"
 
 namespace hyssopdeal::coordination
 {
@@ -128,6 +129,15 @@
         : shared(std::move(settings), clock)
     {}
 
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
+    // The threads read what the other members hold.
+    ~impl()
+    {
+        shards.clear();
+    }
+
     [[nodiscard]] result<void> start_links();
     [[nodiscard]] entry_links_handlers links_handlers();
     void start_learner();
@@ -142,8 +152,9 @@
     entry_shared shared;
     transport::event_loop loop; // of the main thread
     std::vector<std::unique_ptr<running_shard>> shards;
-    std::unique_ptr<entry_links> links;      // none without a shared key
-    std::unique_ptr<learner_runner> learner; // none without replicas
+    std::unique_ptr<entry_links> links;        // none without a shared key
+    std::unique_ptr<stream_exchange> exchange; // with links
+    std::unique_ptr<learner_runner> learner;   // none without replicas
     drain_entry drain;
     transport::timer_handle drain_timer;
     std::uint64_t published_index = 0;
@@ -207,9 +218,12 @@
     }
     links = std::make_unique<entry_links>(loop, shared.clock, shared.settings,
                                           std::move(*key), links_handlers());
+    exchange =
+        std::make_unique<stream_exchange>(loop, shared.clock, links->hub());
     auto started = links->start();
     if (started)
     {
+        shared.members = &links->members().view();
         start_learner();
     }
     return started;
@@ -300,6 +314,7 @@
         shared.readiness = entry_readiness::draining;
         break;
     case drain_action::hand_over_streams:
+        on_each_shard([](entry_shard& shard) { shard.streams.hand_over(); });
         break;
     case drain_action::close_rest:
         log_info(log_part::process, "Cutting what is left.");
@@ -364,6 +379,11 @@
         });
 }
 
+void entry_process::stop()
+{
+    impl_->loop.stop();
+}
+
 void entry_process::wait()
 {
     impl_->loop.run();
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -19,6 +19,7 @@
 #include <hyssopdeal/coordination/entry_settings.hpp>
 #include <hyssopdeal/coordination/ledger_client.hpp>
 #include <hyssopdeal/coordination/limiter.hpp>
+#include <hyssopdeal/coordination/membership_runner.hpp>
 #include <hyssopdeal/coordination/retry_policy.hpp>
 #include <hyssopdeal/protocol/peer_hub.hpp>
 #include <hyssopdeal/transport/clock.hpp>
@@ -54,6 +55,8 @@
     const entry_settings settings;
     const transport::clock& clock;
     transport::rcu_cell<entry_catalog> catalog{entry_catalog{}};
+    std::atomic<const transport::rcu_cell<member_view>*> members{
+        nullptr}; // written by the main thread before the shards run
     std::atomic<entry_readiness> readiness{
         entry_readiness::starting}; // written by the process's main thread
 };
