--- a/tests/stream_takeover_test.cpp
+++ b/tests/stream_takeover_test.cpp
@@ -4,6 +4,8 @@
 
 #include "linked_entries.hpp"
 
+#include <hyssopdeal/transport/logging.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include "standins/answer_text.hpp"
