Show an entry's insides: metrics, debug pages and spans

/metrics adds up what each thread counts; /debug/members, routes, streams and grants ask each thread for its own tables.

--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -285,8 +285,8 @@
     open_work work;
     for (const auto& running : shards)
     {
-        work.streams += running->shard.published_streams.load();
-        work.plain_calls += running->shard.published_calls.load();
+        work.streams += running->shard.metrics.open_streams.load();
+        work.plain_calls += running->shard.metrics.open_calls.load();
     }
     return work;
 }
@@ -345,6 +345,11 @@
             return bound;
         }
         port = *bound;
+        if (const auto opened = running->shard.open_spans(); !opened)
+        {
+            return tl::unexpected(opened.error());
+        }
+        impl_->shared.shards.push_back(&running->shard);
         impl_->shards.push_back(std::move(running));
     }
     if (const auto linked = impl_->start_links(); !linked)
--- a/src/coordination/entry_service.cpp
+++ b/src/coordination/entry_service.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "entry_answers.hpp"
+#include "entry_inspection.hpp"
 
 namespace hyssopdeal::coordination
 {
@@ -24,6 +25,7 @@
 
 constexpr std::string_view api_prefix = "/v1/";
 constexpr std::string_view stream_prefix = "/v1/streams/";
+constexpr std::string_view debug_prefix = "/debug/";
 constexpr std::string_view engine_target = "/v1/chat/completions";
 constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr std::size_t max_key_bytes = 256;
@@ -162,6 +164,15 @@
     {
         serve(std::move(request), std::move(responder));
     }
+    else if (target.path.starts_with(debug_prefix))
+    {
+        answer_debug(shard_, target.path.substr(debug_prefix.size()),
+                     std::move(responder));
+    }
+    else if (target.path == "/metrics")
+    {
+        responder.send(text_answer(200, metrics_page(shard_.shared)));
+    }
     else if (target.path == "/healthz")
     {
         responder.send(text_answer(200, "ok\n"));
@@ -195,6 +206,7 @@
 
 void entry_service::serve(http_request request, http_responder responder)
 {
+    shard_.metrics.requests.add();
     if (shard_.shared.readiness.load() == entry_readiness::draining)
     {
         responder.send(
@@ -205,6 +217,7 @@
     auto accepted = accept(std::move(request));
     if (!accepted)
     {
+        shard_.metrics.count(accepted.error());
         responder.send(failure_answer(accepted.error()));
         return;
     }
@@ -272,6 +285,7 @@
         find_header(request.headers, "traceparent"));
     accepted.trace = parent ? protocol::child_of(*parent, shard_.random)
                             : protocol::new_trace(shard_.random);
+    accepted.caller_span = parent ? parent->span : 0;
     accepted.organisation = std::move(found->organisation);
     accepted.retry_ratio = found->retry_ratio;
     accepted.service = service;
--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -109,11 +109,77 @@
 
 void entry_shard::count_work()
 {
-    published_streams = static_cast<std::uint32_t>(streams.open_streams());
-    published_calls = open_calls;
+    metrics.open_streams = static_cast<std::uint32_t>(streams.open_streams());
+    metrics.open_calls = open_calls;
+    if (spans)
+    {
+        spans->flush();
+    }
+    std::size_t waiting = 0;
+    for (const auto& [name, lane] : lanes)
+    {
+        waiting += lane->waiting();
+    }
+    metrics.waiting = static_cast<std::uint32_t>(waiting);
     count_timer = loop.after(count_interval, [this] { count_work(); });
 }
 
+transport::result<void> entry_shard::open_spans()
+{
+    if (shared.settings.trace_file.empty())
+    {
+        return {};
+    }
+    spans = std::make_unique<protocol::span_writer>(shared.settings.trace_file,
+                                                    shared.settings.name);
+    return spans->open();
+}
+
+protocol::span entry_shard::make_span(std::string_view name,
+                                      const accepted_request& request,
+                                      transport::monotonic_time started) const
+{
+    protocol::span made;
+    made.context = request.trace;
+    made.name = name;
+    made.end = shared.clock.wall_now();
+    made.start = made.end - (now() - started);
+    return made;
+}
+
+void entry_shard::record_span(std::string_view name,
+                              const accepted_request& request,
+                              transport::monotonic_time started,
+                              std::vector<protocol::span_attribute> attributes)
+{
+    if (!spans || (request.trace.flags & 1U) == 0)
+    {
+        return;
+    }
+    auto made = make_span(name, request, started);
+    made.context = protocol::child_of(request.trace, random);
+    made.parent = request.trace.span;
+    made.attributes = std::move(attributes);
+    spans->add(made);
+}
+
+void entry_shard::record_entry_span(const accepted_request& request,
+                                    protocol::span_status status)
+{
+    if (!spans || (request.trace.flags & 1U) == 0)
+    {
+        return;
+    }
+    auto made = make_span("entry", request, request.arrived);
+    made.parent = request.caller_span;
+    made.kind = protocol::span_kind::server;
+    made.status = status;
+    made.attributes = {{"organisation", request.organisation},
+                       {"service", request.service},
+                       {"route", request.route.name}};
+    spans->add(made);
+}
+
 service_lane* entry_shard::find_lane(std::string_view service)
 {
     const auto found = lanes.find(service);
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -22,11 +22,13 @@
 #include <hyssopdeal/coordination/membership_runner.hpp>
 #include <hyssopdeal/coordination/retry_policy.hpp>
 #include <hyssopdeal/protocol/peer_hub.hpp>
+#include <hyssopdeal/protocol/span_writer.hpp>
 #include <hyssopdeal/transport/clock.hpp>
 #include <hyssopdeal/transport/event_loop.hpp>
 #include <hyssopdeal/transport/http_client.hpp>
 #include <hyssopdeal/transport/rcu_cell.hpp>
 
+#include "entry_metrics.hpp"
 #include "service_lane.hpp"
 #include "stream_table.hpp"
 
@@ -44,6 +46,8 @@
     draining ///< Refuses new work.
 };
 
+struct entry_shard;
+
 /// What all threads of an entry process read.
 struct entry_shared
 {
@@ -57,6 +61,7 @@
     transport::rcu_cell<entry_catalog> catalog{entry_catalog{}};
     std::atomic<const transport::rcu_cell<member_view>*> members{
         nullptr}; // written by the main thread before the shards run
+    std::vector<entry_shard*> shards; ///< Set before the threads run.
     std::atomic<entry_readiness> readiness{
         entry_readiness::starting}; // written by the process's main thread
 };
@@ -90,6 +95,20 @@
     /// Publishes the counts of open work now and from then on.
     void count_work();
 
+    /// Opens the trace file, if the settings name one.
+    [[nodiscard]] transport::result<void> open_spans();
+
+    /// Writes a span below the entry's own, if the trace is recorded.
+    ///
+    /// @param started The span ends now.
+    void record_span(std::string_view name, const accepted_request& request,
+                     transport::monotonic_time started,
+                     std::vector<protocol::span_attribute> attributes);
+
+    /// Writes the entry's own span of a request that was answered.
+    void record_entry_span(const accepted_request& request,
+                           protocol::span_status status);
+
     /// @return A fresh id for an attempt or a stream.
     [[nodiscard]] attempt_id next_id();
 
@@ -106,13 +125,16 @@
     stream_table streams;
     std::uint64_t applied_index = 0;
     std::uint32_t open_calls = 0; ///< Plain calls that are not answered.
-    std::atomic<std::uint32_t> published_streams{0}; // by this shard's thread
-    std::atomic<std::uint32_t> published_calls{0};   // by this shard's thread
+    entry_metrics metrics;
+    std::unique_ptr<protocol::span_writer> spans; ///< Not without a file.
     transport::timer_handle count_timer;
     transport::timer_handle ledger_timer;
 
 private:
     void tick_ledger();
+    [[nodiscard]] protocol::span
+    make_span(std::string_view name, const accepted_request& request,
+              transport::monotonic_time started) const;
 };
 
 } // namespace hyssopdeal::coordination
--- a/src/coordination/request_flow.cpp
+++ b/src/coordination/request_flow.cpp
@@ -146,6 +146,7 @@
 
 void request_flow::choose()
 {
+    step_started_ = shard_.now();
     auto* const to = lane();
     if (to == nullptr)
     {
@@ -168,6 +169,7 @@
 
 void request_flow::on_outcome(lane_outcome outcome)
 {
+    shard_.record_span("queue", request_, step_started_, {});
     if (!outcome.choice)
     {
         release_claim();
@@ -192,6 +194,8 @@
         return;
     }
     ++attempts_;
+    shard_.metrics.attempts.add();
+    step_started_ = shard_.now();
     auto sent = request_for_server(request_, shard_.now());
     if (request_.kind == protocol::service_kind::model)
     {
@@ -210,6 +214,8 @@
 {
     auto choice = std::move(*choice_);
     choice_.reset();
+    shard_.record_span("attempt", request_, step_started_,
+                       {{"server", choice.server}});
     auto* const from = lane();
     if (!response)
     {
@@ -264,6 +270,7 @@
 
 void request_flow::refuse(const failure& error, milliseconds retry_after)
 {
+    shard_.metrics.count(error);
     answer(failure_answer(error, retry_after));
 }
 
@@ -271,6 +278,10 @@
 {
     if (permit_)
     {
+        shard_.metrics.whole_answer.add(shard_.now() - request_.arrived);
+        shard_.record_entry_span(request_, response.status < first_server_error
+                                               ? protocol::span_status::ok
+                                               : protocol::span_status::error);
         --shard_.open_calls;
         shard_.limits.settle(shard_.now(), *permit_, permit_->reserved_tokens);
         permit_.reset();
--- a/src/coordination/request_flow.hpp
+++ b/src/coordination/request_flow.hpp
@@ -48,6 +48,7 @@
     transport::monotonic_time arrived;
     transport::monotonic_time deadline;
     protocol::trace_context trace; ///< Of the entry's span.
+    std::uint64_t caller_span = 0; ///< 0: the trace begins here.
 };
 
 /// @return The request that a backend server gets for an attempt.
@@ -101,6 +102,7 @@
     std::optional<route_choice> choice_;
     std::vector<std::string> failed_servers_;
     std::uint32_t attempts_ = 0;
+    transport::monotonic_time step_started_; ///< Of the span under way.
     transport::verdict ran_ = transport::verdict::not_run; ///< So far.
     transport::http_call call_;
     transport::timer_handle retry_timer_;
--- a/src/coordination/request_flow_claims.cpp
+++ b/src/coordination/request_flow_claims.cpp
@@ -64,6 +64,7 @@
                retry_after);
         return;
     }
+    step_started_ = shard_.now();
     shard_.ledger->claim(request_.organisation, request_.idempotency_key,
                          ledger_digest(request_.http.method,
                                        request_.http.target,
@@ -75,6 +76,7 @@
 
 void request_flow::on_claim(ledger_answer claimed)
 {
+    shard_.record_span("ledger_commit", request_, step_started_, {});
     switch (claimed.verdict)
     {
     case ledger_verdict::dispatch:
--- a/src/coordination/stream_session.cpp
+++ b/src/coordination/stream_session.cpp
@@ -100,6 +100,7 @@
 
 void stream_session::choose()
 {
+    queue_entered_ = shard_.now();
     auto* const to = shard_.find_lane(request_.service);
     if (closed_ || to == nullptr)
     {
@@ -126,6 +127,7 @@
 
 void stream_session::on_outcome(lane_outcome outcome)
 {
+    shard_.record_span("queue", request_, queue_entered_, {{"stream", id_}});
     if (closed_)
     {
         if (outcome.choice)
@@ -216,6 +218,8 @@
 {
     ++attempts_;
     ++fruitless_;
+    shard_.metrics.attempts.add();
+    attempt_started_ = shard_.now();
     paused_ = false;
     order.limits = limits_for_server(request_, shard_);
     const std::weak_ptr<stream_session> weak = weak_from_this();
@@ -264,9 +268,20 @@
     }
 }
 
-void stream_session::on_end(const attempt_end& end)
+void stream_session::end_attempt()
 {
+    if (!attempt_)
+    {
+        return;
+    }
+    shard_.record_span("attempt", request_, attempt_started_,
+                       {{"stream", id_}, {"server", server_address_}});
     attempt_.reset();
+}
+
+void stream_session::on_end(const attempt_end& end)
+{
+    end_attempt();
     if (closed_ || record_->phase() != stream_phase::running)
     {
         return;
@@ -460,6 +475,7 @@
         return;
     }
     begin_answer();
+    shard_.metrics.events.add(order.to - order.from + 1);
     std::string bytes;
     const auto& events = record_->events();
     for (auto number = order.from; number <= order.to; ++number)
@@ -471,7 +487,12 @@
 
 void stream_session::perform(const resume_stream& order)
 {
-    attempt_.reset();
+    shard_.metrics.resumes.add();
+    shard_.metrics.recomputed_tokens.add(
+        static_cast<std::uint64_t>(order.recomputed_tokens));
+    shard_.record_span("resume", request_, shard_.now(),
+                       {{"stream", id_}, {"server", server_address_}});
+    end_attempt();
     if (order.way == resume_way::resume_on_engine)
     {
         reattach(order);
@@ -486,7 +507,7 @@
 
 void stream_session::perform(const cancel_attempt& order)
 {
-    attempt_.reset();
+    end_attempt();
     end_choice(attempt_outcome::succeeded);
     if (holder_.empty())
     {
@@ -523,6 +544,7 @@
         responder_->end_stream();
     }
     close_copy();
+    shard_.metrics.streams_finished.add();
     close(delivered_retention);
 }
 
@@ -579,6 +601,11 @@
         return;
     }
     unsent_bytes_ = 0;
+    if (!std::exchange(first_sent_, true))
+    {
+        shard_.metrics.streams_opened.add();
+        shard_.metrics.first_token.add(shard_.now() - request_.arrived);
+    }
     std::vector<transport::http_header> headers{
         {"Content-Type", "text/event-stream"},
         {"Cache-Control", "no-store"},
@@ -656,6 +683,8 @@
     {
         return;
     }
+    shard_.metrics.count(error);
+    shard_.metrics.streams_failed.add();
     if (responder_ && !begun_)
     {
         responder_->send(failure_answer(error, retry_after));
@@ -672,7 +701,10 @@
 void stream_session::close(milliseconds retention)
 {
     closed_ = true;
-    attempt_.reset();
+    end_attempt();
+    const bool whole = record_ && record_->phase() == stream_phase::finished;
+    shard_.record_entry_span(request_, whole ? protocol::span_status::ok
+                                             : protocol::span_status::error);
     end_choice(attempt_outcome::succeeded);
     responder_.reset();
     keep_alive_timer_.cancel();
@@ -819,6 +851,8 @@
         return;
     }
     log_info(log_part::stream, "A stream is handed over. stream={}", id_);
+    shard_.record_span("hand_over", request_, shard_.now(),
+                       {{"stream", id_}, {"holder", holder_}});
     if (responder_)
     {
         responder_->abort_stream();
--- a/src/coordination/stream_session.hpp
+++ b/src/coordination/stream_session.hpp
@@ -86,6 +86,7 @@
     void run(attempt_order order);
     void delete_attempt(attempt_id attempt);
     void on_event(engine_event event);
+    void end_attempt();
     void on_end(const attempt_end& end);
     void on_answer(const transport::http_response& answer);
     void lose_engine(const transport::failure& error);
@@ -132,6 +133,9 @@
     std::uint32_t output_tokens_ = 0;
     std::size_t unsent_bytes_ = 0;
     bool begun_ = false;
+    bool first_sent_ = false;
+    transport::monotonic_time queue_entered_;
+    transport::monotonic_time attempt_started_;
     bool closed_ = false;
     bool pumping_ = false;
     bool reattached_ = false; ///< The attempt goes on with an older one.
--- a/tests/entry_harness.cpp
+++ b/tests/entry_harness.cpp
@@ -1,8 +1,11 @@
 #include "entry_harness.hpp"
 
+#include <cstdio>
 #include <optional>
 #include <utility>
 
+#include <unistd.h>
+
 #include <fmt/format.h>
 
 #include <hyssopdeal/transport/digest.hpp>
@@ -19,13 +22,23 @@
 namespace
 {
 
-coordination::entry_settings settings_for_tests()
+// Test programs run at the same time: each has a file of its own.
+std::string empty_trace_file()
+{
+    auto path = fmt::format("{}/entry_harness_{}.jsonl", HYSSOPDEAL_BINARY_DIR,
+                            ::getpid());
+    std::remove(path.c_str());
+    return path;
+}
+
+coordination::entry_settings settings_for_tests(const std::string& trace_file)
 {
     coordination::entry_settings settings;
     settings.name = "entry-1";
     settings.failure_domain = "sul-a";
     settings.max_body_bytes = 100'000;
     settings.read_time_limit = 1s;
+    settings.trace_file = trace_file;
     return settings;
 }
 
@@ -103,13 +116,14 @@
 }
 
 entry_harness::entry_harness()
-    : backend(loop, {},
+    : trace_file(empty_trace_file()),
+      backend(loop, {},
               [this](const http_request& request, http_responder responder) {
                   backend_requests.push_back(request);
                   on_backend_request(request, std::move(responder));
               }),
-      entry(std::make_unique<coordination::entry_process>(settings_for_tests(),
-                                                          clock))
+      entry(std::make_unique<coordination::entry_process>(
+          settings_for_tests(trace_file), clock))
 {
     backend_port = backend.start().value();
     port = entry->start().value();
@@ -117,7 +131,11 @@
     entry->publish(view_for(backend_port));
 }
 
-entry_harness::~entry_harness() = default;
+entry_harness::~entry_harness()
+{
+    entry.reset();
+    std::remove(trace_file.c_str());
+}
 
 transport::result<transport::http_response>
 entry_harness::fetch(http_request request)
--- a/tests/entry_harness.hpp
+++ b/tests/entry_harness.hpp
@@ -53,6 +53,7 @@
     chat(std::string_view body = R"({"stream":true,"messages":[)"
                                  R"({"role":"user","content":"hi"}]})");
 
+    const std::string trace_file; ///< Emptied at the start.
     transport::system_clock clock;
     transport::event_loop loop;
     std::vector<transport::http_request> backend_requests;
--- a/tests/entry_service_test.cpp
+++ b/tests/entry_service_test.cpp
@@ -2,7 +2,9 @@
 /// Tests of callers' requests through an entry process to a scripted backend
 /// server.
 
+#include <fstream>
 #include <functional>
+#include <iterator>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,6 +22,12 @@
 namespace
 {
 
+std::string read_file(const std::string& path)
+{
+    std::ifstream file{path};
+    return {std::istreambuf_iterator<char>{file}, {}};
+}
+
 /// Streams two words and ends properly.
 void answer_well(const http_request& request, http_responder responder)
 {
@@ -302,6 +310,71 @@
     LONGS_EQUAL(200, entry.fetch(get("/readyz"))->status);
 }
 
+TEST(entry_service_tests, metrics_count_what_happened)
+{
+    CHECK_TRUE(entry.fetch(entry_harness::chat()).has_value());
+    entry.fetch(get("/v1/none/status/7"));
+    const auto page = entry.fetch(get("/metrics"));
+    CHECK_TRUE(page.has_value());
+    for (const char* line :
+         {"hyssopdeal_requests_total 2\n", "hyssopdeal_attempts_total 1\n",
+          "hyssopdeal_stream_events_total 4\n",
+          "hyssopdeal_streams_finished_total 1\n",
+          "hyssopdeal_failures_total{reason=\"not_found\"} 1\n",
+          "hyssopdeal_first_token_seconds_count 1\n",
+          "hyssopdeal_applied_index 1\n"})
+    {
+        STRCMP_CONTAINS(line, page->body.c_str());
+    }
+}
+
+TEST(entry_service_tests, debug_pages_list_what_there_is)
+{
+    CHECK_TRUE(entry.fetch(entry_harness::chat()).has_value());
+    STRCMP_CONTAINS("\"organisation\":\"vale\"",
+                    entry.fetch(get("/debug/streams"))->body.c_str());
+    STRCMP_CONTAINS("\"server\":\"sidra-1\"",
+                    entry.fetch(get("/debug/routes"))->body.c_str());
+    STRCMP_CONTAINS("\"organisation\":\"serra\"",
+                    entry.fetch(get("/debug/grants"))->body.c_str());
+    STRCMP_CONTAINS("\"members\":[",
+                    entry.fetch(get("/debug/members"))->body.c_str());
+    expect(entry.fetch(get("/debug/other")), 404, "not_found", "not_run");
+}
+
+TEST(entry_service_tests, spans_of_a_stream_are_written)
+{
+    auto request = entry_harness::chat();
+    request.headers.push_back(
+        {"traceparent",
+         "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"});
+    CHECK_TRUE(entry.fetch(request).has_value());
+    std::string written;
+    CHECK_TRUE(run_until(entry.loop, [&] {
+        written = read_file(entry.trace_file);
+        return written.find("\"entry\"") != std::string::npos;
+    }));
+    for (const char* part :
+         {"\"name\":\"queue\"", "\"name\":\"attempt\"",
+          "\"traceId\":\"0af7651916cd43dd8448eb211c80319c\"",
+          "\"parentSpanId\":\"b7ad6b7169203331\",\"name\":\"entry\""})
+    {
+        STRCMP_CONTAINS(part, written.c_str());
+    }
+}
+
+TEST(entry_service_tests, guarded_route_needs_a_key_and_a_ledger)
+{
+    http_request request{"POST",
+                         "/v1/books/payments",
+                         {{"Authorization", "Bearer vale-key"}},
+                         "{}"};
+    expect(entry.fetch(request), 400, "bad_request", "not_run");
+    request.headers.push_back({"Idempotency-Key", "k-1"});
+    expect(entry.fetch(request), 503, "no_quorum", "not_run");
+    LONGS_EQUAL(0, entry.backend_requests.size());
+}
+
 TEST(entry_service_tests, drain_fails_readiness_and_refuses_new_work)
 {
     entry.entry->drain();
