--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -97,7 +97,7 @@
                     [this](const engine_attempt& attempt) { ended(attempt); }),
           server(loop, server_settings(),
                  [this](const http_request& request, http_responder responder) {
-                     handle(std::move(request), std::move(responder));
+                     handle(request, std::move(responder));
                  })
     {
         scheduler.set_behaviour(behaviour);
--- a/standins/plain_service.cpp
+++ b/standins/plain_service.cpp
@@ -60,7 +60,7 @@
           behaviour(settings.behaviour),
           server(loop, server_settings(),
                  [this](const http_request& request, http_responder responder) {
-                     handle(std::move(request), std::move(responder));
+                     handle(request, std::move(responder));
                  })
     {}
 
