--- a/tests/matrix_stream.cpp
+++ b/tests/matrix_stream.cpp
@@ -20,7 +20,7 @@
 
 void play_stream(matrix_world& world)
 {
-    stream_world streams(world);
+    matrix::stream_world streams(world);
     streams.open();
     world.run_for(session_time);
     streams.check();
@@ -28,7 +28,7 @@
 
 void play_reclaim(matrix_world& world)
 {
-    stream_world streams(world);
+    matrix::stream_world streams(world);
     streams.open();
     world.after(before_the_end,
                 [&streams] { streams.reclaim_engine(0, notice); });
@@ -38,7 +38,7 @@
 
 void play_drain(matrix_world& world)
 {
-    stream_world streams(world);
+    matrix::stream_world streams(world);
     streams.open();
     world.after(before_the_end, [&streams] { streams.drain_entry(0); });
     world.run_for(session_time);
--- a/tests/matrix_stream_world.cpp
+++ b/tests/matrix_stream_world.cpp
@@ -6,7 +6,7 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
-namespace hyssopdeal::tests
+namespace hyssopdeal::tests::matrix
 {
 
 namespace
@@ -941,4 +941,4 @@
                                        caller_.last_event));
 }
 
-} // namespace hyssopdeal::tests
+} // namespace hyssopdeal::tests::matrix
--- a/tests/matrix_stream_world.hpp
+++ b/tests/matrix_stream_world.hpp
@@ -25,7 +25,7 @@
 
 #include "matrix_world.hpp"
 
-namespace hyssopdeal::tests
+namespace hyssopdeal::tests::matrix
 {
 
 // [chained_token] ------------------------------------------------------------
@@ -167,7 +167,8 @@
     void take_copy(std::size_t holder, std::size_t owner,
                    const coordination::stream_origin& origin,
                    coordination::owner_epoch epoch,
-                   const coordination::copy_events& order, std::string server,
+                   const coordination::copy_events& order,
+                   const std::string& server,
                    std::vector<coordination::stream_event> events,
                    std::uint64_t number);
     bool take_over(std::size_t entry, const std::string& stream,
@@ -203,6 +204,6 @@
     std::map<std::string, coordination::owner_epoch> newest_epoch_;
 };
 
-} // namespace hyssopdeal::tests
+} // namespace hyssopdeal::tests::matrix
 
 #endif
