--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "entry_links.hpp"
 #include "stream_session.hpp"
 
 namespace hyssopdeal::coordination
@@ -11,6 +12,7 @@
 {
 
 constexpr std::chrono::milliseconds count_interval{50};
+constexpr std::chrono::milliseconds ledger_interval{50};
 
 router_settings router_settings_of(const entry_settings& from)
 {
@@ -72,13 +74,112 @@
     });
 }
 
+void entry_shard::link(std::string_view shared_key)
+{
+    peers.emplace(loop, hub_settings_of(shared.settings, shared_key));
+    if (shared.settings.control_replicas.empty())
+    {
+        return;
+    }
+    ledger_client_settings settings;
+    settings.entry = shared.settings.name;
+    ledger.emplace(
+        settings, shared.clock,
+        [this](const std::string& to, std::string payload,
+               std::chrono::milliseconds time_limit,
+               ledger_client::reply_handler on_reply) {
+            peers->call(to, protocol::peer_channel::ledger, std::move(payload),
+                        time_limit, std::move(on_reply));
+        },
+        random());
+    std::vector<std::string> names;
+    for (const auto& replica : shared.settings.control_replicas)
+    {
+        names.push_back(replica.name);
+    }
+    ledger->set_replicas(std::move(names));
+    tick_ledger();
+}
+
+void entry_shard::tick_ledger()
+{
+    ledger->tick();
+    ledger_timer = loop.after(ledger_interval, [this] { tick_ledger(); });
+}
+
 void entry_shard::count_work()
 {
-    published_streams = static_cast<std::uint32_t>(streams.open_streams());
-    published_calls = open_calls;
+    metrics.open_streams = static_cast<std::uint32_t>(streams.open_streams());
+    metrics.open_calls = open_calls;
+    if (spans)
+    {
+        spans->flush();
+    }
+    std::size_t waiting = 0;
+    for (const auto& [name, lane] : lanes)
+    {
+        waiting += lane->waiting();
+    }
+    metrics.waiting = static_cast<std::uint32_t>(waiting);
     count_timer = loop.after(count_interval, [this] { count_work(); });
 }
 
+transport::result<void> entry_shard::open_spans()
+{
+    if (shared.settings.trace_file.empty())
+    {
+        return {};
+    }
+    spans = std::make_unique<protocol::span_writer>(shared.settings.trace_file,
+                                                    shared.settings.name);
+    return spans->open();
+}
+
+protocol::span entry_shard::make_span(std::string_view name,
+                                      const accepted_request& request,
+                                      transport::monotonic_time started) const
+{
+    protocol::span made;
+    made.context = request.trace;
+    made.name = name;
+    made.end = shared.clock.wall_now();
+    made.start = made.end - (now() - started);
+    return made;
+}
+
+void entry_shard::record_span(std::string_view name,
+                              const accepted_request& request,
+                              transport::monotonic_time started,
+                              std::vector<protocol::span_attribute> attributes)
+{
+    if (!spans || (request.trace.flags & 1U) == 0)
+    {
+        return;
+    }
+    auto made = make_span(name, request, started);
+    made.context = protocol::child_of(request.trace, random);
+    made.parent = request.trace.span;
+    made.attributes = std::move(attributes);
+    spans->add(made);
+}
+
+void entry_shard::record_entry_span(const accepted_request& request,
+                                    protocol::span_status status)
+{
+    if (!spans || (request.trace.flags & 1U) == 0)
+    {
+        return;
+    }
+    auto made = make_span("entry", request, request.arrived);
+    made.parent = request.caller_span;
+    made.kind = protocol::span_kind::server;
+    made.status = status;
+    made.attributes = {{"organisation", request.organisation},
+                       {"service", request.service},
+                       {"route", request.route.name}};
+    spans->add(made);
+}
+
 service_lane* entry_shard::find_lane(std::string_view service)
 {
     const auto found = lanes.find(service);
--- a/src/coordination/request_flow.cpp
+++ b/src/coordination/request_flow.cpp
@@ -106,6 +106,13 @@
 
 void request_flow::start()
 {
+    if (is_guarded() && request_.idempotency_key.empty())
+    {
+        refuse({verdict::not_run, reason::bad_request,
+                "This route needs an Idempotency-Key."},
+               default_retry_after);
+        return;
+    }
     limit_request wanted;
     wanted.tokens = reserved_tokens(request_);
     wanted.streams = is_streamed(request_) ? 1 : 0;
@@ -128,14 +135,22 @@
     }
     permit_ = std::move(*admitted);
     ++shard_.open_calls;
-    choose();
+    look_for_server();
+}
+
+// A claim allows one dispatch: each further attempt needs a new one.
+void request_flow::look_for_server()
+{
+    is_guarded() ? claim() : choose();
 }
 
 void request_flow::choose()
 {
+    step_started_ = shard_.now();
     auto* const to = lane();
     if (to == nullptr)
     {
+        release_claim();
         refuse({ran_, reason::no_backend_server, "The service is gone."},
                default_retry_after);
         return;
@@ -154,8 +169,10 @@
 
 void request_flow::on_outcome(lane_outcome outcome)
 {
+    shard_.record_span("queue", request_, step_started_, {});
     if (!outcome.choice)
     {
+        release_claim();
         auto error = outcome.choice.error();
         error.ran = std::max(error.ran, ran_);
         refuse(error, outcome.retry_after);
@@ -167,7 +184,18 @@
 
 void request_flow::dispatch()
 {
+    if (claim_ && !shard_.ledger->may_dispatch(*claim_))
+    {
+        lane()->on_refused(*choice_);
+        release_claim();
+        refuse({verdict::not_run, reason::overloaded,
+                "The call waited longer than its claim holds."},
+               default_retry_after);
+        return;
+    }
     ++attempts_;
+    shard_.metrics.attempts.add();
+    step_started_ = shard_.now();
     auto sent = request_for_server(request_, shard_.now());
     if (request_.kind == protocol::service_kind::model)
     {
@@ -186,6 +214,8 @@
 {
     auto choice = std::move(*choice_);
     choice_.reset();
+    shard_.record_span("attempt", request_, step_started_,
+                       {{"server", choice.server}});
     auto* const from = lane();
     if (!response)
     {
@@ -208,12 +238,14 @@
         choice, failed ? attempt_outcome::failed : attempt_outcome::succeeded,
         0);
     response->headers = headers_to_caller(response->headers);
+    finish_claim(*response);
     response->headers.push_back({"Hyssopdeal-Verdict", "ran"});
     answer(std::move(*response));
 }
 
 void request_flow::on_failure(const failure& error)
 {
+    error.ran == verdict::not_run ? release_claim() : forget_claim();
     ran_ = std::max(ran_, error.ran);
     failed_attempt failed;
     failed.organisation = request_.organisation;
@@ -238,6 +270,7 @@
 
 void request_flow::refuse(const failure& error, milliseconds retry_after)
 {
+    shard_.metrics.count(error);
     answer(failure_answer(error, retry_after));
 }
 
@@ -245,6 +278,10 @@
 {
     if (permit_)
     {
+        shard_.metrics.whole_answer.add(shard_.now() - request_.arrived);
+        shard_.record_entry_span(request_, response.status < first_server_error
+                                               ? protocol::span_status::ok
+                                               : protocol::span_status::error);
         --shard_.open_calls;
         shard_.limits.settle(shard_.now(), *permit_, permit_->reserved_tokens);
         permit_.reset();
