Run moves and the fleet on the control leader

Cause: the controllers were not plugged into the control process, and ended purchases were kept for ever.

--- a/include/hyssopdeal/coordination/control_settings.hpp
+++ b/include/hyssopdeal/coordination/control_settings.hpp
@@ -11,7 +11,9 @@
 #include <vector>
 
 #include <hyssopdeal/coordination/control_machine.hpp>
+#include <hyssopdeal/coordination/fleet_runner.hpp>
 #include <hyssopdeal/coordination/learner.hpp>
+#include <hyssopdeal/coordination/move_runner.hpp>
 #include <hyssopdeal/protocol/settings_reader.hpp>
 
 namespace hyssopdeal::coordination
@@ -69,6 +71,8 @@
     std::vector<replica_address> entries;  ///< First contacts of gossip.
     control_machine_settings machine;
     learning_settings learning;
+    move_runner_settings moves;
+    fleet_runner_settings fleet;
 };
 
 /// Binds the members under their own names.
--- a/src/coordination/control_process.cpp
+++ b/src/coordination/control_process.cpp
@@ -10,6 +10,9 @@
 
 #include <fmt/format.h>
 
+#include <hyssopdeal/coordination/fleet_runner.hpp>
+#include <hyssopdeal/coordination/instance_watch.hpp>
+#include <hyssopdeal/coordination/move_runner.hpp>
 #include <hyssopdeal/protocol/settings_reader.hpp>
 #include <hyssopdeal/transport/http_server.hpp>
 #include <hyssopdeal/transport/logging.hpp>
@@ -56,6 +59,7 @@
     transport::result<void> open_folder();
     transport::result<control_ports> bind(const std::string& shared_key);
     void start_membership(const std::string& shared_key);
+    void start_controllers();
     void know_peers();
     void know_members(const state::replica_set& set);
     void tick();
@@ -85,6 +89,8 @@
     std::unique_ptr<membership_runner> members;
     std::unique_ptr<transport::http_server> http;
     std::unique_ptr<control_api> api;
+    std::unique_ptr<move_runner> moves;
+    std::unique_ptr<fleet_runner> fleet; // uses moves
     declaration_source source;
     std::map<std::uint64_t, propose_callback> waiting; ///< By proposal.
     std::map<std::uint64_t, std::string> names;        ///< Of replicas, by id.
@@ -244,6 +250,35 @@
     });
 }
 
+/// What only the leader decides; runs on every replica and acts on one.
+void control_process::impl::start_controllers()
+{
+    on_committed([this](auto, const auto& command, const auto&) {
+        const auto* order = std::get_if<state::set_leaving>(&command.body);
+        if (order != nullptr)
+        {
+            members->report(
+                leaving_update(members->state().table(), order->instance, {}));
+        }
+    });
+    moves = std::make_unique<move_runner>(loop, clock, *this, settings.moves);
+    moves->start(*hub);
+    fleet_handlers handlers;
+    handlers.on_notice = [this](const std::string& instance) {
+        members->report(leaving_update(members->state().table(), instance, {}));
+    };
+    handlers.on_list = [this](const std::vector<listed_instance>& list) {
+        const auto updates = updates_from_list(members->state().table(), list);
+        for (const auto& update : updates)
+        {
+            members->report(update);
+        }
+    };
+    fleet = std::make_unique<fleet_runner>(loop, clock, *this, *moves,
+                                           settings.fleet, std::move(handlers));
+    fleet->start();
+}
+
 void control_process::impl::know_peers()
 {
     for (const auto* list : {&settings.replicas, &settings.entries})
@@ -554,6 +589,7 @@
     {
         impl_->know_peers();
         impl_->members->set_applied_index(impl_->state().applied_index());
+        impl_->start_controllers();
         impl_->tick();
     }
     return ports;
--- a/src/coordination/control_settings.cpp
+++ b/src/coordination/control_settings.cpp
@@ -90,6 +90,8 @@
     fields.list("replicas", value.replicas, most_peers);
     fields.list("entries", value.entries, most_peers);
     describe_log(fields, value);
+    fields.object("moves", value.moves);
+    fields.object("fleet", value.fleet);
 }
 
 state::replica_set first_replicas(const control_settings& value)
--- a/src/state/control_state_commands.cpp
+++ b/src/state/control_state_commands.cpp
@@ -311,6 +311,18 @@
     return {{at.term, tables.fence_counter}};
 }
 
+/// An order id is not sent again after a day, so that its record may go.
+void control_state::impl::forget_ended_purchases()
+{
+    constexpr std::chrono::hours retention{24};
+    std::erase_if(tables.purchases, [&](const auto& item) {
+        const auto& record = item.second;
+        const bool ended = record.phase == purchase_phase::refused ||
+                           record.phase == purchase_phase::released;
+        return ended && record.ordered_at + retention <= time;
+    });
+}
+
 purchase_result control_state::impl::run(const order_purchase& command)
 {
     const auto& id = command.purchase.order_id;
@@ -323,6 +335,7 @@
     {
         return {write_status::unchanged, found->second};
     }
+    forget_ended_purchases();
     auto record = command.purchase;
     record.phase = purchase_phase::ordered;
     record.ordered_at = time;
--- a/src/state/control_state_impl.hpp
+++ b/src/state/control_state_impl.hpp
@@ -67,6 +67,7 @@
     write_result run(const release_claim& command);
     write_result run(const record_outcome& command);
 
+    void forget_ended_purchases();
     [[nodiscard]] bool move_runs(const std::string& service) const;
     void write_shares(service_record& record,
                       const std::vector<protocol::version_share>& shares);
--- a/tests/control_state_test.cpp
+++ b/tests/control_state_test.cpp
@@ -181,6 +181,23 @@
     CHECK(again.purchase == first.purchase);
 }
 
+TEST(control_state_tests, ended_purchase_is_forgotten_after_a_day)
+{
+    machine m;
+    order_purchase order;
+    order.purchase.order_id = "p-1";
+    const auto first = std::get<purchase_result>(m.run(order).body);
+    order.purchase.order_id = "p-2";
+    m.run(order);
+    m.write(update_purchase{"p-1", purchase_phase::refused, "", "",
+                            first.purchase.changed});
+    m.now += 25h;
+    order.purchase.order_id = "p-3";
+    m.run(order);
+    CHECK_FALSE(m.state.tables().purchases.contains("p-1"));
+    CHECK(m.state.tables().purchases.contains("p-2"));
+}
+
 TEST(control_state_tests, late_list_entry_does_not_replace_leaving)
 {
     machine m;
