Judge a new version on copied requests before callers meet it

A leader elected during the watch window ended it at once, on no evidence of its own (a bad version ended as done).

Change: entries copy half of the repeatable requests at share zero and a tenth at the canary share (version_shadow); the answers are only judged. A first step at share zero waits for them. The watch window begins anew with each leader.

One test's fault came after the end of a delayed move; its watch window is longer now, so that it comes inside. The new watch test fails without the change.

--- a/bench/moves.cpp
+++ b/bench/moves.cpp
@@ -140,10 +140,14 @@
     std::vector<double> bad;
     std::vector<double> bad_part;
     std::vector<double> share;
+    double copies = 0;   ///< Of all requests, summed.
+    double requests = 0; ///< Summed.
 
     void add(const session_result& run)
     {
         ++runs;
+        copies += static_cast<double>(run.traffic.copies);
+        requests += static_cast<double>(run.traffic.requests);
         done += run.move.status.phase == state::move_phase::done;
         taken_back += run.move.status.phase == state::move_phase::taken_back;
         in_time +=
@@ -177,17 +181,32 @@
 void print_sums(const std::string& size, const std::string& kind,
                 const std::string& policy, const move_sums& sums)
 {
+    // Bounds of the brief: a few seconds, and one in a hundred of the traffic.
+    const bool good = kind == "good";
+    constexpr double seconds_bound = 5;
+    constexpr double bad_part_bound = 0.01;
     print_line(
         "moves",
         "size={} kind={} policy={} runs={} done={} taken_back={} in_time={} "
         "shown={} seconds_p50={:.1f} seconds_p95={:.1f} bad_p50={:.0f} "
         "bad_p95={:.0f} bad_part_p50={:.5f} bad_part_p95={:.5f} "
-        "share_when_shown_p50={:.3f}",
+        "share_when_shown_p50={:.3f} copied_part={:.4f} bound_seconds={} "
+        "bound_bad_part={} bound_ended={}",
         size, kind, policy, sums.runs, sums.done, sums.taken_back, sums.in_time,
         sums.shown, quantile(sums.seconds, 0.5), quantile(sums.seconds, 0.95),
         quantile(sums.bad, 0.5), quantile(sums.bad, 0.95),
         quantile(sums.bad_part, 0.5), quantile(sums.bad_part, 0.95),
-        quantile(sums.share, 0.5));
+        quantile(sums.share, 0.5), sums.copies / sums.requests,
+        good                                            ? "-"
+        : quantile(sums.seconds, 0.95) <= seconds_bound ? "met"
+                                                        : "missed",
+        good                                              ? "-"
+        : quantile(sums.bad_part, 0.95) <= bad_part_bound ? "met"
+                                                          : "missed",
+        (good ? sums.in_time == sums.runs && sums.taken_back * 100 <= sums.runs
+              : sums.taken_back == sums.runs)
+            ? "met"
+            : "missed");
 }
 
 /// One of the users' services.
@@ -213,8 +232,10 @@
     plain_traffic.requests_per_second = 100;
     plain_traffic.old_servers = 4;
     plain_traffic.new_servers = 4;
-    plain_traffic.routes = {
-        {"status", 6, 60ms}, {"pay", 1, 150ms}, {"book", 1, 150ms}};
+    constexpr auto once = protocol::repeatability::at_most_once;
+    plain_traffic.routes = {{"status", 6, 60ms},
+                            {"pay", 1, 150ms, 0ms, 0, once},
+                            {"book", 1, 150ms, 0ms, 0, once}};
     plain.session.complete_in = 900s;
     plain.session.watch = 120s;
     plain.session.load_time = 5s;
@@ -269,7 +290,13 @@
             {
                 continue;
             }
-            print_sums(size.name, kind.name, "sequential",
+            auto copying = size;
+            copying.session.traffic.copies = standins::request_copies::made;
+            print_sums(
+                size.name, kind.name, "with_copies",
+                run_kind<coordination::move_controller>(
+                    copying, kind, runs, arguments.seed, make_controller));
+            print_sums(size.name, kind.name, "without_copies",
                        run_kind<coordination::move_controller>(
                            size, kind, runs, arguments.seed, make_controller));
             print_sums(size.name, kind.name, "fixed_timer",
--- a/include/hyssopdeal/coordination/move_plan.hpp
+++ b/include/hyssopdeal/coordination/move_plan.hpp
@@ -24,6 +24,8 @@
     double first_share = 0.01; ///< Never more at the first step.
     double samples = 120;      ///< Answers needed to judge a step.
     double reserve = 0.2;      ///< Part of the time kept for faults.
+    std::chrono::milliseconds shadow_stay{60'000}; ///< At share zero, with
+                                                   ///< copies; 0: no such step.
     std::chrono::milliseconds shortest_stay{10'000};   ///< At any step.
     std::chrono::milliseconds longest_stay{1'800'000}; ///< At any step.
     std::chrono::milliseconds sample_wait{600'000};    ///< Longest to plan for
--- a/include/hyssopdeal/coordination/version_comparison.hpp
+++ b/include/hyssopdeal/coordination/version_comparison.hpp
@@ -24,7 +24,8 @@
 /// What is compared and how much difference is allowed.
 struct comparison_settings
 {
-    sequential_test_settings failures; ///< Failed, broken or empty answers.
+    sequential_test_settings failures{
+        .false_alarm = 0.005}; ///< Failed, broken or empty answers.
     sequential_test_settings latency{.effect = 0.2}; ///< Slow answers.
     double failure_tolerance = 0.005; ///< Added to the old version's rate.
     double slow_quantile = 0.9;       ///< Of the old version; slower is slow.
--- a/src/coordination/move_controller.cpp
+++ b/src/coordination/move_controller.cpp
@@ -146,6 +146,7 @@
     state::revision proposed_on = 0; ///< Revision that a proposal expected.
     transport::wall_time proposed_at{};
     transport::wall_time informed_at{};
+    transport::wall_time first_look{}; ///< Of this leader.
     bool warned_late = false;
 
     [[nodiscard]] bool proposal_pending(const move_view& view) const
@@ -275,6 +276,17 @@
         return {};
     }
 
+    /// Copies of requests judge the version before callers meet it. A service
+    /// without repeatable routes has none and does not wait for them.
+    [[nodiscard]] std::string
+    waits_for_copies(std::chrono::milliseconds since,
+                     std::chrono::milliseconds stay) const
+    {
+        const auto answers = comparison.new_requests() - answers_at_step;
+        const bool enough = answers == 0 || answers >= settings.step_answers;
+        return enough || since >= 2 * stay ? "" : "answers to copied requests";
+    }
+
     /// @return What the next step waits for; empty: nothing.
     [[nodiscard]] std::string waits_for(const move_view& view,
                                         const move_plan& plan) const
@@ -287,6 +299,10 @@
         {
             return "the planned time at this step";
         }
+        if (now_step.share <= 0)
+        {
+            return waits_for_copies(since, now_step.stay);
+        }
         if (comparison.new_requests() - answers_at_step < settings.step_answers)
         {
             return "answers of the new version";
@@ -382,7 +398,9 @@
                   std::min(carried, plan.steps[plan.steps.size() - 2].share));
             return;
         }
-        if (view.now < move.status.step_since + move.order.watch)
+        // What a former leader saw is not known: the window begins anew.
+        if (view.now <
+            std::max(move.status.step_since, first_look) + move.order.watch)
         {
             return;
         }
@@ -406,6 +424,10 @@
 
     void note_step(const move_view& view)
     {
+        if (first_look == transport::wall_time{})
+        {
+            first_look = view.now;
+        }
         const auto& status = view.move.status;
         if (status.step != step || status.share != share)
         {
--- a/src/coordination/move_plan.cpp
+++ b/src/coordination/move_plan.cpp
@@ -21,7 +21,12 @@
                               double canary_share)
 {
     const double canary = std::clamp(canary_share, 0.0001, 1.0);
-    std::vector<double> shares{std::min(settings.first_share, canary)};
+    std::vector<double> shares;
+    if (settings.shadow_stay.count() > 0)
+    {
+        shares.push_back(0);
+    }
+    shares.push_back(std::min(settings.first_share, canary));
     for (const double share : {canary, 0.05, 0.1, 0.25, 0.5, 1.0})
     {
         if (share > shares.back())
@@ -35,6 +40,10 @@
 milliseconds shortest_stay(const move_plan_settings& settings, double share,
                            double requests_per_second)
 {
+    if (share <= 0)
+    {
+        return settings.shadow_stay;
+    }
     if (requests_per_second <= 0)
     {
         return settings.shortest_stay;
@@ -46,11 +55,23 @@
                     milliseconds{static_cast<std::int64_t>(capped)});
 }
 
+constexpr std::array<double, 6> stay_weights{0.4, 0.25, 0.15, 0.1, 0.06, 0.04};
+
+/// Part of the time left over that a step gets; none at share zero.
+double weight_of(const std::vector<move_step>& steps, std::size_t at)
+{
+    if (steps[at].share <= 0)
+    {
+        return 0;
+    }
+    const std::size_t with_share = steps.front().share <= 0 ? at - 1 : at;
+    return stay_weights.at(std::min(with_share, stay_weights.size() - 1));
+}
+
 } // namespace
 
 move_plan make_plan(const move_plan_settings& settings, const plan_input& input)
 {
-    constexpr std::array<double, 6> weights{0.4, 0.25, 0.15, 0.1, 0.06, 0.04};
     move_plan plan;
     milliseconds needed{};
     double weight_sum = 0;
@@ -67,7 +88,7 @@
         step.stay =
             shortest_stay(settings, step.share, input.requests_per_second);
         needed += step.stay;
-        weight_sum += weights.at(std::min(i, weights.size() - 1));
+        weight_sum += weight_of(plan.steps, i);
     }
     const auto left = input.complete_by - input.now - input.load_time;
     const auto reserve = scaled(std::chrono::duration_cast<milliseconds>(
@@ -80,9 +101,12 @@
     for (std::size_t i = input.from_step; i + 1 < plan.steps.size(); ++i)
     {
         auto& stay = plan.steps[i].stay;
-        const double weight = weights.at(std::min(i, weights.size() - 1));
-        stay = std::clamp(stay + scaled(extra, weight / weight_sum),
-                          settings.shortest_stay, settings.longest_stay);
+        const double weight = weight_of(plan.steps, i);
+        if (weight > 0)
+        {
+            stay = std::clamp(stay + scaled(extra, weight / weight_sum),
+                              settings.shortest_stay, settings.longest_stay);
+        }
         at += stay;
     }
     plan.expected_at = at;
--- a/standins/version_traffic.cpp
+++ b/standins/version_traffic.cpp
@@ -7,6 +7,7 @@
 
 #include <hyssopdeal/coordination/version_guard.hpp>
 #include <hyssopdeal/coordination/version_observer.hpp>
+#include <hyssopdeal/coordination/version_shadow.hpp>
 
 namespace hyssopdeal::standins
 {
@@ -27,6 +28,7 @@
     std::uint32_t route = 0;
     bool is_new = false;
     bool is_end = false; ///< Else a first token.
+    bool is_copy = false;
     std::uint32_t server = 0;
     load_bucket load = load_bucket::light;
     answer_kind answer = answer_kind::whole;
@@ -44,6 +46,7 @@
 {
     coordination::version_observer observer;
     coordination::version_guard guard;
+    coordination::version_shadow shadow;
 };
 
 double seconds(std::chrono::nanoseconds time)
@@ -108,6 +111,10 @@
         seen.busy = event.busy;
         entry.observer.on_answer(seen);
         entry.guard.on_answer(event.at, version, route, event.answer);
+        if (event.is_copy)
+        {
+            entry.shadow.on_ended();
+        }
     }
 
     std::uint32_t least_of_two(const std::vector<std::uint32_t>& running,
@@ -131,9 +138,9 @@
                uniform() < fault.probability;
     }
 
-    void note_bad(double share)
+    void note_bad(const pending_event& event, double share)
     {
-        ++totals.bad;
+        totals.bad += event.is_copy ? 0 : 1;
         totals.last_bad = now;
         if (!totals.shown)
         {
@@ -155,12 +162,25 @@
         auto& entry = entries.at(event.entry);
         entry.observer.on_offered(settings.service,
                                   protocol::priority_class::standard);
+        const auto effective = entry.guard.effective_shares(now, shares);
         double new_share = 0;
-        for (const auto& share : entry.guard.effective_shares(now, shares))
+        for (const auto& share : effective)
         {
             new_share +=
                 share.version == settings.new_version ? share.share : 0;
         }
+        if (settings.copies == request_copies::made && ready_new_servers > 0 &&
+            !entry.shadow
+                 .choose(shares, effective,
+                         settings.routes.at(event.route).repeats, random)
+                 .empty())
+        {
+            auto copy = event;
+            copy.is_new = true;
+            copy.is_copy = true;
+            ++totals.copies;
+            serve(copy, ready_new_servers, new_share);
+        }
         event.is_new = ready_new_servers > 0 && uniform() < new_share;
         serve(event, ready_new_servers, new_share);
     }
@@ -175,7 +195,7 @@
         auto& on_server = running.at(event.server);
         if (event.is_new)
         {
-            ++totals.new_version;
+            totals.new_version += event.is_copy ? 0 : 1;
             first_new = first_new.value_or(now);
         }
         event.load = coordination::bucket_of(on_server, settings.slots);
@@ -191,7 +211,7 @@
         const auto& fault = settings.fault;
         if (faulty)
         {
-            note_bad(share);
+            note_bad(event, share);
         }
         const bool slow = faulty && fault.kind == version_fault::slow;
         const double factor = (1 + load + 2 * std::max(0.0, load - 1)) *
@@ -255,9 +275,10 @@
     impl_->new_running.resize(kept.new_servers);
     for (std::uint32_t i = 0; i < kept.entries; ++i)
     {
-        impl_->entries.push_back({coordination::version_observer{
-                                      "entry-" + std::to_string(i), 1, now},
-                                  coordination::version_guard{}});
+        impl_->entries.push_back(
+            {coordination::version_observer{"entry-" + std::to_string(i), 1,
+                                            now},
+             coordination::version_guard{}, coordination::version_shadow{}});
     }
 }
 
--- a/standins/version_traffic.hpp
+++ b/standins/version_traffic.hpp
@@ -46,6 +46,14 @@
     std::chrono::milliseconds first_token{150};  ///< Median when idle.
     std::chrono::milliseconds between_tokens{0}; ///< Median; 0: no stream.
     std::uint32_t tokens = 0;                    ///< Of a stream.
+    protocol::repeatability repeats = protocol::repeatability::repeatable;
+};
+
+/// Whether entries copy requests to the version under test.
+enum class request_copies
+{
+    none,
+    made
 };
 
 /// The service and what happens to it.
@@ -60,7 +68,8 @@
     std::uint32_t new_servers = 9;
     std::uint32_t slots = 8;          ///< Of each server.
     double ordinary_failures = 0.003; ///< Of both versions.
-    double spread = 0.4;              ///< Sigma of the log-normal latencies.
+    request_copies copies = request_copies::none;
+    double spread = 0.4; ///< Sigma of the log-normal latencies.
     std::vector<traffic_route> routes{{"chat"}};
     fault_plan fault;
 };
@@ -74,8 +83,10 @@
     std::uint64_t new_version = 0;  ///< Sent to the new version.
     std::uint64_t bad = 0;          ///< Hit by the version's fault.
     std::uint64_t before_shown = 0; ///< Of all requests, before the first bad.
-    std::optional<transport::monotonic_time> shown;    ///< First bad one.
-    std::optional<transport::monotonic_time> last_bad; ///< Last bad one.
+    std::uint64_t copies = 0;       ///< Copied requests; no caller sees them.
+    std::optional<transport::monotonic_time> shown;    ///< First fault, also
+                                                       ///< in a copy.
+    std::optional<transport::monotonic_time> last_bad; ///< Last fault.
     double share_when_shown = 0; ///< New version's share then.
 };
 
--- a/tests/move_controller_test.cpp
+++ b/tests/move_controller_test.cpp
@@ -73,13 +73,14 @@
     std::uint32_t step;
 };
 
-constexpr std::array<place, 7> places{{{move_phase::planned, 0},
+constexpr std::array<place, 8> places{{{move_phase::planned, 0},
                                        {move_phase::loading, 0},
                                        {move_phase::shifting, 0},
                                        {move_phase::shifting, 1},
-                                       {move_phase::shifting, 3},
+                                       {move_phase::shifting, 2},
                                        {move_phase::shifting, 4},
-                                       {move_phase::watching, 5}}};
+                                       {move_phase::shifting, 5},
+                                       {move_phase::watching, 6}}};
 
 /// A fault that may hit a move at any place.
 struct named_fault
@@ -188,6 +189,8 @@
             auto settings = small_service();
             settings.traffic.fault.kind = standins::version_fault::fails;
             settings.traffic.fault.after = 400s;
+            // Also a move that a fault delays is watched until then.
+            settings.watch = 300s;
             session move{settings, 4, make_controller};
             if (run_to_step(move, place.phase, place.step))
             {
@@ -203,6 +206,23 @@
     }
 }
 
+// The watch window passes without a leader, and the fault shows in it.
+TEST(move_controller_tests, a_new_leader_watches_for_itself)
+{
+    auto settings = small_service();
+    settings.traffic.fault.kind = standins::version_fault::slow;
+    settings.traffic.fault.after = 450s;
+    session move{settings, 4, make_controller};
+    CHECK(run_to_step(move, move_phase::watching, 6));
+    LONGS_EQUAL(0, move.result().traffic.bad);
+    move.lose_leader(session::proposals::lost);
+    run_for(move, 120s);
+    move.elect();
+    const auto result = move.run(1'800s);
+    CHECK(result.traffic.bad > 0);
+    CHECK(result.move.status.phase == move_phase::taken_back);
+}
+
 TEST(move_controller_tests, every_kind_of_bad_version_is_taken_back)
 {
     using standins::version_fault;
@@ -227,6 +247,23 @@
     }
 }
 
+TEST(move_controller_tests, copies_show_a_bad_version_before_any_caller)
+{
+    using standins::version_fault;
+    for (const auto kind : {version_fault::fails, version_fault::slow,
+                            version_fault::broken, version_fault::empty})
+    {
+        auto settings = small_service();
+        settings.traffic.copies = standins::request_copies::made;
+        settings.traffic.fault.kind = kind;
+        session move{settings, 10, make_controller};
+        const auto result = move.run(600s);
+        CHECK(result.move.status.phase == move_phase::taken_back);
+        LONGS_EQUAL(0, result.traffic.bad);
+        LONGS_EQUAL(0, result.traffic.new_version);
+    }
+}
+
 TEST(move_controller_tests, a_cancelled_move_stays_cancelled)
 {
     session move{small_service(), 6, make_controller};
@@ -283,10 +320,11 @@
     input.load_time = 60s;
     input.requests_per_second = 10;
     const auto plan = make_plan({}, input);
-    DOUBLES_EQUAL(0.01, plan.steps.front().share, 1e-9);
+    DOUBLES_EQUAL(0, plan.steps[0].share, 1e-9);
+    DOUBLES_EQUAL(0.01, plan.steps[1].share, 1e-9);
     DOUBLES_EQUAL(1, plan.steps.back().share, 1e-9);
     CHECK(plan.expected_at <= input.complete_by - 700s);
-    CHECK(plan.steps.front().stay > plan.steps[3].stay);
+    CHECK(plan.steps[1].stay > plan.steps[4].stay);
 }
 
 TEST(move_plan_tests, never_shortens_stays_for_a_near_deadline)
