--- a/src/coordination/entry_service.cpp
+++ b/src/coordination/entry_service.cpp
@@ -24,6 +24,7 @@
 
 constexpr std::string_view api_prefix = "/v1/";
 constexpr std::string_view stream_prefix = "/v1/streams/";
+constexpr std::string_view engine_target = "/v1/chat/completions";
 constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr std::size_t max_key_bytes = 256;
 constexpr std::int64_t longest_deadline_ms = 86'400'000;
@@ -260,10 +261,13 @@
             return tl::unexpected(chat.error());
         }
         accepted.chat = std::move(*chat);
-        accepted.server_target = "/v1";
+        accepted.server_target = engine_target;
+    }
+    else
+    {
+        accepted.server_target = path;
+        accepted.server_target += target.query;
     }
-    accepted.server_target += path;
-    accepted.server_target += target.query;
     const auto parent = protocol::parse_traceparent(
         find_header(request.headers, "traceparent"));
     accepted.trace = parent ? protocol::child_of(*parent, shard_.random)
@@ -305,10 +309,40 @@
     }
     else if (!shard_.streams.resume(id, *organisation, *last, responder))
     {
-        responder.send(
-            failure_answer({transport::verdict::not_run, reason::not_found,
-                            "No such stream is known."}));
+        resume_elsewhere(request, id, *organisation, *last,
+                         std::move(responder));
     }
 }
 
+void entry_service::resume_elsewhere(const http_request& request,
+                                     std::string_view id,
+                                     const std::string& organisation,
+                                     std::uint64_t last,
+                                     http_responder responder)
+{
+    shard_.streams.look_elsewhere(
+        shard_, std::string{id}, organisation,
+        [this, request, last,
+         answer = std::move(responder)](auto copy) mutable {
+            if (!copy)
+            {
+                answer.send(failure_answer(copy.error()));
+                return;
+            }
+            http_request opened;
+            opened.method = "POST";
+            opened.target = copy->origin.target;
+            opened.headers = request.headers;
+            opened.body = copy->origin.body;
+            auto accepted = accept(std::move(opened));
+            if (!accepted)
+            {
+                answer.send(failure_answer(accepted.error()));
+                return;
+            }
+            shard_.streams.adopt(shard_, std::move(*accepted), std::move(*copy),
+                                 last, answer);
+        });
+}
+
 } // namespace hyssopdeal::coordination
