Give leaving instances back once they report no work

Cause: an instance was given back by time alone; a drain should end as soon as its work has, and never before.

--- a/include/hyssopdeal/coordination/fleet_runner.hpp
+++ b/include/hyssopdeal/coordination/fleet_runner.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include <hyssopdeal/coordination/control_node.hpp>
+#include <hyssopdeal/coordination/drain_backend.hpp>
 #include <hyssopdeal/coordination/fleet_planner.hpp>
 #include <hyssopdeal/coordination/instance_watch.hpp>
 #include <hyssopdeal/coordination/move_runner.hpp>
@@ -38,6 +39,7 @@
     std::chrono::milliseconds list_interval{5'000}; ///< Of slow lists.
     std::chrono::milliseconds call_limit{2'000};    ///< Of one call.
     fleet_settings fleet;
+    drain_backend_settings drain;
 };
 
 /// Binds the members that operators set.
@@ -52,8 +54,6 @@
     std::function<void(const std::string& instance)> on_notice;
     /// The instance list was read.
     std::function<void(const std::vector<listed_instance>&)> on_list;
-    /// Whether a leaving instance has no work left; empty: by time alone.
-    std::function<bool(const std::string& instance)> is_drained;
 };
 
 /// Runs on every control replica: lists and notices are read by all, bought
--- a/include/hyssopdeal/protocol/engine_orders.hpp
+++ b/include/hyssopdeal/protocol/engine_orders.hpp
@@ -4,7 +4,7 @@
 /// @file
 /// Orders to model engines and what engines read back, as JSON over HTTP.
 ///
-/// Index: [order_fence] [engine_order] [engine_status] [codec]
+/// Index: [order_fence] [engine_order] [engine_status] [engine_load] [codec]
 
 #include <cstdint>
 #include <string>
@@ -86,6 +86,16 @@
     bool operator==(const engine_status&) const = default;
 };
 
+// [engine_load] --------------------------------------------------------------
+
+/// Work on a backend server, some time ago.
+struct engine_load
+{
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t slots = 0;
+};
+
 // [codec] --------------------------------------------------------------------
 
 /// @return The request that carries an order.
@@ -100,6 +110,13 @@
 [[nodiscard]] transport::result<engine_status>
 read_engine_status(std::string_view body);
 
+/// @return The request for `GET /v1/load`.
+[[nodiscard]] transport::http_request make_load_request();
+
+/// @return The load, or `broken_answer`.
+[[nodiscard]] transport::result<engine_load>
+read_engine_load(std::string_view body);
+
 } // namespace hyssopdeal::protocol
 
 #endif
--- a/src/coordination/fleet_runner.cpp
+++ b/src/coordination/fleet_runner.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include <hyssopdeal/protocol/engine_orders.hpp>
 #include <hyssopdeal/protocol/platform_api.hpp>
 #include <hyssopdeal/transport/http_client.hpp>
 #include <hyssopdeal/transport/logging.hpp>
@@ -71,7 +72,8 @@
           settings{std::move(own)},
           handlers{std::move(own_handlers)},
           client{on_loop},
-          planner{settings.fleet}
+          planner{settings.fleet},
+          drains{settings.drain}
     {}
 
     using answer_handler =
@@ -89,6 +91,7 @@
     void start(const purchase_record& purchase);
     void release(const std::string& instance);
     void propose(std::vector<state::command_body> bodies);
+    void watch_drains();
     void declare_bought(const state::control_tables& tables);
     [[nodiscard]] fleet_view view() const;
     [[nodiscard]] fleet_demand demand_of(const protocol::service& service,
@@ -104,6 +107,7 @@
     fleet_handlers handlers;
     transport::http_client client;
     fleet_planner planner;
+    drain_backend drains;
     std::vector<instance_price> prices;
     std::uint64_t last_notice = 0;
     std::map<std::string, transport::wall_time> noticed; ///< Gone when.
@@ -350,7 +354,7 @@
     for (const auto& [name, leaving] : tables.leaving)
     {
         result.leaving.push_back(leaving);
-        if (handlers.is_drained && handlers.is_drained(name))
+        if (drains.drained(clock.monotonic_now(), name))
         {
             result.drained.push_back(name);
         }
@@ -358,8 +362,36 @@
     return result;
 }
 
+/// Asks leaving instances whether they have work left.
+void fleet_runner::impl::watch_drains()
+{
+    const auto& tables = node.state().tables();
+    std::vector<draining_server> leaving;
+    for (const auto& [id, purchase] : tables.purchases)
+    {
+        if (purchase.phase == purchase_phase::started &&
+            tables.leaving.contains(purchase.instance))
+        {
+            leaving.push_back({purchase.instance, purchase.address});
+        }
+    }
+    const auto now = clock.monotonic_now();
+    drains.set_leaving(now, leaving);
+    for (const auto& server : drains.advance(now))
+    {
+        call(server.address, protocol::make_load_request(),
+             [this, server](const auto& answer) {
+                 const auto load = answer.and_then([](const auto& read) {
+                     return protocol::read_engine_load(read.body);
+                 });
+                 drains.on_load(clock.monotonic_now(), server.name, load);
+             });
+    }
+}
+
 void fleet_runner::impl::decide()
 {
+    watch_drains();
     const auto seen = view();
     for (const auto& [instance, gone_at] : noticed)
     {
--- a/src/protocol/engine_orders.cpp
+++ b/src/protocol/engine_orders.cpp
@@ -106,4 +106,28 @@
                            transport::verdict::may_have_run);
 }
 
+transport::http_request make_load_request()
+{
+    transport::http_request request;
+    request.target = "/v1/load";
+    return request;
+}
+
+transport::result<engine_load> read_engine_load(std::string_view body)
+{
+    try
+    {
+        const auto read = nlohmann::json::parse(body);
+        return engine_load{read.at("running").get<std::uint32_t>(),
+                           read.at("queued").get<std::uint32_t>(),
+                           read.at("slots").get<std::uint32_t>()};
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        return transport::fail(transport::reason::broken_answer,
+                               "The server's load is not understood.",
+                               transport::verdict::may_have_run);
+    }
+}
+
 } // namespace hyssopdeal::protocol
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -182,13 +182,11 @@
     settings.list_interval = 500ms;
     settings.fleet.call_time_limit = 500ms;
     std::vector<std::string> noticed;
-    fleet_runner fleet{loop,
-                       clock,
-                       node,
-                       moves,
-                       settings,
-                       {[&](const std::string& name) {
-                                      noticed.push_back(name); }, {}, {}}};
+    fleet_handlers handlers;
+    handlers.on_notice = [&](const std::string& name) {
+        noticed.push_back(name);
+    };
+    fleet_runner fleet{loop, clock, node, moves, settings, handlers};
     fleet.start();
     const auto declared = [&] {
         return node.state().tables().services.at("chat").service.servers;
