--- a/src/coordination/control_process.cpp
+++ b/src/coordination/control_process.cpp
@@ -10,6 +10,9 @@
 
 #include <fmt/format.h>
 
+#include <hyssopdeal/coordination/fleet_runner.hpp>
+#include <hyssopdeal/coordination/instance_watch.hpp>
+#include <hyssopdeal/coordination/move_runner.hpp>
 #include <hyssopdeal/protocol/settings_reader.hpp>
 #include <hyssopdeal/transport/http_server.hpp>
 #include <hyssopdeal/transport/logging.hpp>
@@ -25,7 +28,6 @@
 using transport::fail;
 using transport::log_part;
 using transport::reason;
-using transport::verdict;
 
 namespace
 {
@@ -57,6 +59,7 @@
     transport::result<void> open_folder();
     transport::result<control_ports> bind(const std::string& shared_key);
     void start_membership(const std::string& shared_key);
+    void start_controllers();
     void know_peers();
     void know_members(const state::replica_set& set);
     void tick();
@@ -67,9 +70,9 @@
     void on_replica_message(const std::string& from,
                             const std::string& payload);
     void on_follow(const std::string& payload,
-                   protocol::peer_hub::reply_function reply);
+                   const protocol::peer_hub::reply_function& reply);
     void on_ledger(const std::string& payload,
-                   protocol::peer_hub::reply_function reply);
+                   const protocol::peer_hub::reply_function& reply);
     void push_declarations();
     void promote_learners();
     void change(replica_change kind, state::replica_member member,
@@ -86,6 +89,8 @@
     std::unique_ptr<membership_runner> members;
     std::unique_ptr<transport::http_server> http;
     std::unique_ptr<control_api> api;
+    std::unique_ptr<move_runner> moves;
+    std::unique_ptr<fleet_runner> fleet; // uses moves
     declaration_source source;
     std::map<std::uint64_t, propose_callback> waiting; ///< By proposal.
     std::map<std::uint64_t, std::string> names;        ///< Of replicas, by id.
@@ -159,14 +164,12 @@
                     [this](auto from, auto payload, auto) {
                         on_replica_message(from, payload);
                     });
-    hub->on_message(peer_channel::learning,
-                    [this](auto, auto payload, auto reply) {
-                        on_follow(payload, std::move(reply));
-                    });
-    hub->on_message(peer_channel::ledger,
-                    [this](auto, auto payload, auto reply) {
-                        on_ledger(payload, std::move(reply));
-                    });
+    hub->on_message(
+        peer_channel::learning,
+        [this](auto, auto payload, auto reply) { on_follow(payload, reply); });
+    hub->on_message(
+        peer_channel::ledger,
+        [this](auto, auto payload, auto reply) { on_ledger(payload, reply); });
     const auto peers = hub->start();
     if (!peers)
     {
@@ -247,6 +250,35 @@
     });
 }
 
+/// What only the leader decides; runs on every replica and acts on one.
+void control_process::impl::start_controllers()
+{
+    on_committed([this](auto, const auto& command, const auto&) {
+        const auto* order = std::get_if<state::set_leaving>(&command.body);
+        if (order != nullptr)
+        {
+            members->report(
+                leaving_update(members->state().table(), order->instance, {}));
+        }
+    });
+    moves = std::make_unique<move_runner>(loop, clock, *this, settings.moves);
+    moves->start(*hub);
+    fleet_handlers handlers;
+    handlers.on_notice = [this](const std::string& instance) {
+        members->report(leaving_update(members->state().table(), instance, {}));
+    };
+    handlers.on_list = [this](const std::vector<listed_instance>& list) {
+        const auto updates = updates_from_list(members->state().table(), list);
+        for (const auto& update : updates)
+        {
+            members->report(update);
+        }
+    };
+    fleet = std::make_unique<fleet_runner>(loop, clock, *this, *moves,
+                                           settings.fleet, std::move(handlers));
+    fleet->start();
+}
+
 void control_process::impl::know_peers()
 {
     for (const auto* list : {&settings.replicas, &settings.entries})
@@ -430,8 +462,8 @@
 
 // [entries] ------------------------------------------------------------------
 
-void control_process::impl::on_follow(const std::string& payload,
-                                      protocol::peer_hub::reply_function reply)
+void control_process::impl::on_follow(
+    const std::string& payload, const protocol::peer_hub::reply_function& reply)
 {
     const auto request = decode_follow_request(payload);
     if (!request)
@@ -452,8 +484,8 @@
     }
 }
 
-void control_process::impl::on_ledger(const std::string& payload,
-                                      protocol::peer_hub::reply_function reply)
+void control_process::impl::on_ledger(
+    const std::string& payload, const protocol::peer_hub::reply_function& reply)
 {
     auto command = decode_ledger_request(payload);
     if (!command)
@@ -557,6 +589,7 @@
     {
         impl_->know_peers();
         impl_->members->set_applied_index(impl_->state().applied_index());
+        impl_->start_controllers();
         impl_->tick();
     }
     return ports;
