Feed routers with engines' loads, and shards with grants

Cause: routers saw only their own requests, and limits their floors: nobody read /v1/load or /v1/cache-events or asked for grants.

--- a/src/coordination/control_process.cpp
+++ b/src/coordination/control_process.cpp
@@ -20,6 +20,7 @@
 #include "coordination/control_api.hpp"
 #include "coordination/control_disk.hpp"
 #include "coordination/ledger_wire.hpp"
+#include "grant_service.hpp"
 
 namespace hyssopdeal::coordination
 {
@@ -90,6 +91,7 @@
     std::unique_ptr<transport::http_server> http;
     std::unique_ptr<control_api> api;
     std::unique_ptr<move_runner> moves;
+    std::unique_ptr<grant_service> grants;
     std::unique_ptr<fleet_runner> fleet; // uses moves
     declaration_source source;
     std::map<std::uint64_t, propose_callback> waiting; ///< By proposal.
@@ -263,6 +265,8 @@
     });
     moves = std::make_unique<move_runner>(loop, clock, *this, settings.moves);
     moves->start(*hub);
+    grants = std::make_unique<grant_service>(clock, *this);
+    grants->start(*hub);
     fleet_handlers handlers;
     handlers.on_notice = [this](const std::string& instance) {
         members->report(leaving_update(members->state().table(), instance, {}));
--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -1,8 +1,10 @@
 #include "entry_shard.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "entry_links.hpp"
+#include "stream_exchange.hpp"
 #include "stream_session.hpp"
 
 namespace hyssopdeal::coordination
@@ -12,6 +14,7 @@
 {
 
 constexpr std::chrono::milliseconds count_interval{50};
+constexpr std::chrono::milliseconds members_interval{1'000};
 constexpr std::chrono::milliseconds ledger_interval{50};
 
 router_settings router_settings_of(const entry_settings& from)
@@ -32,6 +35,13 @@
         floors.floor_share = 1;
         floors.nodes = 1;
     }
+    if (from.control_replicas.empty())
+    {
+        // Nobody grants: the entries that know each other share everything.
+        floors.floor_share = 1;
+        floors.nodes = std::max<std::uint32_t>(
+            static_cast<std::uint32_t>(from.entries.size()), 1);
+    }
     floors.nodes *= from.shards;
     return floors;
 }
@@ -66,7 +76,7 @@
             if (!lane)
             {
                 lane = std::make_unique<service_lane>(
-                    loop, shared.clock, random,
+                    loop, shared.clock, client, random,
                     router_settings_of(shared.settings));
             }
             lane->set_service(service, view.leaving_instances);
@@ -77,6 +87,7 @@
 void entry_shard::link(std::string_view shared_key)
 {
     peers.emplace(loop, hub_settings_of(shared.settings, shared_key));
+    watch_members();
     if (shared.settings.control_replicas.empty())
     {
         return;
@@ -97,10 +108,29 @@
     {
         names.push_back(replica.name);
     }
+    grants = std::make_unique<grant_client>(
+        loop, shared.clock, *peers, limits,
+        shared.settings.name + "/" + to_string(next_id()), names);
+    grants->start();
     ledger->set_replicas(std::move(names));
     tick_ledger();
 }
 
+void entry_shard::watch_members()
+{
+    std::uint32_t entries = 0;
+    for (const auto& member : entry_members(*this))
+    {
+        entries += member.state == entry_liveness::alive ? 1 : 0;
+    }
+    for (const auto& [name, lane] : lanes)
+    {
+        lane->router().set_peers(std::max(entries, 1U) *
+                                 shared.settings.shards);
+    }
+    members_timer = loop.after(members_interval, [this] { watch_members(); });
+}
+
 void entry_shard::tick_ledger()
 {
     ledger->tick();
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -29,6 +29,7 @@
 #include <hyssopdeal/transport/rcu_cell.hpp>
 
 #include "entry_metrics.hpp"
+#include "grant_client.hpp"
 #include "service_lane.hpp"
 #include "stream_table.hpp"
 
@@ -92,6 +93,9 @@
     /// ledger. Call it before the thread runs.
     void link(std::string_view shared_key);
 
+    /// Tells the routers how many entries there are, now and from then on.
+    void watch_members();
+
     /// Publishes the counts of open work now and from then on.
     void count_work();
 
@@ -120,6 +124,7 @@
     std::optional<ledger_client> ledger;     ///< Not without replicas.
     std::mt19937_64 random;
     limiter limits;
+    std::unique_ptr<grant_client> grants; ///< Not without replicas.
     budgeted_retry retries;
     std::map<std::string, std::unique_ptr<service_lane>, std::less<>> lanes;
     stream_table streams;
@@ -128,6 +133,7 @@
     entry_metrics metrics;
     std::unique_ptr<protocol::span_writer> spans; ///< Not without a file.
     transport::timer_handle count_timer;
+    transport::timer_handle members_timer;
     transport::timer_handle ledger_timer;
 
 private:
--- a/src/coordination/service_lane.cpp
+++ b/src/coordination/service_lane.cpp
@@ -9,11 +9,13 @@
 
 service_lane::service_lane(transport::event_loop& loop,
                            const transport::clock& clock,
+                           transport::http_client& client,
                            std::mt19937_64& random, router_settings settings)
     : loop_(loop),
       clock_(clock),
       random_(random),
-      router_(std::move(settings))
+      router_(std::move(settings)),
+      feed_(loop, clock, client, router_, [this] { pump(); })
 {}
 
 service_lane::~service_lane() = default;
@@ -22,6 +24,7 @@
                                const std::vector<std::string>& leaving)
 {
     router_.set_service(declared, leaving);
+    feed_.set_service(declared);
     pump();
 }
 
--- a/src/coordination/service_lane.hpp
+++ b/src/coordination/service_lane.hpp
@@ -22,6 +22,9 @@
 #include <hyssopdeal/transport/clock.hpp>
 #include <hyssopdeal/transport/event_loop.hpp>
 #include <hyssopdeal/transport/failure.hpp>
+#include <hyssopdeal/transport/http_client.hpp>
+
+#include "load_estimate_feed.hpp"
 
 namespace hyssopdeal::coordination
 {
@@ -51,7 +54,8 @@
 {
 public:
     service_lane(transport::event_loop& loop, const transport::clock& clock,
-                 std::mt19937_64& random, router_settings settings);
+                 transport::http_client& client, std::mt19937_64& random,
+                 router_settings settings);
     service_lane(const service_lane&) = delete;
     service_lane& operator=(const service_lane&) = delete;
     ~service_lane();
@@ -88,6 +92,7 @@
     const transport::clock& clock_;
     std::mt19937_64& random_;
     service_router router_;
+    load_estimate_feed feed_;
     admission_queue queue_;
     std::unordered_map<request_number, lane_request> waiting_;
     request_number last_number_ = 0;
--- /dev/null
+++ b/tests/load_estimate_feed_test.cpp
@@ -0,0 +1,93 @@
+/// @file
+/// Loads and cache events read from an engine stand-in:
+/// src/coordination/load_estimate_feed.hpp.
+
+#include "coordination/load_estimate_feed.hpp"
+
+#include <fmt/format.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include "loop_helper.hpp"
+#include "standins/engine.hpp"
+
+using namespace hyssopdeal;
+using namespace hyssopdeal::coordination;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+router_settings make_settings()
+{
+    router_settings settings;
+    settings.entry = "e1";
+    settings.failure_domain = "d0";
+    return settings;
+}
+
+} // namespace
+
+TEST_GROUP(load_estimate_feed_tests)
+{
+    transport::system_clock clock;
+    transport::event_loop loop;
+    transport::http_client client{loop};
+    standins::engine engine{loop, clock, {}};
+    service_router router{make_settings()};
+    std::mt19937_64 random{1};
+    int changes = 0;
+
+    protocol::service declare(std::uint16_t port)
+    {
+        protocol::service declared;
+        declared.name = "sidra";
+        declared.servers.resize(1);
+        declared.servers[0].name = "w0";
+        declared.servers[0].address = fmt::format("127.0.0.1:{}", port);
+        declared.servers[0].failure_domain = "d0";
+        declared.servers[0].version = "v1";
+        router.set_service(declared, {});
+        return declared;
+    }
+};
+
+TEST(load_estimate_feed_tests, others_requests_show_in_the_router)
+{
+    const auto declared = declare(engine.start().value());
+    load_estimate_feed feed{loop, clock, client, router, [&] { ++changes; }};
+    feed.set_service(declared);
+    const std::string content(2'000, 'x');
+    const auto body =
+        fmt::format(R"({{"stream":true,"messages":[{{"role":"user",)"
+                    R"("content":"{} [tokens=2000]"}}]}})",
+                    content);
+    const transport::http_request request{
+        "POST", "/v1/chat/completions", {}, body};
+    const auto call =
+        client.start(declared.servers[0].address, request, {}, {});
+    CHECK_TRUE(tests::run_until(loop, [&] {
+        return router.rows().at(0).state.reported_in_flight == 1;
+    }));
+    CHECK(changes > 0);
+    // Its prompt is known as cached without ever having been sent from here.
+    standins::engine_behaviour behaviour;
+    behaviour.cache_event_lag = 0ms;
+    engine.set_behaviour(behaviour);
+    const auto seen = changes;
+    CHECK_TRUE(tests::run_until(loop, [&] { return changes >= seen + 4; }));
+    route_request wanted;
+    wanted.prompt = content;
+    const auto choice = router.choose(clock.monotonic_now(), wanted, random);
+    CHECK(choice.has_value());
+    CHECK(choice->cached_tokens > 0);
+}
+
+TEST(load_estimate_feed_tests, engine_that_does_not_answer_changes_nothing)
+{
+    auto declared = declare(1);
+    load_estimate_feed feed{loop, clock, client, router, [&] { ++changes; }};
+    feed.set_service(declared);
+    loop.run_for(300ms);
+    LONGS_EQUAL(0, changes);
+}
