--- a/bench/request_model.cpp
+++ b/bench/request_model.cpp
@@ -209,13 +209,13 @@
 {
     while (running_ < declared_.slots && !waiting_.empty())
     {
-        auto next = std::move(waiting_.front());
+        const auto next = std::move(waiting_.front());
         waiting_.pop_front();
-        start(std::move(next));
+        start(next);
     }
 }
 
-void model_server::start(server_work work)
+void model_server::start(const server_work& work)
 {
     ++running_;
     const double cached =
--- a/bench/request_model.hpp
+++ b/bench/request_model.hpp
@@ -137,7 +137,7 @@
 
 private:
     void start_waiting();
-    void start(server_work work);
+    void start(const server_work& work);
     void store(const coordination::prefix_chain& chain);
     void tell(coordination::cache_event_kind kind, std::uint64_t block);
 
--- a/src/coordination/stream_exchange.cpp
+++ b/src/coordination/stream_exchange.cpp
@@ -17,7 +17,6 @@
 using transport::log_part;
 using transport::reason;
 using transport::result;
-using transport::verdict;
 
 namespace
 {
--- a/tests/linked_entries.cpp
+++ b/tests/linked_entries.cpp
@@ -55,12 +55,10 @@
 {
     protocol::control_view view;
     view.applied_index = 1;
-    view.contracts.resize(2);
-    const char* names[] = {"serra", "vale"};
-    for (std::size_t i = 0; i < view.contracts.size(); ++i)
+    for (const auto* name : {"serra", "vale"})
     {
-        auto& contract = view.contracts[i];
-        contract.organisation = names[i];
+        protocol::organisation_contract contract;
+        contract.organisation = name;
         contract.key_sha256 = {
             transport::sha256_hex(contract.organisation + "-key")};
         contract.requests_per_second = 10'000;
@@ -68,6 +66,7 @@
         contract.tokens_per_second = 1e9;
         contract.token_burst = 1e9;
         contract.concurrent_streams = 10'000;
+        view.contracts.push_back(contract);
     }
     protocol::service sidra;
     sidra.name = "sidra";
