Grow the prefix index with what it holds

Cause: each service took about 49 MiB for a table of 64 servers before the first request. Change: the block table doubles when half full, rings are deques.

--- a/include/hyssopdeal/coordination/prefix_index.hpp
+++ b/include/hyssopdeal/coordination/prefix_index.hpp
@@ -74,7 +74,8 @@
 
 // [prefix_index] -------------------------------------------------------------
 
-/// Bounded index of all servers of one service; allocates only when made.
+/// Bounded index of all servers of one service; grows with what is recorded,
+/// looks up without allocating.
 class prefix_index
 {
 public:
--- a/src/coordination/prefix_index.cpp
+++ b/src/coordination/prefix_index.cpp
@@ -1,7 +1,7 @@
 #include <hyssopdeal/coordination/prefix_index.hpp>
 
 #include <algorithm>
-#include <bit>
+#include <deque>
 #include <utility>
 #include <vector>
 
@@ -14,6 +14,7 @@
 {
 
 constexpr std::size_t holders_per_block = 4;
+constexpr std::size_t smallest_table = 64; // places, a power of two
 constexpr std::uint32_t nobody = no_server;
 constexpr double tokens_per_block =
     static_cast<double>(prefix_block_bytes) / bytes_per_token;
@@ -53,9 +54,9 @@
 class block_table
 {
 public:
-    explicit block_table(std::size_t blocks)
-        : places_(std::bit_ceil(blocks * 2)),
-          mask_(places_.size() - 1)
+    block_table()
+        : places_(smallest_table),
+          mask_(smallest_table - 1)
     {}
 
     [[nodiscard]] const place* find(std::uint64_t hash) const noexcept
@@ -76,15 +77,16 @@
         return const_cast<place*>(std::as_const(*this).find(hash));
     }
 
-    place& find_or_add(std::uint64_t hash) noexcept
+    place& find_or_add(std::uint64_t hash)
     {
-        std::size_t at = hash & mask_;
-        while (places_[at].hash != 0 && places_[at].hash != hash)
+        if ((used_ + 1) * 2 > places_.size())
         {
-            at = (at + 1) & mask_;
+            grow();
         }
-        places_[at].hash = hash;
-        return places_[at];
+        auto& found = places_[position_for(hash)];
+        used_ += found.hash == 0 ? 1 : 0;
+        found.hash = hash;
+        return found;
     }
 
     void erase(place& gone) noexcept
@@ -102,11 +104,38 @@
             at = (at + 1) & mask_;
         }
         places_[hole] = {};
+        --used_;
     }
 
 private:
+    /// Where a hash is, or where it can be put.
+    [[nodiscard]] std::size_t position_for(std::uint64_t hash) const noexcept
+    {
+        std::size_t at = hash & mask_;
+        while (places_[at].hash != 0 && places_[at].hash != hash)
+        {
+            at = (at + 1) & mask_;
+        }
+        return at;
+    }
+
+    void grow()
+    {
+        std::vector<place> former(places_.size() * 2);
+        former.swap(places_);
+        mask_ = places_.size() - 1;
+        for (const auto& kept : former)
+        {
+            if (kept.hash != 0)
+            {
+                places_[position_for(kept.hash)] = kept;
+            }
+        }
+    }
+
     std::vector<place> places_;
     std::size_t mask_;
+    std::size_t used_ = 0;
 };
 
 /// A block in the order of recording.
@@ -119,12 +148,10 @@
 /// What one server has recorded.
 struct server_blocks
 {
-    std::vector<recorded_block> ring; ///< Oldest at `first`.
-    std::size_t first = 0;
-    std::size_t size = 0;
-    std::uint32_t held = 0;      ///< Blocks in the table.
-    std::uint32_t stamp = 0;     ///< Of the last recording.
-    std::uint32_t gap_stamp = 0; ///< Last recording before a gap.
+    std::deque<recorded_block> ring; ///< Oldest first.
+    std::uint32_t held = 0;          ///< Blocks in the table.
+    std::uint32_t stamp = 0;         ///< Of the last recording.
+    std::uint32_t gap_stamp = 0;     ///< Last recording before a gap.
     std::uint64_t last_event = 0;
 };
 
@@ -155,14 +182,8 @@
 {
     explicit impl(const prefix_index_settings& wanted)
         : settings(wanted),
-          table(std::size_t{wanted.servers} * wanted.blocks_per_server),
           servers(wanted.servers)
-    {
-        for (auto& server : servers)
-        {
-            server.ring.resize(wanted.blocks_per_server);
-        }
-    }
+    {}
 
     void drop(server_index server, std::uint64_t hash)
     {
@@ -183,9 +204,8 @@
     void drop_oldest(server_index server)
     {
         auto& blocks = servers[server];
-        const auto oldest = blocks.ring[blocks.first];
-        blocks.first = (blocks.first + 1) % blocks.ring.size();
-        --blocks.size;
+        const auto oldest = blocks.ring.front();
+        blocks.ring.pop_front();
         auto* found = table.find(oldest.hash);
         auto* held = found != nullptr ? found->find(server) : nullptr;
         if (held != nullptr && held->stamp == oldest.stamp)
@@ -202,7 +222,7 @@
         auto* found = table.find(hash);
         const auto* held = found != nullptr ? found->find(server) : nullptr;
         return held != nullptr && held->stamp > blocks.gap_stamp &&
-               blocks.stamp - held->stamp < blocks.ring.size() / 2;
+               blocks.stamp - held->stamp < settings.blocks_per_server / 2;
     }
 
     void record(server_index server, std::uint64_t hash)
@@ -212,7 +232,7 @@
             return;
         }
         auto& blocks = servers[server];
-        if (blocks.size == blocks.ring.size())
+        if (blocks.ring.size() >= settings.blocks_per_server)
         {
             drop_oldest(server);
         }
@@ -225,9 +245,7 @@
             ++blocks.held;
         }
         held->stamp = ++blocks.stamp;
-        const auto last = (blocks.first + blocks.size) % blocks.ring.size();
-        blocks.ring[last] = {hash, held->stamp};
-        ++blocks.size;
+        blocks.ring.push_back({hash, held->stamp});
     }
 
     /// A free holder, or the first one, whose server is forgotten.
@@ -329,7 +347,7 @@
         return;
     }
     auto& blocks = impl_->servers[server];
-    while (blocks.size > 0)
+    while (!blocks.ring.empty())
     {
         impl_->drop_oldest(server);
     }
@@ -343,8 +361,8 @@
         return;
     }
     auto& blocks = impl_->servers[server];
-    while (blocks.size > 0 &&
-           blocks.ring[blocks.first].stamp <= blocks.gap_stamp)
+    while (!blocks.ring.empty() &&
+           blocks.ring.front().stamp <= blocks.gap_stamp)
     {
         impl_->drop_oldest(server);
     }
