Grant from the start in a new cluster, and more to idle nodes

Cause: after a cluster's first election entries had five seconds of floors only, and an idle node's first requests were refused until its next grant. Change: the leader of term 1 waits for nothing; an idle node weighs a fifth of its equal part.

--- a/include/hyssopdeal/coordination/grant_allocator.hpp
+++ b/include/hyssopdeal/coordination/grant_allocator.hpp
@@ -67,8 +67,8 @@
     std::chrono::milliseconds valid_for{5'000};
     double max_clock_rate_error = 0.01; ///< Between any two clocks.
     std::chrono::milliseconds stream_time_limit{60'000}; ///< Longest answer.
-    double unasked_share = 0.02; ///< For a node without demand, of its equal
-                                 ///< part; keeps the first request quick.
+    double unasked_share = 0.2; ///< For a node without demand, of its equal
+                                ///< part; keeps the first request quick.
 };
 
 // [grant_allocator] ----------------------------------------------------------
@@ -79,7 +79,8 @@
 public:
     /// @param now Start of the leadership: until every earlier leader's grant
     ///     has expired, nodes only keep what they hold.
-    /// @param term Of this leader.
+    /// @param term Of this leader; 1 is the first of a new cluster, which has
+    ///     nothing to wait for.
     grant_allocator(transport::monotonic_time now, std::uint64_t term,
                     grant_settings settings);
     grant_allocator(grant_allocator&&) noexcept;
--- a/src/coordination/grant_allocator.cpp
+++ b/src/coordination/grant_allocator.cpp
@@ -235,7 +235,8 @@
                                  grant_settings settings)
     : impl_(std::make_unique<impl>(impl{term, settings, now}))
 {
-    impl_->free_at = now + impl_->slowest_validity();
+    // Before the leader of term 1 nobody can have granted anything.
+    impl_->free_at = term <= 1 ? now : now + impl_->slowest_validity();
 }
 
 grant_allocator::grant_allocator(grant_allocator&&) noexcept = default;
