Split the large modules of streams and routing

Change: what a record and a router know stands in internal headers, a session's copies in a file of their own; no behaviour changed.

--- a/src/coordination/stream_record.cpp
+++ b/src/coordination/stream_record.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "stream_record_state.hpp"
+
 namespace hyssopdeal::coordination
 {
 
@@ -17,11 +19,6 @@
 
 constexpr auto never = monotonic_time::max();
 
-std::size_t bytes_of(const stream_event& event)
-{
-    return sizeof(stream_event) + event.text.size() + event.data.size();
-}
-
 int digit_of(char character) noexcept
 {
     if (character >= '0' && character <= '9')
@@ -31,22 +28,6 @@
     return character >= 'a' && character <= 'f' ? character - 'a' + 10 : -1;
 }
 
-/// State of the copies of one stream.
-enum class holder_state : std::uint8_t
-{
-    unknown, ///< Nobody is chosen; nothing leaves for the caller.
-    asked,   ///< The origin is on its way.
-    holding, ///< It has the origin.
-    absent   ///< There is nobody.
-};
-
-/// Whether the current attempt's events are coming.
-enum class engine_state : std::uint8_t
-{
-    producing,
-    resuming ///< A resume was ordered; no server has accepted it yet.
-};
-
 } // namespace
 
 std::string to_string(const attempt_id& id)
@@ -74,235 +55,6 @@
     return id;
 }
 
-struct stream_record::impl
-{
-    stream_origin origin;
-    stream_settings settings;
-    owner_epoch epoch = 1;
-    stream_phase phase = stream_phase::running;
-    std::vector<stream_event> events{};
-    std::size_t bytes = 0;
-
-    attempt_id attempt{};
-    std::uint64_t attempt_base = 0; ///< Events before the attempt's first.
-    engine_state engine = engine_state::producing;
-    resume_way last_way = resume_way::prefill;
-    std::uint32_t resumes = 0; ///< Without progress between them.
-    std::uint32_t accepted_since_resume = 0;
-    double recomputed = 0;
-    monotonic_time heard_at{};
-
-    holder_state holder = holder_state::unknown;
-    std::uint64_t copy_sent_to = 0;
-    std::uint64_t copied_to = 0;
-    std::vector<std::uint64_t> batches{}; ///< Last numbers, in flight.
-    bool attempt_uncopied = true; ///< The holder does not know the attempt.
-    monotonic_time oldest_uncopied{};
-
-    bool caller_here = false;
-    std::uint64_t delivered_to = 0;
-    std::uint64_t served_to = 0; ///< Most that any caller can have from here.
-    monotonic_time left_at{};
-    std::vector<stream_action> actions{};
-
-    [[nodiscard]] std::uint64_t next_sequence() const
-    {
-        return events.size() - attempt_base + 1;
-    }
-
-    [[nodiscard]] bool is_live() const
-    {
-        return phase == stream_phase::running || phase == stream_phase::ended;
-    }
-
-    [[nodiscard]] bool is_silent(monotonic_time now) const
-    {
-        return phase == stream_phase::running &&
-               engine == engine_state::producing &&
-               now >= heard_at + settings.engine_silence;
-    }
-
-    [[nodiscard]] std::uint64_t deliverable_to() const
-    {
-        const bool all = holder == holder_state::absent ||
-                         (holder == holder_state::holding &&
-                          settings.copies == copy_order::behind);
-        return all ? events.size() : std::max(copied_to, delivered_to);
-    }
-
-    void deliver()
-    {
-        const auto limit = deliverable_to();
-        if (!is_live() || !caller_here)
-        {
-            return;
-        }
-        if (limit > delivered_to)
-        {
-            actions.emplace_back(deliver_events{delivered_to + 1, limit});
-            delivered_to = limit;
-            served_to = std::max(served_to, limit);
-        }
-        if (phase == stream_phase::ended && delivered_to == events.size())
-        {
-            phase = stream_phase::finished;
-            actions.emplace_back(stream_finished{});
-        }
-    }
-
-    [[nodiscard]] bool batch_is_due(monotonic_time now) const
-    {
-        const auto waiting = events.size() - copy_sent_to;
-        if (holder != holder_state::asked && holder != holder_state::holding)
-        {
-            return false;
-        }
-        if (batches.size() >= settings.batches_in_flight ||
-            (waiting == 0 && !attempt_uncopied))
-        {
-            return false;
-        }
-        return batches.empty() || waiting >= settings.batch_events ||
-               phase == stream_phase::ended ||
-               now >= oldest_uncopied + settings.batch_time;
-    }
-
-    void copy(monotonic_time now)
-    {
-        while (is_live() && batch_is_due(now))
-        {
-            const auto to = static_cast<std::uint64_t>(events.size());
-            actions.emplace_back(
-                copy_events{copy_sent_to + 1, to, attempt, to - attempt_base});
-            batches.push_back(to);
-            copy_sent_to = to;
-            attempt_uncopied = false;
-        }
-    }
-
-    void fail(transport::failure error)
-    {
-        if (!is_live())
-        {
-            return;
-        }
-        if (phase == stream_phase::running)
-        {
-            actions.emplace_back(cancel_attempt{attempt});
-        }
-        phase = stream_phase::failed;
-        actions.emplace_back(stream_failed{std::move(error)});
-    }
-
-    void accept(monotonic_time now, engine_event event)
-    {
-        heard_at = now;
-        engine = engine_state::producing;
-        ++accepted_since_resume;
-        if (accepted_since_resume >= settings.progress_events)
-        {
-            resumes = 0;
-        }
-        if (copy_sent_to == events.size())
-        {
-            oldest_uncopied = now;
-        }
-        stream_event taken;
-        taken.number = events.size() + 1;
-        taken.kind = event.kind;
-        taken.text = std::move(event.text);
-        taken.data = std::move(event.data);
-        bytes += bytes_of(taken);
-        events.push_back(std::move(taken));
-        if (bytes > settings.max_bytes)
-        {
-            fail({verdict::ran, reason::too_large,
-                  "The answer is larger than one stream may be."});
-            return;
-        }
-        if (events.back().kind == stream_event_kind::done)
-        {
-            phase = stream_phase::ended;
-        }
-        copy(now);
-        deliver();
-    }
-
-    /// @return Whether the stream may try once more.
-    bool count_resume()
-    {
-        ++resumes;
-        accepted_since_resume = 0;
-        if (resumes <= settings.max_resumes)
-        {
-            return true;
-        }
-        fail({verdict::may_have_run, reason::connection_lost,
-              "The stream was lost too often."});
-        return false;
-    }
-
-    void reattach(monotonic_time now)
-    {
-        if (!count_resume())
-        {
-            return;
-        }
-        engine = engine_state::resuming;
-        heard_at = now;
-        last_way = resume_way::resume_on_engine;
-        resume_stream order;
-        order.way = last_way;
-        order.attempt = attempt;
-        order.previous = attempt;
-        order.from_sequence = next_sequence();
-        order.text_events = events.size();
-        actions.emplace_back(order);
-    }
-
-    /// Only the end mark is missing, and no engine can give it: another would
-    /// generate more text.
-    void end_here(monotonic_time now)
-    {
-        engine_event mark;
-        mark.kind = stream_event_kind::done;
-        mark.data = "[DONE]";
-        accept(now, std::move(mark));
-    }
-
-    void start_elsewhere(monotonic_time now, resume_way way, attempt_id next)
-    {
-        if (!events.empty() && events.back().kind == stream_event_kind::finish)
-        {
-            end_here(now);
-            return;
-        }
-        if (!count_resume())
-        {
-            return;
-        }
-        resume_stream order;
-        order.way = way;
-        order.attempt = next;
-        order.previous = attempt;
-        order.text_events = events.size();
-        if (way == resume_way::prefill)
-        {
-            order.recomputed_tokens =
-                origin.prompt_tokens + static_cast<double>(events.size());
-            recomputed += order.recomputed_tokens;
-        }
-        attempt = next;
-        attempt_base = events.size();
-        attempt_uncopied = true;
-        engine = engine_state::resuming;
-        heard_at = now;
-        last_way = way;
-        actions.emplace_back(order);
-        copy(now);
-    }
-};
-
 stream_record::stream_record(monotonic_time now, stream_origin origin,
                              attempt_id attempt, owner_epoch epoch,
                              stream_settings settings)
@@ -328,7 +80,7 @@
     impl_->served_to = impl_->events.size();
     for (const auto& event : impl_->events)
     {
-        impl_->bytes += bytes_of(event);
+        impl_->bytes += event_bytes(event);
     }
     if (!impl_->events.empty() &&
         impl_->events.back().kind == stream_event_kind::done)
@@ -360,7 +112,7 @@
     if (event.sequence > next)
     {
         // Events behind the gap keep coming until the engine is asked again.
-        if (impl_->engine == engine_state::producing)
+        if (impl_->engine == stream_engine_state::producing)
         {
             impl_->reattach(now);
         }
@@ -373,7 +125,7 @@
 void stream_record::on_engine_closed(monotonic_time now, attempt_id attempt)
 {
     if (impl_->phase == stream_phase::running && attempt == impl_->attempt &&
-        impl_->engine == engine_state::producing)
+        impl_->engine == stream_engine_state::producing)
     {
         impl_->reattach(now);
     }
@@ -413,7 +165,7 @@
 {
     if (attempt == impl_->attempt)
     {
-        impl_->engine = engine_state::producing;
+        impl_->engine = stream_engine_state::producing;
         impl_->heard_at = now;
     }
 }
@@ -437,12 +189,12 @@
 void stream_record::on_copied(monotonic_time now, std::uint64_t up_to)
 {
     auto& batches = impl_->batches;
-    if (impl_->holder != holder_state::asked &&
-        impl_->holder != holder_state::holding)
+    if (impl_->holder != stream_holder_state::asked &&
+        impl_->holder != stream_holder_state::holding)
     {
         return;
     }
-    impl_->holder = holder_state::holding;
+    impl_->holder = stream_holder_state::holding;
     if (!batches.empty() && up_to < batches.front())
     {
         // The holder missed something: everything after it is sent again.
@@ -459,7 +211,7 @@
 
 void stream_record::on_holder_lost(monotonic_time)
 {
-    impl_->holder = holder_state::unknown;
+    impl_->holder = stream_holder_state::unknown;
     impl_->copied_to = 0;
     impl_->copy_sent_to = 0;
     impl_->batches.clear();
@@ -470,7 +222,8 @@
 {
     on_holder_lost(now);
     const bool chosen = presence == holder_presence::chosen;
-    impl_->holder = chosen ? holder_state::asked : holder_state::absent;
+    impl_->holder =
+        chosen ? stream_holder_state::asked : stream_holder_state::absent;
     impl_->attempt_uncopied = true;
     impl_->copy(now);
     impl_->deliver();
@@ -558,7 +311,7 @@
         return next;
     }
     if (impl_->phase == stream_phase::running &&
-        impl_->engine == engine_state::producing)
+        impl_->engine == stream_engine_state::producing)
     {
         next = impl_->heard_at + impl_->settings.engine_silence;
     }
--- a/src/coordination/stream_session.hpp
+++ b/src/coordination/stream_session.hpp
@@ -110,6 +110,7 @@
     void lose_holder(const std::string& holder);
     void on_copied(const std::string& holder,
                    const transport::result<stream_answer>& answer);
+    [[nodiscard]] stream_settings record_settings() const;
     [[nodiscard]] stream_question question(stream_question_kind kind) const;
     void close_copy();
 
