--- a/bench/log_commit.cpp
+++ b/bench/log_commit.cpp
@@ -55,7 +55,7 @@
         }
         ++in_flight;
         const auto sent = clock_type::now();
-        node_.propose(claim_command(++number_), [this, sent](auto result) {
+        node_.propose(claim_command(++next_number), [this, sent](auto result) {
             --in_flight;
             const std::chrono::duration<double, std::milli> took =
                 clock_type::now() - sent;
@@ -71,7 +71,7 @@
 private:
     coordination::control_node& node_;
     clock_type::time_point end_;
-    static inline std::uint64_t number_ = 0;
+    static inline std::uint64_t next_number = 0;
 };
 
 double percentile(std::vector<double>& values, double part)
--- a/src/coordination/control_process.cpp
+++ b/src/coordination/control_process.cpp
@@ -1,26 +1,17 @@
 /// @file
-/// One control process.
+/// One control process: start and end.
 
-#include <hyssopdeal/coordination/control_process.hpp>
+#include "coordination/control_process_impl.hpp"
 
-#include <algorithm>
-#include <map>
 #include <random>
 #include <utility>
 
 #include <fmt/format.h>
 
-#include <hyssopdeal/coordination/fleet_runner.hpp>
 #include <hyssopdeal/coordination/instance_watch.hpp>
-#include <hyssopdeal/coordination/move_runner.hpp>
 #include <hyssopdeal/protocol/settings_reader.hpp>
-#include <hyssopdeal/transport/http_server.hpp>
 #include <hyssopdeal/transport/logging.hpp>
 
-#include "coordination/control_api.hpp"
-#include "coordination/control_disk.hpp"
-#include "coordination/ledger_wire.hpp"
-
 namespace hyssopdeal::coordination
 {
 
@@ -29,81 +20,6 @@
 using transport::log_part;
 using transport::reason;
 
-namespace
-{
-
-constexpr std::chrono::milliseconds tick_interval{20};
-constexpr std::chrono::milliseconds promote_interval{200};
-
-} // namespace
-
-// [impl] ---------------------------------------------------------------------
-
-struct control_process::impl : control_node
-{
-    impl(transport::event_loop& own_loop, const transport::clock& own_clock,
-         control_settings own_settings)
-        : loop(own_loop),
-          clock(own_clock),
-          settings(std::move(own_settings)),
-          source(settings.learning)
-    {}
-
-    // control_node
-    void propose(state::command value, propose_callback on_result) override;
-    [[nodiscard]] const state::control_state& state() const override;
-    [[nodiscard]] leadership leads() const override;
-    void on_committed(committed_handler handler) override;
-    void on_leadership(leadership_handler handler) override;
-
-    transport::result<void> open_folder();
-    transport::result<control_ports> bind(const std::string& shared_key);
-    void start_membership(const std::string& shared_key);
-    void start_controllers();
-    void know_peers();
-    void know_members(const state::replica_set& set);
-    void tick();
-    void step(replica_event event);
-    void take(machine_actions actions);
-    void written(std::uint64_t number, const transport::result<void>& done);
-    void send(const replica_message& message);
-    void on_replica_message(const std::string& from,
-                            const std::string& payload);
-    void on_follow(const std::string& payload,
-                   const protocol::peer_hub::reply_function& reply);
-    void on_ledger(const std::string& payload,
-                   const protocol::peer_hub::reply_function& reply);
-    void push_declarations();
-    void promote_learners();
-    void change(replica_change kind, state::replica_member member,
-                propose_callback on_result);
-    [[nodiscard]] control_access access();
-    [[nodiscard]] std::string leader_name() const;
-    void drain();
-
-    transport::event_loop& loop;
-    const transport::clock& clock;
-    control_settings settings;
-    std::optional<control_machine> machine;
-    std::unique_ptr<protocol::peer_hub> hub;
-    std::unique_ptr<membership_runner> members;
-    std::unique_ptr<transport::http_server> http;
-    std::unique_ptr<control_api> api;
-    std::unique_ptr<move_runner> moves;
-    std::unique_ptr<fleet_runner> fleet; // uses moves
-    declaration_source source;
-    std::map<std::uint64_t, propose_callback> waiting; ///< By proposal.
-    std::map<std::uint64_t, std::string> names;        ///< Of replicas, by id.
-    std::vector<committed_handler> committed_handlers;
-    std::vector<leadership_handler> leadership_handlers;
-    std::uint64_t next_proposal = 0;
-    transport::monotonic_time next_promotion{};
-    transport::monotonic_time drain_until{};
-    bool draining = false;
-    transport::timer_handle ticker;
-    std::unique_ptr<control_disk> disk; // its thread ends first
-};
-
 // [start] --------------------------------------------------------------------
 
 transport::result<void> control_process::impl::open_folder()
@@ -170,6 +86,10 @@
     hub->on_message(
         peer_channel::ledger,
         [this](auto, auto payload, auto reply) { on_ledger(payload, reply); });
+    hub->on_message(peer_channel::grants,
+                    [this](auto, auto payload, auto reply) {
+                        on_grant_request(payload, reply);
+                    });
     const auto peers = hub->start();
     if (!peers)
     {
@@ -306,261 +226,6 @@
     }
 }
 
-// [steps] --------------------------------------------------------------------
-
-void control_process::impl::tick()
-{
-    step(tick_event{});
-    const auto now = clock.monotonic_now();
-    if (now >= next_promotion)
-    {
-        next_promotion = now + promote_interval;
-        promote_learners();
-    }
-    push_declarations();
-    members->set_applied_index(machine->state().applied_index());
-    if (draining)
-    {
-        const bool leading = leads().role == leadership_role::leader;
-        if (!leading || now >= drain_until)
-        {
-            return loop.stop();
-        }
-    }
-    ticker = loop.after(tick_interval, [this] { tick(); });
-}
-
-void control_process::impl::step(replica_event event)
-{
-    take(machine->step(clock.monotonic_now(), clock.wall_now(),
-                       std::move(event)));
-}
-
-void control_process::impl::take(machine_actions actions)
-{
-    if (actions.persist)
-    {
-        disk->write(std::move(*actions.persist));
-    }
-    for (const auto& message : actions.sends)
-    {
-        send(message);
-    }
-    for (const auto& item : actions.committed)
-    {
-        for (const auto& handler : committed_handlers)
-        {
-            handler(item.index, item.command, item.result);
-        }
-    }
-    if (actions.change == leadership_change::changed)
-    {
-        const auto status = machine->status(clock.monotonic_now());
-        know_members(status.replicas);
-        transport::log_info(log_part::log,
-                            "Leadership changed. term={} leader={} leads={}",
-                            status.leads.term, status.leads.leader,
-                            status.leads.role == leadership_role::leader);
-        for (const auto& handler : leadership_handlers)
-        {
-            handler(status.leads);
-        }
-    }
-    for (auto& item : actions.results)
-    {
-        const auto found = waiting.find(item.id);
-        if (found != waiting.end())
-        {
-            auto callback = std::move(found->second);
-            waiting.erase(found);
-            callback(std::move(item.result));
-        }
-    }
-    if (!actions.committed.empty())
-    {
-        members->set_applied_index(machine->state().applied_index());
-        push_declarations();
-    }
-}
-
-void control_process::impl::written(std::uint64_t number,
-                                    const transport::result<void>& done)
-{
-    if (done)
-    {
-        return step(persisted_event{number});
-    }
-    transport::log_error(log_part::log,
-                         "The disk has failed, this replica is silent. {}",
-                         done.error().text);
-    step(disk_failed_event{});
-}
-
-// [replicas] -----------------------------------------------------------------
-
-void control_process::impl::send(const replica_message& message)
-{
-    const auto found = names.find(message.to);
-    if (found == names.end())
-    {
-        know_members(machine->status(clock.monotonic_now()).replicas);
-    }
-    const auto known = names.find(message.to);
-    if (known != names.end())
-    {
-        hub->send(known->second, peer_channel::replication, encode(message));
-    }
-}
-
-void control_process::impl::on_replica_message(const std::string& from,
-                                               const std::string& payload)
-{
-    auto message = decode_replica_message(payload);
-    if (!message || message->to != settings.id)
-    {
-        transport::log_warning(log_part::log, "Dropped a message. from={}",
-                               from);
-        return;
-    }
-    const auto known = names.try_emplace(message->from, from);
-    if (known.first->second != from)
-    {
-        transport::log_warning(
-            log_part::log, "Dropped a message under a wrong id. from={} id={}",
-            from, message->from);
-        return;
-    }
-    step(message_event{std::move(*message)});
-}
-
-/// A learner that has caught up gets its vote.
-void control_process::impl::promote_learners()
-{
-    const auto status = machine->status(clock.monotonic_now());
-    if (status.leads.role != leadership_role::leader)
-    {
-        return;
-    }
-    for (const auto& member : status.replicas.members)
-    {
-        if (member.role == state::replica_role::learner)
-        {
-            return change(replica_change::promote, member, [](auto) {});
-        }
-    }
-}
-
-void control_process::impl::change(replica_change kind,
-                                   state::replica_member member,
-                                   propose_callback on_result)
-{
-    const auto id = ++next_proposal;
-    waiting.emplace(id, std::move(on_result));
-    step(change_event{id, kind, std::move(member)});
-    know_members(machine->status(clock.monotonic_now()).replicas);
-}
-
-// [entries] ------------------------------------------------------------------
-
-void control_process::impl::on_follow(
-    const std::string& payload, const protocol::peer_hub::reply_function& reply)
-{
-    const auto request = decode_follow_request(payload);
-    if (!request)
-    {
-        return;
-    }
-    reply(encode(source.answer(clock.monotonic_now(), machine->state().tables(),
-                               *request)));
-}
-
-void control_process::impl::push_declarations()
-{
-    const auto pushes =
-        source.push(clock.monotonic_now(), machine->state().tables());
-    for (const auto& item : pushes)
-    {
-        hub->send(item.to, peer_channel::learning, encode(item.update));
-    }
-}
-
-void control_process::impl::on_ledger(
-    const std::string& payload, const protocol::peer_hub::reply_function& reply)
-{
-    auto command = decode_ledger_request(payload);
-    if (!command)
-    {
-        return;
-    }
-    propose(std::move(*command), [this, reply](auto result) {
-        reply(encode_ledger_reply({std::move(result), leader_name()}));
-    });
-}
-
-std::string control_process::impl::leader_name() const
-{
-    return machine->status(clock.monotonic_now()).leads.leader;
-}
-
-// [control_node] -------------------------------------------------------------
-
-void control_process::impl::propose(state::command value,
-                                    propose_callback on_result)
-{
-    const auto id = ++next_proposal;
-    waiting.emplace(id, std::move(on_result));
-    take(machine->propose(clock.monotonic_now(), clock.wall_now(), id,
-                          std::move(value)));
-}
-
-const state::control_state& control_process::impl::state() const
-{
-    return machine->state();
-}
-
-leadership control_process::impl::leads() const
-{
-    return machine->status(clock.monotonic_now()).leads;
-}
-
-void control_process::impl::on_committed(committed_handler handler)
-{
-    committed_handlers.push_back(std::move(handler));
-}
-
-void control_process::impl::on_leadership(leadership_handler handler)
-{
-    leadership_handlers.push_back(std::move(handler));
-}
-
-control_access control_process::impl::access()
-{
-    control_access made;
-    made.state = [this]() -> const state::control_state& {
-        return machine->state();
-    };
-    made.may_read = [this] { return machine->may_read(clock.monotonic_now()); };
-    made.status = [this] { return machine->status(clock.monotonic_now()); };
-    made.propose = [this](auto command, auto callback) {
-        propose(std::move(command), std::move(callback));
-    };
-    made.change = [this](auto kind, auto member, auto callback) {
-        change(kind, std::move(member), std::move(callback));
-    };
-    made.members = [this]() -> const membership& { return members->state(); };
-    return made;
-}
-
-void control_process::impl::drain()
-{
-    constexpr int patience = 3;
-    draining = true;
-    drain_until = clock.monotonic_now() +
-                  settings.machine.replica.election_timeout * patience;
-    members->announce_leaving();
-    step(transfer_event{});
-}
-
 // [control_process] ----------------------------------------------------------
 
 control_process::control_process(transport::event_loop& loop,
