--- a/bench/log_commit.cpp
+++ b/bench/log_commit.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <fstream>
 
 #include <hyssopdeal/state/log_storage.hpp>
 #include <hyssopdeal/transport/logging.hpp>
@@ -149,9 +150,21 @@
     std::filesystem::remove_all(folder);
 }
 
-/// How long a snapshot of a large ledger holds the replica's thread.
+/// @return Resident bytes of this process.
+std::size_t resident_bytes()
+{
+    std::ifstream status{"/proc/self/statm"};
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    status >> total >> resident;
+    return resident * static_cast<std::size_t>(::getpagesize());
+}
+
+/// How long a snapshot of a large ledger holds the replica's thread, and what
+/// the ledger holds of memory.
 void run_snapshot(std::size_t claims)
 {
+    const auto before = resident_bytes();
     state::control_state state;
     for (std::size_t at = 1; at <= claims; ++at)
     {
@@ -159,17 +172,24 @@
         command.at = transport::wall_time{std::chrono::milliseconds{1}};
         (void)state.apply({at, 1}, command);
     }
+    const auto held = resident_bytes() - before;
     const auto start = clock_type::now();
     const auto bytes = state.encode_snapshot().size();
     const std::chrono::duration<double, std::milli> took =
         clock_type::now() - start;
-    print_line("log_commit", "snapshot_claims={} bytes={} encode_ms={:.1f}",
-               claims, bytes, took.count());
+    const auto copying = clock_type::now();
+    const state::control_state copy{state};
+    const std::chrono::duration<double, std::milli> copied =
+        clock_type::now() - copying;
+    print_line("log_commit",
+               "snapshot_claims={} bytes={} encode_ms={:.1f} copy_ms={:.1f} "
+               "held_bytes={}",
+               copy.claim_count(), bytes, took.count(), copied.count(), held);
 }
 
 int run(const bench_arguments& arguments)
 {
-    for (const std::size_t claims : {1'000, 10'000, 100'000})
+    for (const std::size_t claims : {200'000, 100'000, 10'000})
     {
         run_snapshot(claims);
     }
--- a/idl/state.thrift
+++ b/idl/state.thrift
@@ -284,7 +284,7 @@
     10: list<grant_record> grants,
     11: replica_set replicas,
     12: i64 fence_counter,
-    13: list<claim_record> claims,
+    13: binary claims,
     14: list<order_answer> order_answers,
     15: list<removal> removals,
     16: i64 removals_from
--- a/include/hyssopdeal/state/control_state.hpp
+++ b/include/hyssopdeal/state/control_state.hpp
@@ -26,9 +26,9 @@
 /// replicas of a schema version.
 struct ledger_bounds
 {
-    std::size_t max_records = 1'000'000;            ///< Claims kept.
-    std::size_t max_organisation_records = 250'000; ///< Claims of one.
-    std::size_t max_body_bytes = 67'108'864;        ///< Oldest bodies go first.
+    std::size_t max_records = 200'000;              ///< Claims kept.
+    std::size_t max_organisation_records = 100'000; ///< Claims of one.
+    std::size_t max_body_bytes = 33'554'432;        ///< Oldest bodies go first.
     std::size_t max_order_answers = 20'000;         ///< Oldest go first.
 };
 
--- a/src/protocol/gen/state_types.cpp
+++ b/src/protocol/gen/state_types.cpp
@@ -8787,7 +8787,7 @@
   this->fence_counter = val;
 }
 
-void snapshot::__set_claims(const std::vector<claim_record> & val) {
+void snapshot::__set_claims(const std::string& val) {
   this->claims = val;
 }
 
@@ -9003,20 +9003,8 @@
         }
         break;
       case 13:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->claims.clear();
-            uint32_t _size318;
-            ::apache::thrift::protocol::TType _etype321;
-            xfer += iprot->readListBegin(_etype321, _size318);
-            this->claims.resize(_size318);
-            uint32_t _i322;
-            for (_i322 = 0; _i322 < _size318; ++_i322)
-            {
-              xfer += this->claims[_i322].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->claims);
           this->__isset.claims = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9026,14 +9014,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->order_answers.clear();
-            uint32_t _size323;
-            ::apache::thrift::protocol::TType _etype326;
-            xfer += iprot->readListBegin(_etype326, _size323);
-            this->order_answers.resize(_size323);
-            uint32_t _i327;
-            for (_i327 = 0; _i327 < _size323; ++_i327)
+            uint32_t _size318;
+            ::apache::thrift::protocol::TType _etype321;
+            xfer += iprot->readListBegin(_etype321, _size318);
+            this->order_answers.resize(_size318);
+            uint32_t _i322;
+            for (_i322 = 0; _i322 < _size318; ++_i322)
             {
-              xfer += this->order_answers[_i327].read(iprot);
+              xfer += this->order_answers[_i322].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9046,14 +9034,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size328;
-            ::apache::thrift::protocol::TType _etype331;
-            xfer += iprot->readListBegin(_etype331, _size328);
-            this->removals.resize(_size328);
-            uint32_t _i332;
-            for (_i332 = 0; _i332 < _size328; ++_i332)
+            uint32_t _size323;
+            ::apache::thrift::protocol::TType _etype326;
+            xfer += iprot->readListBegin(_etype326, _size323);
+            this->removals.resize(_size323);
+            uint32_t _i327;
+            for (_i327 = 0; _i327 < _size323; ++_i327)
             {
-              xfer += this->removals[_i332].read(iprot);
+              xfer += this->removals[_i327].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9114,10 +9102,10 @@
   xfer += oprot->writeFieldBegin("contracts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contracts.size()));
-    std::vector<contract_record> ::const_iterator _iter333;
-    for (_iter333 = this->contracts.begin(); _iter333 != this->contracts.end(); ++_iter333)
+    std::vector<contract_record> ::const_iterator _iter328;
+    for (_iter328 = this->contracts.begin(); _iter328 != this->contracts.end(); ++_iter328)
     {
-      xfer += (*_iter333).write(oprot);
+      xfer += (*_iter328).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9126,10 +9114,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<service_record> ::const_iterator _iter334;
-    for (_iter334 = this->services.begin(); _iter334 != this->services.end(); ++_iter334)
+    std::vector<service_record> ::const_iterator _iter329;
+    for (_iter329 = this->services.begin(); _iter329 != this->services.end(); ++_iter329)
     {
-      xfer += (*_iter334).write(oprot);
+      xfer += (*_iter329).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9138,10 +9126,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<move_record> ::const_iterator _iter335;
-    for (_iter335 = this->moves.begin(); _iter335 != this->moves.end(); ++_iter335)
+    std::vector<move_record> ::const_iterator _iter330;
+    for (_iter330 = this->moves.begin(); _iter330 != this->moves.end(); ++_iter330)
     {
-      xfer += (*_iter335).write(oprot);
+      xfer += (*_iter330).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9150,10 +9138,10 @@
   xfer += oprot->writeFieldBegin("purchases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->purchases.size()));
-    std::vector<purchase_record> ::const_iterator _iter336;
-    for (_iter336 = this->purchases.begin(); _iter336 != this->purchases.end(); ++_iter336)
+    std::vector<purchase_record> ::const_iterator _iter331;
+    for (_iter331 = this->purchases.begin(); _iter331 != this->purchases.end(); ++_iter331)
     {
-      xfer += (*_iter336).write(oprot);
+      xfer += (*_iter331).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9162,10 +9150,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<leaving_record> ::const_iterator _iter337;
-    for (_iter337 = this->leaving.begin(); _iter337 != this->leaving.end(); ++_iter337)
+    std::vector<leaving_record> ::const_iterator _iter332;
+    for (_iter332 = this->leaving.begin(); _iter332 != this->leaving.end(); ++_iter332)
     {
-      xfer += (*_iter337).write(oprot);
+      xfer += (*_iter332).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9174,10 +9162,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<grant_record> ::const_iterator _iter338;
-    for (_iter338 = this->grants.begin(); _iter338 != this->grants.end(); ++_iter338)
+    std::vector<grant_record> ::const_iterator _iter333;
+    for (_iter333 = this->grants.begin(); _iter333 != this->grants.end(); ++_iter333)
     {
-      xfer += (*_iter338).write(oprot);
+      xfer += (*_iter333).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9191,25 +9179,17 @@
   xfer += oprot->writeI64(this->fence_counter);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 13);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<claim_record> ::const_iterator _iter339;
-    for (_iter339 = this->claims.begin(); _iter339 != this->claims.end(); ++_iter339)
-    {
-      xfer += (*_iter339).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeBinary(this->claims);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("order_answers", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->order_answers.size()));
-    std::vector<order_answer> ::const_iterator _iter340;
-    for (_iter340 = this->order_answers.begin(); _iter340 != this->order_answers.end(); ++_iter340)
+    std::vector<order_answer> ::const_iterator _iter334;
+    for (_iter334 = this->order_answers.begin(); _iter334 != this->order_answers.end(); ++_iter334)
     {
-      xfer += (*_iter340).write(oprot);
+      xfer += (*_iter334).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9218,10 +9198,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<removal> ::const_iterator _iter341;
-    for (_iter341 = this->removals.begin(); _iter341 != this->removals.end(); ++_iter341)
+    std::vector<removal> ::const_iterator _iter335;
+    for (_iter335 = this->removals.begin(); _iter335 != this->removals.end(); ++_iter335)
     {
-      xfer += (*_iter341).write(oprot);
+      xfer += (*_iter335).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9257,82 +9237,82 @@
   swap(a.__isset, b.__isset);
 }
 
-snapshot::snapshot(const snapshot& other342) {
-  schema_version = other342.schema_version;
-  applied_index = other342.applied_index;
-  applied_term = other342.applied_term;
-  time_ms = other342.time_ms;
-  contracts = other342.contracts;
-  services = other342.services;
-  moves = other342.moves;
-  purchases = other342.purchases;
-  leaving = other342.leaving;
-  grants = other342.grants;
-  replicas = other342.replicas;
-  fence_counter = other342.fence_counter;
-  claims = other342.claims;
-  order_answers = other342.order_answers;
-  removals = other342.removals;
-  removals_from = other342.removals_from;
-  __isset = other342.__isset;
-}
-snapshot::snapshot(snapshot&& other343) noexcept {
-  schema_version = other343.schema_version;
-  applied_index = other343.applied_index;
-  applied_term = other343.applied_term;
-  time_ms = other343.time_ms;
-  contracts = std::move(other343.contracts);
-  services = std::move(other343.services);
-  moves = std::move(other343.moves);
-  purchases = std::move(other343.purchases);
-  leaving = std::move(other343.leaving);
-  grants = std::move(other343.grants);
-  replicas = std::move(other343.replicas);
-  fence_counter = other343.fence_counter;
-  claims = std::move(other343.claims);
-  order_answers = std::move(other343.order_answers);
-  removals = std::move(other343.removals);
-  removals_from = other343.removals_from;
-  __isset = other343.__isset;
-}
-snapshot& snapshot::operator=(const snapshot& other344) {
-  schema_version = other344.schema_version;
-  applied_index = other344.applied_index;
-  applied_term = other344.applied_term;
-  time_ms = other344.time_ms;
-  contracts = other344.contracts;
-  services = other344.services;
-  moves = other344.moves;
-  purchases = other344.purchases;
-  leaving = other344.leaving;
-  grants = other344.grants;
-  replicas = other344.replicas;
-  fence_counter = other344.fence_counter;
-  claims = other344.claims;
-  order_answers = other344.order_answers;
-  removals = other344.removals;
-  removals_from = other344.removals_from;
-  __isset = other344.__isset;
+snapshot::snapshot(const snapshot& other336) {
+  schema_version = other336.schema_version;
+  applied_index = other336.applied_index;
+  applied_term = other336.applied_term;
+  time_ms = other336.time_ms;
+  contracts = other336.contracts;
+  services = other336.services;
+  moves = other336.moves;
+  purchases = other336.purchases;
+  leaving = other336.leaving;
+  grants = other336.grants;
+  replicas = other336.replicas;
+  fence_counter = other336.fence_counter;
+  claims = other336.claims;
+  order_answers = other336.order_answers;
+  removals = other336.removals;
+  removals_from = other336.removals_from;
+  __isset = other336.__isset;
+}
+snapshot::snapshot(snapshot&& other337) noexcept {
+  schema_version = other337.schema_version;
+  applied_index = other337.applied_index;
+  applied_term = other337.applied_term;
+  time_ms = other337.time_ms;
+  contracts = std::move(other337.contracts);
+  services = std::move(other337.services);
+  moves = std::move(other337.moves);
+  purchases = std::move(other337.purchases);
+  leaving = std::move(other337.leaving);
+  grants = std::move(other337.grants);
+  replicas = std::move(other337.replicas);
+  fence_counter = other337.fence_counter;
+  claims = std::move(other337.claims);
+  order_answers = std::move(other337.order_answers);
+  removals = std::move(other337.removals);
+  removals_from = other337.removals_from;
+  __isset = other337.__isset;
+}
+snapshot& snapshot::operator=(const snapshot& other338) {
+  schema_version = other338.schema_version;
+  applied_index = other338.applied_index;
+  applied_term = other338.applied_term;
+  time_ms = other338.time_ms;
+  contracts = other338.contracts;
+  services = other338.services;
+  moves = other338.moves;
+  purchases = other338.purchases;
+  leaving = other338.leaving;
+  grants = other338.grants;
+  replicas = other338.replicas;
+  fence_counter = other338.fence_counter;
+  claims = other338.claims;
+  order_answers = other338.order_answers;
+  removals = other338.removals;
+  removals_from = other338.removals_from;
+  __isset = other338.__isset;
   return *this;
 }
-snapshot& snapshot::operator=(snapshot&& other345) noexcept {
-  schema_version = other345.schema_version;
-  applied_index = other345.applied_index;
-  applied_term = other345.applied_term;
-  time_ms = other345.time_ms;
-  contracts = std::move(other345.contracts);
-  services = std::move(other345.services);
-  moves = std::move(other345.moves);
-  purchases = std::move(other345.purchases);
-  leaving = std::move(other345.leaving);
-  grants = std::move(other345.grants);
-  replicas = std::move(other345.replicas);
-  fence_counter = other345.fence_counter;
-  claims = std::move(other345.claims);
-  order_answers = std::move(other345.order_answers);
-  removals = std::move(other345.removals);
-  removals_from = other345.removals_from;
-  __isset = other345.__isset;
+snapshot& snapshot::operator=(snapshot&& other339) noexcept {
+  schema_version = other339.schema_version;
+  applied_index = other339.applied_index;
+  applied_term = other339.applied_term;
+  time_ms = other339.time_ms;
+  contracts = std::move(other339.contracts);
+  services = std::move(other339.services);
+  moves = std::move(other339.moves);
+  purchases = std::move(other339.purchases);
+  leaving = std::move(other339.leaving);
+  grants = std::move(other339.grants);
+  replicas = std::move(other339.replicas);
+  fence_counter = other339.fence_counter;
+  claims = std::move(other339.claims);
+  order_answers = std::move(other339.order_answers);
+  removals = std::move(other339.removals);
+  removals_from = other339.removals_from;
+  __isset = other339.__isset;
   return *this;
 }
 void snapshot::printTo(std::ostream& out) const {
--- a/src/protocol/gen/state_types.h
+++ b/src/protocol/gen/state_types.h
@@ -3385,6 +3385,7 @@
              applied_term(0),
              time_ms(0),
              fence_counter(0),
+             claims(),
              removals_from(0) {
   }
 
@@ -3401,7 +3402,7 @@
   std::vector<grant_record>  grants;
   replica_set replicas;
   int64_t fence_counter;
-  std::vector<claim_record>  claims;
+  std::string claims;
   std::vector<order_answer>  order_answers;
   std::vector<removal>  removals;
   int64_t removals_from;
@@ -3432,7 +3433,7 @@
 
   void __set_fence_counter(const int64_t val);
 
-  void __set_claims(const std::vector<claim_record> & val);
+  void __set_claims(const std::string& val);
 
   void __set_order_answers(const std::vector<order_answer> & val);
 
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -181,7 +181,7 @@
     copy(tables.fence_counter, wire.fence_counter);
     copy(tables.removals, wire.removals);
     copy(tables.removals_from, wire.removals_from);
-    copy(impl_->ledger.all(), wire.claims);
+    wire.claims = impl_->ledger.encode_all();
     for (const auto& id : impl_->answer_order)
     {
         const auto& known = impl_->answers.find(id)->second;
@@ -254,9 +254,10 @@
         restore_tables(next->tables, *wire);
         copy(next->term, wire->applied_term);
         copy(next->time, wire->time_ms);
-        for (const auto& claim : wire->claims)
+        if (!next->ledger.restore_all(wire->claims))
         {
-            next->ledger.restore(from_wire<claim_record>(claim));
+            return transport::fail(transport::reason::corrupt,
+                                   "The snapshot's ledger is not understood.");
         }
         for (const auto& item : wire->order_answers)
         {
--- a/src/state/ledger_table.hpp
+++ b/src/state/ledger_table.hpp
@@ -16,7 +16,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include <hyssopdeal/state/commands.hpp>
 #include <hyssopdeal/state/control_state.hpp>
@@ -53,9 +52,6 @@
     /// Forgets claims whose retention is over.
     void expire(transport::wall_time now);
 
-    /// Puts a claim of a snapshot back.
-    void restore(claim_record claim);
-
     [[nodiscard]] const claim_record* find(std::string_view organisation,
                                            std::string_view key) const;
     [[nodiscard]] std::size_t size() const noexcept
@@ -63,8 +59,14 @@
         return claims_.size();
     }
 
-    /// @return All claims, by organisation and key.
-    [[nodiscard]] std::vector<claim_record> all() const;
+    /// @return All claims for a snapshot. Each claim is encoded when it
+    ///     changes, so that this is little more than a copy.
+    [[nodiscard]] std::string encode_all() const;
+
+    /// Puts the claims of encode_all() back.
+    ///
+    /// @return Whether they were understood.
+    [[nodiscard]] bool restore_all(std::string_view bytes);
 
 private:
     struct expiry
@@ -75,15 +77,24 @@
         auto operator<=>(const expiry&) const = default;
     };
 
+    /// A claim and its bytes in a snapshot.
+    struct held_claim
+    {
+        claim_record record;
+        std::string encoded;
+    };
+
+    void restore(claim_record claim);
+    static void encode(held_claim& claim);
     [[nodiscard]] bool full(const std::string& organisation) const;
-    claim_record* find_number(const std::string& organisation,
-                              const std::string& key, std::uint64_t number);
+    held_claim* find_number(const std::string& organisation,
+                            const std::string& key, std::uint64_t number);
     void forget(const claim_id& id);
     void insert(claim_record claim);
     void drop_old_bodies();
 
     ledger_bounds bounds_;
-    std::map<claim_id, claim_record> claims_;
+    std::map<claim_id, held_claim> claims_;
     std::set<expiry> expiries_;
     std::map<std::uint64_t, claim_id> with_body_; // by claim number
     std::map<std::string, std::size_t> by_organisation_;
