--- a/src/coordination/control_process.cpp
+++ b/src/coordination/control_process.cpp
@@ -183,6 +183,8 @@
     });
     moves = std::make_unique<move_runner>(loop, clock, *this, settings.moves);
     moves->start(*hub);
+    grants = std::make_unique<grant_service>(clock, *this);
+    grants->start(*hub);
     fleet_handlers handlers;
     handlers.on_notice = [this](const std::string& instance) {
         members->report(leaving_update(members->state().table(), instance, {}));
