Split the runners of moves and fleet into modules of one job

Change: open calls, the webhook, demands and bought servers, and the servers of a move are modules of their own; both runners share the first.

--- a/src/coordination/fleet_runner.cpp
+++ b/src/coordination/fleet_runner.cpp
@@ -2,14 +2,15 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 #include <utility>
 
 #include <hyssopdeal/protocol/engine_orders.hpp>
 #include <hyssopdeal/protocol/platform_api.hpp>
-#include <hyssopdeal/transport/http_client.hpp>
 #include <hyssopdeal/transport/logging.hpp>
 
+#include "fleet_demands.hpp"
+#include "move_calls.hpp"
+
 namespace hyssopdeal::coordination
 {
 
@@ -18,7 +19,6 @@
 
 using state::purchase_phase;
 using state::purchase_record;
-using transport::http_response;
 using transport::log_part;
 using transport::monotonic_time;
 
@@ -71,19 +71,17 @@
           moves{with_moves},
           settings{std::move(own)},
           handlers{std::move(own_handlers)},
-          client{on_loop},
+          calls{on_loop},
           planner{settings.fleet},
           drains{settings.drain}
     {}
 
-    using answer_handler =
-        std::function<void(const transport::result<http_response>&)>;
-
     void tick();
     void read_platform();
     void decide();
     void call(const std::string& address,
-              const transport::http_request& request, answer_handler handler);
+              const transport::http_request& request,
+              move_calls::answer_handler handler);
     void on_notices(const std::vector<protocol::reclaim_notice>& notices);
     void
     on_instances(const std::vector<protocol::cloud_instance_info>& instances,
@@ -94,10 +92,6 @@
     void watch_drains();
     void declare_bought(const state::control_tables& tables);
     [[nodiscard]] fleet_view view() const;
-    [[nodiscard]] fleet_demand demand_of(const protocol::service& service,
-                                         const std::string& version,
-                                         double part) const;
-    void add_demands(const protocol::service& service, fleet_view& to) const;
 
     transport::event_loop& loop;
     const transport::clock& clock;
@@ -105,42 +99,27 @@
     const move_runner& moves;
     fleet_runner_settings settings;
     fleet_handlers handlers;
-    transport::http_client client;
+    move_calls calls;
     fleet_planner planner;
     drain_backend drains;
     std::vector<instance_price> prices;
     std::uint64_t last_notice = 0;
     std::map<std::string, transport::wall_time> noticed; ///< Gone when.
     periodic_reads next;
-    std::map<std::uint64_t, transport::http_call> calls;
-    std::uint64_t next_call = 1;
-    std::vector<std::uint64_t> finished_calls;
     std::map<std::string, monotonic_time> declared_at; ///< By service.
     transport::timer_handle timer;
 };
 
 void fleet_runner::impl::call(const std::string& address,
                               const transport::http_request& request,
-                              answer_handler handler)
+                              move_calls::answer_handler handler)
 {
-    transport::http_call_settings limits;
-    limits.connect_time_limit = settings.call_limit;
-    limits.total_time_limit = settings.call_limit;
-    const auto id = next_call++;
-    calls.emplace(id, client.fetch(address, request, limits,
-                                   [this, id, handler = std::move(handler)](
-                                       const auto& answer) {
-                                       finished_calls.push_back(id);
-                                       handler(answer);
-                                   }));
+    calls.start(address, request, settings.call_limit, std::move(handler));
 }
 
 void fleet_runner::impl::tick()
 {
-    for (const auto id : std::exchange(finished_calls, {}))
-    {
-        calls.erase(id);
-    }
+    calls.collect();
     read_platform();
     const auto leads = node.leads();
     if (!settings.cloud.empty() && may_order(leads, clock.monotonic_now()))
@@ -263,71 +242,6 @@
     }
 }
 
-fleet_demand fleet_runner::impl::demand_of(const protocol::service& service,
-                                           const std::string& version,
-                                           double part) const
-{
-    const auto measured = moves.load().of(clock.monotonic_now(), service.name);
-    fleet_demand demand;
-    demand.service = service.name;
-    demand.version = version;
-    demand.load.busy_slots = measured.busy_slots * part;
-    demand.load.interactive_slots =
-        demand.load.busy_slots * measured.interactive_part;
-    if (measured.requests_per_second > 0)
-    {
-        const std::chrono::duration<double> each{measured.busy_slots /
-                                                 measured.requests_per_second};
-        demand.load.duration =
-            std::chrono::duration_cast<std::chrono::milliseconds>(each);
-    }
-    demand.load.wait_limit = service.first_token_target / 2;
-    const auto& leaving = node.state().tables().leaving;
-    for (const auto& server : service.servers)
-    {
-        demand.slots_per_instance = std::max(server.slots, 1U);
-        const bool bought = std::ranges::any_of(
-            node.state().tables().purchases, [&server](const auto& item) {
-                return item.second.instance == server.name;
-            });
-        if (server.version == version && !bought &&
-            !leaving.contains(server.name))
-        {
-            demand.declared_slots += server.slots;
-        }
-    }
-    return demand;
-}
-
-void fleet_runner::impl::add_demands(const protocol::service& service,
-                                     fleet_view& to) const
-{
-    const auto wanted = moves.wanted_slots();
-    const auto measured = moves.load().of(clock.monotonic_now(), service.name);
-    for (const auto& share : service.shares)
-    {
-        double part = share.share;
-        const auto moving = std::ranges::find_if(wanted, [&](const auto& item) {
-            return item.service == service.name &&
-                   item.version == share.version;
-        });
-        if (moving != wanted.end())
-        {
-            // What its next step needs is there before the step.
-            const double next_part = measured.busy_slots > 0
-                                         ? moving->slots / measured.busy_slots
-                                         : part;
-            part = std::max(part, next_part);
-        }
-        else if (service.shares.size() > 1)
-        {
-            // The old version keeps all it had until the move has ended.
-            part = 1;
-        }
-        to.demands.push_back(demand_of(service, share.version, part));
-    }
-}
-
 fleet_view fleet_runner::impl::view() const
 {
     const auto& tables = node.state().tables();
@@ -335,12 +249,15 @@
     result.now = clock.wall_now();
     result.term = node.leads().term;
     result.prices = prices;
+    const auto wanted = moves.wanted_slots();
     for (const auto& name : settings.services)
     {
         const auto service = tables.services.find(name);
         if (service != tables.services.end())
         {
-            add_demands(service->second.service, result);
+            const auto measured = moves.load().of(clock.monotonic_now(), name);
+            add_demands(service->second.service, measured, wanted, tables,
+                        result.demands);
         }
     }
     for (const auto& [id, purchase] : tables.purchases)
@@ -466,8 +383,7 @@
          });
 }
 
-/// Bought servers get traffic once they are declared, and lose it when they
-/// are given back. An operator's write wins; then this one is made anew.
+/// An operator's write wins over this one; then it is made anew.
 void fleet_runner::impl::declare_bought(const state::control_tables& tables)
 {
     const auto now = clock.monotonic_now();
@@ -479,42 +395,10 @@
             continue;
         }
         auto service = record->second.service;
-        std::set<std::string> gone;
-        for (const auto& [id, purchase] : tables.purchases)
-        {
-            if (purchase.service != name)
-            {
-                continue;
-            }
-            if (purchase.phase == purchase_phase::released)
-            {
-                gone.insert(purchase.instance);
-                continue;
-            }
-            const bool known = std::ranges::any_of(
-                service.servers, [&purchase = purchase](const auto& server) {
-                    return server.name == purchase.instance;
-                });
-            const bool ready =
-                service.kind == protocol::service_kind::plain ||
-                moves.serves(purchase.instance, purchase.version);
-            if (purchase.phase == purchase_phase::started && !known && ready)
-            {
-                auto server = service.servers.empty()
-                                  ? protocol::backend_server{}
-                                  : service.servers.front();
-                server.name = purchase.instance;
-                server.address = purchase.address;
-                server.failure_domain = purchase.failure_domain;
-                server.version = purchase.version;
-                server.price = purchase.price;
-                server.checks_orders = false;
-                service.servers.push_back(std::move(server));
-            }
-        }
-        std::erase_if(service.servers, [&gone](const auto& server) {
-            return gone.contains(server.name);
-        });
+        service.servers = servers_with_bought(
+            service, tables, [this](const state::purchase_record& purchase) {
+                return moves.serves(purchase.instance, purchase.version);
+            });
         if (service.servers != record->second.service.servers)
         {
             declared_at[name] = now + settings.call_limit;
--- a/src/coordination/move_controller.cpp
+++ b/src/coordination/move_controller.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "move_servers.hpp"
+
 namespace hyssopdeal::coordination
 {
 
@@ -20,122 +22,8 @@
 /// Smallest change of the expected time that is worth a record.
 constexpr std::chrono::milliseconds expected_resolution{15'000};
 
-bool serves(const version_server& server)
-{
-    return server.state == version_state::ready && !server.leaving;
-}
-
-bool may_serve(const version_server& server)
-{
-    return server.state != version_state::failed && !server.leaving;
-}
-
-double ready_slots(const move_view& view)
-{
-    double sum = 0;
-    for (const auto& server : view.servers)
-    {
-        sum += serves(server) ? server.slots : 0;
-    }
-    return sum;
-}
-
-/// Largest share that the loaded servers can carry.
-double carried_share(const move_view& view)
-{
-    if (view.needed_slots <= 0)
-    {
-        return ready_slots(view) > 0 ? 1 : 0;
-    }
-    return std::min(1.0, ready_slots(view) / view.needed_slots);
-}
-
-/// Whether a loaded server stands in each failure domain that has any.
-bool spread_over_domains(const move_view& view)
-{
-    std::set<std::string> possible;
-    std::set<std::string> ready;
-    for (const auto& server : view.servers)
-    {
-        if (may_serve(server))
-        {
-            possible.insert(server.failure_domain);
-        }
-        if (serves(server))
-        {
-            ready.insert(server.failure_domain);
-        }
-    }
-    return !ready.empty() && ready == possible;
-}
-
-/// Servers that shall hold the version: those that do, one of each failure
-/// domain, and as many as a share needs. Loading no more keeps them about as
-/// busy as the old version's, so that a fault under load shows early.
-std::vector<std::string> servers_to_hold(const move_view& view, double share)
-{
-    std::vector<std::string> held;
-    std::vector<std::string> first;
-    std::vector<std::string> rest;
-    std::set<std::string> domains;
-    std::size_t candidates = 0;
-    for (const auto& server : view.servers)
-    {
-        if (!may_serve(server))
-        {
-            continue;
-        }
-        ++candidates;
-        const bool new_domain = domains.insert(server.failure_domain).second;
-        const bool loaded = server.state != version_state::absent;
-        (loaded ? held : new_domain ? first : rest).push_back(server.name);
-    }
-    const auto wanted = static_cast<std::size_t>(
-        std::ceil(share * static_cast<double>(candidates)));
-    held.insert(held.end(), first.begin(), first.end());
-    for (std::size_t i = 0; i < rest.size() && held.size() < wanted; ++i)
-    {
-        held.push_back(rest[i]);
-    }
-    return held;
-}
-
 } // namespace
 
-std::vector<protocol::version_share>
-shares_during(const state::move_record& move, double new_share)
-{
-    std::vector<protocol::version_share> shares;
-    double old_sum = 0;
-    for (const auto& before : move.before)
-    {
-        if (before.version != move.order.version && before.share > 0)
-        {
-            shares.push_back(before);
-            old_sum += before.share;
-        }
-    }
-    for (auto& share : shares)
-    {
-        share.share *= (1 - new_share) / old_sum;
-    }
-    shares.push_back({move.order.version, shares.empty() ? 1 : new_share});
-    return shares;
-}
-
-std::vector<std::string> versions_before(const state::move_record& move)
-{
-    std::vector<std::string> versions;
-    for (const auto& before : move.before)
-    {
-        if (before.version != move.order.version && before.share > 0)
-        {
-            versions.push_back(before.version);
-        }
-    }
-    return versions;
-}
-
 struct move_controller::impl
 {
     move_settings settings;
--- a/src/coordination/move_runner.cpp
+++ b/src/coordination/move_runner.cpp
@@ -4,11 +4,11 @@
 #include <map>
 #include <utility>
 
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
-
 #include <hyssopdeal/transport/logging.hpp>
 
+#include "move_calls.hpp"
+#include "move_webhook.hpp"
+
 namespace hyssopdeal::coordination
 {
 
@@ -19,29 +19,6 @@
 using state::move_phase;
 using transport::log_part;
 
-/// An ended move that the webhook has not been told of yet.
-struct webhook_message
-{
-    std::string body;
-    std::uint32_t attempts = 0;
-    transport::timer_handle timer; ///< Until the next attempt.
-};
-
-const char* name_of(move_phase phase)
-{
-    switch (phase)
-    {
-    case move_phase::done:
-        return "done";
-    case move_phase::taken_back:
-        return "taken_back";
-    case move_phase::cancelled:
-        return "cancelled";
-    default:
-        return "running";
-    }
-}
-
 /// A server that may run a service's version.
 struct placed_server
 {
@@ -85,7 +62,8 @@
           clock{with},
           node{of},
           settings{std::move(own)},
-          client{on_loop},
+          calls{on_loop},
+          webhook{on_loop, calls, settings},
           sender{settings.orders},
           weights{settings.weights}
     {}
@@ -109,49 +87,24 @@
     void read_status(const status_to_read& reading);
     void propose(state::command_body body);
     void on_committed(const state::command& command);
-    void tell_webhook(const state::move_record& move);
-    void post_webhook(std::uint64_t number);
-    void on_webhook_answer(
-        std::uint64_t number,
-        const transport::result<transport::http_response>& answer);
     [[nodiscard]] std::vector<placed_server>
     servers_of(const protocol::service& service) const;
     [[nodiscard]] version_server server_view(const protocol::service& service,
                                              const placed_server& server);
-    [[nodiscard]] transport::http_call_settings
-    limits(std::chrono::milliseconds time_limit) const;
-    void keep(transport::http_call call);
 
     transport::event_loop& loop;
     const transport::clock& clock;
     control_node& node;
     move_runner_settings settings;
-    transport::http_client client;
+    move_calls calls;
+    move_webhook webhook;
     order_sender sender;
     move_weights weights;
     fleet_load load;
     std::map<std::string, running_move, std::less<>> moves; ///< By service.
-    std::map<std::uint64_t, transport::http_call> calls;
-    std::uint64_t next_call = 1;
-    std::vector<std::uint64_t> finished_calls;
-    std::map<std::uint64_t, webhook_message> webhooks; ///< By number.
-    std::uint64_t next_webhook = 1;
     transport::timer_handle timer;
 };
 
-transport::http_call_settings
-move_runner::impl::limits(std::chrono::milliseconds time_limit) const
-{
-    transport::http_call_settings result;
-    result.connect_time_limit = time_limit;
-    result.total_time_limit = time_limit;
-    constexpr std::size_t max_answer_bytes = 1'048'576;
-    result.max_body_bytes = max_answer_bytes;
-    // A connection that the server has closed meanwhile would lose an order.
-    result.connection = transport::connection_choice::fresh;
-    return result;
-}
-
 std::vector<placed_server>
 move_runner::impl::servers_of(const protocol::service& service) const
 {
@@ -251,10 +204,7 @@
     {
         read_status(reading);
     }
-    for (const auto id : std::exchange(finished_calls, {}))
-    {
-        calls.erase(id);
-    }
+    calls.collect();
     timer = loop.after(settings.tick, [this] { tick(); });
 }
 
@@ -375,11 +325,6 @@
     weights.set_needs(std::move(needs));
 }
 
-void move_runner::impl::keep(transport::http_call call)
-{
-    calls.emplace(next_call++, std::move(call));
-}
-
 void move_runner::impl::fetch_weights()
 {
     if (settings.weight_store.empty())
@@ -388,18 +333,15 @@
     }
     for (const auto& need : weights.advance(clock.monotonic_now()))
     {
-        keep(client.fetch(
-            settings.weight_store,
-            protocol::make_weight_request(need.version, need.server),
-            limits(settings.call_limit),
-            [this, need, id = next_call](auto answer) {
-                finished_calls.push_back(id);
-                const auto read =
-                    answer ? protocol::read_weight_answer(*answer)
-                           : transport::result<protocol::weight_fetch>{
-                                 tl::unexpected{answer.error()}};
-                weights.on_answer(clock.monotonic_now(), need, read);
-            }));
+        calls.start(settings.weight_store,
+                    protocol::make_weight_request(need.version, need.server),
+                    settings.call_limit, [this, need](const auto& answer) {
+                        const auto read =
+                            answer ? protocol::read_weight_answer(*answer)
+                                   : transport::result<protocol::weight_fetch>{
+                                         tl::unexpected{answer.error()}};
+                        weights.on_answer(clock.monotonic_now(), need, read);
+                    });
     }
 }
 
@@ -410,37 +352,35 @@
     {
         return;
     }
-    keep(client.fetch(
-        order.address, protocol::make_request(order.order),
-        limits(order.time_limit), [this, order, id = next_call](auto answer) {
-            constexpr int accepted = 200;
-            constexpr int stale = 409;
-            finished_calls.push_back(id);
-            auto told = order_answer::lost;
-            if (answer)
-            {
-                told = answer->status == accepted ? order_answer::accepted
-                       : answer->status == stale  ? order_answer::stale_fence
-                                                  : order_answer::refused;
-            }
-            sender.on_order_answer(clock.monotonic_now(), order.server,
-                                   order.order, told);
-        }));
+    calls.start(order.address, protocol::make_request(order.order),
+                order.time_limit, [this, order](const auto& answer) {
+                    constexpr int accepted = 200;
+                    constexpr int stale = 409;
+                    auto told = order_answer::lost;
+                    if (answer)
+                    {
+                        told = answer->status == accepted
+                                   ? order_answer::accepted
+                               : answer->status == stale
+                                   ? order_answer::stale_fence
+                                   : order_answer::refused;
+                    }
+                    sender.on_order_answer(clock.monotonic_now(), order.server,
+                                           order.order, told);
+                });
 }
 
 void move_runner::impl::read_status(const status_to_read& reading)
 {
-    keep(client.fetch(
-        reading.address, protocol::make_status_request(),
-        limits(settings.orders.order_time_limit),
-        [this, server = reading.server, id = next_call](auto answer) {
-            finished_calls.push_back(id);
-            const auto status =
-                answer ? protocol::read_engine_status(answer->body)
-                       : transport::result<protocol::engine_status>{
-                             tl::unexpected{answer.error()}};
-            sender.on_status(clock.monotonic_now(), server, status);
-        }));
+    calls.start(reading.address, protocol::make_status_request(),
+                settings.orders.order_time_limit,
+                [this, server = reading.server](const auto& answer) {
+                    const auto status =
+                        answer ? protocol::read_engine_status(answer->body)
+                               : transport::result<protocol::engine_status>{
+                                     tl::unexpected{answer.error()}};
+                    sender.on_status(clock.monotonic_now(), server, status);
+                });
 }
 
 void move_runner::impl::propose(state::command_body body)
@@ -475,75 +415,12 @@
                         "A move goes on. service={} version={} step={} "
                         "share={:.3f} state={}",
                         service, move->second.order.version, status.step,
-                        status.share, name_of(status.phase));
+                        status.share, outcome_of(status.phase));
     if (state::ended(status.phase) &&
         node.leads().role == leadership_role::leader)
     {
-        tell_webhook(move->second);
-    }
-}
-
-void move_runner::impl::tell_webhook(const state::move_record& move)
-{
-    if (settings.webhook_address.empty())
-    {
-        return;
-    }
-    const nlohmann::json body{{"service", move.order.service},
-                              {"version", move.order.version},
-                              {"order_id", move.order.order_id},
-                              {"outcome", name_of(move.status.phase)},
-                              {"evidence", move.status.evidence}};
-    const auto number = next_webhook++;
-    webhooks[number].body =
-        body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    post_webhook(number);
-}
-
-void move_runner::impl::post_webhook(std::uint64_t number)
-{
-    auto& message = webhooks.at(number);
-    ++message.attempts;
-    transport::http_request request;
-    request.method = "POST";
-    request.target = settings.webhook_path;
-    request.headers = {{"Content-Type", "application/json"}};
-    request.body = message.body;
-    keep(client.fetch(settings.webhook_address, request,
-                      limits(settings.call_limit),
-                      [this, number, id = next_call](auto answer) {
-                          finished_calls.push_back(id);
-                          on_webhook_answer(number, answer);
-                      }));
-}
-
-void move_runner::impl::on_webhook_answer(
-    std::uint64_t number,
-    const transport::result<transport::http_response>& answer)
-{
-    constexpr int first_redirect = 300;
-    constexpr std::uint32_t longest_doubling = 8;
-    const auto found = webhooks.find(number);
-    if (found == webhooks.end())
-    {
-        return;
-    }
-    auto& message = found->second;
-    const bool told = answer && answer->status < first_redirect;
-    if (told || message.attempts >= settings.webhook_attempts)
-    {
-        if (!told)
-        {
-            transport::log_warning(log_part::move,
-                                   "The webhook was not reached. attempts={}",
-                                   message.attempts);
-        }
-        webhooks.erase(found);
-        return;
+        webhook.tell(move->second);
     }
-    const auto delay =
-        std::chrono::seconds{1 << std::min(message.attempts, longest_doubling)};
-    message.timer = loop.after(delay, [this, number] { post_webhook(number); });
 }
 
 move_runner::move_runner(transport::event_loop& loop,
