Report versions from entries and guard their shares

Cause: nothing told the control leader how versions answer, so that a real move would wait for evidence until it was overdue.

Change: each thread of an entry watches its attempts (version_watch), applies its guard's shares to its lanes and sends reports every 250 ms. A refusal before running and the loss of a server that was announced to leave say nothing of the version.

--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -359,6 +359,7 @@
     for (const auto& running : impl_->shards)
     {
         running->shard.count_work();
+        running->shard.watch_versions();
         running->thread =
             std::thread{[&loop = running->shard.loop] { loop.run(); }};
         pthread_setname_np(running->thread.native_handle(), "entry-shard");
--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -1,7 +1,10 @@
 #include "entry_shard.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "entry_links.hpp"
 #include "stream_session.hpp"
 
@@ -13,6 +16,7 @@
 
 constexpr std::chrono::milliseconds count_interval{50};
 constexpr std::chrono::milliseconds ledger_interval{50};
+constexpr std::chrono::milliseconds report_interval{250};
 
 router_settings router_settings_of(const entry_settings& from)
 {
@@ -36,12 +40,21 @@
     return floors;
 }
 
+/// Later starts give greater numbers.
+std::uint64_t incarnation_of(const transport::clock& clock)
+{
+    return static_cast<std::uint64_t>(
+        clock.wall_now().time_since_epoch().count());
+}
+
 } // namespace
 
 entry_shard::entry_shard(entry_shared& of)
     : shared(of),
       random(std::random_device{}()),
-      limits(floors_of(of.settings))
+      limits(floors_of(of.settings)),
+      versions(fmt::format("{}/{:x}", of.settings.name, random()),
+               incarnation_of(of.clock), of.clock.monotonic_now())
 {}
 
 entry_shard::~entry_shard() = default;
@@ -69,7 +82,10 @@
                     loop, shared.clock, random,
                     router_settings_of(shared.settings));
             }
-            lane->set_service(service, view.leaving_instances);
+            auto used = service;
+            used.shares = versions.effective_shares(now(), service);
+            applied_shares_[service.name] = used.shares;
+            lane->set_service(used, view.leaving_instances);
         }
     });
 }
@@ -107,6 +123,59 @@
     ledger_timer = loop.after(ledger_interval, [this] { tick_ledger(); });
 }
 
+void entry_shard::apply_guards()
+{
+    shared.catalog.read([this](const entry_catalog& catalog) {
+        const auto& view = catalog.view();
+        if (view.applied_index != applied_index)
+        {
+            return; // refresh() applies both.
+        }
+        for (const auto& service : view.services)
+        {
+            const auto shares = versions.effective_shares(now(), service);
+            auto& applied = applied_shares_[service.name];
+            auto* const lane = find_lane(service.name);
+            if (lane == nullptr || applied == shares)
+            {
+                continue;
+            }
+            applied = shares;
+            auto used = service;
+            used.shares = shares;
+            lane->set_service(used, view.leaving_instances);
+        }
+    });
+}
+
+void entry_shard::watch_versions()
+{
+    apply_guards();
+    for (const auto& report : versions.take_reports(now()))
+    {
+        const auto payload = encode(report);
+        for (const auto& replica : shared.settings.control_replicas)
+        {
+            if (peers)
+            {
+                peers->send(replica.name, protocol::peer_channel::reports,
+                            payload);
+            }
+        }
+    }
+    versions_timer = loop.after(report_interval, [this] { watch_versions(); });
+}
+
+bool entry_shard::is_leaving(std::string_view server) const
+{
+    const auto* const members = shared.members.load();
+    return members != nullptr &&
+           members->read([server](const member_view& view) {
+               return std::binary_search(view.leaving_servers.begin(),
+                                         view.leaving_servers.end(), server);
+           });
+}
+
 void entry_shard::count_work()
 {
     metrics.open_streams = static_cast<std::uint32_t>(streams.open_streams());
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -31,6 +31,7 @@
 #include "entry_metrics.hpp"
 #include "service_lane.hpp"
 #include "stream_table.hpp"
+#include "version_watch.hpp"
 
 namespace hyssopdeal::coordination
 {
@@ -109,6 +110,12 @@
     void record_entry_span(const accepted_request& request,
                            protocol::span_status status);
 
+    /// Sends reports about versions and applies their guards from then on.
+    void watch_versions();
+
+    /// @return Whether a backend server was announced to leave.
+    [[nodiscard]] bool is_leaving(std::string_view server) const;
+
     /// @return A fresh id for an attempt or a stream.
     [[nodiscard]] attempt_id next_id();
 
@@ -123,15 +130,22 @@
     budgeted_retry retries;
     std::map<std::string, std::unique_ptr<service_lane>, std::less<>> lanes;
     stream_table streams;
+    version_watch versions;
     std::uint64_t applied_index = 0;
     std::uint32_t open_calls = 0; ///< Plain calls that are not answered.
     entry_metrics metrics;
     std::unique_ptr<protocol::span_writer> spans; ///< Not without a file.
     transport::timer_handle count_timer;
     transport::timer_handle ledger_timer;
+    transport::timer_handle versions_timer;
 
 private:
     void tick_ledger();
+    void apply_guards();
+
+    /// Shares that the lanes use, by service.
+    std::map<std::string, std::vector<protocol::version_share>, std::less<>>
+        applied_shares_;
     [[nodiscard]] protocol::span
     make_span(std::string_view name, const accepted_request& request,
               transport::monotonic_time started) const;
--- a/src/coordination/move_runner.cpp
+++ b/src/coordination/move_runner.cpp
@@ -16,7 +16,6 @@
 {
 
 using protocol::service_kind;
-using state::move_phase;
 using transport::log_part;
 
 /// A server that may run a service's version.
--- a/src/coordination/request_flow.cpp
+++ b/src/coordination/request_flow.cpp
@@ -106,6 +106,7 @@
 
 void request_flow::start()
 {
+    shard_.versions.on_offered(request_.service, request_.route.priority);
     if (is_guarded() && request_.idempotency_key.empty())
     {
         refuse({verdict::not_run, reason::bad_request,
@@ -196,6 +197,8 @@
     ++attempts_;
     shard_.metrics.attempts.add();
     step_started_ = shard_.now();
+    watched_ = shard_.versions.begin(shard_.now(), request_.service,
+                                     request_.route.name, *choice_);
     auto sent = request_for_server(request_, shard_.now());
     if (request_.kind == protocol::service_kind::model)
     {
@@ -219,6 +222,7 @@
     auto* const from = lane();
     if (!response)
     {
+        watch_failure(choice.server, response.error());
         from->on_ended(choice, attempt_outcome::failed, 0);
         failed_servers_.push_back(choice.server);
         on_failure(response.error());
@@ -233,6 +237,10 @@
         return;
     }
     const bool failed = response->status >= first_server_error;
+    shard_.versions.on_first_token(shard_.now(), watched_);
+    shard_.versions.on_ended(shard_.now(), watched_,
+                             failed ? answer_kind::failed : answer_kind::whole,
+                             0);
     from->on_first_token(choice);
     from->on_ended(
         choice, failed ? attempt_outcome::failed : attempt_outcome::succeeded,
@@ -243,6 +251,17 @@
     answer(std::move(*response));
 }
 
+/// A server that was not reached or that is leaving tells nothing of its
+/// version.
+void request_flow::watch_failure(std::string_view server, const failure& error)
+{
+    if (error.ran == verdict::not_run || shard_.is_leaving(server))
+    {
+        version_watch::forget(watched_);
+    }
+    shard_.versions.on_ended(shard_.now(), watched_, kind_of(error), 0);
+}
+
 void request_flow::on_failure(const failure& error)
 {
     error.ran == verdict::not_run ? release_claim() : forget_claim();
--- a/src/coordination/request_flow.hpp
+++ b/src/coordination/request_flow.hpp
@@ -23,6 +23,8 @@
 #include <hyssopdeal/transport/http_message.hpp>
 #include <hyssopdeal/transport/http_server.hpp>
 
+#include "version_watch.hpp"
+
 namespace hyssopdeal::coordination
 {
 
@@ -88,6 +90,8 @@
     void on_outcome(lane_outcome outcome);
     void dispatch();
     void on_answer(transport::result<transport::http_response> answer);
+    void watch_failure(std::string_view server,
+                       const transport::failure& error);
     void on_failure(const transport::failure& error);
     void refuse(const transport::failure& error,
                 std::chrono::milliseconds retry_after);
@@ -104,6 +108,7 @@
     std::uint32_t attempts_ = 0;
     transport::monotonic_time step_started_; ///< Of the span under way.
     transport::verdict ran_ = transport::verdict::not_run; ///< So far.
+    watched_attempt watched_;
     transport::http_call call_;
     transport::timer_handle retry_timer_;
 };
--- a/src/coordination/stream_session.cpp
+++ b/src/coordination/stream_session.cpp
@@ -196,6 +196,12 @@
         {"Hyssopdeal-Attempt", to_string(record_->attempt())});
     order.attempt = record_->attempt();
     reattached_ = false;
+    if (choice_)
+    {
+        watched_ = shard_.versions.begin(shard_.now(), request_.service,
+                                         request_.route.name, *choice_);
+        watched_tokens_ = 0;
+    }
     run(std::move(order));
 }
 
@@ -257,6 +263,7 @@
     }
     fruitless_ = 0;
     ++output_tokens_;
+    watch_event(kind);
     if (!first_token_seen_ && choice_)
     {
         first_token_seen_ = true;
@@ -268,6 +275,34 @@
     }
 }
 
+void stream_session::watch_event(stream_event_kind kind)
+{
+    if (kind == stream_event_kind::text)
+    {
+        ++watched_tokens_;
+        shard_.versions.on_first_token(shard_.now(), watched_);
+    }
+    if (kind == stream_event_kind::done)
+    {
+        const bool empty = watched_tokens_ == 0 && text_events_ == 0;
+        shard_.versions.on_ended(
+            shard_.now(), watched_,
+            empty ? answer_kind::empty : answer_kind::whole, watched_tokens_);
+    }
+}
+
+/// A server that refused, or that is leaving, tells nothing of its version.
+void stream_session::watch_loss(const failure& error)
+{
+    const bool left = choice_ && shard_.is_leaving(choice_->server);
+    if (error.ran == verdict::not_run || left)
+    {
+        version_watch::forget(watched_);
+    }
+    shard_.versions.on_ended(shard_.now(), watched_, kind_of(error),
+                             watched_tokens_);
+}
+
 void stream_session::end_attempt()
 {
     if (!attempt_)
@@ -318,6 +353,7 @@
              fmt::format("The backend server answered {}.", answer.status)});
         return;
     }
+    version_watch::forget(watched_);
     end_choice(attempt_outcome::succeeded);
     auto passed = answer;
     passed.headers = headers_to_caller(answer.headers);
@@ -328,6 +364,7 @@
 
 void stream_session::lose_engine(const failure& error)
 {
+    watch_loss(error);
     log_info(log_part::stream, "Lost an engine. stream={} server={} reason={}",
              id_, server_address_, to_string(error.code));
     if (record_->events().empty())
--- a/src/coordination/stream_session.hpp
+++ b/src/coordination/stream_session.hpp
@@ -25,6 +25,7 @@
 #include "request_flow.hpp"
 #include "service_lane.hpp"
 #include "stream_wire.hpp"
+#include "version_watch.hpp"
 
 namespace hyssopdeal::coordination
 {
@@ -86,6 +87,8 @@
     void run(attempt_order order);
     void delete_attempt(attempt_id attempt);
     void on_event(engine_event event);
+    void watch_event(stream_event_kind kind);
+    void watch_loss(const transport::failure& error);
     void end_attempt();
     void on_end(const attempt_end& end);
     void on_answer(const transport::http_response& answer);
@@ -140,6 +143,8 @@
     bool pumping_ = false;
     bool reattached_ = false; ///< The attempt goes on with an older one.
     bool first_token_seen_ = false;
+    watched_attempt watched_;
+    std::uint32_t watched_tokens_ = 0; ///< Of the attempt.
     bool wrote_lately_ = false;
     bool paused_ = false;
     transport::monotonic_time timer_at_ = transport::monotonic_time::max();
