--- a/src/coordination/version_comparison.cpp
+++ b/src/coordination/version_comparison.cpp
@@ -360,7 +360,10 @@
     {
         entries += trips.empty() ? 0 : 1;
     }
-    if (entries >= impl_->settings.confirming_entries)
+    // With fewer entries than are asked for, all that there are confirm.
+    const auto needed = std::min(impl_->settings.confirming_entries,
+                                 std::max<std::size_t>(impl_->trips.size(), 1));
+    if (entries >= needed)
     {
         return true;
     }
--- a/tests/version_evidence_test.cpp
+++ b/tests/version_evidence_test.cpp
@@ -123,13 +123,29 @@
     auto comparison = make_comparison();
     auto report = report_of(1, "v1", 1, 0);
     report.trips = {{"v2", "chat", 4}};
+    report.trips.clear();
+    report.entry = "other";
+    comparison.on_report(report);
+    report.trips = {{"v2", "chat", 4}};
+    report.entry = "entry";
     comparison.on_report(report);
     CHECK_FALSE(comparison.worse());
+    report.sequence = 2;
     report.entry = "other";
     comparison.on_report(report);
     CHECK(comparison.worse());
 }
 
+// Its guard stops the answers that more evidence would need.
+TEST(version_comparison_tests, is_worse_when_the_only_entry_s_guard_tripped)
+{
+    auto comparison = make_comparison();
+    auto report = report_of(1, "v1", 1, 0);
+    report.trips = {{"v2", "chat", 4}};
+    comparison.on_report(report);
+    CHECK(comparison.worse());
+}
+
 TEST(version_comparison_tests, a_leader_without_a_reference_still_judges)
 {
     auto comparison = make_comparison();
