--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -82,6 +82,7 @@
                     loop, shared.clock, random,
                     router_settings_of(shared.settings));
             }
+            copies.set_shares(service);
             auto used = service;
             used.shares = versions.effective_shares(now(), service);
             applied_shares_[service.name] = used.shares;
@@ -151,6 +152,7 @@
 void entry_shard::watch_versions()
 {
     apply_guards();
+    copies.collect();
     for (const auto& report : versions.take_reports(now()))
     {
         const auto payload = encode(report);
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -31,6 +31,7 @@
 #include "entry_metrics.hpp"
 #include "service_lane.hpp"
 #include "stream_table.hpp"
+#include "version_copies.hpp"
 #include "version_watch.hpp"
 
 namespace hyssopdeal::coordination
@@ -131,6 +132,7 @@
     std::map<std::string, std::unique_ptr<service_lane>, std::less<>> lanes;
     stream_table streams;
     version_watch versions;
+    version_copies copies{*this};
     std::uint64_t applied_index = 0;
     std::uint32_t open_calls = 0; ///< Plain calls that are not answered.
     entry_metrics metrics;
--- a/src/coordination/request_flow.cpp
+++ b/src/coordination/request_flow.cpp
@@ -126,6 +126,7 @@
         return;
     }
     request_.route.priority = admitted->priority;
+    shard_.copies.consider(request_);
     shard_.retries.on_request(shard_.now(), request_.organisation,
                               request_.service, request_.retry_ratio);
     if (is_streamed(request_))
--- a/tests/version_evidence_test.cpp
+++ b/tests/version_evidence_test.cpp
@@ -9,6 +9,7 @@
 #include <hyssopdeal/coordination/version_comparison.hpp>
 #include <hyssopdeal/coordination/version_guard.hpp>
 #include <hyssopdeal/coordination/version_observer.hpp>
+#include <hyssopdeal/coordination/version_shadow.hpp>
 
 using namespace hyssopdeal;
 using namespace hyssopdeal::coordination;
@@ -253,3 +254,62 @@
     auto report = report_of(1, "v2", 1, 5);
     CHECK_FALSE(decode_version_report(encode(report)).has_value());
 }
+
+TEST_GROUP(version_shadow_tests)
+{
+    std::mt19937_64 random{9};
+    version_shadow shadow;
+    std::vector<protocol::version_share> shares{{"v1", 1}, {"v2", 0}};
+
+    int copies(const std::vector<protocol::version_share>& effective,
+               protocol::repeatability repeats)
+    {
+        int count = 0;
+        for (int i = 0; i < 1'000; ++i)
+        {
+            if (!shadow.choose(shares, effective, repeats, random).empty())
+            {
+                ++count;
+                shadow.on_ended();
+            }
+        }
+        return count;
+    }
+};
+
+TEST(version_shadow_tests, copies_a_part_of_the_repeatable_requests)
+{
+    const auto repeatable = protocol::repeatability::repeatable;
+    DOUBLES_EQUAL(500, copies(shares, repeatable), 80);
+    shares = {{"v1", 0.99}, {"v2", 0.01}};
+    DOUBLES_EQUAL(100, copies(shares, repeatable), 50);
+    shares = {{"v1", 0.95}, {"v2", 0.05}};
+    LONGS_EQUAL(0, copies(shares, repeatable));
+    shares = {{"v1", 1}};
+    LONGS_EQUAL(0, copies(shares, repeatable));
+}
+
+TEST(version_shadow_tests, never_copies_what_must_run_at_most_once)
+{
+    LONGS_EQUAL(0, copies(shares, protocol::repeatability::at_most_once));
+}
+
+TEST(version_shadow_tests, copies_nothing_to_a_version_that_the_guard_took_out)
+{
+    shares = {{"v1", 0.99}, {"v2", 0.01}};
+    const std::vector<protocol::version_share> guarded{{"v1", 1}, {"v2", 0}};
+    LONGS_EQUAL(0, copies(guarded, protocol::repeatability::repeatable));
+}
+
+TEST(version_shadow_tests, keeps_few_copies_open)
+{
+    std::uint32_t open = 0;
+    for (int i = 0; i < 1'000; ++i)
+    {
+        open += !shadow
+                     .choose(shares, shares,
+                             protocol::repeatability::repeatable, random)
+                     .empty();
+    }
+    LONGS_EQUAL(version_shadow_settings{}.most_open, open);
+}
--- a/tests/version_move_test.cpp
+++ b/tests/version_move_test.cpp
@@ -36,12 +36,15 @@
     int failed = 0;
     int sent = 0;
 
-    void setup() override
+    void setup() override {}
+
+    /// @param shadow_stay Time of the step at which requests are copied.
+    void begin(std::chrono::milliseconds shadow_stay)
     {
         control = std::make_unique<control_cluster>(1);
         auto& settings = control->settings(0);
         settings.moves.tick = 50ms;
-        settings.moves.moves.plan.shadow_stay = 0ms;
+        settings.moves.moves.plan.shadow_stay = shadow_stay;
         settings.moves.moves.plan.shortest_stay = 500ms;
         settings.moves.moves.plan.samples = 20;
         settings.moves.moves.step_answers = 5;
@@ -50,6 +53,7 @@
         coordination::entry_settings own;
         own.name = "entry-1";
         own.failure_domain = "domain-1";
+        own.without_key = coordination::missing_key::run_unguarded;
         own.shared_key_file = settings.shared_key_file;
         const auto& replica = settings.replicas.front();
         own.control_replicas = {{replica.name, replica.failure_domain,
@@ -92,7 +96,9 @@
         CHECK(result.has_value());
     }
 
-    void declare(standins::version_fault fault)
+    void declare(standins::version_fault fault,
+                 protocol::repeatability repeats =
+                     protocol::repeatability::repeatable)
     {
         state::put_contract contract;
         contract.contract.organisation = "vale";
@@ -103,7 +109,7 @@
         state::put_service put;
         put.service.name = "books";
         put.service.kind = protocol::service_kind::plain;
-        put.service.routes = {{"read", "GET", "/"}};
+        put.service.routes = {{"read", "GET", "/", repeats}};
         put.service.servers = {add_server("v1", standins::version_fault::none),
                                add_server("v2", fault)};
         put.service.shares = {{"v1", 1}};
@@ -159,6 +165,7 @@
 
 TEST(version_move_tests, a_good_version_gets_all_traffic)
 {
+    begin(1s);
     declare(standins::version_fault::none);
     CHECK(run_until(loop, [&] { return served(); }));
     order_move();
@@ -170,11 +177,30 @@
     CHECK(move().status.phase == move_phase::done);
 }
 
-TEST(version_move_tests, a_bad_version_is_taken_back_with_few_failures)
+TEST(version_move_tests, copies_show_a_bad_version_and_no_caller_meets_it)
 {
+    begin(10s);
     declare(standins::version_fault::fails);
     CHECK(run_until(loop, [&] { return served(); }));
     failed = 0;
+    order_move();
+    for (int i = 0; i < 2'000 && !state::ended(move().status.phase); ++i)
+    {
+        call(10);
+        loop.run_for(10ms);
+    }
+    CHECK(move().status.phase == move_phase::taken_back);
+    LONGS_EQUAL(0, failed);
+}
+
+TEST(version_move_tests, a_bad_version_is_taken_back_with_few_failures)
+{
+    // Such calls are not copied: callers meet the fault.
+    begin(0ms);
+    declare(standins::version_fault::fails,
+            protocol::repeatability::at_most_once);
+    CHECK(run_until(loop, [&] { return served(); }));
+    failed = 0;
     sent = 0;
     order_move();
     for (int i = 0; i < 2'000 && !state::ended(move().status.phase); ++i)
