Judge first tokens by how late they are, not by the prompt's cache

Cause: the servers of a new version begin with empty prefix caches, so that a good version would look slow beside the old one.

Change: an entry reports how much later a first token came than the router expected without load, of this prompt and its cached part.

Measured: version_watch_test failed before (the cold attempt fell into a slower bin) and passes now; entry_service_test and version_move_test green.

--- a/src/coordination/version_watch.cpp
+++ b/src/coordination/version_watch.cpp
@@ -1,5 +1,6 @@
 #include "version_watch.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace hyssopdeal::coordination
@@ -48,6 +49,7 @@
     attempt.version = choice.version;
     attempt.route = route;
     attempt.load = load_of(choice);
+    attempt.expected = choice.unloaded_first_token;
     attempt.started = now;
     attempt.open = true;
     return attempt;
@@ -60,10 +62,12 @@
         return;
     }
     attempt.first_token = now;
-    observer_.on_first_token(
-        attempt.service, attempt.version, attempt.route, attempt.load,
-        std::chrono::duration_cast<std::chrono::microseconds>(now -
-                                                              attempt.started));
+    constexpr std::chrono::microseconds least{1'000};
+    const auto late = std::chrono::duration_cast<std::chrono::microseconds>(
+                          now - attempt.started) -
+                      attempt.expected;
+    observer_.on_first_token(attempt.service, attempt.version, attempt.route,
+                             attempt.load, std::max(late, least));
 }
 
 void version_watch::on_ended(monotonic_time now, watched_attempt& attempt,
--- a/src/coordination/version_watch.hpp
+++ b/src/coordination/version_watch.hpp
@@ -33,6 +33,7 @@
     std::string version;
     std::string route;
     load_bucket load = load_bucket::light;
+    std::chrono::microseconds expected{}; ///< First token without load.
     transport::monotonic_time started{};
     transport::monotonic_time first_token{}; ///< 0: none yet.
     bool open = false;                       ///< Its end is not told yet.
@@ -62,7 +63,9 @@
                                         std::string_view route,
                                         const route_choice& choice) const;
 
-    /// Its first token, or first byte, came.
+    /// Its first token, or first byte, came. What counts is how much later
+    /// than expected of this prompt and its cached part: the servers of a new
+    /// version begin with empty caches, and that is no fault of it.
     void on_first_token(transport::monotonic_time now,
                         watched_attempt& attempt);
 
