Put contracts, keys and leaving servers into the fault matrix

Control replicas with disks that lose what was not synced, entries that learn, operators that race and resend, and a dispatcher with the ledger client now play under the same table of steps and faults. A break counts as found only by a cell that keeps its promises without it.

--- a/tests/matrix_session.cpp
+++ b/tests/matrix_session.cpp
@@ -13,6 +13,14 @@
         {"reclaim", "A stream survives the reclaim of its engine.",
          play_reclaim},
         {"drain", "A leaving entry cuts no stream off.", play_drain},
+        {"contract-change",
+         "Of two equal revisions one wins; an accepted contract is in force "
+         "everywhere and never goes back.",
+         play_contract_change},
+        {"at-most-once", "A call runs once at most; not_run is true.",
+         play_at_most_once},
+        {"leaving", "A leaving server gets no new work, and never again.",
+         play_leaving},
     };
     return sessions;
 }
--- a/tests/matrix_table.cpp
+++ b/tests/matrix_table.cpp
@@ -123,6 +123,14 @@
     session_table table_;
 };
 
+// The cell is only evidence when it keeps its promises without the break.
+bool shows_break(const session_kind& session, const fault_plan& plan,
+                 matrix_break broken)
+{
+    return !run_cell(session, plan, broken).violations.empty() &&
+           run_cell(session, plan).violations.empty();
+}
+
 std::string markdown(const session_table& table)
 {
     auto text =
@@ -212,12 +220,54 @@
 const std::vector<known_break>& all_breaks()
 {
     static const std::vector<known_break> breaks = {
-        {matrix_break::accept_old_attempt, "stream"},
-        {matrix_break::send_before_copy, "stream"},
-        {matrix_break::other_version, "stream"},
-        {matrix_break::end_without_mark, "stream"},
-        {matrix_break::keep_old_owner, "stream"},
-        {matrix_break::drain_without_hand_over, "drain"},
+        {matrix_break::accept_old_attempt,
+         "stream",
+         {1, {5, matrix_fault::duplicate}, {9, matrix_fault::crash_sender}}},
+        {matrix_break::send_before_copy,
+         "stream",
+         {1, {5, matrix_fault::lose}, {9, matrix_fault::crash_after}}},
+        {matrix_break::other_version,
+         "stream",
+         {1, {5, matrix_fault::crash_sender}, {}}},
+        {matrix_break::end_without_mark,
+         "stream",
+         {1, {2, matrix_fault::crash_after}, {}}},
+        {matrix_break::keep_old_owner,
+         "stream",
+         {1, {9, matrix_fault::cut_off}, {}}},
+        {matrix_break::drain_without_hand_over, "drain", {}},
+        {matrix_break::skip_sync,
+         "contract-change",
+         {1,
+          {44, matrix_fault::crash_before},
+          {55, matrix_fault::crash_after}}},
+        {matrix_break::forget_vote,
+         "contract-change",
+         {1,
+          {55, matrix_fault::crash_before},
+          {66, matrix_fault::crash_sender}}},
+        {matrix_break::early_persist,
+         "contract-change",
+         {1,
+          {63, matrix_fault::crash_before},
+          {74, matrix_fault::crash_after}}},
+        {matrix_break::answer_before_commit, "contract-change", {}},
+        {matrix_break::new_order_id,
+         "contract-change",
+         {1, {65, matrix_fault::crash_after}, {}}},
+        {matrix_break::apply_lower_index,
+         "contract-change",
+         {1, {1, matrix_fault::pause}, {}}},
+        {matrix_break::dispatch_before_claim,
+         "at-most-once",
+         {1, {57, matrix_fault::duplicate}, {}}},
+        {matrix_break::release_after_send,
+         "at-most-once",
+         {1, {72, matrix_fault::delay}, {}}},
+        {matrix_break::dispatch_late,
+         "at-most-once",
+         {1, {69, matrix_fault::pause}, {}}},
+        {matrix_break::revive_leaving, "leaving", {}},
     };
     return breaks;
 }
@@ -225,6 +275,11 @@
 std::string find_break(const known_break& broken)
 {
     const auto* session = find_session(broken.session);
+    // The cell that showed it when the break was made comes first.
+    if (shows_break(*session, broken.first_try, broken.kind))
+    {
+        return command_of(broken.session, broken.first_try, broken.kind);
+    }
     fault_plan plan;
     const auto healthy = run_cell(*session, plan, broken.kind);
     if (!healthy.violations.empty())
@@ -236,7 +291,7 @@
         for (const auto fault : all_faults)
         {
             plan.first = {step, fault};
-            if (!run_cell(*session, plan, broken.kind).violations.empty())
+            if (shows_break(*session, plan, broken.kind))
             {
                 return command_of(broken.session, plan, broken.kind);
             }
@@ -253,8 +308,7 @@
                 {
                     plan.first = {step, fault};
                     plan.second = {step + offset, second};
-                    if (!run_cell(*session, plan, broken.kind)
-                             .violations.empty())
+                    if (shows_break(*session, plan, broken.kind))
                     {
                         return command_of(broken.session, plan, broken.kind);
                     }
--- a/tests/matrix_table.hpp
+++ b/tests/matrix_table.hpp
@@ -73,6 +73,7 @@
 {
     matrix_break kind = matrix_break::none;
     std::string_view session;
+    fault_plan first_try{}; ///< A cell that shows it.
 };
 
 /// @return All deliberate breaks.
--- a/tests/matrix_world.cpp
+++ b/tests/matrix_world.cpp
@@ -319,6 +319,19 @@
     clock_.advance(end - now());
 }
 
+void matrix_world::run_until(const std::function<bool()>& done,
+                             std::chrono::nanoseconds limit,
+                             std::chrono::nanoseconds longer)
+{
+    constexpr std::chrono::milliseconds slice{50};
+    const auto end = now() + limit;
+    while (!done() && now() < end)
+    {
+        run_for(slice);
+    }
+    run_for(longer);
+}
+
 void matrix_world::note(std::string text)
 {
     const auto since =
--- a/tests/matrix_world.hpp
+++ b/tests/matrix_world.hpp
@@ -157,6 +157,13 @@
     /// Runs for a virtual time.
     void run_for(std::chrono::nanoseconds duration);
 
+    /// Runs until a condition holds and for a while longer.
+    ///
+    /// @param limit Gives up after this virtual time.
+    void run_until(const std::function<bool()>& done,
+                   std::chrono::nanoseconds limit,
+                   std::chrono::nanoseconds longer);
+
     /// Adds a line to the trace.
     void note(std::string text);
 
