--- a/tests/examples_test.cpp
+++ b/tests/examples_test.cpp
@@ -10,6 +10,8 @@
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
 
+#include <hyssopdeal/coordination/control_settings.hpp>
+#include <hyssopdeal/coordination/entry_settings.hpp>
 #include <hyssopdeal/protocol/contract_json.hpp>
 #include <hyssopdeal/transport/digest.hpp>
 
@@ -109,6 +111,8 @@
 TEST(examples_tests, settings_are_valid)
 {
     check_settings<ctl::ctl_settings>("hyssopctl.json");
+    check_settings<coordination::entry_settings>("entryd.json");
+    check_settings<coordination::control_settings>("controld.json");
     check_settings<standins::engine_settings>("standins/engine.json");
     check_settings<standins::plain_service_settings>(
         "standins/plain-service.json");
