--- a/tests/golden_test.cpp
+++ b/tests/golden_test.cpp
@@ -63,8 +63,7 @@
 {
     const auto result = run_cell(*find_session(run.session), run.plan);
     return fmt::format("{}\nbroken_promises={}\n",
-                       fmt::join(result.trace, "\n"),
-                       result.violations.size());
+                       fmt::join(result.trace, "\n"), result.violations.size());
 }
 
 std::string read_file(const std::string& path)
