Put the replacement of a voter into the fault matrix

A replica loses its disk, a new one joins, catches up and votes, the old one is removed, and a second one is lost right after the repair.

--- a/tests/matrix_session.cpp
+++ b/tests/matrix_session.cpp
@@ -19,6 +19,10 @@
          play_contract_change},
         {"at-most-once", "A call runs once at most; not_run is true.",
          play_at_most_once},
+        {"replica-replacement",
+         "A lost voter is replaced; a second loss right after the repair loses "
+         "nothing.",
+         play_replica_replacement},
         {"leaving", "A leaving server gets no new work, and never again.",
          play_leaving},
     };
--- a/tests/matrix_session.hpp
+++ b/tests/matrix_session.hpp
@@ -44,7 +44,6 @@
 void play_contract_change(matrix_world& world);
 void play_at_most_once(matrix_world& world);
 void play_replica_replacement(matrix_world& world);
-void play_version_move(matrix_world& world);
 void play_leaving(matrix_world& world);
 
 // [running] ------------------------------------------------------------------
