Let callers of hyssop-load read slowly; list declarations briefly

A slow caller has a connection of its own with a small receive buffer and reads some bytes ten times a second, so that the entry must wait with its writes. hyssopctl's lists show names, revisions and the main limits.

--- a/programs/ctl/declaration_commands.cpp
+++ b/programs/ctl/declaration_commands.cpp
@@ -238,7 +238,15 @@
     {
         return run.report(*answer, "list");
     }
-    run.show(answer->body);
+    const bool contracts = kind == declaration_kind::contract;
+    run.show(
+        answer->body,
+        contracts
+            ? std::vector<std::string>{"organisation", "revision",
+                                       "requests_per_second",
+                                       "tokens_per_second",
+                                       "concurrent_streams", "priority_ceiling"}
+            : std::vector<std::string>{"name", "revision", "kind", "shares"});
     return exit_code::done;
 }
 
--- a/programs/ctl/json_table.cpp
+++ b/programs/ctl/json_table.cpp
@@ -38,9 +38,14 @@
     return text.empty() ? "-" : text;
 }
 
-std::vector<column> columns_of(const ordered_json& rows)
+std::vector<column> columns_of(const ordered_json& rows,
+                               const std::vector<std::string>& keys)
 {
     std::vector<column> columns;
+    for (const auto& key : keys)
+    {
+        columns.push_back({key, key.size()});
+    }
     for (const auto& row : rows)
     {
         for (const auto& [key, value] : row.items())
@@ -48,6 +53,10 @@
             auto known = std::find_if(
                 columns.begin(), columns.end(),
                 [&key = key](const column& entry) { return entry.key == key; });
+            if (known == columns.end() && !keys.empty())
+            {
+                continue;
+            }
             if (known == columns.end())
             {
                 known = columns.insert(known, {key, key.size()});
@@ -58,9 +67,10 @@
     return columns;
 }
 
-std::string table(const ordered_json& rows)
+std::string table(const ordered_json& rows,
+                  const std::vector<std::string>& keys)
 {
-    const auto columns = columns_of(rows);
+    const auto columns = columns_of(rows, keys);
     std::string text;
     for (const auto& entry : columns)
     {
@@ -87,7 +97,8 @@
 
 } // namespace
 
-std::string json_table(const std::string& json)
+std::string json_table(const std::string& json,
+                       const std::vector<std::string>& keys)
 {
     constexpr int indentation = 2;
     const auto value = ordered_json::parse(json, nullptr, false);
@@ -97,14 +108,14 @@
     }
     if (is_table(value))
     {
-        return table(value);
+        return table(value, keys);
     }
     if (value.is_object() && value.size() == 1)
     {
         const auto& inner = value.begin().value();
         if (is_table(inner))
         {
-            return table(inner);
+            return table(inner, keys);
         }
         if (inner.is_array() && inner.empty())
         {
--- a/programs/ctl/json_table.hpp
+++ b/programs/ctl/json_table.hpp
@@ -7,6 +7,7 @@
 /// Index: [json_table]
 
 #include <string>
+#include <vector>
 
 namespace hyssopdeal::ctl
 {
@@ -15,7 +16,10 @@
 
 /// Shows a JSON text: a list of objects, or an object that holds one, becomes
 /// a table with a column for each key; anything else is indented JSON.
-[[nodiscard]] std::string json_table(const std::string& json);
+///
+/// @param keys Columns wanted, in this order; empty: every key.
+[[nodiscard]] std::string json_table(const std::string& json,
+                                     const std::vector<std::string>& keys = {});
 
 } // namespace hyssopdeal::ctl
 
--- a/programs/ctl/session.cpp
+++ b/programs/ctl/session.cpp
@@ -196,7 +196,8 @@
     }
 }
 
-void session::show(const std::string& json_text)
+void session::show(const std::string& json_text,
+                   const std::vector<std::string>& keys)
 {
     if (json_text.empty())
     {
@@ -204,7 +205,7 @@
     }
     output_.text += options_.format == output_format::json
                         ? json_text + '\n'
-                        : json_table(json_text);
+                        : json_table(json_text, keys);
 }
 
 void session::pause()
--- a/programs/ctl/session.hpp
+++ b/programs/ctl/session.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include <hyssopdeal/transport/clock.hpp>
 
@@ -60,7 +61,10 @@
     void say(const std::string& line);
 
     /// Adds JSON: as it is with `--json`, as a table for people.
-    void show(const std::string& json);
+    ///
+    /// @param keys Columns of the table; empty: every key.
+    void show(const std::string& json,
+              const std::vector<std::string>& keys = {});
 
     /// Waits before a status is asked again.
     void pause();
--- a/programs/load/call.cpp
+++ b/programs/load/call.cpp
@@ -7,6 +7,7 @@
 
 #include <hyssopdeal/protocol/sse_parser.hpp>
 
+#include "load/slow_call.hpp"
 #include "standins/answer_text.hpp"
 
 namespace hyssopdeal::load
@@ -150,6 +151,13 @@
                 self->take_end(end);
             }
         };
+        if (plan.slow_bytes_per_second != 0)
+        {
+            slow = std::make_unique<slow_call>(loop, entries[entry], request,
+                                               plan.slow_bytes_per_second,
+                                               std::move(handlers));
+            return;
+        }
         running =
             client.start(entries[entry], request, limits, std::move(handlers));
     }
@@ -426,6 +434,7 @@
     call_result result;
     transport::monotonic_time started;
     transport::http_call running;
+    std::unique_ptr<slow_call> slow; ///< In place of `running`.
     transport::timer_handle timer;
     std::unique_ptr<protocol::sse_parser> parser;
     int status = 0;
--- a/programs/load/call.hpp
+++ b/programs/load/call.hpp
@@ -45,14 +45,15 @@
 struct call_plan
 {
     call_kind kind = call_kind::stream;
-    std::string path;                      ///< Target.
-    std::string key;                       ///< Caller's key.
-    std::string body;                      ///< Request body.
-    std::string idempotency_key;           ///< Of a purchase.
-    std::uint32_t leave_after = 0;         ///< Events; 0: stays connected.
-    std::uint32_t repeats = 0;             ///< Further sends of a purchase.
-    std::uint32_t max_reconnects = 0;      ///< Of a stream.
-    std::chrono::milliseconds deadline{0}; ///< 0: none.
+    std::string path;                        ///< Target.
+    std::string key;                         ///< Caller's key.
+    std::string body;                        ///< Request body.
+    std::string idempotency_key;             ///< Of a purchase.
+    std::uint32_t leave_after = 0;           ///< Events; 0: stays connected.
+    std::uint32_t repeats = 0;               ///< Further sends of a purchase.
+    std::uint32_t max_reconnects = 0;        ///< Of a stream.
+    std::uint32_t slow_bytes_per_second = 0; ///< Reads slowly; 0: at once.
+    std::chrono::milliseconds deadline{0};   ///< 0: none.
     std::chrono::milliseconds give_up{120'000}; ///< Of one connection.
     std::size_t first_entry = 0;                ///< Which entry is asked first.
 };
--- a/programs/load/plan_maker.cpp
+++ b/programs/load/plan_maker.cpp
@@ -87,6 +87,10 @@
     {
         plan.leave_after = 1 + tokens / 2;
     }
+    if (chance(entry.slow_share))
+    {
+        plan.slow_bytes_per_second = entry.slow_bytes_per_second;
+    }
 }
 
 std::string plan_maker::prompt(const call_class& entry)
