Begin a test's cluster again when one of its ports was taken

Cause: follower_names_the_leader failed once on a loaded machine: a control process could not start. Its error was not shown; likely a port that the kernel picked was taken by another process before it was bound, as the addresses must stand in all settings first.

Change: a cluster that cannot start begins again with other ports, at most ten times, and the last error is shown; that all start is still checked.

--- a/tests/control_cluster.hpp
+++ b/tests/control_cluster.hpp
@@ -64,6 +64,41 @@
     explicit control_cluster(std::size_t count)
         : folder_(std::filesystem::temp_directory_path() /
                   fmt::format("hyssopdeal-control-{}", ::getpid()))
+    {
+        prepare(count);
+    }
+
+    /// Starts all. Another process may have taken a port since it was picked:
+    /// then all begin again, with other ports.
+    ///
+    /// @return Why they could not start; empty when they run.
+    std::string start_all()
+    {
+        std::string error;
+        const auto count = members_.size();
+        for (int round = 0; round < 10; ++round)
+        {
+            error.clear();
+            for (std::size_t at = 0; at < count && error.empty(); ++at)
+            {
+                error = start(at);
+            }
+            if (error.empty())
+            {
+                return error;
+            }
+            for (std::size_t at = 0; at < count; ++at)
+            {
+                stop(at);
+            }
+            members_.clear();
+            prepare(count);
+        }
+        return error;
+    }
+
+private:
+    void prepare(std::size_t count)
     {
         std::filesystem::remove_all(folder_);
         std::filesystem::create_directories(folder_);
@@ -103,6 +138,7 @@
         }
     }
 
+public:
     control_cluster(const control_cluster&) = delete;
     control_cluster& operator=(const control_cluster&) = delete;
 
