Close an ended entry's sockets in the test, as the system does

Cause: drained_entry_hands_its_streams_over failed 1 of 24 under load: the entry ended before the cut of its caller's connection was written; in one test process the socket then stays open, which it does not when a process ends. Change: the relay of an entry that has ended is cut.

--- a/tests/linked_entries.cpp
+++ b/tests/linked_entries.cpp
@@ -222,8 +222,12 @@
     starting.callers =
         std::make_unique<cut_relay>(loop, starting.process->start().value());
     starting.process->publish(make_view(engine_ports_));
+    starting.ended = std::make_shared<std::atomic<bool>>(false);
     starting.waiter =
-        std::thread{[process = starting.process.get()] { process->wait(); }};
+        std::thread{[process = starting.process.get(), ended = starting.ended] {
+            process->wait();
+            *ended = true;
+        }};
 }
 
 void linked_entries::kill_entry(std::size_t number)
@@ -254,10 +258,27 @@
     return loopback(entries_[entry].callers->port());
 }
 
+void linked_entries::close_ended()
+{
+    for (const auto& known : entries_)
+    {
+        if (known.ended && *known.ended)
+        {
+            known.callers->cut();
+        }
+    }
+}
+
 bool linked_entries::run(const std::function<bool()>& holds,
                          std::chrono::milliseconds limit)
 {
-    return run_until(loop, holds, limit);
+    return run_until(
+        loop,
+        [&] {
+            close_ended();
+            return holds();
+        },
+        limit);
 }
 
 } // namespace hyssopdeal::tests
--- a/tests/linked_entries.hpp
+++ b/tests/linked_entries.hpp
@@ -7,6 +7,7 @@
 ///
 /// Index: [stream_caller] [linked_entries]
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -100,12 +101,16 @@
     std::vector<std::unique_ptr<standins::engine>> engines;
 
 private:
+    /// Closes what the system closes when a process ends.
+    void close_ended();
+
     struct linked_entry
     {
         coordination::entry_settings settings;
         std::unique_ptr<coordination::entry_process> process;
         std::thread waiter;
-        std::unique_ptr<cut_relay> callers; ///< What callers connect to.
+        std::unique_ptr<cut_relay> callers;       ///< What callers connect to.
+        std::shared_ptr<std::atomic<bool>> ended; // by the waiter
     };
 
     std::string key_file_;
