Pick ports again when another process took one

Cause: 3 of 70 runs of stream_takeover_test, 14 at a time, ended by an exception: a port picked for an entry was bound by another process before the entry did.

--- a/tests/linked_entries.cpp
+++ b/tests/linked_entries.cpp
@@ -2,6 +2,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <stdexcept>
 #include <utility>
 
 #include <asio/io_context.hpp>
@@ -180,7 +181,22 @@
         engine_ports_.push_back(engine_links_.back()->port());
     }
     entries_.resize(entries);
-    for (std::size_t i = 0; i < entries; ++i)
+    // Another process may take a port between picking and binding it.
+    constexpr int most_tries = 10;
+    for (int tries = 0; tries < most_tries; ++tries)
+    {
+        pick_ports();
+        if (start_all())
+        {
+            return;
+        }
+    }
+    throw std::runtime_error{"No free ports were found."};
+}
+
+void linked_entries::pick_ports()
+{
+    for (std::size_t i = 0; i < entries_.size(); ++i)
     {
         auto& settings = entries_[i].settings;
         settings.name = fmt::format("e{}", i);
@@ -188,6 +204,7 @@
         settings.shared_key_file = key_file_;
         settings.peer_port = free_port<asio::ip::tcp>();
         settings.gossip_port = free_port<asio::ip::udp>();
+        settings.entries.clear();
     }
     for (auto& known : entries_)
     {
@@ -199,10 +216,22 @@
                  loopback(other.settings.gossip_port)});
         }
     }
-    for (std::size_t i = 0; i < entries; ++i)
+}
+
+bool linked_entries::start_all()
+{
+    for (std::size_t i = 0; i < entries_.size(); ++i)
     {
-        start_entry(i);
+        if (!start_entry(i))
+        {
+            for (std::size_t started = 0; started < i; ++started)
+            {
+                kill_entry(started);
+            }
+            return false;
+        }
     }
+    return true;
 }
 
 linked_entries::~linked_entries()
@@ -214,13 +243,18 @@
     std::filesystem::remove(key_file_);
 }
 
-void linked_entries::start_entry(std::size_t number)
+bool linked_entries::start_entry(std::size_t number)
 {
     auto& starting = entries_[number];
     starting.process =
         std::make_unique<coordination::entry_process>(starting.settings, clock);
-    starting.callers =
-        std::make_unique<cut_relay>(loop, starting.process->start().value());
+    const auto port = starting.process->start();
+    if (!port)
+    {
+        starting.process.reset();
+        return false;
+    }
+    starting.callers = std::make_unique<cut_relay>(loop, *port);
     starting.process->publish(make_view(engine_ports_));
     starting.ended = std::make_shared<std::atomic<bool>>(false);
     starting.waiter =
@@ -228,6 +262,7 @@
             process->wait();
             *ended = true;
         }};
+    return true;
 }
 
 void linked_entries::kill_entry(std::size_t number)
--- a/tests/linked_entries.hpp
+++ b/tests/linked_entries.hpp
@@ -78,7 +78,9 @@
     ~linked_entries();
 
     /// Starts an entry again or for the first time.
-    void start_entry(std::size_t number);
+    ///
+    /// @return Whether its ports could be bound.
+    bool start_entry(std::size_t number);
 
     /// Ends an entry as a crash does.
     void kill_entry(std::size_t number);
@@ -101,6 +103,9 @@
     std::vector<std::unique_ptr<standins::engine>> engines;
 
 private:
+    void pick_ports();
+    [[nodiscard]] bool start_all();
+
     /// Closes what the system closes when a process ends.
     void close_ended();
 
