--- a/bench/entry_fixture.cpp
+++ b/bench/entry_fixture.cpp
@@ -268,8 +268,10 @@
             totals_.events += events;
         };
         handlers.on_end = [this](const transport::http_call_end& end) {
-            end.complete&& end.status == 200 ? ++totals_.ended
-                                             : ++totals_.failed;
+            const bool whole = end.complete;
+            ++(whole && end.status == 200   ? totals_.ended
+               : whole && end.status == 503 ? totals_.refused
+                                            : totals_.failed);
         };
         item->call =
             client_.start(address_, request, settings, std::move(handlers));
--- a/bench/first_token.cpp
+++ b/bench/first_token.cpp
@@ -52,6 +52,7 @@
     caller_totals seen;
     probe_times times;
     std::vector<std::unique_ptr<caller>> crowd;
+    crowd.reserve(open_to.size());
     for (const auto& address : open_to)
     {
         crowd.push_back(std::make_unique<caller>(address, background));
--- a/src/coordination/request_flow_claims.cpp
+++ b/src/coordination/request_flow_claims.cpp
@@ -9,7 +9,6 @@
 {
 
 using transport::reason;
-using transport::verdict;
 
 namespace
 {
--- a/src/transport/metrics.cpp
+++ b/src/transport/metrics.cpp
@@ -56,7 +56,7 @@
     }
     for (int at = -1; at <= axis.size(); ++at)
     {
-        into.counts[static_cast<std::size_t>(at + 1)] +=
+        into.counts[static_cast<std::size_t>(at) + 1] +=
             static_cast<std::uint64_t>(impl_->counts.at(at));
     }
     into.sum_s +=
--- a/tests/entry_harness.cpp
+++ b/tests/entry_harness.cpp
@@ -138,7 +138,7 @@
 }
 
 transport::result<transport::http_response>
-entry_harness::fetch(http_request request)
+entry_harness::fetch(const http_request& request)
 {
     std::optional<transport::result<transport::http_response>> got;
     const auto call = client.fetch(
--- a/tests/entry_harness.hpp
+++ b/tests/entry_harness.hpp
@@ -46,7 +46,7 @@
 
     /// Sends a request to the entry and collects the answer.
     transport::result<transport::http_response>
-    fetch(transport::http_request request);
+    fetch(const transport::http_request& request);
 
     /// A POST of a chat with a key.
     static transport::http_request
