Keep files free for callers

RESTinio stops accepting for good when an accept fails for want of a file. Connections to backend servers are capped so that callers always find one; settings that leave too few files are refused at the start.

--- a/include/hyssopdeal/transport/http_client.hpp
+++ b/include/hyssopdeal/transport/http_client.hpp
@@ -96,7 +96,9 @@
 class http_client
 {
 public:
-    explicit http_client(event_loop& loop);
+    /// @param max_connections Open at once; calls beyond it wait, within their
+    ///     time limits. 0: no cap.
+    explicit http_client(event_loop& loop, std::size_t max_connections = 0);
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
     ~http_client();
--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -7,9 +7,12 @@
 
 #include <pthread.h>
 
+#include <fmt/format.h>
+
 #include <hyssopdeal/coordination/drain_entry.hpp>
 #include <hyssopdeal/coordination/learner_runner.hpp>
 #include <hyssopdeal/protocol/contract_json.hpp>
+#include <hyssopdeal/transport/file_limit.hpp>
 #include <hyssopdeal/transport/http_server.hpp>
 #include <hyssopdeal/transport/logging.hpp>
 
@@ -31,6 +34,9 @@
 {
 
 constexpr std::chrono::milliseconds drain_tick{50};
+constexpr std::size_t reserved_files = 512;      // links, logs, spans
+constexpr std::size_t refused_connections = 256; // accepted to be refused
+constexpr std::size_t fewest_server_connections = 64;
 
 transport::http_server_settings server_settings_of(const entry_settings& from)
 {
@@ -46,11 +52,31 @@
     return settings;
 }
 
+// Without a free file no connection could be accepted any more: what callers
+// may take is kept free of connections to backend servers.
+result<std::size_t> max_server_connections(const entry_settings& from)
+{
+    const auto limit = transport::open_file_limit();
+    const auto for_callers = from.max_connections + refused_connections;
+    const auto taken = reserved_files + for_callers * from.shards;
+    const auto fewest = taken + from.shards * fewest_server_connections;
+    if (limit < fewest)
+    {
+        return transport::fail(
+            transport::reason::bad_settings,
+            fmt::format("max_connections {} on {} threads needs {} open files, "
+                        "{} are allowed.",
+                        from.max_connections, from.shards, fewest, limit));
+    }
+    return (limit - taken) / from.shards;
+}
+
 /// A shard with its server and its thread.
 struct running_shard
 {
-    running_shard(entry_shared& shared, std::uint16_t port)
-        : shard(shared),
+    running_shard(entry_shared& shared, std::uint16_t port,
+                  std::size_t max_server_connections)
+        : shard(shared, max_server_connections),
           service(shard),
           server(shard.loop, with_port(shared.settings, port),
                  [this](http_request request, http_responder responder) {
@@ -334,11 +360,18 @@
 
 result<std::uint16_t> entry_process::start()
 {
+    const auto server_connections =
+        max_server_connections(impl_->shared.settings);
+    if (!server_connections)
+    {
+        return tl::unexpected(server_connections.error());
+    }
     auto port = impl_->shared.settings.port;
     for (std::uint32_t count = 0; count < impl_->shared.settings.shards;
          ++count)
     {
-        auto running = std::make_unique<running_shard>(impl_->shared, port);
+        auto running = std::make_unique<running_shard>(impl_->shared, port,
+                                                       *server_connections);
         auto bound = running->server.start();
         if (!bound)
         {
--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -38,8 +38,9 @@
 
 } // namespace
 
-entry_shard::entry_shard(entry_shared& of)
+entry_shard::entry_shard(entry_shared& of, std::size_t max_server_connections)
     : shared(of),
+      client(loop, max_server_connections),
       random(std::random_device{}()),
       limits(floors_of(of.settings))
 {}
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -72,7 +72,8 @@
 /// thread, so that no request takes a lock.
 struct entry_shard
 {
-    explicit entry_shard(entry_shared& of);
+    /// @param max_server_connections To backend servers at once.
+    entry_shard(entry_shared& of, std::size_t max_server_connections);
     entry_shard(const entry_shard&) = delete;
     entry_shard& operator=(const entry_shard&) = delete;
     ~entry_shard();
@@ -114,7 +115,7 @@
 
     entry_shared& shared;
     transport::event_loop loop;
-    transport::http_client client{loop};
+    transport::http_client client;
     std::optional<protocol::peer_hub> peers; ///< Only sends and calls; the
                                              ///< process's own hub listens.
     std::optional<ledger_client> ledger;     ///< Not without replicas.
--- a/src/transport/curl_multi_loop.cpp
+++ b/src/transport/curl_multi_loop.cpp
@@ -30,6 +30,7 @@
 };
 
 curl_multi_loop::curl_multi_loop(asio::io_context& context,
+                                 std::size_t max_connections,
                                  done_handler on_done)
     : context_(context),
       on_done_(std::move(on_done)),
@@ -42,6 +43,8 @@
     curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
     curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, pooled_connections);
+    curl_multi_setopt(multi_, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                      static_cast<long>(max_connections));
 }
 
 curl_multi_loop::~curl_multi_loop()
--- a/src/transport/curl_multi_loop.hpp
+++ b/src/transport/curl_multi_loop.hpp
@@ -6,6 +6,7 @@
 ///
 /// Index: [curl_multi_loop]
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -30,7 +31,9 @@
     /// Gets a finished handle, which is already removed from the multi handle.
     using done_handler = std::function<void(CURL*, CURLcode)>;
 
-    curl_multi_loop(asio::io_context& context, done_handler on_done);
+    /// @param max_connections 0: no cap.
+    curl_multi_loop(asio::io_context& context, std::size_t max_connections,
+                    done_handler on_done);
     curl_multi_loop(const curl_multi_loop&) = delete;
     curl_multi_loop& operator=(const curl_multi_loop&) = delete;
     ~curl_multi_loop();
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -435,9 +435,9 @@
 
 struct http_client::impl
 {
-    explicit impl(event_loop& on_loop)
+    impl(event_loop& on_loop, std::size_t max_connections)
         : context(on_loop.context()),
-          loop(context, [](CURL* handle, CURLcode code) {
+          loop(context, max_connections, [](CURL* handle, CURLcode code) {
               void* call = nullptr;
               curl_easy_getinfo(handle, CURLINFO_PRIVATE, &call);
               static_cast<http_call::impl*>(call)->finish(code);
@@ -461,8 +461,8 @@
     std::unordered_set<std::shared_ptr<http_call::impl>> running;
 };
 
-http_client::http_client(event_loop& loop)
-    : impl_(std::make_unique<impl>(loop))
+http_client::http_client(event_loop& loop, std::size_t max_connections)
+    : impl_(std::make_unique<impl>(loop, max_connections))
 {}
 
 http_client::~http_client() = default;
--- a/tests/entry_service_test.cpp
+++ b/tests/entry_service_test.cpp
@@ -375,6 +375,16 @@
     LONGS_EQUAL(0, entry.backend_requests.size());
 }
 
+TEST(entry_service_tests, more_callers_than_files_are_refused_at_the_start)
+{
+    hyssopdeal::coordination::entry_settings settings;
+    settings.max_connections = 1'000'000'000;
+    hyssopdeal::coordination::entry_process process{settings, entry.clock};
+    const auto started = process.start();
+    CHECK_FALSE(started.has_value());
+    CHECK(started.error().code == reason::bad_settings);
+}
+
 TEST(entry_service_tests, drain_fails_readiness_and_refuses_new_work)
 {
     entry.entry->drain();
--- a/tests/http_loopback_test.cpp
+++ b/tests/http_loopback_test.cpp
@@ -240,6 +240,22 @@
     }));
 }
 
+TEST(http_loopback_tests, calls_beyond_the_connection_cap_wait)
+{
+    http_client capped{loop, 1};
+    const auto held = capped.start(address, {"GET", "/held", {}, ""}, {}, {});
+    CHECK_TRUE(run_until(loop, [&] { return open.size() == 1; }));
+    std::optional<result<http_response>> got;
+    const auto waiting =
+        capped.fetch(address, {"GET", "/stream", {}, ""}, {},
+                     [&](auto outcome) { got = std::move(outcome); });
+    loop.run_for(50ms);
+    CHECK_FALSE(got.has_value());
+    open.front().send({});
+    CHECK_TRUE(run_until(loop, [&] { return got.has_value(); }));
+    CHECK_TRUE(got->has_value());
+}
+
 TEST(http_loopback_tests, body_above_the_cap_gets_413)
 {
     const auto answer = fetch({"POST", "/echo", {}, std::string(1'001, 'x')});
