--- a/src/protocol/chat_codec.cpp
+++ b/src/protocol/chat_codec.cpp
@@ -241,7 +241,8 @@
         event.kind = chat_event_kind::done;
         return event;
     }
-    const auto parsed = parse(data);
+    // Never written again, so its depth does not matter.
+    const auto parsed = json::parse(data, nullptr, false);
     if (!parsed.is_object())
     {
         return fail(reason::broken_answer, "An event is not a JSON object.",
