--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -58,8 +58,9 @@
 
 } // namespace
 
-entry_shard::entry_shard(entry_shared& of)
+entry_shard::entry_shard(entry_shared& of, std::size_t max_server_connections)
     : shared(of),
+      client(loop, max_server_connections),
       random(std::random_device{}()),
       limits(floors_of(of.settings)),
       versions(fmt::format("{}/{:x}", of.settings.name, random()),
--- a/tests/linked_entries.hpp
+++ b/tests/linked_entries.hpp
@@ -7,6 +7,7 @@
 ///
 /// Index: [stream_caller] [linked_entries]
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -77,7 +78,9 @@
     ~linked_entries();
 
     /// Starts an entry again or for the first time.
-    void start_entry(std::size_t number);
+    ///
+    /// @return Whether its ports could be bound.
+    bool start_entry(std::size_t number);
 
     /// Ends an entry as a crash does.
     void kill_entry(std::size_t number);
@@ -100,12 +103,19 @@
     std::vector<std::unique_ptr<standins::engine>> engines;
 
 private:
+    void pick_ports();
+    [[nodiscard]] bool start_all();
+
+    /// Closes what the system closes when a process ends.
+    void close_ended();
+
     struct linked_entry
     {
         coordination::entry_settings settings;
         std::unique_ptr<coordination::entry_process> process;
         std::thread waiter;
-        std::unique_ptr<cut_relay> callers; ///< What callers connect to.
+        std::unique_ptr<cut_relay> callers;       ///< What callers connect to.
+        std::shared_ptr<std::atomic<bool>> ended; // by the waiter
     };
 
     std::string key_file_;
