--- a/programs/ctl/json_table.cpp
+++ b/programs/ctl/json_table.cpp
@@ -42,6 +42,7 @@
                                const std::vector<std::string>& keys)
 {
     std::vector<column> columns;
+    columns.reserve(keys.size());
     for (const auto& key : keys)
     {
         columns.push_back({key, key.size()});
