--- a/src/coordination/control_process_impl.hpp
+++ b/src/coordination/control_process_impl.hpp
@@ -24,6 +24,7 @@
 
 #include "coordination/control_api.hpp"
 #include "coordination/control_disk.hpp"
+#include "coordination/grant_service.hpp"
 
 namespace hyssopdeal::coordination
 {
@@ -87,6 +88,7 @@
     std::optional<grant_allocator> allocator; ///< While this one leads.
     state::term_number allocator_term = 0;
     std::unique_ptr<move_runner> moves;
+    std::unique_ptr<grant_service> grants;
     std::unique_ptr<fleet_runner> fleet; // uses moves
     declaration_source source;
     std::map<std::uint64_t, propose_callback> waiting; ///< By proposal.
--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -1,8 +1,12 @@
 #include "entry_shard.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "entry_links.hpp"
+#include "stream_exchange.hpp"
 #include "stream_session.hpp"
 
 namespace hyssopdeal::coordination
@@ -12,7 +16,9 @@
 {
 
 constexpr std::chrono::milliseconds count_interval{50};
+constexpr std::chrono::milliseconds members_interval{1'000};
 constexpr std::chrono::milliseconds ledger_interval{50};
+constexpr std::chrono::milliseconds report_interval{250};
 
 router_settings router_settings_of(const entry_settings& from)
 {
@@ -32,16 +38,32 @@
         floors.floor_share = 1;
         floors.nodes = 1;
     }
+    if (from.control_replicas.empty())
+    {
+        // Nobody grants: the entries that know each other share everything.
+        floors.floor_share = 1;
+        floors.nodes = std::max<std::uint32_t>(
+            static_cast<std::uint32_t>(from.entries.size()), 1);
+    }
     floors.nodes *= from.shards;
     return floors;
 }
 
+/// Later starts give greater numbers.
+std::uint64_t incarnation_of(const transport::clock& clock)
+{
+    return static_cast<std::uint64_t>(
+        clock.wall_now().time_since_epoch().count());
+}
+
 } // namespace
 
 entry_shard::entry_shard(entry_shared& of)
     : shared(of),
       random(std::random_device{}()),
-      limits(floors_of(of.settings))
+      limits(floors_of(of.settings)),
+      versions(fmt::format("{}/{:x}", of.settings.name, random()),
+               incarnation_of(of.clock), of.clock.monotonic_now())
 {}
 
 entry_shard::~entry_shard() = default;
@@ -66,10 +88,14 @@
             if (!lane)
             {
                 lane = std::make_unique<service_lane>(
-                    loop, shared.clock, random,
+                    loop, shared.clock, client, random,
                     router_settings_of(shared.settings));
             }
-            lane->set_service(service, view.leaving_instances);
+            copies.set_shares(service);
+            auto used = service;
+            used.shares = versions.effective_shares(now(), service);
+            applied_shares_[service.name] = used.shares;
+            lane->set_service(used, view.leaving_instances);
         }
     });
 }
@@ -77,6 +103,7 @@
 void entry_shard::link(std::string_view shared_key)
 {
     peers.emplace(loop, hub_settings_of(shared.settings, shared_key));
+    watch_members();
     if (shared.settings.control_replicas.empty())
     {
         return;
@@ -97,16 +124,89 @@
     {
         names.push_back(replica.name);
     }
+    grants = std::make_unique<grant_client>(
+        loop, shared.clock, *peers, limits,
+        shared.settings.name + "/" + to_string(next_id()), names);
+    grants->start();
     ledger->set_replicas(std::move(names));
     tick_ledger();
 }
 
+void entry_shard::watch_members()
+{
+    std::uint32_t entries = 0;
+    for (const auto& member : entry_members(*this))
+    {
+        entries += member.state == entry_liveness::alive ? 1 : 0;
+    }
+    for (const auto& [name, lane] : lanes)
+    {
+        lane->router().set_peers(std::max(entries, 1U) *
+                                 shared.settings.shards);
+    }
+    members_timer = loop.after(members_interval, [this] { watch_members(); });
+}
+
 void entry_shard::tick_ledger()
 {
     ledger->tick();
     ledger_timer = loop.after(ledger_interval, [this] { tick_ledger(); });
 }
 
+void entry_shard::apply_guards()
+{
+    shared.catalog.read([this](const entry_catalog& catalog) {
+        const auto& view = catalog.view();
+        if (view.applied_index != applied_index)
+        {
+            return; // refresh() applies both.
+        }
+        for (const auto& service : view.services)
+        {
+            const auto shares = versions.effective_shares(now(), service);
+            auto& applied = applied_shares_[service.name];
+            auto* const lane = find_lane(service.name);
+            if (lane == nullptr || applied == shares)
+            {
+                continue;
+            }
+            applied = shares;
+            auto used = service;
+            used.shares = shares;
+            lane->set_service(used, view.leaving_instances);
+        }
+    });
+}
+
+void entry_shard::watch_versions()
+{
+    apply_guards();
+    copies.collect();
+    for (const auto& report : versions.take_reports(now()))
+    {
+        const auto payload = encode(report);
+        for (const auto& replica : shared.settings.control_replicas)
+        {
+            if (peers)
+            {
+                peers->send(replica.name, protocol::peer_channel::reports,
+                            payload);
+            }
+        }
+    }
+    versions_timer = loop.after(report_interval, [this] { watch_versions(); });
+}
+
+bool entry_shard::is_leaving(std::string_view server) const
+{
+    const auto* const members = shared.members.load();
+    return members != nullptr &&
+           members->read([server](const member_view& view) {
+               return std::binary_search(view.leaving_servers.begin(),
+                                         view.leaving_servers.end(), server);
+           });
+}
+
 void entry_shard::count_work()
 {
     metrics.open_streams = static_cast<std::uint32_t>(streams.open_streams());
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -29,8 +29,11 @@
 #include <hyssopdeal/transport/rcu_cell.hpp>
 
 #include "entry_metrics.hpp"
+#include "grant_client.hpp"
 #include "service_lane.hpp"
 #include "stream_table.hpp"
+#include "version_copies.hpp"
+#include "version_watch.hpp"
 
 namespace hyssopdeal::coordination
 {
@@ -92,6 +95,9 @@
     /// ledger. Call it before the thread runs.
     void link(std::string_view shared_key);
 
+    /// Tells the routers how many entries there are, now and from then on.
+    void watch_members();
+
     /// Publishes the counts of open work now and from then on.
     void count_work();
 
@@ -109,6 +115,12 @@
     void record_entry_span(const accepted_request& request,
                            protocol::span_status status);
 
+    /// Sends reports about versions and applies their guards from then on.
+    void watch_versions();
+
+    /// @return Whether a backend server was announced to leave.
+    [[nodiscard]] bool is_leaving(std::string_view server) const;
+
     /// @return A fresh id for an attempt or a stream.
     [[nodiscard]] attempt_id next_id();
 
@@ -120,18 +132,28 @@
     std::optional<ledger_client> ledger;     ///< Not without replicas.
     std::mt19937_64 random;
     limiter limits;
+    std::unique_ptr<grant_client> grants; ///< Not without replicas.
     budgeted_retry retries;
     std::map<std::string, std::unique_ptr<service_lane>, std::less<>> lanes;
     stream_table streams;
+    version_watch versions;
+    version_copies copies{*this};
     std::uint64_t applied_index = 0;
     std::uint32_t open_calls = 0; ///< Plain calls that are not answered.
     entry_metrics metrics;
     std::unique_ptr<protocol::span_writer> spans; ///< Not without a file.
     transport::timer_handle count_timer;
+    transport::timer_handle members_timer;
     transport::timer_handle ledger_timer;
+    transport::timer_handle versions_timer;
 
 private:
     void tick_ledger();
+    void apply_guards();
+
+    /// Shares that the lanes use, by service.
+    std::map<std::string, std::vector<protocol::version_share>, std::less<>>
+        applied_shares_;
     [[nodiscard]] protocol::span
     make_span(std::string_view name, const accepted_request& request,
               transport::monotonic_time started) const;
