Let owners with equal epochs both give up; keep the newest owner's text

Cause: two holders of epoch 1 can each take a stream over to epoch 2 and refuse each other's copies. The product's session gave up by passing a made up epoch, the matrix passed the equal one, which changed nothing, and the caller hung. Ruled out: a tie break by name, since the loser's text may already be with the caller, so neither may go on under epoch 2. While reading it: a copy kept an older owner's events where the newer owner had produced others, and a late announcement without events moved the attempt's place.

Change: stream_record::on_copy_refused() ends the tenure in one place, used by the session and both test worlds; the caller's next return takes over with epoch 3. A copied batch tells the number at which its attempt stands; events that differ from the held ones replace them.

Two new tests of stream_copies.

--- a/idl/streams.thrift
+++ b/idl/streams.thrift
@@ -41,7 +41,9 @@
     3: required string organisation,
     4: required string asker,
     5: required i64 epoch,
-    6: optional stream_copy_wire copy
+    6: optional stream_copy_wire copy,
+    /// Of a copied part: number of the owner's last event so far.
+    7: optional i64 up_to
 }
 
 /// The answer: outcome 0, or one more than the reason of the refusal.
--- a/include/hyssopdeal/coordination/stream_copies.hpp
+++ b/include/hyssopdeal/coordination/stream_copies.hpp
@@ -5,7 +5,7 @@
 /// Copies of other entries' streams on the entry that holds them, in bounded
 /// memory, and who may take one over.
 ///
-/// Index: [settings] [stream_copy] [answers] [stream_copies]
+/// Index: [settings] [stream_copy] [copied_batch] [answers] [stream_copies]
 
 #include <chrono>
 #include <cstddef>
@@ -47,6 +47,19 @@
     std::vector<stream_event> events; ///< From number 1, without gaps.
 };
 
+// [copied_batch] -------------------------------------------------------------
+
+/// Events that an owner has copied, and where its attempt stands after them.
+struct copied_batch
+{
+    attempt_id attempt;         ///< The owner's current one.
+    std::string server;         ///< Where that attempt runs.
+    std::uint64_t sequence = 0; ///< Last engine sequence, at event `up_to`.
+    std::uint64_t up_to = 0;    ///< Number of the owner's last event so far;
+                                ///< also when there are no events.
+    std::vector<stream_event> events;
+};
+
 // [answers] ------------------------------------------------------------------
 
 /// Answer to a copied batch.
@@ -76,11 +89,11 @@
          std::string_view owner, owner_epoch epoch);
 
     /// Adds events; those already here are skipped, a gap is not filled: the
-    /// answer says where to go on.
+    /// answer says where to go on. Where an event differs from the one held,
+    /// which an older owner produced, the newer owner's text replaces the rest.
     [[nodiscard]] transport::result<copy_answer>
     append(transport::monotonic_time now, std::string_view stream,
-           owner_epoch epoch, attempt_id attempt, std::string_view server,
-           std::uint64_t sequence, std::vector<stream_event> events);
+           owner_epoch epoch, copied_batch batch);
 
     /// Takes a stream over: raises its epoch, so that the old owner's copies
     /// are refused from now on.
--- a/include/hyssopdeal/coordination/stream_record.hpp
+++ b/include/hyssopdeal/coordination/stream_record.hpp
@@ -305,6 +305,12 @@
     /// Another owner has a newer epoch; nothing is produced any more.
     void on_newer_epoch(transport::monotonic_time now, owner_epoch epoch);
 
+    /// A holder refused a copy, as it has one of a newer owner or of another
+    /// with the same epoch. Nothing is produced any more: of two owners with
+    /// the same epoch both give up, and the caller's next return takes the
+    /// stream over with a higher one.
+    void on_copy_refused(transport::monotonic_time now);
+
     /// Time passed: batch time, resume window, engine silence.
     void on_time(transport::monotonic_time now);
 
--- a/src/coordination/stream_copies.cpp
+++ b/src/coordination/stream_copies.cpp
@@ -40,6 +40,18 @@
     return sizeof(stream_event) + event.text.size() + event.data.size();
 }
 
+/// Whether an owner with an older epoch produced another event of this number.
+bool is_held_differently(const stream_copy& copy, const stream_event& event)
+{
+    if (event.number == 0 || event.number > copy.events.size())
+    {
+        return false;
+    }
+    const auto& held = copy.events[event.number - 1];
+    return held.kind != event.kind || held.text != event.text ||
+           held.data != event.data;
+}
+
 } // namespace
 
 struct stream_copies::impl
@@ -61,12 +73,32 @@
                                       : settings.retention);
     }
 
-    /// Adds the events that come next; the rest is skipped.
+    /// Forgets the events from a number on.
+    void truncate(held_copy& held, std::uint64_t from)
+    {
+        while (held.copy.events.size() >= from)
+        {
+            const auto less = bytes_of(held.copy.events.back());
+            held.bytes -= less;
+            bytes -= less;
+            held.copy.events.pop_back();
+        }
+        // The old owner's attempt stands beyond what is left.
+        held.copy.attempt = {};
+        held.copy.server.clear();
+        held.copy.sequence = 0;
+    }
+
+    /// Adds the events that come next; those that are here alike are skipped.
     transport::result<void> add(held_copy& held,
                                 std::vector<stream_event> events)
     {
         for (auto& event : events)
         {
+            if (is_held_differently(held.copy, event))
+            {
+                truncate(held, event.number);
+            }
             if (event.number != held.copy.events.size() + 1)
             {
                 continue;
@@ -127,9 +159,7 @@
 
 transport::result<copy_answer>
 stream_copies::append(transport::monotonic_time now, std::string_view stream,
-                      owner_epoch epoch, attempt_id attempt,
-                      std::string_view server, std::uint64_t sequence,
-                      std::vector<stream_event> events)
+                      owner_epoch epoch, copied_batch batch)
 {
     const auto found = impl_->copies.find(stream);
     if (found == impl_->copies.end())
@@ -143,19 +173,17 @@
                     "Another owner has taken the stream over.");
     }
     held.touched_at = now;
-    const auto last =
-        events.empty() ? held.copy.events.size() : events.back().number;
-    auto added = impl_->add(held, std::move(events));
+    auto added = impl_->add(held, std::move(batch.events));
     if (!added)
     {
         return tl::unexpected{added.error()};
     }
     // The attempt's position is only right for exactly these events.
-    if (last == held.copy.events.size())
+    if (batch.up_to == held.copy.events.size())
     {
-        held.copy.attempt = attempt;
-        held.copy.server = server;
-        held.copy.sequence = sequence;
+        held.copy.attempt = batch.attempt;
+        held.copy.server = std::move(batch.server);
+        held.copy.sequence = batch.sequence;
     }
     return copy_answer{held.copy.events.size(), epoch};
 }
--- a/src/coordination/stream_exchange.cpp
+++ b/src/coordination/stream_exchange.cpp
@@ -203,9 +203,9 @@
     {
         return tl::unexpected(opened.error());
     }
-    const auto added =
-        copies_.append(now, question.stream, question.epoch, part.attempt,
-                       part.server, part.sequence, part.events);
+    const auto added = copies_.append(now, question.stream, question.epoch,
+                                      {part.attempt, part.server, part.sequence,
+                                       question.up_to, part.events});
     if (!added)
     {
         return tl::unexpected(added.error());
--- a/src/coordination/stream_record.cpp
+++ b/src/coordination/stream_record.cpp
@@ -278,6 +278,11 @@
     }
 }
 
+void stream_record::on_copy_refused(monotonic_time now)
+{
+    on_newer_epoch(now, impl_->epoch + 1);
+}
+
 void stream_record::on_time(monotonic_time now)
 {
     if (!impl_->is_live())
--- a/src/coordination/stream_session_copies.cpp
+++ b/src/coordination/stream_session_copies.cpp
@@ -39,6 +39,7 @@
                        events.begin() + static_cast<std::ptrdiff_t>(order.to));
     auto asked = question(stream_question_kind::copy);
     asked.copy = std::move(part);
+    asked.up_to = order.to;
     ask_about_stream(
         shard_, holder_, asked,
         [weak = weak_from_this(), holder = holder_](const auto& answer) {
@@ -117,7 +118,7 @@
     }
     if (answer.error().code == reason::revision_conflict)
     {
-        record_->on_newer_epoch(shard_.now(), record_->epoch() + 1);
+        record_->on_copy_refused(shard_.now());
         pump();
         return;
     }
--- a/src/coordination/stream_wire.cpp
+++ b/src/coordination/stream_wire.cpp
@@ -132,6 +132,7 @@
     if (question.copy)
     {
         wire.__set_copy(to_wire(*question.copy));
+        wire.__set_up_to(static_cast<std::int64_t>(question.up_to));
     }
     return protocol::to_bytes(wire);
 }
@@ -162,7 +163,8 @@
                            std::move(wire->organisation),
                            std::move(wire->asker),
                            static_cast<owner_epoch>(wire->epoch),
-                           std::move(*copy)};
+                           std::move(*copy),
+                           static_cast<std::uint64_t>(wire->up_to)};
 }
 
 std::string encode(const result<stream_answer>& answer)
--- a/src/coordination/stream_wire.hpp
+++ b/src/coordination/stream_wire.hpp
@@ -37,6 +37,7 @@
     std::string asker;        ///< Name of the asking instance.
     owner_epoch epoch = 0;
     std::optional<stream_copy> copy; ///< For copy.
+    std::uint64_t up_to = 0; ///< For copy: the owner's last event so far.
 };
 
 [[nodiscard]] std::string encode(const stream_question& question);
--- a/src/protocol/gen/streams_types.cpp
+++ b/src/protocol/gen/streams_types.cpp
@@ -809,6 +809,11 @@
   this->copy = val;
 __isset.copy = true;
 }
+
+void stream_question_wire::__set_up_to(const int64_t val) {
+  this->up_to = val;
+__isset.up_to = true;
+}
 std::ostream& operator<<(std::ostream& out, const stream_question_wire& obj)
 {
   obj.printTo(out);
@@ -890,6 +895,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->up_to);
+          this->__isset.up_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -942,6 +955,11 @@
     xfer += this->copy.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.up_to) {
+    xfer += oprot->writeFieldBegin("up_to", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->up_to);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -955,6 +973,7 @@
   swap(a.asker, b.asker);
   swap(a.epoch, b.epoch);
   swap(a.copy, b.copy);
+  swap(a.up_to, b.up_to);
   swap(a.__isset, b.__isset);
 }
 
@@ -965,6 +984,7 @@
   asker = other18.asker;
   epoch = other18.epoch;
   copy = other18.copy;
+  up_to = other18.up_to;
   __isset = other18.__isset;
 }
 stream_question_wire::stream_question_wire(stream_question_wire&& other19) noexcept {
@@ -974,6 +994,7 @@
   asker = std::move(other19.asker);
   epoch = other19.epoch;
   copy = std::move(other19.copy);
+  up_to = other19.up_to;
   __isset = other19.__isset;
 }
 stream_question_wire& stream_question_wire::operator=(const stream_question_wire& other20) {
@@ -983,6 +1004,7 @@
   asker = other20.asker;
   epoch = other20.epoch;
   copy = other20.copy;
+  up_to = other20.up_to;
   __isset = other20.__isset;
   return *this;
 }
@@ -993,6 +1015,7 @@
   asker = std::move(other21.asker);
   epoch = other21.epoch;
   copy = std::move(other21.copy);
+  up_to = other21.up_to;
   __isset = other21.__isset;
   return *this;
 }
@@ -1005,6 +1028,7 @@
   out << ", " << "asker=" << to_string(asker);
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "copy="; (__isset.copy ? (out << to_string(copy)) : (out << "<null>"));
+  out << ", " << "up_to="; (__isset.up_to ? (out << to_string(up_to)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/streams_types.h
+++ b/src/protocol/gen/streams_types.h
@@ -255,8 +255,9 @@
 std::ostream& operator<<(std::ostream& out, const stream_copy_wire& obj);
 
 typedef struct _stream_question_wire__isset {
-  _stream_question_wire__isset() : copy(false) {}
+  _stream_question_wire__isset() : copy(false), up_to(false) {}
   bool copy :1;
+  bool up_to :1;
 } _stream_question_wire__isset;
 
 class stream_question_wire : public virtual ::apache::thrift::TBase {
@@ -271,7 +272,8 @@
                          stream(),
                          organisation(),
                          asker(),
-                         epoch(0) {
+                         epoch(0),
+                         up_to(0) {
   }
 
   virtual ~stream_question_wire() noexcept;
@@ -281,6 +283,7 @@
   std::string asker;
   int64_t epoch;
   stream_copy_wire copy;
+  int64_t up_to;
 
   _stream_question_wire__isset __isset;
 
@@ -296,6 +299,8 @@
 
   void __set_copy(const stream_copy_wire& val);
 
+  void __set_up_to(const int64_t val);
+
   bool operator == (const stream_question_wire & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -312,6 +317,10 @@
       return false;
     else if (__isset.copy && !(copy == rhs.copy))
       return false;
+    if (__isset.up_to != rhs.__isset.up_to)
+      return false;
+    else if (__isset.up_to && !(up_to == rhs.up_to))
+      return false;
     return true;
   }
   bool operator != (const stream_question_wire &rhs) const {
--- a/tests/matrix_stream_world.cpp
+++ b/tests/matrix_stream_world.cpp
@@ -630,38 +630,36 @@
     if (answer)
     {
         answer = copies.append(world_.now(), origin.stream, used_epoch,
-                               order.attempt, server, order.sequence,
-                               std::move(events));
+                               {order.attempt, server, order.sequence, order.to,
+                                std::move(events)});
     }
     if (answer && held != nullptr && epoch < held->epoch)
     {
         world_.violation("A holder took a copy of an owner that another one "
                          "has replaced.");
     }
-    const auto known = copies.find(origin.stream);
-    const auto newest = known == nullptr ? 0 : known->epoch;
-    world_.send(
-        entries_[holder].node, entries_[owner].node,
-        answer ? fmt::format("copied to {}", answer->copied_to)
-               : "copy refused",
-        [this, owner, holder, stream = origin.stream, answer, newest, number] {
-            auto* owned = find(owner, stream);
-            if (owned == nullptr || owned->holder != holder)
-            {
-                return;
-            }
-            owned->copies_heard = std::max(owned->copies_heard, number);
-            if (answer)
-            {
-                owned->record.on_copied(world_.now(), answer->copied_to);
-                confirm_take_over(owner, stream);
-            }
-            else
-            {
-                owned->record.on_newer_epoch(world_.now(), newest);
-            }
-            pump(owner, stream);
-        });
+    world_.send(entries_[holder].node, entries_[owner].node,
+                answer ? fmt::format("copied to {}", answer->copied_to)
+                       : "copy refused",
+                [this, owner, holder, stream = origin.stream, answer, number] {
+                    auto* owned = find(owner, stream);
+                    if (owned == nullptr || owned->holder != holder)
+                    {
+                        return;
+                    }
+                    owned->copies_heard = std::max(owned->copies_heard, number);
+                    if (answer)
+                    {
+                        owned->record.on_copied(world_.now(),
+                                                answer->copied_to);
+                        confirm_take_over(owner, stream);
+                    }
+                    else
+                    {
+                        owned->record.on_copy_refused(world_.now());
+                    }
+                    pump(owner, stream);
+                });
 }
 
 bool stream_world::take_over(std::size_t entry, const std::string& stream,
--- a/tests/stream_copies_test.cpp
+++ b/tests/stream_copies_test.cpp
@@ -53,8 +53,8 @@
     transport::result<copy_answer> append(std::uint64_t from, std::uint64_t to,
                                           owner_epoch epoch = 1)
     {
-        return copies.append(now(), "s1", epoch, attempt, "w1", to,
-                             make_events(from, to));
+        return copies.append(now(), "s1", epoch,
+                             {attempt, "w1", to, to, make_events(from, to)});
     }
 };
 
@@ -68,6 +68,31 @@
     LONGS_EQUAL(4, copies.find("s1")->sequence);
 }
 
+TEST(stream_copies_tests, newer_owners_text_replaces_the_older_one_s)
+{
+    CHECK(copies.open(now(), make_origin("s1"), "e1", 1).has_value());
+    CHECK(append(1, 5).has_value());
+    CHECK(copies.open(now(), make_origin("s1"), "e3", 2).has_value());
+    auto other = make_events(3, 4);
+    other[1].text = "other";
+    const attempt_id next{9, 9};
+    LONGS_EQUAL(
+        4, copies.append(now(), "s1", 2, {next, "w2", 4, 4, other})->copied_to);
+    const auto* held = copies.find("s1");
+    LONGS_EQUAL(4, held->events.size());
+    CHECK(held->events[3].text == "other");
+    CHECK(held->attempt == next);
+}
+
+TEST(stream_copies_tests, late_announcement_does_not_move_the_attempt_s_place)
+{
+    CHECK(copies.open(now(), make_origin("s1"), "e1", 1).has_value());
+    CHECK(append(1, 3).has_value());
+    const auto late = copies.append(now(), "s1", 1, {attempt, "w1", 0, 0, {}});
+    LONGS_EQUAL(3, late->copied_to);
+    LONGS_EQUAL(3, copies.find("s1")->sequence);
+}
+
 TEST(stream_copies_tests, take_over_shuts_the_old_owner_out)
 {
     CHECK(copies.open(now(), make_origin("s1"), "e1", 1).has_value());
--- a/tests/stream_world.cpp
+++ b/tests/stream_world.cpp
@@ -446,8 +446,9 @@
                                       entries_[number].name, epoch);
         if (got)
         {
-            got = holder.copies.append(clock(), "s1", epoch, batch.attempt, "",
-                                       batch.sequence, sent);
+            got = holder.copies.append(
+                clock(), "s1", epoch,
+                {batch.attempt, "", batch.sequence, batch.to, sent});
         }
         later(link_delay, [=, this] {
             if (!cut_[number % 3][to % 3])
@@ -473,7 +474,7 @@
     }
     else if (got.error().code == transport::reason::revision_conflict)
     {
-        here.record->on_newer_epoch(clock(), here.record->epoch() + 1);
+        here.record->on_copy_refused(clock());
     }
     apply(number);
 }
