--- a/tests/process_group.cpp
+++ b/tests/process_group.cpp
@@ -71,6 +71,7 @@
     std::vector<std::string> words{file};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
+    pointers.reserve(words.size() + 1);
     for (auto& word : words)
     {
         pointers.push_back(word.data());
