--- a/src/protocol/gossip.cpp
+++ b/src/protocol/gossip.cpp
@@ -1,17 +1,14 @@
 #include <hyssopdeal/protocol/gossip.hpp>
 
 #include <algorithm>
-#include <memory>
 
 #include <membership_types.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
+
+#include "thrift_bytes.hpp"
 
 namespace hyssopdeal::protocol
 {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
 using transport::fail;
 using transport::reason;
 
@@ -75,14 +72,6 @@
     return wire;
 }
 
-std::string serialize(const gen::wire_gossip& wire)
-{
-    auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocolT<TMemoryBuffer> encoder{buffer};
-    wire.write(&encoder);
-    return buffer->getBufferAsString();
-}
-
 bool is_valid(const gen::wire_member& wire)
 {
     return !wire.name.empty() && wire.name.size() <= max_name_bytes &&
@@ -148,13 +137,13 @@
 std::string encode_gossip(const gossip_message& message)
 {
     auto wire = to_wire(message);
-    auto bytes = serialize(wire);
+    auto bytes = to_bytes(wire);
     while (bytes.size() > max_gossip_bytes && !wire.updates.empty())
     {
         const auto keep = wire.updates.size() * max_gossip_bytes / bytes.size();
         wire.updates.resize(std::min(keep, wire.updates.size() - 1));
         wire.__isset.updates = !wire.updates.empty();
-        bytes = serialize(wire);
+        bytes = to_bytes(wire);
     }
     return bytes;
 }
@@ -165,26 +154,16 @@
     {
         return fail(reason::too_large, "The datagram is too large.");
     }
-    std::string copy{datagram};
-    auto buffer = std::make_shared<TMemoryBuffer>(
-        reinterpret_cast<std::uint8_t*>(copy.data()),
-        static_cast<std::uint32_t>(copy.size()), TMemoryBuffer::OBSERVE);
-    TCompactProtocolT<TMemoryBuffer> decoder{buffer, max_gossip_bytes,
-                                             max_gossip_bytes};
-    gen::wire_gossip wire;
-    try
-    {
-        wire.read(&decoder);
-    }
-    catch (const std::exception& error)
+    const auto wire = from_bytes<gen::wire_gossip>(datagram);
+    if (!wire)
     {
-        return fail(reason::bad_request, error.what());
+        return fail(reason::bad_request, wire.error().text);
     }
-    if (!is_valid(wire))
+    if (!is_valid(*wire))
     {
         return fail(reason::bad_request, "A gossip field is out of range.");
     }
-    return from_wire(wire);
+    return from_wire(*wire);
 }
 
 } // namespace hyssopdeal::protocol
