Encode version reports and ask the retry policy in one place each

Cause: version_report.cpp had its own copy of the Thrift buffer handling that thrift_bytes.hpp holds for all messages; request_flow and stream_session filled in the same failed_attempt field by field.

Change: the report uses to_bytes() and from_bytes(); entry_shard, which owns the retry policy, has decide_retry().

--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -248,6 +248,21 @@
     return made;
 }
 
+retry_decision entry_shard::decide_retry(const accepted_request& request,
+                                         const transport::failure& error,
+                                         std::uint32_t attempts)
+{
+    failed_attempt failed;
+    failed.organisation = request.organisation;
+    failed.service = request.service;
+    failed.attempts = attempts;
+    failed.ran = error.ran;
+    failed.code = error.code;
+    failed.repeats = request.route.repeats;
+    failed.deadline = request.deadline;
+    return retries.decide(now(), failed, random);
+}
+
 void entry_shard::record_span(std::string_view name,
                               const accepted_request& request,
                               transport::monotonic_time started,
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -102,6 +102,13 @@
     /// Publishes the counts of open work now and from then on.
     void count_work();
 
+    /// Asks the retry policy about a failed attempt of a request.
+    ///
+    /// @param attempts Made so far, with the failed one.
+    [[nodiscard]] retry_decision decide_retry(const accepted_request& request,
+                                              const transport::failure& error,
+                                              std::uint32_t attempts);
+
     /// Opens the trace file, if the settings name one.
     [[nodiscard]] transport::result<void> open_spans();
 
--- a/src/coordination/request_flow.cpp
+++ b/src/coordination/request_flow.cpp
@@ -267,16 +267,7 @@
 {
     error.ran == verdict::not_run ? release_claim() : forget_claim();
     ran_ = std::max(ran_, error.ran);
-    failed_attempt failed;
-    failed.organisation = request_.organisation;
-    failed.service = request_.service;
-    failed.attempts = attempts_;
-    failed.ran = error.ran;
-    failed.code = error.code;
-    failed.repeats = request_.route.repeats;
-    failed.deadline = request_.deadline;
-    const auto next =
-        shard_.retries.decide(shard_.now(), failed, shard_.random);
+    const auto next = shard_.decide_retry(request_, error, attempts_);
     if (next.outcome != retry_outcome::retry)
     {
         auto told = error;
--- a/src/coordination/stream_session.cpp
+++ b/src/coordination/stream_session.cpp
@@ -385,16 +385,7 @@
 // Nothing came yet: the request as a whole is tried again, if it may be.
 void stream_session::retry_first(const failure& error)
 {
-    failed_attempt failed;
-    failed.organisation = request_.organisation;
-    failed.service = request_.service;
-    failed.attempts = attempts_;
-    failed.ran = error.ran;
-    failed.code = error.code;
-    failed.repeats = request_.route.repeats;
-    failed.deadline = request_.deadline;
-    const auto next =
-        shard_.retries.decide(shard_.now(), failed, shard_.random);
+    const auto next = shard_.decide_retry(request_, error, attempts_);
     if (next.outcome != retry_outcome::retry)
     {
         end_choice(attempt_outcome::failed);
--- a/src/coordination/version_report.cpp
+++ b/src/coordination/version_report.cpp
@@ -1,11 +1,8 @@
 #include <hyssopdeal/coordination/version_summary.hpp>
 
 #include <algorithm>
-#include <memory>
-
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
+#include "protocol/thrift_bytes.hpp"
 #include "reports_types.h"
 
 namespace hyssopdeal::coordination
@@ -15,8 +12,6 @@
 {
 
 namespace gen = protocol::gen;
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
 
 constexpr std::int32_t report_schema = 1;
 constexpr std::size_t max_report_cells = 4'096;
@@ -147,30 +142,18 @@
 
 std::string encode(const version_report& value)
 {
-    auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocol protocol{buffer};
-    to_wire(value).write(&protocol);
-    return buffer->getBufferAsString();
+    return protocol::to_bytes(to_wire(value));
 }
 
 transport::result<version_report> decode_version_report(std::string_view bytes)
 {
-    try
-    {
-        std::string copy{bytes};
-        auto buffer = std::make_shared<TMemoryBuffer>(
-            reinterpret_cast<std::uint8_t*>(copy.data()),
-            static_cast<std::uint32_t>(copy.size()));
-        TCompactProtocol protocol{buffer};
-        gen::version_report wire;
-        wire.read(&protocol);
-        return from_wire(wire);
-    }
-    catch (const std::exception&)
+    const auto wire = protocol::from_bytes<gen::version_report>(bytes);
+    if (!wire)
     {
         return transport::fail(transport::reason::bad_request,
                                "The report is not valid Thrift.");
     }
+    return from_wire(*wire);
 }
 
 } // namespace hyssopdeal::coordination
