--- /dev/null
+++ b/include/hyssopdeal/coordination/cluster/cluster_machine.hpp
@@ -0,0 +1,105 @@
+#ifndef HYSSOPDEAL_COORDINATION_CLUSTER_CLUSTER_MACHINE_HPP
+#define HYSSOPDEAL_COORDINATION_CLUSTER_CLUSTER_MACHINE_HPP
+
+/// @file
+/// A replica of the log with the cluster's state: commands go in, results come
+/// out once their records are committed and applied. A decision module without
+/// I/O.
+///
+/// Index: [settings] [actions] [cluster_machine]
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <hyssopdeal/coordination/cluster/cluster_state.hpp>
+#include <hyssopdeal/coordination/replica.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+// [settings] -----------------------------------------------------------------
+
+struct cluster_machine_settings
+{
+    replica_settings replica;
+    std::chrono::milliseconds propose_time_limit{2'000}; ///< To a result.
+    std::size_t snapshot_records = 200;     ///< Between snapshots, at least.
+    std::size_t snapshot_bytes = 4'194'304; ///< Or payload bytes: the disk of
+                                            ///< an instance may be small.
+};
+
+// [actions] ------------------------------------------------------------------
+
+/// How a proposal ended.
+struct cluster_result
+{
+    std::uint64_t id = 0;
+    transport::result<void> done;
+};
+
+/// What to do after a step.
+struct cluster_actions
+{
+    std::optional<state::persist_request> persist; ///< Then persisted_event.
+    std::vector<replica_message> sends;
+    std::vector<cluster_result> results;
+    leadership_change change = leadership_change::none;
+    bool applied = false; ///< The state may have changed.
+};
+
+// [cluster_machine] ----------------------------------------------------------
+
+/// One replica; used by one thread.
+class cluster_machine
+{
+public:
+    /// @param recovered What the disk holds.
+    /// @param seed For the spread of election timeouts.
+    /// @return The machine, or `corrupt` when its snapshot is not understood.
+    [[nodiscard]] static transport::result<cluster_machine>
+    make(cluster_machine_settings settings, state::recovered_state recovered,
+         std::uint64_t seed, transport::monotonic_time now);
+
+    cluster_machine(cluster_machine&&) noexcept;
+    cluster_machine& operator=(cluster_machine&&) noexcept;
+    ~cluster_machine();
+
+    /// Takes an event of the replica; proposals go through propose().
+    [[nodiscard]] cluster_actions step(transport::monotonic_time now,
+                                       transport::wall_time wall,
+                                       replica_event event);
+
+    /// Proposes a command.
+    ///
+    /// @param id Chosen by the caller; comes back with the result.
+    [[nodiscard]] cluster_actions propose(transport::monotonic_time now,
+                                          transport::wall_time wall,
+                                          std::uint64_t id,
+                                          const cluster_command& command);
+
+    [[nodiscard]] const cluster_state& state() const noexcept;
+
+    /// @return Whether state() may answer a linearizable read now.
+    [[nodiscard]] bool may_read(transport::monotonic_time now) const;
+
+    [[nodiscard]] replica_status status(transport::monotonic_time now) const;
+
+    [[nodiscard]] std::vector<follower_status> followers() const;
+
+    /// @return The median of the voters' wall clocks.
+    [[nodiscard]] transport::wall_time
+    quorum_wall(transport::monotonic_time now, transport::wall_time own) const;
+
+private:
+    struct impl;
+    explicit cluster_machine(std::unique_ptr<impl> made) noexcept;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace hyssopdeal::coordination
+
+#endif
--- /dev/null
+++ b/include/hyssopdeal/coordination/cluster/share_allocator.hpp
@@ -0,0 +1,82 @@
+#ifndef HYSSOPDEAL_COORDINATION_CLUSTER_SHARE_ALLOCATOR_HPP
+#define HYSSOPDEAL_COORDINATION_CLUSTER_SHARE_ALLOCATOR_HPP
+
+/// @file
+/// Splits each organisation's quota among the entries in shares that expire,
+/// by what callers ask of each entry. Answers load that is spread unevenly over
+/// entries and moves among them. A decision module without I/O.
+///
+/// Index: [settings] [share_allocator]
+///
+/// Invariant: the shares of one organisation that entries may still use never
+/// add up to more than 1. A share counts until it has expired on its entry, or
+/// until the same instance reports from a later start.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <hyssopdeal/protocol/follow_messages.hpp>
+#include <hyssopdeal/transport/clock.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+// [settings] -----------------------------------------------------------------
+
+struct share_settings
+{
+    std::chrono::milliseconds valid_for{3'750}; ///< From the report's sending.
+    double even_part = 0.3; ///< Split evenly; keeps the first requests quick.
+};
+
+// [share_allocator] ----------------------------------------------------------
+
+/// Runs on the leader, made anew for each leadership.
+class share_allocator
+{
+public:
+    /// @param now Start of the leadership. Until shares of an earlier leader
+    ///     have expired, entries keep what they hold and nobody gets more.
+    share_allocator(transport::monotonic_time now, share_settings settings);
+
+    /// @return Shares that replace all that the entry holds, valid from when it
+    ///     sent its report.
+    [[nodiscard]] std::map<std::string, double>
+    on_report(transport::monotonic_time now,
+              const protocol::entry_report& report,
+              const std::vector<std::string>& organisations);
+
+private:
+    /// What was granted in one answer.
+    struct grant
+    {
+        std::map<std::string, double> shares;
+        transport::monotonic_time until{};
+    };
+
+    /// What is known of an entry.
+    struct entry_state
+    {
+        std::uint64_t incarnation = 0;
+        transport::monotonic_time reported{};
+        std::map<std::string, double> demand;
+        std::vector<grant> grants; ///< Unexpired.
+    };
+
+    [[nodiscard]] double outstanding(const entry_state& entry,
+                                     const std::string& organisation) const;
+    [[nodiscard]] double target(const std::string& entry,
+                                const std::string& organisation) const;
+    void forget_expired(transport::monotonic_time now);
+
+    share_settings settings_;
+    transport::monotonic_time since_;
+    std::map<std::string, entry_state> entries_;
+};
+
+} // namespace hyssopdeal::coordination
+
+#endif
--- /dev/null
+++ b/include/hyssopdeal/coordination/gateway/dialect.hpp
@@ -0,0 +1,84 @@
+#ifndef HYSSOPDEAL_COORDINATION_GATEWAY_DIALECT_HPP
+#define HYSSOPDEAL_COORDINATION_GATEWAY_DIALECT_HPP
+
+/// @file
+/// How callers and backend servers speak: what a dialect translates, and the
+/// concept that request flows are written against. A dialect decides nothing.
+///
+/// Index: [callers] [servers] [caller_dialect]
+
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <hyssopdeal/coordination/gateway/placement.hpp>
+#include <hyssopdeal/transport/http_message.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+// [callers] ------------------------------------------------------------------
+
+/// What a caller's request says beside its body.
+struct caller_terms
+{
+    std::string attempt_id; ///< Of this try of the caller; empty: none.
+    std::string host;
+    std::string key;        ///< Empty: none.
+    std::optional<std::chrono::milliseconds> time_limit; ///< It waits so long.
+    bool names_tokens = false; ///< Whether `size` was sent.
+    prompt_size size;
+    std::string resume_after; ///< Event that the caller has; empty: none.
+};
+
+// [servers] ------------------------------------------------------------------
+
+/// What a request to a server says beside what its caller sent.
+struct server_terms
+{
+    std::string organisation; ///< Empty: none.
+    std::string server_id;    ///< The only one that may run it.
+    std::chrono::milliseconds time_limit{0};
+    std::uint32_t rank = 0;   ///< 0 is the most urgent.
+    std::string resume_after; ///< Goes on after this event; empty: no.
+};
+
+/// What an answer's head says.
+struct answer_terms
+{
+    std::string attempt_id;  ///< That it answers; empty: not said.
+    bool not_executed = false; ///< The server refused before running.
+    bool other_server = false; ///< The address belongs to another server now.
+    bool proven = false;       ///< Comes from a server that ran the request.
+    bool encoded = false;      ///< The body is not the server's own.
+};
+
+// [caller_dialect] -----------------------------------------------------------
+
+template <class Dialect>
+concept caller_dialect =
+    requires(const transport::http_request& request,
+             const transport::http_request& original,
+             const server_terms& terms,
+             const std::vector<transport::http_header>& headers, int status) {
+        {
+            Dialect::read_caller(request)
+            } -> std::same_as<caller_terms>;
+        {
+            Dialect::make_request(original, terms)
+            } -> std::same_as<transport::http_request>;
+        {
+            Dialect::read_answer(status, headers)
+            } -> std::same_as<answer_terms>;
+        {
+            Dialect::caller_headers(headers)
+            } -> std::same_as<std::vector<transport::http_header>>;
+    };
+
+} // namespace hyssopdeal::coordination
+
+#endif
--- /dev/null
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -0,0 +1,147 @@
+#ifndef HYSSOPDEAL_COORDINATION_GATEWAY_GATEWAY_CORE_HPP
+#define HYSSOPDEAL_COORDINATION_GATEWAY_GATEWAY_CORE_HPP
+
+/// @file
+/// What all requests of one entry share: the document in force, how long it is
+/// surely valid, quotas, repeats, servers, usage and counters.
+///
+/// Index: [settings] [counters] [gateway_core]
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <hyssopdeal/coordination/gateway/placement.hpp>
+#include <hyssopdeal/coordination/gateway/repeat_allowance.hpp>
+#include <hyssopdeal/coordination/gateway/route_table.hpp>
+#include <hyssopdeal/coordination/gateway/token_quota.hpp>
+#include <hyssopdeal/protocol/follow_messages.hpp>
+#include <hyssopdeal/transport/clock.hpp>
+#include <hyssopdeal/transport/event_loop.hpp>
+#include <hyssopdeal/transport/http1_client.hpp>
+#include <hyssopdeal/transport/metrics.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+// [settings] -----------------------------------------------------------------
+
+struct gateway_settings
+{
+    std::string name; ///< Of the instance.
+    std::string failure_domain;
+    std::string address;            ///< IP number.
+    std::uint16_t callers_port = 0;
+    std::uint16_t readiness_port = 0;
+    std::uint16_t metrics_port = 0; ///< 0: none.
+    std::uint16_t hub_port = 0;     ///< Same on every instance.
+    std::vector<std::string> seeds; ///< Hub addresses of control replicas.
+    std::string shared_key;         ///< Of the links between processes.
+    std::size_t max_connections = 1'500; ///< Of callers.
+    std::chrono::milliseconds report_interval{250}; ///< To each replica.
+    /// After the latest sign of the leader, keys count as known for so long:
+    /// below the time in which a key that was taken away must have no effect.
+    std::chrono::milliseconds keys_valid_for{3'750};
+    std::chrono::milliseconds usage_window{5'000};
+    std::chrono::milliseconds grace{8'000}; ///< From SIGTERM to the end.
+    repeat_settings repeats;
+    placement_settings placing;
+    transport::http1_client_settings client;
+};
+
+// [counters] -----------------------------------------------------------------
+
+struct gateway_counters
+{
+    transport::counter received;
+    transport::counter served;   ///< Complete 2xx answers.
+    transport::counter passed_failures; ///< Failures of servers, passed on.
+    transport::counter refused;  ///< Not run.
+    transport::counter failed;   ///< 502, 504 or cut by this entry.
+    transport::counter left;     ///< Callers who left before the end.
+    transport::counter repeats;  ///< Attempts beyond a request's first.
+    transport::counter resumed;  ///< Streams that went on elsewhere.
+    transport::duration_histogram first_event;
+    transport::duration_histogram whole_answer;
+};
+
+// [gateway_core] -------------------------------------------------------------
+
+/// Use it on the loop's thread.
+class gateway_core
+{
+public:
+    using read_document = std::function<
+        transport::result<protocol::service_document>(const std::string&)>;
+
+    gateway_core(transport::event_loop& loop, const transport::clock& clock,
+                 gateway_settings settings, read_document reads);
+
+    /// @return The document in force; null before the first one.
+    [[nodiscard]] const std::shared_ptr<const route_table>&
+    table() const noexcept
+    {
+        return table_;
+    }
+
+    /// @return Whether keys are known well enough to serve by them.
+    [[nodiscard]] bool keys_valid() const;
+
+    /// @return What to tell the replicas now.
+    [[nodiscard]] protocol::entry_report report();
+
+    /// Takes over a replica's orders.
+    ///
+    /// @param asked When the report that they answer was sent.
+    void take_orders(transport::monotonic_time asked,
+                     protocol::entry_orders orders);
+
+    /// Counts a request that began to run.
+    ///
+    /// @param at Local monotonic time of that.
+    void count_usage(const std::string& organisation,
+                     transport::monotonic_time at);
+
+    /// Calls a handler after a document has come into force.
+    void on_document(std::function<void()> handler);
+
+    /// @return Counters as Prometheus text.
+    [[nodiscard]] std::string metrics() const;
+
+    transport::event_loop& loop;
+    const transport::clock& clock;
+    const gateway_settings settings;
+    transport::http1_client client;
+    token_quota quota;
+    repeat_allowance repeats;
+    placement servers;
+    gateway_counters counters;
+    std::mt19937_64 random;
+
+private:
+    void take_document(protocol::entry_orders& orders);
+    void take_listing(protocol::entry_orders& orders);
+    void take_leaders_word(transport::monotonic_time asked,
+                           const protocol::entry_orders& orders);
+
+    read_document reads_;
+    std::shared_ptr<const route_table> table_;
+    std::function<void()> document_handler_;
+    std::uint64_t incarnation_;
+    transport::monotonic_time valid_until_{};
+    bool was_valid_ = false;
+    std::uint64_t listing_digest_ = 0;
+    transport::monotonic_time listing_read_{};
+    bool time_known_ = false;
+    std::chrono::milliseconds true_offset_{0}; ///< True less monotonic time.
+    std::map<std::uint64_t, std::map<std::string, std::uint64_t>> usage_;
+};
+
+} // namespace hyssopdeal::coordination
+
+#endif
--- /dev/null
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -0,0 +1,169 @@
+#ifndef HYSSOPDEAL_COORDINATION_GATEWAY_PLACEMENT_HPP
+#define HYSSOPDEAL_COORDINATION_GATEWAY_PLACEMENT_HPP
+
+/// @file
+/// Which server a request goes to: the one with the earliest predicted first
+/// event, weighed against what its prompt costs the requests beside it.
+/// Answers bursts of long prompts, servers that fail part of their requests,
+/// and prompts that share their beginnings. A decision module without I/O.
+///
+/// Index: [prompt] [settings] [server_load] [choice] [placement]
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <hyssopdeal/protocol/follow_messages.hpp>
+#include <hyssopdeal/protocol/service_document.hpp>
+#include <hyssopdeal/transport/clock.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+// [prompt] -------------------------------------------------------------------
+
+/// One part of a prompt; equal ids have equal text.
+struct prompt_part
+{
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+/// What is known of a request's size before it runs.
+struct prompt_size
+{
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t most_output_tokens = 0;
+    std::vector<prompt_part> parts; ///< In order; the last is its own.
+};
+
+// [settings] -----------------------------------------------------------------
+
+struct placement_settings
+{
+    double first_tokens_per_ms = 100;  ///< Prefill, until it is measured.
+    double request_ms = 60;            ///< Of a plain call, until measured.
+    double other_domain_ms = 4;        ///< Cost of crossing domains.
+    double believed_cache = 0.5;       ///< Chance that others have warmed the
+                                       ///< server that a prompt belongs to.
+    double disturbance = 0.02;         ///< Cost of a ms of prefill for each
+                                       ///< request beside it.
+    double failure_ms = 400;           ///< Cost of a failed try.
+    std::chrono::milliseconds cache_memory{60'000};
+    std::chrono::milliseconds first_avoidance{500}; ///< After failures; twice
+                                                    ///< as long each time.
+    std::chrono::milliseconds longest_avoidance{8'000};
+};
+
+// [server_load] --------------------------------------------------------------
+
+/// A server and what this entry knows of it.
+struct known_server
+{
+    protocol::listed_server listed;
+    bool usable = true; ///< Listed as ready; gets new work.
+    std::uint32_t running = 0; ///< Of this entry.
+    std::uint64_t waiting_tokens = 0; ///< Of this entry, no first event yet.
+    protocol::sent_load others; ///< Of all other entries.
+    std::uint32_t reported_waiting = 0; ///< By the server's own count.
+    transport::monotonic_time reported_at{};
+    double slowness = 1;    ///< Observed to predicted, smoothed.
+    double failure_rate = 0; ///< Smoothed.
+    std::uint32_t failures_in_row = 0;
+    transport::monotonic_time avoid_until{};
+};
+
+// [choice] -------------------------------------------------------------------
+
+/// Where a request goes.
+struct placement_choice
+{
+    std::shared_ptr<known_server> server;
+    std::chrono::milliseconds predicted{0}; ///< To the first event.
+    std::uint64_t uncached_tokens = 0;
+};
+
+// [placement] ----------------------------------------------------------------
+
+/// All servers as one entry sees them.
+class placement
+{
+public:
+    placement(placement_settings settings, std::string failure_domain,
+              std::uint64_t seed);
+
+    /// Takes over the instance list. A server that is gone, draining, or has
+    /// started again gets no new work as what it was.
+    ///
+    /// @return Servers that are no longer usable.
+    std::vector<std::shared_ptr<known_server>>
+    set_servers(const std::vector<protocol::listed_server>& servers);
+
+    /// Takes over what other entries have sent.
+    void set_others(const std::map<std::string, protocol::sent_load>& load);
+
+    /// Chooses a server of a service.
+    ///
+    /// @param tried Ids of servers that are not to be used again.
+    /// @return Nothing when there is none.
+    [[nodiscard]] std::optional<placement_choice>
+    choose(transport::monotonic_time now, const std::string& service,
+           const prompt_size& prompt, const std::set<std::string>& tried);
+
+    /// A request was sent to a chosen server.
+    void on_sent(transport::monotonic_time now, const placement_choice& choice,
+                 const prompt_size& prompt);
+
+    /// The first event or the whole answer has come.
+    void on_first_event(const placement_choice& choice,
+                        std::chrono::milliseconds took);
+
+    /// The request no longer runs there.
+    ///
+    /// @param first_event_seen Whether on_first_event was called.
+    void on_ended(const placement_choice& choice, bool first_event_seen);
+
+    /// A server failed a request, or served one well.
+    void on_failure(transport::monotonic_time now, known_server& server);
+    void on_success(known_server& server);
+
+    /// @return What this entry has sent, by server id.
+    [[nodiscard]] std::map<std::string, protocol::sent_load> own_load() const;
+
+    /// @return How many usable servers a service has.
+    [[nodiscard]] std::size_t usable(const std::string& service) const;
+
+    [[nodiscard]] const std::map<std::string, std::shared_ptr<known_server>>&
+    servers() const noexcept
+    {
+        return servers_;
+    }
+
+private:
+    [[nodiscard]] std::uint64_t cached(transport::monotonic_time now,
+                                       const known_server& server,
+                                       const prompt_size& prompt) const;
+    [[nodiscard]] double
+    predict_ms(const known_server& server, const prompt_size& prompt,
+               std::uint64_t uncached) const;
+
+    placement_settings settings_;
+    std::string failure_domain_;
+    std::mt19937_64 random_;
+    double tokens_per_ms_;
+    std::map<std::string, std::shared_ptr<known_server>> servers_; ///< By id.
+    std::unordered_map<std::uint64_t, transport::monotonic_time>
+        cache_; ///< Last use, by server and part.
+};
+
+} // namespace hyssopdeal::coordination
+
+#endif
--- /dev/null
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -0,0 +1,743 @@
+#ifndef HYSSOPDEAL_COORDINATION_GATEWAY_REQUEST_FLOW_HPP
+#define HYSSOPDEAL_COORDINATION_GATEWAY_REQUEST_FLOW_HPP
+
+/// @file
+/// One caller's request from its arrival to the end of its answer: admission,
+/// attempts at servers, repeats where they are allowed, and the relay of the
+/// answer.
+///
+/// Index: [request_flow] [admission] [attempts] [answers] [ends]
+///
+/// A request that is refused as not run has never been handed to a connection,
+/// or every server that got it has said that it did not run it.
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include <hyssopdeal/coordination/gateway/dialect.hpp>
+#include <hyssopdeal/coordination/gateway/event_splitter.hpp>
+#include <hyssopdeal/coordination/gateway/gateway_core.hpp>
+#include <hyssopdeal/transport/event_log.hpp>
+#include <hyssopdeal/transport/http1_server.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+// [request_flow] -------------------------------------------------------------
+
+/// Lives until its answer has ended or its caller has left.
+template <caller_dialect Dialect>
+class request_flow : public std::enable_shared_from_this<request_flow<Dialect>>
+{
+public:
+    request_flow(gateway_core& core, transport::http1_exchange exchange)
+        : core_(core),
+          exchange_(std::move(exchange))
+    {}
+
+    /// Admits the request and sends it, or refuses it.
+    void start();
+
+private:
+    using milliseconds = std::chrono::milliseconds;
+    using monotonic_time = transport::monotonic_time;
+    using headers = std::vector<transport::http_header>;
+
+    // [admission]
+    bool admit();
+    bool find_organisation();
+    bool take_quota();
+    void choose_service();
+
+    // [attempts]
+    void try_next();
+    void send_to(const placement_choice& choice);
+    void watch_silence();
+    void on_silence();
+    transport::head_choice on_head(int status, const headers& received);
+    void on_data(std::string_view piece);
+    void on_attempt_end(const transport::http1_call_end& how);
+    void on_refused_by_server();
+    void on_broken(const transport::failure& error);
+    void leave_server();
+    bool may_repeat_after_run();
+    [[nodiscard]] bool repeatable() const;
+    [[nodiscard]] milliseconds time_left() const;
+
+    // [answers]
+    void relay_events();
+    bool take_event_id(const std::string& event);
+    void note_first_event();
+    void pass_on();
+
+    // [ends]
+    void refuse(int status, std::string_view why, milliseconds come_back);
+    void fail(int status, std::string_view why);
+    void on_deadline();
+    void on_left();
+    void end(std::string_view outcome, int status);
+
+    gateway_core& core_;
+    transport::http1_exchange exchange_;
+    std::shared_ptr<const route_table> table_;
+    const protocol::document_route* route_ = nullptr;
+    std::string organisation_;
+    std::uint32_t rank_ = 0;
+    caller_terms terms_;
+    std::string service_;
+    double tokens_ = 0; ///< Taken from the quota.
+    monotonic_time deadline_{};
+    std::set<std::string> tried_; ///< Server ids.
+    std::uint32_t arrivals_ = 0;  ///< Servers that got it.
+    std::uint32_t runs_ = 0;      ///< Servers that ran it, or may have.
+    std::uint32_t no_connection_ = 0;
+
+    // Of the attempt that runs.
+    transport::http1_call call_;
+    placement_choice choice_;
+    bool at_server_ = false;
+    monotonic_time sent_at_{};
+    int status_ = 0;
+    headers received_;
+    answer_terms answer_;
+    bool head_seen_ = false;
+    std::string body_;
+    event_splitter events_;
+    bool event_seen_ = false; ///< Of this attempt.
+    monotonic_time last_sign_{};
+
+    // Of the answer.
+    bool begun_ = false; ///< The caller has the head.
+    bool counted_ = false;
+    std::string last_event_;
+    std::uint64_t last_number_ = 0;
+    bool over_ = false;
+    transport::timer_handle deadline_timer_;
+    transport::timer_handle silence_timer_;
+};
+
+// [admission] ----------------------------------------------------------------
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::start()
+{
+    core_.counters.received.add();
+    if (!admit())
+    {
+        return;
+    }
+    exchange_.on_left([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+        {
+            self->on_left();
+        }
+    });
+    // Beyond the servers' own time limit, so that their answer comes first.
+    constexpr milliseconds patience{100};
+    deadline_timer_ = core_.loop.after(
+        time_left() + patience, [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock())
+            {
+                self->on_deadline();
+            }
+        });
+    try_next();
+}
+
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::admit()
+{
+    constexpr milliseconds soon{500};
+    terms_ = Dialect::read_caller(exchange_.request());
+    table_ = core_.table();
+    if (!table_)
+    {
+        refuse(503, "no_document", soon);
+        return false;
+    }
+    route_ = table_->find_route(terms_.host, exchange_.request().target);
+    if (route_ == nullptr)
+    {
+        refuse(404, "no_route", milliseconds{0});
+        return false;
+    }
+    if (terms_.attempt_id.empty())
+    {
+        refuse(400, "no_attempt_id", milliseconds{0});
+        return false;
+    }
+    deadline_ = exchange_.received_at() +
+                std::min(route_->time_limit,
+                         terms_.time_limit.value_or(route_->time_limit));
+    rank_ = route_->rank;
+    choose_service();
+    core_.repeats.on_request(core_.clock.monotonic_now(), service_);
+    return (!route_->needs_key || find_organisation()) && take_quota();
+}
+
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::find_organisation()
+{
+    constexpr milliseconds soon{500};
+    if (!core_.keys_valid())
+    {
+        refuse(503, "control_state_too_old", soon);
+        return false;
+    }
+    const auto* found = table_->find_organisation(terms_.key);
+    if (found == nullptr)
+    {
+        refuse(401, "unknown_key", milliseconds{0});
+        return false;
+    }
+    organisation_ = found->name;
+    rank_ = found->rank.value_or(rank_);
+    tokens_ = !found->counts_tokens ? 1
+              : terms_.names_tokens
+                  ? static_cast<double>(terms_.size.prompt_tokens) +
+                        terms_.size.most_output_tokens
+                  : found->tokens_of_plain_request;
+    return true;
+}
+
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::take_quota()
+{
+    if (organisation_.empty())
+    {
+        return true;
+    }
+    const auto wait = core_.quota.take(core_.clock.monotonic_now(),
+                                       organisation_, tokens_);
+    if (wait.count() > 0)
+    {
+        tokens_ = 0;
+        refuse(429, "quota", wait);
+        return false;
+    }
+    return true;
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::choose_service()
+{
+    std::uint64_t all = 0;
+    for (const auto& share : route_->shares)
+    {
+        all += share.weight;
+    }
+    std::uniform_int_distribution<std::uint64_t> draw{1, all};
+    auto left = draw(core_.random);
+    for (const auto& share : route_->shares)
+    {
+        if (left <= share.weight)
+        {
+            service_ = share.service;
+            return;
+        }
+        left -= share.weight;
+    }
+}
+
+// [attempts] -----------------------------------------------------------------
+
+template <caller_dialect Dialect>
+std::chrono::milliseconds request_flow<Dialect>::time_left() const
+{
+    return std::chrono::duration_cast<milliseconds>(
+        deadline_ - core_.clock.monotonic_now());
+}
+
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::repeatable() const
+{
+    return route_->rule == protocol::repeat_rule::safe ||
+           (route_->rule == protocol::repeat_rule::stream &&
+            route_->resumable);
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::try_next()
+{
+    constexpr milliseconds soon{300};
+    // A server needs some time at least; below it the request fails anyway.
+    constexpr milliseconds least_time{20};
+    const auto now = core_.clock.monotonic_now();
+    if (time_left() < least_time)
+    {
+        return runs_ > 0 ? fail(504, "no_time_left")
+                         : refuse(503, "no_time_left", milliseconds{0});
+    }
+    const auto choice = core_.servers.choose(now, service_, terms_.size, tried_);
+    if (!choice)
+    {
+        return runs_ > 0 ? fail(502, "no_other_server")
+                         : refuse(503, "no_server", soon);
+    }
+    send_to(*choice);
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::send_to(const placement_choice& choice)
+{
+    // A server that answers in a hurry may close an idle connection at any
+    // time; what may run only once goes out on one that was used just now.
+    constexpr milliseconds fresh_enough{1'000};
+    const auto now = core_.clock.monotonic_now();
+    choice_ = choice;
+    tried_.insert(choice.server->listed.id);
+    core_.servers.on_sent(now, choice, terms_.size);
+    at_server_ = true;
+    sent_at_ = now;
+    last_sign_ = now;
+    status_ = 0;
+    head_seen_ = false;
+    event_seen_ = false;
+    body_.clear();
+    events_.drop_rest();
+    ++arrivals_;
+    if (arrivals_ > 1)
+    {
+        core_.counters.repeats.add();
+    }
+    server_terms terms;
+    terms.organisation = organisation_;
+    terms.server_id = choice.server->listed.id;
+    terms.time_limit = time_left();
+    terms.rank = rank_;
+    terms.resume_after = last_event_;
+    transport::http1_call_settings limits;
+    limits.max_idle = repeatable() ? core_.settings.client.max_idle
+                                   : std::min(fresh_enough,
+                                              core_.settings.client.max_idle);
+    transport::http1_call_handlers handlers;
+    const auto self = this->shared_from_this();
+    handlers.on_head = [self](int status, const headers& received) {
+        return self->on_head(status, received);
+    };
+    handlers.on_data = [self](std::string_view piece) { self->on_data(piece); };
+    handlers.on_end = [self](const transport::http1_call_end& how) {
+        self->on_attempt_end(how);
+    };
+    call_ = core_.client.start(
+        choice.server->listed.address,
+        Dialect::make_request(exchange_.request(), terms), limits,
+        std::move(handlers));
+    watch_silence();
+}
+
+/// A server that is silent for too long is left for another one, where the
+/// request may be repeated.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::watch_silence()
+{
+    if (!repeatable())
+    {
+        return;
+    }
+    // Below the silence after which callers give up.
+    constexpr milliseconds longest_stream_silence{1'500};
+    constexpr milliseconds shortest_call_silence{250};
+    const auto limit =
+        route_->rule == protocol::repeat_rule::stream
+            ? longest_stream_silence
+            : std::max(shortest_call_silence, route_->target_latency);
+    silence_timer_ =
+        core_.loop.after(limit, [weak = this->weak_from_this(), limit] {
+            const auto self = weak.lock();
+            if (!self || self->over_ || !self->at_server_)
+            {
+                return;
+            }
+            const auto silent =
+                self->core_.clock.monotonic_now() - self->last_sign_;
+            silent >= limit ? self->on_silence() : self->watch_silence();
+        });
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_silence()
+{
+    if (runs_ + 1 < route_->max_attempts &&
+        core_.servers.usable(service_) > tried_.size())
+    {
+        call_.cancel();
+        return on_broken({transport::verdict::may_have_run,
+                          transport::reason::timed_out,
+                          "The server was silent for too long."});
+    }
+    watch_silence();
+}
+
+template <caller_dialect Dialect>
+transport::head_choice request_flow<Dialect>::on_head(int status,
+                                                      const headers& received)
+{
+    constexpr int first_error = 300;
+    const auto read = Dialect::read_answer(status, received);
+    if (!read.attempt_id.empty() && read.attempt_id != terms_.attempt_id)
+    {
+        transport::log_event("attempt.foreign_answer",
+                             {{"request", terms_.attempt_id},
+                              {"server", choice_.server->listed.id}});
+        return transport::head_choice::skip;
+    }
+    const bool unproven = status < first_error && !read.proven;
+    if (unproven || read.encoded)
+    {
+        return transport::head_choice::reject;
+    }
+    status_ = status;
+    received_ = received;
+    answer_ = read;
+    head_seen_ = true;
+    last_sign_ = core_.clock.monotonic_now();
+    return transport::head_choice::take;
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_data(std::string_view piece)
+{
+    constexpr int first_error = 300;
+    last_sign_ = core_.clock.monotonic_now();
+    const bool streams = route_->rule == protocol::repeat_rule::stream &&
+                         status_ < first_error;
+    if (!streams)
+    {
+        body_ += piece;
+        return;
+    }
+    events_.feed(piece);
+    relay_events();
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_attempt_end(const transport::http1_call_end& how)
+{
+    constexpr int first_error = 300;
+    constexpr int first_server_error = 500;
+    silence_timer_.cancel();
+    if (!how.complete)
+    {
+        return on_broken(how.error);
+    }
+    if (answer_.not_executed || answer_.other_server)
+    {
+        return on_refused_by_server();
+    }
+    ++runs_;
+    const bool failed = status_ >= first_server_error;
+    auto& server = *choice_.server;
+    failed ? core_.servers.on_failure(core_.clock.monotonic_now(), server)
+           : core_.servers.on_success(server);
+    if (failed && repeatable() && !begun_ && may_repeat_after_run())
+    {
+        leave_server();
+        transport::log_event("attempt.failed", {{"request", terms_.attempt_id},
+                                                {"server", server.listed.id},
+                                                {"status", status_},
+                                                {"next", "repeat"}});
+        return try_next();
+    }
+    if (begun_ && status_ >= first_error)
+    {
+        leave_server();
+        return fail(502, "resume_failed");
+    }
+    note_first_event();
+    leave_server();
+    pass_on();
+}
+
+/// The server says that it did not run the request.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_refused_by_server()
+{
+    constexpr milliseconds soon{400};
+    const auto now = core_.clock.monotonic_now();
+    auto& server = *choice_.server;
+    if (answer_.other_server)
+    {
+        server.usable = false;
+    }
+    leave_server();
+    const bool again = core_.repeats.take(now, service_);
+    transport::log_event("attempt.refused",
+                         {{"request", terms_.attempt_id},
+                          {"server", server.listed.id},
+                          {"status", status_},
+                          {"other_server", answer_.other_server},
+                          {"next", again ? "repeat" : "refuse"}});
+    if (again)
+    {
+        return try_next();
+    }
+    runs_ > 0 ? fail(502, "servers_full") : refuse(503, "servers_full", soon);
+}
+
+/// The attempt ended without a whole answer.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_broken(const transport::failure& error)
+{
+    constexpr std::uint32_t most_connection_tries = 4;
+    silence_timer_.cancel();
+    const auto now = core_.clock.monotonic_now();
+    auto& server = *choice_.server;
+    core_.servers.on_failure(now, server);
+    const bool not_run = error.ran == transport::verdict::not_run;
+    if (not_run)
+    {
+        --arrivals_;
+        ++no_connection_;
+    }
+    else
+    {
+        ++runs_;
+    }
+    leave_server();
+    const bool again =
+        not_run ? no_connection_ < most_connection_tries
+                : repeatable() && may_repeat_after_run();
+    transport::log_event("attempt.broken",
+                         {{"request", terms_.attempt_id},
+                          {"server", server.listed.id},
+                          {"verdict", transport::to_string(error.ran)},
+                          {"error", error.text},
+                          {"after_event", last_event_},
+                          {"next", again ? "repeat" : "end"}});
+    if (again)
+    {
+        if (begun_)
+        {
+            core_.counters.resumed.add();
+        }
+        return try_next();
+    }
+    runs_ > 0 ? fail(502, "attempt_broken")
+              : refuse(503, "no_connection", milliseconds{300});
+}
+
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::may_repeat_after_run()
+{
+    return runs_ < route_->max_attempts &&
+           core_.servers.usable(service_) > tried_.size() &&
+           core_.repeats.take(core_.clock.monotonic_now(), service_);
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::leave_server()
+{
+    if (std::exchange(at_server_, false))
+    {
+        core_.servers.on_ended(choice_, event_seen_);
+    }
+}
+
+// [answers] ------------------------------------------------------------------
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::relay_events()
+{
+    while (auto event = events_.next())
+    {
+        if (!take_event_id(*event))
+        {
+            continue;
+        }
+        note_first_event();
+        if (!begun_)
+        {
+            begun_ = true;
+            exchange_.begin(status_, Dialect::caller_headers(received_));
+        }
+        exchange_.write(*event);
+        if (over_)
+        {
+            return;
+        }
+    }
+}
+
+/// @return Whether the event is new: one that the caller has is dropped.
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::take_event_id(const std::string& event)
+{
+    const auto id = event_splitter::id_of(event);
+    if (id.empty())
+    {
+        return true;
+    }
+    std::uint64_t number = 0;
+    const auto read = std::from_chars(id.data(), id.data() + id.size(), number);
+    const bool numbered = read.ptr == id.data() + id.size();
+    if (numbered && begun_ && number <= last_number_)
+    {
+        return false;
+    }
+    last_number_ = numbered ? number : last_number_;
+    last_event_ = id;
+    return true;
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::note_first_event()
+{
+    if (std::exchange(event_seen_, true))
+    {
+        return;
+    }
+    const auto now = core_.clock.monotonic_now();
+    core_.servers.on_first_event(
+        choice_, std::chrono::duration_cast<milliseconds>(now - sent_at_));
+    if (!std::exchange(counted_, true))
+    {
+        const bool streams = route_->rule == protocol::repeat_rule::stream;
+        core_.count_usage(organisation_, streams ? now : sent_at_);
+        core_.counters.first_event.add(now - exchange_.received_at());
+    }
+}
+
+/// The server's answer is complete.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::pass_on()
+{
+    constexpr int first_error = 300;
+    const bool streams = route_->rule == protocol::repeat_rule::stream &&
+                         status_ < first_error;
+    if (streams)
+    {
+        if (!begun_)
+        {
+            begun_ = true;
+            exchange_.begin(status_, Dialect::caller_headers(received_));
+        }
+        exchange_.write(events_.rest());
+        exchange_.finish();
+    }
+    else
+    {
+        exchange_.send({status_, Dialect::caller_headers(received_),
+                        std::move(body_)});
+    }
+    const bool good = status_ < first_error;
+    (good ? core_.counters.served : core_.counters.passed_failures).add();
+    core_.counters.whole_answer.add(core_.clock.monotonic_now() -
+                                    exchange_.received_at());
+    end(good ? "served" : "passed_failure", status_);
+}
+
+// [ends] ---------------------------------------------------------------------
+
+/// The request has not run and never will.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::refuse(int status, std::string_view why,
+                                   milliseconds come_back)
+{
+    constexpr double ms_in_s = 1'000;
+    if (begun_)
+    {
+        return fail(502, why);
+    }
+    transport::http_response answer;
+    answer.status = status;
+    answer.headers = {{"Content-Type", "text/plain"}};
+    if (come_back.count() > 0)
+    {
+        answer.headers.push_back(
+            {"Retry-After",
+             fmt::format("{:.3f}", static_cast<double>(come_back.count()) /
+                                       ms_in_s)});
+    }
+    answer.body = fmt::format("not_run: {}\n", why);
+    if (tokens_ > 0)
+    {
+        core_.quota.give_back(organisation_, tokens_);
+    }
+    core_.counters.refused.add();
+    exchange_.send(std::move(answer));
+    end(why, status);
+}
+
+/// The request may have run.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::fail(int status, std::string_view why)
+{
+    if (!std::exchange(counted_, true))
+    {
+        core_.count_usage(organisation_, sent_at_);
+    }
+    core_.counters.failed.add();
+    if (begun_)
+    {
+        exchange_.abort();
+    }
+    else
+    {
+        exchange_.send({status,
+                        {{"Content-Type", "text/plain"}},
+                        fmt::format("may_have_run: {}\n", why)});
+    }
+    end(why, begun_ ? 0 : status);
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_deadline()
+{
+    if (over_)
+    {
+        return;
+    }
+    const bool sent = at_server_ || runs_ > 0;
+    call_.cancel();
+    leave_server();
+    sent ? fail(504, "deadline_passed")
+         : refuse(503, "deadline_passed", milliseconds{0});
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_left()
+{
+    if (over_)
+    {
+        return;
+    }
+    core_.counters.left.add();
+    call_.cancel();
+    leave_server();
+    end("caller_left", 0);
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::end(std::string_view outcome, int status)
+{
+    over_ = true;
+    deadline_timer_.cancel();
+    silence_timer_.cancel();
+    const auto now = core_.clock.monotonic_now();
+    transport::log_event(
+        "request.ended",
+        {{"request", terms_.attempt_id},
+         {"outcome", outcome},
+         {"status", status},
+         {"route", route_ == nullptr ? std::string_view{} : route_->name},
+         {"organisation", organisation_},
+         {"document", table_ ? table_->document().version : 0},
+         {"server", choice_.server ? choice_.server->listed.id : ""},
+         {"predicted_ms", choice_.predicted},
+         {"arrivals", arrivals_},
+         {"took_ms", now - exchange_.received_at()}});
+}
+
+} // namespace hyssopdeal::coordination
+
+#endif
--- /dev/null
+++ b/include/hyssopdeal/coordination/gateway/token_quota.hpp
@@ -0,0 +1,90 @@
+#ifndef HYSSOPDEAL_COORDINATION_GATEWAY_TOKEN_QUOTA_HPP
+#define HYSSOPDEAL_COORDINATION_GATEWAY_TOKEN_QUOTA_HPP
+
+/// @file
+/// An entry's part of each organisation's quota: a bucket that fills at the
+/// organisation's rate times the share that this entry holds. Answers an
+/// organisation that asks for more than its contract. A decision module without
+/// I/O.
+///
+/// Index: [token_quota]
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <hyssopdeal/protocol/service_document.hpp>
+#include <hyssopdeal/transport/clock.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+// [token_quota] --------------------------------------------------------------
+
+/// Buckets of one entry.
+class token_quota
+{
+public:
+    /// Takes over rates and bursts; levels are kept, and cut to a smaller
+    /// burst.
+    void set_organisations(
+        transport::monotonic_time now,
+        const std::vector<protocol::organisation_terms>& organisations);
+
+    /// Takes over the shares that this entry holds from now on.
+    ///
+    /// @param until They must not be used any longer than that.
+    void set_shares(transport::monotonic_time now,
+                    const std::map<std::string, double>& shares,
+                    transport::monotonic_time until);
+
+    /// Takes tokens for a request.
+    ///
+    /// @return 0 when they were taken; else how long until they could be. An
+    ///     organisation without a limit is never refused.
+    [[nodiscard]] std::chrono::milliseconds take(transport::monotonic_time now,
+                                                 const std::string& name,
+                                                 double tokens);
+
+    /// Gives back what a request took that did not run.
+    void give_back(const std::string& name, double tokens);
+
+    /// @return Tokens asked for each second of late, by organisation.
+    [[nodiscard]] std::map<std::string, double>
+    demand(transport::monotonic_time now);
+
+    [[nodiscard]] const std::map<std::string, double>& shares() const noexcept
+    {
+        return shares_;
+    }
+
+    /// @return When the shares expire.
+    [[nodiscard]] transport::monotonic_time shares_until() const noexcept
+    {
+        return until_;
+    }
+
+private:
+    struct bucket
+    {
+        double rate = 0; ///< Of the whole organisation; 0: no limit.
+        double burst = 0;
+        double share = 0;
+        double level = 0;
+        double demand = 0; ///< Smoothed, tokens a second.
+        double asked = 0;  ///< Since demand was last taken.
+    };
+
+    void fill(transport::monotonic_time now);
+
+    std::map<std::string, bucket> buckets_;
+    std::map<std::string, double> shares_;
+    transport::monotonic_time until_{};
+    transport::monotonic_time filled_{};
+    transport::monotonic_time measured_{};
+};
+
+} // namespace hyssopdeal::coordination
+
+#endif
--- a/include/hyssopdeal/coordination/replica.hpp
+++ b/include/hyssopdeal/coordination/replica.hpp
@@ -145,6 +145,7 @@
     state::log_index applied = 0;
     state::log_index base = 0;   ///< Records up to it are gone.
     state::replica_set replicas; ///< In effect, perhaps not committed.
+    state::log_index replicas_index = 0; ///< Of the record that set them.
     bool halted = false;         ///< The disk has failed.
 };
 
@@ -153,6 +154,7 @@
 {
     std::uint64_t id = 0;
     state::log_index match = 0; ///< On its disk.
+    transport::monotonic_time contact{}; ///< Of its latest answer.
 };
 
 // [replica] ------------------------------------------------------------------
@@ -210,6 +212,11 @@
 [[nodiscard]] state::persist_request
 bootstrap_request(std::uint64_t id, const state::replica_set& replicas);
 
+/// @param snapshot State that the cluster begins with.
+[[nodiscard]] state::persist_request
+bootstrap_request(std::uint64_t id, const state::replica_set& replicas,
+                  std::string snapshot);
+
 /// @return What a replica that joins later writes to its empty disk.
 [[nodiscard]] state::persist_request join_request(std::uint64_t id);
 
--- /dev/null
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -0,0 +1,131 @@
+#ifndef HYSSOPDEAL_PROTOCOL_FOLLOW_MESSAGES_HPP
+#define HYSSOPDEAL_PROTOCOL_FOLLOW_MESSAGES_HPP
+
+/// @file
+/// What entries and control replicas of a cluster tell each other several
+/// times a second, and how a replica joins.
+///
+/// Index: [report] [orders] [joining] [encoding]
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <hyssopdeal/protocol/service_document.hpp>
+#include <hyssopdeal/transport/failure.hpp>
+
+namespace hyssopdeal::protocol
+{
+
+// [report] -------------------------------------------------------------------
+
+/// Requests that began to run in a window of true time.
+struct usage_count
+{
+    std::uint64_t window = 0;
+    std::map<std::string, std::uint64_t> counts; ///< By organisation.
+};
+
+/// What one entry has sent to a server.
+struct sent_load
+{
+    std::uint32_t running = 0;        ///< Not answered to the end.
+    std::uint64_t waiting_tokens = 0; ///< Of prompts without a first event.
+};
+
+/// What an entry tells.
+struct entry_report
+{
+    std::string entry;             ///< Name of the instance.
+    std::uint64_t incarnation = 0; ///< Drawn at each start.
+    std::string failure_domain;
+    std::uint64_t document_version = 0; ///< In force here; 0: none.
+    std::uint64_t listing_digest = 0;   ///< Of the list held here.
+    std::int64_t shares_held_ms = 0;    ///< They may be used for so long.
+    std::map<std::string, double> shares; ///< Held, by organisation.
+    std::map<std::string, double> demand; ///< Tokens/s, by organisation.
+    std::vector<usage_count> usage;       ///< Of the latest windows.
+    std::map<std::string, sent_load> load; ///< By server id.
+};
+
+// [orders] -------------------------------------------------------------------
+
+/// The platform's instance list, as one replica read it.
+struct server_listing
+{
+    std::uint64_t digest = 0; ///< Of the servers.
+    std::vector<listed_server> servers;
+};
+
+/// What a replica answers an entry.
+struct entry_orders
+{
+    /// Whether this replica leads and no other can: only then do validity,
+    /// shares and time count.
+    bool leads = false;
+    std::uint64_t document_version = 0;
+    std::optional<std::string> document; ///< When the entry's is older.
+    std::int64_t listing_age_ms = -1;    ///< -1: no list was read.
+    std::optional<server_listing> listing; ///< When the entry's differs.
+    std::int64_t true_time_ms = 0;       ///< Median of the replicas' clocks.
+    std::vector<std::string> replicas;   ///< Hub addresses.
+    std::map<std::string, double> shares; ///< Granted, by organisation.
+    std::map<std::string, sent_load> others_load; ///< Of all other entries.
+};
+
+// [joining] ------------------------------------------------------------------
+
+/// A replica tells that it runs.
+struct join_message
+{
+    std::uint64_t id = 0; ///< 0: it needs one.
+    std::string address;  ///< Of its hub.
+    std::string operators;
+    std::string failure_domain;
+};
+
+/// Where a replica stands, as the asked one knows.
+enum class join_state : std::uint8_t
+{
+    unknown,  ///< The asked one does not lead; see `leader`.
+    next_id,  ///< Draw an id from `next_id` on.
+    joining,  ///< Not a member yet, and may become one.
+    member,   ///< A member.
+    removed   ///< The id will never be a member again.
+};
+
+struct join_answer
+{
+    join_state state = join_state::unknown;
+    std::string leader; ///< Hub address; empty: unknown.
+    std::uint64_t next_id = 0;
+    std::vector<std::string> replicas; ///< Hub addresses.
+};
+
+// [encoding] -----------------------------------------------------------------
+
+[[nodiscard]] std::string encode(const entry_report& value);
+[[nodiscard]] std::string encode(const entry_orders& value);
+[[nodiscard]] std::string encode(const join_message& value);
+[[nodiscard]] std::string encode(const join_answer& value);
+
+/// @return The message, or `corrupt`.
+[[nodiscard]] transport::result<entry_report>
+decode_entry_report(std::string_view bytes);
+[[nodiscard]] transport::result<entry_orders>
+decode_entry_orders(std::string_view bytes);
+[[nodiscard]] transport::result<join_message>
+decode_join_message(std::string_view bytes);
+[[nodiscard]] transport::result<join_answer>
+decode_join_answer(std::string_view bytes);
+
+/// @return A digest by which equal lists are known.
+[[nodiscard]] std::uint64_t
+digest_of(const std::vector<listed_server>& servers);
+
+} // namespace hyssopdeal::protocol
+
+#endif
--- a/include/hyssopdeal/protocol/peer_hub.hpp
+++ b/include/hyssopdeal/protocol/peer_hub.hpp
@@ -36,7 +36,9 @@
     grants = 4,      ///< Limit grants.
     streams = 5,     ///< Copies, hand-over and resume of streams.
     operators = 6,   ///< Orders forwarded to the leader.
-    reports = 7      ///< Observations sent to the leader: versions, load.
+    reports = 7,     ///< Observations sent to the leader: versions, load.
+    joining = 8,     ///< Replicas that find their cluster.
+    following = 9    ///< Entries and replicas: reports and orders.
 };
 
 // [settings] -----------------------------------------------------------------
@@ -51,6 +53,7 @@
     std::size_t max_message_bytes = 8'388'608; ///< Larger closes the link.
     std::size_t max_queued_bytes = 33'554'432; ///< For each link.
     std::chrono::milliseconds connect_time_limit{500}; ///< TCP and handshake.
+    std::chrono::milliseconds silence_limit{2'000}; ///< Then a link is lost.
 };
 
 // [peer_hub] -----------------------------------------------------------------
--- /dev/null
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -0,0 +1,147 @@
+#ifndef HYSSOPDEAL_TRANSPORT_HTTP1_CLIENT_HPP
+#define HYSSOPDEAL_TRANSPORT_HTTP1_CLIENT_HPP
+
+/// @file
+/// HTTP/1.1 client for servers that cannot be trusted to keep the protocol: an
+/// answer that belongs to an earlier request can be skipped, bytes that no
+/// request asked for end their connection, and a connection is used again only
+/// after an answer without any doubt.
+///
+/// Index: [settings] [handlers] [http1_call] [http1_client]
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <hyssopdeal/transport/clock.hpp>
+#include <hyssopdeal/transport/event_loop.hpp>
+#include <hyssopdeal/transport/failure.hpp>
+#include <hyssopdeal/transport/http_message.hpp>
+
+namespace hyssopdeal::transport
+{
+
+// [settings] -----------------------------------------------------------------
+
+/// Times and caps of all calls of a client.
+struct http1_client_settings
+{
+    std::size_t max_head_bytes = 65'536;
+    std::size_t max_idle_for_each = 32; ///< Idle connections to one server.
+    std::chrono::milliseconds max_idle{4'000}; ///< Below usual servers' limit.
+    /// Sent and not acknowledged, or silent, for this long: the connection is
+    /// lost. Below the gap after which callers give up a stream.
+    std::chrono::milliseconds silence_limit{1'500};
+};
+
+/// Limits of one call.
+struct http1_call_settings
+{
+    /// Connections that were idle for longer are not used for this call: the
+    /// server may be closing them at this moment.
+    std::chrono::milliseconds max_idle{4'000};
+    std::chrono::milliseconds connect_time_limit{500};
+};
+
+// [handlers] -----------------------------------------------------------------
+
+/// What to do with an answer whose head has come.
+enum class head_choice : std::uint8_t
+{
+    take, ///< It answers this call.
+    skip, ///< It answers an earlier call: read past it.
+    reject ///< It cannot be trusted: end the call as a broken answer.
+};
+
+/// How a call ended.
+struct http1_call_end
+{
+    bool complete = false; ///< The answer was read to its proper end.
+    failure error; ///< Only when not complete. Its verdict is not_run only if
+                   ///< no byte was handed to a connection.
+};
+
+/// Called on the loop's thread; on_end comes last and exactly once, unless the
+/// call was cancelled. None is called before start() has returned.
+struct http1_call_handlers
+{
+    std::function<head_choice(int status, const std::vector<http_header>&)>
+        on_head;
+    std::function<void(std::string_view piece)> on_data;
+    std::function<void(http1_call_end)> on_end;
+};
+
+// [http1_call] ---------------------------------------------------------------
+
+/// Owns a running call; destroying it cancels the call and closes its
+/// connection.
+class http1_call
+{
+public:
+    struct impl;
+
+    http1_call() noexcept;
+    explicit http1_call(std::shared_ptr<impl> state) noexcept;
+    http1_call(http1_call&&) noexcept;
+    http1_call& operator=(http1_call&&) noexcept;
+    ~http1_call();
+
+    /// Stops the call; no handler is called afterwards.
+    void cancel() noexcept;
+
+    /// Ends the call as timed out when it takes longer, from now on.
+    void limit(event_loop& loop, std::chrono::milliseconds time_limit);
+
+private:
+    std::shared_ptr<impl> state_;
+};
+
+// [http1_client] -------------------------------------------------------------
+
+/// Pools connections for the calls of one loop.
+class http1_client
+{
+public:
+    struct impl;
+
+    http1_client(event_loop& loop, const clock& time,
+                 http1_client_settings settings);
+    http1_client(const http1_client&) = delete;
+    http1_client& operator=(const http1_client&) = delete;
+    ~http1_client();
+
+    /// Starts a call.
+    ///
+    /// @param address `IP:port` of the server.
+    [[nodiscard]] http1_call start(std::string_view address,
+                                   const http_request& request,
+                                   const http1_call_settings& settings,
+                                   http1_call_handlers handlers);
+
+    /// Sends a request and collects the whole answer.
+    ///
+    /// @param time_limit From now to the answer's end.
+    /// @param on_answer Gets the answer, or a failure with its verdict.
+    [[nodiscard]] http1_call
+    fetch(std::string_view address, const http_request& request,
+          std::chrono::milliseconds time_limit,
+          std::function<void(result<http_response>)> on_answer);
+
+    /// Closes the idle connections to a server that is gone.
+    void forget(const std::string& address);
+
+    /// @return Connections opened since the start.
+    [[nodiscard]] std::uint64_t connections_opened() const noexcept;
+
+private:
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace hyssopdeal::transport
+
+#endif
--- /dev/null
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -0,0 +1,416 @@
+/// @file
+/// One control replica of a cluster: start, and the replica's steps.
+
+#include "coordination/cluster/cluster_process_impl.hpp"
+
+#include <random>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include <hyssopdeal/transport/event_log.hpp>
+#include <hyssopdeal/transport/metrics.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+using protocol::peer_channel;
+using transport::fail;
+using transport::log_event;
+using transport::reason;
+
+namespace
+{
+
+// Well below a heartbeat's interval, so that timers are kept.
+constexpr std::chrono::milliseconds tick_interval{25};
+
+} // namespace
+
+cluster_process::impl::impl(transport::event_loop& own_loop,
+                            const transport::clock& own_clock,
+                            cluster_settings own_settings,
+                            cluster_outside own_outside)
+    : loop(own_loop),
+      clock(own_clock),
+      settings(std::move(own_settings)),
+      outside(std::move(own_outside)),
+      own_address(fmt::format("{}:{}", settings.address, settings.hub_port)),
+      usage(settings.usage)
+{}
+
+// [start] --------------------------------------------------------------------
+
+transport::result<void> cluster_process::impl::open_disk()
+{
+    control_disk::storage_type storage{
+        state::posix_files{settings.data_folder}};
+    auto recovered = storage.open();
+    if (!recovered)
+    {
+        return tl::make_unexpected(recovered.error());
+    }
+    if (recovered->hard.id != 0)
+    {
+        return use_disk(std::move(storage), std::move(*recovered));
+    }
+    const auto founders = founding_replicas(settings.seeds);
+    const auto id = founding_id(founders, own_address);
+    if (settings.start == cluster_start::later || id == 0)
+    {
+        log_event("cluster.joins", {{"replica", settings.name}});
+        return {};
+    }
+    log_event("cluster.founds",
+              {{"replica", settings.name}, {"id", id}});
+    const auto written = storage.write(
+        bootstrap_request(id, founders, cluster_state{}.encode_snapshot()));
+    if (!written)
+    {
+        return written;
+    }
+    control_disk::storage_type again{state::posix_files{settings.data_folder}};
+    auto founded = again.open();
+    if (!founded)
+    {
+        return tl::make_unexpected(founded.error());
+    }
+    return use_disk(std::move(again), std::move(*founded));
+}
+
+transport::result<void>
+cluster_process::impl::use_disk(control_disk::storage_type storage,
+                                state::recovered_state recovered)
+{
+    log_event("replica.opened",
+              {{"id", recovered.hard.id},
+               {"term", recovered.hard.term},
+               {"snapshot", recovered.snap.index},
+               {"records", recovered.records.size()},
+               {"torn_bytes", recovered.torn_bytes}});
+    auto made =
+        cluster_machine::make(settings.machine, std::move(recovered),
+                              std::random_device{}(), clock.monotonic_now());
+    if (!made)
+    {
+        return tl::make_unexpected(made.error());
+    }
+    machine.emplace(std::move(*made));
+    const auto generation = ++disk_generation;
+    disk_busy = false;
+    disk = std::make_unique<control_disk>(
+        std::move(storage),
+        [this, generation](std::uint64_t number, auto ended) {
+            loop.post([this, generation, number, ended = std::move(ended)] {
+                if (generation == disk_generation)
+                {
+                    written(number, ended);
+                }
+            });
+        });
+    for (const auto& member : status().replicas.members)
+    {
+        known_replicas.insert(member.address);
+    }
+    return {};
+}
+
+transport::result<void> cluster_process::impl::open_links()
+{
+    protocol::peer_hub_settings links;
+    links.self = own_address;
+    links.address = settings.address;
+    links.port = settings.hub_port;
+    links.shared_key = settings.shared_key;
+    hub = std::make_unique<protocol::peer_hub>(loop, links);
+    hub->on_message(peer_channel::replication,
+                    [this](auto from, auto payload, auto) {
+                        on_replica_message(from, payload);
+                    });
+    hub->on_message(peer_channel::joining, [this](auto, auto payload,
+                                                  auto reply) {
+        const auto request = protocol::decode_join_message(payload);
+        if (!request)
+        {
+            return log_event("peer.bad_message", {{"what", "join request"}});
+        }
+        reply(protocol::encode(on_join_request(*request)));
+    });
+    hub->on_message(peer_channel::operators,
+                    [this](auto, auto payload, auto reply) {
+                        on_forwarded(payload, reply);
+                    });
+    hub->on_message(peer_channel::following,
+                    [this](auto, auto payload, auto reply) {
+                        on_report(payload, reply);
+                    });
+    const auto port = hub->start();
+    if (!port)
+    {
+        return tl::make_unexpected(port.error());
+    }
+    return {};
+}
+
+// [steps] --------------------------------------------------------------------
+
+void cluster_process::impl::tick()
+{
+    const auto now = clock.monotonic_now();
+    if (machine)
+    {
+        step(tick_event{});
+        if (leads())
+        {
+            if (auto change = next_voter_change(
+                    now, status(), machine->followers(), settings.voters))
+            {
+                change->id = ++next_proposal;
+                log_event("cluster.change",
+                          {{"id", change->member.id},
+                           {"address", change->member.address},
+                           {"kind", 
+                                        static_cast<int>(change->change)}});
+                step(std::move(*change));
+            }
+            if (disk_busy && now - disk_busy_since > settings.disk_patience)
+            {
+                step(transfer_event{});
+            }
+        }
+    }
+    find_cluster();
+    read_list();
+    run_duties();
+    if (drained_handler && (!machine || !leads() || now >= drain_until))
+    {
+        loop.post(std::exchange(drained_handler, nullptr));
+    }
+    ticker = loop.after(tick_interval, [this] { tick(); });
+}
+
+void cluster_process::impl::step(replica_event event)
+{
+    if (machine)
+    {
+        take(machine->step(clock.monotonic_now(), clock.wall_now(),
+                           std::move(event)));
+    }
+}
+
+void cluster_process::impl::take(cluster_actions actions)
+{
+    if (actions.persist)
+    {
+        disk_busy = true;
+        disk_busy_since = clock.monotonic_now();
+        disk->write(std::move(*actions.persist));
+    }
+    for (const auto& message : actions.sends)
+    {
+        send(message);
+    }
+    if (actions.change == leadership_change::changed)
+    {
+        follow_leadership();
+    }
+    for (auto& item : actions.results)
+    {
+        const auto found = waiting.find(item.id);
+        if (found != waiting.end())
+        {
+            const auto callback = std::move(found->second);
+            waiting.erase(found);
+            callback(std::move(item.done));
+        }
+    }
+}
+
+void cluster_process::impl::written(std::uint64_t number,
+                                    const transport::result<void>& ended)
+{
+    disk_busy = false;
+    if (ended)
+    {
+        return step(persisted_event{number});
+    }
+    log_event("disk.failed", {{"error", ended.error().text}});
+    step(disk_failed_event{});
+    disk_failed = true;
+    if (disk_failed_handler)
+    {
+        disk_failed_handler();
+    }
+}
+
+void cluster_process::impl::follow_leadership()
+{
+    const auto now = clock.monotonic_now();
+    const auto seen = status();
+    const bool leading = seen.leads.role == leadership_role::leader;
+    if (leading && leading_term != seen.leads.term)
+    {
+        leading_term = seen.leads.term;
+        leading_since = now;
+        allocator.emplace(now, settings.shares);
+        usage_sent.clear();
+        usage_asked.clear();
+        usage_proposed = false;
+    }
+    else if (!leading)
+    {
+        leading_term = 0;
+        allocator.reset();
+    }
+    for (const auto& member : seen.replicas.members)
+    {
+        known_replicas.insert(member.address);
+    }
+    log_event("leadership.changed",
+              {{"term", seen.leads.term},
+               {"leader", seen.leads.leader},
+               {"role", leading ? "leader" : "follower"},
+               {"commit", seen.commit}});
+}
+
+void cluster_process::impl::propose(const cluster_command& command,
+                                    done on_done)
+{
+    const auto id = ++next_proposal;
+    waiting.emplace(id, std::move(on_done));
+    take(machine->propose(clock.monotonic_now(), clock.wall_now(), id,
+                          command));
+}
+
+// [links] --------------------------------------------------------------------
+
+void cluster_process::impl::send(const replica_message& message)
+{
+    for (const auto& member : status().replicas.members)
+    {
+        if (member.id == message.to)
+        {
+            hub->set_peer(member.address, member.address);
+            return hub->send(member.address, peer_channel::replication,
+                             encode(message));
+        }
+    }
+    // A learner that does not know the set yet answers whom it heard.
+    const auto found = heard_at.find(message.to);
+    if (found != heard_at.end())
+    {
+        hub->set_peer(found->second, found->second);
+        hub->send(found->second, peer_channel::replication, encode(message));
+    }
+}
+
+void cluster_process::impl::on_replica_message(const std::string& from,
+                                               const std::string& payload)
+{
+    auto message = decode_replica_message(payload);
+    if (!message || !machine || message->to != status().id)
+    {
+        return;
+    }
+    heard_at[message->from] = from;
+    known_replicas.insert(from);
+    step(message_event{std::move(*message)});
+}
+
+// [reading] ------------------------------------------------------------------
+
+replica_status cluster_process::impl::status() const
+{
+    return machine ? machine->status(clock.monotonic_now()) : replica_status{};
+}
+
+bool cluster_process::impl::leads() const
+{
+    return machine && machine->may_read(clock.monotonic_now());
+}
+
+transport::wall_time cluster_process::impl::true_time() const
+{
+    const auto own = clock.wall_now();
+    return machine ? machine->quorum_wall(clock.monotonic_now(), own) : own;
+}
+
+// [cluster_process] ----------------------------------------------------------
+
+cluster_process::cluster_process(transport::event_loop& loop,
+                                 const transport::clock& clock,
+                                 cluster_settings settings,
+                                 cluster_outside outside)
+    : impl_(std::make_unique<impl>(loop, clock, std::move(settings),
+                                   std::move(outside)))
+{}
+
+cluster_process::~cluster_process() = default;
+
+transport::result<void> cluster_process::start()
+{
+    auto opened = impl_->open_disk();
+    if (opened)
+    {
+        opened = impl_->open_links();
+    }
+    if (opened)
+    {
+        impl_->tick();
+    }
+    return opened;
+}
+
+void cluster_process::on_disk_failed(std::function<void()> handler)
+{
+    impl_->disk_failed_handler = std::move(handler);
+}
+
+void cluster_process::set_seeds(std::vector<std::string> seeds)
+{
+    impl_->settings.seeds = std::move(seeds);
+}
+
+void cluster_process::drain(std::function<void()> on_drained)
+{
+    // Longer than a hand-over between two replicas takes.
+    constexpr std::chrono::milliseconds patience{1'500};
+    impl_->drained_handler = std::move(on_drained);
+    impl_->drain_until = impl_->clock.monotonic_now() + patience;
+    impl_->step(transfer_event{});
+}
+
+std::string cluster_process::metrics() const
+{
+    const auto seen = impl_->status();
+    transport::prometheus_text out;
+    const auto gauge = [&](std::string_view name, double value,
+                           std::string_view help) {
+        out.family(name, "gauge", help);
+        out.sample(value);
+    };
+    gauge("hyssopdeal_replica_term", static_cast<double>(seen.leads.term),
+          "Latest election term");
+    gauge("hyssopdeal_replica_leads", impl_->leads() ? 1 : 0,
+          "Whether this replica leads and holds its lease");
+    gauge("hyssopdeal_replica_commit", static_cast<double>(seen.commit),
+          "Last committed record");
+    gauge("hyssopdeal_replica_applied", static_cast<double>(seen.applied),
+          "Last applied record");
+    gauge("hyssopdeal_replica_members",
+          static_cast<double>(seen.replicas.members.size()),
+          "Replicas of the cluster");
+    gauge("hyssopdeal_document_version",
+          impl_->machine ? static_cast<double>(
+                               impl_->machine->state().document_version())
+                         : 0,
+          "Version of the document in force");
+    gauge("hyssopdeal_listed_servers",
+          static_cast<double>(impl_->listing.servers.size()),
+          "Servers on the instance list");
+    gauge("hyssopdeal_reporting_entries",
+          static_cast<double>(impl_->loads.size()), "Entries that report");
+    return out.text();
+}
+
+} // namespace hyssopdeal::coordination
--- /dev/null
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -0,0 +1,125 @@
+/// @file
+/// What a replica reads from the platform, and the orders that only the leader
+/// sends.
+
+#include "coordination/cluster/cluster_process_impl.hpp"
+
+#include <hyssopdeal/transport/event_log.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+using transport::log_event;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds duty_interval{250};
+
+} // namespace
+
+/// Every replica reads the list, so that entries hear of servers that leave
+/// also while no replica leads.
+void cluster_process::impl::read_list()
+{
+    const auto now = clock.monotonic_now();
+    if (list_asked || now < next_list)
+    {
+        return;
+    }
+    list_asked = true;
+    next_list = now + settings.list_interval;
+    outside.read_list([this, asked = now](auto servers) {
+        list_asked = false;
+        if (!servers)
+        {
+            if (list_error.empty())
+            {
+                log_event("list.lost", {{"error", servers.error().text}});
+            }
+            list_error = servers.error().text;
+            return;
+        }
+        if (!list_error.empty())
+        {
+            log_event("list.regained", {});
+            list_error.clear();
+        }
+        const auto digest = protocol::digest_of(*servers);
+        if (digest != listing.digest)
+        {
+            log_event("list.changed",
+                      {{"servers", servers->size()}});
+        }
+        listing = {digest, std::move(*servers)};
+        listing_read = asked;
+    });
+}
+
+/// @return Whether an order to the platform may leave at this moment.
+bool cluster_process::impl::may_order() const
+{
+    return leads() && leading_term != 0 &&
+           clock.monotonic_now() - leading_since >= settings.order_lease;
+}
+
+void cluster_process::impl::run_duties()
+{
+    const auto now = clock.monotonic_now();
+    if (now < next_duty || !may_order())
+    {
+        return;
+    }
+    next_duty = now + duty_interval;
+    const auto& held = machine->state();
+    if (!usage_proposed)
+    {
+        if (const auto decision = usage.next_decision(true_time(), held))
+        {
+            usage_proposed = true;
+            propose(*decision, [this](const auto& ended) {
+                usage_proposed = false;
+                if (!ended)
+                {
+                    log_event("usage.not_decided",
+                              {{"error", ended.error().text}});
+                }
+            });
+        }
+    }
+    for (const auto& decision : held.usage())
+    {
+        const auto due =
+            transport::wall_time{settings.usage.window *
+                                 (decision.window + 1)} +
+            settings.usage.due;
+        if (!usage_sent.contains(decision.window) &&
+            !usage_asked.contains(decision.window) && true_time() < due)
+        {
+            send_usage(decision);
+        }
+    }
+}
+
+/// Sends what was decided, again and again until it is taken: equal counts for
+/// one window count once.
+void cluster_process::impl::send_usage(const decide_usage_command& decision)
+{
+    const auto window = decision.window;
+    usage_asked.insert(window);
+    outside.report_usage({settings.name, leading_term}, decision,
+                         [this, window](const auto& ended) {
+                             usage_asked.erase(window);
+                             if (ended)
+                             {
+                                 usage_sent.insert(window);
+                             }
+                             log_event(
+                                 "usage.reported",
+                                 {{"window", window},
+                                  {"outcome", ended ? "accepted"
+                                                    : ended.error().text}});
+                         });
+}
+
+} // namespace hyssopdeal::coordination
--- /dev/null
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -0,0 +1,150 @@
+#ifndef HYSSOPDEAL_SRC_COORDINATION_CLUSTER_CLUSTER_PROCESS_IMPL_HPP
+#define HYSSOPDEAL_SRC_COORDINATION_CLUSTER_CLUSTER_PROCESS_IMPL_HPP
+
+/// @file
+/// The cluster process's private part. Internal.
+///
+/// Index: [orders] [impl]
+///
+/// cluster_process.cpp starts it and drives the replica,
+/// cluster_process_joining.cpp finds the cluster, cluster_process_serving.cpp
+/// answers operators, other replicas and entries, cluster_process_duties.cpp
+/// reads the instance list and sends the leader's orders to the platform.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <hyssopdeal/coordination/cluster/cluster_process.hpp>
+#include <hyssopdeal/protocol/follow_messages.hpp>
+#include <hyssopdeal/protocol/peer_hub.hpp>
+
+#include "coordination/control_disk.hpp"
+
+namespace hyssopdeal::coordination
+{
+
+// [orders] -------------------------------------------------------------------
+
+/// What a replica forwards to the leader.
+enum class forwarded_kind : std::uint8_t
+{
+    put_document,
+    read_document,
+    put_rollout,
+    read_rollout
+};
+
+// [impl] ---------------------------------------------------------------------
+
+struct cluster_process::impl
+{
+    impl(transport::event_loop& own_loop, const transport::clock& own_clock,
+         cluster_settings own_settings, cluster_outside own_outside);
+
+    // cluster_process.cpp
+    transport::result<void> open_disk();
+    transport::result<void> use_disk(control_disk::storage_type storage,
+                                     state::recovered_state recovered);
+    transport::result<void> open_links();
+    void tick();
+    void step(replica_event event);
+    void take(cluster_actions actions);
+    void written(std::uint64_t number, const transport::result<void>& ended);
+    void send(const replica_message& message);
+    void on_replica_message(const std::string& from,
+                            const std::string& payload);
+    void propose(const cluster_command& command, done on_done);
+    void follow_leadership();
+    [[nodiscard]] replica_status status() const;
+    [[nodiscard]] bool leads() const;
+    [[nodiscard]] transport::wall_time true_time() const;
+
+    // cluster_process_joining.cpp
+    void find_cluster();
+    void on_join_answer(const std::string& from,
+                        const transport::result<std::string>& bytes);
+    [[nodiscard]] protocol::join_answer
+    on_join_request(const protocol::join_message& request);
+    void begin_with(std::uint64_t id);
+    void begin_anew();
+    [[nodiscard]] std::set<std::string> other_replicas() const;
+
+    // cluster_process_serving.cpp
+    void on_forwarded(const std::string& payload,
+                      const protocol::peer_hub::reply_function& reply);
+    void forward(forwarded_kind kind, const std::string& body,
+                 std::function<void(transport::result<std::string>)> on_answer);
+    void lead_order(forwarded_kind kind, const std::string& body,
+                    std::function<void(transport::result<std::string>)> on_end);
+    void order(forwarded_kind kind, const std::string& body,
+               std::function<void(transport::result<std::string>)> on_end);
+    void on_report(const std::string& payload,
+                   const protocol::peer_hub::reply_function& reply);
+    [[nodiscard]] protocol::entry_orders
+    orders_for(const protocol::entry_report& report);
+
+    // cluster_process_duties.cpp
+    void read_list();
+    void run_duties();
+    void send_usage(const decide_usage_command& decision);
+    [[nodiscard]] bool may_order() const;
+
+    transport::event_loop& loop;
+    const transport::clock& clock;
+    cluster_settings settings;
+    cluster_outside outside;
+    std::string own_address; ///< Of the hub; also its name on links.
+    std::optional<cluster_machine> machine; ///< Empty until it has an id.
+    std::unique_ptr<protocol::peer_hub> hub;
+    std::map<std::uint64_t, done> waiting; ///< By proposal.
+    std::uint64_t next_proposal = 0;
+    std::uint64_t disk_generation = 0;
+    transport::monotonic_time disk_busy_since{};
+    bool disk_busy = false;
+    bool disk_failed = false;
+    std::function<void()> disk_failed_handler;
+    std::function<void()> drained_handler;
+    transport::monotonic_time drain_until{};
+
+    // Joining.
+    std::set<std::string> known_replicas; ///< Hub addresses heard of.
+    std::map<std::uint64_t, std::string> heard_at; ///< Replicas by id.
+    transport::monotonic_time next_join{};
+    transport::monotonic_time leader_seen{};
+
+    // Entries.
+    struct entry_load
+    {
+        transport::monotonic_time reported{};
+        std::map<std::string, protocol::sent_load> load;
+    };
+    std::map<std::string, entry_load> loads; ///< By entry.
+    std::optional<share_allocator> allocator; ///< While it leads.
+    std::vector<std::string> organisations;  ///< Of the document in force.
+    std::uint64_t organisations_version = 0;
+    usage_collector usage;
+
+    // Platform.
+    protocol::server_listing listing;
+    std::optional<transport::monotonic_time> listing_read;
+    transport::monotonic_time next_list{};
+    bool list_asked = false;
+    std::string list_error;
+    state::term_number leading_term = 0;
+    transport::monotonic_time leading_since{};
+    std::set<std::uint64_t> usage_sent;
+    std::set<std::uint64_t> usage_asked;
+    bool usage_proposed = false;
+    transport::monotonic_time next_duty{};
+
+    transport::timer_handle ticker;
+    std::unique_ptr<control_disk> disk; // its thread ends first
+};
+
+} // namespace hyssopdeal::coordination
+
+#endif
--- /dev/null
+++ b/src/coordination/cluster/cluster_process_joining.cpp
@@ -0,0 +1,208 @@
+/// @file
+/// How a replica finds its cluster and becomes a member.
+
+#include "coordination/cluster/cluster_process_impl.hpp"
+
+#include <random>
+
+#include <hyssopdeal/transport/event_log.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+using protocol::join_answer;
+using protocol::join_message;
+using protocol::join_state;
+using protocol::peer_channel;
+using transport::log_event;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds ask_interval{200};
+constexpr std::chrono::milliseconds ask_time_limit{400};
+// Above an election: a member asks only when its leader is surely gone.
+constexpr std::chrono::milliseconds leaderless_before_asking{1'500};
+// Ids are drawn from so many, so that two never draw the same.
+constexpr std::uint64_t drawn_ids = std::uint64_t{1} << 40U;
+
+} // namespace
+
+std::set<std::string> cluster_process::impl::other_replicas() const
+{
+    auto others = known_replicas;
+    others.insert(settings.seeds.begin(), settings.seeds.end());
+    others.erase(own_address);
+    return others;
+}
+
+/// Asks who leads while this replica has no id, is no member, or hears nobody.
+void cluster_process::impl::find_cluster()
+{
+    const auto now = clock.monotonic_now();
+    const auto seen = status();
+    if (seen.leader_id != 0 || leader_seen == transport::monotonic_time{})
+    {
+        leader_seen = now;
+    }
+    const bool member =
+        std::any_of(seen.replicas.members.begin(), seen.replicas.members.end(),
+                    [&](const auto& at) { return at.id == seen.id; });
+    const bool settled =
+        member && now - leader_seen < leaderless_before_asking;
+    if (settled || disk_failed || now < next_join)
+    {
+        return;
+    }
+    next_join = now + ask_interval;
+    const join_message request{seen.id, own_address, settings.operators,
+                               settings.failure_domain};
+    for (const auto& address : other_replicas())
+    {
+        hub->set_peer(address, address);
+        hub->call(address, peer_channel::joining, protocol::encode(request),
+                  ask_time_limit,
+                  [this, address, id = seen.id](const auto& answer) {
+                      if (status().id == id)
+                      {
+                          on_join_answer(address, answer);
+                      }
+                  });
+    }
+}
+
+void cluster_process::impl::on_join_answer(
+    const std::string& from, const transport::result<std::string>& bytes)
+{
+    if (!bytes)
+    {
+        return;
+    }
+    const auto answer = protocol::decode_join_answer(*bytes);
+    if (!answer)
+    {
+        return log_event("peer.bad_message", {{"what", "join answer"}});
+    }
+    known_replicas.insert(answer->replicas.begin(), answer->replicas.end());
+    if (!answer->leader.empty())
+    {
+        known_replicas.insert(answer->leader);
+    }
+    if (answer->state == join_state::next_id && !machine)
+    {
+        std::mt19937_64 random{std::random_device{}()};
+        std::uniform_int_distribution<std::uint64_t> draw{0, drawn_ids};
+        begin_with(answer->next_id + draw(random));
+    }
+    else if (answer->state == join_state::removed && machine)
+    {
+        log_event("cluster.removed", {{"told_by", from}});
+        begin_anew();
+    }
+}
+
+/// The leader takes in a replica, or says that its id is over.
+join_answer
+cluster_process::impl::on_join_request(const join_message& request)
+{
+    join_answer answer;
+    const auto seen = status();
+    for (const auto& member : seen.replicas.members)
+    {
+        answer.replicas.push_back(member.address);
+        if (member.id == seen.leader_id)
+        {
+            answer.leader = member.address;
+        }
+    }
+    // A set that is not committed may still be taken back.
+    if (!leads() || seen.replicas_index > seen.commit)
+    {
+        return answer;
+    }
+    answer.next_id = seen.replicas.next_id;
+    if (request.id == 0)
+    {
+        answer.state = join_state::next_id;
+        return answer;
+    }
+    for (const auto& member : seen.replicas.members)
+    {
+        if (member.id == request.id)
+        {
+            answer.state = join_state::member;
+            return answer;
+        }
+    }
+    if (request.id < seen.replicas.next_id)
+    {
+        answer.state = join_state::removed;
+        return answer;
+    }
+    answer.state = join_state::joining;
+    state::replica_member member;
+    member.id = request.id;
+    member.name = request.address;
+    member.address = request.address;
+    member.operators = request.operators;
+    member.failure_domain = request.failure_domain;
+    log_event("cluster.adds", {{"id", member.id},
+                               {"address", member.address}});
+    step(change_event{++next_proposal, replica_change::add_learner,
+                      std::move(member)});
+    return answer;
+}
+
+void cluster_process::impl::begin_with(std::uint64_t id)
+{
+    control_disk::storage_type storage{
+        state::posix_files{settings.data_folder}};
+    auto recovered = storage.open();
+    auto written = recovered ? storage.write(join_request(id))
+                             : transport::result<void>{tl::make_unexpected(
+                                   recovered.error())};
+    if (written)
+    {
+        recovered->hard.id = id;
+        written = use_disk(std::move(storage), std::move(*recovered));
+    }
+    if (!written)
+    {
+        log_event("disk.failed", {{"error", written.error().text}});
+        disk_failed = true;
+        if (disk_failed_handler)
+        {
+            disk_failed_handler();
+        }
+    }
+}
+
+/// Drops a disk whose id will never be a member again.
+void cluster_process::impl::begin_anew()
+{
+    machine.reset();
+    disk.reset();
+    ++disk_generation;
+    disk_busy = false;
+    waiting.clear();
+    follow_leadership();
+    state::posix_files files{settings.data_folder};
+    const auto names = files.list();
+    if (!names)
+    {
+        return log_event("disk.failed", {{"error", names.error().text}});
+    }
+    for (const auto& name : *names)
+    {
+        if (const auto removed = files.remove(name); !removed)
+        {
+            log_event("disk.failed", {{"error", removed.error().text}});
+        }
+    }
+    if (const auto synced = files.sync_folder(); !synced)
+    {
+        log_event("disk.failed", {{"error", synced.error().text}});
+    }
+}
+
+} // namespace hyssopdeal::coordination
--- /dev/null
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -0,0 +1,310 @@
+/// @file
+/// What a replica answers to operators, other replicas and entries.
+
+#include "coordination/cluster/cluster_process_impl.hpp"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include <hyssopdeal/transport/event_log.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+using nlohmann::json;
+using protocol::peer_channel;
+using transport::fail;
+using transport::log_event;
+using transport::reason;
+using transport::verdict;
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(held_document, version, bytes)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rollout_record, service, target, duration_ms,
+                                   started_ms, state)
+
+namespace
+{
+
+// An operator moves on after a second without an answer.
+constexpr std::chrono::milliseconds forward_time_limit{900};
+// An entry that is silent for longer sends nothing any more.
+constexpr std::chrono::milliseconds load_valid_for{1'000};
+
+std::string pack(const json& value)
+{
+    const auto bytes = json::to_msgpack(value);
+    return {bytes.begin(), bytes.end()};
+}
+
+json unpack(std::string_view bytes)
+{
+    return json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+}
+
+std::string pack_answer(const transport::result<std::string>& answer)
+{
+    if (answer)
+    {
+        return pack(json{{"body", *answer}});
+    }
+    return pack(json{{"ran", answer.error().ran},
+                     {"code", answer.error().code},
+                     {"text", answer.error().text}});
+}
+
+transport::result<std::string> unpack_answer(const std::string& bytes)
+{
+    const auto read = unpack(bytes);
+    if (read.is_object() && read.contains("body"))
+    {
+        return read["body"].get<std::string>();
+    }
+    if (read.is_object() && read.contains("code"))
+    {
+        return fail(read["code"].get<reason>(), read["text"].get<std::string>(),
+                    read["ran"].get<verdict>());
+    }
+    return fail(reason::corrupt, "The leader's answer is not understood.",
+                verdict::may_have_run);
+}
+
+} // namespace
+
+// [operators] ----------------------------------------------------------------
+
+void cluster_process::impl::order(
+    forwarded_kind kind, const std::string& body,
+    std::function<void(transport::result<std::string>)> on_end)
+{
+    leads() ? lead_order(kind, body, std::move(on_end))
+            : forward(kind, body, std::move(on_end));
+}
+
+void cluster_process::impl::lead_order(
+    forwarded_kind kind, const std::string& body,
+    std::function<void(transport::result<std::string>)> on_end)
+{
+    const auto& held = machine->state();
+    const auto ended = [on_end](const transport::result<void>& ran) {
+        ran ? on_end(std::string{}) : on_end(tl::make_unexpected(ran.error()));
+    };
+    switch (kind)
+    {
+    case forwarded_kind::read_document:
+        return on_end(
+            pack(held_document{held.document_version(), held.document()}));
+    case forwarded_kind::read_rollout: {
+        const auto found = held.rollouts().find(body);
+        if (found == held.rollouts().end())
+        {
+            return on_end(fail(reason::not_found, "No move was ordered."));
+        }
+        return on_end(pack(found->second));
+    }
+    case forwarded_kind::put_document: {
+        auto document = unpack(body).get<held_document>();
+        if (document.version <= held.document_version())
+        {
+            log_event("document.not_newer",
+                      {{"version", document.version},
+                       {"held", held.document_version()}});
+            return on_end(std::string{});
+        }
+        return propose(put_document_command{document.version,
+                                            std::move(document.bytes)},
+                       ended);
+    }
+    case forwarded_kind::put_rollout: {
+        auto record = unpack(body).get<rollout_record>();
+        record.started_ms = true_time().time_since_epoch().count();
+        return propose(put_rollout_command{std::move(record)}, ended);
+    }
+    }
+}
+
+void cluster_process::impl::forward(
+    forwarded_kind kind, const std::string& body,
+    std::function<void(transport::result<std::string>)> on_answer)
+{
+    const auto seen = status();
+    for (const auto& member : seen.replicas.members)
+    {
+        if (member.id == seen.leader_id && member.id != seen.id)
+        {
+            hub->set_peer(member.address, member.address);
+            return hub->call(
+                member.address, peer_channel::operators,
+                pack(json{{"kind", kind}, {"body", body}}), forward_time_limit,
+                [on_answer](const transport::result<std::string>& answer) {
+                    answer ? on_answer(unpack_answer(*answer))
+                           : on_answer(tl::make_unexpected(answer.error()));
+                });
+        }
+    }
+    on_answer(fail(reason::no_quorum, "No replica leads now."));
+}
+
+void cluster_process::impl::on_forwarded(
+    const std::string& payload, const protocol::peer_hub::reply_function& reply)
+{
+    const auto read = unpack(payload);
+    if (!read.is_object() || !read.contains("kind") || !read.contains("body"))
+    {
+        return log_event("peer.bad_message", {{"what", "order"}});
+    }
+    if (!leads())
+    {
+        return reply(pack_answer(
+            fail(reason::not_leader, "This replica does not lead.")));
+    }
+    try
+    {
+        lead_order(read["kind"].get<forwarded_kind>(),
+                   read["body"].get<std::string>(),
+                   [reply](const auto& answer) { reply(pack_answer(answer)); });
+    }
+    catch (const json::exception& error)
+    {
+        log_event("peer.bad_message",
+                  {{"what", "order"}, {"error", error.what()}});
+    }
+}
+
+void cluster_process::put_document(std::string bytes, done on_done)
+{
+    const auto document = impl_->outside.read_document(bytes);
+    const auto checked = document
+                             ? protocol::check(*document)
+                             : transport::result<void>{tl::make_unexpected(
+                                   document.error())};
+    if (!checked)
+    {
+        log_event("document.refused", {{"error", checked.error().text}});
+        return on_done(checked);
+    }
+    const auto version = document->version;
+    impl_->order(forwarded_kind::put_document,
+                 pack(held_document{version, std::move(bytes)}),
+                 [version, on_done](const auto& ended) {
+                     log_event(
+                         "document.put",
+                         {{"version", version},
+                          {"outcome",
+                           ended ? "accepted" : ended.error().text}});
+                     ended ? on_done({})
+                           : on_done(tl::make_unexpected(ended.error()));
+                 });
+}
+
+void cluster_process::read_document(document_done on_done)
+{
+    impl_->order(forwarded_kind::read_document, {},
+                 [on_done](const transport::result<std::string>& bytes) {
+                     bytes ? on_done(unpack(*bytes).get<held_document>())
+                           : on_done(tl::make_unexpected(bytes.error()));
+                 });
+}
+
+void cluster_process::put_rollout(rollout_record record, done on_done)
+{
+    impl_->order(forwarded_kind::put_rollout, pack(record),
+                 [on_done](const auto& ended) {
+                     ended ? on_done({})
+                           : on_done(tl::make_unexpected(ended.error()));
+                 });
+}
+
+void cluster_process::read_rollout(std::string service, rollout_done on_done)
+{
+    impl_->order(forwarded_kind::read_rollout, service,
+                 [on_done](const transport::result<std::string>& bytes) {
+                     bytes ? on_done(unpack(*bytes).get<rollout_record>())
+                           : on_done(tl::make_unexpected(bytes.error()));
+                 });
+}
+
+// [entries] ------------------------------------------------------------------
+
+void cluster_process::impl::on_report(
+    const std::string& payload, const protocol::peer_hub::reply_function& reply)
+{
+    const auto report = protocol::decode_entry_report(payload);
+    if (!report)
+    {
+        return log_event("peer.bad_message", {{"what", "entry report"},
+                                              {"error", report.error().text}});
+    }
+    usage.on_report(true_time(), *report);
+    loads[report->entry] = {clock.monotonic_now(), report->load};
+    reply(protocol::encode(orders_for(*report)));
+}
+
+protocol::entry_orders
+cluster_process::impl::orders_for(const protocol::entry_report& report)
+{
+    const auto now = clock.monotonic_now();
+    protocol::entry_orders orders;
+    orders.replicas.assign(known_replicas.begin(), known_replicas.end());
+    if (listing_read)
+    {
+        orders.listing_age_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                now - *listing_read)
+                .count();
+        if (report.listing_digest != listing.digest)
+        {
+            orders.listing = listing;
+        }
+    }
+    if (!machine)
+    {
+        return orders;
+    }
+    const auto& held = machine->state();
+    orders.document_version = held.document_version();
+    if (held.document_version() > report.document_version)
+    {
+        orders.document = held.document();
+    }
+    if (!leads() || !allocator)
+    {
+        return orders;
+    }
+    orders.leads = true;
+    orders.true_time_ms = true_time().time_since_epoch().count();
+    if (organisations_version != held.document_version())
+    {
+        organisations_version = held.document_version();
+        organisations.clear();
+        if (const auto document = outside.read_document(held.document()))
+        {
+            for (const auto& item : document->organisations)
+            {
+                organisations.push_back(item.name);
+            }
+        }
+    }
+    orders.shares = allocator->on_report(now, report, organisations);
+    for (auto at = loads.begin(); at != loads.end();)
+    {
+        if (now - at->second.reported > load_valid_for)
+        {
+            at = loads.erase(at);
+            continue;
+        }
+        if (at->first != report.entry)
+        {
+            for (const auto& [server, load] : at->second.load)
+            {
+                orders.others_load[server].running += load.running;
+                orders.others_load[server].waiting_tokens +=
+                    load.waiting_tokens;
+            }
+        }
+        ++at;
+    }
+    return orders;
+}
+
+} // namespace hyssopdeal::coordination
--- /dev/null
+++ b/src/coordination/cluster/cluster_state.cpp
@@ -0,0 +1,146 @@
+/// @file
+/// The state that a cluster replicates.
+
+#include <hyssopdeal/coordination/cluster/cluster_state.hpp>
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+using nlohmann::json;
+using transport::fail;
+using transport::reason;
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_document_command, version, bytes)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(decide_usage_command, window, counts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rollout_record, service, target, duration_ms,
+                                   started_ms, state)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_rollout_command, record)
+
+namespace
+{
+
+std::string pack(const json& value)
+{
+    const auto bytes = json::to_msgpack(value);
+    return {bytes.begin(), bytes.end()};
+}
+
+} // namespace
+
+// [commands] -----------------------------------------------------------------
+
+std::string encode(const cluster_command& command)
+{
+    const auto body =
+        std::visit([](const auto& value) { return json(value); }, command);
+    return pack(json::array({command.index(), body}));
+}
+
+transport::result<cluster_command> decode_cluster_command(std::string_view bytes)
+{
+    try
+    {
+        const auto read = json::from_msgpack(bytes.begin(), bytes.end());
+        const auto kind = read.at(0).get<std::size_t>();
+        const auto& body = read.at(1);
+        switch (kind)
+        {
+        case 0:
+            return body.get<put_document_command>();
+        case 1:
+            return body.get<decide_usage_command>();
+        case 2:
+            return body.get<put_rollout_command>();
+        default:
+            return fail(reason::corrupt, "Unknown kind of command.");
+        }
+    }
+    catch (const json::exception& error)
+    {
+        return fail(reason::corrupt, error.what());
+    }
+}
+
+// [applying] -----------------------------------------------------------------
+
+void cluster_state::apply(const cluster_command& command)
+{
+    std::visit([this](const auto& value) { apply(value); }, command);
+}
+
+void cluster_state::apply(const put_document_command& command)
+{
+    if (command.version > document_version_)
+    {
+        document_version_ = command.version;
+        document_ = command.bytes;
+    }
+}
+
+void cluster_state::apply(const decide_usage_command& command)
+{
+    const bool old = !usage_.empty() && command.window < usage_.front().window;
+    const auto place = std::lower_bound(
+        usage_.begin(), usage_.end(), command.window,
+        [](const auto& held, auto window) { return held.window < window; });
+    const bool decided =
+        place != usage_.end() && place->window == command.window;
+    if (decided || (old && usage_.size() >= kept_windows))
+    {
+        return;
+    }
+    usage_.insert(place, command);
+    if (usage_.size() > kept_windows)
+    {
+        usage_.pop_front();
+    }
+}
+
+void cluster_state::apply(const put_rollout_command& command)
+{
+    const auto& next = command.record;
+    const auto found = rollouts_.find(next.service);
+    if (found == rollouts_.end() || found->second.target != next.target)
+    {
+        rollouts_[next.service] = next;
+    }
+    else if (next.state != rollout_state::running)
+    {
+        found->second.state = next.state;
+    }
+}
+
+// [snapshots] ----------------------------------------------------------------
+
+std::string cluster_state::encode_snapshot() const
+{
+    return pack(json{{"document_version", document_version_},
+                     {"document", document_},
+                     {"usage", usage_},
+                     {"rollouts", rollouts_}});
+}
+
+transport::result<void> cluster_state::restore_snapshot(std::string_view bytes)
+{
+    try
+    {
+        const auto read = json::from_msgpack(bytes.begin(), bytes.end());
+        cluster_state next;
+        read.at("document_version").get_to(next.document_version_);
+        read.at("document").get_to(next.document_);
+        read.at("usage").get_to(next.usage_);
+        read.at("rollouts").get_to(next.rollouts_);
+        *this = std::move(next);
+        return {};
+    }
+    catch (const json::exception& error)
+    {
+        return fail(reason::corrupt, error.what());
+    }
+}
+
+} // namespace hyssopdeal::coordination
--- /dev/null
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -0,0 +1,313 @@
+/// @file
+/// An entry that serves by a configuration document.
+
+#include <hyssopdeal/coordination/gateway/gateway_process.hpp>
+
+#include <set>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include <hyssopdeal/protocol/peer_hub.hpp>
+#include <hyssopdeal/transport/event_log.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+using protocol::peer_channel;
+using std::chrono::milliseconds;
+using transport::http1_exchange;
+using transport::log_event;
+using transport::monotonic_time;
+
+namespace
+{
+
+constexpr milliseconds drain_check_interval{50};
+// Whoever hands out new connections asks once a second and believes two misses.
+constexpr milliseconds still_accepting{3'000};
+// From the last answer to the kill: to write logs and end.
+constexpr milliseconds end_margin{500};
+// Beside the callers' connections: links, servers, logs.
+constexpr std::size_t internal_max_connections = 64;
+
+} // namespace
+
+struct gateway_process::impl
+{
+    impl(transport::event_loop& own_loop, const transport::clock& own_clock,
+         gateway_settings settings, gateway_core::read_document reads,
+         request_handler handler)
+        : loop(own_loop),
+          clock(own_clock),
+          core(loop, clock, std::move(settings), std::move(reads)),
+          on_request(std::move(handler)),
+          own_address(fmt::format("{}:{}", core.settings.address,
+                                  core.settings.hub_port)),
+          seeds(core.settings.seeds.begin(), core.settings.seeds.end())
+    {}
+
+    transport::result<void> listen();
+    transport::result<void> listen_inside();
+    std::unique_ptr<transport::http1_server>
+    make_server(std::uint16_t port, std::size_t max_connections,
+                std::function<void(http1_exchange)> handler);
+    void take_request(http1_exchange exchange);
+    void report();
+    void ask(const std::string& replica, const std::string& bytes,
+             monotonic_time asked);
+    void use_limits();
+    void note_validity();
+    void check_drained();
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] milliseconds drained_for() const;
+
+    transport::event_loop& loop;
+    const transport::clock& clock;
+    gateway_core core;
+    request_handler on_request;
+    std::string own_address;
+    std::set<std::string> seeds;
+    std::set<std::string> replicas; ///< Told by the latest answer.
+    std::unique_ptr<protocol::peer_hub> hub;
+    std::unique_ptr<transport::http1_server> callers;
+    std::unique_ptr<transport::http1_server> readiness;
+    std::unique_ptr<transport::http1_server> metrics;
+    bool was_valid = false;
+    bool draining = false;
+    bool accepting = true;
+    monotonic_time drain_began{};
+    std::function<void()> on_drained;
+    transport::timer_handle reporter;
+    transport::timer_handle drain_timer;
+};
+
+// [listeners] ----------------------------------------------------------------
+
+std::unique_ptr<transport::http1_server>
+gateway_process::impl::make_server(std::uint16_t port,
+                                   std::size_t max_connections,
+                                   std::function<void(http1_exchange)> handler)
+{
+    transport::http1_server_settings settings;
+    settings.address = core.settings.address;
+    settings.port = port;
+    settings.max_connections = max_connections;
+    return std::make_unique<transport::http1_server>(loop, clock, settings,
+                                                     std::move(handler));
+}
+
+transport::result<void> gateway_process::impl::listen()
+{
+    callers =
+        make_server(core.settings.callers_port, core.settings.max_connections,
+                    [this](http1_exchange exchange) {
+                        take_request(std::move(exchange));
+                    });
+    readiness = make_server(core.settings.readiness_port,
+                            internal_max_connections,
+                            [this](http1_exchange exchange) {
+                                const bool yes = ready();
+                                exchange.send({yes ? 200 : 503,
+                                               {},
+                                               yes ? "ready\n" : "not ready\n"});
+                            });
+    for (auto* server : {callers.get(), readiness.get()})
+    {
+        if (const auto port = server->start(); !port)
+        {
+            return tl::make_unexpected(port.error());
+        }
+    }
+    if (core.settings.metrics_port == 0)
+    {
+        return {};
+    }
+    metrics = make_server(core.settings.metrics_port, internal_max_connections,
+                          [this](http1_exchange exchange) {
+                              exchange.send({200,
+                                             {{"Content-Type", "text/plain"}},
+                                             core.metrics()});
+                          });
+    const auto port = metrics->start();
+    return port ? transport::result<void>{}
+                : tl::make_unexpected(port.error());
+}
+
+transport::result<void> gateway_process::impl::listen_inside()
+{
+    protocol::peer_hub_settings links;
+    links.self = own_address;
+    links.address = core.settings.address;
+    links.port = core.settings.hub_port;
+    links.shared_key = core.settings.shared_key;
+    hub = std::make_unique<protocol::peer_hub>(loop, links);
+    const auto port = hub->start();
+    return port ? transport::result<void>{}
+                : tl::make_unexpected(port.error());
+}
+
+void gateway_process::impl::take_request(http1_exchange exchange)
+{
+    // What comes so late may not end before the process does.
+    if (draining && drained_for() > core.settings.grace / 2)
+    {
+        exchange.close_after();
+        return exchange.send({503, {{"Retry-After", "0.1"}}, "not_run: stop\n"});
+    }
+    on_request(core, std::move(exchange));
+}
+
+void gateway_process::impl::use_limits()
+{
+    const auto& limits = core.table()->document().limits;
+    transport::http1_caller_limits next;
+    next.max_head_bytes = limits.max_head_bytes;
+    next.max_body_bytes = limits.max_body_bytes;
+    next.head_time_limit = limits.head_time_limit;
+    next.idle_time_limit = limits.idle_time_limit;
+    callers->set_limits(next);
+}
+
+bool gateway_process::impl::ready() const
+{
+    return !draining && core.keys_valid();
+}
+
+// [reports] ------------------------------------------------------------------
+
+/// Tells every replica: any may lead, and each has its own list and document.
+void gateway_process::impl::report()
+{
+    reporter = loop.after(core.settings.report_interval, [this] { report(); });
+    note_validity();
+    auto targets = replicas;
+    targets.insert(seeds.begin(), seeds.end());
+    const auto bytes = protocol::encode(core.report());
+    const auto now = clock.monotonic_now();
+    for (const auto& replica : targets)
+    {
+        ask(replica, bytes, now);
+    }
+}
+
+void gateway_process::impl::ask(const std::string& replica,
+                                const std::string& bytes, monotonic_time asked)
+{
+    constexpr milliseconds time_limit{1'000};
+    hub->set_peer(replica, replica);
+    hub->call(replica, peer_channel::following, bytes, time_limit,
+              [this, replica, asked](const auto& answer) {
+                  if (!answer)
+                  {
+                      return;
+                  }
+                  auto orders = protocol::decode_entry_orders(*answer);
+                  if (!orders)
+                  {
+                      return log_event("peer.bad_message",
+                                       {{"what", "orders"},
+                                        {"from", replica},
+                                        {"error", orders.error().text}});
+                  }
+                  if (orders->leads)
+                  {
+                      replicas = {orders->replicas.begin(),
+                                  orders->replicas.end()};
+                  }
+                  core.take_orders(asked, std::move(*orders));
+                  note_validity();
+              });
+}
+
+void gateway_process::impl::note_validity()
+{
+    const bool valid = core.keys_valid();
+    if (valid != was_valid)
+    {
+        was_valid = valid;
+        log_event(valid ? "control.regained" : "control.lost",
+                  {{"document",
+                    core.table() ? core.table()->document().version : 0}});
+    }
+}
+
+// [drain] --------------------------------------------------------------------
+
+milliseconds gateway_process::impl::drained_for() const
+{
+    return std::chrono::duration_cast<milliseconds>(clock.monotonic_now() -
+                                                    drain_began);
+}
+
+void gateway_process::impl::check_drained()
+{
+    const auto passed = drained_for();
+    const bool idle = callers->open_requests() == 0;
+    if (accepting && passed >= still_accepting)
+    {
+        accepting = false;
+        callers->drain();
+        if (idle)
+        {
+            callers->stop_accepting();
+        }
+    }
+    const bool over = passed >= core.settings.grace - end_margin;
+    if (over || (idle && passed >= still_accepting + end_margin))
+    {
+        log_event("process.drained",
+                  {{"took_ms", passed}, {"open", callers->open_requests()}});
+        return on_drained();
+    }
+    drain_timer = loop.after(drain_check_interval, [this] { check_drained(); });
+}
+
+// [gateway_process] ----------------------------------------------------------
+
+gateway_process::gateway_process(transport::event_loop& loop,
+                                 const transport::clock& clock,
+                                 gateway_settings settings,
+                                 gateway_core::read_document reads,
+                                 request_handler on_request)
+    : impl_(std::make_unique<impl>(loop, clock, std::move(settings),
+                                   std::move(reads), std::move(on_request)))
+{}
+
+gateway_process::~gateway_process() = default;
+
+transport::result<void> gateway_process::start()
+{
+    auto done = impl_->listen_inside();
+    if (done)
+    {
+        done = impl_->listen();
+    }
+    if (done)
+    {
+        impl_->core.on_document([this] { impl_->use_limits(); });
+        impl_->report();
+    }
+    return done;
+}
+
+void gateway_process::set_seeds(std::vector<std::string> seeds)
+{
+    impl_->seeds = {seeds.begin(), seeds.end()};
+}
+
+void gateway_process::drain(std::function<void()> on_drained)
+{
+    if (impl_->draining)
+    {
+        return;
+    }
+    log_event("process.drains", {{"open", impl_->callers->open_requests()}});
+    impl_->draining = true;
+    impl_->drain_began = impl_->clock.monotonic_now();
+    impl_->on_drained = std::move(on_drained);
+    impl_->callers->drain();
+    impl_->check_drained();
+}
+
+} // namespace hyssopdeal::coordination
--- /dev/null
+++ b/src/coordination/gateway/placement.cpp
@@ -0,0 +1,303 @@
+/// @file
+/// Which server a request goes to.
+
+#include <hyssopdeal/coordination/gateway/placement.hpp>
+
+#include <algorithm>
+#include <limits>
+
+#include <xxhash.h>
+
+namespace hyssopdeal::coordination
+{
+
+using std::chrono::milliseconds;
+using transport::monotonic_time;
+
+namespace
+{
+
+constexpr double rate_smoothing = 0.05;
+constexpr double slowness_smoothing = 0.15;
+constexpr double failure_smoothing = 0.1;
+constexpr std::uint32_t failures_to_avoid = 3;
+constexpr std::size_t most_cache_entries = 20'000;
+// Fixed cost of a prompt, before its first event, beside its prefill.
+constexpr double fixed_first_event_ms = 60;
+
+std::uint64_t place_of(const std::string& server, std::uint64_t part)
+{
+    return XXH3_64bits_withSeed(server.data(), server.size(), part);
+}
+
+/// @return The part by which requests belong together: the last that is not
+///     the request's own.
+std::uint64_t shared_part(const prompt_size& prompt)
+{
+    const auto parts = prompt.parts.size();
+    return parts < 2 ? 0 : prompt.parts[parts - 2].id;
+}
+
+} // namespace
+
+placement::placement(placement_settings settings, std::string failure_domain,
+                     std::uint64_t seed)
+    : settings_(settings),
+      failure_domain_(std::move(failure_domain)),
+      random_(seed),
+      tokens_per_ms_(settings.first_tokens_per_ms)
+{}
+
+// [servers] ------------------------------------------------------------------
+
+std::vector<std::shared_ptr<known_server>>
+placement::set_servers(const std::vector<protocol::listed_server>& servers)
+{
+    std::map<std::string, std::shared_ptr<known_server>> next;
+    for (const auto& listed : servers)
+    {
+        const auto known = servers_.find(listed.id);
+        const bool same = known != servers_.end() &&
+                          known->second->listed.born == listed.born &&
+                          known->second->listed.address == listed.address;
+        auto item = same ? known->second : std::make_shared<known_server>();
+        item->listed = listed;
+        // Once draining, a lifetime never takes new work again.
+        const bool was_usable = !same || item->usable;
+        item->usable =
+            was_usable && listed.state == protocol::server_state::ready;
+        next[listed.id] = std::move(item);
+    }
+    std::vector<std::shared_ptr<known_server>> lost;
+    for (const auto& [id, item] : servers_)
+    {
+        const auto kept = next.find(id);
+        const bool same = kept != next.end() && kept->second == item;
+        if (!same)
+        {
+            item->usable = false;
+            lost.push_back(item);
+        }
+    }
+    servers_ = std::move(next);
+    return lost;
+}
+
+void placement::set_others(const std::map<std::string, protocol::sent_load>& load)
+{
+    for (const auto& [id, item] : servers_)
+    {
+        const auto found = load.find(id);
+        item->others =
+            found == load.end() ? protocol::sent_load{} : found->second;
+    }
+}
+
+std::size_t placement::usable(const std::string& service) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(servers_.begin(), servers_.end(), [&](const auto& item) {
+            return item.second->usable &&
+                   item.second->listed.service == service;
+        }));
+}
+
+// [prediction] ---------------------------------------------------------------
+
+/// @return Tokens from the prompt's start that the server has kept, as far as
+///     this entry can know.
+std::uint64_t placement::cached(monotonic_time now, const known_server& server,
+                                const prompt_size& prompt) const
+{
+    std::uint64_t tokens = 0;
+    for (const auto& part : prompt.parts)
+    {
+        const auto found = cache_.find(place_of(server.listed.id, part.id));
+        if (found == cache_.end() ||
+            now - found->second > settings_.cache_memory)
+        {
+            break;
+        }
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+double placement::predict_ms(const known_server& server,
+                             const prompt_size& prompt,
+                             std::uint64_t uncached) const
+{
+    const double running = server.running + server.others.running;
+    const double slots = std::max(1U, server.listed.slots);
+    if (prompt.prompt_tokens == 0)
+    {
+        const double queued = std::max(0.0, running + 1 - slots);
+        const double busy = running / slots;
+        return settings_.request_ms * server.slowness *
+               (1 + 0.3 * busy + queued / slots);
+    }
+    const double waiting =
+        static_cast<double>(server.waiting_tokens + server.others.waiting_tokens);
+    const double prefill =
+        (waiting + static_cast<double>(uncached)) / tokens_per_ms_;
+    const double over = std::max(0.0, running + 1 - slots);
+    return (fixed_first_event_ms + prefill) * server.slowness +
+           over * settings_.request_ms;
+}
+
+std::optional<placement_choice>
+placement::choose(monotonic_time now, const std::string& service,
+                  const prompt_size& prompt,
+                  const std::set<std::string>& tried)
+{
+    const auto shared = shared_part(prompt);
+    std::shared_ptr<known_server> home;
+    std::uint64_t highest = 0;
+    bool any_trusted = false;
+    for (const auto& [id, item] : servers_)
+    {
+        if (!item->usable || item->listed.service != service)
+        {
+            continue;
+        }
+        any_trusted = any_trusted ||
+                      (item->avoid_until <= now && !tried.contains(id));
+        const auto rank = place_of(id, shared);
+        if (shared != 0 && rank >= highest)
+        {
+            highest = rank;
+            home = item;
+        }
+    }
+    placement_choice best;
+    double least = std::numeric_limits<double>::infinity();
+    std::uniform_real_distribution<double> noise{0, 1};
+    for (const auto& [id, item] : servers_)
+    {
+        const bool fits = item->usable && item->listed.service == service &&
+                          !tried.contains(id) &&
+                          (item->avoid_until <= now || !any_trusted);
+        if (!fits)
+        {
+            continue;
+        }
+        const auto kept = cached(now, *item, prompt);
+        double uncached = static_cast<double>(
+            prompt.prompt_tokens -
+            std::min<std::uint64_t>(prompt.prompt_tokens, kept));
+        if (item == home && !prompt.parts.empty())
+        {
+            const double own = prompt.parts.back().tokens;
+            uncached -= settings_.believed_cache * std::max(0.0, uncached - own);
+        }
+        const auto rest = static_cast<std::uint64_t>(uncached);
+        const double predicted = predict_ms(*item, prompt, rest);
+        const double beside = item->running + item->others.running;
+        const double cost =
+            predicted +
+            settings_.disturbance * beside * uncached / tokens_per_ms_ +
+            (item->listed.failure_domain == failure_domain_
+                 ? 0
+                 : settings_.other_domain_ms) +
+            item->failure_rate * settings_.failure_ms + noise(random_);
+        if (cost < least)
+        {
+            least = cost;
+            best = {item, milliseconds{static_cast<std::int64_t>(predicted)},
+                    rest};
+        }
+    }
+    return best.server ? std::optional{best} : std::nullopt;
+}
+
+// [observing] ----------------------------------------------------------------
+
+void placement::on_sent(monotonic_time now, const placement_choice& choice,
+                        const prompt_size& prompt)
+{
+    auto& server = *choice.server;
+    ++server.running;
+    server.waiting_tokens += choice.uncached_tokens;
+    if (cache_.size() > most_cache_entries)
+    {
+        std::erase_if(cache_, [&](const auto& item) {
+            return now - item.second > settings_.cache_memory / 4;
+        });
+    }
+    for (const auto& part : prompt.parts)
+    {
+        cache_[place_of(server.listed.id, part.id)] = now;
+    }
+}
+
+void placement::on_first_event(const placement_choice& choice,
+                               milliseconds took)
+{
+    auto& server = *choice.server;
+    server.waiting_tokens -=
+        std::min(server.waiting_tokens, choice.uncached_tokens);
+    const double expected =
+        std::max<double>(1, static_cast<double>(choice.predicted.count()));
+    const double ratio = std::clamp(
+        server.slowness * static_cast<double>(took.count()) / expected, 0.3,
+        20.0);
+    server.slowness += slowness_smoothing * (ratio - server.slowness);
+    const double prefill = static_cast<double>(took.count()) -
+                           fixed_first_event_ms;
+    constexpr std::uint64_t enough_tokens = 2'000;
+    if (choice.uncached_tokens > enough_tokens && prefill > 1)
+    {
+        const double seen =
+            static_cast<double>(choice.uncached_tokens) / prefill;
+        const double bounded = std::clamp(seen, 5.0, 1'000.0);
+        tokens_per_ms_ += rate_smoothing * (bounded - tokens_per_ms_);
+    }
+}
+
+void placement::on_ended(const placement_choice& choice, bool first_event_seen)
+{
+    auto& server = *choice.server;
+    server.running -= server.running > 0 ? 1 : 0;
+    if (!first_event_seen)
+    {
+        server.waiting_tokens -=
+            std::min(server.waiting_tokens, choice.uncached_tokens);
+    }
+}
+
+void placement::on_failure(monotonic_time now, known_server& server)
+{
+    server.failure_rate += failure_smoothing * (1 - server.failure_rate);
+    ++server.failures_in_row;
+    if (server.failures_in_row >= failures_to_avoid)
+    {
+        const auto doublings =
+            std::min(server.failures_in_row - failures_to_avoid, 5U);
+        const auto pause = std::min<milliseconds>(
+            settings_.longest_avoidance,
+            settings_.first_avoidance * (std::int64_t{1} << doublings));
+        server.avoid_until = now + pause;
+    }
+}
+
+void placement::on_success(known_server& server)
+{
+    server.failure_rate -= failure_smoothing * server.failure_rate;
+    server.failures_in_row = 0;
+    server.avoid_until = {};
+}
+
+std::map<std::string, protocol::sent_load> placement::own_load() const
+{
+    std::map<std::string, protocol::sent_load> load;
+    for (const auto& [id, item] : servers_)
+    {
+        if (item->running > 0)
+        {
+            load[id] = {item->running, item->waiting_tokens};
+        }
+    }
+    return load;
+}
+
+} // namespace hyssopdeal::coordination
--- a/src/coordination/load_estimate.cpp
+++ b/src/coordination/load_estimate.cpp
@@ -15,6 +15,10 @@
 constexpr double output_smoothing = 0.05;
 constexpr double slowdown_smoothing = 0.2;
 constexpr double slowdown_decay = 0.95; // with each report
+// A report tells whole milliseconds of the server's clock, which are turned
+// into this one's: two that were taken in turn may seem to be the wrong way
+// round by one unit of each clock.
+constexpr std::chrono::milliseconds report_resolution{2};
 
 /// A request that was sent (+1) or ended (-1).
 struct load_step
@@ -104,11 +108,11 @@
                               const load_report& report)
 {
     auto& steps = impl_->steps.at(server);
-    if (report.taken_at <= steps.taken_at)
+    if (report.taken_at + report_resolution < steps.taken_at)
     {
         return;
     }
-    steps.taken_at = report.taken_at;
+    steps.taken_at = std::max(steps.taken_at, report.taken_at);
     auto& row = impl_->table.at(server);
     row.reported_in_flight = static_cast<double>(report.running) +
                              static_cast<double>(report.queued);
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -343,6 +343,7 @@
     shown.applied = own.applied;
     shown.base = own.log.base();
     shown.replicas = own.replicas();
+    shown.replicas_index = own.sets.back().index;
     shown.halted = own.halted;
     shown.leads.term = own.hard.term;
     for (const auto& member : own.replicas().members)
@@ -387,25 +388,38 @@
     std::vector<follower_status> shown;
     for (const auto& [id, peer] : impl_->peers)
     {
-        shown.push_back({id, peer.match});
+        shown.push_back({id, peer.match, peer.contact});
     }
     return shown;
 }
 
 // [bootstrap] ----------------------------------------------------------------
 
+namespace
+{
+
+constexpr term_number first_term = 1;
+
+} // namespace
+
 state::persist_request bootstrap_request(std::uint64_t id,
                                          const state::replica_set& replicas)
 {
-    constexpr term_number first_term = 1;
     state::control_state first;
     first.apply({bootstrap_index, first_term}, replicas);
+    return bootstrap_request(id, replicas, first.encode_snapshot());
+}
+
+state::persist_request bootstrap_request(std::uint64_t id,
+                                         const state::replica_set& replicas,
+                                         std::string snapshot)
+{
     state::persist_request request;
     request.number = 1;
     request.hard = state::hard_state{id, first_term, 0};
     request.snap = state::snapshot{
         bootstrap_index, first_term, replicas,
-        std::make_shared<const std::string>(first.encode_snapshot())};
+        std::make_shared<const std::string>(std::move(snapshot))};
     return request;
 }
 
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -26,7 +26,8 @@
 
 constexpr auto first_channel =
     static_cast<std::int32_t>(peer_channel::replication);
-constexpr auto last_channel = static_cast<std::int32_t>(peer_channel::reports);
+constexpr auto last_channel =
+    static_cast<std::int32_t>(peer_channel::following);
 
 void append_field(std::string& text, std::string_view field)
 {
--- a/src/protocol/peer_link.cpp
+++ b/src/protocol/peer_link.cpp
@@ -10,6 +10,8 @@
 #include <hyssopdeal/transport/digest.hpp>
 #include <hyssopdeal/transport/logging.hpp>
 
+#include "transport/socket_options.hpp"
+
 namespace hyssopdeal::protocol
 {
 
@@ -144,8 +146,7 @@
 
 void peer_link::start_handshake()
 {
-    asio::error_code ignored;
-    socket_.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    transport::limit_silence(socket_, settings_.silence_limit);
     write(encode_greeting(own_));
     read();
 }
--- a/src/transport/clock.cpp
+++ b/src/transport/clock.cpp
@@ -1,14 +1,21 @@
 #include <hyssopdeal/transport/clock.hpp>
 
+#include <ctime>
+
 namespace hyssopdeal::transport
 {
 
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+// A lease must not outlive a suspension of the machine, during which the steady
+// clock stands still.
 monotonic_time system_clock::monotonic_now() const noexcept
 {
-    return std::chrono::steady_clock::now();
+    timespec now{};
+    (void)::clock_gettime(CLOCK_BOOTTIME, &now);
+    return monotonic_time{std::chrono::seconds{now.tv_sec} +
+                          std::chrono::nanoseconds{now.tv_nsec}};
 }
 
 wall_time system_clock::wall_now() const noexcept
--- /dev/null
+++ b/src/transport/http1_client.cpp
@@ -0,0 +1,617 @@
+/// @file
+/// HTTP/1.1 client on Asio and http_parser.
+
+#include <hyssopdeal/transport/http1_client.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include "transport/http1_reader.hpp"
+#include "transport/http1_writer.hpp"
+#include "transport/ip_endpoint.hpp"
+#include "transport/socket_options.hpp"
+
+namespace hyssopdeal::transport
+{
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr std::size_t read_bytes = 16'384;
+
+class client_connection;
+
+} // namespace
+
+// [state] --------------------------------------------------------------------
+
+struct http1_client::impl
+{
+    impl(event_loop& own_loop, const clock& own_time,
+         http1_client_settings own_settings)
+        : loop(own_loop),
+          time(own_time),
+          settings(own_settings)
+    {}
+
+    event_loop& loop;
+    const clock& time;
+    http1_client_settings settings;
+    std::map<std::string, std::deque<std::shared_ptr<client_connection>>,
+             std::less<>>
+        idle;
+    std::uint64_t opened = 0;
+    bool ended = false;
+};
+
+struct http1_call::impl
+{
+    /// Shared, so that a handler that cancels its own call outlives itself.
+    std::shared_ptr<http1_call_handlers> handlers; ///< Null once over.
+    std::shared_ptr<client_connection> connection; ///< Null once over.
+    timer_handle timer;
+
+    void end(http1_call_end how)
+    {
+        connection.reset();
+        timer.cancel();
+        const auto last = std::exchange(handlers, nullptr);
+        if (last && last->on_end)
+        {
+            last->on_end(std::move(how));
+        }
+    }
+};
+
+// [connection] ---------------------------------------------------------------
+
+namespace
+{
+
+using client_state = http1_client::impl;
+using call_state = http1_call::impl;
+
+/// @return The idle time that a server announces, or nothing.
+std::optional<milliseconds> announced_idle(std::vector<http_header>& headers)
+{
+    constexpr std::string_view key = "timeout=";
+    const auto text = find_header(headers, "Keep-Alive");
+    const auto at = text.find(key);
+    if (at == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    const auto digits = text.substr(at + key.size());
+    int seconds = 0;
+    const auto read = std::from_chars(digits.data(),
+                                      digits.data() + digits.size(), seconds);
+    if (read.ec != std::errc{})
+    {
+        return std::nullopt;
+    }
+    return std::chrono::seconds{seconds};
+}
+
+/// One connection to a server; carries one call at a time.
+class client_connection : public std::enable_shared_from_this<client_connection>
+{
+public:
+    client_connection(std::shared_ptr<client_state> client, std::string address)
+        : client_(std::move(client)),
+          address_(std::move(address)),
+          socket_(client_->loop.context()),
+          reader_(message_kind::response, client_->settings.max_head_bytes),
+          max_idle_(client_->settings.max_idle)
+    {}
+
+    void connect(const tcp::endpoint& to, milliseconds limit)
+    {
+        connect_timer_ =
+            client_->loop.after(limit, [self = shared_from_this()] {
+                self->fail(reason::connect_failed, "No connection in time.");
+            });
+        socket_.async_connect(to, [self = shared_from_this()](const auto& e) {
+            self->connect_timer_.cancel();
+            if (self->closed_)
+            {
+                return;
+            }
+            if (e)
+            {
+                return self->fail(reason::connect_failed, e.message());
+            }
+            self->connected_ = true;
+            limit_silence(self->socket_, self->client_->settings.silence_limit);
+            self->read();
+            self->write();
+        });
+    }
+
+    void carry(const std::shared_ptr<call_state>& call, std::string bytes)
+    {
+        call_ = call;
+        out_ = std::move(bytes);
+        sent_ = false;
+        reader_.reset();
+        if (connected_)
+        {
+            write();
+        }
+    }
+
+    /// Closes without telling the call.
+    void close()
+    {
+        if (closed_)
+        {
+            return;
+        }
+        closed_ = true;
+        connect_timer_.cancel();
+        asio::error_code ignored;
+        socket_.close(ignored);
+        drop_from_idle();
+    }
+
+    [[nodiscard]] milliseconds idle_for(monotonic_time now) const
+    {
+        return std::chrono::duration_cast<milliseconds>(now - idle_since_);
+    }
+
+    [[nodiscard]] milliseconds max_idle() const noexcept
+    {
+        return max_idle_;
+    }
+
+private:
+    void write()
+    {
+        writing_ = true;
+        sent_ = true;
+        asio::async_write(
+            socket_, asio::buffer(out_),
+            [self = shared_from_this()](const auto& error, std::size_t) {
+                self->writing_ = false;
+                if (self->closed_)
+                {
+                    return;
+                }
+                // What the server sent before it closed is read first.
+                if (!error && self->done_)
+                {
+                    self->go_idle();
+                }
+            });
+    }
+
+    void read()
+    {
+        socket_.async_read_some(
+            asio::buffer(in_), [self = shared_from_this()](const auto& error,
+                                                           std::size_t length) {
+                if (self->closed_)
+                {
+                    return;
+                }
+                if (error)
+                {
+                    return self->on_closed(error);
+                }
+                self->take({self->in_.data(), length});
+                if (!self->closed_)
+                {
+                    self->read();
+                }
+            });
+    }
+
+    void take(std::string_view bytes)
+    {
+        while (!bytes.empty() && !closed_)
+        {
+            const auto call = call_.lock();
+            if (!call || done_)
+            {
+                // Bytes that no request asked for.
+                return close();
+            }
+            bytes.remove_prefix(reader_.feed(bytes));
+            if (!take_progress(*call, bytes.empty()))
+            {
+                return;
+            }
+        }
+    }
+
+    /// @return Whether the connection goes on.
+    bool take_progress(call_state& call, bool all_read)
+    {
+        const auto keep = shared_from_this();
+        if (reader_.state() == read_state::bad)
+        {
+            fail(reason::broken_answer, "The answer is not valid HTTP.");
+            return false;
+        }
+        if (reader_.state() == read_state::head)
+        {
+            return true;
+        }
+        if (!head_seen_ && !take_head(call))
+        {
+            return false;
+        }
+        if (!reader_.body().empty() && !skipping_)
+        {
+            const auto piece = std::exchange(reader_.body(), {});
+            const auto handlers = call.handlers;
+            if (handlers && handlers->on_data)
+            {
+                handlers->on_data(piece);
+            }
+        }
+        reader_.body().clear();
+        if (closed_)
+        {
+            return false;
+        }
+        if (reader_.state() == read_state::complete)
+        {
+            finish_message(all_read);
+        }
+        return !closed_;
+    }
+
+    bool take_head(call_state& call)
+    {
+        constexpr int first_final_status = 200;
+        head_seen_ = true;
+        skipping_ = reader_.status() < first_final_status;
+        if (skipping_)
+        {
+            return true;
+        }
+        const auto handlers = call.handlers;
+        const auto choice =
+            handlers && handlers->on_head
+                ? handlers->on_head(reader_.status(), reader_.headers())
+                : head_choice::take;
+        if (closed_)
+        {
+            return false;
+        }
+        if (choice == head_choice::reject)
+        {
+            fail(reason::broken_answer, "The answer cannot be trusted.");
+            return false;
+        }
+        skipping_ = choice == head_choice::skip;
+        return true;
+    }
+
+    void finish_message(bool all_read)
+    {
+        if (skipping_)
+        {
+            if (!reader_.keeps_alive())
+            {
+                return fail(reason::connection_lost,
+                            "Closed after another request's answer.");
+            }
+            head_seen_ = false;
+            skipping_ = false;
+            reader_.reset();
+            return;
+        }
+        const auto idle = announced_idle(reader_.headers());
+        if (idle)
+        {
+            // A request must reach the server before it closes.
+            max_idle_ = std::min(client_->settings.max_idle, *idle * 7 / 10);
+        }
+        const bool keep = reader_.keeps_alive() && all_read;
+        const auto call = std::exchange(call_, {}).lock();
+        done_ = true;
+        if (!keep)
+        {
+            close();
+        }
+        else if (!writing_)
+        {
+            go_idle();
+        }
+        call->end({true, {}});
+    }
+
+    void go_idle()
+    {
+        done_ = false;
+        head_seen_ = false;
+        skipping_ = false;
+        call_.reset();
+        out_.clear();
+        auto& list = client_->idle[address_];
+        if (client_->ended ||
+            list.size() >= client_->settings.max_idle_for_each)
+        {
+            return close();
+        }
+        idle_since_ = client_->time.monotonic_now();
+        list.push_back(shared_from_this());
+    }
+
+    void on_closed(const asio::error_code& error)
+    {
+        const auto call = call_.lock();
+        if (!call || done_)
+        {
+            return close();
+        }
+        if (error == asio::error::eof)
+        {
+            reader_.feed_end();
+            if (reader_.state() == read_state::complete)
+            {
+                (void)take_progress(*call, true);
+                return close();
+            }
+        }
+        fail(reason::connection_lost, error.message());
+    }
+
+    void fail(reason code, std::string text)
+    {
+        const auto keep = shared_from_this();
+        const auto ran = sent_ ? verdict::may_have_run : verdict::not_run;
+        const auto call = std::exchange(call_, {}).lock();
+        close();
+        if (call)
+        {
+            call->end({false, {ran, code, std::move(text)}});
+        }
+    }
+
+    void drop_from_idle()
+    {
+        const auto found = client_->idle.find(address_);
+        if (found == client_->idle.end())
+        {
+            return;
+        }
+        auto& list = found->second;
+        const auto own =
+            std::find(list.begin(), list.end(), shared_from_this());
+        if (own != list.end())
+        {
+            list.erase(own);
+        }
+    }
+
+    std::shared_ptr<client_state> client_;
+    std::string address_;
+    tcp::socket socket_;
+    http1_reader reader_;
+    std::array<char, read_bytes> in_{};
+    std::string out_;
+    std::weak_ptr<call_state> call_;
+    timer_handle connect_timer_;
+    monotonic_time idle_since_{};
+    milliseconds max_idle_;
+    bool connected_ = false;
+    bool sent_ = false; ///< A byte may have left.
+    bool writing_ = false;
+    bool head_seen_ = false;
+    bool skipping_ = false;
+    bool done_ = false; ///< Answered, the request's body still goes out.
+    bool closed_ = false;
+};
+
+/// Takes the connection that was used last, which is the least likely to be
+/// closed by its server at this moment.
+std::shared_ptr<client_connection> take_idle(client_state& client,
+                                             std::string_view address,
+                                             milliseconds max_idle)
+{
+    const auto found = client.idle.find(address);
+    const auto now = client.time.monotonic_now();
+    while (found != client.idle.end() && !found->second.empty())
+    {
+        const auto newest = found->second.back();
+        const auto limit = std::min(max_idle, newest->max_idle());
+        if (newest->idle_for(now) < limit)
+        {
+            found->second.pop_back();
+            return newest;
+        }
+        if (newest->idle_for(now) < newest->max_idle())
+        {
+            return nullptr;
+        }
+        newest->close();
+    }
+    return nullptr;
+}
+
+} // namespace
+
+// [http1_call] ---------------------------------------------------------------
+
+http1_call::http1_call() noexcept = default;
+
+http1_call::http1_call(std::shared_ptr<impl> state) noexcept
+    : state_(std::move(state))
+{}
+
+http1_call::http1_call(http1_call&&) noexcept = default;
+
+http1_call& http1_call::operator=(http1_call&& other) noexcept
+{
+    if (this != &other)
+    {
+        cancel();
+        state_ = std::move(other.state_);
+    }
+    return *this;
+}
+
+http1_call::~http1_call()
+{
+    cancel();
+}
+
+void http1_call::cancel() noexcept
+{
+    const auto state = std::exchange(state_, nullptr);
+    if (!state)
+    {
+        return;
+    }
+    state->timer.cancel();
+    state->handlers.reset();
+    if (const auto connection = std::exchange(state->connection, nullptr))
+    {
+        connection->close();
+    }
+}
+
+void http1_call::limit(event_loop& loop, milliseconds time_limit)
+{
+    if (!state_)
+    {
+        return;
+    }
+    state_->timer = loop.after(time_limit, [weak = std::weak_ptr{state_}] {
+        const auto state = weak.lock();
+        if (!state || !state->handlers)
+        {
+            return;
+        }
+        if (const auto connection = state->connection)
+        {
+            connection->close();
+        }
+        state->end({false,
+                    {verdict::may_have_run, reason::timed_out,
+                     "No whole answer in time."}});
+    });
+}
+
+// [http1_client] -------------------------------------------------------------
+
+http1_client::http1_client(event_loop& loop, const clock& time,
+                           http1_client_settings settings)
+    : impl_(std::make_shared<impl>(loop, time, settings))
+{}
+
+http1_client::~http1_client()
+{
+    impl_->ended = true;
+    const auto idle = std::exchange(impl_->idle, {});
+    for (const auto& [address, list] : idle)
+    {
+        for (const auto& connection : list)
+        {
+            connection->close();
+        }
+    }
+}
+
+http1_call http1_client::start(std::string_view address,
+                               const http_request& request,
+                               const http1_call_settings& settings,
+                               http1_call_handlers handlers)
+{
+    auto call = std::make_shared<http1_call::impl>();
+    call->handlers =
+        std::make_shared<http1_call_handlers>(std::move(handlers));
+    auto bytes = write_request(request);
+    if (auto kept = take_idle(*impl_, address, settings.max_idle))
+    {
+        call->connection = kept;
+        kept->carry(call, std::move(bytes));
+        return http1_call{std::move(call)};
+    }
+    const auto endpoint = parse_endpoint<tcp::endpoint>(address);
+    if (!endpoint)
+    {
+        impl_->loop.post([weak = std::weak_ptr{call}] {
+            if (const auto waiting = weak.lock())
+            {
+                waiting->end({false,
+                              {verdict::not_run, reason::connect_failed,
+                               "The address is not valid."}});
+            }
+        });
+        return http1_call{std::move(call)};
+    }
+    ++impl_->opened;
+    const auto made =
+        std::make_shared<client_connection>(impl_, std::string{address});
+    call->connection = made;
+    made->carry(call, std::move(bytes));
+    made->connect(*endpoint, settings.connect_time_limit);
+    return http1_call{std::move(call)};
+}
+
+http1_call
+http1_client::fetch(std::string_view address, const http_request& request,
+                    milliseconds time_limit,
+                    std::function<void(result<http_response>)> on_answer)
+{
+    auto collected = std::make_shared<http_response>();
+    http1_call_handlers handlers;
+    handlers.on_head = [collected](int status, const auto& headers) {
+        collected->status = status;
+        collected->headers = headers;
+        return head_choice::take;
+    };
+    handlers.on_data = [collected](std::string_view piece) {
+        collected->body += piece;
+    };
+    handlers.on_end = [collected, on_answer](http1_call_end how) {
+        if (how.complete)
+        {
+            return on_answer(std::move(*collected));
+        }
+        on_answer(tl::make_unexpected(std::move(how.error)));
+    };
+    http1_call_settings settings;
+    settings.connect_time_limit = time_limit;
+    auto call = start(address, request, settings, std::move(handlers));
+    call.limit(impl_->loop, time_limit);
+    return call;
+}
+
+void http1_client::forget(const std::string& address)
+{
+    const auto found = impl_->idle.find(address);
+    if (found == impl_->idle.end())
+    {
+        return;
+    }
+    const auto list = std::exchange(found->second, {});
+    impl_->idle.erase(found);
+    for (const auto& connection : list)
+    {
+        connection->close();
+    }
+}
+
+std::uint64_t http1_client::connections_opened() const noexcept
+{
+    return impl_->opened;
+}
+
+} // namespace hyssopdeal::transport
--- /dev/null
+++ b/src/transport/http1_reader.cpp
@@ -0,0 +1,133 @@
+/// @file
+/// Reads HTTP/1.1 messages, on http_parser.
+
+#include "transport/http1_reader.hpp"
+
+namespace hyssopdeal::transport
+{
+
+http1_reader::http1_reader(message_kind kind, std::size_t max_head_bytes)
+    : kind_(kind),
+      max_head_bytes_(max_head_bytes)
+{
+    reset();
+}
+
+void http1_reader::reset()
+{
+    http_parser_init(&parser_, kind_ == message_kind::request ? HTTP_REQUEST
+                                                              : HTTP_RESPONSE);
+    parser_.data = this;
+    state_ = read_state::head;
+    head_bytes_ = 0;
+    keeps_alive_ = false;
+    last_was_value_ = false;
+    method_.clear();
+    target_.clear();
+    headers_.clear();
+    body_.clear();
+}
+
+http1_reader& http1_reader::self(http_parser* parser)
+{
+    return *static_cast<http1_reader*>(parser->data);
+}
+
+/// @return Not zero, which ends parsing, once the head is too large.
+int http1_reader::count_head(std::size_t length)
+{
+    head_bytes_ += length;
+    return head_too_large() ? 1 : 0;
+}
+
+const http_parser_settings& http1_reader::callbacks()
+{
+    static const http_parser_settings made = [] {
+        http_parser_settings settings;
+        http_parser_settings_init(&settings);
+        settings.on_url = [](http_parser* parser, const char* at,
+                             std::size_t length) {
+            self(parser).target_.append(at, length);
+            return self(parser).count_head(length);
+        };
+        settings.on_header_field = [](http_parser* parser, const char* at,
+                                      std::size_t length) {
+            auto& own = self(parser);
+            if (own.last_was_value_ || own.headers_.empty())
+            {
+                own.headers_.emplace_back();
+                own.last_was_value_ = false;
+            }
+            own.headers_.back().name.append(at, length);
+            return own.count_head(length);
+        };
+        settings.on_header_value = [](http_parser* parser, const char* at,
+                                      std::size_t length) {
+            auto& own = self(parser);
+            own.last_was_value_ = true;
+            if (!own.headers_.empty())
+            {
+                own.headers_.back().value.append(at, length);
+            }
+            return own.count_head(length);
+        };
+        settings.on_headers_complete = [](http_parser* parser) {
+            auto& own = self(parser);
+            own.method_ = http_method_str(
+                static_cast<http_method>(parser->method));
+            own.state_ = read_state::body;
+            return 0;
+        };
+        settings.on_body = [](http_parser* parser, const char* at,
+                              std::size_t length) {
+            self(parser).body_.append(at, length);
+            return 0;
+        };
+        settings.on_message_complete = [](http_parser* parser) {
+            auto& own = self(parser);
+            own.state_ = read_state::complete;
+            own.keeps_alive_ = http_should_keep_alive(parser) != 0;
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return settings;
+    }();
+    return made;
+}
+
+std::size_t http1_reader::feed(std::string_view bytes)
+{
+    if (bytes.empty() || state_ == read_state::complete ||
+        state_ == read_state::bad)
+    {
+        return 0;
+    }
+    head_bytes_ = head_bytes_ == 0 ? 1 : head_bytes_;
+    const auto used = http_parser_execute(&parser_, &callbacks(), bytes.data(),
+                                          bytes.size());
+    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK &&
+        HTTP_PARSER_ERRNO(&parser_) != HPE_PAUSED)
+    {
+        state_ = read_state::bad;
+    }
+    return used;
+}
+
+void http1_reader::feed_end()
+{
+    if (state_ != read_state::body)
+    {
+        return;
+    }
+    (void)http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+    if (state_ == read_state::complete)
+    {
+        keeps_alive_ = false;
+    }
+    else
+    {
+        state_ = read_state::bad;
+    }
+}
+
+} // namespace hyssopdeal::transport
--- /dev/null
+++ b/src/transport/http1_reader.hpp
@@ -0,0 +1,133 @@
+#ifndef HYSSOPDEAL_SRC_TRANSPORT_HTTP1_READER_HPP
+#define HYSSOPDEAL_SRC_TRANSPORT_HTTP1_READER_HPP
+
+/// @file
+/// Internal: reads HTTP/1.1 messages piece by piece from a connection's bytes.
+/// Stops after each message, so that bytes of the next one, or bytes that
+/// belong to no message, are never mixed into it.
+///
+/// Index: [read_state] [http1_reader]
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <http_parser.h>
+
+#include <hyssopdeal/transport/http_message.hpp>
+
+namespace hyssopdeal::transport
+{
+
+// [read_state] ---------------------------------------------------------------
+
+/// How far a message has been read.
+enum class read_state : std::uint8_t
+{
+    head,     ///< The head is not complete.
+    body,     ///< The head is complete.
+    complete, ///< The message was read to its proper end.
+    bad       ///< The bytes are no message, or the head is too large.
+};
+
+/// Which messages are read.
+enum class message_kind : std::uint8_t
+{
+    request,
+    response
+};
+
+// [http1_reader] -------------------------------------------------------------
+
+/// Reads one message at a time.
+class http1_reader
+{
+public:
+    http1_reader(message_kind kind, std::size_t max_head_bytes);
+    http1_reader(const http1_reader&) = delete;
+    http1_reader& operator=(const http1_reader&) = delete;
+
+    /// Begins the next message.
+    void reset();
+
+    /// Takes bytes until the message is complete.
+    ///
+    /// @return How many were taken.
+    std::size_t feed(std::string_view bytes);
+
+    /// The connection was closed in good order: completes a message whose end
+    /// is the end of its connection.
+    void feed_end();
+
+    [[nodiscard]] read_state state() const noexcept
+    {
+        return state_;
+    }
+
+    /// @return Whether any byte of the message was read.
+    [[nodiscard]] bool started() const noexcept
+    {
+        return head_bytes_ > 0;
+    }
+
+    /// @return Whether the head passed its cap.
+    [[nodiscard]] bool head_too_large() const noexcept
+    {
+        return head_bytes_ > max_head_bytes_;
+    }
+
+    /// @return Whether the connection may carry another message afterwards.
+    [[nodiscard]] bool keeps_alive() const noexcept
+    {
+        return keeps_alive_;
+    }
+
+    [[nodiscard]] int status() const noexcept
+    {
+        return static_cast<int>(parser_.status_code);
+    }
+
+    [[nodiscard]] const std::string& method() const noexcept
+    {
+        return method_;
+    }
+
+    [[nodiscard]] const std::string& target() const noexcept
+    {
+        return target_;
+    }
+
+    [[nodiscard]] std::vector<http_header>& headers() noexcept
+    {
+        return headers_;
+    }
+
+    /// @return Body bytes read since they were last cleared by the caller.
+    [[nodiscard]] std::string& body() noexcept
+    {
+        return body_;
+    }
+
+private:
+    static http1_reader& self(http_parser* parser);
+    static const http_parser_settings& callbacks();
+    int count_head(std::size_t length);
+
+    http_parser parser_{};
+    message_kind kind_;
+    std::size_t max_head_bytes_;
+    read_state state_ = read_state::head;
+    std::size_t head_bytes_ = 0;
+    bool keeps_alive_ = false;
+    bool last_was_value_ = false;
+    std::string method_;
+    std::string target_;
+    std::vector<http_header> headers_;
+    std::string body_;
+};
+
+} // namespace hyssopdeal::transport
+
+#endif
--- /dev/null
+++ b/src/transport/http1_server.cpp
@@ -0,0 +1,623 @@
+/// @file
+/// HTTP/1.1 server that reads while it answers.
+
+#include <hyssopdeal/transport/http1_server.hpp>
+
+#include <array>
+#include <set>
+#include <utility>
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <fmt/format.h>
+
+#include "transport/http1_reader.hpp"
+#include "transport/http1_writer.hpp"
+#include "transport/ip_endpoint.hpp"
+
+namespace hyssopdeal::transport
+{
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr std::size_t read_bytes = 8'192;
+// Bytes of later requests that are kept while an answer is open.
+constexpr std::size_t max_early_bytes = 65'536;
+// How long a refused caller may go on sending, so that it reads the refusal
+// before the reset that closing with unread bytes would send.
+constexpr milliseconds linger_time{500};
+constexpr milliseconds accept_retry_pause{100};
+
+class server_connection;
+
+} // namespace
+
+// [exchange state] -----------------------------------------------------------
+
+struct http1_exchange::impl
+{
+    ~impl();
+
+    http_request request;
+    monotonic_time received_at{};
+    std::shared_ptr<server_connection> connection; ///< Null once over.
+    std::function<void()> left;
+    bool begun = false;
+    bool close_after = false;
+
+    void end();
+};
+
+// [server state] -------------------------------------------------------------
+
+struct http1_server::impl
+{
+    impl(event_loop& own_loop, const clock& own_time,
+         http1_server_settings own_settings, handler handle)
+        : loop(own_loop),
+          time(own_time),
+          settings(std::move(own_settings)),
+          on_request(std::move(handle)),
+          acceptor(loop.context()),
+          accept_pause(loop.context())
+    {}
+
+    event_loop& loop;
+    const clock& time;
+    http1_server_settings settings;
+    handler on_request;
+    tcp::acceptor acceptor;
+    asio::steady_timer accept_pause;
+    std::set<std::shared_ptr<server_connection>> connections;
+    std::size_t open_requests = 0;
+    bool draining = false;
+    bool stopped = false;
+};
+
+// [connection] ---------------------------------------------------------------
+
+namespace
+{
+
+using server_impl = http1_server::impl;
+
+/// One caller's connection.
+class server_connection : public std::enable_shared_from_this<server_connection>
+{
+public:
+    server_connection(server_impl& server, tcp::socket socket)
+        : server_(&server),
+          socket_(std::move(socket)),
+          timer_(socket_.get_executor()),
+          reader_(message_kind::request, server.settings.limits.max_head_bytes)
+    {}
+
+    void start()
+    {
+        asio::error_code ignored;
+        socket_.set_option(tcp::no_delay{true}, ignored);
+        wait_for_request();
+        read();
+    }
+
+    void send(std::string_view bytes)
+    {
+        if (closed_)
+        {
+            return;
+        }
+        next_out_.append(bytes);
+        if (next_out_.size() > server_->settings.max_unsent_bytes)
+        {
+            return close();
+        }
+        flush();
+    }
+
+    /// The answer is complete.
+    void answered(bool keep)
+    {
+        open_.reset();
+        --server_->open_requests;
+        if (!keep || server_->stopped)
+        {
+            closing_ = true;
+            return flush();
+        }
+        reader_.reset();
+        wait_for_request();
+        parse();
+        if (!reading_ && !closed_)
+        {
+            read();
+        }
+    }
+
+    void close()
+    {
+        if (closed_)
+        {
+            return;
+        }
+        closed_ = true;
+        const auto keep_alive = shared_from_this();
+        asio::error_code ignored;
+        socket_.close(ignored);
+        timer_.cancel();
+        if (server_ != nullptr)
+        {
+            server_->connections.erase(keep_alive);
+        }
+        if (const auto state = open_.lock())
+        {
+            --server_->open_requests;
+            open_.reset();
+            state->connection.reset();
+            if (const auto left = std::exchange(state->left, nullptr))
+            {
+                left();
+            }
+        }
+    }
+
+    /// The server is gone.
+    void orphan()
+    {
+        close();
+        server_ = nullptr;
+    }
+
+    [[nodiscard]] bool idle() const noexcept
+    {
+        return open_.expired() && !closing_ && !reader_.started();
+    }
+
+    [[nodiscard]] bool keep_offered() const noexcept
+    {
+        return reader_.keeps_alive() && !server_->draining;
+    }
+
+private:
+    void wait_for_request()
+    {
+        wait(server_->settings.limits.idle_time_limit);
+    }
+
+    void wait(milliseconds limit)
+    {
+        timer_.expires_after(limit);
+        timer_.async_wait([self = shared_from_this()](const auto& error) {
+            if (!error && !self->closed_)
+            {
+                self->on_time();
+            }
+        });
+    }
+
+    void on_time()
+    {
+        if (timer_.expiry() > std::chrono::steady_clock::now())
+        {
+            return;
+        }
+        if (!open_.expired())
+        {
+            return;
+        }
+        if (reader_.started() && !closing_)
+        {
+            return refuse(408, "The request did not arrive in time.");
+        }
+        close();
+    }
+
+    void read()
+    {
+        reading_ = true;
+        socket_.async_read_some(
+            asio::buffer(in_), [self = shared_from_this()](const auto& error,
+                                                           std::size_t length) {
+                self->reading_ = false;
+                if (self->closed_)
+                {
+                    return;
+                }
+                if (error)
+                {
+                    return self->close();
+                }
+                if (self->lingering_)
+                {
+                    return self->read();
+                }
+                self->early_.append(self->in_.data(), length);
+                if (self->open_.expired() && !self->closing_)
+                {
+                    self->parse();
+                }
+                if (!self->closed_ && self->early_.size() < max_early_bytes)
+                {
+                    self->read();
+                }
+            });
+    }
+
+    void parse()
+    {
+        if (early_.empty())
+        {
+            return;
+        }
+        const bool fresh = !reader_.started();
+        const auto before = reader_.state();
+        const auto used = reader_.feed(early_);
+        early_.erase(0, used);
+        if (reader_.state() == read_state::bad)
+        {
+            return reader_.head_too_large()
+                       ? refuse(431, "The request's head is too large.")
+                       : refuse(400, "The request is not valid HTTP.");
+        }
+        if (reader_.body().size() > server_->settings.limits.max_body_bytes)
+        {
+            return refuse(413, "The request's body is too large.");
+        }
+        if (before == read_state::head && reader_.state() == read_state::body)
+        {
+            expect_body();
+        }
+        if (reader_.state() == read_state::complete)
+        {
+            return hand_on();
+        }
+        if (fresh || reader_.state() == read_state::body)
+        {
+            wait(server_->settings.limits.head_time_limit);
+        }
+    }
+
+    void expect_body()
+    {
+        if (find_header(reader_.headers(), "Expect").starts_with("100"))
+        {
+            send("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+    }
+
+    void hand_on()
+    {
+        timer_.cancel();
+        auto state = std::make_shared<http1_exchange::impl>();
+        state->request.method = reader_.method();
+        state->request.target = reader_.target();
+        state->request.headers = std::move(reader_.headers());
+        state->request.body = std::move(reader_.body());
+        state->received_at = server_->time.monotonic_now();
+        state->connection = shared_from_this();
+        open_ = state;
+        ++server_->open_requests;
+        server_->on_request(http1_exchange{std::move(state)});
+    }
+
+    void refuse(int status, std::string_view text)
+    {
+        http_response answer;
+        answer.status = status;
+        answer.headers = {{"Content-Type", "text/plain"}};
+        answer.body = std::string{text} + "\n";
+        send(write_response(answer, connection_use::close));
+        closing_ = true;
+        flush();
+    }
+
+    void flush()
+    {
+        if (writing_ || closed_)
+        {
+            return;
+        }
+        if (next_out_.empty())
+        {
+            if (closing_)
+            {
+                finish_closing();
+            }
+            return;
+        }
+        writing_ = true;
+        out_.clear();
+        out_.swap(next_out_);
+        asio::async_write(
+            socket_, asio::buffer(out_),
+            [self = shared_from_this()](const auto& error, std::size_t) {
+                self->writing_ = false;
+                if (self->closed_)
+                {
+                    return;
+                }
+                if (error)
+                {
+                    return self->close();
+                }
+                self->flush();
+            });
+    }
+
+    /// Ends sending and reads on for a moment: closing a socket with unread
+    /// bytes would reset it and could destroy the answer on its way.
+    void finish_closing()
+    {
+        if (lingering_)
+        {
+            return;
+        }
+        lingering_ = true;
+        asio::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        wait(linger_time);
+        if (!reading_)
+        {
+            read();
+        }
+    }
+
+    server_impl* server_;
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    http1_reader reader_;
+    std::array<char, read_bytes> in_{};
+    std::string early_; ///< Read and not yet parsed.
+    std::string out_;   ///< Being written.
+    std::string next_out_;
+    std::weak_ptr<http1_exchange::impl> open_;
+    bool reading_ = false;
+    bool writing_ = false;
+    bool closing_ = false;
+    bool lingering_ = false;
+    bool closed_ = false;
+};
+
+/// Accepts until the server stops.
+void accept_next(const std::shared_ptr<server_impl>& server)
+{
+    server->acceptor.async_accept([server](const auto& error,
+                                           tcp::socket socket) {
+        if (!server->acceptor.is_open())
+        {
+            return;
+        }
+        if (!error)
+        {
+            if (server->connections.size() < server->settings.max_connections)
+            {
+                auto made = std::make_shared<server_connection>(
+                    *server, std::move(socket));
+                server->connections.insert(made);
+                made->start();
+            }
+            return accept_next(server);
+        }
+        // No file handle is left, for example: try again a little later.
+        server->accept_pause.expires_after(accept_retry_pause);
+        server->accept_pause.async_wait([server](const auto& stopped) {
+            if (!stopped && server->acceptor.is_open())
+            {
+                accept_next(server);
+            }
+        });
+    });
+}
+
+} // namespace
+
+// [http1_exchange] -----------------------------------------------------------
+
+http1_exchange::impl::~impl()
+{
+    if (connection)
+    {
+        connection->close();
+    }
+}
+
+void http1_exchange::impl::end()
+{
+    left = nullptr;
+    const auto from = std::exchange(connection, nullptr);
+    from->answered(from->keep_offered() && !close_after);
+}
+
+http1_exchange::http1_exchange(std::shared_ptr<impl> state) noexcept
+    : state_(std::move(state))
+{}
+
+const http_request& http1_exchange::request() const noexcept
+{
+    return state_->request;
+}
+
+monotonic_time http1_exchange::received_at() const noexcept
+{
+    return state_->received_at;
+}
+
+void http1_exchange::on_left(std::function<void()> handler)
+{
+    state_->left = std::move(handler);
+}
+
+void http1_exchange::send(http_response response)
+{
+    if (over())
+    {
+        return;
+    }
+    const auto use =
+        state_->connection->keep_offered() && !state_->close_after
+            ? connection_use::keep
+            : connection_use::close;
+    state_->close_after = use == connection_use::close;
+    const auto connection = state_->connection;
+    connection->send(write_response(response, use));
+    if (!over())
+    {
+        state_->end();
+    }
+}
+
+void http1_exchange::begin(int status, const std::vector<http_header>& headers)
+{
+    if (over())
+    {
+        return;
+    }
+    const auto use =
+        state_->connection->keep_offered() && !state_->close_after
+            ? connection_use::keep
+            : connection_use::close;
+    state_->close_after = use == connection_use::close;
+    state_->begun = true;
+    const auto connection = state_->connection;
+    connection->send(write_head(status, headers, body_framing::chunked, use));
+}
+
+void http1_exchange::write(std::string_view piece)
+{
+    if (!over() && !piece.empty())
+    {
+        const auto connection = state_->connection;
+        connection->send(write_chunk(piece));
+    }
+}
+
+void http1_exchange::finish()
+{
+    if (over())
+    {
+        return;
+    }
+    const auto connection = state_->connection;
+    connection->send(last_chunk);
+    if (!over())
+    {
+        state_->end();
+    }
+}
+
+void http1_exchange::abort()
+{
+    if (over())
+    {
+        return;
+    }
+    state_->left = nullptr;
+    const auto connection = state_->connection;
+    connection->close();
+}
+
+void http1_exchange::close_after()
+{
+    state_->close_after = true;
+}
+
+bool http1_exchange::over() const noexcept
+{
+    return !state_->connection;
+}
+
+// [http1_server] -------------------------------------------------------------
+
+http1_server::http1_server(event_loop& loop, const clock& time,
+                           http1_server_settings settings, handler on_request)
+    : impl_(std::make_shared<impl>(loop, time, std::move(settings),
+                                   std::move(on_request)))
+{}
+
+http1_server::~http1_server()
+{
+    asio::error_code ignored;
+    impl_->acceptor.close(ignored);
+    impl_->accept_pause.cancel();
+    const auto open = std::exchange(impl_->connections, {});
+    for (const auto& connection : open)
+    {
+        connection->orphan();
+    }
+}
+
+result<std::uint16_t> http1_server::start()
+{
+    asio::error_code error;
+    const auto number = asio::ip::make_address(impl_->settings.address, error);
+    const tcp::endpoint endpoint{number, impl_->settings.port};
+    auto& acceptor = impl_->acceptor;
+    if (!error)
+    {
+        acceptor.open(endpoint.protocol(), error);
+    }
+    if (!error)
+    {
+        acceptor.set_option(tcp::acceptor::reuse_address{true}, error);
+    }
+    if (!error)
+    {
+        acceptor.bind(endpoint, error);
+    }
+    if (!error)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error)
+    {
+        return fail(reason::bad_settings,
+                    fmt::format("Cannot listen on {}:{}: {}.",
+                                impl_->settings.address, impl_->settings.port,
+                                error.message()));
+    }
+    accept_next(impl_);
+    return acceptor.local_endpoint(error).port();
+}
+
+void http1_server::set_limits(const http1_caller_limits& limits)
+{
+    impl_->settings.limits = limits;
+}
+
+void http1_server::drain()
+{
+    impl_->draining = true;
+}
+
+void http1_server::stop_accepting()
+{
+    impl_->stopped = true;
+    impl_->draining = true;
+    asio::error_code ignored;
+    impl_->acceptor.close(ignored);
+    const auto open = impl_->connections;
+    for (const auto& connection : open)
+    {
+        if (connection->idle())
+        {
+            connection->close();
+        }
+    }
+}
+
+std::size_t http1_server::open_connections() const noexcept
+{
+    return impl_->connections.size();
+}
+
+std::size_t http1_server::open_requests() const noexcept
+{
+    return impl_->open_requests;
+}
+
+} // namespace hyssopdeal::transport
--- /dev/null
+++ b/src/transport/http1_writer.hpp
@@ -0,0 +1,59 @@
+#ifndef HYSSOPDEAL_SRC_TRANSPORT_HTTP1_WRITER_HPP
+#define HYSSOPDEAL_SRC_TRANSPORT_HTTP1_WRITER_HPP
+
+/// @file
+/// Internal: HTTP/1.1 messages as bytes.
+///
+/// Index: [heads] [bodies] [requests]
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <hyssopdeal/transport/http_message.hpp>
+
+namespace hyssopdeal::transport
+{
+
+// [heads] --------------------------------------------------------------------
+
+/// How a body's end is marked.
+enum class body_framing : std::uint8_t
+{
+    length, ///< The caller adds Content-Length.
+    chunked
+};
+
+/// What becomes of the connection afterwards.
+enum class connection_use : std::uint8_t
+{
+    keep,
+    close
+};
+
+/// @return The head of an answer, without its Content-Length if it has one.
+[[nodiscard]] std::string write_head(int status,
+                                     const std::vector<http_header>& headers,
+                                     body_framing framing, connection_use use);
+
+// [bodies] -------------------------------------------------------------------
+
+/// Ends a chunked body.
+inline constexpr std::string_view last_chunk = "0\r\n\r\n";
+
+/// @return One chunk of a body; the piece must not be empty.
+[[nodiscard]] std::string write_chunk(std::string_view piece);
+
+/// @return A whole answer.
+[[nodiscard]] std::string write_response(const http_response& response,
+                                         connection_use use);
+
+// [requests] -----------------------------------------------------------------
+
+/// @return A whole request; its headers must hold no framing of their own.
+[[nodiscard]] std::string write_request(const http_request& request);
+
+} // namespace hyssopdeal::transport
+
+#endif
--- /dev/null
+++ b/src/transport/socket_options.hpp
@@ -0,0 +1,48 @@
+#ifndef HYSSOPDEAL_SRC_TRANSPORT_SOCKET_OPTIONS_HPP
+#define HYSSOPDEAL_SRC_TRANSPORT_SOCKET_OPTIONS_HPP
+
+/// @file
+/// Internal: socket options that Asio has no names for.
+///
+/// Index: [silence]
+
+#include <algorithm>
+#include <chrono>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <asio/ip/tcp.hpp>
+
+namespace hyssopdeal::transport
+{
+
+// [silence] ------------------------------------------------------------------
+
+/// Sends small pieces at once and ends a connection whose other side has gone
+/// silent: neither acknowledges what was sent nor answers probes. A machine
+/// without power or behind a partition never closes its connections.
+///
+/// @param limit About how long silence is borne; whole seconds for probes.
+inline void limit_silence(asio::ip::tcp::socket& socket,
+                          std::chrono::milliseconds limit)
+{
+    const int descriptor = socket.native_handle();
+    const auto set = [descriptor](int level, int option, int value) {
+        // A socket that refuses an option still works, only slower to notice.
+        (void)::setsockopt(descriptor, level, option, &value, sizeof(value));
+    };
+    const auto whole = std::chrono::ceil<std::chrono::seconds>(limit / 2);
+    const int seconds = std::max(1, static_cast<int>(whole.count()));
+    set(IPPROTO_TCP, TCP_NODELAY, 1);
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, 1);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
+}
+
+} // namespace hyssopdeal::transport
+
+#endif
--- a/tests/load_estimate_feed_test.cpp
+++ b/tests/load_estimate_feed_test.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include <hyssopdeal/coordination/load_estimate.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include "loop_helper.hpp"
@@ -91,3 +93,37 @@
     loop.run_for(300ms);
     LONGS_EQUAL(0, changes);
 }
+
+TEST_GROUP(load_estimate_tests)
+{
+    load_estimate estimate;
+
+    void setup() override
+    {
+        estimate.resize(1);
+    }
+
+    void report(std::chrono::nanoseconds taken_at, std::uint32_t running)
+    {
+        load_report taken;
+        taken.taken_at = transport::monotonic_time{taken_at};
+        taken.running = running;
+        estimate.on_report(transport::monotonic_time{10s}, 0, taken);
+    }
+};
+
+// Both samples fell into one millisecond of the server's clock; a report that
+// showed the second one was dropped for ever.
+TEST(load_estimate_tests, later_report_counts_within_the_clocks_resolution)
+{
+    report(5s, 0);
+    report(5s - 900us, 1);
+    DOUBLES_EQUAL(1, estimate.table()[0].reported_in_flight, 0);
+}
+
+TEST(load_estimate_tests, older_report_changes_nothing)
+{
+    report(5s, 1);
+    report(4s, 7);
+    DOUBLES_EQUAL(1, estimate.table()[0].reported_in_flight, 0);
+}
