Never read a caller's connection twice at once

Cause: an answer given from within the read's own handler started a second read into the same buffer; the bodies of later requests were mixed up. Ruled out: the parser (HPE_INVALID_METHOD on leftover body bytes showed that the bytes were misplaced before it).

--- a/src/transport/http1_reader.hpp
+++ b/src/transport/http1_reader.hpp
@@ -78,6 +78,12 @@
         return head_bytes_ > max_head_bytes_;
     }
 
+    /// @return Why the message is bad.
+    [[nodiscard]] const char* error() const noexcept
+    {
+        return http_errno_name(HTTP_PARSER_ERRNO(&parser_));
+    }
+
     /// @return Whether the connection may carry another message afterwards.
     [[nodiscard]] bool keeps_alive() const noexcept
     {
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -13,6 +13,8 @@
 #include <asio/write.hpp>
 #include <fmt/format.h>
 
+#include <hyssopdeal/transport/event_log.hpp>
+
 #include "transport/http1_reader.hpp"
 #include "transport/http1_writer.hpp"
 #include "transport/ip_endpoint.hpp"
@@ -133,7 +135,7 @@
         reader_.reset();
         wait_for_request();
         parse();
-        if (!reading_ && !closed_)
+        if (!closed_)
         {
             read();
         }
@@ -217,8 +219,14 @@
         close();
     }
 
+    /// Does nothing while a read is under way: an answer that is given at once
+    /// gets here from within the read's own handler.
     void read()
     {
+        if (reading_)
+        {
+            return;
+        }
         reading_ = true;
         socket_.async_read_some(
             asio::buffer(in_), [self = shared_from_this()](const auto& error,
@@ -307,6 +315,12 @@
 
     void refuse(int status, std::string_view text)
     {
+        log_event("caller.refused",
+                  {{"status", status},
+                   {"why", text},
+                   {"parser", reader_.error()},
+                   {"target_bytes", reader_.target().size()},
+                   {"body_bytes", reader_.body().size()}});
         http_response answer;
         answer.status = status;
         answer.headers = {{"Content-Type", "text/plain"}};
@@ -361,10 +375,7 @@
         asio::error_code ignored;
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
         wait(linger_time);
-        if (!reading_)
-        {
-            read();
-        }
+        read();
     }
 
     server_impl* server_;
