--- a/include/hyssopdeal/transport/digest.hpp
+++ b/include/hyssopdeal/transport/digest.hpp
@@ -7,6 +7,7 @@
 /// Index: [digests] [random] [comparison]
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,9 @@
 
 // [random] -------------------------------------------------------------------
 
+/// @return A seed from the operating system's source of randomness.
+[[nodiscard]] std::uint64_t random_seed();
+
 /// @return Bytes that nobody can foretell; empty if the system has none.
 [[nodiscard]] std::string random_bytes(std::size_t count);
 
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include <hyssopdeal/transport/digest.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
 #include <hyssopdeal/transport/metrics.hpp>
 
@@ -90,7 +91,7 @@
                {"torn_bytes", recovered.torn_bytes}});
     auto made =
         cluster_machine::make(settings.machine, std::move(recovered),
-                              std::random_device{}(), clock.monotonic_now());
+                              transport::random_seed(), clock.monotonic_now());
     if (!made)
     {
         return tl::make_unexpected(made.error());
--- a/src/coordination/cluster/cluster_process_joining.cpp
+++ b/src/coordination/cluster/cluster_process_joining.cpp
@@ -5,6 +5,7 @@
 
 #include <random>
 
+#include <hyssopdeal/transport/digest.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
 
 namespace hyssopdeal::coordination
@@ -90,7 +91,7 @@
     }
     if (answer->state == join_state::next_id && !machine)
     {
-        std::mt19937_64 random{std::random_device{}()};
+        std::mt19937_64 random{transport::random_seed()};
         std::uniform_int_distribution<std::uint64_t> draw{0, drawn_ids};
         begin_with(answer->next_id + draw(random));
     }
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include <hyssopdeal/transport/digest.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
 
 namespace hyssopdeal::coordination
@@ -32,10 +33,10 @@
       client(loop, clock, settings.client),
       repeats(settings.repeats),
       servers(settings.placing, settings.failure_domain,
-              std::random_device{}()),
-      random(std::random_device{}()),
+              transport::random_seed()),
+      random(transport::random_seed()),
       reads_(std::move(reads)),
-      incarnation_(std::mt19937_64{std::random_device{}()}())
+      incarnation_(transport::random_seed())
 {}
 
 bool gateway_core::keys_valid() const
--- a/src/transport/digest.cpp
+++ b/src/transport/digest.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include <sys/random.h>
+
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -53,6 +55,14 @@
     return text;
 }
 
+std::uint64_t random_seed()
+{
+    std::uint64_t seed = 0;
+    // Fails only for arguments that are not used here.
+    (void)::getrandom(&seed, sizeof(seed), 0);
+    return seed;
+}
+
 std::string random_bytes(std::size_t count)
 {
     std::string bytes(count, '\0');
