Report to every replica that any answer names

Cause: an entry that had only the seeds learned of other replicas from the leader's answers alone. After all machines had lost power, a leader that was no seed was never found: all keyed requests were refused (control_state_too_old).

--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -3,6 +3,7 @@
 
 #include <hyssopdeal/coordination/gateway/gateway_process.hpp>
 
+#include <map>
 #include <set>
 #include <utility>
 
@@ -28,11 +29,29 @@
 constexpr milliseconds still_accepting{3'000};
 // From the last answer to the kill: to write logs and end.
 constexpr milliseconds end_margin{500};
+// A replica that does not answer is asked less often, and one that nobody names
+// any more is forgotten.
+constexpr milliseconds silent_after{2'000};
+constexpr milliseconds silent_interval{1'000};
+constexpr milliseconds forget_after{30'000};
 // Beside the callers' connections: links, servers, logs.
 constexpr std::size_t internal_max_connections = 64;
 
 } // namespace
 
+namespace
+{
+
+/// A replica that is told what goes on.
+struct known_replica
+{
+    monotonic_time named{};    ///< By an answer, or by the settings.
+    monotonic_time answered{}; ///< Its latest answer.
+    monotonic_time asked{};
+};
+
+} // namespace
+
 struct gateway_process::impl
 {
     impl(transport::event_loop& own_loop, const transport::clock& own_clock,
@@ -68,7 +87,9 @@
     request_handler on_request;
     std::string own_address;
     std::set<std::string> seeds;
-    std::set<std::string> replicas; ///< Told by the latest answer.
+    /// Every replica that an answer named: any of them may come to lead, also
+    /// one that is no seed.
+    std::map<std::string, known_replica> replicas;
     std::unique_ptr<protocol::peer_hub> hub;
     std::unique_ptr<transport::http1_server> callers;
     std::unique_ptr<transport::http1_server> readiness;
@@ -181,13 +202,23 @@
 {
     reporter = loop.after(core.settings.report_interval, [this] { report(); });
     note_validity();
-    auto targets = replicas;
-    targets.insert(seeds.begin(), seeds.end());
     const auto bytes = protocol::encode(core.report());
     const auto now = clock.monotonic_now();
-    for (const auto& replica : targets)
+    for (const auto& seed : seeds)
+    {
+        replicas[seed].named = now;
+    }
+    std::erase_if(replicas, [&](const auto& item) {
+        return now - item.second.named > forget_after;
+    });
+    for (auto& [address, replica] : replicas)
     {
-        ask(replica, bytes, now);
+        const bool answers = now - replica.answered < silent_after;
+        if (answers || now - replica.asked >= silent_interval)
+        {
+            replica.asked = now;
+            ask(address, bytes, now);
+        }
     }
 }
 
@@ -210,10 +241,11 @@
                                         {"from", replica},
                                         {"error", orders.error().text}});
                   }
-                  if (orders->leads)
+                  const auto now = clock.monotonic_now();
+                  replicas[replica].answered = now;
+                  for (const auto& named : orders->replicas)
                   {
-                      replicas = {orders->replicas.begin(),
-                                  orders->replicas.end()};
+                      replicas[named].named = now;
                   }
                   core.take_orders(asked, std::move(*orders));
                   note_validity();
