Serve soon after a change of leaders; split bursts; tell honest waits

Cause: a new leader granted no quota for 3.75 s, as it could not know who held shares of the former one; a removed learner never noticed; buckets of one entry were smaller than one long prompt; whoever was told to come back was refused again, as all were told the same moment. Change: entries that may hold shares are replicated, so a new leader waits only for those; part of the tolerated overshoot serves as burst; returns are spaced; waits after a start are told as expected; a replica that hears no leader asks.

--- a/include/hyssopdeal/coordination/cluster/cluster_state.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_state.hpp
@@ -3,7 +3,8 @@
 
 /// @file
 /// What a cluster of control replicas keeps: the configuration document, the
-/// usage reports that were decided, and the version moves that were ordered.
+/// usage reports that were decided, the version moves that were ordered, and the
+/// entries that may hold grants.
 /// Deterministic: all times come in the commands.
 ///
 /// Index: [commands] [cluster_state]
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -62,9 +64,15 @@
     rollout_record record;
 };
 
+/// Entries that may be granted shares; replaces the list.
+struct know_entries_command
+{
+    std::set<std::string> entries; ///< Names of instances.
+};
+
 using cluster_command =
     std::variant<put_document_command, decide_usage_command,
-                 put_rollout_command>;
+                 put_rollout_command, know_entries_command>;
 
 [[nodiscard]] std::string encode(const cluster_command& command);
 
@@ -107,6 +115,12 @@
         return rollouts_;
     }
 
+    /// @return Entries that may hold shares of an earlier leader.
+    [[nodiscard]] const std::set<std::string>& entries() const noexcept
+    {
+        return entries_;
+    }
+
     [[nodiscard]] std::string encode_snapshot() const;
 
     /// @return `corrupt` when the bytes are not understood; then unchanged.
@@ -117,11 +131,13 @@
     void apply(const put_document_command& command);
     void apply(const decide_usage_command& command);
     void apply(const put_rollout_command& command);
+    void apply(const know_entries_command& command);
 
     std::uint64_t document_version_ = 0;
     std::string document_;
     std::deque<decide_usage_command> usage_; ///< By window, rising.
     std::map<std::string, rollout_record> rollouts_; ///< By service.
+    std::set<std::string> entries_;
 };
 
 } // namespace hyssopdeal::coordination
--- a/include/hyssopdeal/coordination/cluster/share_allocator.hpp
+++ b/include/hyssopdeal/coordination/cluster/share_allocator.hpp
@@ -15,6 +15,8 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,9 +41,19 @@
 {
 public:
     /// @param now Start of the leadership. Until shares of an earlier leader
-    ///     have expired, entries keep what they hold and nobody gets more.
+    ///     have expired, or all that may hold one have reported, entries keep
+    ///     what they hold and nobody gets more.
     share_allocator(transport::monotonic_time now, share_settings settings);
 
+    /// Names the entries that may hold shares. An entry gets none before it is
+    /// named here, from the replicated state.
+    void set_known(const std::set<std::string>& entries);
+
+    /// @return The entries to be known from now on, if they differ from those
+    ///     that are: what reports is added, what was silent for long left out.
+    [[nodiscard]] std::optional<std::set<std::string>>
+    next_known(transport::monotonic_time now) const;
+
     /// @return Shares that replace all that the entry holds, valid from when it
     ///     sent its report.
     [[nodiscard]] std::map<std::string, double>
@@ -71,9 +83,11 @@
     [[nodiscard]] double target(const std::string& entry,
                                 const std::string& organisation) const;
     void forget_expired(transport::monotonic_time now);
+    [[nodiscard]] bool others_unknown(transport::monotonic_time now) const;
 
     share_settings settings_;
     transport::monotonic_time since_;
+    std::set<std::string> known_;
     std::map<std::string, entry_state> entries_;
 };
 
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -44,12 +44,15 @@
     std::string shared_key;         ///< Of the links between processes.
     std::size_t max_connections = 1'500; ///< Of callers.
     std::chrono::milliseconds report_interval{250}; ///< To each replica.
+    std::chrono::milliseconds search_interval{100}; ///< While no leader is
+                                                    ///< known.
     /// After the latest sign of the leader, keys count as known for so long:
     /// below the time in which a key that was taken away must have no effect.
     std::chrono::milliseconds keys_valid_for{3'750};
     std::chrono::milliseconds usage_window{5'000};
     std::chrono::milliseconds grace{8'000}; ///< From SIGTERM to the end.
     repeat_settings repeats;
+    quota_settings quotas;
     placement_settings placing;
     transport::http1_client_settings client;
 };
@@ -92,6 +95,10 @@
     /// @return Whether keys are known well enough to serve by them.
     [[nodiscard]] bool keys_valid() const;
 
+    /// @return In how long a caller who comes now may be served, while keys are
+    ///     not valid.
+    [[nodiscard]] std::chrono::milliseconds expected_wait() const;
+
     /// @return What to tell the replicas now.
     [[nodiscard]] protocol::entry_report report();
 
@@ -133,6 +140,7 @@
     std::shared_ptr<const route_table> table_;
     std::function<void()> document_handler_;
     std::uint64_t incarnation_;
+    transport::monotonic_time started_;
     transport::monotonic_time valid_until_{};
     bool was_valid_ = false;
     std::uint64_t listing_digest_ = 0;
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -156,12 +156,11 @@
 template <caller_dialect Dialect>
 bool request_flow<Dialect>::admit()
 {
-    constexpr milliseconds soon{500};
     terms_ = Dialect::read_caller(exchange_.request());
     table_ = core_.table();
     if (!table_)
     {
-        refuse(503, "no_document", soon);
+        refuse(503, "no_document", core_.expected_wait());
         return false;
     }
     route_ = table_->find_route(terms_.host, exchange_.request().target);
@@ -187,10 +186,9 @@
 template <caller_dialect Dialect>
 bool request_flow<Dialect>::find_organisation()
 {
-    constexpr milliseconds soon{500};
     if (!core_.keys_valid())
     {
-        refuse(503, "control_state_too_old", soon);
+        refuse(503, "control_state_too_old", core_.expected_wait());
         return false;
     }
     const auto* found = table_->find_organisation(terms_.key);
--- a/include/hyssopdeal/coordination/gateway/token_quota.hpp
+++ b/include/hyssopdeal/coordination/gateway/token_quota.hpp
@@ -7,7 +7,7 @@
 /// organisation that asks for more than its contract. A decision module without
 /// I/O.
 ///
-/// Index: [token_quota]
+/// Index: [settings] [token_quota]
 
 #include <chrono>
 #include <map>
@@ -20,12 +20,27 @@
 namespace hyssopdeal::coordination
 {
 
+// [settings] -----------------------------------------------------------------
+
+/// How exactly the sum over all entries must keep an organisation's quota.
+struct quota_settings
+{
+    std::chrono::milliseconds window{8'000}; ///< In which it is counted.
+    double tolerated_part = 0;   ///< Beyond the quota of a window.
+    double tolerated_tokens = 0; ///< Beyond it, whatever the quota.
+    /// Part of what is tolerated that serves as burst: entries cannot split
+    /// bursts exactly. The rest covers requests that are larger than a bucket.
+    double burst_part = 0.5;
+};
+
 // [token_quota] --------------------------------------------------------------
 
 /// Buckets of one entry.
 class token_quota
 {
 public:
+    explicit token_quota(quota_settings settings);
+
     /// Takes over rates and bursts; levels are kept, and cut to a smaller
     /// burst.
     void set_organisations(
@@ -41,8 +56,9 @@
 
     /// Takes tokens for a request.
     ///
-    /// @return 0 when they were taken; else how long until they could be. An
-    ///     organisation without a limit is never refused.
+    /// @return 0 when they were taken; else how long until they could be, behind
+    ///     those that were told to come back before. An organisation without a
+    ///     limit is never refused.
     [[nodiscard]] std::chrono::milliseconds take(transport::monotonic_time now,
                                                  const std::string& name,
                                                  double tokens);
@@ -74,10 +90,12 @@
         double level = 0;
         double demand = 0; ///< Smoothed, tokens a second.
         double asked = 0;  ///< Since demand was last taken.
+        double promised = 0; ///< Tokens of those that were told to come back.
     };
 
     void fill(transport::monotonic_time now);
 
+    quota_settings settings_;
     std::map<std::string, bucket> buckets_;
     std::map<std::string, double> shares_;
     transport::monotonic_time until_{};
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -257,6 +257,7 @@
         usage_sent.clear();
         usage_asked.clear();
         usage_proposed = false;
+        entries_proposed = false;
     }
     else if (!leading)
     {
@@ -315,6 +316,11 @@
     }
     heard_at[message->from] = from;
     known_replicas.insert(from);
+    if (std::holds_alternative<append_request>(message->body) ||
+        std::holds_alternative<snapshot_chunk>(message->body))
+    {
+        leader_seen = clock.monotonic_now();
+    }
     step(message_event{std::move(*message)});
 }
 
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -124,6 +124,7 @@
     };
     std::map<std::string, entry_load> loads; ///< By entry.
     std::optional<share_allocator> allocator; ///< While it leads.
+    bool entries_proposed = false;
     std::vector<std::string> organisations;  ///< Of the document in force.
     std::uint64_t organisations_version = 0;
     usage_collector usage;
--- a/src/coordination/cluster/cluster_process_joining.cpp
+++ b/src/coordination/cluster/cluster_process_joining.cpp
@@ -42,7 +42,8 @@
 {
     const auto now = clock.monotonic_now();
     const auto seen = status();
-    if (seen.leader_id != 0 || leader_seen == transport::monotonic_time{})
+    // Who was removed still remembers the leader, but hears nothing from it.
+    if (leads() || leader_seen == transport::monotonic_time{})
     {
         leader_seen = now;
     }
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -285,7 +285,15 @@
             }
         }
     }
+    allocator->set_known(held.entries());
     orders.shares = allocator->on_report(now, report, organisations);
+    if (const auto next = allocator->next_known(now);
+        next && !entries_proposed)
+    {
+        entries_proposed = true;
+        propose(know_entries_command{*next},
+                [this](const auto&) { entries_proposed = false; });
+    }
     for (auto at = loads.begin(); at != loads.end();)
     {
         if (now - at->second.reported > load_valid_for)
--- a/src/coordination/cluster/cluster_state.cpp
+++ b/src/coordination/cluster/cluster_state.cpp
@@ -19,6 +19,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rollout_record, service, target, duration_ms,
                                    started_ms, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_rollout_command, record)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(know_entries_command, entries)
 
 namespace
 {
@@ -55,6 +56,8 @@
             return body.get<decide_usage_command>();
         case 2:
             return body.get<put_rollout_command>();
+        case 3:
+            return body.get<know_entries_command>();
         default:
             return fail(reason::corrupt, "Unknown kind of command.");
         }
@@ -114,6 +117,11 @@
     }
 }
 
+void cluster_state::apply(const know_entries_command& command)
+{
+    entries_ = command.entries;
+}
+
 // [snapshots] ----------------------------------------------------------------
 
 std::string cluster_state::encode_snapshot() const
@@ -121,7 +129,8 @@
     return pack(json{{"document_version", document_version_},
                      {"document", document_},
                      {"usage", usage_},
-                     {"rollouts", rollouts_}});
+                     {"rollouts", rollouts_},
+                     {"entries", entries_}});
 }
 
 transport::result<void> cluster_state::restore_snapshot(std::string_view bytes)
@@ -134,6 +143,7 @@
         read.at("document").get_to(next.document_);
         read.at("usage").get_to(next.usage_);
         read.at("rollouts").get_to(next.rollouts_);
+        read.at("entries").get_to(next.entries_);
         *this = std::move(next);
         return {};
     }
--- a/src/coordination/cluster/share_allocator.cpp
+++ b/src/coordination/cluster/share_allocator.cpp
@@ -15,6 +15,35 @@
       since_(now)
 {}
 
+void share_allocator::set_known(const std::set<std::string>& entries)
+{
+    known_ = entries;
+}
+
+std::optional<std::set<std::string>>
+share_allocator::next_known(monotonic_time now) const
+{
+    std::set<std::string> next;
+    for (const auto& [name, state] : entries_)
+    {
+        next.insert(name);
+    }
+    // Those that have not reported may hold shares until these have expired.
+    if (now - since_ < settings_.valid_for)
+    {
+        next.insert(known_.begin(), known_.end());
+    }
+    return next == known_ ? std::nullopt : std::optional{next};
+}
+
+bool share_allocator::others_unknown(monotonic_time now) const
+{
+    return now - since_ < settings_.valid_for &&
+           std::any_of(known_.begin(), known_.end(), [&](const auto& name) {
+               return !entries_.contains(name);
+           });
+}
+
 double share_allocator::outstanding(const entry_state& entry,
                                     const std::string& organisation) const
 {
@@ -79,7 +108,8 @@
     }
     own.reported = now;
     own.demand = report.demand;
-    const bool others_unknown = now - since_ < settings_.valid_for;
+    const bool unknown = others_unknown(now);
+    const bool own_known = known_.contains(report.entry);
     grant made;
     made.until = now + settings_.valid_for;
     for (const auto& organisation : organisations)
@@ -95,8 +125,9 @@
                                      held != report.shares.end()
                                  ? held->second
                                  : 0;
-        const double wanted =
-            others_unknown ? keeps : target(report.entry, organisation);
+        const double wanted = !own_known ? 0
+                              : unknown  ? keeps
+                                         : target(report.entry, organisation);
         made.shares[organisation] =
             std::clamp(wanted, 0.0, std::max(0.0, 1 - others));
     }
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -3,6 +3,7 @@
 
 #include <hyssopdeal/coordination/gateway/gateway_core.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include <hyssopdeal/transport/digest.hpp>
@@ -31,12 +32,14 @@
       clock(own_clock),
       settings(std::move(own_settings)),
       client(loop, clock, settings.client),
+      quota(settings.quotas),
       repeats(settings.repeats),
       servers(settings.placing, settings.failure_domain,
               transport::random_seed()),
       random(transport::random_seed()),
       reads_(std::move(reads)),
-      incarnation_(transport::random_seed())
+      incarnation_(transport::random_seed()),
+      started_(clock.monotonic_now())
 {}
 
 bool gateway_core::keys_valid() const
@@ -44,6 +47,22 @@
     return table_ && clock.monotonic_now() < valid_until_;
 }
 
+milliseconds gateway_core::expected_wait() const
+{
+    // From a start of all processes to a leader and its first answer.
+    constexpr milliseconds start_time{1'200};
+    // An election and a report, once the former leader's lease is over.
+    constexpr milliseconds election_time{2'000};
+    constexpr milliseconds least{250};
+    if (valid_until_ != monotonic_time{})
+    {
+        return election_time;
+    }
+    const auto up =
+        duration_cast<milliseconds>(clock.monotonic_now() - started_);
+    return up < start_time ? std::max(least, start_time - up) : election_time;
+}
+
 void gateway_core::on_document(std::function<void()> handler)
 {
     document_handler_ = std::move(handler);
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -200,7 +200,9 @@
 /// Tells every replica: any may lead, and each has its own list and document.
 void gateway_process::impl::report()
 {
-    reporter = loop.after(core.settings.report_interval, [this] { report(); });
+    reporter = loop.after(core.keys_valid() ? core.settings.report_interval
+                                            : core.settings.search_interval,
+                          [this] { report(); });
     note_validity();
     const auto bytes = protocol::encode(core.report());
     const auto now = clock.monotonic_now();
--- a/src/coordination/gateway/token_quota.cpp
+++ b/src/coordination/gateway/token_quota.cpp
@@ -16,14 +16,18 @@
 namespace
 {
 
-// An entry's first share starts nearly empty: the process before it may have
-// used up the burst.
-constexpr seconds first_level{0.25};
+// An entry's first share starts with a part of its bucket only: the process
+// before it may have used up the rest.
+constexpr double first_level = 0.25;
 // Follows a shift of callers within about two seconds.
 constexpr seconds demand_memory{2.0};
 
 } // namespace
 
+token_quota::token_quota(quota_settings settings)
+    : settings_(settings)
+{}
+
 void token_quota::fill(monotonic_time now)
 {
     const seconds passed = std::min(now, std::max(until_, filled_)) - filled_;
@@ -37,6 +41,8 @@
         item.level =
             std::min(item.share * item.burst,
                      item.level + item.share * item.rate * passed.count());
+        item.promised = std::max(
+            0.0, item.promised - item.share * item.rate * passed.count());
     }
 }
 
@@ -60,7 +66,13 @@
             item.share = held->second;
         }
         item.rate = terms.tokens_per_second;
-        item.burst = std::max(terms.burst_tokens, terms.tokens_per_second);
+        const double counted =
+            terms.tokens_per_second * seconds{settings_.window}.count() +
+            terms.burst_tokens;
+        item.burst = terms.burst_tokens +
+                     settings_.burst_part *
+                         (settings_.tolerated_tokens +
+                          settings_.tolerated_part * counted);
         item.level = std::min(item.level, item.share * item.burst);
     }
     buckets_ = std::move(next);
@@ -79,7 +91,7 @@
         const double next = found == shares.end() ? 0 : found->second;
         if (item.share <= 0 && next > 0)
         {
-            item.level = next * item.rate * first_level.count();
+            item.level = next * item.burst * first_level;
         }
         else if (next < item.share)
         {
@@ -110,8 +122,11 @@
         return milliseconds{0};
     }
     const double rate = std::max(item.share, 0.01) * item.rate;
-    return milliseconds{static_cast<std::int64_t>(
-        std::ceil(1'000 * std::max(1.0, needed - item.level) / rate))};
+    item.promised += tokens;
+    const double missing =
+        std::max(1.0, needed - item.level + item.promised - tokens);
+    return milliseconds{
+        static_cast<std::int64_t>(std::ceil(1'000 * missing / rate))};
 }
 
 void token_quota::give_back(const std::string& name, double tokens)
