--- a/include/hyssopdeal/coordination/cluster/cluster_process.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_process.hpp
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include <hyssopdeal/coordination/cluster/capacity_plan.hpp>
 #include <hyssopdeal/coordination/cluster/cluster_machine.hpp>
 #include <hyssopdeal/coordination/cluster/cluster_voters.hpp>
 #include <hyssopdeal/coordination/cluster/share_allocator.hpp>
@@ -51,6 +52,7 @@
     cluster_voter_settings voters;
     share_settings shares;
     usage_settings usage;
+    capacity_settings capacity;
     std::chrono::milliseconds list_interval{700}; ///< Between two readings.
     /// A new leader's first order to the platform waits for so long, so that
     /// the former leader's are surely over.
@@ -80,6 +82,10 @@
     std::function<void(const order_fence&, const decide_usage_command&,
                        std::function<void(transport::result<void>)>)>
         report_usage;
+    /// Orders servers.
+    std::function<void(const order_fence&, const capacity_order&,
+                       std::function<void(order_outcome)>)>
+        order_servers;
     /// Reads a document.
     std::function<transport::result<protocol::service_document>(
         const std::string& bytes)>
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -254,6 +254,7 @@
         leading_term = seen.leads.term;
         leading_since = now;
         allocator.emplace(now, settings.shares);
+        capacity.emplace(settings.capacity);
         usage_sent.clear();
         usage_asked.clear();
         usage_proposed = false;
@@ -263,6 +264,7 @@
     {
         leading_term = 0;
         allocator.reset();
+        capacity.reset();
     }
     for (const auto& member : seen.replicas.members)
     {
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -15,6 +15,10 @@
 {
 
 constexpr std::chrono::milliseconds duty_interval{250};
+// Servers take seconds to start: deciding more often changes nothing.
+constexpr std::chrono::milliseconds capacity_interval{500};
+// A list that is older says too little of what runs.
+constexpr std::chrono::milliseconds oldest_list{3'000};
 
 } // namespace
 
@@ -99,6 +103,53 @@
             send_usage(decision);
         }
     }
+    if (now >= next_capacity)
+    {
+        next_capacity = now + capacity_interval;
+        order_servers();
+    }
+}
+
+void cluster_process::impl::order_servers()
+{
+    const auto now = clock.monotonic_now();
+    if (!capacity || !listing_read || now - *listing_read > oldest_list)
+    {
+        return;
+    }
+    read_services();
+    std::map<std::string, double> running;
+    for (const auto& server : listing.servers)
+    {
+        for (const auto& [entry, sent] : loads)
+        {
+            const auto found = sent.load.find(server.id);
+            running[server.service] +=
+                found == sent.load.end() ? 0 : found->second.running;
+        }
+    }
+    for (const auto& order :
+         capacity->step(now, services, listing.servers, running))
+    {
+        log_event("servers.order",
+                  {{"service", order.service},
+                   {"domain", order.domain},
+                   {"reclaimable", order.kind == server_kind::reclaimable},
+                   {"count", order.count},
+                   {"running", running[order.service]}});
+        outside.order_servers(
+            {settings.name, leading_term}, order,
+            [this, order, term = leading_term](order_outcome outcome) {
+                log_event("servers.ordered",
+                          {{"domain", order.domain},
+                           {"count", order.count},
+                           {"outcome", static_cast<int>(outcome)}});
+                if (capacity && term == leading_term)
+                {
+                    capacity->on_answer(clock.monotonic_now(), order, outcome);
+                }
+            });
+    }
 }
 
 /// Sends what was decided, again and again until it is taken: equal counts for
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -91,6 +91,8 @@
     void read_list();
     void run_duties();
     void send_usage(const decide_usage_command& decision);
+    void order_servers();
+    void read_services();
     [[nodiscard]] bool may_order() const;
 
     transport::event_loop& loop;
@@ -126,7 +128,10 @@
     std::optional<share_allocator> allocator; ///< While it leads.
     bool entries_proposed = false;
     std::vector<std::string> organisations;  ///< Of the document in force.
-    std::uint64_t organisations_version = 0;
+    std::vector<protocol::document_service> services; ///< Likewise.
+    std::uint64_t document_read = 0; ///< Its version.
+    std::optional<capacity_planner> capacity; ///< While it leads.
+    transport::monotonic_time next_capacity{};
     usage_collector usage;
 
     // Platform.
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -240,6 +240,30 @@
     reply(protocol::encode(orders_for(*report)));
 }
 
+/// Keeps what the leader needs of the document in force.
+void cluster_process::impl::read_services()
+{
+    const auto& held = machine->state();
+    if (document_read == held.document_version())
+    {
+        return;
+    }
+    document_read = held.document_version();
+    const auto document = outside.read_document(held.document());
+    if (!document)
+    {
+        return log_event("document.unreadable",
+                         {{"version", document_read},
+                          {"error", document.error().text}});
+    }
+    services = document->services;
+    organisations.clear();
+    for (const auto& item : document->organisations)
+    {
+        organisations.push_back(item.name);
+    }
+}
+
 protocol::entry_orders
 cluster_process::impl::orders_for(const protocol::entry_report& report)
 {
@@ -273,18 +297,7 @@
     }
     orders.leads = true;
     orders.true_time_ms = true_time().time_since_epoch().count();
-    if (organisations_version != held.document_version())
-    {
-        organisations_version = held.document_version();
-        organisations.clear();
-        if (const auto document = outside.read_document(held.document()))
-        {
-            for (const auto& item : document->organisations)
-            {
-                organisations.push_back(item.name);
-            }
-        }
-    }
+    read_services();
     allocator->set_known(held.entries());
     orders.shares = allocator->on_report(now, report, organisations);
     if (const auto next = allocator->next_known(now);
