--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -27,8 +27,10 @@
 constexpr milliseconds drain_check_interval{50};
 // Whoever hands out new connections asks once a second and believes two misses.
 constexpr milliseconds still_accepting{3'000};
+// What comes later may not end before the process does, and is refused.
+constexpr double still_serving_part = 0.36; ///< Of the grace time.
 // From the last answer to the kill: to write logs and end.
-constexpr milliseconds end_margin{500};
+constexpr milliseconds end_margin{300};
 // A replica that does not answer is asked less often, and one that nobody names
 // any more is forgotten.
 constexpr milliseconds silent_after{2'000};
@@ -170,8 +172,9 @@
 
 void gateway_process::impl::take_request(http1_exchange exchange)
 {
-    // What comes so late may not end before the process does.
-    if (draining && drained_for() > core.settings.grace / 2)
+    const auto serving = std::chrono::duration_cast<milliseconds>(
+        core.settings.grace * still_serving_part);
+    if (draining && drained_for() >= serving)
     {
         exchange.close_after();
         return exchange.send({503, {{"Retry-After", "0.1"}}, "not_run: stop\n"});
