--- a/include/hyssopdeal/coordination/cluster/cluster_state.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_state.hpp
@@ -128,10 +128,10 @@
     restore_snapshot(std::string_view bytes);
 
 private:
-    void apply(const put_document_command& command);
-    void apply(const decide_usage_command& command);
-    void apply(const put_rollout_command& command);
-    void apply(const know_entries_command& command);
+    void take(const put_document_command& command);
+    void take(const decide_usage_command& command);
+    void take(const put_rollout_command& command);
+    void take(const know_entries_command& command);
 
     std::uint64_t document_version_ = 0;
     std::string document_;
--- /dev/null
+++ b/include/hyssopdeal/coordination/gateway/own_dialect.hpp
@@ -0,0 +1,40 @@
+#ifndef HYSSOPDEAL_COORDINATION_GATEWAY_OWN_DIALECT_HPP
+#define HYSSOPDEAL_COORDINATION_GATEWAY_OWN_DIALECT_HPP
+
+/// @file
+/// The project's own dialect of callers and backend servers, with the headers
+/// of docs/INTERFACES.md.
+///
+/// Index: [own_dialect]
+
+#include <vector>
+
+#include <hyssopdeal/coordination/gateway/dialect.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+// [own_dialect] --------------------------------------------------------------
+
+/// Names all start with `Hyssopdeal-`, but for those of HTTP itself.
+struct own_dialect
+{
+    [[nodiscard]] static caller_terms
+    read_caller(const transport::http_request& request);
+
+    [[nodiscard]] static transport::http_request
+    make_request(const transport::http_request& original,
+                 const server_terms& terms);
+
+    [[nodiscard]] static answer_terms
+    read_answer(int status, const std::vector<transport::http_header>& headers);
+
+    [[nodiscard]] static std::vector<transport::http_header>
+    caller_headers(const std::vector<transport::http_header>& headers);
+};
+
+static_assert(caller_dialect<own_dialect>);
+
+} // namespace hyssopdeal::coordination
+
+#endif
--- a/src/coordination/cluster/cluster_state.cpp
+++ b/src/coordination/cluster/cluster_state.cpp
@@ -72,10 +72,10 @@
 
 void cluster_state::apply(const cluster_command& command)
 {
-    std::visit([this](const auto& value) { apply(value); }, command);
+    std::visit([this](const auto& value) { take(value); }, command);
 }
 
-void cluster_state::apply(const put_document_command& command)
+void cluster_state::take(const put_document_command& command)
 {
     if (command.version > document_version_)
     {
@@ -84,7 +84,7 @@
     }
 }
 
-void cluster_state::apply(const decide_usage_command& command)
+void cluster_state::take(const decide_usage_command& command)
 {
     const bool old = !usage_.empty() && command.window < usage_.front().window;
     const auto place = std::lower_bound(
@@ -103,7 +103,7 @@
     }
 }
 
-void cluster_state::apply(const put_rollout_command& command)
+void cluster_state::take(const put_rollout_command& command)
 {
     const auto& next = command.record;
     const auto found = rollouts_.find(next.service);
@@ -117,7 +117,7 @@
     }
 }
 
-void cluster_state::apply(const know_entries_command& command)
+void cluster_state::take(const know_entries_command& command)
 {
     entries_ = command.entries;
 }
--- /dev/null
+++ b/tests/cluster_decisions_test.cpp
@@ -0,0 +1,423 @@
+/// @file
+/// The cluster's decisions without I/O: cluster_voters, cluster_state,
+/// share_allocator, usage_collector, capacity_plan.
+
+#include <hyssopdeal/coordination/cluster/capacity_plan.hpp>
+#include <hyssopdeal/coordination/cluster/cluster_state.hpp>
+#include <hyssopdeal/coordination/cluster/cluster_voters.hpp>
+#include <hyssopdeal/coordination/cluster/share_allocator.hpp>
+#include <hyssopdeal/coordination/cluster/usage_collector.hpp>
+
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hyssopdeal;
+using namespace hyssopdeal::coordination;
+using namespace std::chrono_literals;
+using transport::monotonic_time;
+
+// [voters] -------------------------------------------------------------------
+
+TEST_GROUP(cluster_voter_tests)
+{
+    monotonic_time now{100s};
+    replica_status status;
+    std::vector<follower_status> followers;
+
+    void setup() override
+    {
+        status.id = 1;
+        status.commit = 10;
+        status.replicas_index = 5;
+        status.leads.role = leadership_role::leader;
+        status.replicas = founding_replicas({"a", "b", "c"});
+        followers = {{2, 10, now}, {3, 10, now}};
+    }
+
+    void add_learner(std::uint64_t id, const std::string& address,
+                     state::log_index match)
+    {
+        state::replica_member member;
+        member.id = id;
+        member.address = address;
+        member.role = state::replica_role::learner;
+        status.replicas.members.push_back(member);
+        followers.push_back({id, match, now});
+    }
+
+    std::optional<change_event> next()
+    {
+        return next_voter_change(now, status, followers, {});
+    }
+};
+
+TEST(cluster_voter_tests, one_learner_beside_an_odd_number_waits)
+{
+    add_learner(9, "d", 10);
+    CHECK_FALSE(next().has_value());
+}
+
+TEST(cluster_voter_tests, two_learners_become_voters_in_turn)
+{
+    add_learner(8, "d", 10);
+    add_learner(9, "e", 10);
+    CHECK_TRUE(next()->change == replica_change::promote);
+    status.replicas.members[3].role = state::replica_role::voter;
+    CHECK_TRUE(next()->change == replica_change::promote);
+    LONGS_EQUAL(9, next()->member.id);
+}
+
+TEST(cluster_voter_tests, learner_behind_is_not_promoted)
+{
+    add_learner(8, "d", 9);
+    add_learner(9, "e", 9);
+    CHECK_FALSE(next().has_value());
+}
+
+TEST(cluster_voter_tests, gone_voter_is_removed_after_its_successor_votes)
+{
+    add_learner(9, "d", 10);
+    followers[0].contact = now - 3s;
+    CHECK_TRUE(next()->change == replica_change::promote);
+    status.replicas.members[3].role = state::replica_role::voter;
+    CHECK_TRUE(next()->change == replica_change::remove);
+    LONGS_EQUAL(2, next()->member.id);
+}
+
+TEST(cluster_voter_tests, gone_voter_without_a_successor_stays)
+{
+    followers[0].contact = now - 30s;
+    CHECK_FALSE(next().has_value());
+}
+
+TEST(cluster_voter_tests, new_id_at_an_old_address_replaces_the_lost_disk)
+{
+    add_learner(9, "b", 10);
+    CHECK_TRUE(next()->change == replica_change::promote);
+    LONGS_EQUAL(9, next()->member.id);
+    status.replicas.members[3].role = state::replica_role::voter;
+    CHECK_TRUE(next()->change == replica_change::remove);
+    LONGS_EQUAL(2, next()->member.id);
+}
+
+TEST(cluster_voter_tests, nothing_changes_before_the_last_change_is_committed)
+{
+    add_learner(8, "d", 10);
+    add_learner(9, "e", 10);
+    status.replicas_index = 11;
+    CHECK_FALSE(next().has_value());
+}
+
+TEST(cluster_voter_tests, founders_are_numbered_by_the_order_of_the_seeds)
+{
+    const auto set = founding_replicas({"x", "y"});
+    LONGS_EQUAL(2, founding_id(set, "y"));
+    LONGS_EQUAL(0, founding_id(set, "z"));
+    LONGS_EQUAL(3, set.next_id);
+}
+
+// [state] --------------------------------------------------------------------
+
+TEST_GROUP(cluster_state_tests)
+{
+    cluster_state held;
+};
+
+TEST(cluster_state_tests, only_a_higher_version_takes_effect)
+{
+    held.apply(put_document_command{5, "five"});
+    held.apply(put_document_command{5, "other"});
+    held.apply(put_document_command{4, "four"});
+    STRCMP_EQUAL("five", held.document().c_str());
+    held.apply(put_document_command{9, "nine"});
+    LONGS_EQUAL(9, held.document_version());
+}
+
+TEST(cluster_state_tests, first_decision_on_a_window_stays)
+{
+    held.apply(decide_usage_command{7, {{"a", 3}}});
+    held.apply(decide_usage_command{7, {{"a", 4}}});
+    LONGS_EQUAL(3, held.usage().front().counts.at("a"));
+}
+
+TEST(cluster_state_tests, snapshot_holds_all)
+{
+    held.apply(put_document_command{5, "five"});
+    held.apply(decide_usage_command{7, {{"a", 3}}});
+    held.apply(put_rollout_command{{"s", "v2", 1'000, 5}});
+    held.apply(know_entries_command{{"e1"}});
+    cluster_state other;
+    CHECK_TRUE(other.restore_snapshot(held.encode_snapshot()).has_value());
+    STRCMP_EQUAL("five", other.document().c_str());
+    CHECK_TRUE(other.rollouts() == held.rollouts());
+    CHECK_TRUE(other.entries() == held.entries());
+    LONGS_EQUAL(1, other.usage().size());
+    CHECK_FALSE(other.restore_snapshot("junk").has_value());
+    LONGS_EQUAL(5, other.document_version());
+}
+
+TEST(cluster_state_tests, commands_survive_their_encoding)
+{
+    const auto read = decode_cluster_command(
+        encode(cluster_command{put_document_command{3, "x"}}));
+    CHECK_TRUE(read.has_value());
+    STRCMP_EQUAL("x", std::get<put_document_command>(*read).bytes.c_str());
+    CHECK_FALSE(decode_cluster_command("\xc1junk").has_value());
+}
+
+TEST(cluster_state_tests, resent_order_does_not_begin_a_move_again)
+{
+    held.apply(put_rollout_command{{"s", "v2", 1'000, 5}});
+    held.apply(put_rollout_command{
+        {"s", "v2", 1'000, 5, rollout_state::completed}});
+    held.apply(put_rollout_command{{"s", "v2", 1'000, 99}});
+    CHECK_TRUE(held.rollouts().at("s").state == rollout_state::completed);
+}
+
+// [shares] -------------------------------------------------------------------
+
+TEST_GROUP(share_allocator_tests){};
+
+// Entries report at random, start anew, fall silent, and leaders change; what
+// entries may still use never passes the whole.
+TEST(share_allocator_tests, shares_in_use_never_pass_the_whole)
+{
+    struct entry
+    {
+        std::uint64_t incarnation = 1;
+        std::map<std::string, double> shares;
+        monotonic_time until{};
+    };
+    const share_settings settings;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        std::mt19937_64 random{seed};
+        const auto draw = [&](std::uint64_t most) {
+            return std::uniform_int_distribution<std::uint64_t>{0, most}(random);
+        };
+        monotonic_time now{1'000s};
+        std::map<std::string, entry> entries;
+        std::set<std::string> known;
+        share_allocator leader{now, settings};
+        for (int step = 0; step < 2'000; ++step)
+        {
+            now += std::chrono::milliseconds{draw(60)};
+            if (draw(300) == 0)
+            {
+                leader = share_allocator{now, settings};
+            }
+            const auto name = "e" + std::to_string(draw(7));
+            auto& one = entries[name];
+            if (draw(100) == 0)
+            {
+                one = {one.incarnation + 1, {}, {}};
+            }
+            protocol::entry_report report;
+            report.entry = name;
+            report.incarnation = one.incarnation;
+            report.shares = one.shares;
+            report.shares_held_ms =
+                std::max<std::int64_t>(0, (one.until - now) / 1ms);
+            report.demand["o"] = static_cast<double>(draw(1'000));
+            leader.set_known(known);
+            const auto granted = leader.on_report(now, report, {"o"});
+            if (const auto next = leader.next_known(now))
+            {
+                known = *next;
+            }
+            // Some answers are lost.
+            if (draw(4) != 0)
+            {
+                one.shares = granted;
+                one.until = now + settings.valid_for;
+            }
+            double sum = 0;
+            for (const auto& [id, item] : entries)
+            {
+                const auto found = item.shares.find("o");
+                sum += item.until > now && found != item.shares.end()
+                           ? found->second
+                           : 0;
+            }
+            CHECK_TRUE(sum <= 1.000'001);
+        }
+    }
+}
+
+// A new leader granted nothing for as long as shares are valid, although all
+// entries had started anew and held none.
+TEST(share_allocator_tests, new_leader_grants_once_all_known_entries_reported)
+{
+    monotonic_time now{1'000s};
+    share_allocator leader{now, {}};
+    leader.set_known({"a", "b"});
+    protocol::entry_report report;
+    report.entry = "a";
+    report.incarnation = 1;
+    DOUBLES_EQUAL(0, leader.on_report(now, report, {"o"}).at("o"), 0);
+    report.entry = "b";
+    (void)leader.on_report(now, report, {"o"});
+    report.entry = "a";
+    CHECK(leader.on_report(now, report, {"o"}).at("o") > 0.4);
+}
+
+TEST(share_allocator_tests, entry_that_is_not_replicated_gets_nothing)
+{
+    monotonic_time now{1'000s};
+    share_allocator leader{now, {}};
+    protocol::entry_report report;
+    report.entry = "a";
+    DOUBLES_EQUAL(0, leader.on_report(now, report, {"o"}).at("o"), 0);
+    CHECK_TRUE(leader.next_known(now)->contains("a"));
+}
+
+// [usage] --------------------------------------------------------------------
+
+TEST_GROUP(usage_collector_tests)
+{
+    usage_collector usage{{}};
+    cluster_state held;
+
+    static transport::wall_time at(std::chrono::milliseconds time)
+    {
+        return transport::wall_time{time};
+    }
+
+    void report(std::chrono::milliseconds when, const std::string& entry,
+                std::uint64_t window, std::uint64_t count)
+    {
+        protocol::entry_report told;
+        told.entry = entry;
+        told.usage = {{window, {{"o", count}}}};
+        usage.on_report(at(when), told);
+    }
+};
+
+TEST(usage_collector_tests, window_is_decided_once_all_entries_told_it)
+{
+    report(1s, "a", 0, 3);
+    report(4'500ms, "b", 0, 4);
+    report(6s, "a", 0, 5);
+    CHECK_FALSE(usage.next_decision(at(6'600ms), held).has_value());
+    report(6'600ms, "b", 0, 6);
+    const auto decision = usage.next_decision(at(6'600ms), held);
+    LONGS_EQUAL(0, decision->window);
+    LONGS_EQUAL(11, decision->counts.at("o"));
+    held.apply(*decision);
+    CHECK_FALSE(usage.next_decision(at(6'700ms), held).has_value());
+}
+
+TEST(usage_collector_tests, ended_entry_counts_with_what_it_told_last)
+{
+    report(1s, "a", 0, 3);
+    report(4s, "b", 0, 4);
+    report(9s, "a", 0, 5);
+    const auto decision = usage.next_decision(at(9s), held);
+    LONGS_EQUAL(9, decision->counts.at("o"));
+}
+
+TEST(usage_collector_tests, overdue_window_is_left_out)
+{
+    report(1s, "a", 0, 3);
+    report(16s, "a", 2, 1);
+    const auto decision = usage.next_decision(at(16s), held);
+    LONGS_EQUAL(1, decision->window);
+}
+
+// [capacity] -----------------------------------------------------------------
+
+TEST_GROUP(capacity_plan_tests)
+{
+    capacity_planner planner{{}};
+    monotonic_time now{100s};
+    std::vector<protocol::document_service> services;
+    std::vector<protocol::listed_server> servers;
+
+    void setup() override
+    {
+        protocol::document_service service;
+        service.name = "s";
+        service.scaling = protocol::scaling_terms{
+            1, 6, 4'000ms, 0.2, {{"a", 1.0}, {"b", 0.8}}};
+        services = {service};
+        add(2, "a", server_kind::usual);
+        add(2, "b", server_kind::usual);
+    }
+
+    void add(int count, const std::string& domain, server_kind kind)
+    {
+        for (int at = 0; at < count; ++at)
+        {
+            protocol::listed_server server;
+            server.id = domain + std::to_string(servers.size());
+            server.service = "s";
+            server.failure_domain = domain;
+            server.reclaimable = kind == server_kind::reclaimable;
+            servers.push_back(server);
+        }
+    }
+
+    std::vector<capacity_order> step(double running, order_outcome outcome)
+    {
+        const auto orders = planner.step(now, services, servers,
+                                         {{"s", running}});
+        for (const auto& order : orders)
+        {
+            planner.on_answer(now, order, outcome);
+        }
+        return orders;
+    }
+};
+
+TEST(capacity_plan_tests, usual_servers_go_only_once_others_run)
+{
+    auto orders = step(0, order_outcome::accepted);
+    LONGS_EQUAL(2, orders.size());
+    for (const auto& order : orders)
+    {
+        CHECK_TRUE(order.kind == server_kind::reclaimable);
+        LONGS_EQUAL(2, order.count);
+    }
+    add(2, "a", server_kind::reclaimable);
+    orders = step(0, order_outcome::accepted);
+    LONGS_EQUAL(1, orders.size());
+    STRCMP_EQUAL("a", orders[0].domain.c_str());
+    CHECK_TRUE(orders[0].kind == server_kind::usual);
+    LONGS_EQUAL(0, orders[0].count);
+}
+
+TEST(capacity_plan_tests, more_load_orders_more_and_a_met_order_is_not_repeated)
+{
+    (void)step(0, order_outcome::accepted);
+    CHECK_TRUE(step(0, order_outcome::accepted).empty());
+    const auto orders = step(50, order_outcome::accepted);
+    LONGS_EQUAL(2, orders.size());
+    // 50 at 8 each are 7 servers; the cheaper domain takes the odd one.
+    STRCMP_EQUAL("b", orders[0].domain.c_str());
+    LONGS_EQUAL(4, orders[0].count);
+    LONGS_EQUAL(3, orders[1].count);
+}
+
+TEST(capacity_plan_tests, usual_servers_replace_reclaimed_ones_when_none_is_left)
+{
+    servers.clear();
+    add(1, "a", server_kind::reclaimable);
+    auto orders = step(60, order_outcome::none_available);
+    CHECK_FALSE(orders.empty());
+    orders = step(60, order_outcome::accepted);
+    CHECK_FALSE(orders.empty());
+    for (const auto& order : orders)
+    {
+        CHECK_TRUE(order.kind == server_kind::usual);
+        CHECK(order.count > 0);
+    }
+}
+
+TEST(capacity_plan_tests, refused_orders_pause)
+{
+    CHECK_FALSE(step(0, order_outcome::failed).empty());
+    CHECK_TRUE(step(0, order_outcome::accepted).empty());
+    now += 2s;
+    CHECK_FALSE(step(0, order_outcome::accepted).empty());
+}
--- /dev/null
+++ b/tests/cluster_process_test.cpp
@@ -0,0 +1,198 @@
+/// @file
+/// Clusters that form, lose and replace replicas, over real links and disks:
+/// coordination/cluster/cluster_process.hpp.
+
+#include <CppUTest/TestHarness.h>
+
+#include "cluster_harness.hpp"
+
+using namespace hyssopdeal;
+using namespace std::chrono_literals;
+using coordination::cluster_start;
+using tests::cluster_harness;
+
+TEST_GROUP(cluster_process_tests){};
+
+TEST(cluster_process_tests, replicas_form_one_cluster_from_their_seeds)
+{
+    cluster_harness cluster{4};
+    CHECK_TRUE(cluster.put(3, "1:first"));
+    for (std::size_t at = 0; at < 4; ++at)
+    {
+        CHECK_TRUE(cluster.reads(at, "1:first"));
+    }
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] {
+        return cluster.metric(3, "hyssopdeal_replica_members") == 4;
+    }));
+}
+
+TEST(cluster_process_tests, versions_only_rise_and_repeats_are_acknowledged)
+{
+    cluster_harness cluster{3};
+    CHECK_TRUE(cluster.put(0, "5:five"));
+    CHECK_TRUE(cluster.put(1, "4:older"));
+    CHECK_TRUE(cluster.put(2, "5:other content"));
+    CHECK_TRUE(cluster.put(1, "5:five"));
+    CHECK_TRUE(cluster.reads(2, "5:five"));
+    transport::result<void> refused;
+    cluster.replicas.at(0)->put_document("no version",
+                                         [&](auto done) { refused = done; });
+    CHECK_FALSE(refused.has_value());
+    CHECK_TRUE(cluster.put(1, "6:six"));
+    CHECK_TRUE(cluster.reads(0, "6:six"));
+}
+
+TEST(cluster_process_tests, all_replicas_ended_at_once_keep_what_was_accepted)
+{
+    cluster_harness cluster{4};
+    CHECK_TRUE(cluster.put(0, "1:kept"));
+    for (std::size_t at = 0; at < 4; ++at)
+    {
+        cluster.stop(at);
+    }
+    for (std::size_t at = 0; at < 4; ++at)
+    {
+        cluster.start(at, cluster_start::later);
+    }
+    CHECK_TRUE(cluster.reads(2, "1:kept"));
+}
+
+TEST(cluster_process_tests, lost_disk_is_replaced_and_the_next_loss_borne)
+{
+    cluster_harness cluster{4};
+    CHECK_TRUE(cluster.put(0, "1:kept"));
+    cluster.stop(0);
+    cluster.wipe(0);
+    cluster.start(0, cluster_start::later);
+    // The fourth replica takes the lost one's vote; the new one learns.
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] {
+        return cluster.metric(0, "hyssopdeal_replica_members") == 4 &&
+               cluster.metric(3, "hyssopdeal_replica_members") == 4 &&
+               cluster.metric(0, "hyssopdeal_document_version") == 1;
+    }));
+    cluster.stop(1);
+    CHECK_TRUE(cluster.put(0, "2:on"));
+    CHECK_TRUE(cluster.reads(3, "2:on"));
+}
+
+TEST(cluster_process_tests, minority_refuses_to_read_and_write)
+{
+    cluster_harness cluster{3};
+    CHECK_TRUE(cluster.put(0, "1:kept"));
+    cluster.stop(1);
+    cluster.stop(2);
+    CHECK_TRUE(tests::run_until(cluster.loop,
+                                [&] { return cluster.read(0).empty(); }));
+    bool ended = false;
+    transport::result<void> done;
+    cluster.replicas.at(0)->put_document("2:lost", [&](auto how) {
+        done = how;
+        ended = true;
+    });
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] { return ended; }));
+    CHECK_FALSE(done.has_value());
+}
+
+// A removed learner remembered its leader and never asked again.
+TEST(cluster_process_tests, replica_that_was_removed_while_away_joins_anew)
+{
+    cluster_harness cluster{4};
+    CHECK_TRUE(cluster.put(0, "1:kept"));
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] {
+        return cluster.metric(3, "hyssopdeal_replica_members") == 4;
+    }));
+    cluster.stop(3);
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] {
+        return cluster.metric(0, "hyssopdeal_replica_members") == 3;
+    }));
+    cluster.start(3, cluster_start::later);
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] {
+        return cluster.metric(0, "hyssopdeal_replica_members") == 4 &&
+               cluster.metric(3, "hyssopdeal_document_version") == 1;
+    }));
+}
+
+// [entry] --------------------------------------------------------------------
+
+TEST_GROUP(cluster_entry_tests)
+{
+    static coordination::gateway_settings
+    entry_settings(const cluster_harness& cluster)
+    {
+        coordination::gateway_settings settings;
+        settings.name = "e0";
+        settings.failure_domain = "d0";
+        settings.address = cluster_harness::ip(100);
+        settings.hub_port = cluster_harness::hub_port;
+        settings.seeds = cluster.seeds();
+        settings.shared_key = "key";
+        settings.callers_port = 27'601;
+        settings.readiness_port = 27'602;
+        return settings;
+    }
+
+    static int readiness(cluster_harness& cluster)
+    {
+        transport::http1_client client{cluster.loop, cluster.clock, {}};
+        int status = 0;
+        const auto call = client.fetch(
+            cluster_harness::ip(100) + ":27602", {"GET", "/", {}, ""}, 500ms,
+            [&](const auto& answer) { status = answer ? answer->status : -1; });
+        (void)tests::run_until(cluster.loop, [&] { return status != 0; });
+        return status;
+    }
+};
+
+// An entry looked for the leader only among the seeds, unless the leader itself
+// had told it of others.
+TEST(cluster_entry_tests, leader_that_is_no_seed_is_found)
+{
+    cluster_harness cluster{4};
+    CHECK_TRUE(cluster.put(0, "1:x"));
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] {
+        return cluster.metric(3, "hyssopdeal_replica_members") == 4;
+    }));
+    // The one that is no seed gets a vote, and the others hand over to it.
+    cluster.stop(0);
+    cluster.wipe(0);
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] {
+        return cluster.metric(3, "hyssopdeal_replica_members") == 3;
+    }));
+    cluster.stop(1);
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] {
+        return cluster.leader() != cluster_harness::nobody;
+    }));
+    if (cluster.leader() == 2)
+    {
+        bool drained = false;
+        cluster.replicas.at(2)->drain([&] { drained = true; });
+        CHECK_TRUE(tests::run_until(cluster.loop, [&] { return drained; }));
+    }
+    CHECK_TRUE(tests::run_until(cluster.loop,
+                                [&] { return cluster.leader() == 3; }));
+    coordination::gateway_process entry{
+        cluster.loop, cluster.clock, entry_settings(cluster),
+        tests::read_test_document,
+        coordination::serve_requests<coordination::own_dialect>()};
+    CHECK_TRUE(entry.start().has_value());
+    CHECK_TRUE(tests::run_until(
+        cluster.loop, [&] { return readiness(cluster) == 200; }, 5s));
+}
+
+TEST(cluster_entry_tests, entry_without_a_leader_is_not_ready)
+{
+    cluster_harness cluster{3};
+    CHECK_TRUE(cluster.put(0, "1:x"));
+    auto settings = entry_settings(cluster);
+    settings.keys_valid_for = 700ms;
+    coordination::gateway_process entry{
+        cluster.loop, cluster.clock, settings, tests::read_test_document,
+        coordination::serve_requests<coordination::own_dialect>()};
+    CHECK_TRUE(entry.start().has_value());
+    CHECK_TRUE(tests::run_until(cluster.loop,
+                                [&] { return readiness(cluster) == 200; }));
+    cluster.stop(1);
+    cluster.stop(2);
+    CHECK_TRUE(tests::run_until(
+        cluster.loop, [&] { return readiness(cluster) == 503; }, 5s));
+}
--- /dev/null
+++ b/tests/gateway_decisions_test.cpp
@@ -0,0 +1,367 @@
+/// @file
+/// The gateway's decisions without I/O: route_table, token_quota,
+/// repeat_allowance, placement, event_splitter, and the document's checks.
+
+#include <hyssopdeal/coordination/gateway/event_splitter.hpp>
+#include <hyssopdeal/coordination/gateway/placement.hpp>
+#include <hyssopdeal/coordination/gateway/repeat_allowance.hpp>
+#include <hyssopdeal/coordination/gateway/route_table.hpp>
+#include <hyssopdeal/coordination/gateway/token_quota.hpp>
+
+#include <functional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace hyssopdeal;
+using namespace hyssopdeal::coordination;
+using namespace std::chrono_literals;
+using transport::monotonic_time;
+
+namespace
+{
+
+protocol::service_document make_document()
+{
+    protocol::service_document document;
+    document.version = 1;
+    document.services = {{"s", 0, {}, {}}};
+    const auto add = [&](const char* name, const char* host,
+                         const char* prefix) {
+        protocol::document_route route;
+        route.name = name;
+        route.host = host;
+        route.path_prefix = prefix;
+        route.time_limit = 1s;
+        route.shares = {{"s", 1}};
+        document.routes.push_back(route);
+    };
+    add("root", "a.example", "/");
+    add("deep", "a.example", "/x/y/");
+    add("other", "b.example", "/x/");
+    protocol::organisation_terms terms;
+    terms.name = "o";
+    terms.keys = {"key"};
+    document.organisations = {terms};
+    return document;
+}
+
+} // namespace
+
+// [document] -----------------------------------------------------------------
+
+TEST_GROUP(service_document_tests){};
+
+TEST(service_document_tests, each_fault_makes_the_document_invalid)
+{
+    using change = std::function<void(protocol::service_document&)>;
+    const auto holds = [](const change& edit) {
+        auto document = make_document();
+        edit(document);
+        return protocol::check(document).has_value();
+    };
+    CHECK_TRUE(holds([](auto&) {}));
+    CHECK_FALSE(holds([](auto& d) { d.routes[0].shares[0].service = "no"; }));
+    CHECK_FALSE(holds([](auto& d) { d.routes[0].shares[0].weight = 0; }));
+    CHECK_FALSE(holds([](auto& d) { d.routes[0].time_limit = 0ms; }));
+    CHECK_FALSE(holds([](auto& d) {
+        d.routes[1].host = "b.example";
+        d.routes[1].path_prefix = "/x/";
+    }));
+    CHECK_FALSE(holds([](auto& d) {
+        d.organisations.push_back({"p", {"key"}, {}, 0, 0, 0, false});
+    }));
+    CHECK_TRUE(holds([](auto& d) { d.organisations[0].keys = {"k", "k"}; }));
+}
+
+// [routes] -------------------------------------------------------------------
+
+TEST_GROUP(route_table_tests)
+{
+    route_table table{make_document()};
+
+    const char* name(const char* host, const char* target)
+    {
+        const auto* route = table.find_route(host, target);
+        return route == nullptr ? "none" : route->name.c_str();
+    }
+};
+
+TEST(route_table_tests, longest_prefix_of_the_host_wins)
+{
+    STRCMP_EQUAL("deep", name("a.example", "/x/y/z"));
+    STRCMP_EQUAL("deep", name("A.EXAMPLE:80", "/x/y/?q=/x"));
+    STRCMP_EQUAL("root", name("a.example", "/x/yz"));
+    STRCMP_EQUAL("other", name("b.example", "/x/"));
+    STRCMP_EQUAL("none", name("b.example", "/"));
+    STRCMP_EQUAL("none", name("c.example", "/x/"));
+    STRCMP_EQUAL("none", name("a.example", "x"));
+}
+
+TEST(route_table_tests, keys_name_their_organisation)
+{
+    STRCMP_EQUAL("o", table.find_organisation("key")->name.c_str());
+    CHECK_TRUE(table.find_organisation("") == nullptr);
+}
+
+// [quota] --------------------------------------------------------------------
+
+TEST_GROUP(token_quota_tests)
+{
+    monotonic_time now{1'000s};
+    token_quota quota{{}};
+
+    void start(double rate, double share)
+    {
+        protocol::organisation_terms terms;
+        terms.name = "o";
+        terms.tokens_per_second = rate;
+        terms.burst_tokens = rate;
+        quota.set_organisations(now, {terms});
+        quota.set_shares(now, {{"o", share}}, now + 1h);
+    }
+
+    double taken(std::chrono::milliseconds span, double each)
+    {
+        double sum = 0;
+        for (auto passed = 0ms; passed < span; passed += 10ms)
+        {
+            now += 10ms;
+            sum += quota.take(now, "o", each).count() == 0 ? each : 0;
+        }
+        return sum;
+    }
+};
+
+TEST(token_quota_tests, rate_times_share_holds_over_time)
+{
+    start(1'000, 0.5);
+    const double sum = taken(20s, 50);
+    CHECK(sum <= 20 * 500 + 500);
+    CHECK(sum >= 20 * 500 * 0.95);
+}
+
+TEST(token_quota_tests, request_larger_than_the_bucket_passes_when_it_is_full)
+{
+    start(1'000, 0.1);
+    now += 10s;
+    CHECK_EQUAL(0, quota.take(now, "o", 5'000).count());
+    CHECK(quota.take(now, "o", 10).count() > 0);
+    // What was taken beyond the bucket is paid back first.
+    now += 40s;
+    CHECK(quota.take(now, "o", 50).count() > 0);
+    now += 15s;
+    CHECK_EQUAL(0, quota.take(now, "o", 50).count());
+}
+
+TEST(token_quota_tests, expired_shares_serve_nothing)
+{
+    start(1'000, 1);
+    now += 10s;
+    quota.set_shares(now, {{"o", 1}}, now + 1s);
+    now += 1s;
+    CHECK(quota.take(now, "o", 1).count() > 0);
+}
+
+TEST(token_quota_tests, smaller_share_takes_its_part_of_the_level_along)
+{
+    start(1'000, 1);
+    now += 10s;
+    quota.set_shares(now, {{"o", 0.1}}, now + 1h);
+    CHECK_EQUAL(0, quota.take(now, "o", 100).count());
+    CHECK(quota.take(now, "o", 50).count() > 0);
+}
+
+// All that were refused in one moment were told the same time, and came back
+// at once.
+TEST(token_quota_tests, returns_are_spaced)
+{
+    start(1'000, 1);
+    (void)taken(5s, 100);
+    auto last = 0ms;
+    for (int caller = 0; caller < 5; ++caller)
+    {
+        const auto wait = quota.take(now, "o", 500);
+        CHECK(wait >= last + 400ms);
+        last = wait;
+    }
+}
+
+TEST(token_quota_tests, organisation_without_a_limit_is_never_refused)
+{
+    start(0, 0);
+    CHECK_EQUAL(0, quota.take(now, "o", 1e9).count());
+    CHECK_EQUAL(0, quota.take(now, "unknown", 1e9).count());
+}
+
+TEST(token_quota_tests, demand_counts_refused_requests_too)
+{
+    start(100, 1);
+    (void)quota.demand(now);
+    (void)taken(10s, 10);
+    CHECK(quota.demand(now).at("o") > 900);
+}
+
+// [repeats] ------------------------------------------------------------------
+
+TEST_GROUP(repeat_allowance_tests){};
+
+TEST(repeat_allowance_tests, ratio_holds_when_all_requests_fail)
+{
+    repeat_allowance allowance{{}};
+    monotonic_time now{100s};
+    int repeats = 0;
+    for (int request = 0; request < 2'000; ++request)
+    {
+        now += 5ms;
+        allowance.on_request(now, "s");
+        repeats += allowance.take(now, "s") ? 1 : 0;
+    }
+    CHECK(repeats <= 2'000 * 0.2);
+    CHECK(repeats >= 2'000 * 0.13);
+}
+
+TEST(repeat_allowance_tests, services_do_not_share_an_allowance)
+{
+    repeat_allowance allowance{{}};
+    const monotonic_time now{100s};
+    for (int request = 0; request < 100; ++request)
+    {
+        allowance.on_request(now, "busy");
+    }
+    CHECK_TRUE(allowance.take(now, "idle"));
+    CHECK_FALSE(allowance.take(now, "idle"));
+    CHECK_TRUE(allowance.take(now, "busy"));
+}
+
+// [placement] ----------------------------------------------------------------
+
+TEST_GROUP(placement_tests)
+{
+    monotonic_time now{100s};
+    placement servers{{}, "d0", 7};
+    std::vector<protocol::listed_server> list;
+
+    void add(const std::string& id, const std::string& domain = "d0")
+    {
+        protocol::listed_server server;
+        server.id = id;
+        server.service = "s";
+        server.address = id + ":1";
+        server.failure_domain = domain;
+        server.slots = 8;
+        list.push_back(server);
+        (void)servers.set_servers(list);
+    }
+
+    std::optional<placement_choice> choose(const prompt_size& prompt = {},
+                                           const std::set<std::string>& tried =
+                                               {})
+    {
+        return servers.choose(now, "s", prompt, tried);
+    }
+};
+
+TEST(placement_tests, draining_and_gone_servers_get_no_new_work)
+{
+    add("a");
+    add("b");
+    list[0].state = protocol::server_state::draining;
+    (void)servers.set_servers(list);
+    for (int round = 0; round < 20; ++round)
+    {
+        STRCMP_EQUAL("b", choose()->server->listed.id.c_str());
+    }
+    // A late list cannot revive the same lifetime.
+    list[0].state = protocol::server_state::ready;
+    (void)servers.set_servers(list);
+    STRCMP_EQUAL("b", choose()->server->listed.id.c_str());
+    list[0].born = 5;
+    (void)servers.set_servers(list);
+    CHECK_TRUE(choose({}, {"b"}).has_value());
+    list.erase(list.begin() + 1);
+    LONGS_EQUAL(1, servers.set_servers(list).size());
+    STRCMP_EQUAL("a", choose()->server->listed.id.c_str());
+}
+
+TEST(placement_tests, tried_servers_are_not_used_again)
+{
+    add("a");
+    CHECK_FALSE(choose({}, {"a"}).has_value());
+}
+
+TEST(placement_tests, queued_prompts_send_the_next_one_elsewhere)
+{
+    add("a");
+    add("b");
+    const prompt_size big{50'000, 100, {}};
+    const auto first = choose(big);
+    servers.on_sent(now, *first, big);
+    const auto second = choose({500, 100, {}});
+    CHECK(first->server->listed.id != second->server->listed.id);
+}
+
+TEST(placement_tests, equal_beginnings_go_to_the_server_that_has_read_them)
+{
+    for (const auto* id : {"a", "b", "c", "d"})
+    {
+        add(id);
+    }
+    const auto prompt = [](std::uint64_t own) {
+        return prompt_size{6'000, 100, {{1, 500}, {77, 5'000}, {own, 500}}};
+    };
+    const auto first = choose(prompt(1'000));
+    servers.on_sent(now, *first, prompt(1'000));
+    servers.on_first_event(*first, 100ms);
+    servers.on_ended(*first, true);
+    for (std::uint64_t own = 1'001; own < 1'020; ++own)
+    {
+        const auto next = choose(prompt(own));
+        CHECK_TRUE(next->server == first->server);
+        CHECK(next->uncached_tokens <= 500);
+    }
+}
+
+TEST(placement_tests, failing_server_is_avoided_and_tried_again_later)
+{
+    add("a");
+    add("b");
+    const auto bad = servers.servers().at("a");
+    for (int failure = 0; failure < 3; ++failure)
+    {
+        servers.on_failure(now, *bad);
+    }
+    for (int round = 0; round < 20; ++round)
+    {
+        STRCMP_EQUAL("b", choose()->server->listed.id.c_str());
+    }
+    CHECK_TRUE(choose({}, {"b"}).has_value());
+    now += 10s;
+    servers.on_success(*bad);
+    CHECK_TRUE(bad->avoid_until <= now);
+}
+
+// [events] -------------------------------------------------------------------
+
+TEST_GROUP(event_splitter_tests)
+{
+    event_splitter events;
+};
+
+TEST(event_splitter_tests, half_an_event_never_leaks)
+{
+    events.feed("id: 1\ndata: a\n");
+    CHECK_FALSE(events.next().has_value());
+    events.feed("\nid: 2\r\ndata: b\r\n\r");
+    STRCMP_EQUAL("id: 1\ndata: a\n\n", events.next()->c_str());
+    CHECK_FALSE(events.next().has_value());
+    events.feed("\nid: 3");
+    STRCMP_EQUAL("id: 2\r\ndata: b\r\n\r\n", events.next()->c_str());
+    STRCMP_EQUAL("id: 3", events.rest().c_str());
+}
+
+TEST(event_splitter_tests, ids_are_found)
+{
+    CHECK_TRUE(event_splitter::id_of("data: id: 4\nid: 7\n\n") == "7");
+    CHECK_TRUE(event_splitter::id_of("id:8\r\n\r\n") == "8");
+    CHECK_TRUE(event_splitter::id_of("data: x\n\n").empty());
+}
--- /dev/null
+++ b/tests/http1_test.cpp
@@ -0,0 +1,311 @@
+/// @file
+/// HTTP/1.1 over sockets that do what they should not:
+/// transport/http1_server.hpp, transport/http1_client.hpp.
+
+#include <hyssopdeal/transport/http1_client.hpp>
+#include <hyssopdeal/transport/http1_server.hpp>
+
+#include <optional>
+
+#include <fmt/format.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include "loop_helper.hpp"
+#include "raw_peer.hpp"
+
+using namespace hyssopdeal;
+using namespace std::chrono_literals;
+using transport::head_choice;
+
+// [server] -------------------------------------------------------------------
+
+TEST_GROUP(http1_server_tests)
+{
+    transport::event_loop loop;
+    transport::system_clock clock;
+    std::vector<transport::http1_exchange> held;
+    std::vector<std::string> bodies;
+    bool answer_at_once = true;
+    std::unique_ptr<transport::http1_server> server;
+    std::uint16_t port = 0;
+
+    void setup() override
+    {
+        transport::http1_server_settings settings;
+        settings.limits.max_body_bytes = 100'000;
+        settings.limits.max_head_bytes = 1'000;
+        settings.limits.head_time_limit = 150ms;
+        settings.limits.idle_time_limit = 300ms;
+        server = std::make_unique<transport::http1_server>(
+            loop, clock, settings, [this](transport::http1_exchange exchange) {
+                bodies.push_back(exchange.request().body);
+                if (answer_at_once)
+                {
+                    return exchange.send({200, {}, "done"});
+                }
+                held.push_back(std::move(exchange));
+            });
+        port = server->start().value();
+    }
+
+    static std::size_t answers(const tests::raw_connection& caller)
+    {
+        std::size_t count = 0;
+        for (auto at = caller.received.find("HTTP/1.1 200");
+             at != std::string::npos;
+             at = caller.received.find("HTTP/1.1 200", at + 1))
+        {
+            ++count;
+        }
+        return count;
+    }
+};
+
+// An answer from within the read's handler once started a second read into the
+// same buffer: later bodies were mixed up.
+TEST(http1_server_tests, answers_at_once_leave_later_bodies_alone)
+{
+    const auto caller = tests::raw_call(loop, port);
+    const std::string body(30'000, 'b');
+    for (std::size_t round = 1; round <= 5; ++round)
+    {
+        caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        CHECK_TRUE(tests::run_until(
+            loop, [&] { return answers(*caller) == 2 * round - 1; }));
+        caller->send(fmt::format("POST / HTTP/1.1\r\nHost: h\r\n"
+                                 "Content-Length: {}\r\n\r\n",
+                                 body.size()));
+        for (std::size_t at = 0; at < body.size(); at += 5'000)
+        {
+            caller->send(body.substr(at, 5'000));
+            loop.run_for(2ms);
+        }
+        CHECK_TRUE(tests::run_until(
+            loop, [&] { return answers(*caller) == 2 * round; }));
+        CHECK_TRUE(bodies.back() == body);
+    }
+}
+
+TEST(http1_server_tests, caller_who_leaves_is_seen_while_the_answer_is_open)
+{
+    answer_at_once = false;
+    const auto caller = tests::raw_call(loop, port);
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_TRUE(tests::run_until(loop, [&] { return !held.empty(); }));
+    bool left = false;
+    held[0].on_left([&] { left = true; });
+    held[0].begin(200, {});
+    caller->close();
+    CHECK_TRUE(tests::run_until(loop, [&] { return left; }, 1s));
+    LONGS_EQUAL(0, server->open_requests());
+}
+
+TEST(http1_server_tests, dropped_answer_closes_without_an_end_mark)
+{
+    answer_at_once = false;
+    const auto caller = tests::raw_call(loop, port);
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_TRUE(tests::run_until(loop, [&] { return !held.empty(); }));
+    held[0].begin(200, {});
+    held[0].write("part");
+    loop.run_for(10ms);
+    held.clear();
+    CHECK_TRUE(tests::run_until(loop, [&] { return caller->closed; }, 1s));
+    CHECK_TRUE(caller->received.find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST(http1_server_tests, bad_and_oversized_input_gets_a_clear_error)
+{
+    const auto refused = [&](std::string bytes, std::string_view status) {
+        const auto caller = tests::raw_call(loop, port);
+        caller->send(bytes);
+        CHECK_TRUE(tests::run_until(loop, [&] { return caller->closed; }, 3s));
+        STRCMP_CONTAINS(std::string{status}.c_str(), caller->received.c_str());
+    };
+    refused("not http at all\r\n\r\n", "HTTP/1.1 400");
+    refused("GET / HTTP/1.1\r\nA: " + std::string(2'000, 'a') + "\r\n\r\n",
+            "HTTP/1.1 431");
+    refused("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" +
+                std::string(150'000, 'x'),
+            "HTTP/1.1 413");
+    refused("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "HTTP/1.1 400");
+    refused("GET / HTTP/1.1\r\nHost", "HTTP/1.1 408");
+    LONGS_EQUAL(0, bodies.size());
+}
+
+TEST(http1_server_tests, chunked_bodies_are_read_whole)
+{
+    const auto caller = tests::raw_call(loop, port);
+    caller->send("POST / HTTP/1.1\r\nHost: h\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    loop.run_for(5ms);
+    caller->send("2\r\nde\r\n0\r\n\r\n");
+    CHECK_TRUE(tests::run_until(loop, [&] { return answers(*caller) == 1; }));
+    STRCMP_EQUAL("abcde", bodies.at(0).c_str());
+}
+
+// [client] -------------------------------------------------------------------
+
+TEST_GROUP(http1_client_tests)
+{
+    transport::event_loop loop;
+    transport::system_clock clock;
+    transport::http1_client client{loop, clock, {}};
+    std::string reply; ///< Sent when a request's head has come.
+    std::function<void(tests::raw_connection&)> after;
+    tests::raw_listener peer{loop, [this](tests::raw_connection& from) {
+                                 if (from.received.find("\r\n\r\n") ==
+                                     std::string::npos)
+                                 {
+                                     return;
+                                 }
+                                 from.received.clear();
+                                 from.send(reply);
+                                 if (after)
+                                 {
+                                     after(from);
+                                 }
+                             }};
+    std::string body;
+    int skip = 0;
+    std::optional<transport::http1_call_end> end;
+
+    transport::http1_call call()
+    {
+        body.clear();
+        end.reset();
+        transport::http1_call_handlers handlers;
+        handlers.on_head = [this](int, const auto&) {
+            return skip-- > 0 ? head_choice::skip : head_choice::take;
+        };
+        handlers.on_data = [this](std::string_view piece) { body += piece; };
+        handlers.on_end = [this](const auto& how) { end = how; };
+        return client.start(peer.address(), {"GET", "/", {{"Host", "h"}}, ""},
+                            {}, std::move(handlers));
+    }
+
+    void wait_for_end()
+    {
+        CHECK_TRUE(tests::run_until(loop, [&] { return end.has_value(); }, 3s));
+    }
+};
+
+TEST(http1_client_tests, connections_are_kept_after_clean_answers)
+{
+    reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (int round = 0; round < 3; ++round)
+    {
+        const auto running = call();
+        wait_for_end();
+        CHECK_TRUE(end->complete);
+        STRCMP_EQUAL("ok", body.c_str());
+    }
+    LONGS_EQUAL(1, client.connections_opened());
+}
+
+TEST(http1_client_tests, late_answer_of_an_earlier_request_is_skipped)
+{
+    reply = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
+            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew";
+    skip = 1;
+    const auto running = call();
+    wait_for_end();
+    CHECK_TRUE(end->complete);
+    STRCMP_EQUAL("new", body.c_str());
+}
+
+TEST(http1_client_tests, bytes_after_an_answer_end_the_connection)
+{
+    reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokjunk";
+    const auto first = call();
+    wait_for_end();
+    CHECK_TRUE(end->complete);
+    reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const auto second = call();
+    wait_for_end();
+    LONGS_EQUAL(2, client.connections_opened());
+}
+
+TEST(http1_client_tests, answer_without_a_length_ends_with_its_connection)
+{
+    reply = "HTTP/1.1 200 OK\r\n\r\nwhole";
+    after = [](tests::raw_connection& from) { from.close(); };
+    const auto first = call();
+    wait_for_end();
+    CHECK_TRUE(end->complete);
+    STRCMP_EQUAL("whole", body.c_str());
+    after = [](tests::raw_connection& from) { from.reset(); };
+    const auto second = call();
+    wait_for_end();
+    CHECK_FALSE(end->complete);
+}
+
+TEST(http1_client_tests, cut_and_spoiled_answers_may_have_run)
+{
+    reply = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\npart";
+    after = [](tests::raw_connection& from) { from.close(); };
+    const auto first = call();
+    wait_for_end();
+    CHECK_FALSE(end->complete);
+    CHECK_TRUE(end->error.ran == transport::verdict::may_have_run);
+    reply = "this is no answer\r\n\r\n";
+    const auto second = call();
+    wait_for_end();
+    CHECK_FALSE(end->complete);
+    CHECK_TRUE(end->error.ran == transport::verdict::may_have_run);
+}
+
+TEST(http1_client_tests, refused_connection_has_not_run)
+{
+    transport::http1_call_handlers handlers;
+    handlers.on_end = [this](const auto& how) { end = how; };
+    const auto running = client.start("127.0.0.1:1", {}, {}, handlers);
+    wait_for_end();
+    CHECK_TRUE(end->error.ran == transport::verdict::not_run);
+}
+
+TEST(http1_client_tests, call_may_be_cancelled_from_within_its_handlers)
+{
+    reply = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    transport::http1_call running;
+    int pieces = 0;
+    transport::http1_call_handlers handlers;
+    handlers.on_data = [&, owned = std::string(100, 'x')](std::string_view) {
+        running.cancel();
+        pieces += owned.size() == 100 ? 1 : 100;
+    };
+    handlers.on_end = [this](const auto& how) { end = how; };
+    running = client.start(peer.address(), {"GET", "/", {}, ""}, {}, handlers);
+    CHECK_TRUE(tests::run_until(loop, [&] { return pieces > 0; }, 1s));
+    loop.run_for(20ms);
+    LONGS_EQUAL(1, pieces);
+    CHECK_FALSE(end.has_value());
+}
+
+TEST(http1_client_tests, rest_of_a_long_body_goes_out_after_an_early_answer)
+{
+    reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const std::string long_body(3'000'000, 'z');
+    std::size_t got = 0;
+    bool answered = false;
+    tests::raw_listener early{loop, [&](tests::raw_connection& from) {
+                                  got += from.received.size();
+                                  from.received.clear();
+                                  if (!std::exchange(answered, true))
+                                  {
+                                      from.send(reply);
+                                  }
+                              }};
+    transport::http1_call_handlers handlers;
+    handlers.on_end = [this](const auto& how) { end = how; };
+    const auto running =
+        client.start(early.address(), {"POST", "/", {}, long_body}, {},
+                     handlers);
+    wait_for_end();
+    CHECK_TRUE(end->complete);
+    CHECK_TRUE(
+        tests::run_until(loop, [&] { return got > long_body.size(); }, 3s));
+}
--- /dev/null
+++ b/tests/platform_codec_test.cpp
@@ -0,0 +1,185 @@
+/// @file
+/// The platform's formats, good and bad: platform/.
+
+#include <CppUTest/TestHarness.h>
+
+#include "platform/documents.hpp"
+#include "platform/messages.hpp"
+#include "platform/settings.hpp"
+
+using namespace hyssopdeal;
+using namespace hyssopdeal::platform;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string good_document = R"({"version":7,"routes":[
+ {"name":"r","host":"h.example","path_prefix":"/a/","route_kind":"stream",
+  "timeout_ms":15000,"target_latency_ms":1000,"priority":1,
+  "traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10}],
+  "max_attempts":1,"auth_exempt":false,"stream_resume":true,
+  "target_gap_ms":500},
+ {"host":"h.example","path_prefix":"/b/","route_kind":"safe",
+  "timeout_ms":500.0,"service":"t","auth_exempt":true}],
+ "services":[{"name":"s","max_connections":370,
+  "engine":{"slots":64,"kv_capacity_tokens":598552},
+  "scaling":{"min":1,"max":6,"boot_time_s":4.0,"spot_price":0.18,
+   "zone_prices":{"z1":1.0,"z2":0.8}}},{"name":"t"}],
+ "limits":{"max_header_bytes":16384,"idle_timeout_ms":15000},
+ "tenants":[{"name":"o","api_keys":["k"],"priority":1,"unit":"tokenize",
+  "plain_tokens":200,"rate_per_s":147487,"burst_size":147487}],
+ "news":{"of":"later"}})";
+
+std::string replaced(std::string text, const std::string& from,
+                     const std::string& to)
+{
+    const auto at = text.find(from);
+    return at == std::string::npos ? text : text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_GROUP(platform_codec_tests){};
+
+TEST(platform_codec_tests, document_is_decoded_into_our_types)
+{
+    const auto document = decode_document(good_document);
+    CHECK_TRUE(document.has_value());
+    CHECK_TRUE(protocol::check(*document).has_value());
+    LONGS_EQUAL(7, document->version);
+    const auto& route = document->routes.at(0);
+    CHECK_TRUE(route.rule == protocol::repeat_rule::stream);
+    CHECK_TRUE(route.resumable && route.needs_key);
+    CHECK_TRUE(route.time_limit == 15s);
+    LONGS_EQUAL(10, route.shares.at(1).weight);
+    CHECK_FALSE(document->routes.at(1).needs_key);
+    CHECK_TRUE(document->services.at(0).scaling->start_time == 4s);
+    CHECK_TRUE(document->organisations.at(0).counts_tokens);
+}
+
+TEST(platform_codec_tests, spoiled_documents_are_refused_with_a_reason)
+{
+    const auto refused = [](const std::string& text) {
+        const auto document = decode_document(text);
+        return !document.has_value() && !document.error().text.empty() &&
+               document.error().code == transport::reason::bad_request;
+    };
+    CHECK_TRUE(refused(""));
+    CHECK_TRUE(refused("[]"));
+    CHECK_TRUE(refused(good_document.substr(0, good_document.size() / 2)));
+    CHECK_TRUE(refused(replaced(good_document, "\"version\":7", "\"v\":7")));
+    CHECK_TRUE(refused(replaced(good_document, "\"version\":7",
+                                "\"version\":-7")));
+    CHECK_TRUE(refused(replaced(good_document, "15000", "\"soon\"")));
+    CHECK_TRUE(refused(replaced(good_document, "\"weight\":90",
+                                "\"weight\":null")));
+    CHECK_TRUE(refused(replaced(good_document, "[\"k\"]", "[7]")));
+    CHECK_TRUE(refused(replaced(good_document, "\"routes\":[", "\"r\":[")));
+}
+
+TEST(platform_codec_tests, spoiled_list_items_hide_no_others)
+{
+    const auto page = decode_list_page(
+        R"({"instances":[
+         {"id":"i1","service":"s","address":"10.0.0.1:80","zone":"z",
+          "version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,
+          "spot":true,"born":12},
+         {"id":"i2","service":"s","address":"10.0.0.1:80","zone":"z",
+          "state":"weird"},
+         {"id":3},"junk",null,
+         {"id":"i4","service":"s","address":"10.0.0.2:80","zone":"z",
+          "slots":8,"state":"draining"}],"next_token":"p-50"})");
+    CHECK_TRUE(page.has_value());
+    LONGS_EQUAL(2, page->servers.size());
+    LONGS_EQUAL(4, page->skipped);
+    CHECK_TRUE(page->servers[0].reclaimable);
+    LONGS_EQUAL(12, page->servers[0].born);
+    CHECK_TRUE(page->servers[1].state == protocol::server_state::draining);
+    STRCMP_EQUAL("p-50", page->next.c_str());
+    CHECK_FALSE(decode_list_page("nothing").has_value());
+    CHECK_FALSE(decode_list_page("{\"instances\":7}").has_value());
+}
+
+TEST(platform_codec_tests, callers_cannot_set_what_is_the_systems_to_set)
+{
+    transport::http_request original{
+        "POST",
+        "/a/b?c",
+        {{"Host", "h"},
+         {"X-Attempt-Id", "id"},
+         {"Authorization", "Bearer k"},
+         {"X-Tenant", "other"},
+         {"x-hold", "1"},
+         {"X-Pin-Ms", "1"},
+         {"X-Kv-Backup", "1"},
+         {"Kv-From", "1"},
+         {"Connection", "keep-alive, X-Hop"},
+         {"X-Hop", "1"},
+         {"X-Token-Counts", "1460,80"},
+         {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+         {"X-Deadline-Ms", "9000"}},
+        "body"};
+    const auto terms = platform_dialect::read_caller(original);
+    STRCMP_EQUAL("k", terms.key.c_str());
+    LONGS_EQUAL(1460, terms.size.prompt_tokens);
+    LONGS_EQUAL(0x91bd3f06, terms.size.parts.at(1).id);
+    CHECK_TRUE(*terms.time_limit == 9s);
+    const auto sent = platform_dialect::make_request(
+        original, {"o", "i1", 800ms, 0, ""});
+    const auto header = [&](const char* name) {
+        return std::string{transport::find_header(sent.headers, name)};
+    };
+    STRCMP_EQUAL("o", header("X-Tenant").c_str());
+    STRCMP_EQUAL("800", header("X-Deadline-Ms").c_str());
+    STRCMP_EQUAL("i1", header("X-Expected-Instance").c_str());
+    STRCMP_EQUAL("1460,80", header("X-Token-Counts").c_str());
+    for (const auto* name : {"Authorization", "X-Hold", "X-Pin-Ms",
+                             "X-Kv-Backup", "Kv-From", "X-Hop", "Connection"})
+    {
+        STRCMP_EQUAL("", header(name).c_str());
+    }
+    STRCMP_EQUAL("body", sent.body.c_str());
+}
+
+TEST(platform_codec_tests, bad_numbers_in_headers_are_left_out)
+{
+    const auto terms = platform_dialect::read_caller(
+        {"GET",
+         "/",
+         {{"X-Token-Counts", "many"},
+          {"X-Prompt-Prefix", "12:5,zz:1,13:2"},
+          {"X-Deadline-Ms", "soon"}},
+         ""});
+    CHECK_FALSE(terms.names_tokens);
+    LONGS_EQUAL(1, terms.size.parts.size());
+    CHECK_FALSE(terms.time_limit.has_value());
+}
+
+TEST(platform_codec_tests, settings_name_what_is_wrong)
+{
+    const std::string good = "node_name: n\nip: 10.0.0.1\nzone: z\n"
+                             "listen: {front: '10.0.0.1:81'}\n"
+                             "internal_ports: [7600, 7615]\n"
+                             "seeds: ['10.0.0.2:90']\nnew_field: {a: 1}\n"
+                             "data_dir: null\nlimits: {max_fds: 4100}\n"
+                             "bounds: {revoke_ms: 4000, grace_s: 2.5}\n";
+    const auto settings = read_settings(good);
+    CHECK_TRUE(settings.has_value());
+    CHECK_TRUE(settings->grace == 2'500ms);
+    STRCMP_EQUAL("10.0.0.2:7600", seed_hubs(*settings).at(0).c_str());
+    const auto entry = entry_settings(*settings);
+    LONGS_EQUAL(81, entry.callers_port);
+    CHECK_TRUE(entry.keys_valid_for == 3s);
+    CHECK(entry.max_connections < 4'100 - 200);
+    const auto error = [&](const std::string& from, const std::string& to) {
+        const auto read = read_settings(replaced(good, from, to));
+        return read ? std::string{} : read.error().text;
+    };
+    STRCMP_CONTAINS("node_name", error("node_name: n", "other: n").c_str());
+    STRCMP_CONTAINS("limits.max_fds", error("4100", "many").c_str());
+    STRCMP_CONTAINS("internal_ports",
+                    error("[7600, 7615]", "[a, b]").c_str());
+    CHECK_FALSE(read_settings("{").has_value());
+    CHECK_FALSE(read_settings("").has_value());
+}
--- /dev/null
+++ b/tests/request_flow_test.cpp
@@ -0,0 +1,351 @@
+/// @file
+/// Requests through the gateway to servers that refuse, fail, cut, spoil and
+/// answer late: coordination/gateway/request_flow.hpp.
+
+#include <hyssopdeal/coordination/gateway/own_dialect.hpp>
+#include <hyssopdeal/coordination/gateway/request_flow.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include "loop_helper.hpp"
+#include "raw_peer.hpp"
+
+using namespace hyssopdeal;
+using namespace hyssopdeal::coordination;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr const char* document_text = "document";
+
+protocol::service_document make_document()
+{
+    protocol::service_document document;
+    document.version = 1;
+    document.services = {{"s", 0, {}, {}}};
+    const auto add = [&](const char* prefix, protocol::repeat_rule rule,
+                         bool resumable) {
+        protocol::document_route route;
+        route.name = prefix;
+        route.host = "h";
+        route.path_prefix = prefix;
+        route.rule = rule;
+        route.time_limit = 2s;
+        route.target_latency = 300ms;
+        route.max_attempts = 2;
+        route.resumable = resumable;
+        route.shares = {{"s", 1}};
+        document.routes.push_back(route);
+    };
+    add("/safe/", protocol::repeat_rule::safe, false);
+    add("/once/", protocol::repeat_rule::once, false);
+    add("/stream/", protocol::repeat_rule::stream, false);
+    add("/resume/", protocol::repeat_rule::stream, true);
+    protocol::organisation_terms terms;
+    terms.name = "o";
+    terms.keys = {"key"};
+    document.organisations = {terms};
+    return document;
+}
+
+std::string head_of(const std::string& id, const char* more)
+{
+    return "HTTP/1.1 200 OK\r\nHyssopdeal-Attempt: " + id + "\r\n" + more +
+           "\r\n";
+}
+
+} // namespace
+
+TEST_GROUP(request_flow_tests)
+{
+    using script = std::function<void(tests::raw_connection&)>;
+
+    transport::event_loop loop;
+    transport::system_clock clock;
+    std::unique_ptr<gateway_core> core;
+    std::unique_ptr<transport::http1_server> server;
+    std::uint16_t port = 0;
+    std::vector<std::unique_ptr<tests::raw_listener>> servers;
+    std::vector<protocol::listed_server> list;
+    std::vector<std::string> arrivals; ///< Heads at any server, in order.
+
+    void setup() override
+    {
+        gateway_settings settings;
+        settings.name = "e";
+        settings.keys_valid_for = 60s;
+        core = std::make_unique<gateway_core>(
+            loop, clock, settings,
+            [](const std::string&) { return make_document(); });
+        server = std::make_unique<transport::http1_server>(
+            loop, clock, transport::http1_server_settings{},
+            [this](transport::http1_exchange exchange) {
+                std::make_shared<request_flow<own_dialect>>(
+                    *core, std::move(exchange))
+                    ->start();
+            });
+        port = server->start().value();
+    }
+
+    /// Adds a server that follows a script for each request.
+    void add_server(script act)
+    {
+        servers.push_back(std::make_unique<tests::raw_listener>(
+            loop, [this, act](tests::raw_connection& from) {
+                if (from.received.find("\r\n\r\n") != std::string::npos)
+                {
+                    arrivals.push_back(std::exchange(from.received, {}));
+                    act(from);
+                }
+            }));
+        protocol::listed_server listed;
+        listed.id = "w" + std::to_string(list.size());
+        listed.service = "s";
+        listed.slots = 8;
+        listed.address = servers.back()->address();
+        list.push_back(listed);
+    }
+
+    void put_in_force()
+    {
+        protocol::entry_orders orders;
+        orders.leads = true;
+        orders.document_version = 1;
+        orders.document = document_text;
+        orders.listing_age_ms = 0;
+        orders.listing = protocol::server_listing{1, list};
+        orders.shares = {{"o", 1.0}};
+        core->take_orders(clock.monotonic_now(), orders);
+    }
+
+    std::shared_ptr<tests::raw_connection> send(const std::string& path)
+    {
+        const auto caller = tests::raw_call(loop, port);
+        caller->send("POST " + path +
+                     "x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n"
+                     "Hyssopdeal-Attempt: id1\r\nContent-Length: 0\r\n\r\n");
+        return caller;
+    }
+
+    /// Sends a request and waits for the end of its answer.
+    std::string answer(const std::string& path)
+    {
+        const auto caller = send(path);
+        (void)tests::run_until(
+            loop,
+            [&] {
+                return caller->closed || (!caller->received.empty() &&
+                                          server->open_requests() == 0);
+            },
+            4s);
+        loop.run_for(20ms);
+        return caller->received;
+    }
+
+    static script whole(const std::string& body)
+    {
+        return [body](tests::raw_connection& from) {
+            from.send(head_of("id1", ("Content-Length: " +
+                                      std::to_string(body.size()) + "\r\n")
+                                         .c_str()) +
+                      body);
+        };
+    }
+
+    static script reset()
+    {
+        return [](tests::raw_connection& from) { from.reset(); };
+    }
+
+    static script refuse()
+    {
+        return [](tests::raw_connection& from) {
+            from.send("HTTP/1.1 503 Service Unavailable\r\n"
+                      "Hyssopdeal-Attempt: id1\r\n"
+                      "Hyssopdeal-Verdict: not_run\r\n"
+                      "Content-Length: 0\r\n\r\n");
+        };
+    }
+};
+
+TEST(request_flow_tests, request_goes_out_with_what_the_system_sets)
+{
+    add_server(whole("done"));
+    put_in_force();
+    STRCMP_CONTAINS("done", answer("/once/").c_str());
+    STRCMP_CONTAINS("POST /once/x HTTP/1.1", arrivals.at(0).c_str());
+    STRCMP_CONTAINS("Hyssopdeal-Organisation: o", arrivals[0].c_str());
+    STRCMP_CONTAINS("Hyssopdeal-Server: w0", arrivals[0].c_str());
+    CHECK_TRUE(arrivals[0].find("Bearer") == std::string::npos);
+}
+
+TEST(request_flow_tests, what_may_run_once_is_not_sent_again_after_a_reset)
+{
+    add_server(reset());
+    add_server(reset());
+    put_in_force();
+    STRCMP_CONTAINS("HTTP/1.1 502", answer("/once/").c_str());
+    STRCMP_CONTAINS("HTTP/1.1 502", answer("/stream/").c_str());
+    LONGS_EQUAL(2, arrivals.size());
+}
+
+TEST(request_flow_tests, safe_request_goes_to_another_server_after_a_reset)
+{
+    add_server(reset());
+    add_server(whole("done"));
+    put_in_force();
+    for (int round = 0; round < 4; ++round)
+    {
+        STRCMP_CONTAINS("done", answer("/safe/").c_str());
+    }
+}
+
+TEST(request_flow_tests, refusal_before_running_sends_it_elsewhere)
+{
+    add_server(refuse());
+    add_server(whole("done"));
+    put_in_force();
+    for (int round = 0; round < 2; ++round)
+    {
+        STRCMP_CONTAINS("done", answer("/once/").c_str());
+    }
+}
+
+TEST(request_flow_tests, all_servers_refusing_is_not_run_and_says_when_to_return)
+{
+    add_server(refuse());
+    put_in_force();
+    const auto got = answer("/once/");
+    STRCMP_CONTAINS("HTTP/1.1 503", got.c_str());
+    STRCMP_CONTAINS("Retry-After:", got.c_str());
+}
+
+TEST(request_flow_tests, answer_of_another_request_is_never_passed_on)
+{
+    add_server([](tests::raw_connection& from) {
+        from.send(head_of("other", "Content-Length: 5\r\n") + "wrong" +
+                  head_of("id1", "Content-Length: 5\r\n") + "right");
+    });
+    put_in_force();
+    const auto got = answer("/once/");
+    STRCMP_CONTAINS("right", got.c_str());
+    CHECK_TRUE(got.find("wrong") == std::string::npos);
+}
+
+TEST(request_flow_tests, unproven_success_is_no_success)
+{
+    add_server([](tests::raw_connection& from) {
+        from.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake");
+    });
+    put_in_force();
+    STRCMP_CONTAINS("HTTP/1.1 502", answer("/once/").c_str());
+}
+
+TEST(request_flow_tests, cut_stream_does_not_look_complete)
+{
+    add_server([](tests::raw_connection& from) {
+        from.send(head_of("id1", "") + "id: 1\ndata: a\n\nid: 2\nda");
+        from.reset();
+    });
+    put_in_force();
+    const auto got = answer("/stream/");
+    STRCMP_CONTAINS("data: a", got.c_str());
+    CHECK_TRUE(got.find("\r\n0\r\n") == std::string::npos);
+    CHECK_TRUE(got.find("id: 2") == std::string::npos);
+}
+
+TEST(request_flow_tests, resumable_stream_goes_on_after_its_last_whole_event)
+{
+    int round = 0;
+    const script act = [&round](tests::raw_connection& from) {
+        if (round++ == 0)
+        {
+            from.send(head_of("id1", "") + "id: 1\ndata: a\n\nid: 2\nda");
+            return from.reset();
+        }
+        from.send(head_of("id1", "") + "id: 2\ndata: b\n\n");
+        from.close();
+    };
+    add_server(act);
+    add_server(act);
+    put_in_force();
+    const auto got = answer("/resume/");
+    STRCMP_CONTAINS("data: a", got.c_str());
+    STRCMP_CONTAINS("id: 2\ndata: b", got.c_str());
+    STRCMP_CONTAINS("\r\n0\r\n", got.c_str());
+    LONGS_EQUAL(2, arrivals.size());
+    STRCMP_CONTAINS("Last-Event-ID: 1", arrivals.at(1).c_str());
+}
+
+TEST(request_flow_tests, event_that_the_caller_has_is_not_sent_twice)
+{
+    int round = 0;
+    const script act = [&round](tests::raw_connection& from) {
+        if (round++ == 0)
+        {
+            from.send(head_of("id1", "") + "id: 1\ndata: a\n\n");
+            return from.reset();
+        }
+        from.send(head_of("id1", "") + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        from.close();
+    };
+    add_server(act);
+    add_server(act);
+    put_in_force();
+    const auto got = answer("/resume/");
+    CHECK_TRUE(got.find("data: a") == got.rfind("data: a"));
+    STRCMP_CONTAINS("data: b", got.c_str());
+}
+
+TEST(request_flow_tests, caller_who_leaves_ends_the_work)
+{
+    add_server([](tests::raw_connection& from) {
+        from.send(head_of("id1", "") + "id: 1\ndata: a\n\n");
+    });
+    put_in_force();
+    const auto caller = send("/stream/");
+    CHECK_TRUE(tests::run_until(loop, [&] {
+        return caller->received.find("data: a") != std::string::npos;
+    }));
+    caller->close();
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return servers[0]->connections[0]->closed; }, 500ms));
+}
+
+TEST(request_flow_tests, no_answer_ends_at_the_routes_time_limit)
+{
+    add_server([](tests::raw_connection&) {});
+    put_in_force();
+    const auto began = std::chrono::steady_clock::now();
+    STRCMP_CONTAINS("HTTP/1.1 504", answer("/once/").c_str());
+    const auto took = std::chrono::steady_clock::now() - began;
+    CHECK(took >= 2s);
+    CHECK(took < 2'500ms);
+}
+
+TEST(request_flow_tests, requests_without_route_key_or_document_are_refused)
+{
+    STRCMP_CONTAINS("HTTP/1.1 503", answer("/once/").c_str());
+    put_in_force();
+    STRCMP_CONTAINS("HTTP/1.1 404", answer("/nowhere/").c_str());
+    const auto caller = tests::raw_call(loop, port);
+    caller->send("GET /safe/ HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer no"
+                 "\r\nHyssopdeal-Attempt: a\r\n\r\n");
+    CHECK_TRUE(tests::run_until(loop, [&] {
+        return caller->received.find("HTTP/1.1 401") == 0;
+    }));
+    LONGS_EQUAL(0, arrivals.size());
+}
+
+TEST(request_flow_tests, other_server_at_the_address_gets_nothing_more)
+{
+    add_server([](tests::raw_connection& from) {
+        from.send("HTTP/1.1 421 Misdirected Request\r\n"
+                  "Content-Length: 0\r\n\r\n");
+    });
+    put_in_force();
+    STRCMP_CONTAINS("HTTP/1.1 503", answer("/once/").c_str());
+    STRCMP_CONTAINS("HTTP/1.1 503", answer("/once/").c_str());
+    LONGS_EQUAL(1, arrivals.size());
+}
