--- a/include/hyssopdeal/coordination/cluster/cluster_process.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_process.hpp
@@ -20,6 +20,7 @@
 #include <hyssopdeal/coordination/cluster/cluster_voters.hpp>
 #include <hyssopdeal/coordination/cluster/share_allocator.hpp>
 #include <hyssopdeal/coordination/cluster/usage_collector.hpp>
+#include <hyssopdeal/coordination/gateway/token_quota.hpp>
 #include <hyssopdeal/protocol/service_document.hpp>
 #include <hyssopdeal/transport/clock.hpp>
 #include <hyssopdeal/transport/event_loop.hpp>
@@ -51,6 +52,7 @@
     cluster_machine_settings machine;
     cluster_voter_settings voters;
     share_settings shares;
+    quota_settings quotas;
     usage_settings usage;
     capacity_settings capacity;
     std::chrono::milliseconds list_interval{700}; ///< Between two readings.
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -108,6 +108,21 @@
     void take_orders(transport::monotonic_time asked,
                      protocol::entry_orders orders);
 
+    /// Asks the leader for tokens of an organisation's quota.
+    using fetch_tokens = std::function<void(
+        const std::string& organisation, double tokens,
+        std::function<void(protocol::token_answer)> on_answer)>;
+
+    /// Sets how the leader is asked; without, nothing is lent.
+    void lend_by(fetch_tokens fetch);
+
+    /// Takes tokens for a request, from here or from the leader.
+    ///
+    /// @param on_end Called once, perhaps at once: 0 when they were taken; else
+    ///     how long until they could be.
+    void take_tokens(const std::string& organisation, double tokens,
+                     std::function<void(std::chrono::milliseconds)> on_end);
+
     /// Counts a request that began to run.
     ///
     /// @param at Local monotonic time of that.
@@ -137,6 +152,7 @@
                            const protocol::entry_orders& orders);
 
     read_document reads_;
+    fetch_tokens fetch_;
     std::shared_ptr<const route_table> table_;
     std::function<void()> document_handler_;
     std::uint64_t incarnation_;
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -55,7 +55,8 @@
     // [admission]
     bool admit();
     bool find_organisation();
-    bool take_quota();
+    void take_quota();
+    void on_tokens(milliseconds wait);
     void choose_service();
 
     // [attempts]
@@ -150,7 +151,7 @@
                 self->on_deadline();
             }
         });
-    try_next();
+    take_quota();
 }
 
 template <caller_dialect Dialect>
@@ -180,7 +181,7 @@
     rank_ = route_->rank;
     choose_service();
     core_.repeats.on_request(core_.clock.monotonic_now(), service_);
-    return (!route_->needs_key || find_organisation()) && take_quota();
+    return !route_->needs_key || find_organisation();
 }
 
 template <caller_dialect Dialect>
@@ -208,21 +209,35 @@
 }
 
 template <caller_dialect Dialect>
-bool request_flow<Dialect>::take_quota()
+void request_flow<Dialect>::take_quota()
 {
     if (organisation_.empty())
     {
-        return true;
+        return try_next();
+    }
+    core_.take_tokens(organisation_, tokens_,
+                      [self = this->shared_from_this()](milliseconds wait) {
+                          self->on_tokens(wait);
+                      });
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_tokens(milliseconds wait)
+{
+    if (over_)
+    {
+        if (wait.count() == 0)
+        {
+            core_.quota.give_back(organisation_, tokens_);
+        }
+        return;
     }
-    const auto wait = core_.quota.take(core_.clock.monotonic_now(),
-                                       organisation_, tokens_);
     if (wait.count() > 0)
     {
         tokens_ = 0;
-        refuse(429, "quota", wait);
-        return false;
+        return refuse(429, "quota", wait);
     }
-    return true;
+    try_next();
 }
 
 template <caller_dialect Dialect>
--- a/include/hyssopdeal/coordination/gateway/token_quota.hpp
+++ b/include/hyssopdeal/coordination/gateway/token_quota.hpp
@@ -2,14 +2,17 @@
 #define HYSSOPDEAL_COORDINATION_GATEWAY_TOKEN_QUOTA_HPP
 
 /// @file
-/// An entry's part of each organisation's quota: a bucket that fills at the
-/// organisation's rate times the share that this entry holds. Answers an
-/// organisation that asks for more than its contract. A decision module without
-/// I/O.
+/// A part of each organisation's quota: a bucket that fills at the
+/// organisation's rate times the share that is held here. Entries hold small
+/// shares, the leader the rest, from which entries fetch what they lack: a few
+/// long prompts must not wait for one entry's share to fill while the others'
+/// are unused. Answers an organisation that asks for more than its contract. A
+/// decision module without I/O.
 ///
 /// Index: [settings] [token_quota]
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -22,6 +25,13 @@
 
 // [settings] -----------------------------------------------------------------
 
+/// Whether a bucket may be overdrawn.
+enum class bucket_debt : std::uint8_t
+{
+    none,
+    when_full ///< By a request larger than the bucket, which is paid back.
+};
+
 /// How exactly the sum over all entries must keep an organisation's quota.
 struct quota_settings
 {
@@ -31,11 +41,12 @@
     /// Part of what is tolerated that serves as burst: entries cannot split
     /// bursts exactly. The rest covers requests that are larger than a bucket.
     double burst_part = 0.5;
+    bucket_debt debt = bucket_debt::when_full;
 };
 
 // [token_quota] --------------------------------------------------------------
 
-/// Buckets of one entry.
+/// Buckets of one process.
 class token_quota
 {
 public:
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -5,7 +5,7 @@
 /// What entries and control replicas of a cluster tell each other several
 /// times a second, and how a replica joins.
 ///
-/// Index: [report] [orders] [joining] [encoding]
+/// Index: [report] [orders] [tokens] [joining] [encoding]
 
 #include <cstdint>
 #include <map>
@@ -76,6 +76,21 @@
     std::map<std::string, sent_load> others_load; ///< Of all other entries.
 };
 
+// [tokens] -------------------------------------------------------------------
+
+/// An entry lacks tokens of an organisation's quota for one request.
+struct token_request
+{
+    std::string organisation;
+    double tokens = 0;
+};
+
+struct token_answer
+{
+    bool granted = false;
+    std::int64_t wait_ms = 0; ///< Until they could be, when not granted.
+};
+
 // [joining] ------------------------------------------------------------------
 
 /// A replica tells that it runs.
@@ -109,6 +124,8 @@
 
 [[nodiscard]] std::string encode(const entry_report& value);
 [[nodiscard]] std::string encode(const entry_orders& value);
+[[nodiscard]] std::string encode(const token_request& value);
+[[nodiscard]] std::string encode(const token_answer& value);
 [[nodiscard]] std::string encode(const join_message& value);
 [[nodiscard]] std::string encode(const join_answer& value);
 
@@ -117,6 +134,10 @@
 decode_entry_report(std::string_view bytes);
 [[nodiscard]] transport::result<entry_orders>
 decode_entry_orders(std::string_view bytes);
+[[nodiscard]] transport::result<token_request>
+decode_token_request(std::string_view bytes);
+[[nodiscard]] transport::result<token_answer>
+decode_token_answer(std::string_view bytes);
 [[nodiscard]] transport::result<join_message>
 decode_join_message(std::string_view bytes);
 [[nodiscard]] transport::result<join_answer>
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -145,6 +145,10 @@
                     [this](auto, auto payload, auto reply) {
                         on_report(payload, reply);
                     });
+    hub->on_message(peer_channel::grants,
+                    [this](auto, auto payload, auto reply) {
+                        on_token_request(payload, reply);
+                    });
     const auto port = hub->start();
     if (!port)
     {
@@ -255,6 +259,8 @@
         leading_since = now;
         allocator.emplace(now, settings.shares);
         capacity.emplace(settings.capacity);
+        lent.emplace(settings.quotas);
+        lent_document = 0;
         usage_sent.clear();
         usage_asked.clear();
         usage_proposed = false;
@@ -265,6 +271,7 @@
         leading_term = 0;
         allocator.reset();
         capacity.reset();
+        lent.reset();
     }
     for (const auto& member : seen.replicas.members)
     {
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -84,6 +84,8 @@
                std::function<void(transport::result<std::string>)> on_end);
     void on_report(const std::string& payload,
                    const protocol::peer_hub::reply_function& reply);
+    void on_token_request(const std::string& payload,
+                          const protocol::peer_hub::reply_function& reply);
     [[nodiscard]] protocol::entry_orders
     orders_for(const protocol::entry_report& report);
 
@@ -127,7 +129,10 @@
     std::map<std::string, entry_load> loads; ///< By entry.
     std::optional<share_allocator> allocator; ///< While it leads.
     bool entries_proposed = false;
+    std::optional<token_quota> lent; ///< What entries fetch, while it leads.
     std::vector<std::string> organisations;  ///< Of the document in force.
+    std::vector<protocol::organisation_terms> terms; ///< Likewise.
+    std::uint64_t lent_document = 0; ///< Its version in `lent`.
     std::vector<protocol::document_service> services; ///< Likewise.
     std::uint64_t document_read = 0; ///< Its version.
     std::optional<capacity_planner> capacity; ///< While it leads.
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -257,6 +257,7 @@
                           {"error", document.error().text}});
     }
     services = document->services;
+    terms = document->organisations;
     organisations.clear();
     for (const auto& item : document->organisations)
     {
@@ -264,6 +265,39 @@
     }
 }
 
+/// Lends tokens for one request. They are gone when the answer is lost.
+void cluster_process::impl::on_token_request(
+    const std::string& payload, const protocol::peer_hub::reply_function& reply)
+{
+    // Longer than any leadership needs; the leader drops its part with it.
+    constexpr std::chrono::hours whole_leadership{24 * 365};
+    const auto request = protocol::decode_token_request(payload);
+    if (!request)
+    {
+        return log_event("peer.bad_message", {{"what", "token request"}});
+    }
+    if (!leads() || !lent)
+    {
+        return;
+    }
+    const auto now = clock.monotonic_now();
+    read_services();
+    if (lent_document != document_read)
+    {
+        lent_document = document_read;
+        std::map<std::string, double> parts;
+        for (const auto& name : organisations)
+        {
+            parts[name] = 1 - settings.shares.split_part;
+        }
+        lent->set_organisations(now, terms);
+        lent->set_shares(now, parts, now + whole_leadership);
+    }
+    const auto wait = lent->take(now, request->organisation, request->tokens);
+    reply(protocol::encode(
+        protocol::token_answer{wait.count() == 0, wait.count()}));
+}
+
 protocol::entry_orders
 cluster_process::impl::orders_for(const protocol::entry_report& report)
 {
--- a/src/coordination/cluster/share_allocator.cpp
+++ b/src/coordination/cluster/share_allocator.cpp
@@ -71,7 +71,8 @@
     }
     const double even = 1.0 / static_cast<double>(entries_.size());
     const double by_demand = all > 0 ? own / all : even;
-    return settings_.even_part * even + (1 - settings_.even_part) * by_demand;
+    return settings_.split_part * (settings_.even_part * even +
+                                   (1 - settings_.even_part) * by_demand);
 }
 
 void share_allocator::forget_expired(monotonic_time now)
@@ -129,7 +130,8 @@
                               : unknown  ? keeps
                                          : target(report.entry, organisation);
         made.shares[organisation] =
-            std::clamp(wanted, 0.0, std::max(0.0, 1 - others));
+            std::clamp(
+            wanted, 0.0, std::max(0.0, settings_.split_part - others));
     }
     own.grants.push_back(made);
     return made.shares;
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -108,6 +108,28 @@
     }
 }
 
+// [tokens] -------------------------------------------------------------------
+
+void gateway_core::lend_by(fetch_tokens fetch)
+{
+    fetch_ = std::move(fetch);
+}
+
+void gateway_core::take_tokens(const std::string& organisation, double tokens,
+                               std::function<void(milliseconds)> on_end)
+{
+    const auto wait = quota.take(clock.monotonic_now(), organisation, tokens);
+    if (wait.count() == 0 || !fetch_)
+    {
+        return on_end(wait);
+    }
+    fetch_(organisation, tokens, [on_end](protocol::token_answer answer) {
+        on_end(answer.granted
+                   ? milliseconds{0}
+                   : milliseconds{std::max<std::int64_t>(1, answer.wait_ms)});
+    });
+}
+
 // [orders] -------------------------------------------------------------------
 
 void gateway_core::take_orders(monotonic_time asked,
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -77,6 +77,8 @@
     void report();
     void ask(const std::string& replica, const std::string& bytes,
              monotonic_time asked);
+    void ask_tokens(const std::string& organisation, double tokens,
+                    std::function<void(protocol::token_answer)> on_answer);
     void use_limits();
     void note_validity();
     void check_drained();
@@ -96,6 +98,7 @@
     std::unique_ptr<transport::http1_server> callers;
     std::unique_ptr<transport::http1_server> readiness;
     std::unique_ptr<transport::http1_server> metrics;
+    std::string leader; ///< Hub address; empty: unknown.
     bool was_valid = false;
     bool draining = false;
     bool accepting = true;
@@ -252,11 +255,39 @@
                   {
                       replicas[named].named = now;
                   }
+                  if (orders->leads)
+                  {
+                      leader = replica;
+                  }
                   core.take_orders(asked, std::move(*orders));
                   note_validity();
               });
 }
 
+void gateway_process::impl::ask_tokens(
+    const std::string& organisation, double tokens,
+    std::function<void(protocol::token_answer)> on_answer)
+{
+    // A leader in reach answers in a few ms; a caller is not kept for longer
+    // than it would need to come back.
+    constexpr milliseconds time_limit{150};
+    constexpr milliseconds come_back{500};
+    if (leader.empty())
+    {
+        return on_answer({false, come_back.count()});
+    }
+    hub->call(leader, peer_channel::grants,
+              protocol::encode(protocol::token_request{organisation, tokens}),
+              time_limit, [on_answer, come_back](const auto& bytes) {
+                  const auto answer =
+                      bytes ? protocol::decode_token_answer(*bytes)
+                            : transport::result<protocol::token_answer>{
+                                  tl::make_unexpected(bytes.error())};
+                  answer ? on_answer(*answer)
+                         : on_answer({false, come_back.count()});
+              });
+}
+
 void gateway_process::impl::note_validity()
 {
     const bool valid = core.keys_valid();
@@ -323,6 +354,10 @@
     if (done)
     {
         impl_->core.on_document([this] { impl_->use_limits(); });
+        impl_->core.lend_by([this](const auto& organisation, double tokens,
+                                   auto on_answer) {
+            impl_->ask_tokens(organisation, tokens, std::move(on_answer));
+        });
         impl_->report();
     }
     return done;
--- a/src/coordination/gateway/token_quota.cpp
+++ b/src/coordination/gateway/token_quota.cpp
@@ -114,8 +114,9 @@
     auto& item = found->second;
     item.asked += tokens;
     const bool held = now < until_;
-    // A request larger than the whole bucket passes when that is full.
-    const double needed = std::min(tokens, item.share * item.burst);
+    const double needed = settings_.debt == bucket_debt::none
+                              ? tokens
+                              : std::min(tokens, item.share * item.burst);
     if (held && item.share > 0 && item.level >= needed)
     {
         item.level -= tokens;
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -23,6 +23,8 @@
                                    failure_domain, version, slots, state,
                                    reclaimable, cold_remaining_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(server_listing, digest, servers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(token_request, organisation, tokens)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(token_answer, granted, wait_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_message, id, address, operators,
                                    failure_domain)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_answer, state, leader, next_id,
@@ -102,6 +104,16 @@
     return pack(value);
 }
 
+std::string encode(const token_request& value)
+{
+    return pack(value);
+}
+
+std::string encode(const token_answer& value)
+{
+    return pack(value);
+}
+
 std::string encode(const join_message& value)
 {
     return pack(value);
@@ -122,6 +134,16 @@
     return unpack<entry_orders>(bytes);
 }
 
+transport::result<token_request> decode_token_request(std::string_view bytes)
+{
+    return unpack<token_request>(bytes);
+}
+
+transport::result<token_answer> decode_token_answer(std::string_view bytes)
+{
+    return unpack<token_answer>(bytes);
+}
+
 transport::result<join_message> decode_join_message(std::string_view bytes)
 {
     return unpack<join_message>(bytes);
