--- a/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
+++ b/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
@@ -34,7 +34,12 @@
                                   ///< room beside short ones.
     double crowded_on_server = 14; ///< Above it usual servers are ordered too,
                                    ///< when no others are to be had.
-    std::chrono::milliseconds peak_memory{20'000}; ///< Load is the peak of it.
+    std::chrono::milliseconds load_memory{2'000}; ///< Load is smoothed by it;
+                                                  ///< a pile-up behind servers
+                                                  ///< that failed is no load.
+    std::chrono::milliseconds peak_memory{20'000}; ///< Then the peak counts.
+    /// After its start time, what was ordered and has not come is given up.
+    std::chrono::milliseconds start_margin{3'000};
     std::chrono::milliseconds refused_pause{2'000}; ///< After "none to be had".
     std::chrono::milliseconds failed_pause{1'000};
     std::chrono::milliseconds repeat_interval{10'000}; ///< Of orders that have
@@ -94,6 +99,9 @@
         bool ordered = false;  ///< `count` was accepted.
         std::uint32_t count = 0;
         transport::monotonic_time sent{};
+        transport::monotonic_time raised{}; ///< `count` last grew. What was
+                                            ///< reclaimed since does not come
+                                            ///< again by itself.
         transport::monotonic_time not_before{};
         bool refused = false;  ///< The latest answer was "none to be had".
     };
@@ -111,16 +119,20 @@
               const protocol::document_service& service,
               const domain_counts& ready, double running,
               std::vector<capacity_order>& orders);
-    [[nodiscard]] std::uint32_t wanted(transport::monotonic_time now,
-                                       const std::string& service,
-                                       std::size_t domains, double running);
+    [[nodiscard]] double load_of(transport::monotonic_time now,
+                                 const std::string& service, double running);
+    [[nodiscard]] std::uint32_t
+    starting(transport::monotonic_time now, const order_state& state,
+             std::uint32_t ready, std::chrono::milliseconds start_time) const;
     void want(transport::monotonic_time now, capacity_order order,
               std::uint32_t ready, std::vector<capacity_order>& orders);
     order_state& state_of(const capacity_order& order);
 
-    /// The highest load of late.
+    /// Load of a service, smoothed, and its highest value of late.
     struct load_peak
     {
+        double smoothed = 0;
+        transport::monotonic_time measured{};
         double running = 0;
         transport::monotonic_time at{};
     };
--- a/src/coordination/cluster/capacity_plan.cpp
+++ b/src/coordination/cluster/capacity_plan.cpp
@@ -56,21 +56,33 @@
     return orders;
 }
 
-/// @return How many servers the load needs, a multiple of the domains.
-std::uint32_t capacity_planner::wanted(monotonic_time now,
-                                       const std::string& service,
-                                       std::size_t domains, double running)
+/// @return Requests at once, smoothed, at the peak of late.
+double capacity_planner::load_of(monotonic_time now, const std::string& service,
+                                 double running)
 {
     auto& peak = peaks_[service];
-    if (running >= peak.running || now - peak.at > settings_.peak_memory)
+    const std::chrono::duration<double> passed = now - peak.measured;
+    const std::chrono::duration<double> memory = settings_.load_memory;
+    peak.measured = now;
+    peak.smoothed += (1 - std::exp(-passed / memory)) *
+                     (running - peak.smoothed);
+    if (peak.smoothed >= peak.running || now - peak.at > settings_.peak_memory)
     {
-        peak = {running, now};
+        peak.running = peak.smoothed;
+        peak.at = now;
     }
-    const auto least =
-        static_cast<std::uint32_t>(settings_.least_in_domain * domains);
-    const auto by_load = static_cast<std::uint32_t>(
-        std::ceil(peak.running / settings_.running_on_server));
-    return std::max(least, by_load);
+    return peak.running;
+}
+
+/// @return Servers that were ordered and may still come.
+std::uint32_t
+capacity_planner::starting(monotonic_time now, const order_state& state,
+                           std::uint32_t ready,
+                           std::chrono::milliseconds start_time) const
+{
+    const bool fresh = state.ordered &&
+                       now - state.raised < start_time + settings_.start_margin;
+    return fresh && state.count > ready ? state.count - ready : 0;
 }
 
 void capacity_planner::plan(monotonic_time now,
@@ -85,47 +97,67 @@
         domains.emplace_back(price, domain);
     }
     std::sort(domains.begin(), domains.end());
-    const auto total = wanted(now, service.name, domains.size(), running);
-    std::uint32_t ready_all = 0;
-    std::uint32_t ready_reclaimable = 0;
-    for (const auto& [domain, count] : ready)
+    const auto count_of = [&](const std::string& domain) {
+        const auto found = ready.find(domain);
+        return found == ready.end() ? domain_count{} : found->second;
+    };
+    const auto order_of = [&](const std::string& domain, server_kind kind,
+                              std::uint32_t count) {
+        return capacity_order{service.name, domain, kind, count};
+    };
+    const double load = load_of(now, service.name, running);
+    const auto needed = [&](double each) {
+        return static_cast<std::uint32_t>(std::ceil(load / each));
+    };
+    const auto each = static_cast<std::uint32_t>(domains.size());
+    const auto total = std::max(settings_.least_in_domain * each,
+                                needed(settings_.running_on_server));
+    const auto least = std::max(each, needed(settings_.crowded_on_server));
+    std::uint32_t reclaimable_ready = 0;
+    std::uint32_t coming = 0;
+    std::uint32_t usual_held = 0;
+    for (const auto& [price, domain] : domains)
     {
-        ready_all += count.usual + count.reclaimable;
-        ready_reclaimable += count.reclaimable;
+        const auto here = count_of(domain);
+        reclaimable_ready += here.reclaimable;
+        coming += starting(
+            now, state_of(order_of(domain, server_kind::reclaimable, 0)),
+            here.reclaimable, scaling.start_time);
+        usual_held +=
+            here.usual +
+            starting(now, state_of(order_of(domain, server_kind::usual, 0)),
+                     here.usual, scaling.start_time);
     }
-    const auto least = std::max(
-        static_cast<std::uint32_t>(domains.size()),
-        static_cast<std::uint32_t>(std::ceil(peaks_[service.name].running /
-                                             settings_.crowded_on_server)));
-    auto missing = ready_all < least ? least - ready_all : 0;
+    const auto expected = reclaimable_ready + coming;
+    const auto usual_needed = least > expected ? least - expected : 0;
+    auto more = usual_needed > usual_held ? usual_needed - usual_held : 0;
+    const bool release = reclaimable_ready >= least;
     std::uint32_t left = total;
     for (std::size_t at = 0; at < domains.size(); ++at)
     {
         const auto& domain = domains[at].second;
-        const auto found = ready.find(domain);
-        const auto here =
-            found == ready.end() ? domain_count{} : found->second;
+        const auto here = count_of(domain);
         // The cheapest domains take what does not divide evenly.
         const auto rest = static_cast<std::uint32_t>(domains.size() - at);
         const auto part = std::min((left + rest - 1) / rest, scaling.most);
         left -= std::min(left, part);
-        capacity_order reclaimable{service.name, domain,
-                                   server_kind::reclaimable, part};
-        capacity_order usual{service.name, domain, server_kind::usual,
-                             here.usual};
-        const bool refused = state_of(reclaimable).refused;
-        if (missing > 0 && refused && usual.count < scaling.most)
+        auto usual = order_of(domain, server_kind::usual, here.usual);
+        const auto& state = state_of(usual);
+        usual.count += starting(now, state, here.usual, scaling.start_time);
+        if (release)
         {
-            ++usual.count;
-            --missing;
+            usual.count = 0;
         }
-        else if (here.reclaimable >= part && ready_reclaimable >= least)
+        else if (more > 0 && usual.count < scaling.most)
         {
-            usual.count = 0;
+            ++usual.count;
+            --more;
         }
-        reclaimable.count =
-            std::min(part, scaling.most - std::min(scaling.most, usual.count));
-        want(now, reclaimable, here.reclaimable, orders);
+        want(now,
+             order_of(domain, server_kind::reclaimable,
+                      std::min(part, scaling.most - std::min(scaling.most,
+                                                             usual.count))),
+             here.reclaimable, orders);
         want(now, usual, here.usual, orders);
     }
 }
@@ -162,6 +194,10 @@
     state.refused = outcome == order_outcome::none_available;
     if (outcome == order_outcome::accepted)
     {
+        if (!state.ordered || order.count > state.count)
+        {
+            state.raised = state.sent;
+        }
         state.ordered = true;
         state.count = order.count;
         return;
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -121,6 +121,10 @@
     std::map<std::string, double> running;
     for (const auto& server : listing.servers)
     {
+        if (server.state != protocol::server_state::ready)
+        {
+            continue;
+        }
         for (const auto& [entry, sent] : loads)
         {
             const auto found = sent.load.find(server.id);
