--- a/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
+++ b/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
@@ -32,7 +32,7 @@
     std::uint32_t least_in_domain = 2; ///< One may fail or be slow.
     double running_on_server = 8; ///< Requests at once that leave long prompts
                                   ///< room beside short ones.
-    double crowded_on_server = 14; ///< Above it usual servers are ordered too,
+    double crowded_on_server = 20; ///< Above it usual servers are ordered too,
                                    ///< when no others are to be had.
     std::chrono::milliseconds load_memory{2'000}; ///< Load is smoothed by it;
                                                   ///< a pile-up behind servers
--- a/src/coordination/cluster/capacity_plan.cpp
+++ b/src/coordination/cluster/capacity_plan.cpp
@@ -115,23 +115,50 @@
     const auto least = std::max(each, needed(settings_.crowded_on_server));
     std::uint32_t reclaimable_ready = 0;
     std::uint32_t coming = 0;
-    std::uint32_t usual_held = 0;
+    bool dry = false;
+    std::vector<std::uint32_t> usual_held;
     for (const auto& [price, domain] : domains)
     {
         const auto here = count_of(domain);
+        const auto& state =
+            state_of(order_of(domain, server_kind::reclaimable, 0));
         reclaimable_ready += here.reclaimable;
-        coming += starting(
-            now, state_of(order_of(domain, server_kind::reclaimable, 0)),
-            here.reclaimable, scaling.start_time);
-        usual_held +=
+        coming += starting(now, state, here.reclaimable, scaling.start_time);
+        dry = dry || state.refused;
+        usual_held.push_back(
             here.usual +
             starting(now, state_of(order_of(domain, server_kind::usual, 0)),
-                     here.usual, scaling.start_time);
+                     here.usual, scaling.start_time));
     }
     const auto expected = reclaimable_ready + coming;
-    const auto usual_needed = least > expected ? least - expected : 0;
-    auto more = usual_needed > usual_held ? usual_needed - usual_held : 0;
-    const bool release = reclaimable_ready >= least;
+    // Usual servers are for the time in which no others are to be had.
+    const auto usual_wanted = dry && least > expected ? least - expected : 0;
+    const bool enough = reclaimable_ready >= std::min(least, total);
+    auto usual = usual_held;
+    std::uint32_t usual_total = 0;
+    for (const auto count : usual)
+    {
+        usual_total += count;
+    }
+    for (std::size_t at = 0; usual_total < usual_wanted; ++at)
+    {
+        // The cheapest first, one in each in turn.
+        if (at >= domains.size() * scaling.most)
+        {
+            break;
+        }
+        auto& count = usual[at % domains.size()];
+        const bool room = count < scaling.most;
+        count += room ? 1 : 0;
+        usual_total += room ? 1 : 0;
+    }
+    for (std::size_t at = domains.size(); enough && at-- > 0;)
+    {
+        const auto spare = usual_total - std::min(usual_total, usual_wanted);
+        const auto fewer = std::min(usual[at], spare);
+        usual[at] -= fewer;
+        usual_total -= fewer;
+    }
     std::uint32_t left = total;
     for (std::size_t at = 0; at < domains.size(); ++at)
     {
@@ -141,24 +168,12 @@
         const auto rest = static_cast<std::uint32_t>(domains.size() - at);
         const auto part = std::min((left + rest - 1) / rest, scaling.most);
         left -= std::min(left, part);
-        auto usual = order_of(domain, server_kind::usual, here.usual);
-        const auto& state = state_of(usual);
-        usual.count += starting(now, state, here.usual, scaling.start_time);
-        if (release)
-        {
-            usual.count = 0;
-        }
-        else if (more > 0 && usual.count < scaling.most)
-        {
-            ++usual.count;
-            --more;
-        }
+        const auto room = scaling.most - std::min(scaling.most, usual[at]);
         want(now,
-             order_of(domain, server_kind::reclaimable,
-                      std::min(part, scaling.most - std::min(scaling.most,
-                                                             usual.count))),
+             order_of(domain, server_kind::reclaimable, std::min(part, room)),
              here.reclaimable, orders);
-        want(now, usual, here.usual, orders);
+        want(now, order_of(domain, server_kind::usual, usual[at]), here.usual,
+             orders);
     }
 }
 
--- a/src/coordination/replica_leader.cpp
+++ b/src/coordination/replica_leader.cpp
@@ -312,7 +312,8 @@
 
 // [transfer] -----------------------------------------------------------------
 
-/// Hands over to the first voter whose disk has all records.
+/// Hands over to a voter whose disk has all records: to the one that was heard
+/// from last, as another may be gone.
 template <reconcile_strategy Strategy>
 void basic_replica<Strategy>::impl::try_transfer()
 {
@@ -320,15 +321,23 @@
     {
         return;
     }
+    std::uint64_t best = 0;
+    monotonic_time latest{};
     for (const auto id : voters())
     {
         const auto peer = peers.find(id);
-        if (peer != peers.end() && peer->second.match == log.last())
+        if (peer != peers.end() && peer->second.match == log.last() &&
+            (best == 0 || peer->second.contact > latest))
         {
-            handed_over = true;
-            return send(id, take_over{});
+            best = id;
+            latest = peer->second.contact;
         }
     }
+    if (best != 0)
+    {
+        handed_over = true;
+        send(best, take_over{});
+    }
 }
 
 template struct basic_replica<term_history>::impl;
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -405,6 +405,7 @@
     (void)step(0, order_outcome::accepted);
     now += 20s;
     servers.clear();
+    (void)step(10, order_outcome::none_available);
     const auto orders = step(10, order_outcome::accepted);
     const auto usual =
         std::count_if(orders.begin(), orders.end(), [](const auto& order) {
