--- /dev/null
+++ b/fuzz/platform_fuzz.cpp
@@ -0,0 +1,54 @@
+/// @file
+/// Fuzzes what the platform's listeners and calls decode: the document, the
+/// instance list, version moves, settings, heads of requests, and the messages
+/// between our own processes.
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include <hyssopdeal/coordination/cluster/cluster_state.hpp>
+#include <hyssopdeal/coordination/gateway/event_splitter.hpp>
+#include <hyssopdeal/protocol/follow_messages.hpp>
+
+#include "platform/documents.hpp"
+#include "platform/messages.hpp"
+#include "platform/settings.hpp"
+
+using namespace hyssopdeal;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size)
+{
+    const std::string bytes(reinterpret_cast<const char*>(data), size);
+    if (const auto document = platform::decode_document(bytes))
+    {
+        (void)protocol::check(*document);
+    }
+    (void)platform::decode_list_page(bytes);
+    (void)platform::decode_rollout(bytes);
+    (void)platform::read_settings(bytes);
+    (void)platform::platform_dialect::read_caller(
+        {"POST",
+         bytes,
+         {{"X-Token-Counts", bytes},
+          {"X-Prompt-Prefix", bytes},
+          {"X-Deadline-Ms", bytes},
+          {"Connection", bytes}},
+         ""});
+    (void)protocol::decode_entry_report(bytes);
+    (void)protocol::decode_entry_orders(bytes);
+    (void)protocol::decode_token_request(bytes);
+    (void)protocol::decode_token_answer(bytes);
+    (void)protocol::decode_join_message(bytes);
+    (void)protocol::decode_join_answer(bytes);
+    (void)coordination::decode_cluster_command(bytes);
+    (void)coordination::cluster_state{}.restore_snapshot(bytes);
+    coordination::event_splitter events;
+    events.feed(bytes);
+    while (const auto event = events.next())
+    {
+        (void)coordination::event_splitter::id_of(*event);
+    }
+    return 0;
+}
--- a/include/hyssopdeal/coordination/cluster/cluster_process.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_process.hpp
@@ -133,16 +133,16 @@
     /// Puts a document in force everywhere, or refuses it as invalid
     /// (`bad_request`). Success for one whose version is not higher than the
     /// one held, which changes nothing.
-    void put_document(std::string bytes, done on_done);
+    void put_document(std::string bytes, const done& on_done);
 
     /// Reads the newest document; `no_quorum` when that cannot be known.
-    void read_document(document_done on_done);
+    void read_document(const document_done& on_done);
 
     /// Orders a move of a service to another version.
-    void put_rollout(rollout_record record, done on_done);
+    void put_rollout(const rollout_record& record, const done& on_done);
 
     /// Reads a move; `not_found` when none was ordered.
-    void read_rollout(std::string service, rollout_done on_done);
+    void read_rollout(const std::string& service, const rollout_done& on_done);
 
     /// Hands over if this replica leads, and calls back when it does not.
     void drain(std::function<void()> on_drained);
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -121,8 +121,9 @@
     ///
     /// @param on_end Called once, perhaps at once: 0 when they were taken; else
     ///     how long until they could be.
-    void take_tokens(const std::string& organisation, double tokens,
-                     std::function<void(std::chrono::milliseconds)> on_end);
+    void
+    take_tokens(const std::string& organisation, double tokens,
+                const std::function<void(std::chrono::milliseconds)>& on_end);
 
     /// Counts a request that began to run.
     ///
--- a/include/hyssopdeal/transport/http1_client.hpp
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -130,7 +130,7 @@
     [[nodiscard]] http1_call
     fetch(std::string_view address, const http_request& request,
           std::chrono::milliseconds time_limit,
-          std::function<void(result<http_response>)> on_answer);
+          const std::function<void(result<http_response>)>& on_answer);
 
     /// Closes the idle connections to a server that is gone.
     void forget(const std::string& address);
--- a/include/hyssopdeal/transport/http1_server.hpp
+++ b/include/hyssopdeal/transport/http1_server.hpp
@@ -67,7 +67,7 @@
     void on_left(std::function<void()> handler);
 
     /// Sends a whole answer.
-    void send(http_response response);
+    void send(const http_response& response);
 
     /// Starts an answer of unknown length.
     void begin(int status, const std::vector<http_header>& headers);
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -16,9 +16,7 @@
 {
 
 using protocol::peer_channel;
-using transport::fail;
 using transport::log_event;
-using transport::reason;
 
 namespace
 {
@@ -63,7 +61,7 @@
         return {};
     }
     log_event("cluster.founds", {{"replica", settings.name}, {"id", id}});
-    const auto written = storage.write(
+    auto written = storage.write(
         bootstrap_request(id, founders, cluster_state{}.encode_snapshot()));
     if (!written)
     {
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -76,12 +76,15 @@
     // cluster_process_serving.cpp
     void on_forwarded(const std::string& payload,
                       const protocol::peer_hub::reply_function& reply);
-    void forward(forwarded_kind kind, const std::string& body,
-                 std::function<void(transport::result<std::string>)> on_answer);
-    void lead_order(forwarded_kind kind, const std::string& body,
-                    std::function<void(transport::result<std::string>)> on_end);
-    void order(forwarded_kind kind, const std::string& body,
-               std::function<void(transport::result<std::string>)> on_end);
+    void forward(
+        forwarded_kind kind, const std::string& body,
+        const std::function<void(transport::result<std::string>)>& on_answer);
+    void lead_order(
+        forwarded_kind kind, const std::string& body,
+        const std::function<void(transport::result<std::string>)>& on_end);
+    void
+    order(forwarded_kind kind, const std::string& body,
+          const std::function<void(transport::result<std::string>)>& on_end);
     void on_report(const std::string& payload,
                    const protocol::peer_hub::reply_function& reply);
     void on_token_request(const std::string& payload,
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -75,15 +75,14 @@
 
 void cluster_process::impl::order(
     forwarded_kind kind, const std::string& body,
-    std::function<void(transport::result<std::string>)> on_end)
+    const std::function<void(transport::result<std::string>)>& on_end)
 {
-    leads() ? lead_order(kind, body, std::move(on_end))
-            : forward(kind, body, std::move(on_end));
+    leads() ? lead_order(kind, body, on_end) : forward(kind, body, on_end);
 }
 
 void cluster_process::impl::lead_order(
     forwarded_kind kind, const std::string& body,
-    std::function<void(transport::result<std::string>)> on_end)
+    const std::function<void(transport::result<std::string>)>& on_end)
 {
     const auto& held = machine->state();
     const auto ended = [on_end](const transport::result<void>& ran) {
@@ -125,7 +124,7 @@
 
 void cluster_process::impl::forward(
     forwarded_kind kind, const std::string& body,
-    std::function<void(transport::result<std::string>)> on_answer)
+    const std::function<void(transport::result<std::string>)>& on_answer)
 {
     const auto seen = status();
     for (const auto& member : seen.replicas.members)
@@ -171,7 +170,7 @@
     }
 }
 
-void cluster_process::put_document(std::string bytes, done on_done)
+void cluster_process::put_document(std::string bytes, const done& on_done)
 {
     const auto document = impl_->outside.read_document(bytes);
     const auto checked =
@@ -195,7 +194,7 @@
         });
 }
 
-void cluster_process::read_document(document_done on_done)
+void cluster_process::read_document(const document_done& on_done)
 {
     impl_->order(forwarded_kind::read_document, {},
                  [on_done](const transport::result<std::string>& bytes) {
@@ -204,7 +203,8 @@
                  });
 }
 
-void cluster_process::put_rollout(rollout_record record, done on_done)
+void cluster_process::put_rollout(const rollout_record& record,
+                                  const done& on_done)
 {
     impl_->order(forwarded_kind::put_rollout, pack(record),
                  [on_done](const auto& ended) {
@@ -213,7 +213,8 @@
                  });
 }
 
-void cluster_process::read_rollout(std::string service, rollout_done on_done)
+void cluster_process::read_rollout(const std::string& service,
+                                   const rollout_done& on_done)
 {
     impl_->order(forwarded_kind::read_rollout, service,
                  [on_done](const transport::result<std::string>& bytes) {
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -116,7 +116,7 @@
 }
 
 void gateway_core::take_tokens(const std::string& organisation, double tokens,
-                               std::function<void(milliseconds)> on_end)
+                               const std::function<void(milliseconds)>& on_end)
 {
     const auto wait = quota.take(clock.monotonic_now(), organisation, tokens);
     if (wait.count() == 0 || !fetch_)
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -77,8 +77,9 @@
     void report();
     void ask(const std::string& replica, const std::string& bytes,
              monotonic_time asked);
-    void ask_tokens(const std::string& organisation, double tokens,
-                    std::function<void(protocol::token_answer)> on_answer);
+    void
+    ask_tokens(const std::string& organisation, double tokens,
+               const std::function<void(protocol::token_answer)>& on_answer);
     void use_limits();
     void note_validity();
     void check_drained();
@@ -262,7 +263,7 @@
 
 void gateway_process::impl::ask_tokens(
     const std::string& organisation, double tokens,
-    std::function<void(protocol::token_answer)> on_answer)
+    const std::function<void(protocol::token_answer)>& on_answer)
 {
     // A leader in reach answers in a few ms; a caller is not kept for longer
     // than it would need to come back.
--- a/src/protocol/service_document.cpp
+++ b/src/protocol/service_document.cpp
@@ -60,7 +60,7 @@
     std::set<std::string> places;
     for (const auto& route : document.routes)
     {
-        if (const auto checked = check_route(route, services); !checked)
+        if (auto checked = check_route(route, services); !checked)
         {
             return checked;
         }
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -436,7 +436,7 @@
     const auto now = client.time.monotonic_now();
     while (found != client.idle.end() && !found->second.empty())
     {
-        const auto newest = found->second.back();
+        auto newest = found->second.back();
         const auto limit = std::min(max_idle, newest->max_idle());
         if (newest->idle_for(now) < limit)
         {
@@ -575,7 +575,7 @@
 http1_call
 http1_client::fetch(std::string_view address, const http_request& request,
                     milliseconds time_limit,
-                    std::function<void(result<http_response>)> on_answer)
+                    const std::function<void(result<http_response>)>& on_answer)
 {
     auto collected = std::make_shared<http_response>();
     http1_call_handlers handlers;
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -462,7 +462,7 @@
     state_->left = std::move(handler);
 }
 
-void http1_exchange::send(http_response response)
+void http1_exchange::send(const http_response& response)
 {
     if (over())
     {
