Avoid servers that cannot be reached at once

Cause: behind a partition each request waited half a second for a connection to a server that three others had just failed to reach (incident inc-bcd6).

--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -133,6 +133,9 @@
 
     /// A server failed a request, or served one well.
     void on_failure(transport::monotonic_time now, known_server& server);
+    /// A server could not be reached, or has fallen silent: the next requests
+    /// would find the same.
+    void on_unreachable(transport::monotonic_time now, known_server& server);
     void on_success(known_server& server);
 
     /// @return What this entry has sent, by server id.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -505,8 +505,11 @@
     silence_timer_.cancel();
     const auto now = core_.clock.monotonic_now();
     auto& server = *choice_.server;
-    core_.servers.on_failure(now, server);
     const bool not_run = error.ran == transport::verdict::not_run;
+    const bool unreachable =
+        not_run || error.code == transport::reason::timed_out;
+    unreachable ? core_.servers.on_unreachable(now, server)
+                : core_.servers.on_failure(now, server);
     if (not_run)
     {
         --arrivals_;
--- a/include/hyssopdeal/transport/http1_client.hpp
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -45,7 +45,9 @@
     /// Connections that were idle for longer are not used for this call: the
     /// server may be closing them at this moment.
     std::chrono::milliseconds max_idle{4'000};
-    std::chrono::milliseconds connect_time_limit{500};
+    /// Many times a round trip within a region; a lost packet is not waited
+    /// for, as another server can be tried.
+    std::chrono::milliseconds connect_time_limit{250};
 };
 
 // [handlers] -----------------------------------------------------------------
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -281,6 +281,13 @@
     }
 }
 
+void placement::on_unreachable(monotonic_time now, known_server& server)
+{
+    server.failures_in_row =
+        std::max(server.failures_in_row, failures_to_avoid - 1);
+    on_failure(now, server);
+}
+
 void placement::on_success(known_server& server)
 {
     server.failure_rate -= failure_smoothing * server.failure_rate;
--- a/tests/gateway_decisions_test.cpp
+++ b/tests/gateway_decisions_test.cpp
@@ -320,6 +320,20 @@
     }
 }
 
+// Each request behind a partition waited for a connection anew.
+TEST(placement_tests, unreachable_server_is_avoided_at_once)
+{
+    add("a");
+    add("b");
+    servers.on_unreachable(now, *servers.servers().at("a"));
+    for (int round = 0; round < 20; ++round)
+    {
+        STRCMP_EQUAL("b", choose()->server->listed.id.c_str());
+    }
+    now += 1s;
+    CHECK_TRUE(choose({}, {"b"}).has_value());
+}
+
 TEST(placement_tests, failing_server_is_avoided_and_tried_again_later)
 {
     add("a");
