--- a/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
+++ b/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
@@ -32,8 +32,9 @@
     std::uint32_t least_in_domain = 3; ///< One may fail or be slow.
     double running_on_server = 6;  ///< Requests at once that leave long prompts
                                    ///< room beside short ones.
-    double crowded_on_server = 20; ///< Above it usual servers are ordered too,
+    double crowded_on_server = 10; ///< Above it usual servers are ordered too,
                                    ///< when no others are to be had.
+    std::uint32_t most_usual_in_domain = 2; ///< On average.
     std::chrono::milliseconds load_memory{2'000};  ///< Load is smoothed by it;
                                                    ///< a pile-up behind servers
                                                    ///< that failed is no load.
--- a/src/coordination/cluster/capacity_plan.cpp
+++ b/src/coordination/cluster/capacity_plan.cpp
@@ -112,7 +112,10 @@
     const auto each = static_cast<std::uint32_t>(domains.size());
     const auto total = std::max(settings_.least_in_domain * each,
                                 needed(settings_.running_on_server));
-    const auto least = std::max(each, needed(settings_.crowded_on_server));
+    // Requests pile up behind too few servers: what they seem to need is capped.
+    const auto least =
+        std::clamp(needed(settings_.crowded_on_server), each,
+                   std::max(each, settings_.most_usual_in_domain * each));
     std::uint32_t reclaimable_ready = 0;
     std::uint32_t coming = 0;
     bool dry = false;
