Refuse streams that would begin three times too late

Cause: while servers are short, prompts queued for seconds; those that began late anyway delayed all behind them.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -296,6 +296,17 @@
         return runs_ > 0 ? fail(502, "no_other_server")
                          : refuse(503, "no_server", soon);
     }
+    // A stream that will surely begin late only delays those behind it; its
+    // caller is better served by coming back.
+    constexpr int late_factor = 3;
+    const bool late = route_->rule == protocol::repeat_rule::stream &&
+                      arrivals_ == 0 && no_connection_ == 0 &&
+                      choice->predicted > late_factor * route_->target_latency;
+    if (late)
+    {
+        return refuse(503, "overloaded",
+                      choice->predicted - route_->target_latency);
+    }
     send_to(*choice);
 }
 
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -338,6 +338,26 @@
     LONGS_EQUAL(0, arrivals.size());
 }
 
+TEST(request_flow_tests, stream_that_would_begin_far_too_late_is_told_to_return)
+{
+    add_server([](tests::raw_connection&) {});
+    put_in_force();
+    const auto ahead = tests::raw_call(loop, port);
+    ahead->send("POST /stream/x HTTP/1.1\r\nHost: h\r\n"
+                "Authorization: Bearer key\r\nHyssopdeal-Prompt: 90000\r\n"
+                "Hyssopdeal-Attempt: id0\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(tests::run_until(loop, [&] { return arrivals.size() == 1; }));
+    const auto caller = tests::raw_call(loop, port);
+    caller->send("POST /stream/x HTTP/1.1\r\nHost: h\r\n"
+                 "Authorization: Bearer key\r\nHyssopdeal-Prompt: 100\r\n"
+                 "Hyssopdeal-Attempt: id1\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return !caller->received.empty(); }, 500ms));
+    STRCMP_CONTAINS("HTTP/1.1 503", caller->received.c_str());
+    STRCMP_CONTAINS("Retry-After: 0.6", caller->received.c_str());
+    LONGS_EQUAL(1, arrivals.size());
+}
+
 TEST(request_flow_tests, other_server_at_the_address_gets_nothing_more)
 {
     add_server([](tests::raw_connection& from) {
