--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -28,14 +28,13 @@
     (void)platform::decode_list_page(bytes);
     (void)platform::decode_rollout(bytes);
     (void)platform::read_settings(bytes);
-    (void)platform::platform_dialect::read_caller(
-        {"POST",
-         bytes,
-         {{"X-Token-Counts", bytes},
-          {"X-Prompt-Prefix", bytes},
-          {"X-Deadline-Ms", bytes},
-          {"Connection", bytes}},
-         ""});
+    (void)platform::platform_dialect::read_caller({"POST",
+                                                   bytes,
+                                                   {{"X-Token-Counts", bytes},
+                                                    {"X-Prompt-Prefix", bytes},
+                                                    {"X-Deadline-Ms", bytes},
+                                                    {"Connection", bytes}},
+                                                   ""});
     (void)protocol::decode_entry_report(bytes);
     (void)protocol::decode_entry_orders(bytes);
     (void)protocol::decode_token_request(bytes);
--- a/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
+++ b/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
@@ -34,7 +34,7 @@
                                    ///< room beside short ones.
     double crowded_on_server = 10; ///< Above it usual servers are ordered too,
                                    ///< when no others are to be had.
-    std::uint32_t most_usual_in_domain = 2; ///< On average.
+    std::uint32_t most_usual_in_domain = 2;        ///< On average.
     std::chrono::milliseconds load_memory{2'000};  ///< Load is smoothed by it;
                                                    ///< a pile-up behind servers
                                                    ///< that failed is no load.
