--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -315,7 +315,7 @@
 {
     // A server that answers in a hurry may close an idle connection at any
     // time; what may run only once goes out on one that was used just now.
-    constexpr milliseconds fresh_enough{1'000};
+    constexpr milliseconds fresh_enough{3'000};
     const auto now = core_.clock.monotonic_now();
     choice_ = choice;
     tried_.insert(choice.server->listed.id);
@@ -340,9 +340,10 @@
     terms.rank = rank_;
     terms.resume_after = last_event_;
     transport::http1_call_settings limits;
-    limits.max_idle =
-        repeatable() ? core_.settings.client.max_idle
-                     : std::min(fresh_enough, core_.settings.client.max_idle);
+    if (!repeatable())
+    {
+        limits.max_idle = fresh_enough;
+    }
     transport::http1_call_handlers handlers;
     const auto self = this->shared_from_this();
     handlers.on_head = [self](int status, const headers& received) {
--- a/include/hyssopdeal/transport/http1_client.hpp
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -33,7 +33,9 @@
 {
     std::size_t max_head_bytes = 65'536;
     std::size_t max_idle_for_each = 32; ///< Idle connections to one server.
-    std::chrono::milliseconds max_idle{4'000}; ///< Below usual servers' limit.
+    std::chrono::milliseconds max_idle{4'000}; ///< Below usual servers' limit;
+                                               ///< of one that tells none.
+    std::chrono::milliseconds longest_idle{15'000}; ///< Of one that tells more.
     /// Sent and not acknowledged, or silent, for this long: the connection is
     /// lost. Below the gap after which callers give up a stream.
     std::chrono::milliseconds silence_limit{1'500};
@@ -44,7 +46,7 @@
 {
     /// Connections that were idle for longer are not used for this call: the
     /// server may be closing them at this moment.
-    std::chrono::milliseconds max_idle{4'000};
+    std::chrono::milliseconds max_idle{15'000};
     /// Many times a round trip within a region; a lost packet is not waited
     /// for, as another server can be tried.
     std::chrono::milliseconds connect_time_limit{250};
--- a/src/coordination/cluster/capacity_plan.cpp
+++ b/src/coordination/cluster/capacity_plan.cpp
@@ -118,6 +118,7 @@
                    std::max(each, settings_.most_usual_in_domain * each));
     std::uint32_t reclaimable_ready = 0;
     std::uint32_t coming = 0;
+    std::uint32_t most_in_domain = 0;
     bool dry = false;
     std::vector<std::uint32_t> usual_held;
     for (const auto& [price, domain] : domains)
@@ -126,6 +127,7 @@
         const auto& state =
             state_of(order_of(domain, server_kind::reclaimable, 0));
         reclaimable_ready += here.reclaimable;
+        most_in_domain = std::max(most_in_domain, here.reclaimable);
         coming += starting(now, state, here.reclaimable, scaling.start_time);
         dry = dry || state.refused;
         usual_held.push_back(
@@ -133,8 +135,9 @@
             starting(now, state_of(order_of(domain, server_kind::usual, 0)),
                      here.usual, scaling.start_time));
     }
-    const auto expected = reclaimable_ready + coming;
-    // Usual servers are for the time in which no others are to be had.
+    // Usual servers are for the time in which no others are to be had, when the
+    // next domain may be reclaimed too.
+    const auto expected = reclaimable_ready + coming - most_in_domain;
     const auto usual_wanted = dry && least > expected ? least - expected : 0;
     const bool enough = reclaimable_ready >= std::min(least, total);
     auto usual = usual_held;
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -326,7 +326,8 @@
         if (idle)
         {
             // A request must reach the server before it closes.
-            max_idle_ = std::min(client_->settings.max_idle, *idle * 7 / 10);
+            max_idle_ =
+                std::min(client_->settings.longest_idle, *idle * 7 / 10);
         }
         const bool keep = reader_.keeps_alive() && all_read;
         const auto call = std::exchange(call_, {}).lock();
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -458,6 +458,22 @@
     CHECK(usual <= 4);
 }
 
+// Four reclaims in a row left one server, as the three that were still there
+// had seemed enough.
+TEST(capacity_plan_tests,
+     reclaim_of_one_more_domain_is_borne_while_none_are_left)
+{
+    servers.clear();
+    add(3, "a", server_kind::reclaimable);
+    (void)step(10, order_outcome::none_available);
+    std::uint32_t usual = 0;
+    for (const auto& order : step(10, order_outcome::accepted))
+    {
+        usual += order.kind == server_kind::usual ? order.count : 0;
+    }
+    LONGS_EQUAL(2, usual);
+}
+
 TEST(capacity_plan_tests, refused_orders_pause)
 {
     CHECK_FALSE(step(0, order_outcome::none_available).empty());
