--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -691,7 +691,7 @@
         core_.quota.give_back(organisation_, tokens_);
     }
     core_.counters.refused.add();
-    exchange_.send(std::move(answer));
+    exchange_.send(answer);
     end(why, status);
 }
 
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -364,8 +364,7 @@
     std::vector<capacity_order> step(double running, order_outcome outcome)
     {
         now += 1s;
-        const auto orders =
-            planner.step(now, services, servers, {{"s", running}});
+        auto orders = planner.step(now, services, servers, {{"s", running}});
         for (const auto& order : orders)
         {
             planner.on_answer(now, order, outcome);
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -119,7 +119,8 @@
 
 TEST(http1_server_tests, bad_and_oversized_input_gets_a_clear_error)
 {
-    const auto refused = [&](std::string bytes, std::string_view status) {
+    const auto refused = [&](const std::string& bytes,
+                             std::string_view status) {
         const auto caller = tests::raw_call(loop, port);
         caller->send(bytes);
         CHECK_TRUE(tests::run_until(
