--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -89,7 +89,7 @@
     }
 
     /// Adds a server that follows a script for each request.
-    void add_server(script act)
+    void add_server(const script& act)
     {
         servers.push_back(std::make_unique<tests::raw_listener>(
             loop, [this, act](tests::raw_connection& from) {
