--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -160,7 +160,6 @@
     std::uint64_t incarnation_;
     transport::monotonic_time started_;
     transport::monotonic_time valid_until_{};
-    bool was_valid_ = false;
     std::uint64_t listing_digest_ = 0;
     transport::monotonic_time listing_read_{};
     bool time_known_ = false;
