End a stopping entry only when its last answers have left

Change: the check counts connections that read, answer, write or wait for their caller to close, instead of open requests. Test: an answer larger than the socket's buffers keeps its connection busy.

--- a/include/hyssopdeal/transport/http1_server.hpp
+++ b/include/hyssopdeal/transport/http1_server.hpp
@@ -126,6 +126,10 @@
     /// @return Requests whose answer is not complete.
     [[nodiscard]] std::size_t open_requests() const noexcept;
 
+    /// @return Connections with a request that is being read or answered, or
+    ///     with an answer that has not left: ending now would cut it.
+    [[nodiscard]] std::size_t busy_connections() const noexcept;
+
 private:
     std::shared_ptr<impl> impl_;
 };
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -310,7 +310,7 @@
 void gateway_process::impl::check_drained()
 {
     const auto passed = drained_for();
-    const bool idle = callers->open_requests() == 0;
+    const bool idle = callers->busy_connections() == 0;
     if (accepting && passed >= still_accepting)
     {
         accepting = false;
@@ -324,7 +324,7 @@
     if (over || (idle && passed >= still_accepting + end_margin))
     {
         log_event("process.drained",
-                  {{"took_ms", passed}, {"open", callers->open_requests()}});
+                  {{"took_ms", passed}, {"open", callers->busy_connections()}});
         return on_drained();
     }
     drain_timer = loop.after(drain_check_interval, [this] { check_drained(); });
@@ -373,7 +373,7 @@
     {
         return;
     }
-    log_event("process.drains", {{"open", impl_->callers->open_requests()}});
+    log_event("process.drains", {{"open", impl_->callers->busy_connections()}});
     impl_->draining = true;
     impl_->drain_began = impl_->clock.monotonic_now();
     impl_->on_drained = std::move(on_drained);
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -3,6 +3,7 @@
 
 #include <hyssopdeal/transport/http1_server.hpp>
 
+#include <algorithm>
 #include <array>
 #include <set>
 #include <utility>
@@ -177,7 +178,8 @@
 
     [[nodiscard]] bool idle() const noexcept
     {
-        return open_.expired() && !closing_ && !reader_.started();
+        return open_.expired() && !closing_ && !writing_ && next_out_.empty() &&
+               !reader_.started();
     }
 
     [[nodiscard]] bool keep_offered() const noexcept
@@ -628,4 +630,12 @@
     return impl_->open_requests;
 }
 
+std::size_t http1_server::busy_connections() const noexcept
+{
+    const auto& all = impl_->connections;
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(),
+                      [](const auto& item) { return !item->idle(); }));
+}
+
 } // namespace hyssopdeal::transport
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -117,6 +117,38 @@
     CHECK_TRUE(caller->received.find("0\r\n\r\n") == std::string::npos);
 }
 
+// A process that ended once no request was open cut answers on their way.
+TEST(http1_server_tests, answer_that_has_not_left_keeps_its_connection_busy)
+{
+    answer_at_once = false;
+    asio::ip::tcp::socket caller{loop.context()};
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size{4'096});
+    caller.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(caller,
+                asio::buffer(std::string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n"}));
+    CHECK_TRUE(tests::run_until(loop, [&] { return !held.empty(); }));
+    server->drain();
+    const std::size_t beyond_socket_buffers = 4'000'000;
+    held[0].send({200, {}, std::string(beyond_socket_buffers, 'x')});
+    loop.run_for(20ms);
+    LONGS_EQUAL(0, server->open_requests());
+    LONGS_EQUAL(1, server->busy_connections());
+    std::vector<char> taken(1'000'000);
+    std::size_t received = 0;
+    std::function<void()> read = [&] {
+        caller.async_read_some(asio::buffer(taken),
+                               [&](const auto& error, std::size_t length) {
+                                   received += length;
+                                   error ? caller.close() : read();
+                               });
+    };
+    read();
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return server->busy_connections() == 0; }, 8s));
+    CHECK_TRUE(received > beyond_socket_buffers);
+}
+
 TEST(http1_server_tests, bad_and_oversized_input_gets_a_clear_error)
 {
     const auto refused = [&](const std::string& bytes,
