Serve many entries: shares and loads by sums, quiet replicas asked less

And a new planner took "no load seen yet" for "no load" and gave 60 servers back for 12. Ruled out: encoding (0.02 cores by count), the disk. Change: sums over entries are kept and corrected by differences, rebuilt each 250 ms; entries ask replicas that do not lead once a second, and all of them again when the leader has not answered for three reports; what ran at the start is kept until load has been watched for as long as a peak counts. Tests: any window under the tolerated bound while 1.1 times the quota is served; sums of loads; servers of the start are kept. The shares' invariant test is unchanged.

--- a/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
+++ b/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
@@ -38,7 +38,9 @@
     std::chrono::milliseconds load_memory{2'000};  ///< Load is smoothed by it;
                                                    ///< a pile-up behind servers
                                                    ///< that failed is no load.
-    std::chrono::milliseconds peak_memory{20'000}; ///< Then the peak counts.
+    /// Then a peak is over. For as long after the first load, what ran at the
+    /// start is kept: the load of the time before is not known.
+    std::chrono::milliseconds peak_memory{20'000};
     /// After its start time, what was ordered and has not come is given up.
     std::chrono::milliseconds start_margin{3'000};
     std::chrono::milliseconds refused_pause{2'000}; ///< After "none to be had".
@@ -120,6 +122,9 @@
               const protocol::document_service& service,
               const domain_counts& ready, double running,
               std::vector<capacity_order>& orders);
+    [[nodiscard]] std::uint32_t kept_from_start(transport::monotonic_time now,
+                                                const std::string& service,
+                                                const domain_counts& ready);
     [[nodiscard]] double load_of(transport::monotonic_time now,
                                  const std::string& service, double running);
     [[nodiscard]] std::uint32_t
@@ -136,6 +141,8 @@
         transport::monotonic_time measured{};
         double running = 0;
         transport::monotonic_time at{};
+        std::uint32_t at_start = 0; ///< Servers of either kind.
+        transport::monotonic_time loaded_since{};
     };
 
     capacity_settings settings_;
--- a/include/hyssopdeal/coordination/cluster/share_allocator.hpp
+++ b/include/hyssopdeal/coordination/cluster/share_allocator.hpp
@@ -14,6 +14,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -76,13 +77,19 @@
         std::uint64_t incarnation = 0;
         transport::monotonic_time reported{};
         std::map<std::string, double> demand;
-        std::vector<grant> grants; ///< Unexpired.
+        std::deque<grant> grants; ///< Unexpired, the oldest first.
+        /// Most that it may still use, by organisation.
+        std::map<std::string, double> outstanding;
     };
 
-    [[nodiscard]] double outstanding(const entry_state& entry,
-                                     const std::string& organisation) const;
-    [[nodiscard]] double target(const std::string& entry,
+    using amounts = std::map<std::string, double>;
+
+    [[nodiscard]] double target(const entry_state& entry,
                                 const std::string& organisation) const;
+    static void add(amounts& to, const amounts& values, double factor);
+    [[nodiscard]] static double value_of(const amounts& from,
+                                         const std::string& organisation);
+    void count_outstanding(transport::monotonic_time now, entry_state& entry);
     void forget_expired(transport::monotonic_time now);
     [[nodiscard]] bool others_unknown(transport::monotonic_time now) const;
 
@@ -90,6 +97,10 @@
     transport::monotonic_time since_;
     std::set<std::string> known_;
     std::map<std::string, entry_state> entries_;
+    // Sums over all entries: an answer must not cost more with each entry.
+    amounts outstanding_;
+    amounts demand_;
+    transport::monotonic_time next_sweep_{};
 };
 
 } // namespace hyssopdeal::coordination
--- a/include/hyssopdeal/coordination/gateway/token_quota.hpp
+++ b/include/hyssopdeal/coordination/gateway/token_quota.hpp
@@ -38,9 +38,13 @@
     std::chrono::milliseconds window{8'000}; ///< In which it is counted.
     double tolerated_part = 0;               ///< Beyond the quota of a window.
     double tolerated_tokens = 0;             ///< Beyond it, whatever the quota.
-    /// Part of what is tolerated that serves as burst: entries cannot split
-    /// bursts exactly. The rest covers requests that are larger than a bucket.
-    double burst_part = 0.5;
+    /// Parts of what is tolerated that serve as burst and, spread over the
+    /// window, as rate: shares cannot follow callers exactly, and a request
+    /// within the quota must not be refused for it. The rest covers requests
+    /// that are larger than a bucket, and levels that are unknown after a
+    /// change of leaders.
+    double burst_part = 0.3;
+    double rate_part = 0.4;
     bucket_debt debt = bucket_debt::when_full;
 };
 
--- a/src/coordination/cluster/capacity_plan.cpp
+++ b/src/coordination/cluster/capacity_plan.cpp
@@ -74,6 +74,33 @@
     return peak.running;
 }
 
+/// @return Servers to keep, whatever the load seems to be.
+std::uint32_t capacity_planner::kept_from_start(monotonic_time now,
+                                                const std::string& service,
+                                                const domain_counts& ready)
+{
+    auto& known = peaks_[service];
+    if (known.at_start == 0)
+    {
+        // While one kind takes over from the other, both run.
+        domain_count all;
+        for (const auto& [domain, count] : ready)
+        {
+            all.usual += count.usual;
+            all.reclaimable += count.reclaimable;
+        }
+        known.at_start = std::max(all.usual, all.reclaimable);
+    }
+    const bool loaded = known.running >= 1;
+    if (!loaded)
+    {
+        known.loaded_since = now;
+    }
+    const bool watched =
+        loaded && now - known.loaded_since >= settings_.peak_memory;
+    return watched ? 0 : known.at_start;
+}
+
 /// @return Servers that were ordered and may still come.
 std::uint32_t
 capacity_planner::starting(monotonic_time now, const order_state& state,
@@ -110,8 +137,9 @@
         return static_cast<std::uint32_t>(std::ceil(load / each));
     };
     const auto each = static_cast<std::uint32_t>(domains.size());
-    const auto total = std::max(settings_.least_in_domain * each,
-                                needed(settings_.running_on_server));
+    const auto total = std::max({settings_.least_in_domain * each,
+                                 needed(settings_.running_on_server),
+                                 kept_from_start(now, service.name, ready)});
     // Requests pile up behind too few servers: what they seem to need is capped.
     const auto least =
         std::clamp(needed(settings_.crowded_on_server), each,
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -422,7 +422,7 @@
           static_cast<double>(impl_->listing.servers.size()),
           "Servers on the instance list");
     gauge("hyssopdeal_reporting_entries",
-          static_cast<double>(impl_->loads.size()), "Entries that report");
+          static_cast<double>(impl_->loads.entries()), "Entries that report");
     return out.text();
 }
 
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -123,12 +123,9 @@
         {
             continue;
         }
-        for (const auto& [entry, sent] : loads)
-        {
-            const auto found = sent.load.find(server.id);
-            running[server.service] +=
-                found == sent.load.end() ? 0 : found->second.running;
-        }
+        const auto found = loads.all().find(server.id);
+        running[server.service] +=
+            found == loads.all().end() ? 0 : found->second.running;
     }
     for (const auto& order :
          capacity->step(now, services, listing.servers, running))
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -19,6 +19,7 @@
 #include <string>
 
 #include <hyssopdeal/coordination/cluster/cluster_process.hpp>
+#include <hyssopdeal/coordination/cluster/load_table.hpp>
 #include <hyssopdeal/protocol/follow_messages.hpp>
 #include <hyssopdeal/protocol/peer_hub.hpp>
 
@@ -38,6 +39,9 @@
     read_rollout
 };
 
+// An entry that is silent for longer sends nothing any more.
+constexpr std::chrono::milliseconds load_valid_for{1'000};
+
 // [impl] ---------------------------------------------------------------------
 
 struct cluster_process::impl
@@ -126,12 +130,7 @@
     transport::monotonic_time leader_seen{};
 
     // Entries.
-    struct entry_load
-    {
-        transport::monotonic_time reported{};
-        std::map<std::string, protocol::sent_load> load;
-    };
-    std::map<std::string, entry_load> loads;  ///< By entry.
+    load_table loads{load_valid_for};
     std::optional<share_allocator> allocator; ///< While it leads.
     bool entries_proposed = false;
     std::optional<token_quota> lent; ///< What entries fetch, while it leads.
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -28,8 +28,6 @@
 
 // An operator moves on after a second without an answer.
 constexpr std::chrono::milliseconds forward_time_limit{900};
-// An entry that is silent for longer sends nothing any more.
-constexpr std::chrono::milliseconds load_valid_for{1'000};
 
 std::string pack(const json& value)
 {
@@ -235,7 +233,7 @@
                                               {"error", report.error().text}});
     }
     usage.on_report(true_time(), *report);
-    loads[report->entry] = {clock.monotonic_now(), report->load};
+    loads.on_report(clock.monotonic_now(), report->entry, report->load);
     reply(protocol::encode(orders_for(*report)));
 }
 
@@ -339,24 +337,7 @@
         propose(know_entries_command{*next},
                 [this](const auto&) { entries_proposed = false; });
     }
-    for (auto at = loads.begin(); at != loads.end();)
-    {
-        if (now - at->second.reported > load_valid_for)
-        {
-            at = loads.erase(at);
-            continue;
-        }
-        if (at->first != report.entry)
-        {
-            for (const auto& [server, load] : at->second.load)
-            {
-                orders.others_load[server].running += load.running;
-                orders.others_load[server].waiting_tokens +=
-                    load.waiting_tokens;
-            }
-        }
-        ++at;
-    }
+    orders.others_load = loads.others(report.entry);
     return orders;
 }
 
--- a/src/coordination/cluster/share_allocator.cpp
+++ b/src/coordination/cluster/share_allocator.cpp
@@ -44,46 +44,77 @@
            });
 }
 
-double share_allocator::outstanding(const entry_state& entry,
-                                    const std::string& organisation) const
+double share_allocator::value_of(const amounts& from,
+                                 const std::string& organisation)
 {
-    double most = 0;
-    for (const auto& item : entry.grants)
+    const auto found = from.find(organisation);
+    return found == from.end() ? 0 : found->second;
+}
+
+void share_allocator::add(amounts& to, const amounts& values, double factor)
+{
+    for (const auto& [organisation, value] : values)
     {
-        const auto found = item.shares.find(organisation);
-        most = std::max(most, found == item.shares.end() ? 0 : found->second);
+        to[organisation] += factor * value;
     }
-    return most;
 }
 
-double share_allocator::target(const std::string& entry,
+double share_allocator::target(const entry_state& entry,
                                const std::string& organisation) const
 {
-    double all = 0;
-    double own = 0;
-    for (const auto& [name, state] : entries_)
-    {
-        const auto found = state.demand.find(organisation);
-        const double asked =
-            found == state.demand.end() ? 0 : std::max(0.0, found->second);
-        all += asked;
-        own = name == entry ? asked : own;
-    }
+    const double all = value_of(demand_, organisation);
+    const double own = value_of(entry.demand, organisation);
     const double even = 1.0 / static_cast<double>(entries_.size());
     const double by_demand = all > 0 ? own / all : even;
     return settings_.split_part *
            (settings_.even_part * even + (1 - settings_.even_part) * by_demand);
 }
 
+/// Drops what has expired and counts what is left.
+void share_allocator::count_outstanding(monotonic_time now, entry_state& entry)
+{
+    while (!entry.grants.empty() && entry.grants.front().until <= now)
+    {
+        entry.grants.pop_front();
+    }
+    add(outstanding_, entry.outstanding, -1);
+    entry.outstanding.clear();
+    for (const auto& item : entry.grants)
+    {
+        for (const auto& [organisation, share] : item.shares)
+        {
+            auto& most = entry.outstanding[organisation];
+            most = std::max(most, share);
+        }
+    }
+    add(outstanding_, entry.outstanding, 1);
+}
+
 void share_allocator::forget_expired(monotonic_time now)
 {
+    // What has expired a moment ago still counts: that only grants less.
+    constexpr std::chrono::milliseconds sweep_interval{250};
+    if (now < next_sweep_)
+    {
+        return;
+    }
+    next_sweep_ = now + sweep_interval;
+    // From the start: sums and differences add up rounding errors.
+    outstanding_.clear();
+    demand_.clear();
     for (auto at = entries_.begin(); at != entries_.end();)
     {
-        std::erase_if(at->second.grants,
-                      [&](const auto& item) { return item.until <= now; });
-        const bool silent = now - at->second.reported > settings_.valid_for;
-        at = silent && at->second.grants.empty() ? entries_.erase(at)
-                                                 : std::next(at);
+        auto& entry = at->second;
+        entry.outstanding.clear();
+        count_outstanding(now, entry);
+        const bool silent = now - entry.reported > settings_.valid_for;
+        if (silent && entry.grants.empty())
+        {
+            at = entries_.erase(at);
+            continue;
+        }
+        add(demand_, entry.demand, 1);
+        ++at;
     }
 }
 
@@ -107,31 +138,33 @@
                                                        report.shares_held_ms}});
     }
     own.reported = now;
+    add(demand_, own.demand, -1);
     own.demand = report.demand;
+    for (auto& [organisation, asked] : own.demand)
+    {
+        asked = std::max(0.0, asked);
+    }
+    add(demand_, own.demand, 1);
+    count_outstanding(now, own);
     const bool unknown = others_unknown(now);
     const bool own_known = known_.contains(report.entry);
     grant made;
     made.until = now + settings_.valid_for;
     for (const auto& organisation : organisations)
     {
-        double others = 0;
-        for (const auto& [name, state] : entries_)
-        {
-            others +=
-                name == report.entry ? 0 : outstanding(state, organisation);
-        }
-        const auto held = report.shares.find(organisation);
-        const double keeps =
-            report.shares_held_ms > 0 && held != report.shares.end()
-                ? held->second
-                : 0;
+        const double others = value_of(outstanding_, organisation) -
+                              value_of(own.outstanding, organisation);
+        const double keeps = report.shares_held_ms > 0
+                                 ? value_of(report.shares, organisation)
+                                 : 0;
         const double wanted = !own_known ? 0
                               : unknown  ? keeps
-                                         : target(report.entry, organisation);
+                                         : target(own, organisation);
         made.shares[organisation] = std::clamp(
             wanted, 0.0, std::max(0.0, settings_.split_part - others));
     }
     own.grants.push_back(made);
+    count_outstanding(now, own);
     return made.shares;
 }
 
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -31,10 +31,11 @@
 constexpr double still_serving_part = 0.36; ///< Of the grace time.
 // From the last answer to the kill: to write logs and end.
 constexpr milliseconds end_margin{300};
-// A replica that does not answer is asked less often, and one that nobody names
-// any more is forgotten.
+// Replicas that do not lead, or do not answer, are asked less often: each has
+// the list of servers by itself, and may lead next. One that nobody names any
+// more is forgotten.
 constexpr milliseconds silent_after{2'000};
-constexpr milliseconds silent_interval{1'000};
+constexpr milliseconds other_interval{1'000};
 constexpr milliseconds forget_after{30'000};
 // Beside the callers' connections: links, servers, logs.
 constexpr std::size_t internal_max_connections = 64;
@@ -100,6 +101,7 @@
     std::unique_ptr<transport::http1_server> readiness;
     std::unique_ptr<transport::http1_server> metrics;
     std::string leader; ///< Hub address; empty: unknown.
+    monotonic_time leader_heard{};
     bool was_valid = false;
     bool draining = false;
     bool accepting = true;
@@ -216,12 +218,15 @@
     std::erase_if(replicas, [&](const auto& item) {
         return now - item.second.named > forget_after;
     });
+    // Without an answer for some reports another replica may lead by now.
+    const bool settled = now - leader_heard < 3 * core.settings.report_interval;
     for (auto& [address, replica] : replicas)
     {
         const bool answers = now - replica.answered < silent_after;
+        const bool soon = settled ? address == leader : answers;
         const auto pause =
-            core.keys_valid() ? silent_interval : core.settings.search_interval;
-        if (answers || now - replica.asked >= pause)
+            core.keys_valid() ? other_interval : core.settings.search_interval;
+        if (soon || now - replica.asked >= pause)
         {
             replica.asked = now;
             ask(address, bytes, now);
--- a/src/coordination/gateway/token_quota.cpp
+++ b/src/coordination/gateway/token_quota.cpp
@@ -65,14 +65,16 @@
         {
             item.share = held->second;
         }
-        item.rate = terms.tokens_per_second;
+        const double window = seconds{settings_.window}.count();
         const double counted =
-            terms.tokens_per_second * seconds{settings_.window}.count() +
-            terms.burst_tokens;
-        item.burst =
-            terms.burst_tokens +
-            settings_.burst_part * (settings_.tolerated_tokens +
-                                    settings_.tolerated_part * counted);
+            terms.tokens_per_second * window + terms.burst_tokens;
+        const double tolerated = settings_.tolerated_tokens +
+                                 settings_.tolerated_part * counted;
+        const bool limited = terms.tokens_per_second > 0;
+        item.rate = limited ? terms.tokens_per_second +
+                                  settings_.rate_part * tolerated / window
+                            : 0;
+        item.burst = terms.burst_tokens + settings_.burst_part * tolerated;
         item.level = std::min(item.level, item.share * item.burst);
     }
     buckets_ = std::move(next);
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -5,6 +5,7 @@
 #include <hyssopdeal/coordination/cluster/capacity_plan.hpp>
 #include <hyssopdeal/coordination/cluster/cluster_state.hpp>
 #include <hyssopdeal/coordination/cluster/cluster_voters.hpp>
+#include <hyssopdeal/coordination/cluster/load_table.hpp>
 #include <hyssopdeal/coordination/cluster/share_allocator.hpp>
 #include <hyssopdeal/coordination/cluster/usage_collector.hpp>
 
@@ -330,6 +331,30 @@
 
 // [capacity] -----------------------------------------------------------------
 
+// [load] ---------------------------------------------------------------------
+
+TEST_GROUP(load_table_tests){};
+
+TEST(load_table_tests, sums_follow_reports_and_silent_entries_drop_out)
+{
+    load_table table{1s};
+    monotonic_time now{100s};
+    table.on_report(now, "e1", {{"s1", {2, 100}}, {"s2", {0, 0}}});
+    table.on_report(now, "e2", {{"s1", {3, 50}}, {"s3", {1, 0}}});
+    LONGS_EQUAL(5, table.all().at("s1").running);
+    LONGS_EQUAL(2, table.all().size());
+    LONGS_EQUAL(3, table.others("e1").at("s1").running);
+    LONGS_EQUAL(50, table.others("e1").at("s1").waiting_tokens);
+    LONGS_EQUAL(1, table.others("e2").size());
+    table.on_report(now, "e2", {});
+    LONGS_EQUAL(0, table.others("e1").size());
+    LONGS_EQUAL(1, table.all().size());
+    now += 2s;
+    table.on_report(now, "e2", {});
+    LONGS_EQUAL(0, table.all().size());
+    LONGS_EQUAL(1, table.entries());
+}
+
 TEST_GROUP(capacity_plan_tests)
 {
     capacity_planner planner{{}};
@@ -394,6 +419,35 @@
     }
 }
 
+// Before the first callers came, the servers of a large deployment were given
+// back as if there were no load.
+TEST(capacity_plan_tests, what_ran_at_the_start_is_kept_until_load_is_known)
+{
+    services[0].scaling->most = 40;
+    servers.clear();
+    add(20, "a", server_kind::usual);
+    add(10, "b", server_kind::usual);
+    const auto ordered = [&](double running) {
+        std::uint32_t sum = 0;
+        for (const auto& order : step(running, order_outcome::accepted))
+        {
+            sum += order.kind == server_kind::reclaimable ? order.count : 0;
+        }
+        return sum;
+    };
+    LONGS_EQUAL(30, ordered(0));
+    servers.clear();
+    add(15, "a", server_kind::reclaimable);
+    add(15, "b", server_kind::reclaimable);
+    for (int second = 0; second < 30; ++second)
+    {
+        LONGS_EQUAL(0, ordered(second < 12 ? 0 : 60));
+    }
+    // For peak_memory the load would have been enough for ten servers.
+    now += 5s;
+    LONGS_EQUAL(10, ordered(60));
+}
+
 // Reclaimed servers were taken for starting ones, as their order still stood;
 // none were left in the end.
 TEST(capacity_plan_tests, reclaimed_servers_do_not_count_as_starting)
--- a/tests/gateway_decisions_test.cpp
+++ b/tests/gateway_decisions_test.cpp
@@ -140,6 +140,49 @@
     CHECK(sum >= 20 * 500 * 0.95);
 }
 
+// Shares follow callers late: what is tolerated beyond a quota keeps requests
+// within it from being refused, and is never passed in any window.
+TEST(token_quota_tests, tolerated_tokens_are_used_and_never_passed)
+{
+    constexpr double rate = 36'000;
+    quota_settings settings;
+    settings.tolerated_part = 0.1;
+    settings.tolerated_tokens = 140'000;
+    token_quota tolerant{settings};
+    protocol::organisation_terms terms;
+    terms.name = "o";
+    terms.tokens_per_second = rate;
+    terms.burst_tokens = rate;
+    tolerant.set_organisations(now, {terms});
+    tolerant.set_shares(now, {{"o", 1}}, now + 1h);
+    const double bound = (rate * 8 + rate) * 1.1 + 140'000;
+    std::vector<double> each_second;
+    double steady_refusals = 0;
+    for (int second = 0; second < 60; ++second)
+    {
+        // At first a little more than the quota, then as much as it takes.
+        const int asked = second < 30 ? 40 : 400;
+        each_second.push_back(0);
+        for (int count = 0; count < asked; ++count)
+        {
+            now += std::chrono::microseconds{1'000'000 / asked};
+            const bool taken = tolerant.take(now, "o", 1'000).count() == 0;
+            each_second.back() += taken ? 1'000 : 0;
+            steady_refusals += !taken && second < 30 ? 1 : 0;
+        }
+    }
+    DOUBLES_EQUAL(0, steady_refusals, 0.5);
+    for (std::size_t at = 7; at < each_second.size(); ++at)
+    {
+        double sum = 0;
+        for (std::size_t back = 0; back < 8; ++back)
+        {
+            sum += each_second[at - back];
+        }
+        CHECK_TRUE(sum <= bound);
+    }
+}
+
 TEST(token_quota_tests, request_larger_than_the_bucket_passes_when_it_is_full)
 {
     start(1'000, 0.1);
