Let the first leader of all order servers at once

Ruled out: ordering before a document is in force (it names the prices). Change: the leader whose first record is the first of the log does not wait: a predecessor that could order had committed a record. Servers of the start are counted until load comes, as they appear one after the other.

--- a/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
+++ b/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
@@ -34,10 +34,10 @@
                                    ///< room beside short ones.
     double crowded_on_server = 10; ///< Above it usual servers are ordered too,
                                    ///< when no others are to be had.
-    std::uint32_t most_usual_in_domain = 2;        ///< On average.
-    std::chrono::milliseconds load_memory{2'000};  ///< Load is smoothed by it;
-                                                   ///< a pile-up behind servers
-                                                   ///< that failed is no load.
+    std::uint32_t most_usual_in_domain = 2;       ///< On average.
+    std::chrono::milliseconds load_memory{2'000}; ///< Load is smoothed by it;
+                                                  ///< a pile-up behind servers
+                                                  ///< that failed is no load.
     /// Then a peak is over. For as long after the first load, what ran at the
     /// start is kept: the load of the time before is not known.
     std::chrono::milliseconds peak_memory{20'000};
--- a/include/hyssopdeal/coordination/control_node.hpp
+++ b/include/hyssopdeal/coordination/control_node.hpp
@@ -36,6 +36,7 @@
     transport::monotonic_time orders_from{}; ///< Leader only: the former
                                              ///< leader's lease is over.
     std::string leader; ///< Peer name of the leader; empty: unknown.
+    bool first = false; ///< Leader only: nobody led before.
 };
 
 /// @return Whether a leader may serve reads and send orders now.
--- a/src/coordination/cluster/capacity_plan.cpp
+++ b/src/coordination/cluster/capacity_plan.cpp
@@ -80,20 +80,18 @@
                                                 const domain_counts& ready)
 {
     auto& known = peaks_[service];
-    if (known.at_start == 0)
+    const bool loaded = known.running >= 1;
+    if (!loaded)
     {
-        // While one kind takes over from the other, both run.
+        // Servers appear one after the other. While one kind takes over from
+        // the other, both run.
         domain_count all;
         for (const auto& [domain, count] : ready)
         {
             all.usual += count.usual;
             all.reclaimable += count.reclaimable;
         }
-        known.at_start = std::max(all.usual, all.reclaimable);
-    }
-    const bool loaded = known.running >= 1;
-    if (!loaded)
-    {
+        known.at_start = std::max({known.at_start, all.usual, all.reclaimable});
         known.loaded_since = now;
     }
     const bool watched =
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -62,8 +62,14 @@
 /// @return Whether an order to the platform may leave at this moment.
 bool cluster_process::impl::may_order() const
 {
-    return leads() && leading_term != 0 &&
-           clock.monotonic_now() - leading_since >= settings.order_lease;
+    if (!leads() || leading_term == 0)
+    {
+        return false;
+    }
+    // Who leads first of all has no predecessor whose orders are on their way.
+    const auto wait = status().leads.first ? std::chrono::milliseconds{0}
+                                           : settings.order_lease;
+    return clock.monotonic_now() - leading_since >= wait;
 }
 
 void cluster_process::impl::run_duties()
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -368,6 +368,8 @@
         shown.leads.role = leadership_role::leader;
         shown.leads.lease_until = own.lease_until();
         shown.leads.orders_from = own.elected + own.settings.election_timeout;
+        // An earlier leader would have committed a record.
+        shown.leads.first = own.first_own == bootstrap_index + 1;
     }
     return shown;
 }
