Give elections that ran out more time

Cause: votes are answered once they are synced. Where a sync takes longer than the election timeout (0.6 to 1.2 s), each election was overtaken by the next one, for ever: in the model, with syncs of up to 3 s, none of three replicas led within 30 s after a leader's crash. Ruled out in the model: lost messages (none), the lease (kept as it is). Change: a replica that gave its vote in an election that ran out waits twice as long for the next one, 16 times at most; hearing a leader ends that.

--- a/src/coordination/replica_election.cpp
+++ b/src/coordination/replica_election.cpp
@@ -4,12 +4,21 @@
 #include <algorithm>
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "coordination/replica_impl.hpp"
 
 namespace hyssopdeal::coordination
 {
 
+namespace
+{
+
+// Of the election timeout; 10 s at the default.
+constexpr std::uint32_t most_doublings = 4;
+
+} // namespace
+
 // [voters] -------------------------------------------------------------------
 
 template <reconcile_strategy Strategy>
@@ -101,7 +110,10 @@
 template <reconcile_strategy Strategy>
 void basic_replica<Strategy>::impl::reset_election_timer()
 {
-    const auto least = std::chrono::nanoseconds{settings.election_timeout};
+    // Each election that ran out gets the next one twice the time: votes are
+    // synced first, and a disk may need longer than the timeout for it.
+    const auto least = std::chrono::nanoseconds{settings.election_timeout} *
+                       (1U << std::min(lost_elections, most_doublings));
     std::uniform_int_distribution<std::int64_t> spread{0, least.count()};
     election_due = now + least + std::chrono::nanoseconds{spread(random)};
 }
@@ -140,6 +152,7 @@
 template <reconcile_strategy Strategy>
 void basic_replica<Strategy>::impl::start_pre_vote()
 {
+    lost_elections += std::exchange(vote_given, false) ? 1 : 0;
     role = replica_role_now::pre_candidate;
     returns = false;
     leader = 0;
@@ -170,6 +183,7 @@
     matched = 0;
     owes_ack = false;
     change_hard(hard.term + 1, hard.id);
+    vote_given = true;
     granted = {hard.id};
     vote_hints.clear();
     reset_election_timer();
@@ -222,6 +236,8 @@
 {
     role = replica_role_now::leader;
     returns = false;
+    vote_given = false;
+    lost_elections = 0;
     leader = hard.id;
     elected = now;
     transferring = false;
@@ -276,6 +292,7 @@
     if (grant)
     {
         change_hard(hard.term, from.from);
+        vote_given = true;
         reset_election_timer();
         reply.answer = vote_answer::granted;
         if constexpr (Strategy::exact)
--- a/src/coordination/replica_follower.cpp
+++ b/src/coordination/replica_follower.cpp
@@ -30,6 +30,8 @@
     become_follower(from.term, from.from);
     heard = now;
     latest_sent = std::max(latest_sent, sent);
+    vote_given = false;
+    lost_elections = 0;
     reset_election_timer();
 }
 
--- a/src/coordination/replica_impl.hpp
+++ b/src/coordination/replica_impl.hpp
@@ -190,6 +190,8 @@
     std::uint64_t leader = 0;
     monotonic_time heard{};        ///< From the leader, or the start.
     monotonic_time election_due{}; ///< When to stand.
+    bool vote_given = false; ///< In an election that no leader came of yet.
+    std::uint32_t lost_elections = 0; ///< In a row, with a vote from here.
     /// Until a leader is heard after a restart: this replica led the latest
     /// term, so that no other's lease is in its way.
     bool returns = false;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -268,6 +268,21 @@
     CHECK_FALSE(stands(""));
 }
 
+// Votes are answered only once they are synced. Where that took longer than the
+// election timeout, each election was given up for the next one, for ever.
+TEST(replica_tests, slow_disks_delay_elections_but_do_not_prevent_them)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        quiet_cluster cluster{3, seed};
+        const auto old = cluster.reader();
+        cluster.slowest_disk = 3'000;
+        cluster.crash(old);
+        cluster.run_for(30s);
+        CHECK(cluster.reader() != 0);
+    }
+}
+
 TEST(replica_tests, failed_disk_silences_the_leader)
 {
     quiet_cluster cluster{3};
