--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -314,10 +314,12 @@
                          : refuse(503, "no_server", soon);
     }
     // A stream that will surely begin late only delays those behind it; its
-    // caller is better served by coming back. Predictions err by about half a
-    // target. A prompt that is late by its own length finds no better time.
+    // caller is better served by coming back. A prompt that is late by its own
+    // length finds no better time.
     const auto target = route_->target_latency;
-    const auto latest = std::max(target, choice->alone) + target / 2;
+    // Half a target: about the error of a prediction.
+    const auto margin = target / 2;
+    const auto latest = std::max(target, choice->alone) + margin;
     const bool late = route_->rule == protocol::repeat_rule::stream &&
                       arrivals_ == 0 && no_connection_ == 0 &&
                       choice->predicted > latest;
