One subtraction of loads; plain branches where a leader returns

Read again as a newcomer: load_table took one entry's loads out of a sum in two copies of the same loop, and clang-format took `returns && role` for a declaration. Checked: plain build, 56 of 56 tests (known red left out), lint of both files, format.

--- a/include/hyssopdeal/coordination/cluster/load_table.hpp
+++ b/include/hyssopdeal/coordination/cluster/load_table.hpp
@@ -55,8 +55,6 @@
         loads sent;
     };
 
-    void remove(const loads& sent);
-
     std::chrono::milliseconds valid_for_;
     std::map<std::string, entry_loads> entries_;
     loads sum_; ///< Only servers to which something was sent.
--- a/src/coordination/cluster/load_table.cpp
+++ b/src/coordination/cluster/load_table.cpp
@@ -8,16 +8,16 @@
 
 using transport::monotonic_time;
 
-load_table::load_table(std::chrono::milliseconds valid_for)
-    : valid_for_(valid_for)
-{}
+namespace
+{
 
-void load_table::remove(const loads& sent)
+/// Takes loads out of a sum; servers to which nothing is sent any more go.
+void subtract(load_table::loads& from, const load_table::loads& sent)
 {
     for (const auto& [server, load] : sent)
     {
-        const auto found = sum_.find(server);
-        if (found == sum_.end())
+        const auto found = from.find(server);
+        if (found == from.end())
         {
             continue;
         }
@@ -25,11 +25,17 @@
         found->second.waiting_tokens -= load.waiting_tokens;
         if (found->second.running == 0 && found->second.waiting_tokens == 0)
         {
-            sum_.erase(found);
+            from.erase(found);
         }
     }
 }
 
+} // namespace
+
+load_table::load_table(std::chrono::milliseconds valid_for)
+    : valid_for_(valid_for)
+{}
+
 void load_table::on_report(monotonic_time now, const std::string& entry,
                            const loads& sent)
 {
@@ -41,13 +47,13 @@
             const bool silent = now - at->second.reported > valid_for_;
             if (silent)
             {
-                remove(at->second.sent);
+                subtract(sum_, at->second.sent);
             }
             at = silent ? entries_.erase(at) : std::next(at);
         }
     }
     auto& own = entries_[entry];
-    remove(own.sent);
+    subtract(sum_, own.sent);
     own = {now, {}};
     for (const auto& [server, load] : sent)
     {
@@ -64,20 +70,9 @@
 load_table::loads load_table::others(const std::string& entry) const
 {
     auto left = sum_;
-    const auto own = entries_.find(entry);
-    if (own == entries_.end())
-    {
-        return left;
-    }
-    for (const auto& [server, load] : own->second.sent)
+    if (const auto own = entries_.find(entry); own != entries_.end())
     {
-        const auto found = left.find(server);
-        found->second.running -= load.running;
-        found->second.waiting_tokens -= load.waiting_tokens;
-        if (found->second.running == 0 && found->second.waiting_tokens == 0)
-        {
-            left.erase(found);
-        }
+        subtract(left, own->second.sent);
     }
     return left;
 }
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -109,11 +109,14 @@
     if (role != replica_role_now::leader)
     {
         const bool due = now >= election_due && votes();
-        if (due)
+        const bool has_stood = role != replica_role_now::follower;
+        if (due && returns && !has_stood)
         {
-            returns&& role == replica_role_now::follower
-                ? start_election(vote_kind::transfer)
-                : start_pre_vote();
+            start_election(vote_kind::transfer);
+        }
+        else if (due)
+        {
+            start_pre_vote();
         }
         else if (returns && role == replica_role_now::candidate &&
                  now >= ask_again_due)
