--- a/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
+++ b/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
@@ -29,14 +29,14 @@
 
 struct capacity_settings
 {
-    std::uint32_t least_in_domain = 2; ///< One may fail or be slow.
-    double running_on_server = 8; ///< Requests at once that leave long prompts
-                                  ///< room beside short ones.
+    std::uint32_t least_in_domain = 3; ///< One may fail or be slow.
+    double running_on_server = 6;  ///< Requests at once that leave long prompts
+                                   ///< room beside short ones.
     double crowded_on_server = 20; ///< Above it usual servers are ordered too,
                                    ///< when no others are to be had.
-    std::chrono::milliseconds load_memory{2'000}; ///< Load is smoothed by it;
-                                                  ///< a pile-up behind servers
-                                                  ///< that failed is no load.
+    std::chrono::milliseconds load_memory{2'000};  ///< Load is smoothed by it;
+                                                   ///< a pile-up behind servers
+                                                   ///< that failed is no load.
     std::chrono::milliseconds peak_memory{20'000}; ///< Then the peak counts.
     /// After its start time, what was ordered and has not come is given up.
     std::chrono::milliseconds start_margin{3'000};
@@ -95,15 +95,15 @@
     /// What was ordered of one kind in one domain.
     struct order_state
     {
-        bool asked = false;    ///< An order is under way.
-        bool ordered = false;  ///< `count` was accepted.
+        bool asked = false;   ///< An order is under way.
+        bool ordered = false; ///< `count` was accepted.
         std::uint32_t count = 0;
         transport::monotonic_time sent{};
         transport::monotonic_time raised{}; ///< `count` last grew. What was
                                             ///< reclaimed since does not come
                                             ///< again by itself.
         transport::monotonic_time not_before{};
-        bool refused = false;  ///< The latest answer was "none to be had".
+        bool refused = false; ///< The latest answer was "none to be had".
     };
 
     /// Servers of one service in one domain that take work.
--- a/include/hyssopdeal/coordination/cluster/cluster_process.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_process.hpp
@@ -42,9 +42,9 @@
 {
     std::string name; ///< Of the instance.
     std::string failure_domain;
-    std::string address;         ///< IP number.
-    std::uint16_t hub_port = 0;  ///< Same on every instance.
-    std::string operators;       ///< `IP:port` of the operators' API.
+    std::string address;            ///< IP number.
+    std::uint16_t hub_port = 0;     ///< Same on every instance.
+    std::string operators;          ///< `IP:port` of the operators' API.
     std::vector<std::string> seeds; ///< Hub addresses.
     cluster_start start = cluster_start::later;
     std::string data_folder;
@@ -77,8 +77,9 @@
 struct cluster_outside
 {
     /// Reads the whole instance list.
-    std::function<void(std::function<void(
-        transport::result<std::vector<protocol::listed_server>>)>)>
+    std::function<void(
+        std::function<void(
+            transport::result<std::vector<protocol::listed_server>>)>)>
         read_list;
     /// Sends the counts of a window.
     std::function<void(const order_fence&, const decide_usage_command&,
--- a/include/hyssopdeal/coordination/cluster/cluster_state.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_state.hpp
@@ -70,9 +70,8 @@
     std::set<std::string> entries; ///< Names of instances.
 };
 
-using cluster_command =
-    std::variant<put_document_command, decide_usage_command,
-                 put_rollout_command, know_entries_command>;
+using cluster_command = std::variant<put_document_command, decide_usage_command,
+                                     put_rollout_command, know_entries_command>;
 
 [[nodiscard]] std::string encode(const cluster_command& command);
 
@@ -135,7 +134,7 @@
 
     std::uint64_t document_version_ = 0;
     std::string document_;
-    std::deque<decide_usage_command> usage_; ///< By window, rising.
+    std::deque<decide_usage_command> usage_;         ///< By window, rising.
     std::map<std::string, rollout_record> rollouts_; ///< By service.
     std::set<std::string> entries_;
 };
--- a/include/hyssopdeal/coordination/cluster/share_allocator.hpp
+++ b/include/hyssopdeal/coordination/cluster/share_allocator.hpp
@@ -31,7 +31,7 @@
 struct share_settings
 {
     std::chrono::milliseconds valid_for{3'750}; ///< From the report's sending.
-    double even_part = 0.3; ///< Split evenly; keeps the first requests quick.
+    double even_part = 0.3;   ///< Split evenly; keeps the first requests quick.
     double split_part = 0.35; ///< Of the quota; the leader lends the rest.
 };
 
--- a/include/hyssopdeal/coordination/gateway/dialect.hpp
+++ b/include/hyssopdeal/coordination/gateway/dialect.hpp
@@ -28,7 +28,7 @@
 {
     std::string attempt_id; ///< Of this try of the caller; empty: none.
     std::string host;
-    std::string key;        ///< Empty: none.
+    std::string key;                                     ///< Empty: none.
     std::optional<std::chrono::milliseconds> time_limit; ///< It waits so long.
     bool names_tokens = false; ///< Whether `size` was sent.
     prompt_size size;
@@ -50,7 +50,7 @@
 /// What an answer's head says.
 struct answer_terms
 {
-    std::string attempt_id;  ///< That it answers; empty: not said.
+    std::string attempt_id;    ///< That it answers; empty: not said.
     bool not_executed = false; ///< The server refused before running.
     bool other_server = false; ///< The address belongs to another server now.
     bool proven = false;       ///< Comes from a server that ran the request.
@@ -62,22 +62,22 @@
 template <class Dialect>
 concept caller_dialect =
     requires(const transport::http_request& request,
-             const transport::http_request& original,
-             const server_terms& terms,
-             const std::vector<transport::http_header>& headers, int status) {
-        {
-            Dialect::read_caller(request)
-            } -> std::same_as<caller_terms>;
-        {
-            Dialect::make_request(original, terms)
-            } -> std::same_as<transport::http_request>;
-        {
-            Dialect::read_answer(status, headers)
-            } -> std::same_as<answer_terms>;
-        {
-            Dialect::caller_headers(headers)
-            } -> std::same_as<std::vector<transport::http_header>>;
-    };
+             const transport::http_request& original, const server_terms& terms,
+             const std::vector<transport::http_header>& headers, int status)
+{
+    {
+        Dialect::read_caller(request)
+        } -> std::same_as<caller_terms>;
+    {
+        Dialect::make_request(original, terms)
+        } -> std::same_as<transport::http_request>;
+    {
+        Dialect::read_answer(status, headers)
+        } -> std::same_as<answer_terms>;
+    {
+        Dialect::caller_headers(headers)
+        } -> std::same_as<std::vector<transport::http_header>>;
+};
 
 } // namespace hyssopdeal::coordination
 
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -35,13 +35,13 @@
 {
     std::string name; ///< Of the instance.
     std::string failure_domain;
-    std::string address;            ///< IP number.
+    std::string address; ///< IP number.
     std::uint16_t callers_port = 0;
     std::uint16_t readiness_port = 0;
-    std::uint16_t metrics_port = 0; ///< 0: none.
-    std::uint16_t hub_port = 0;     ///< Same on every instance.
-    std::vector<std::string> seeds; ///< Hub addresses of control replicas.
-    std::string shared_key;         ///< Of the links between processes.
+    std::uint16_t metrics_port = 0;      ///< 0: none.
+    std::uint16_t hub_port = 0;          ///< Same on every instance.
+    std::vector<std::string> seeds;      ///< Hub addresses of control replicas.
+    std::string shared_key;              ///< Of the links between processes.
     std::size_t max_connections = 1'500; ///< Of callers.
     std::chrono::milliseconds report_interval{250}; ///< To each replica.
     std::chrono::milliseconds search_interval{100}; ///< While no leader is
@@ -62,13 +62,13 @@
 struct gateway_counters
 {
     transport::counter received;
-    transport::counter served;   ///< Complete 2xx answers.
+    transport::counter served;          ///< Complete 2xx answers.
     transport::counter passed_failures; ///< Failures of servers, passed on.
-    transport::counter refused;  ///< Not run.
-    transport::counter failed;   ///< 502, 504 or cut by this entry.
-    transport::counter left;     ///< Callers who left before the end.
-    transport::counter repeats;  ///< Attempts beyond a request's first.
-    transport::counter resumed;  ///< Streams that went on elsewhere.
+    transport::counter refused;         ///< Not run.
+    transport::counter failed;          ///< 502, 504 or cut by this entry.
+    transport::counter left;            ///< Callers who left before the end.
+    transport::counter repeats;         ///< Attempts beyond a request's first.
+    transport::counter resumed;         ///< Streams that went on elsewhere.
     transport::duration_histogram first_event;
     transport::duration_histogram whole_answer;
 };
@@ -79,8 +79,9 @@
 class gateway_core
 {
 public:
-    using read_document = std::function<
-        transport::result<protocol::service_document>(const std::string&)>;
+    using read_document =
+        std::function<transport::result<protocol::service_document>(
+            const std::string&)>;
 
     gateway_core(transport::event_loop& loop, const transport::clock& clock,
                  gateway_settings settings, read_document reads);
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -49,14 +49,14 @@
 
 struct placement_settings
 {
-    double first_tokens_per_ms = 100;  ///< Prefill, until it is measured.
-    double request_ms = 60;            ///< Of a plain call, until measured.
-    double other_domain_ms = 4;        ///< Cost of crossing domains.
-    double believed_cache = 0.5;       ///< Chance that others have warmed the
-                                       ///< server that a prompt belongs to.
-    double disturbance = 0.02;         ///< Cost of a ms of prefill for each
-                                       ///< request beside it.
-    double failure_ms = 400;           ///< Cost of a failed try.
+    double first_tokens_per_ms = 100; ///< Prefill, until it is measured.
+    double request_ms = 60;           ///< Of a plain call, until measured.
+    double other_domain_ms = 4;       ///< Cost of crossing domains.
+    double believed_cache = 0.5;      ///< Chance that others have warmed the
+                                      ///< server that a prompt belongs to.
+    double disturbance = 0.02;        ///< Cost of a ms of prefill for each
+                                      ///< request beside it.
+    double failure_ms = 400;          ///< Cost of a failed try.
     std::chrono::milliseconds cache_memory{60'000};
     std::chrono::milliseconds first_avoidance{500}; ///< After failures; twice
                                                     ///< as long each time.
@@ -69,13 +69,13 @@
 struct known_server
 {
     protocol::listed_server listed;
-    bool usable = true; ///< Listed as ready; gets new work.
-    std::uint32_t running = 0; ///< Of this entry.
-    std::uint64_t waiting_tokens = 0; ///< Of this entry, no first event yet.
-    protocol::sent_load others; ///< Of all other entries.
+    bool usable = true;                 ///< Listed as ready; gets new work.
+    std::uint32_t running = 0;          ///< Of this entry.
+    std::uint64_t waiting_tokens = 0;   ///< Of this entry, no first event yet.
+    protocol::sent_load others;         ///< Of all other entries.
     std::uint32_t reported_waiting = 0; ///< By the server's own count.
     transport::monotonic_time reported_at{};
-    double slowness = 1;    ///< Observed to predicted, smoothed.
+    double slowness = 1;     ///< Observed to predicted, smoothed.
     double failure_rate = 0; ///< Smoothed.
     std::uint32_t failures_in_row = 0;
     transport::monotonic_time avoid_until{};
@@ -151,9 +151,9 @@
     [[nodiscard]] std::uint64_t cached(transport::monotonic_time now,
                                        const known_server& server,
                                        const prompt_size& prompt) const;
-    [[nodiscard]] double
-    predict_ms(const known_server& server, const prompt_size& prompt,
-               std::uint64_t uncached) const;
+    [[nodiscard]] double predict_ms(const known_server& server,
+                                    const prompt_size& prompt,
+                                    std::uint64_t uncached) const;
 
     placement_settings settings_;
     std::string failure_domain_;
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -144,13 +144,13 @@
     });
     // Beyond the servers' own time limit, so that their answer comes first.
     constexpr milliseconds patience{100};
-    deadline_timer_ = core_.loop.after(
-        time_left() + patience, [weak = this->weak_from_this()] {
-            if (const auto self = weak.lock())
-            {
-                self->on_deadline();
-            }
-        });
+    deadline_timer_ = core_.loop.after(time_left() + patience,
+                                       [weak = this->weak_from_this()] {
+                                           if (const auto self = weak.lock())
+                                           {
+                                               self->on_deadline();
+                                           }
+                                       });
     take_quota();
 }
 
@@ -274,8 +274,7 @@
 bool request_flow<Dialect>::repeatable() const
 {
     return route_->rule == protocol::repeat_rule::safe ||
-           (route_->rule == protocol::repeat_rule::stream &&
-            route_->resumable);
+           (route_->rule == protocol::repeat_rule::stream && route_->resumable);
 }
 
 template <caller_dialect Dialect>
@@ -290,7 +289,8 @@
         return runs_ > 0 ? fail(504, "no_time_left")
                          : refuse(503, "no_time_left", milliseconds{0});
     }
-    const auto choice = core_.servers.choose(now, service_, terms_.size, tried_);
+    const auto choice =
+        core_.servers.choose(now, service_, terms_.size, tried_);
     if (!choice)
     {
         return runs_ > 0 ? fail(502, "no_other_server")
@@ -329,9 +329,9 @@
     terms.rank = rank_;
     terms.resume_after = last_event_;
     transport::http1_call_settings limits;
-    limits.max_idle = repeatable() ? core_.settings.client.max_idle
-                                   : std::min(fresh_enough,
-                                              core_.settings.client.max_idle);
+    limits.max_idle =
+        repeatable() ? core_.settings.client.max_idle
+                     : std::min(fresh_enough, core_.settings.client.max_idle);
     transport::http1_call_handlers handlers;
     const auto self = this->shared_from_this();
     handlers.on_head = [self](int status, const headers& received) {
@@ -341,10 +341,10 @@
     handlers.on_end = [self](const transport::http1_call_end& how) {
         self->on_attempt_end(how);
     };
-    call_ = core_.client.start(
-        choice.server->listed.address,
-        Dialect::make_request(exchange_.request(), terms), limits,
-        std::move(handlers));
+    call_ =
+        core_.client.start(choice.server->listed.address,
+                           Dialect::make_request(exchange_.request(), terms),
+                           limits, std::move(handlers));
     watch_silence();
 }
 
@@ -422,8 +422,8 @@
 {
     constexpr int first_error = 300;
     last_sign_ = core_.clock.monotonic_now();
-    const bool streams = route_->rule == protocol::repeat_rule::stream &&
-                         status_ < first_error;
+    const bool streams =
+        route_->rule == protocol::repeat_rule::stream && status_ < first_error;
     if (!streams)
     {
         body_ += piece;
@@ -517,9 +517,8 @@
         ++runs_;
     }
     leave_server();
-    const bool again =
-        not_run ? no_connection_ < most_connection_tries
-                : repeatable() && may_repeat_after_run();
+    const bool again = not_run ? no_connection_ < most_connection_tries
+                               : repeatable() && may_repeat_after_run();
     transport::log_event("attempt.broken",
                          {{"request", terms_.attempt_id},
                           {"server", server.listed.id},
@@ -625,8 +624,8 @@
 void request_flow<Dialect>::pass_on()
 {
     constexpr int first_error = 300;
-    const bool streams = route_->rule == protocol::repeat_rule::stream &&
-                         status_ < first_error;
+    const bool streams =
+        route_->rule == protocol::repeat_rule::stream && status_ < first_error;
     if (streams)
     {
         if (!begun_)
@@ -639,8 +638,8 @@
     }
     else
     {
-        exchange_.send({status_, Dialect::caller_headers(received_),
-                        std::move(body_)});
+        exchange_.send(
+            {status_, Dialect::caller_headers(received_), std::move(body_)});
     }
     const bool good = status_ < first_error;
     (good ? core_.counters.served : core_.counters.passed_failures).add();
@@ -668,8 +667,8 @@
     {
         answer.headers.push_back(
             {"Retry-After",
-             fmt::format("{:.3f}", static_cast<double>(come_back.count()) /
-                                       ms_in_s)});
+             fmt::format("{:.3f}",
+                         static_cast<double>(come_back.count()) / ms_in_s)});
     }
     answer.body = fmt::format("not_run: {}\n", why);
     if (tokens_ > 0)
--- a/include/hyssopdeal/coordination/gateway/token_quota.hpp
+++ b/include/hyssopdeal/coordination/gateway/token_quota.hpp
@@ -36,8 +36,8 @@
 struct quota_settings
 {
     std::chrono::milliseconds window{8'000}; ///< In which it is counted.
-    double tolerated_part = 0;   ///< Beyond the quota of a window.
-    double tolerated_tokens = 0; ///< Beyond it, whatever the quota.
+    double tolerated_part = 0;               ///< Beyond the quota of a window.
+    double tolerated_tokens = 0;             ///< Beyond it, whatever the quota.
     /// Part of what is tolerated that serves as burst: entries cannot split
     /// bursts exactly. The rest covers requests that are larger than a bucket.
     double burst_part = 0.5;
@@ -70,9 +70,8 @@
     /// @return 0 when they were taken; else how long until they could be, behind
     ///     those that were told to come back before. An organisation without a
     ///     limit is never refused.
-    [[nodiscard]] std::chrono::milliseconds take(transport::monotonic_time now,
-                                                 const std::string& name,
-                                                 double tokens);
+    [[nodiscard]] std::chrono::milliseconds
+    take(transport::monotonic_time now, const std::string& name, double tokens);
 
     /// Gives back what a request took that did not run.
     void give_back(const std::string& name, double tokens);
@@ -99,8 +98,8 @@
         double burst = 0;
         double share = 0;
         double level = 0;
-        double demand = 0; ///< Smoothed, tokens a second.
-        double asked = 0;  ///< Since demand was last taken.
+        double demand = 0;   ///< Smoothed, tokens a second.
+        double asked = 0;    ///< Since demand was last taken.
         double promised = 0; ///< Tokens of those that were told to come back.
     };
 
--- a/include/hyssopdeal/coordination/replica.hpp
+++ b/include/hyssopdeal/coordination/replica.hpp
@@ -143,17 +143,17 @@
     state::log_index durable = 0;
     state::log_index commit = 0;
     state::log_index applied = 0;
-    state::log_index base = 0;   ///< Records up to it are gone.
-    state::replica_set replicas; ///< In effect, perhaps not committed.
+    state::log_index base = 0;           ///< Records up to it are gone.
+    state::replica_set replicas;         ///< In effect, perhaps not committed.
     state::log_index replicas_index = 0; ///< Of the record that set them.
-    bool halted = false;         ///< The disk has failed.
+    bool halted = false;                 ///< The disk has failed.
 };
 
 /// Leader's view of another replica.
 struct follower_status
 {
     std::uint64_t id = 0;
-    state::log_index match = 0; ///< On its disk.
+    state::log_index match = 0;          ///< On its disk.
     transport::monotonic_time contact{}; ///< Of its latest answer.
 };
 
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -42,12 +42,12 @@
     std::string entry;             ///< Name of the instance.
     std::uint64_t incarnation = 0; ///< Drawn at each start.
     std::string failure_domain;
-    std::uint64_t document_version = 0; ///< In force here; 0: none.
-    std::uint64_t listing_digest = 0;   ///< Of the list held here.
-    std::int64_t shares_held_ms = 0;    ///< They may be used for so long.
-    std::map<std::string, double> shares; ///< Held, by organisation.
-    std::map<std::string, double> demand; ///< Tokens/s, by organisation.
-    std::vector<usage_count> usage;       ///< Of the latest windows.
+    std::uint64_t document_version = 0;    ///< In force here; 0: none.
+    std::uint64_t listing_digest = 0;      ///< Of the list held here.
+    std::int64_t shares_held_ms = 0;       ///< They may be used for so long.
+    std::map<std::string, double> shares;  ///< Held, by organisation.
+    std::map<std::string, double> demand;  ///< Tokens/s, by organisation.
+    std::vector<usage_count> usage;        ///< Of the latest windows.
     std::map<std::string, sent_load> load; ///< By server id.
 };
 
@@ -67,12 +67,12 @@
     /// shares and time count.
     bool leads = false;
     std::uint64_t document_version = 0;
-    std::optional<std::string> document; ///< When the entry's is older.
-    std::int64_t listing_age_ms = -1;    ///< -1: no list was read.
+    std::optional<std::string> document;   ///< When the entry's is older.
+    std::int64_t listing_age_ms = -1;      ///< -1: no list was read.
     std::optional<server_listing> listing; ///< When the entry's differs.
-    std::int64_t true_time_ms = 0;       ///< Median of the replicas' clocks.
-    std::vector<std::string> replicas;   ///< Hub addresses.
-    std::map<std::string, double> shares; ///< Granted, by organisation.
+    std::int64_t true_time_ms = 0;         ///< Median of the replicas' clocks.
+    std::vector<std::string> replicas;     ///< Hub addresses.
+    std::map<std::string, double> shares;  ///< Granted, by organisation.
     std::map<std::string, sent_load> others_load; ///< Of all other entries.
 };
 
@@ -105,11 +105,11 @@
 /// Where a replica stands, as the asked one knows.
 enum class join_state : std::uint8_t
 {
-    unknown,  ///< The asked one does not lead; see `leader`.
-    next_id,  ///< Draw an id from `next_id` on.
-    joining,  ///< Not a member yet, and may become one.
-    member,   ///< A member.
-    removed   ///< The id will never be a member again.
+    unknown, ///< The asked one does not lead; see `leader`.
+    next_id, ///< Draw an id from `next_id` on.
+    joining, ///< Not a member yet, and may become one.
+    member,  ///< A member.
+    removed  ///< The id will never be a member again.
 };
 
 struct join_answer
--- a/include/hyssopdeal/transport/event_log.hpp
+++ b/include/hyssopdeal/transport/event_log.hpp
@@ -33,7 +33,7 @@
 {
 public:
     template <class Value>
-        requires std::integral<Value> || std::floating_point<Value>
+    requires std::integral<Value> || std::floating_point<Value>
     event_field(std::string_view named, Value value)
         : name(named),
           json(fmt::format("{}", value))
@@ -86,7 +86,7 @@
 /// Volume and names.
 struct event_log_settings
 {
-    std::string instance;              ///< On each line.
+    std::string instance;               ///< On each line.
     std::size_t lines_per_second = 400; ///< On average; more are dropped.
     std::size_t burst_lines = 2'000;
     std::size_t queued_lines = 4'096; ///< Waiting for the output.
--- a/include/hyssopdeal/transport/http1_client.hpp
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -53,8 +53,8 @@
 /// What to do with an answer whose head has come.
 enum class head_choice : std::uint8_t
 {
-    take, ///< It answers this call.
-    skip, ///< It answers an earlier call: read past it.
+    take,  ///< It answers this call.
+    skip,  ///< It answers an earlier call: read past it.
     reject ///< It cannot be trusted: end the call as a broken answer.
 };
 
--- a/src/coordination/cluster/capacity_plan.cpp
+++ b/src/coordination/cluster/capacity_plan.cpp
@@ -25,11 +25,11 @@
                                static_cast<int>(order.kind))];
 }
 
-std::vector<capacity_order> capacity_planner::step(
-    monotonic_time now,
-    const std::vector<protocol::document_service>& services,
-    const std::vector<protocol::listed_server>& servers,
-    const std::map<std::string, double>& running)
+std::vector<capacity_order>
+capacity_planner::step(monotonic_time now,
+                       const std::vector<protocol::document_service>& services,
+                       const std::vector<protocol::listed_server>& servers,
+                       const std::map<std::string, double>& running)
 {
     std::vector<capacity_order> orders;
     for (const auto& service : services)
@@ -64,8 +64,8 @@
     const std::chrono::duration<double> passed = now - peak.measured;
     const std::chrono::duration<double> memory = settings_.load_memory;
     peak.measured = now;
-    peak.smoothed += (1 - std::exp(-passed / memory)) *
-                     (running - peak.smoothed);
+    peak.smoothed +=
+        (1 - std::exp(-passed / memory)) * (running - peak.smoothed);
     if (peak.smoothed >= peak.running || now - peak.at > settings_.peak_memory)
     {
         peak.running = peak.smoothed;
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -62,8 +62,7 @@
         log_event("cluster.joins", {{"replica", settings.name}});
         return {};
     }
-    log_event("cluster.founds",
-              {{"replica", settings.name}, {"id", id}});
+    log_event("cluster.founds", {{"replica", settings.name}, {"id", id}});
     const auto written = storage.write(
         bootstrap_request(id, founders, cluster_state{}.encode_snapshot()));
     if (!written)
@@ -83,12 +82,11 @@
 cluster_process::impl::use_disk(control_disk::storage_type storage,
                                 state::recovered_state recovered)
 {
-    log_event("replica.opened",
-              {{"id", recovered.hard.id},
-               {"term", recovered.hard.term},
-               {"snapshot", recovered.snap.index},
-               {"records", recovered.records.size()},
-               {"torn_bytes", recovered.torn_bytes}});
+    log_event("replica.opened", {{"id", recovered.hard.id},
+                                 {"term", recovered.hard.term},
+                                 {"snapshot", recovered.snap.index},
+                                 {"records", recovered.records.size()},
+                                 {"torn_bytes", recovered.torn_bytes}});
     auto made =
         cluster_machine::make(settings.machine, std::move(recovered),
                               transport::random_seed(), clock.monotonic_now());
@@ -141,10 +139,9 @@
                     [this](auto, auto payload, auto reply) {
                         on_forwarded(payload, reply);
                     });
-    hub->on_message(peer_channel::following,
-                    [this](auto, auto payload, auto reply) {
-                        on_report(payload, reply);
-                    });
+    hub->on_message(
+        peer_channel::following,
+        [this](auto, auto payload, auto reply) { on_report(payload, reply); });
     hub->on_message(peer_channel::grants,
                     [this](auto, auto payload, auto reply) {
                         on_token_request(payload, reply);
@@ -174,8 +171,7 @@
                 log_event("cluster.change",
                           {{"id", change->member.id},
                            {"address", change->member.address},
-                           {"kind", 
-                                        static_cast<int>(change->change)}});
+                           {"kind", static_cast<int>(change->change)}});
                 step(std::move(*change));
             }
             if (disk_busy && now - disk_busy_since > settings.disk_patience)
@@ -277,11 +273,10 @@
     {
         known_replicas.insert(member.address);
     }
-    log_event("leadership.changed",
-              {{"term", seen.leads.term},
-               {"leader", seen.leads.leader},
-               {"role", leading ? "leader" : "follower"},
-               {"commit", seen.commit}});
+    log_event("leadership.changed", {{"term", seen.leads.term},
+                                     {"leader", seen.leads.leader},
+                                     {"role", leading ? "leader" : "follower"},
+                                     {"commit", seen.commit}});
 }
 
 void cluster_process::impl::propose(const cluster_command& command,
@@ -289,8 +284,8 @@
 {
     const auto id = ++next_proposal;
     waiting.emplace(id, std::move(on_done));
-    take(machine->propose(clock.monotonic_now(), clock.wall_now(), id,
-                          command));
+    take(
+        machine->propose(clock.monotonic_now(), clock.wall_now(), id, command));
 }
 
 // [links] --------------------------------------------------------------------
@@ -417,9 +412,9 @@
           static_cast<double>(seen.replicas.members.size()),
           "Replicas of the cluster");
     gauge("hyssopdeal_document_version",
-          impl_->machine ? static_cast<double>(
-                               impl_->machine->state().document_version())
-                         : 0,
+          impl_->machine
+              ? static_cast<double>(impl_->machine->state().document_version())
+              : 0,
           "Version of the document in force");
     gauge("hyssopdeal_listed_servers",
           static_cast<double>(impl_->listing.servers.size()),
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -52,8 +52,7 @@
         const auto digest = protocol::digest_of(*servers);
         if (digest != listing.digest)
         {
-            log_event("list.changed",
-                      {{"servers", servers->size()}});
+            log_event("list.changed", {{"servers", servers->size()}});
         }
         listing = {digest, std::move(*servers)};
         listing_read = asked;
@@ -93,10 +92,9 @@
     }
     for (const auto& decision : held.usage())
     {
-        const auto due =
-            transport::wall_time{settings.usage.window *
-                                 (decision.window + 1)} +
-            settings.usage.due;
+        const auto due = transport::wall_time{settings.usage.window *
+                                              (decision.window + 1)} +
+                         settings.usage.due;
         if (!usage_sent.contains(decision.window) &&
             !usage_asked.contains(decision.window) && true_time() < due)
         {
@@ -162,19 +160,18 @@
 {
     const auto window = decision.window;
     usage_asked.insert(window);
-    outside.report_usage({settings.name, leading_term}, decision,
-                         [this, window](const auto& ended) {
-                             usage_asked.erase(window);
-                             if (ended)
-                             {
-                                 usage_sent.insert(window);
-                             }
-                             log_event(
-                                 "usage.reported",
-                                 {{"window", window},
-                                  {"outcome", ended ? "accepted"
-                                                    : ended.error().text}});
-                         });
+    outside.report_usage(
+        {settings.name, leading_term}, decision,
+        [this, window](const auto& ended) {
+            usage_asked.erase(window);
+            if (ended)
+            {
+                usage_sent.insert(window);
+            }
+            log_event("usage.reported",
+                      {{"window", window},
+                       {"outcome", ended ? "accepted" : ended.error().text}});
+        });
 }
 
 } // namespace hyssopdeal::coordination
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -115,7 +115,7 @@
     transport::monotonic_time drain_until{};
 
     // Joining.
-    std::set<std::string> known_replicas; ///< Hub addresses heard of.
+    std::set<std::string> known_replicas;          ///< Hub addresses heard of.
     std::map<std::uint64_t, std::string> heard_at; ///< Replicas by id.
     transport::monotonic_time next_join{};
     transport::monotonic_time leader_seen{};
@@ -126,16 +126,16 @@
         transport::monotonic_time reported{};
         std::map<std::string, protocol::sent_load> load;
     };
-    std::map<std::string, entry_load> loads; ///< By entry.
+    std::map<std::string, entry_load> loads;  ///< By entry.
     std::optional<share_allocator> allocator; ///< While it leads.
     bool entries_proposed = false;
     std::optional<token_quota> lent; ///< What entries fetch, while it leads.
-    std::vector<std::string> organisations;  ///< Of the document in force.
+    std::vector<std::string> organisations; ///< Of the document in force.
     std::vector<protocol::organisation_terms> terms; ///< Likewise.
-    std::uint64_t lent_document = 0; ///< Its version in `lent`.
+    std::uint64_t lent_document = 0;                 ///< Its version in `lent`.
     std::vector<protocol::document_service> services; ///< Likewise.
-    std::uint64_t document_read = 0; ///< Its version.
-    std::optional<capacity_planner> capacity; ///< While it leads.
+    std::uint64_t document_read = 0;                  ///< Its version.
+    std::optional<capacity_planner> capacity;         ///< While it leads.
     transport::monotonic_time next_capacity{};
     usage_collector usage;
 
--- a/src/coordination/cluster/cluster_process_joining.cpp
+++ b/src/coordination/cluster/cluster_process_joining.cpp
@@ -50,8 +50,7 @@
     const bool member =
         std::any_of(seen.replicas.members.begin(), seen.replicas.members.end(),
                     [&](const auto& at) { return at.id == seen.id; });
-    const bool settled =
-        member && now - leader_seen < leaderless_before_asking;
+    const bool settled = member && now - leader_seen < leaderless_before_asking;
     if (settled || disk_failed || now < next_join)
     {
         return;
@@ -104,8 +103,7 @@
 }
 
 /// The leader takes in a replica, or says that its id is over.
-join_answer
-cluster_process::impl::on_join_request(const join_message& request)
+join_answer cluster_process::impl::on_join_request(const join_message& request)
 {
     join_answer answer;
     const auto seen = status();
@@ -148,8 +146,7 @@
     member.address = request.address;
     member.operators = request.operators;
     member.failure_domain = request.failure_domain;
-    log_event("cluster.adds", {{"id", member.id},
-                               {"address", member.address}});
+    log_event("cluster.adds", {{"id", member.id}, {"address", member.address}});
     step(change_event{++next_proposal, replica_change::add_learner,
                       std::move(member)});
     return answer;
@@ -160,9 +157,10 @@
     control_disk::storage_type storage{
         state::posix_files{settings.data_folder}};
     auto recovered = storage.open();
-    auto written = recovered ? storage.write(join_request(id))
-                             : transport::result<void>{tl::make_unexpected(
-                                   recovered.error())};
+    auto written =
+        recovered
+            ? storage.write(join_request(id))
+            : transport::result<void>{tl::make_unexpected(recovered.error())};
     if (written)
     {
         recovered->hard.id = id;
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -111,9 +111,9 @@
                        {"held", held.document_version()}});
             return on_end(std::string{});
         }
-        return propose(put_document_command{document.version,
-                                            std::move(document.bytes)},
-                       ended);
+        return propose(
+            put_document_command{document.version, std::move(document.bytes)},
+            ended);
     }
     case forwarded_kind::put_rollout: {
         auto record = unpack(body).get<rollout_record>();
@@ -174,27 +174,25 @@
 void cluster_process::put_document(std::string bytes, done on_done)
 {
     const auto document = impl_->outside.read_document(bytes);
-    const auto checked = document
-                             ? protocol::check(*document)
-                             : transport::result<void>{tl::make_unexpected(
-                                   document.error())};
+    const auto checked =
+        document
+            ? protocol::check(*document)
+            : transport::result<void>{tl::make_unexpected(document.error())};
     if (!checked)
     {
         log_event("document.refused", {{"error", checked.error().text}});
         return on_done(checked);
     }
     const auto version = document->version;
-    impl_->order(forwarded_kind::put_document,
-                 pack(held_document{version, std::move(bytes)}),
-                 [version, on_done](const auto& ended) {
-                     log_event(
-                         "document.put",
-                         {{"version", version},
-                          {"outcome",
-                           ended ? "accepted" : ended.error().text}});
-                     ended ? on_done({})
-                           : on_done(tl::make_unexpected(ended.error()));
-                 });
+    impl_->order(
+        forwarded_kind::put_document,
+        pack(held_document{version, std::move(bytes)}),
+        [version, on_done](const auto& ended) {
+            log_event("document.put",
+                      {{"version", version},
+                       {"outcome", ended ? "accepted" : ended.error().text}});
+            ended ? on_done({}) : on_done(tl::make_unexpected(ended.error()));
+        });
 }
 
 void cluster_process::read_document(document_done on_done)
@@ -252,9 +250,9 @@
     const auto document = outside.read_document(held.document());
     if (!document)
     {
-        return log_event("document.unreadable",
-                         {{"version", document_read},
-                          {"error", document.error().text}});
+        return log_event(
+            "document.unreadable",
+            {{"version", document_read}, {"error", document.error().text}});
     }
     services = document->services;
     terms = document->organisations;
@@ -307,8 +305,8 @@
     if (listing_read)
     {
         orders.listing_age_ms =
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                now - *listing_read)
+            std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                                  *listing_read)
                 .count();
         if (report.listing_digest != listing.digest)
         {
@@ -334,8 +332,7 @@
     read_services();
     allocator->set_known(held.entries());
     orders.shares = allocator->on_report(now, report, organisations);
-    if (const auto next = allocator->next_known(now);
-        next && !entries_proposed)
+    if (const auto next = allocator->next_known(now); next && !entries_proposed)
     {
         entries_proposed = true;
         propose(know_entries_command{*next},
--- a/src/coordination/cluster/cluster_state.cpp
+++ b/src/coordination/cluster/cluster_state.cpp
@@ -41,7 +41,8 @@
     return pack(json::array({command.index(), body}));
 }
 
-transport::result<cluster_command> decode_cluster_command(std::string_view bytes)
+transport::result<cluster_command>
+decode_cluster_command(std::string_view bytes)
 {
     try
     {
--- a/src/coordination/cluster/share_allocator.cpp
+++ b/src/coordination/cluster/share_allocator.cpp
@@ -71,8 +71,8 @@
     }
     const double even = 1.0 / static_cast<double>(entries_.size());
     const double by_demand = all > 0 ? own / all : even;
-    return settings_.split_part * (settings_.even_part * even +
-                                   (1 - settings_.even_part) * by_demand);
+    return settings_.split_part *
+           (settings_.even_part * even + (1 - settings_.even_part) * by_demand);
 }
 
 void share_allocator::forget_expired(monotonic_time now)
@@ -103,9 +103,8 @@
     }
     if (!known && report.shares_held_ms > 0)
     {
-        own.grants.push_back(
-            {report.shares,
-             now + std::chrono::milliseconds{report.shares_held_ms}});
+        own.grants.push_back({report.shares, now + std::chrono::milliseconds{
+                                                       report.shares_held_ms}});
     }
     own.reported = now;
     own.demand = report.demand;
@@ -118,19 +117,18 @@
         double others = 0;
         for (const auto& [name, state] : entries_)
         {
-            others += name == report.entry ? 0
-                                           : outstanding(state, organisation);
+            others +=
+                name == report.entry ? 0 : outstanding(state, organisation);
         }
         const auto held = report.shares.find(organisation);
-        const double keeps = report.shares_held_ms > 0 &&
-                                     held != report.shares.end()
-                                 ? held->second
-                                 : 0;
+        const double keeps =
+            report.shares_held_ms > 0 && held != report.shares.end()
+                ? held->second
+                : 0;
         const double wanted = !own_known ? 0
                               : unknown  ? keeps
                                          : target(report.entry, organisation);
-        made.shares[organisation] =
-            std::clamp(
+        made.shares[organisation] = std::clamp(
             wanted, 0.0, std::max(0.0, settings_.split_part - others));
     }
     own.grants.push_back(made);
--- a/src/coordination/cluster/usage_collector.cpp
+++ b/src/coordination/cluster/usage_collector.cpp
@@ -60,8 +60,8 @@
     const auto end_of = [&](std::uint64_t window) {
         return wall_time{settings_.window * (window + 1)};
     };
-    const auto first = std::max(window_of(first_report_),
-                                window_of(now_true - settings_.due));
+    const auto first =
+        std::max(window_of(first_report_), window_of(now_true - settings_.due));
     for (auto window = first; end_of(window) + settings_.settle <= now_true;
          ++window)
     {
@@ -76,7 +76,8 @@
         const bool late = end_of(window) + settings_.due * 7 / 10 <= now_true;
         const bool missing = std::any_of(
             entries_.begin(), entries_.end(), [&](const auto& item) {
-                return item.second.reported < end_of(window) + milliseconds{300} &&
+                return item.second.reported <
+                           end_of(window) + milliseconds{300} &&
                        now_true - item.second.reported < settings_.silent_after;
             });
         if (missing && !late)
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -193,9 +193,8 @@
     {
         client.forget(lost->listed.address);
     }
-    log_event("servers.changed",
-              {{"listed", orders.listing->servers.size()},
-               {"age_ms", orders.listing_age_ms}});
+    log_event("servers.changed", {{"listed", orders.listing->servers.size()},
+                                  {"age_ms", orders.listing_age_ms}});
 }
 
 void gateway_core::take_leaders_word(monotonic_time asked,
@@ -206,9 +205,8 @@
     quota.set_shares(now, orders.shares, asked + settings.keys_valid_for);
     servers.set_others(orders.others_load);
     const auto middle = asked + (now - asked) / 2;
-    true_offset_ =
-        milliseconds{orders.true_time_ms} -
-        duration_cast<milliseconds>(middle.time_since_epoch());
+    true_offset_ = milliseconds{orders.true_time_ms} -
+                   duration_cast<milliseconds>(middle.time_since_epoch());
     time_known_ = true;
 }
 
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -125,19 +125,16 @@
 
 transport::result<void> gateway_process::impl::listen()
 {
-    callers =
-        make_server(core.settings.callers_port, core.settings.max_connections,
-                    [this](http1_exchange exchange) {
-                        take_request(std::move(exchange));
-                    });
-    readiness = make_server(core.settings.readiness_port,
-                            internal_max_connections,
-                            [this](http1_exchange exchange) {
-                                const bool yes = ready();
-                                exchange.send({yes ? 200 : 503,
-                                               {},
-                                               yes ? "ready\n" : "not ready\n"});
-                            });
+    callers = make_server(
+        core.settings.callers_port, core.settings.max_connections,
+        [this](http1_exchange exchange) { take_request(std::move(exchange)); });
+    readiness = make_server(
+        core.settings.readiness_port, internal_max_connections,
+        [this](http1_exchange exchange) {
+            const bool yes = ready();
+            exchange.send(
+                {yes ? 200 : 503, {}, yes ? "ready\n" : "not ready\n"});
+        });
     for (auto* server : {callers.get(), readiness.get()})
     {
         if (const auto port = server->start(); !port)
@@ -156,8 +153,7 @@
                                              core.metrics()});
                           });
     const auto port = metrics->start();
-    return port ? transport::result<void>{}
-                : tl::make_unexpected(port.error());
+    return port ? transport::result<void>{} : tl::make_unexpected(port.error());
 }
 
 transport::result<void> gateway_process::impl::listen_inside()
@@ -169,8 +165,7 @@
     links.shared_key = core.settings.shared_key;
     hub = std::make_unique<protocol::peer_hub>(loop, links);
     const auto port = hub->start();
-    return port ? transport::result<void>{}
-                : tl::make_unexpected(port.error());
+    return port ? transport::result<void>{} : tl::make_unexpected(port.error());
 }
 
 void gateway_process::impl::take_request(http1_exchange exchange)
@@ -180,7 +175,8 @@
     if (draining && drained_for() >= serving)
     {
         exchange.close_after();
-        return exchange.send({503, {{"Retry-After", "0.1"}}, "not_run: stop\n"});
+        return exchange.send(
+            {503, {{"Retry-After", "0.1"}}, "not_run: stop\n"});
     }
     on_request(core, std::move(exchange));
 }
@@ -276,16 +272,16 @@
     {
         return on_answer({false, come_back.count()});
     }
-    hub->call(leader, peer_channel::grants,
-              protocol::encode(protocol::token_request{organisation, tokens}),
-              time_limit, [on_answer, come_back](const auto& bytes) {
-                  const auto answer =
-                      bytes ? protocol::decode_token_answer(*bytes)
-                            : transport::result<protocol::token_answer>{
-                                  tl::make_unexpected(bytes.error())};
-                  answer ? on_answer(*answer)
-                         : on_answer({false, come_back.count()});
-              });
+    hub->call(
+        leader, peer_channel::grants,
+        protocol::encode(protocol::token_request{organisation, tokens}),
+        time_limit, [on_answer, come_back](const auto& bytes) {
+            const auto answer = bytes
+                                    ? protocol::decode_token_answer(*bytes)
+                                    : transport::result<protocol::token_answer>{
+                                          tl::make_unexpected(bytes.error())};
+            answer ? on_answer(*answer) : on_answer({false, come_back.count()});
+        });
 }
 
 void gateway_process::impl::note_validity()
@@ -354,10 +350,10 @@
     if (done)
     {
         impl_->core.on_document([this] { impl_->use_limits(); });
-        impl_->core.lend_by([this](const auto& organisation, double tokens,
-                                   auto on_answer) {
-            impl_->ask_tokens(organisation, tokens, std::move(on_answer));
-        });
+        impl_->core.lend_by(
+            [this](const auto& organisation, double tokens, auto on_answer) {
+                impl_->ask_tokens(organisation, tokens, std::move(on_answer));
+            });
         impl_->report();
     }
     return done;
--- a/src/coordination/gateway/own_dialect.cpp
+++ b/src/coordination/gateway/own_dialect.cpp
@@ -19,8 +19,8 @@
 {
 
 constexpr std::array<std::string_view, 6> connection_headers = {
-    "Connection", "Keep-Alive", "Transfer-Encoding",
-    "Content-Length", "TE", "Upgrade"};
+    "Connection",     "Keep-Alive", "Transfer-Encoding",
+    "Content-Length", "TE",         "Upgrade"};
 
 bool concerns_connection(std::string_view name)
 {
@@ -82,9 +82,8 @@
     const bool resumes = !terms.resume_after.empty();
     for (const auto& header : original.headers)
     {
-        const bool replaced =
-            resumes &&
-            transport::same_header_name(header.name, "Last-Event-ID");
+        const bool replaced = resumes && transport::same_header_name(
+                                             header.name, "Last-Event-ID");
         if (!concerns_connection(header.name) && !set_here(header.name) &&
             !replaced)
         {
@@ -126,10 +125,9 @@
 own_dialect::caller_headers(const std::vector<http_header>& headers)
 {
     std::vector<http_header> kept;
-    std::copy_if(headers.begin(), headers.end(), std::back_inserter(kept),
-                 [](const auto& header) {
-                     return !concerns_connection(header.name);
-                 });
+    std::copy_if(
+        headers.begin(), headers.end(), std::back_inserter(kept),
+        [](const auto& header) { return !concerns_connection(header.name); });
     return kept;
 }
 
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -83,7 +83,8 @@
     return lost;
 }
 
-void placement::set_others(const std::map<std::string, protocol::sent_load>& load)
+void placement::set_others(
+    const std::map<std::string, protocol::sent_load>& load)
 {
     for (const auto& [id, item] : servers_)
     {
@@ -136,8 +137,8 @@
         return settings_.request_ms * server.slowness *
                (1 + 0.3 * busy + queued / slots);
     }
-    const double waiting =
-        static_cast<double>(server.waiting_tokens + server.others.waiting_tokens);
+    const double waiting = static_cast<double>(server.waiting_tokens +
+                                               server.others.waiting_tokens);
     const double prefill =
         (waiting + static_cast<double>(uncached)) / tokens_per_ms_;
     const double over = std::max(0.0, running + 1 - slots);
@@ -147,8 +148,7 @@
 
 std::optional<placement_choice>
 placement::choose(monotonic_time now, const std::string& service,
-                  const prompt_size& prompt,
-                  const std::set<std::string>& tried)
+                  const prompt_size& prompt, const std::set<std::string>& tried)
 {
     const auto shared = shared_part(prompt);
     std::shared_ptr<known_server> home;
@@ -160,8 +160,8 @@
         {
             continue;
         }
-        any_trusted = any_trusted ||
-                      (item->avoid_until <= now && !tried.contains(id));
+        any_trusted =
+            any_trusted || (item->avoid_until <= now && !tried.contains(id));
         const auto rank = place_of(id, shared);
         if (shared != 0 && rank >= highest)
         {
@@ -188,7 +188,8 @@
         if (item == home && !prompt.parts.empty())
         {
             const double own = prompt.parts.back().tokens;
-            uncached -= settings_.believed_cache * std::max(0.0, uncached - own);
+            uncached -=
+                settings_.believed_cache * std::max(0.0, uncached - own);
         }
         const auto rest = static_cast<std::uint64_t>(uncached);
         const double predicted = predict_ms(*item, prompt, rest);
@@ -242,8 +243,8 @@
         server.slowness * static_cast<double>(took.count()) / expected, 0.3,
         20.0);
     server.slowness += slowness_smoothing * (ratio - server.slowness);
-    const double prefill = static_cast<double>(took.count()) -
-                           fixed_first_event_ms;
+    const double prefill =
+        static_cast<double>(took.count()) - fixed_first_event_ms;
     constexpr std::uint64_t enough_tokens = 2'000;
     if (choice.uncached_tokens > enough_tokens && prefill > 1)
     {
--- a/src/coordination/gateway/repeat_allowance.cpp
+++ b/src/coordination/gateway/repeat_allowance.cpp
@@ -50,8 +50,8 @@
         std::accumulate(counts.requests.begin(), counts.requests.end(), 0U);
     const auto repeats =
         std::accumulate(counts.repeats.begin(), counts.repeats.end(), 0U);
-    const double most = settings_.ratio * settings_.margin * requests +
-                        settings_.base;
+    const double most =
+        settings_.ratio * settings_.margin * requests + settings_.base;
     if (repeats + 1 > most)
     {
         return false;
--- a/src/coordination/gateway/token_quota.cpp
+++ b/src/coordination/gateway/token_quota.cpp
@@ -41,8 +41,8 @@
         item.level =
             std::min(item.share * item.burst,
                      item.level + item.share * item.rate * passed.count());
-        item.promised = std::max(
-            0.0, item.promised - item.share * item.rate * passed.count());
+        item.promised = std::max(0.0, item.promised - item.share * item.rate *
+                                                          passed.count());
     }
 }
 
@@ -69,10 +69,10 @@
         const double counted =
             terms.tokens_per_second * seconds{settings_.window}.count() +
             terms.burst_tokens;
-        item.burst = terms.burst_tokens +
-                     settings_.burst_part *
-                         (settings_.tolerated_tokens +
-                          settings_.tolerated_part * counted);
+        item.burst =
+            terms.burst_tokens +
+            settings_.burst_part * (settings_.tolerated_tokens +
+                                    settings_.tolerated_part * counted);
         item.level = std::min(item.level, item.share * item.burst);
     }
     buckets_ = std::move(next);
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -157,10 +157,9 @@
 std::uint64_t digest_of(const std::vector<listed_server>& servers)
 {
     auto sorted = servers;
-    std::sort(sorted.begin(), sorted.end(),
-              [](const auto& left, const auto& right) {
-                  return left.id < right.id;
-              });
+    std::sort(
+        sorted.begin(), sorted.end(),
+        [](const auto& left, const auto& right) { return left.id < right.id; });
     for (auto& server : sorted)
     {
         server.cold_remaining_ms = server.cold_remaining_ms > 0 ? 1 : 0;
--- a/src/transport/event_log.cpp
+++ b/src/transport/event_log.cpp
@@ -67,8 +67,8 @@
     {
         return fmt::format("\"{}\"", text);
     }
-    return nlohmann::json(text).dump(
-        -1, ' ', true, nlohmann::json::error_handler_t::replace);
+    return nlohmann::json(text).dump(-1, ' ', true,
+                                     nlohmann::json::error_handler_t::replace);
 }
 
 void log_event(std::string_view event,
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -96,8 +96,8 @@
     }
     const auto digits = text.substr(at + key.size());
     int seconds = 0;
-    const auto read = std::from_chars(digits.data(),
-                                      digits.data() + digits.size(), seconds);
+    const auto read =
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
     if (read.ec != std::errc{})
     {
         return std::nullopt;
@@ -145,6 +145,7 @@
         call_ = call;
         out_ = std::move(bytes);
         sent_ = false;
+        unanswered_ = true;
         reader_.reset();
         if (connected_)
         {
@@ -162,6 +163,12 @@
         closed_ = true;
         connect_timer_.cancel();
         asio::error_code ignored;
+        if (unanswered_)
+        {
+            // A request that is given up must not arrive later, after a
+            // partition for example, nor go on at the server.
+            socket_.set_option(asio::socket_base::linger{true, 0}, ignored);
+        }
         socket_.close(ignored);
         drop_from_idle();
     }
@@ -200,8 +207,8 @@
     void read()
     {
         socket_.async_read_some(
-            asio::buffer(in_), [self = shared_from_this()](const auto& error,
-                                                           std::size_t length) {
+            asio::buffer(in_),
+            [self = shared_from_this()](const auto& error, std::size_t length) {
                 if (self->closed_)
                 {
                     return;
@@ -324,6 +331,7 @@
         const bool keep = reader_.keeps_alive() && all_read;
         const auto call = std::exchange(call_, {}).lock();
         done_ = true;
+        unanswered_ = false;
         if (!keep)
         {
             close();
@@ -410,7 +418,8 @@
     monotonic_time idle_since_{};
     milliseconds max_idle_;
     bool connected_ = false;
-    bool sent_ = false; ///< A byte may have left.
+    bool sent_ = false;       ///< A byte may have left.
+    bool unanswered_ = false; ///< Carries a call.
     bool writing_ = false;
     bool head_seen_ = false;
     bool skipping_ = false;
@@ -420,9 +429,8 @@
 
 /// Takes the connection that was used last, which is the least likely to be
 /// closed by its server at this moment.
-std::shared_ptr<client_connection> take_idle(client_state& client,
-                                             std::string_view address,
-                                             milliseconds max_idle)
+std::shared_ptr<client_connection>
+take_idle(client_state& client, std::string_view address, milliseconds max_idle)
 {
     const auto found = client.idle.find(address);
     const auto now = client.time.monotonic_now();
@@ -534,8 +542,7 @@
                                http1_call_handlers handlers)
 {
     auto call = std::make_shared<http1_call::impl>();
-    call->handlers =
-        std::make_shared<http1_call_handlers>(std::move(handlers));
+    call->handlers = std::make_shared<http1_call_handlers>(std::move(handlers));
     auto bytes = write_request(request);
     if (auto kept = take_idle(*impl_, address, settings.max_idle))
     {
--- a/src/transport/http1_reader.cpp
+++ b/src/transport/http1_reader.cpp
@@ -73,8 +73,8 @@
         };
         settings.on_headers_complete = [](http_parser* parser) {
             auto& own = self(parser);
-            own.method_ = http_method_str(
-                static_cast<http_method>(parser->method));
+            own.method_ =
+                http_method_str(static_cast<http_method>(parser->method));
             own.state_ = read_state::body;
             return 0;
         };
@@ -103,8 +103,8 @@
         return 0;
     }
     head_bytes_ = head_bytes_ == 0 ? 1 : head_bytes_;
-    const auto used = http_parser_execute(&parser_, &callbacks(), bytes.data(),
-                                          bytes.size());
+    const auto used =
+        http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
     if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK &&
         HTTP_PARSER_ERRNO(&parser_) != HPE_PAUSED)
     {
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -229,8 +229,8 @@
         }
         reading_ = true;
         socket_.async_read_some(
-            asio::buffer(in_), [self = shared_from_this()](const auto& error,
-                                                           std::size_t length) {
+            asio::buffer(in_),
+            [self = shared_from_this()](const auto& error, std::size_t length) {
                 self->reading_ = false;
                 if (self->closed_)
                 {
@@ -315,12 +315,11 @@
 
     void refuse(int status, std::string_view text)
     {
-        log_event("caller.refused",
-                  {{"status", status},
-                   {"why", text},
-                   {"parser", reader_.error()},
-                   {"target_bytes", reader_.target().size()},
-                   {"body_bytes", reader_.body().size()}});
+        log_event("caller.refused", {{"status", status},
+                                     {"why", text},
+                                     {"parser", reader_.error()},
+                                     {"target_bytes", reader_.target().size()},
+                                     {"body_bytes", reader_.body().size()}});
         http_response answer;
         answer.status = status;
         answer.headers = {{"Content-Type", "text/plain"}};
@@ -469,10 +468,9 @@
     {
         return;
     }
-    const auto use =
-        state_->connection->keep_offered() && !state_->close_after
-            ? connection_use::keep
-            : connection_use::close;
+    const auto use = state_->connection->keep_offered() && !state_->close_after
+                         ? connection_use::keep
+                         : connection_use::close;
     state_->close_after = use == connection_use::close;
     const auto connection = state_->connection;
     connection->send(write_response(response, use));
@@ -488,10 +486,9 @@
     {
         return;
     }
-    const auto use =
-        state_->connection->keep_offered() && !state_->close_after
-            ? connection_use::keep
-            : connection_use::close;
+    const auto use = state_->connection->keep_offered() && !state_->close_after
+                         ? connection_use::keep
+                         : connection_use::close;
     state_->close_after = use == connection_use::close;
     state_->begun = true;
     const auto connection = state_->connection;
