Fetch a new document once, packed, instead of sending it with every answer

Cause: each replica answered each report of an entry that had an older document with the whole new one, four times a second, until the entry held it.

Change: an answer tells the version; the entry then asks one replica for the document, another one after a second without it. Replicas pack it with zlib once for each version. Until it has come, the leader's word does not prolong the time for which keys count as known: they may have been taken away in it.

Test: an entry beside a replica that does not answer the fetch asks once and is not ready; before, every answer was taken and held the document. Packed texts that are damaged are refused.

--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -37,6 +37,7 @@
                                                    ""});
     (void)protocol::decode_entry_report(bytes);
     (void)protocol::decode_entry_orders(bytes);
+    (void)protocol::unpack_text(bytes);
     (void)protocol::decode_token_request(bytes);
     (void)protocol::decode_token_answer(bytes);
     (void)protocol::decode_join_message(bytes);
--- a/include/hyssopdeal/coordination/cluster/cluster_process.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_process.hpp
@@ -43,10 +43,11 @@
 {
     std::string name; ///< Of the instance.
     std::string failure_domain;
-    std::string address;            ///< IP number.
-    std::uint16_t hub_port = 0;     ///< Same on every instance.
-    std::string operators;          ///< `IP:port` of the operators' API.
-    std::vector<std::string> seeds; ///< Hub addresses.
+    std::string address;             ///< IP number.
+    std::string link_listen_address; ///< For links; empty: `address`.
+    std::uint16_t hub_port = 0;      ///< Same on every instance.
+    std::string operators;           ///< `IP:port` of the operators' API.
+    std::vector<std::string> seeds;  ///< Hub addresses.
     cluster_start start = cluster_start::later;
     std::string data_folder;
     std::string shared_key; ///< Of the links between processes.
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -37,7 +37,8 @@
 {
     std::string name; ///< Of the instance.
     std::string failure_domain;
-    std::string address; ///< IP number.
+    std::string address;             ///< IP number.
+    std::string link_listen_address; ///< For links; empty: `address`.
     std::uint16_t callers_port = 0;
     std::uint16_t readiness_port = 0;
     std::uint16_t metrics_port = 0;      ///< 0: none.
@@ -102,8 +103,15 @@
     ///     not valid.
     [[nodiscard]] std::chrono::milliseconds expected_wait() const;
 
+    /// @param wants_document Whether the answer is to hold a newer document.
     /// @return What to tell the replicas now.
-    [[nodiscard]] protocol::entry_report report();
+    [[nodiscard]] protocol::entry_report report(bool wants_document = false);
+
+    /// @return Version of the document in force; 0 before the first.
+    [[nodiscard]] std::uint64_t document_version() const noexcept
+    {
+        return table_ ? table_->document().version : 0;
+    }
 
     /// Takes over a replica's orders.
     ///
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -70,7 +70,9 @@
     std::string entry;             ///< Name of the instance.
     std::uint64_t incarnation = 0; ///< Drawn at each start.
     std::string failure_domain;
-    std::uint64_t document_version = 0;    ///< In force here; 0: none.
+    std::uint64_t document_version = 0; ///< In force here; 0: none.
+    bool wants_document = false; ///< A newer one, in this answer. A document
+                                 ///< may be large, and every replica answers.
     std::uint64_t listing_digest = 0;      ///< Of the list held here.
     std::int64_t shares_held_ms = 0;       ///< They may be used for so long.
     std::map<std::string, double> shares;  ///< Held, by organisation.
@@ -97,12 +99,12 @@
     /// shares and time count.
     bool leads = false;
     std::uint64_t document_version = 0;
-    std::optional<std::string> document;   ///< When the entry's is older.
-    std::int64_t listing_age_ms = -1;      ///< -1: no list was read.
-    std::optional<server_listing> listing; ///< When the entry's differs.
-    std::int64_t true_time_ms = 0;         ///< Median of the replicas' clocks.
-    std::vector<std::string> replicas;     ///< Hub addresses.
-    std::map<std::string, double> shares;  ///< Granted, by organisation.
+    std::optional<std::string> packed_document; ///< When it was wanted.
+    std::int64_t listing_age_ms = -1;           ///< -1: no list was read.
+    std::optional<server_listing> listing;      ///< When the entry's differs.
+    std::int64_t true_time_ms = 0;        ///< Median of the replicas' clocks.
+    std::vector<std::string> replicas;    ///< Hub addresses.
+    std::map<std::string, double> shares; ///< Granted, by organisation.
     std::map<std::string, sent_load> others_load; ///< Of all other entries.
     std::map<std::string, version_order> moves;   ///< By service.
 };
@@ -174,6 +176,14 @@
 [[nodiscard]] transport::result<join_answer>
 decode_join_answer(std::string_view bytes);
 
+/// @return The text in fewer bytes: a document with a thousand routes has 400 kB
+///     and many entries fetch it at once.
+[[nodiscard]] std::string pack_text(std::string_view text);
+
+/// @return The text, or `corrupt`.
+[[nodiscard]] transport::result<std::string>
+unpack_text(std::string_view packed);
+
 /// @return A digest by which equal lists are known.
 [[nodiscard]] std::uint64_t
 digest_of(const std::vector<listed_server>& servers);
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -117,7 +117,9 @@
 {
     protocol::peer_hub_settings links;
     links.self = own_address;
-    links.address = settings.address;
+    links.address = settings.link_listen_address.empty()
+                        ? settings.address
+                        : settings.link_listen_address;
     links.port = settings.hub_port;
     links.shared_key = settings.shared_key;
     hub = std::make_unique<protocol::peer_hub>(loop, links);
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -148,7 +148,9 @@
     std::uint64_t lent_document = 0;                 ///< Its version in `lent`.
     std::vector<protocol::document_service> services; ///< Likewise.
     std::uint64_t document_read = 0;                  ///< Its version.
-    std::optional<capacity_planner> capacity;         ///< While it leads.
+    std::string packed_document; ///< For entries that fetch it.
+    std::uint64_t packed_version = 0;
+    std::optional<capacity_planner> capacity; ///< While it leads.
     transport::monotonic_time next_capacity{};
     usage_collector usage;
     std::map<std::string, version_move> moves; ///< By service, while it leads.
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -320,9 +320,15 @@
     }
     const auto& held = machine->state();
     orders.document_version = held.document_version();
-    if (held.document_version() > report.document_version)
+    if (report.wants_document &&
+        held.document_version() > report.document_version)
     {
-        orders.document = held.document();
+        if (packed_version != held.document_version())
+        {
+            packed_version = held.document_version();
+            packed_document = protocol::pack_text(held.document());
+        }
+        orders.packed_document = packed_document;
     }
     if (!leads() || !allocator)
     {
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -71,14 +71,15 @@
 
 // [reports] ------------------------------------------------------------------
 
-protocol::entry_report gateway_core::report()
+protocol::entry_report gateway_core::report(bool wants_document)
 {
     const auto now = clock.monotonic_now();
     protocol::entry_report told;
     told.entry = settings.name;
     told.incarnation = incarnation_;
     told.failure_domain = settings.failure_domain;
-    told.document_version = table_ ? table_->document().version : 0;
+    told.document_version = document_version();
+    told.wants_document = wants_document;
     told.listing_digest = listing_digest_;
     told.shares = quota.shares();
     told.shares_held_ms = std::max<std::int64_t>(
@@ -143,7 +144,9 @@
 {
     take_document(orders);
     take_listing(orders);
-    if (orders.leads)
+    // A key that is valid here may have been taken away by a document that has
+    // not come yet.
+    if (orders.leads && orders.document_version <= document_version())
     {
         take_leaders_word(asked, orders);
     }
@@ -152,12 +155,15 @@
 /// A document never gives way to an older one.
 void gateway_core::take_document(protocol::entry_orders& orders)
 {
-    const auto held = table_ ? table_->document().version : 0;
-    if (!orders.document || orders.document_version <= held)
+    const auto held = document_version();
+    if (!orders.packed_document || orders.document_version <= held)
     {
         return;
     }
-    auto document = reads_(*orders.document);
+    const auto text = protocol::unpack_text(*orders.packed_document);
+    auto document = text ? reads_(*text)
+                         : transport::result<protocol::service_document>{
+                               tl::make_unexpected(text.error())};
     if (!document)
     {
         return log_event("document.unreadable",
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -4,6 +4,7 @@
 #include <hyssopdeal/coordination/gateway/gateway_process.hpp>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -37,6 +38,7 @@
 constexpr milliseconds silent_after{2'000};
 constexpr milliseconds other_interval{1'000};
 constexpr milliseconds forget_after{30'000};
+constexpr milliseconds report_time_limit{1'000};
 // Beside the callers' connections: links, servers, logs.
 constexpr std::size_t internal_max_connections = 64;
 
@@ -77,7 +79,9 @@
     void take_request(http1_exchange exchange);
     void report();
     void ask(const std::string& replica, const std::string& bytes,
-             monotonic_time asked);
+             monotonic_time asked, milliseconds time_limit,
+             const std::function<void()>& on_end = {});
+    void fetch_document(const std::string& replica);
     void
     ask_tokens(const std::string& organisation, double tokens,
                const std::function<void(protocol::token_answer)>& on_answer);
@@ -102,6 +106,7 @@
     std::unique_ptr<transport::http1_server> metrics;
     std::string leader; ///< Hub address; empty: unknown.
     monotonic_time leader_heard{};
+    std::optional<monotonic_time> fetching; ///< A newer document, since then.
     bool was_valid = false;
     bool draining = false;
     bool accepting = true;
@@ -163,7 +168,9 @@
 {
     protocol::peer_hub_settings links;
     links.self = own_address;
-    links.address = core.settings.address;
+    links.address = core.settings.link_listen_address.empty()
+                        ? core.settings.address
+                        : core.settings.link_listen_address;
     links.port = core.settings.hub_port;
     links.shared_key = core.settings.shared_key;
     hub = std::make_unique<protocol::peer_hub>(loop, links);
@@ -229,18 +236,42 @@
         if (soon || now - replica.asked >= pause)
         {
             replica.asked = now;
-            ask(address, bytes, now);
+            ask(address, bytes, now, report_time_limit);
         }
     }
 }
 
+/// Fetches a newer document from one replica at a time. It may be large: if
+/// every replica sent it at every report, it would fill this entry's link and
+/// the replicas' memory.
+void gateway_process::impl::fetch_document(const std::string& replica)
+{
+    // A document of the largest size over a link of 10 Mbit/s, unpacked; a
+    // usual one comes in some ms.
+    constexpr milliseconds time_limit{3'000};
+    constexpr milliseconds try_another_after{1'000};
+    const auto now = clock.monotonic_now();
+    if (fetching && now - *fetching < try_another_after)
+    {
+        return;
+    }
+    fetching = now;
+    ask(replica, protocol::encode(core.report(true)), now, time_limit,
+        [this] { fetching.reset(); });
+}
+
 void gateway_process::impl::ask(const std::string& replica,
-                                const std::string& bytes, monotonic_time asked)
+                                const std::string& bytes, monotonic_time asked,
+                                milliseconds time_limit,
+                                const std::function<void()>& on_end)
 {
-    constexpr milliseconds time_limit{1'000};
     hub->set_peer(replica, replica);
     hub->call(replica, peer_channel::following, bytes, time_limit,
-              [this, replica, asked](const auto& answer) {
+              [this, replica, asked, on_end](const auto& answer) {
+                  if (on_end)
+                  {
+                      on_end();
+                  }
                   if (!answer)
                   {
                       return;
@@ -263,8 +294,13 @@
                   {
                       leader = replica;
                   }
+                  const auto version = orders->document_version;
                   core.take_orders(asked, std::move(*orders));
                   note_validity();
+                  if (version > core.document_version() && !on_end)
+                  {
+                      fetch_document(replica);
+                  }
               });
 }
 
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -4,9 +4,11 @@
 #include <hyssopdeal/protocol/follow_messages.hpp>
 
 #include <algorithm>
+#include <new>
 
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
+#include <zlib.h>
 
 namespace hyssopdeal::protocol
 {
@@ -22,8 +24,9 @@
                                    target_ended, target_bad)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(entry_report, entry, incarnation,
                                    failure_domain, document_version,
-                                   listing_digest, shares_held_ms, shares,
-                                   demand, usage, load, moves, evidence)
+                                   wants_document, listing_digest,
+                                   shares_held_ms, shares, demand, usage, load,
+                                   moves, evidence)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_server, id, born, service, address,
                                    failure_domain, version, slots, state,
                                    reclaimable, cold_remaining_ms)
@@ -38,6 +41,11 @@
 namespace
 {
 
+constexpr std::size_t length_bytes = 8;
+constexpr unsigned bits_in_byte = 8;
+// More than operators may send.
+constexpr std::uint64_t most_unpacked_bytes = 33'554'432;
+
 template <class Value>
 std::string pack(const Value& value)
 {
@@ -71,9 +79,9 @@
                {"shares", value.shares},
                {"others_load", value.others_load},
                {"moves", value.moves}};
-    if (value.document)
+    if (value.packed_document)
     {
-        out["document"] = *value.document;
+        out["packed_document"] = *value.packed_document;
     }
     if (value.listing)
     {
@@ -91,9 +99,9 @@
     from.at("shares").get_to(value.shares);
     from.at("others_load").get_to(value.others_load);
     from.at("moves").get_to(value.moves);
-    if (from.contains("document"))
+    if (from.contains("packed_document"))
     {
-        value.document = from.at("document").get<std::string>();
+        value.packed_document = from.at("packed_document").get<std::string>();
     }
     if (from.contains("listing"))
     {
@@ -161,6 +169,63 @@
     return unpack<join_answer>(bytes);
 }
 
+// A text's length, eight bytes with the lowest first, and zlib's stream.
+std::string pack_text(std::string_view text)
+{
+    constexpr int fastest = 1;
+    auto length = ::compressBound(static_cast<uLong>(text.size()));
+    std::string packed(length_bytes + length, '\0');
+    for (std::size_t at = 0; at < length_bytes; ++at)
+    {
+        packed[at] = static_cast<char>(text.size() >> (at * bits_in_byte));
+    }
+    // Fails only without memory, or with less room than the bound.
+    const auto done =
+        ::compress2(reinterpret_cast<Bytef*>(packed.data() + length_bytes),
+                    &length, reinterpret_cast<const Bytef*>(text.data()),
+                    static_cast<uLong>(text.size()), fastest);
+    if (done != Z_OK)
+    {
+        throw std::bad_alloc{};
+    }
+    packed.resize(length_bytes + length);
+    return packed;
+}
+
+transport::result<std::string> unpack_text(std::string_view packed)
+{
+    const auto refused = [] {
+        return transport::fail(transport::reason::corrupt,
+                               "A packed text is not understood.");
+    };
+    if (packed.size() < length_bytes)
+    {
+        return refused();
+    }
+    std::uint64_t size = 0;
+    for (std::size_t at = 0; at < length_bytes; ++at)
+    {
+        size |= std::uint64_t{static_cast<unsigned char>(packed[at])}
+                << (at * bits_in_byte);
+    }
+    if (size > most_unpacked_bytes)
+    {
+        return refused();
+    }
+    std::string text(size, '\0');
+    auto length = static_cast<uLongf>(size);
+    packed.remove_prefix(length_bytes);
+    const auto done =
+        ::uncompress(reinterpret_cast<Bytef*>(text.data()), &length,
+                     reinterpret_cast<const Bytef*>(packed.data()),
+                     static_cast<uLong>(packed.size()));
+    if (done != Z_OK || length != size)
+    {
+        return refused();
+    }
+    return text;
+}
+
 std::uint64_t digest_of(const std::vector<listed_server>& servers)
 {
     auto sorted = servers;
--- a/tests/cluster_process_test.cpp
+++ b/tests/cluster_process_test.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <hyssopdeal/protocol/peer_hub.hpp>
+
 #include "cluster_harness.hpp"
 
 using namespace hyssopdeal;
@@ -223,6 +225,53 @@
         cluster.loop, [&] { return readiness(cluster) == 200; }, 5s));
 }
 
+// Every answer held the document until the entry had it: on a slow link the
+// answers queued up in the replicas' memory.
+TEST(cluster_entry_tests, large_document_is_fetched_once)
+{
+    cluster_harness cluster{0};
+    protocol::peer_hub replica{cluster.loop, [] {
+                                   protocol::peer_hub_settings hub;
+                                   hub.self = cluster_harness::hub(0);
+                                   hub.address = cluster_harness::ip(0);
+                                   hub.port = cluster_harness::hub_port;
+                                   hub.shared_key = "key";
+                                   return hub;
+                               }()};
+    protocol::entry_orders orders;
+    orders.leads = true;
+    orders.document_version = 7;
+    int reports = 0;
+    std::vector<protocol::peer_hub::reply_function> fetches;
+    replica.on_message(
+        protocol::peer_channel::following,
+        [&](const auto&, const auto& payload, const auto& reply) {
+            const auto report = protocol::decode_entry_report(payload);
+            if (report->wants_document)
+            {
+                return fetches.push_back(reply);
+            }
+            ++reports;
+            reply(protocol::encode(orders));
+        });
+    CHECK_TRUE(replica.start().has_value());
+    auto settings = entry_settings(cluster);
+    settings.seeds = {cluster_harness::hub(0)};
+    coordination::gateway_process entry{
+        cluster.loop, cluster.clock, settings, tests::read_test_document,
+        coordination::serve_requests<coordination::own_dialect>()};
+    CHECK_TRUE(entry.start().has_value());
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] { return reports > 6; }));
+    CHECK_EQUAL(1, fetches.size());
+    // Keys of a document that is not the newest may have been taken away.
+    CHECK_EQUAL(503, readiness(cluster));
+    orders.packed_document =
+        protocol::pack_text("7:" + std::string(400'000, 'x'));
+    fetches.front()(protocol::encode(orders));
+    CHECK_TRUE(tests::run_until(cluster.loop,
+                                [&] { return readiness(cluster) == 200; }));
+}
+
 TEST(cluster_entry_tests, entry_without_a_leader_is_not_ready)
 {
     cluster_harness cluster{3};
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,7 +1,9 @@
 /// @file
-/// Tests of protocol/sse_parser.hpp and protocol/chat_codec.hpp.
+/// Tests of protocol/sse_parser.hpp, protocol/chat_codec.hpp and
+/// protocol/follow_messages.hpp.
 
 #include <hyssopdeal/protocol/chat_codec.hpp>
+#include <hyssopdeal/protocol/follow_messages.hpp>
 #include <hyssopdeal/protocol/sse_parser.hpp>
 
 #include <string>
@@ -110,3 +112,39 @@
                       std::string(1'000, '[') + std::string(1'000, ']') + "}";
     CHECK_FALSE(read_chat(deep).has_value());
 }
+
+TEST_GROUP(follow_message_tests){};
+
+TEST(follow_message_tests, orders_survive_their_encoding)
+{
+    entry_orders orders;
+    orders.document_version = 3;
+    orders.packed_document = pack_text("text");
+    orders.moves["s"] = {"v2", 5, true, 0.25, 9, {"v0"}};
+    const auto read = decode_entry_orders(encode(orders));
+    CHECK_TRUE(read.has_value());
+    STRCMP_EQUAL("text", unpack_text(*read->packed_document)->c_str());
+    CHECK_TRUE(read->moves == orders.moves);
+    entry_report report;
+    report.wants_document = true;
+    report.moves["s"].target_bad = 4;
+    const auto told = decode_entry_report(encode(report));
+    CHECK_TRUE(told.has_value() && told->wants_document);
+    CHECK_EQUAL(4, told->moves.at("s").target_bad);
+}
+
+TEST(follow_message_tests, packed_text_that_is_damaged_is_refused)
+{
+    const std::string text(100'000, 'x');
+    const auto packed = pack_text(text);
+    CHECK_TRUE(packed.size() < 1'000);
+    CHECK_TRUE(*unpack_text(packed) == text);
+    CHECK_FALSE(unpack_text("short").has_value());
+    CHECK_FALSE(unpack_text(packed.substr(0, packed.size() - 9)).has_value());
+    auto huge = packed;
+    huge[7] = '\x7f';
+    CHECK_FALSE(unpack_text(huge).has_value());
+    auto other = packed;
+    other[0] = static_cast<char>(other[0] + 1);
+    CHECK_FALSE(unpack_text(other).has_value());
+}
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -112,7 +112,7 @@
         protocol::entry_orders orders;
         orders.leads = true;
         orders.document_version = 1;
-        orders.document = document_text;
+        orders.packed_document = protocol::pack_text(document_text);
         orders.listing_age_ms = 0;
         orders.listing = protocol::server_listing{1, list};
         orders.shares = {{"o", 1.0}};
