Soak of real processes under drawn faults

The platform's two programs run as processes on loopback addresses of their own, links between them and to servers through relays that delay, silence one way or both, reset, or let open connections go dead. Processes are killed, stopped, paused, restarted with kept, wiped or torn files, replaced, all replicas killed at once; servers fail, cut, shed, crash, leave, and come in a new version; the platform's API falls silent or answers 429; documents race and invalid ones come; settings change with and without a signal. Callers keep their connections open. All is drawn from a seed.

Checked from what callers, servers and the platform see: whole answers and one's own; "not run"; at most once; leaving servers; planned stops; documents in force in time, never back, read as sent; one holder of a duty and one report of a window; a bad version's share; repeats; work for callers who left; no end by itself; service after all faults.

Clocks are not disturbed, nor are disks full or slow; the fault matrix does that in memory.

--- a/tests/process_group.cpp
+++ b/tests/process_group.cpp
@@ -23,7 +23,8 @@
 
 // Runs in the child: nothing here may return.
 [[noreturn]] void become(const std::string& program, const std::string& log,
-                         std::vector<char*>& arguments)
+                         std::vector<char*>& arguments,
+                         std::vector<char*>& environment)
 {
     constexpr int log_mode = 0600;
     constexpr int not_started = 127;
@@ -34,7 +35,7 @@
         ::dup2(file, STDOUT_FILENO);
         ::dup2(file, STDERR_FILENO);
     }
-    ::execv(program.c_str(), arguments.data());
+    ::execve(program.c_str(), arguments.data(), environment.data());
     ::_exit(not_started);
 }
 
@@ -64,7 +65,8 @@
 }
 
 void process_group::start(const std::string& name, const std::string& program,
-                          const std::vector<std::string>& arguments)
+                          const std::vector<std::string>& arguments,
+                          const std::map<std::string, std::string>& variables)
 {
     const auto file = fmt::format("{}/{}", HYSSOPDEAL_BINARY_DIR, program);
     const auto log = path(name + ".log");
@@ -77,10 +79,23 @@
         pointers.push_back(word.data());
     }
     pointers.push_back(nullptr);
+    std::vector<std::string> added;
+    added.reserve(variables.size());
+    std::vector<char*> environment;
+    for (char** at = environ; *at != nullptr; ++at)
+    {
+        environment.push_back(*at);
+    }
+    for (const auto& [variable, value] : variables)
+    {
+        added.push_back(fmt::format("{}={}", variable, value));
+        environment.push_back(added.back().data());
+    }
+    environment.push_back(nullptr);
     const int id = ::fork();
     if (id == 0)
     {
-        become(file, log, pointers);
+        become(file, log, pointers, environment);
     }
     running_[name] = id;
 }
--- a/tests/process_group.hpp
+++ b/tests/process_group.hpp
@@ -27,8 +27,11 @@
     ~process_group();
 
     /// Starts a program of the build folder; its output goes into the folder.
+    ///
+    /// @param variables Of its environment, beside those of this process.
     void start(const std::string& name, const std::string& program,
-               const std::vector<std::string>& arguments);
+               const std::vector<std::string>& arguments,
+               const std::map<std::string, std::string>& variables = {});
 
     /// Sends a signal to a process that this group has started.
     void signal(const std::string& name, int number);
--- /dev/null
+++ b/tests/soak/fault_relay.cpp
@@ -0,0 +1,271 @@
+#include "soak/fault_relay.hpp"
+
+#include <array>
+#include <deque>
+#include <vector>
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+namespace hyssopdeal::soak
+{
+
+using asio::ip::tcp;
+using steady = std::chrono::steady_clock;
+
+namespace
+{
+
+constexpr std::size_t piece_bytes = 16'384;
+constexpr std::size_t most_held_bytes = 262'144;
+// How soon held bytes notice that a fault is over.
+constexpr std::chrono::milliseconds look_again{10};
+
+tcp::endpoint endpoint_of(const std::string& address, std::uint16_t port)
+{
+    return {asio::ip::make_address(address), port};
+}
+
+} // namespace
+
+/// Two sockets; what one receives the other sends.
+struct relayed_connection : std::enable_shared_from_this<relayed_connection>
+{
+    struct held_piece
+    {
+        steady::time_point due;
+        std::string bytes;
+    };
+
+    /// One way.
+    struct direction
+    {
+        direction(tcp::socket& own_from, tcp::socket& own_to,
+                  bool link_fault::*own_silent)
+            : from(own_from),
+              to(own_to),
+              silent(own_silent),
+              timer(own_from.get_executor())
+        {}
+
+        tcp::socket& from;
+        tcp::socket& to;
+        bool link_fault::*silent;
+        std::array<char, piece_bytes> piece{};
+        std::deque<held_piece> held;
+        std::size_t held_bytes = 0;
+        bool reading = false;
+        bool writing = false;
+        bool ended = false;
+        asio::steady_timer timer;
+    };
+
+    relayed_connection(tcp::socket from, std::shared_ptr<const link_fault> now)
+        : near(std::move(from)),
+          far(near.get_executor()),
+          fault(std::move(now)),
+          in(near, far, &link_fault::silent_in),
+          out(far, near, &link_fault::silent_out)
+    {}
+
+    void start(const tcp::endpoint& target)
+    {
+        far.async_connect(
+            target, [self = shared_from_this()](const asio::error_code& error) {
+                if (error)
+                {
+                    return self->reset();
+                }
+                self->far.set_option(tcp::no_delay{true});
+                self->near.set_option(tcp::no_delay{true});
+                self->read(self->in);
+                self->read(self->out);
+            });
+    }
+
+    void read(direction& way)
+    {
+        if (way.reading || way.ended || way.held_bytes > most_held_bytes)
+        {
+            return;
+        }
+        way.reading = true;
+        way.from.async_read_some(
+            asio::buffer(way.piece),
+            [self = shared_from_this(), &way](const asio::error_code& error,
+                                              std::size_t size) {
+                way.reading = false;
+                if (error)
+                {
+                    way.ended = true;
+                    // What a process sent before its end still arrives.
+                    return way.held.empty() ? self->end(way) : self->pump(way);
+                }
+                way.held.push_back({steady::now() + self->fault->delay,
+                                    {way.piece.data(), size}});
+                way.held_bytes += size;
+                self->pump(way);
+                self->read(way);
+            });
+    }
+
+    void pump(direction& way)
+    {
+        if (way.writing || way.held.empty())
+        {
+            return;
+        }
+        const bool silent = dead || (*fault).*way.silent;
+        const auto now = steady::now();
+        if (silent || way.held.front().due > now)
+        {
+            way.writing = true;
+            way.timer.expires_at(silent ? now + look_again
+                                        : way.held.front().due);
+            way.timer.async_wait(
+                [self = shared_from_this(), &way](const auto& error) {
+                    way.writing = false;
+                    if (!error)
+                    {
+                        self->pump(way);
+                    }
+                });
+            return;
+        }
+        way.writing = true;
+        asio::async_write(
+            way.to, asio::buffer(way.held.front().bytes),
+            [self = shared_from_this(), &way](const auto& error, std::size_t) {
+                way.writing = false;
+                if (error)
+                {
+                    return self->reset();
+                }
+                way.held_bytes -= way.held.front().bytes.size();
+                way.held.pop_front();
+                if (way.ended && way.held.empty())
+                {
+                    return self->end(way);
+                }
+                self->pump(way);
+                self->read(way);
+            });
+    }
+
+    /// One side has ended its sending.
+    void end(direction& way)
+    {
+        asio::error_code ignored;
+        way.to.shutdown(tcp::socket::shutdown_send, ignored);
+        if (in.ended && out.ended)
+        {
+            close();
+        }
+    }
+
+    void reset()
+    {
+        asio::error_code ignored;
+        near.set_option(asio::socket_base::linger{true, 0}, ignored);
+        far.set_option(asio::socket_base::linger{true, 0}, ignored);
+        close();
+    }
+
+    void close()
+    {
+        asio::error_code ignored;
+        in.timer.cancel();
+        out.timer.cancel();
+        near.close(ignored);
+        far.close(ignored);
+    }
+
+    tcp::socket near;
+    tcp::socket far;
+    std::shared_ptr<const link_fault> fault;
+    bool dead = false;
+    direction in;
+    direction out;
+};
+
+struct fault_relay::impl : std::enable_shared_from_this<fault_relay::impl>
+{
+    impl(asio::io_context& context, const tcp::endpoint& own,
+         tcp::endpoint other)
+        : acceptor(context, own),
+          target(std::move(other)),
+          fault(std::make_shared<link_fault>())
+    {}
+
+    void accept()
+    {
+        acceptor.async_accept([self = shared_from_this()](
+                                  const asio::error_code& error,
+                                  tcp::socket socket) {
+            if (error)
+            {
+                return;
+            }
+            std::erase_if(self->open,
+                          [](const auto& known) { return known.expired(); });
+            auto made = std::make_shared<relayed_connection>(std::move(socket),
+                                                             self->fault);
+            self->open.push_back(made);
+            made->start(self->target);
+            self->accept();
+        });
+    }
+
+    template <class Act>
+    void each(Act&& act)
+    {
+        for (const auto& known : open)
+        {
+            if (const auto one = known.lock())
+            {
+                act(*one);
+            }
+        }
+    }
+
+    tcp::acceptor acceptor;
+    tcp::endpoint target;
+    std::shared_ptr<link_fault> fault;
+    std::vector<std::weak_ptr<relayed_connection>> open;
+};
+
+fault_relay::fault_relay(transport::event_loop& loop,
+                         const std::string& address, const std::string& target,
+                         std::uint16_t port)
+    : impl_(std::make_shared<impl>(loop.context(), endpoint_of(address, port),
+                                   endpoint_of(target, port)))
+{
+    impl_->accept();
+}
+
+fault_relay::~fault_relay()
+{
+    asio::error_code ignored;
+    impl_->acceptor.close(ignored);
+    reset();
+}
+
+void fault_relay::set(const link_fault& fault)
+{
+    *impl_->fault = fault;
+}
+
+void fault_relay::reset()
+{
+    impl_->each([](auto& one) { one.reset(); });
+}
+
+void fault_relay::silence_open()
+{
+    impl_->each([](auto& one) { one.dead = true; });
+}
+
+} // namespace hyssopdeal::soak
--- /dev/null
+++ b/tests/soak/soak_faults.cpp
@@ -0,0 +1,442 @@
+#include "soak/soak_faults.hpp"
+
+#include <algorithm>
+#include <csignal>
+
+#include <fmt/format.h>
+
+namespace hyssopdeal::soak
+{
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+// A replica counts as lost until it has caught up.
+constexpr milliseconds catch_up{6'000};
+constexpr milliseconds soon{50};
+
+} // namespace
+
+soak_faults::soak_faults(soak_world& world, soak_operator& changes)
+    : world_(world),
+      changes_(changes)
+{}
+
+void soak_faults::start(std::chrono::seconds duration)
+{
+    until_ = world_.clock.monotonic_now() + duration;
+    drawing_ = true;
+    next();
+}
+
+bool soak_faults::over() const noexcept
+{
+    return !drawing_ && open_ == 0;
+}
+
+void soak_faults::after(milliseconds delay, std::function<void()> act)
+{
+    timers_.push_back(world_.loop.after(delay, std::move(act)));
+}
+
+milliseconds soak_faults::drawn_between(int least_ms, int most_ms)
+{
+    return milliseconds{
+        std::uniform_int_distribution<int>{least_ms, most_ms}(world_.random)};
+}
+
+std::size_t soak_faults::begin(fault_place place, std::size_t which,
+                               bool planned, const std::string& what)
+{
+    busy_.insert({place, which});
+    ++open_;
+    return world_.ledger.begin_fault(place, which, planned, what);
+}
+
+void soak_faults::end(fault_place place, std::size_t which, std::size_t record,
+                      milliseconds later)
+{
+    after(later, [=, this] {
+        world_.ledger.end_fault(record);
+        busy_.erase({place, which});
+        --open_;
+    });
+}
+
+bool soak_faults::free(fault_place place, std::size_t which) const
+{
+    // One control replica at a time.
+    return place == fault_place::replica
+               ? std::none_of(busy_.begin(), busy_.end(),
+                              [](const auto& item) {
+                                  return item.first == fault_place::replica;
+                              })
+               : !busy_.contains({place, which});
+}
+
+// [drawing] ------------------------------------------------------------------
+
+void soak_faults::next()
+{
+    if (world_.clock.monotonic_now() >= until_)
+    {
+        drawing_ = false;
+        return;
+    }
+    world_.drawn() < 0.4 || world_.settings.planned_only ? plan() : disturb();
+    after(drawn_between(100, 1'500), [this] { next(); });
+}
+
+void soak_faults::plan()
+{
+    const auto entry = world_.drawn_below(world_.settings.entries);
+    switch (world_.drawn_below(10))
+    {
+    case 0:
+        return changes_.race();
+    case 1:
+        return changes_.send_invalid();
+    case 2:
+        return change_settings(entry);
+    case 3:
+        return restart(fault_place::entry, entry, SIGTERM, disk_state::kept);
+    case 4:
+        return std::exchange(rolling_, true) ? changes_.change()
+                                             : roll_entries(0);
+    case 5:
+    case 6: {
+        const char* service = world_.drawn() < 0.5 ? "llm" : "app";
+        const auto ready = world_.servers->ready(service);
+        return replace_server(ready.at(world_.drawn_below(ready.size())));
+    }
+    case 7:
+        return moves_ == 0 && !world_.settings.planned_only ? move_version()
+                                                            : changes_.change();
+    default:
+        return changes_.change();
+    }
+}
+
+void soak_faults::disturb()
+{
+    const auto entry = world_.drawn_below(world_.settings.entries);
+    const auto& replicas = world_.replicas();
+    const auto replica = replicas.at(world_.drawn_below(replicas.size()));
+    const auto place =
+        world_.drawn() < 0.5 ? fault_place::entry : fault_place::replica;
+    const auto which = place == fault_place::entry ? entry : replica;
+    const auto ready =
+        world_.servers->ready(world_.drawn() < 0.5 ? "llm" : "app");
+    const auto server = ready.at(world_.drawn_below(ready.size()));
+    switch (world_.drawn_below(13))
+    {
+    case 0:
+        return restart(fault_place::entry, entry, SIGKILL, disk_state::kept);
+    case 1:
+        return restart(fault_place::replica, replica, SIGKILL,
+                       disk_state::kept);
+    case 2:
+        return restart(fault_place::replica, replica, SIGKILL,
+                       disk_state::wiped);
+    case 3:
+        return restart(fault_place::replica, replica, SIGKILL,
+                       disk_state::torn);
+    case 4:
+        return restart(fault_place::replica, replica, SIGTERM,
+                       disk_state::kept);
+    case 5:
+        return freeze(place, which);
+    case 6:
+        return harm_link(place, which);
+    case 7:
+        return break_connections(place, which);
+    case 8:
+        return harm_server(server);
+    case 9:
+        return crash_server(server);
+    case 10:
+        return harm_platform();
+    case 11:
+        return kill_all_replicas();
+    default:
+        return replace_replica(replica);
+    }
+}
+
+// [processes] ----------------------------------------------------------------
+
+void soak_faults::restart(fault_place place, std::size_t which, int number,
+                          disk_state disk)
+{
+    if (!free(place, which) || !world_.runs(place, which))
+    {
+        return;
+    }
+    const bool planned = number == SIGTERM;
+    const auto record = begin(place, which, planned, planned ? "stop" : "kill");
+    world_.signal(place, which, number);
+    await_end(place, which, record, disk);
+}
+
+void soak_faults::await_end(fault_place place, std::size_t which,
+                            std::size_t record, disk_state disk)
+{
+    if (!world_.ended(place, which))
+    {
+        return after(soon,
+                     [=, this] { await_end(place, which, record, disk); });
+    }
+    after(drawn_between(0, 1'500), [=, this] {
+        const bool entry = place == fault_place::entry;
+        entry ? world_.start_entry(which) : world_.start_replica(which, disk);
+        end(place, which, record, entry ? milliseconds{0} : catch_up);
+    });
+}
+
+void soak_faults::freeze(fault_place place, std::size_t which)
+{
+    if (!free(place, which) || !world_.runs(place, which))
+    {
+        return;
+    }
+    const auto record = begin(place, which, false, "freeze");
+    world_.signal(place, which, SIGSTOP);
+    after(drawn_between(200, 4'000), [=, this] {
+        world_.signal(place, which, SIGCONT);
+        end(place, which, record, milliseconds{0});
+    });
+}
+
+/// Their disks stay, and they are back within a second.
+void soak_faults::kill_all_replicas()
+{
+    const auto all = world_.replicas();
+    if (!free(fault_place::replica, 0))
+    {
+        return;
+    }
+    for (const auto which : all)
+    {
+        const auto record = begin(fault_place::replica, which, false, "kill");
+        world_.signal(fault_place::replica, which, SIGKILL);
+        await_end(fault_place::replica, which, record, disk_state::kept);
+    }
+}
+
+void soak_faults::replace_replica(std::size_t which)
+{
+    if (!free(fault_place::replica, which) ||
+        !world_.runs(fault_place::replica, which))
+    {
+        return;
+    }
+    const auto record = begin(fault_place::replica, which, false, "replace");
+    world_.signal(fault_place::replica, which, SIGKILL);
+    after(drawn_between(300, 1'500), [=, this] {
+        (void)world_.ended(fault_place::replica, which);
+        (void)world_.replace_replica(which);
+        end(fault_place::replica, which, record, 2 * catch_up);
+    });
+}
+
+/// Stops one entry after the other, each as soon as the last is back.
+void soak_faults::roll_entries(std::size_t which)
+{
+    if (which >= world_.settings.entries)
+    {
+        rolling_ = false;
+        return;
+    }
+    restart(fault_place::entry, which, SIGTERM, disk_state::kept);
+    after(drawn_between(400, 1'500), [=, this] { roll_entries(which + 1); });
+}
+
+void soak_faults::change_settings(std::size_t which)
+{
+    if (!free(fault_place::entry, which) ||
+        !world_.runs(fault_place::entry, which))
+    {
+        return;
+    }
+    const auto record = begin(fault_place::entry, which, true, "settings");
+    world_.rewrite_settings(which);
+    if (world_.drawn() < 0.7)
+    {
+        world_.signal(fault_place::entry, which, SIGHUP);
+    }
+    end(fault_place::entry, which, record, milliseconds{0});
+}
+
+// [links] --------------------------------------------------------------------
+
+void soak_faults::harm_link(fault_place place, std::size_t which)
+{
+    if (!free(place, which))
+    {
+        return;
+    }
+    const auto record = begin(place, which, false, "link");
+    link_fault fault;
+    const auto kind = world_.drawn_below(4);
+    fault.silent_in = kind == 0 || kind == 1;
+    fault.silent_out = kind == 1 || kind == 2;
+    fault.delay = kind == 3 ? drawn_between(20, 400) : milliseconds{0};
+    world_.link(place, which).set(fault);
+    after(drawn_between(300, 5'000), [=, this] {
+        world_.link(place, which).set({});
+        end(place, which, record, milliseconds{0});
+    });
+}
+
+void soak_faults::break_connections(fault_place place, std::size_t which)
+{
+    if (!free(place, which))
+    {
+        return;
+    }
+    const auto record = begin(place, which, false, "connections");
+    auto& link = world_.link(place, which);
+    world_.drawn() < 0.5 ? link.reset() : link.silence_open();
+    end(place, which, record, milliseconds{0});
+}
+
+// [servers] ------------------------------------------------------------------
+
+void soak_faults::harm_server(std::size_t server)
+{
+    if (!free(fault_place::server, server))
+    {
+        return;
+    }
+    const auto record = begin(fault_place::server, server, false, "server");
+    server_manner manner;
+    switch (world_.drawn_below(6))
+    {
+    case 0:
+        manner.failing = 0.4;
+        break;
+    case 1:
+        manner.cutting = 0.4;
+        break;
+    case 2:
+        manner.full = 0.6;
+        break;
+    case 3:
+        manner.step = milliseconds{90};
+        break;
+    case 4:
+        world_.servers->link(server).set({true, true, {}});
+        break;
+    default:
+        world_.servers->link(server).reset();
+        break;
+    }
+    world_.servers->behave(server, manner);
+    after(drawn_between(500, 4'000), [=, this] {
+        world_.servers->behave(server, {});
+        world_.servers->link(server).set({});
+        end(fault_place::server, server, record, milliseconds{0});
+    });
+}
+
+void soak_faults::crash_server(std::size_t server)
+{
+    if (!free(fault_place::server, server))
+    {
+        return;
+    }
+    const auto record = begin(fault_place::server, server, false, "crash");
+    const auto domain = world_.servers->domain(server);
+    const auto all = world_.servers->ready("llm");
+    const bool llm = std::find(all.begin(), all.end(), server) != all.end();
+    world_.servers->crash(server);
+    after(drawn_between(500, 3'000), [=, this] {
+        world_.servers->forget(server);
+        (void)world_.servers->add(llm ? "llm" : "app", domain,
+                                  llm ? version_ : "v1");
+        end(fault_place::server, server, record, milliseconds{0});
+    });
+}
+
+/// The new one starts first; the old one leaves well after it is shown as
+/// leaving.
+void soak_faults::replace_server(std::size_t server)
+{
+    if (!free(fault_place::server, server))
+    {
+        return;
+    }
+    const auto record = begin(fault_place::server, server, true, "leaves");
+    const auto all = world_.servers->ready("llm");
+    const bool llm = std::find(all.begin(), all.end(), server) != all.end();
+    (void)world_.servers->add(llm ? "llm" : "app",
+                              world_.servers->domain(server),
+                              llm ? version_ : "v1");
+    after(drawn_between(500, 2'000), [=, this] {
+        world_.servers->drain(server);
+        after(drawn_between(5'000, 8'000), [=, this] {
+            world_.servers->forget(server);
+            end(fault_place::server, server, record, milliseconds{0});
+        });
+    });
+}
+
+void soak_faults::harm_platform()
+{
+    if (!free(fault_place::platform, 0))
+    {
+        return;
+    }
+    const auto record = begin(fault_place::platform, 0, false, "platform");
+    world_.servers->behave(world_.drawn() < 0.5 ? platform_manner::silent
+                                                : platform_manner::busy);
+    after(drawn_between(500, 4'000), [=, this] {
+        world_.servers->behave(platform_manner::well);
+        end(fault_place::platform, 0, record, milliseconds{0});
+    });
+}
+
+/// Servers of a new version come; it is good, or fails from some time on.
+void soak_faults::move_version()
+{
+    constexpr milliseconds duration{12'000};
+    constexpr double bad_part = 0.5;
+    ++moves_;
+    ++open_;
+    const bool bad = world_.drawn() < 0.6;
+    const std::string target = "v2";
+    const auto old_ones = world_.servers->ready("llm");
+    std::vector<std::size_t> made;
+    for (std::size_t at = 0; at < old_ones.size(); ++at)
+    {
+        made.push_back(
+            world_.servers->add("llm", world_.servers->domain(at), target, {}));
+    }
+    if (bad)
+    {
+        after(drawn_between(0, 8'000), [=, this] {
+            for (const auto server : made)
+            {
+                world_.servers->behave(server, {.failing = bad_part});
+            }
+        });
+    }
+    changes_.move(target, bad, duration, [=, this](bool completed) {
+        for (const auto server : completed ? old_ones : made)
+        {
+            world_.servers->drain(server);
+        }
+        version_ = completed ? target : version_;
+        after(drawn_between(5'000, 7'000), [=, this] {
+            for (const auto server : completed ? old_ones : made)
+            {
+                world_.servers->forget(server);
+            }
+            --open_;
+        });
+    });
+}
+
+} // namespace hyssopdeal::soak
--- /dev/null
+++ b/tests/soak/soak_faults.hpp
@@ -0,0 +1,85 @@
+#ifndef HYSSOPDEAL_TESTS_SOAK_SOAK_FAULTS_HPP
+#define HYSSOPDEAL_TESTS_SOAK_SOAK_FAULTS_HPP
+
+/// @file
+/// Faults and planned work, drawn from the seed, in series and overlapping, as
+/// far as the system is to bear them: one control replica at a time, all of
+/// them only when their disks stay.
+///
+/// Index: [soak_faults]
+
+#include <chrono>
+#include <functional>
+#include <list>
+#include <set>
+#include <string>
+
+#include "soak/soak_callers.hpp"
+#include "soak/soak_world.hpp"
+
+namespace hyssopdeal::soak
+{
+
+// [soak_faults] --------------------------------------------------------------
+
+class soak_faults
+{
+public:
+    soak_faults(soak_world& world, soak_operator& changes);
+
+    /// Draws faults until the time is over.
+    void start(std::chrono::seconds duration);
+
+    /// @return Whether all faults are over and every process runs.
+    [[nodiscard]] bool over() const noexcept;
+
+private:
+    void next();
+    void disturb();
+    void plan();
+    void after(std::chrono::milliseconds delay, std::function<void()> act);
+    std::chrono::milliseconds drawn_between(int least_ms, int most_ms);
+    std::size_t begin(fault_place place, std::size_t which, bool planned,
+                      const std::string& what);
+    void end(fault_place place, std::size_t which, std::size_t record,
+             std::chrono::milliseconds later);
+
+    // Of processes.
+    void restart(fault_place place, std::size_t which, int number,
+                 disk_state disk);
+    void await_end(fault_place place, std::size_t which, std::size_t record,
+                   disk_state disk);
+    void freeze(fault_place place, std::size_t which);
+    void kill_all_replicas();
+    void replace_replica(std::size_t which);
+    void roll_entries(std::size_t which);
+    void change_settings(std::size_t which);
+
+    // Of links.
+    void harm_link(fault_place place, std::size_t which);
+    void break_connections(fault_place place, std::size_t which);
+
+    // Of servers and the platform.
+    void harm_server(std::size_t server);
+    void crash_server(std::size_t server);
+    void replace_server(std::size_t server);
+    void harm_platform();
+    void move_version();
+
+    bool free(fault_place place, std::size_t which) const;
+
+    soak_world& world_;
+    soak_operator& changes_;
+    transport::monotonic_time until_{};
+    bool drawing_ = false;
+    std::set<std::pair<fault_place, std::size_t>> busy_;
+    std::size_t open_ = 0;
+    std::size_t moves_ = 0;
+    bool rolling_ = false;
+    std::string version_ = "v1"; ///< That new servers of `llm` have.
+    std::list<transport::timer_handle> timers_;
+};
+
+} // namespace hyssopdeal::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_ledger.hpp
@@ -0,0 +1,185 @@
+#ifndef HYSSOPDEAL_TESTS_SOAK_SOAK_LEDGER_HPP
+#define HYSSOPDEAL_TESTS_SOAK_SOAK_LEDGER_HPP
+
+/// @file
+/// What a soak has seen from outside, and which promises it shows broken.
+///
+/// Index: [faults] [requests] [soak_ledger]
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <hyssopdeal/transport/clock.hpp>
+
+namespace hyssopdeal::soak
+{
+
+using transport::monotonic_time;
+
+// [faults] -------------------------------------------------------------------
+
+/// Whom a fault hits.
+enum class fault_place : std::uint8_t
+{
+    entry,
+    replica,
+    server,
+    platform
+};
+
+/// A fault or a planned act, from its beginning until all is as before.
+struct fault_record
+{
+    fault_place place = fault_place::entry;
+    std::size_t which = 0;
+    bool planned = false; ///< A stop or change that cuts off nothing.
+    std::string what;
+    monotonic_time from{};
+    monotonic_time to = monotonic_time::max(); ///< Until it is over.
+};
+
+// [requests] -----------------------------------------------------------------
+
+/// What callers may do with a route's requests.
+enum class route_kind : std::uint8_t
+{
+    safe,
+    once,
+    stream, ///< May be resumed.
+    once_stream,
+    probe ///< Route that is there from some version on.
+};
+
+/// One try of a caller.
+struct request_record
+{
+    std::size_t entry = 0;
+    std::uint32_t entry_life = 0; ///< Counts the entry's processes.
+    route_kind kind = route_kind::safe;
+    std::uint64_t version = 0; ///< Of a probe.
+    monotonic_time sent{};
+    monotonic_time ended{};
+    int status = 0;        ///< 0: no head came.
+    bool complete = false; ///< The answer came to its proper end.
+    bool left = false;     ///< The caller gave up.
+    bool over = false;
+    std::uint32_t runs = 0; ///< At servers, resumed ones left out.
+    monotonic_time first_run{};
+    monotonic_time run_ended{};
+    bool run_open = false;
+};
+
+// [soak_ledger] --------------------------------------------------------------
+
+/// Times from the pages' bounds; the defaults are those of the sites.
+struct soak_bounds
+{
+    std::chrono::milliseconds contact{4'000}; ///< Calm before a bound holds.
+    std::chrono::milliseconds apply{2'500};   ///< Accepted to in force.
+    std::chrono::milliseconds drain{4'000};   ///< Listed to no new work.
+    std::chrono::milliseconds grace{8'000};   ///< From SIGTERM to the end.
+    std::chrono::milliseconds loss_slack{200};
+    std::chrono::milliseconds regress_slack{250};
+    std::chrono::milliseconds recovery{15'000};
+    double repeat_ratio = 0.2;
+    std::uint64_t repeat_slack = 56;
+    std::chrono::milliseconds repeat_window{10'000};
+    double bad_version_share = 0.1;
+    std::uint64_t bad_version_requests = 50;
+};
+
+/// Collects and judges. Used by one thread.
+class soak_ledger
+{
+public:
+    soak_ledger(const transport::clock& clock, soak_bounds bounds);
+
+    // Faults.
+    std::size_t begin_fault(fault_place place, std::size_t which, bool planned,
+                            std::string what);
+    void end_fault(std::size_t number);
+
+    /// @return Whether nothing unplanned hit a place from the contact time
+    ///     before `from` until `to`; the control replicas as a whole, too.
+    [[nodiscard]] bool calm(fault_place place, std::size_t which,
+                            monotonic_time from, monotonic_time to) const;
+
+    // Callers.
+    request_record& sent(const std::string& id, request_record record);
+    void answered(const std::string& id, int status, bool complete);
+    void left(const std::string& id);
+
+    // Servers.
+    void run_began(const std::string& id, std::size_t server, bool resumed);
+    void run_ended(const std::string& id, bool complete);
+    void arrived(const std::string& id, std::size_t server, bool target);
+    void draining(std::size_t server);
+
+    // Operators.
+    void accepted(std::uint64_t version);
+    [[nodiscard]] std::uint64_t newest_accepted() const noexcept
+    {
+        return newest_accepted_;
+    }
+    void read_back(monotonic_time asked, std::uint64_t version);
+
+    // Platform.
+    void ordered(const std::string& holder, std::uint64_t token, bool usage,
+                 std::uint64_t window, const std::string& counts);
+
+    /// A promise is broken; each text is kept once.
+    void broken(const std::string& promise, const std::string& how);
+
+    /// Judges what can be judged only at the end.
+    ///
+    /// @param steady_from All faults were over by then, and recovered from.
+    void judge(monotonic_time steady_from);
+
+    [[nodiscard]] const std::vector<std::string>& findings() const noexcept
+    {
+        return findings_;
+    }
+
+    /// @return Counts by outcome, for people.
+    [[nodiscard]] std::string summary() const;
+
+    /// Counts of a move under way; reset by begin_move().
+    void begin_move(bool bad);
+    void end_move();
+
+private:
+    void judge_request(const std::string& id, const request_record& seen);
+    void judge_stop(const std::string& id, const request_record& seen);
+    void judge_probe(const std::string& id, const request_record& seen);
+    void judge_recovery(monotonic_time steady_from);
+    void judge_repeats();
+    void judge_leavers();
+
+    const transport::clock& clock_;
+    soak_bounds bounds_;
+    std::vector<fault_record> faults_;
+    std::unordered_map<std::string, request_record> requests_;
+    std::map<std::uint64_t, monotonic_time> accepted_at_;
+    std::uint64_t newest_accepted_ = 0;
+    std::map<std::size_t, monotonic_time> draining_since_;
+    std::map<std::pair<std::size_t, std::uint32_t>,
+             std::map<std::uint64_t, monotonic_time>>
+        shown_; ///< First time, by entry's life and version.
+    std::map<std::uint64_t, std::string> usage_;
+    std::map<std::uint64_t, std::string> holders_;
+    std::uint64_t highest_token_ = 0;
+    std::vector<monotonic_time> repeats_;
+    bool move_runs_ = false;
+    bool move_bad_ = false;
+    std::uint64_t move_all_ = 0;
+    std::uint64_t move_target_ = 0;
+    std::vector<std::string> findings_;
+};
+
+} // namespace hyssopdeal::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_servers.cpp
@@ -0,0 +1,350 @@
+#include "soak/soak_servers.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include <fmt/format.h>
+
+#include "platform/counterpart.hpp"
+
+namespace hyssopdeal::soak
+{
+
+using transport::http1_exchange;
+
+namespace
+{
+
+constexpr std::uint32_t slots = 16;
+constexpr std::uint32_t queue = 8;
+constexpr int events_of_stream = 12;
+
+/// The number at the end of a server's id.
+std::uint64_t number_in(const std::string& text)
+{
+    std::uint64_t value = 0;
+    (void)std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+} // namespace
+
+struct soak_servers::impl
+{
+    struct server
+    {
+        protocol::listed_server listed;
+        server_manner manner;
+        bool on_list = true;
+        bool runs = true;
+        std::uint32_t running = 0;
+        std::unique_ptr<transport::http1_server> listener;
+        std::unique_ptr<fault_relay> relay;
+    };
+
+    /// One request that a server works on.
+    struct work
+    {
+        work(http1_exchange own, std::string own_id, std::size_t own_server)
+            : exchange(std::move(own)),
+              id(std::move(own_id)),
+              at(own_server)
+        {}
+        http1_exchange exchange;
+        std::string id;
+        std::size_t at;
+        int next_event = 1;
+        bool over = false;
+        transport::timer_handle timer;
+    };
+
+    impl(transport::event_loop& own_loop, const transport::clock& own_clock,
+         soak_ledger& own_ledger, std::uint64_t seed, address_of own_address,
+         std::uint16_t own_port)
+        : loop(own_loop),
+          clock(own_clock),
+          ledger(own_ledger),
+          random(seed),
+          address(std::move(own_address)),
+          port(own_port)
+    {}
+
+    void answer(std::size_t at, const http1_exchange& exchange);
+    void step(const std::shared_ptr<work>& one);
+    void end(const std::shared_ptr<work>& one, bool complete);
+    void answer_platform(http1_exchange exchange);
+
+    bool drawn(double part)
+    {
+        return std::uniform_real_distribution<double>{0, 1}(random) < part;
+    }
+
+    transport::event_loop& loop;
+    const transport::clock& clock;
+    soak_ledger& ledger;
+    std::mt19937_64 random;
+    address_of address;
+    std::uint16_t port;
+    std::vector<std::unique_ptr<server>> servers;
+    std::unique_ptr<transport::http1_server> platform;
+    platform_manner manner = platform_manner::well;
+    std::vector<http1_exchange> unanswered; ///< While the platform is silent.
+    std::string target;
+};
+
+// [requests] -----------------------------------------------------------------
+
+void soak_servers::impl::answer(std::size_t at, const http1_exchange& exchange)
+{
+    auto& self = *servers.at(at);
+    const auto& request = exchange.request();
+    const auto call = platform::read_server_call(request);
+    const auto refuse = [&](int status) {
+        auto copy = exchange;
+        copy.send(platform::not_run_answer(status, call.attempt_id));
+    };
+    if (!call.expected_server.empty() && call.expected_server != self.listed.id)
+    {
+        return refuse(421);
+    }
+    ledger.arrived(call.attempt_id, at,
+                   !target.empty() && self.listed.version == target);
+    if (self.running >= slots + queue || drawn(self.manner.full))
+    {
+        return refuse(503);
+    }
+    if (call.organisation != "o")
+    {
+        ledger.broken("each caller gets only their own",
+                      fmt::format("{} came as organisation '{}'",
+                                  call.attempt_id, call.organisation));
+    }
+    ledger.run_began(call.attempt_id, at, !call.resume_after.empty());
+    ++self.running;
+    auto one = std::make_shared<work>(exchange, call.attempt_id, at);
+    one->next_event = 1 + static_cast<int>(number_in(call.resume_after));
+    one->exchange.on_left([this, one] { end(one, false); });
+    const bool stream = request.target.starts_with("/stream/") ||
+                        request.target.starts_with("/say/");
+    if (drawn(self.manner.failing))
+    {
+        one->exchange.send(
+            {500, platform::answer_headers(one->id), "server " + one->id});
+        return end(one, true);
+    }
+    if (stream)
+    {
+        auto headers = platform::answer_headers(one->id);
+        headers.push_back({"Content-Type", "text/event-stream"});
+        one->exchange.begin(200, headers);
+    }
+    one->timer = loop.after(self.manner.step, [this, one, stream] {
+        if (stream)
+        {
+            return step(one);
+        }
+        if (!one->over)
+        {
+            one->exchange.send(
+                {200, platform::answer_headers(one->id), "whole " + one->id});
+            end(one, true);
+        }
+    });
+}
+
+void soak_servers::impl::step(const std::shared_ptr<work>& one)
+{
+    if (one->over)
+    {
+        return;
+    }
+    const auto& self = *servers.at(one->at);
+    if (drawn(self.manner.cutting / events_of_stream))
+    {
+        one->exchange.write("id: ");
+        one->exchange.abort();
+        return end(one, false);
+    }
+    one->exchange.write(
+        fmt::format("id: {}\ndata: {}\n\n", one->next_event, one->id));
+    if (++one->next_event > events_of_stream)
+    {
+        one->exchange.finish();
+        return end(one, true);
+    }
+    one->timer = loop.after(self.manner.step, [this, one] { step(one); });
+}
+
+void soak_servers::impl::end(const std::shared_ptr<work>& one, bool complete)
+{
+    if (std::exchange(one->over, true))
+    {
+        return;
+    }
+    one->timer.cancel();
+    auto& running = servers.at(one->at)->running;
+    running -= running > 0 ? 1 : 0;
+    ledger.run_ended(one->id, complete);
+}
+
+// [platform] -----------------------------------------------------------------
+
+void soak_servers::impl::answer_platform(http1_exchange exchange)
+{
+    if (manner == platform_manner::silent)
+    {
+        return unanswered.push_back(std::move(exchange));
+    }
+    if (manner == platform_manner::busy)
+    {
+        return exchange.send({429, {}, ""});
+    }
+    if (exchange.request().method == "GET")
+    {
+        std::vector<protocol::listed_server> list;
+        for (const auto& one : servers)
+        {
+            if (one->on_list)
+            {
+                list.push_back(one->listed);
+            }
+        }
+        return exchange.send({200,
+                              {{"Content-Type", "application/json"}},
+                              platform::encode_list(list)});
+    }
+    const auto order = platform::read_order(exchange.request());
+    if (!order)
+    {
+        ledger.broken("orders are well formed", order.error().text);
+        return exchange.send({400, {}, ""});
+    }
+    ledger.ordered(order->fence.holder, order->fence.token, order->usage,
+                   order->window, order->counts);
+    exchange.send({200, {{"Content-Type", "application/json"}}, "{}"});
+}
+
+// [soak_servers] -------------------------------------------------------------
+
+soak_servers::soak_servers(transport::event_loop& loop,
+                           const transport::clock& clock, soak_ledger& ledger,
+                           std::uint64_t seed, address_of address,
+                           std::uint16_t port)
+    : impl_(std::make_unique<impl>(loop, clock, ledger, seed,
+                                   std::move(address), port))
+{}
+
+soak_servers::~soak_servers() = default;
+
+std::size_t soak_servers::add(const std::string& service,
+                              const std::string& domain,
+                              const std::string& version, server_manner manner)
+{
+    const auto at = impl_->servers.size();
+    auto made = std::make_unique<impl::server>();
+    made->listed.id = fmt::format("i-{}", at);
+    made->listed.born = static_cast<std::uint64_t>(
+        impl_->clock.wall_now().time_since_epoch().count());
+    made->listed.service = service;
+    made->listed.address =
+        fmt::format("{}:{}", impl_->address(at, true), impl_->port);
+    made->listed.failure_domain = domain;
+    made->listed.version = version;
+    made->listed.slots = slots;
+    made->manner = manner;
+    transport::http1_server_settings settings;
+    settings.address = impl_->address(at, false);
+    settings.port = impl_->port;
+    made->listener = std::make_unique<transport::http1_server>(
+        impl_->loop, impl_->clock, settings,
+        [this, at](const http1_exchange& exchange) {
+            impl_->answer(at, exchange);
+        });
+    if (const auto started = made->listener->start(); !started)
+    {
+        impl_->ledger.broken("soak", started.error().text);
+    }
+    made->relay =
+        std::make_unique<fault_relay>(impl_->loop, impl_->address(at, true),
+                                      impl_->address(at, false), impl_->port);
+    impl_->servers.push_back(std::move(made));
+    return at;
+}
+
+void soak_servers::drain(std::size_t server)
+{
+    impl_->servers.at(server)->listed.state = protocol::server_state::draining;
+    impl_->ledger.draining(server);
+}
+
+void soak_servers::crash(std::size_t server)
+{
+    auto& one = *impl_->servers.at(server);
+    one.runs = false;
+    one.relay->reset();
+    one.relay.reset();
+}
+
+void soak_servers::forget(std::size_t server)
+{
+    impl_->servers.at(server)->on_list = false;
+}
+
+void soak_servers::behave(std::size_t server, server_manner manner)
+{
+    impl_->servers.at(server)->manner = manner;
+}
+
+fault_relay& soak_servers::link(std::size_t server)
+{
+    return *impl_->servers.at(server)->relay;
+}
+
+std::vector<std::size_t> soak_servers::ready(const std::string& service) const
+{
+    std::vector<std::size_t> found;
+    for (std::size_t at = 0; at < impl_->servers.size(); ++at)
+    {
+        const auto& one = *impl_->servers[at];
+        if (one.runs && one.on_list && one.listed.service == service &&
+            one.listed.state == protocol::server_state::ready)
+        {
+            found.push_back(at);
+        }
+    }
+    return found;
+}
+
+const std::string& soak_servers::domain(std::size_t server) const
+{
+    return impl_->servers.at(server)->listed.failure_domain;
+}
+
+void soak_servers::serve_platform(const std::string& address,
+                                  std::uint16_t port)
+{
+    transport::http1_server_settings settings;
+    settings.address = address;
+    settings.port = port;
+    impl_->platform = std::make_unique<transport::http1_server>(
+        impl_->loop, impl_->clock, settings, [this](http1_exchange exchange) {
+            impl_->answer_platform(std::move(exchange));
+        });
+    if (const auto started = impl_->platform->start(); !started)
+    {
+        impl_->ledger.broken("soak", started.error().text);
+    }
+}
+
+void soak_servers::behave(platform_manner manner)
+{
+    impl_->manner = manner;
+    impl_->unanswered.clear();
+}
+
+void soak_servers::watch_target(const std::string& version)
+{
+    impl_->target = version;
+}
+
+} // namespace hyssopdeal::soak
--- /dev/null
+++ b/tests/soak/soak_servers.hpp
@@ -0,0 +1,104 @@
+#ifndef HYSSOPDEAL_TESTS_SOAK_SOAK_SERVERS_HPP
+#define HYSSOPDEAL_TESTS_SOAK_SOAK_SERVERS_HPP
+
+/// @file
+/// Backend servers and the platform's API for a soak, in its own process. Each
+/// server is reached through a relay.
+///
+/// Index: [server_manner] [soak_servers]
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <hyssopdeal/protocol/service_document.hpp>
+#include <hyssopdeal/transport/clock.hpp>
+#include <hyssopdeal/transport/event_loop.hpp>
+#include <hyssopdeal/transport/http1_server.hpp>
+
+#include "soak/fault_relay.hpp"
+#include "soak/soak_ledger.hpp"
+
+namespace hyssopdeal::soak
+{
+
+// [server_manner] ------------------------------------------------------------
+
+/// How a server answers; parts are of its answers.
+struct server_manner
+{
+    double failing = 0;                 ///< With an error of its own.
+    double cutting = 0;                 ///< Broken off in their middle.
+    double full = 0;                    ///< Refused as not run.
+    std::chrono::milliseconds step{15}; ///< Between two events.
+};
+
+/// How the platform's API answers.
+enum class platform_manner : std::uint8_t
+{
+    well,
+    silent,
+    busy ///< 429 for everything.
+};
+
+// [soak_servers] -------------------------------------------------------------
+
+/// All servers that ever were, by number.
+class soak_servers
+{
+public:
+    /// @param address Makes the IP number of a server, as it is or as others
+    ///     see it.
+    using address_of = std::function<std::string(std::size_t, bool seen)>;
+
+    soak_servers(transport::event_loop& loop, const transport::clock& clock,
+                 soak_ledger& ledger, std::uint64_t seed, address_of address,
+                 std::uint16_t port);
+    ~soak_servers();
+
+    /// Starts one more server.
+    ///
+    /// @return Its number.
+    std::size_t add(const std::string& service, const std::string& domain,
+                    const std::string& version, server_manner manner = {});
+
+    /// Shows it as leaving.
+    void drain(std::size_t server);
+
+    /// Ends it at once; it stays on the list for a while.
+    void crash(std::size_t server);
+
+    /// Takes it off the list.
+    void forget(std::size_t server);
+
+    void behave(std::size_t server, server_manner manner);
+
+    [[nodiscard]] fault_relay& link(std::size_t server);
+
+    /// @return Numbers of those that are listed as ready and run.
+    [[nodiscard]] std::vector<std::size_t>
+    ready(const std::string& service) const;
+
+    /// @return Its failure domain.
+    [[nodiscard]] const std::string& domain(std::size_t server) const;
+
+    /// Starts the platform's API.
+    void serve_platform(const std::string& address, std::uint16_t port);
+    void behave(platform_manner manner);
+
+    /// Version of a move under way; its requests are counted.
+    void watch_target(const std::string& version);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace hyssopdeal::soak
+
+#endif
