Replicas that do not lead watch the load, for the next leader's plan

Change: every replica measures the load and keeps what the last plan that was met needed; only the leader orders. An entry counts as silent after 1.5 s, as replicas that do not lead are told once a second.

Test: a planner that watched takes over in a drought and orders in proportion to what ran before it; a new one ordered a third of that.

--- a/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
+++ b/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
@@ -79,7 +79,8 @@
 
 // [capacity_planner] ---------------------------------------------------------
 
-/// Runs on the leader, made anew for each leadership.
+/// Runs on every replica: those that do not lead only watch, so that the next
+/// leader knows what the load needed before servers were lost.
 class capacity_planner
 {
 public:
@@ -97,6 +98,12 @@
     void on_answer(transport::monotonic_time now, const capacity_order& order,
                    order_outcome outcome);
 
+    /// Looks on without ordering; forgets orders of the time as the leader.
+    void watch(transport::monotonic_time now,
+               const std::vector<protocol::document_service>& services,
+               const std::vector<protocol::listed_server>& servers,
+               const std::map<std::string, double>& running);
+
 private:
     /// What was ordered of one kind in one domain.
     struct order_state
--- a/src/coordination/cluster/capacity_plan.cpp
+++ b/src/coordination/cluster/capacity_plan.cpp
@@ -239,6 +239,15 @@
     orders.push_back(std::move(order));
 }
 
+void capacity_planner::watch(
+    monotonic_time now, const std::vector<protocol::document_service>& services,
+    const std::vector<protocol::listed_server>& servers,
+    const std::map<std::string, double>& running)
+{
+    (void)step(now, services, servers, running);
+    states_.clear();
+}
+
 void capacity_planner::on_answer(monotonic_time now,
                                  const capacity_order& order,
                                  order_outcome outcome)
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -35,6 +35,7 @@
       settings(std::move(own_settings)),
       outside(std::move(own_outside)),
       own_address(fmt::format("{}:{}", settings.address, settings.hub_port)),
+      capacity(settings.capacity),
       usage(settings.usage)
 {}
 
@@ -184,6 +185,7 @@
     find_cluster();
     read_list();
     run_duties();
+    plan_servers();
     advance_moves();
     if (drained_handler && (!machine || !leads() || now >= drain_until))
     {
@@ -256,7 +258,6 @@
         leading_term = seen.leads.term;
         leading_since = now;
         allocator.emplace(now, settings.shares);
-        capacity.emplace(settings.capacity);
         lent.emplace(settings.quotas);
         lent_document = 0;
         usage_sent.clear();
@@ -270,7 +271,6 @@
     {
         leading_term = 0;
         allocator.reset();
-        capacity.reset();
         lent.reset();
     }
     for (const auto& member : seen.replicas.members)
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -111,27 +111,25 @@
             send_usage(decision);
         }
     }
-    if (now >= next_capacity)
-    {
-        next_capacity = now + capacity_interval;
-        order_servers();
-    }
 }
 
-void cluster_process::impl::order_servers()
+void cluster_process::impl::plan_servers()
 {
     const auto now = clock.monotonic_now();
-    if (!capacity || !listing_read || now - *listing_read > oldest_list)
+    if (!machine || now < next_capacity || !listing_read ||
+        now - *listing_read > oldest_list)
     {
         return;
     }
+    next_capacity = now + capacity_interval;
     read_services();
     // While a service has servers of two versions, their number says little of
     // what it needs.
     auto steady = services;
     std::erase_if(steady, [this](const auto& service) {
-        const auto found = machine->state().rollouts().find(service.name);
-        return found != machine->state().rollouts().end() &&
+        const auto& moved = machine->state().rollouts();
+        const auto found = moved.find(service.name);
+        return found != moved.end() &&
                found->second.state == rollout_state::running;
     });
     std::map<std::string, double> running;
@@ -145,30 +143,40 @@
         running[server.service] +=
             found == loads.all().end() ? 0 : found->second.running;
     }
+    if (!may_order())
+    {
+        return capacity.watch(now, steady, listing.servers, running);
+    }
     for (const auto& order :
-         capacity->step(now, steady, listing.servers, running))
+         capacity.step(now, steady, listing.servers, running))
     {
-        log_event("servers.order",
-                  {{"service", order.service},
-                   {"domain", order.domain},
-                   {"reclaimable", order.kind == server_kind::reclaimable},
-                   {"count", order.count},
-                   {"running", running[order.service]}});
-        outside.order_servers(
-            {settings.name, leading_term}, order,
-            [this, order, term = leading_term](order_outcome outcome) {
-                log_event("servers.ordered",
-                          {{"domain", order.domain},
-                           {"count", order.count},
-                           {"outcome", static_cast<int>(outcome)}});
-                if (capacity && term == leading_term)
-                {
-                    capacity->on_answer(clock.monotonic_now(), order, outcome);
-                }
-            });
+        send_order(order, running[order.service]);
     }
 }
 
+void cluster_process::impl::send_order(const capacity_order& order,
+                                       double running)
+{
+    log_event("servers.order",
+              {{"service", order.service},
+               {"domain", order.domain},
+               {"reclaimable", order.kind == server_kind::reclaimable},
+               {"count", order.count},
+               {"running", running}});
+    outside.order_servers(
+        {settings.name, leading_term}, order,
+        [this, order, term = leading_term](order_outcome outcome) {
+            log_event("servers.ordered",
+                      {{"domain", order.domain},
+                       {"count", order.count},
+                       {"outcome", static_cast<int>(outcome)}});
+            if (term == leading_term)
+            {
+                capacity.on_answer(clock.monotonic_now(), order, outcome);
+            }
+        });
+}
+
 /// Sends what was decided, again and again until it is taken: equal counts for
 /// one window count once.
 void cluster_process::impl::send_usage(const decide_usage_command& decision)
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -42,7 +42,8 @@
 };
 
 // An entry that is silent for longer sends nothing any more.
-constexpr std::chrono::milliseconds load_valid_for{1'000};
+// Replicas that do not lead are told once a second.
+constexpr std::chrono::milliseconds load_valid_for{1'500};
 
 // [impl] ---------------------------------------------------------------------
 
@@ -102,7 +103,8 @@
     void read_list();
     void run_duties();
     void send_usage(const decide_usage_command& decision);
-    void order_servers();
+    void plan_servers();
+    void send_order(const capacity_order& order, double running);
     void read_services();
     [[nodiscard]] bool may_order() const;
 
@@ -150,7 +152,7 @@
     std::uint64_t document_read = 0;                  ///< Its version.
     std::string packed_document; ///< For entries that fetch it.
     std::uint64_t packed_version = 0;
-    std::optional<capacity_planner> capacity; ///< While it leads.
+    capacity_planner capacity; ///< Only watches while another leads.
     transport::monotonic_time next_capacity{};
     usage_collector usage;
     std::map<std::string, version_move> moves; ///< By service, while it leads.
--- a/src/coordination/cluster/cluster_process_moves.cpp
+++ b/src/coordination/cluster/cluster_process_moves.cpp
@@ -83,8 +83,10 @@
     }
     next_moves = now + move_interval;
     const auto held = machine->state().rollouts();
-    for (const auto& [service, order] : held)
+    for (const auto& item : held)
     {
+        const auto& service = item.first;
+        const auto& order = item.second;
         if (order.state != rollout_state::running)
         {
             continue;
