hyssopctl explain; tests of fences, of a new leader's wait and of a stop

`hyssopctl explain ID FILE...` prints what was decided on a request, from the logs of all instances, in order of time, with what its instance came to believe in the five seconds before, and who led.

Three rules had no test of ours: a new leader waits and orders with a higher fence; a stopping entry is not ready, serves on for three seconds, ends within the grace.

--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -8,6 +8,7 @@
 #include <hyssopdeal/protocol/settings_reader.hpp>
 
 #include "ctl/declaration_commands.hpp"
+#include "ctl/explain.hpp"
 #include "ctl/move_commands.hpp"
 #include "ctl/session.hpp"
 #include "ctl/trace_view.hpp"
@@ -85,6 +86,37 @@
     return exit_code::done;
 }
 
+exit_code explain(const ctl_options& options, command_output& output)
+{
+    constexpr std::size_t request_word = 1;
+    constexpr std::size_t first_file = 2;
+    const auto& words = options.words;
+    if (words.size() <= first_file)
+    {
+        output.errors += "explain: allowed REQUEST_ID FILE...\n";
+        return exit_code::bad_usage;
+    }
+    std::vector<std::string> logs;
+    for (auto at = first_file; at < words.size(); ++at)
+    {
+        auto text = protocol::read_text_file(words[at]);
+        if (!text)
+        {
+            output.errors += text.error().text + '\n';
+            return exit_code::bad_usage;
+        }
+        logs.push_back(std::move(*text));
+    }
+    const auto told = explain_request(words[request_word], logs);
+    if (!told)
+    {
+        output.errors += told.error().text + '\n';
+        return exit_code::failed;
+    }
+    output.text += *told;
+    return exit_code::done;
+}
+
 } // namespace
 
 exit_code run_command(const ctl_options& options, const transport::clock& clock,
@@ -95,6 +127,10 @@
     {
         return trace(options, output);
     }
+    if (command == "explain")
+    {
+        return explain(options, output);
+    }
     session run(options, clock, output);
     if (command == "contract")
     {
@@ -117,7 +153,7 @@
         return inspect(run);
     }
     return run.refuse(fmt::format("found \"{}\", allowed contract, service, "
-                                  "move, instance, inspect, trace",
+                                  "move, instance, inspect, trace, explain",
                                   command));
 }
 
--- a/programs/ctl/options.cpp
+++ b/programs/ctl/options.cpp
@@ -37,6 +37,8 @@
   instance drain NAME
   inspect members|grants|streams|moves|log|routes
   trace FILE [TRACE_ID]      draw a request's spans (OTLP JSON lines)
+  explain ID FILE...         what was decided on a request, from the logs of
+                             instances (JSON lines), in order of time
 
 options
   --settings FILE       control addresses and token file, JSON with comments
@@ -200,7 +202,8 @@
 // Commands that talk to no control replica need no settings.
 bool is_local(const ctl_options& options)
 {
-    return !options.words.empty() && options.words.front() == "trace";
+    return !options.words.empty() && (options.words.front() == "trace" ||
+                                      options.words.front() == "explain");
 }
 
 std::optional<exit_code> read_files(raw_options& raw)
--- a/scripts/hyssopctl-completion.bash
+++ b/scripts/hyssopctl-completion.bash
@@ -7,7 +7,7 @@
         --version"
     local words=""
     case "$before" in
-    --settings | --token-file | apply | diff | trace)
+    --settings | --token-file | apply | diff | trace | explain)
         mapfile -t COMPREPLY < <(compgen -f -- "$word")
         return
         ;;
@@ -15,7 +15,8 @@
     move) words="start status cancel" ;;
     instance) words="drain" ;;
     inspect) words="members grants streams moves log routes" ;;
-    *) words="contract service move instance inspect trace $options" ;;
+    *) words="contract service move instance inspect trace explain
+        $options" ;;
     esac
     mapfile -t COMPREPLY < <(compgen -W "$words" -- "$word")
 }
--- a/tests/cluster_harness.hpp
+++ b/tests/cluster_harness.hpp
@@ -30,7 +30,8 @@
 
 // [cluster_harness] ----------------------------------------------------------
 
-/// Documents of these tests are a version, a colon and any text.
+/// Documents of these tests are a version, a colon and any text; with the text
+/// `scaled` servers of one service may be ordered.
 inline transport::result<protocol::service_document>
 read_test_document(const std::string& bytes)
 {
@@ -40,6 +41,14 @@
     {
         return transport::fail(transport::reason::bad_request, "No version.");
     }
+    if (bytes.ends_with(":scaled"))
+    {
+        protocol::scaling_terms terms;
+        terms.least = 1;
+        terms.most = 6;
+        terms.domain_prices = {{"d0", 1.0}};
+        document.services = {{"s", 0, {}, terms}};
+    }
     return document;
 }
 
@@ -99,7 +108,7 @@
         settings.data_folder = folder(at);
         settings.shared_key = "key";
         settings.voters.gone_after = std::chrono::milliseconds{1'500};
-        settings.order_lease = std::chrono::milliseconds{500};
+        settings.order_lease = order_lease;
         coordination::cluster_outside outside;
         outside.read_list = [this](auto on_done) { on_done(list); };
         outside.report_usage = [this](const auto&, const auto& decision,
@@ -107,7 +116,9 @@
             usage.push_back(decision);
             on_done({});
         };
-        outside.order_servers = [](const auto&, const auto&, auto on_done) {
+        outside.order_servers = [this](const auto& fence, const auto&,
+                                       auto on_done) {
+            orders.push_back({fence, clock.monotonic_now()});
             on_done(coordination::order_outcome::accepted);
         };
         outside.read_document = read_test_document;
@@ -186,12 +197,16 @@
     }
 
     static constexpr std::size_t nobody = 1'000;
+    static constexpr std::chrono::milliseconds order_lease{500};
     static constexpr std::uint16_t hub_port = 27'600;
 
     transport::event_loop loop;
     transport::system_clock clock;
     std::vector<protocol::listed_server> list;
     std::vector<coordination::decide_usage_command> usage;
+    /// Of servers, with the time when they left.
+    std::vector<std::pair<coordination::order_fence, transport::monotonic_time>>
+        orders;
     std::vector<transport::result<void>> start_results;
     std::map<std::size_t, std::unique_ptr<coordination::cluster_process>>
         replicas;
--- a/tests/cluster_process_test.cpp
+++ b/tests/cluster_process_test.cpp
@@ -2,6 +2,8 @@
 /// Clusters that form, lose and replace replicas, over real links and disks:
 /// coordination/cluster/cluster_process.hpp.
 
+#include <optional>
+
 #include <CppUTest/TestHarness.h>
 
 #include <hyssopdeal/protocol/peer_hub.hpp>
@@ -159,6 +161,36 @@
         15s));
 }
 
+// [orders] -------------------------------------------------------------------
+
+TEST(cluster_process_tests, next_leader_orders_late_and_with_a_higher_fence)
+{
+    cluster_harness cluster{3};
+    protocol::listed_server server;
+    server.id = "a";
+    server.service = "s";
+    server.failure_domain = "d0";
+    cluster.list = {server};
+    CHECK_TRUE(cluster.put(0, "1:scaled"));
+    CHECK_TRUE(tests::run_until(cluster.loop,
+                                [&] { return !cluster.orders.empty(); }));
+    const auto first = cluster.orders.back().first;
+    const auto leader = cluster.leader();
+    cluster.stop(leader);
+    cluster.orders.clear();
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] {
+        return cluster.leader() != cluster_harness::nobody;
+    }));
+    const auto elected = cluster.clock.monotonic_now();
+    CHECK_TRUE(tests::run_until(cluster.loop,
+                                [&] { return !cluster.orders.empty(); }));
+    const auto& [next, when] = cluster.orders.front();
+    CHECK_TRUE(next.token > first.token);
+    CHECK_TRUE(next.holder != first.holder);
+    // The loop looks for the leader every few ms.
+    CHECK_TRUE(when - elected > cluster_harness::order_lease * 9 / 10);
+}
+
 // [entry] --------------------------------------------------------------------
 
 TEST_GROUP(cluster_entry_tests){
@@ -272,6 +304,45 @@
                                 [&] { return readiness(cluster) == 200; }));
 }
 
+// Whoever hands out connections asks for readiness once a second and believes
+// two misses: until then the entry takes and serves what comes.
+TEST(cluster_entry_tests, stopping_entry_serves_on_until_it_is_taken_out)
+{
+    cluster_harness cluster{3};
+    CHECK_TRUE(cluster.put(0, "1:x"));
+    const auto settings = entry_settings(cluster);
+    coordination::gateway_process entry{
+        cluster.loop, cluster.clock, settings, tests::read_test_document,
+        coordination::serve_requests<coordination::own_dialect>()};
+    CHECK_TRUE(entry.start().has_value());
+    CHECK_TRUE(tests::run_until(cluster.loop,
+                                [&] { return readiness(cluster) == 200; }));
+    const auto call = [&] {
+        transport::http1_client client{cluster.loop, cluster.clock, {}};
+        int status = 0;
+        const auto sent = client.fetch(
+            cluster_harness::ip(100) + ":27601", {"GET", "/", {}, ""}, 500ms,
+            [&](const auto& answer) { status = answer ? answer->status : -1; });
+        (void)tests::run_until(cluster.loop, [&] { return status != 0; });
+        return status;
+    };
+    const auto began = cluster.clock.monotonic_now();
+    const auto passed = [&] { return cluster.clock.monotonic_now() - began; };
+    std::optional<transport::monotonic_time::duration> drained;
+    entry.drain([&] { drained = passed(); });
+    while (passed() < 2'500ms)
+    {
+        CHECK_EQUAL(503, readiness(cluster));
+        // No route: it was read and answered.
+        CHECK_EQUAL(404, call());
+        cluster.loop.run_for(100ms);
+        CHECK_FALSE(drained.has_value());
+    }
+    CHECK_TRUE(tests::run_until(cluster.loop,
+                                [&] { return drained.has_value(); }));
+    CHECK_TRUE(*drained < settings.grace);
+}
+
 TEST(cluster_entry_tests, entry_without_a_leader_is_not_ready)
 {
     cluster_harness cluster{3};
--- a/tests/hyssopctl_test.cpp
+++ b/tests/hyssopctl_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Tests of hyssopctl's commands against a small operators' API.
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <string>
@@ -11,6 +12,7 @@
 #include <fmt/format.h>
 
 #include "ctl/commands.hpp"
+#include "ctl/explain.hpp"
 #include "ctl/json_table.hpp"
 #include "ctl/move_commands.hpp"
 #include "ctl/text_diff.hpp"
@@ -239,3 +241,38 @@
     CHECK(drawn->find("\nrequest") < drawn->find("\n  attempt"));
     CHECK_FALSE(ctl::draw_trace(line, "other").has_value());
 }
+
+TEST(hyssopctl, explains_a_request_from_the_logs_of_all_instances)
+{
+    const std::string entry =
+        R"({"at_ms":9000,"instance":"e0","event":"control.lost","document":3})"
+        "\ngarbage\n"
+        R"({"at_ms":12000,"instance":"e0","event":"attempt.failed","request":"r1","server":"s1","status":500})"
+        "\n"
+        R"({"at_ms":12050,"instance":"e0","event":"request.ended","request":"r1","outcome":"served"})"
+        "\n"
+        R"({"at_ms":12051,"instance":"e0","event":"request.ended","request":"r2","outcome":"served"})";
+    const std::string replica =
+        R"({"at_ms":1000,"instance":"c0","event":"leadership.changed","term":1})"
+        "\n"
+        R"({"at_ms":11000,"instance":"c0","event":"leadership.changed","term":2})"
+        "\n"
+        R"({"at_ms":11500,"instance":"c0","event":"list.changed","servers":4})";
+    const auto told = ctl::explain_request("r1", {entry, replica});
+    CHECK_TRUE(told.has_value());
+    std::vector<std::size_t> places;
+    for (const char* part : {"control.lost", "term=2", "server=s1 status=500",
+                             "outcome=served"})
+    {
+        places.push_back(told->find(part));
+    }
+    CHECK_TRUE(std::is_sorted(places.begin(), places.end()));
+    CHECK_TRUE(places.back() != std::string::npos);
+    for (const char* part : {"term=1", "list.changed", "r2", "garbage"})
+    {
+        CHECK_TRUE(told->find(part) == std::string::npos);
+    }
+    CHECK_FALSE(ctl::explain_request("r3", {entry}).has_value());
+    CHECK_TRUE(run({"explain", "r1"}) == exit_code::bad_usage);
+    CHECK_TRUE(run({"explain", "r1", "/no/such/file"}) == exit_code::bad_usage);
+}
