Plan at once when servers change; read the list faster while they do

Change: the leader plans as soon as the list differs, and reads it every 400 ms for ten seconds after a change. Without any server callers are told to come back in a second instead of 0.3: servers are starting then.

Test: a server's leaving is ordered for within half a second at three phases of the rhythms; before, it was not.

--- a/include/hyssopdeal/coordination/cluster/cluster_process.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_process.hpp
@@ -59,6 +59,11 @@
     capacity_settings capacity;
     version_move_settings moves;
     std::chrono::milliseconds list_interval{700}; ///< Between two readings.
+    /// The same on the leader while servers come and go: a reclaim is told two
+    /// or three seconds ahead, and others need four to start. Each reading
+    /// costs, so not always.
+    std::chrono::milliseconds list_interval_busy{400};
+    std::chrono::milliseconds list_busy_for{10'000}; ///< After a change.
     /// The same on a replica that another leads: with an entry's second until
     /// it asks again, below the time in which a drain must be known.
     std::chrono::milliseconds list_interval_led{1'300};
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -299,7 +299,9 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::try_next()
 {
-    constexpr milliseconds soon{300};
+    // Without any server the next ones are starting: a caller who comes back
+    // too soon is refused again.
+    constexpr milliseconds soon{1'000};
     // A server needs some time at least; below it the request fails anyway.
     constexpr milliseconds least_time{20};
     if (time_left() < least_time)
--- a/programs/ctl/explain.cpp
+++ b/programs/ctl/explain.cpp
@@ -57,7 +57,8 @@
                             ? read.value("instance", "")
                             : "";
         line.event = read["event"].get<std::string>();
-        line.of_request = read.contains("request") && read["request"] == request;
+        line.of_request =
+            read.contains("request") && read["request"] == request;
         for (const auto* known : {"at_ms", "instance", "event", "request"})
         {
             read.erase(known);
@@ -112,9 +113,9 @@
             transport::reason::not_found,
             fmt::format("No line tells of request {}.", request));
     }
-    const auto last = std::find_if(
-        lines.rbegin(), lines.rend(),
-        [](const auto& line) { return line.of_request; });
+    const auto last =
+        std::find_if(lines.rbegin(), lines.rend(),
+                     [](const auto& line) { return line.of_request; });
     std::set<std::string> instances;
     for (const auto& line : lines)
     {
@@ -126,8 +127,8 @@
     std::string text;
     for (const auto& line : lines)
     {
-        const bool near = line.at_ms >= first->at_ms - before_ms &&
-                          line.at_ms <= last->at_ms;
+        const bool near =
+            line.at_ms >= first->at_ms - before_ms && line.at_ms <= last->at_ms;
         // Who leads matters to all instances.
         const bool concerns = instances.contains(line.instance) ||
                               line.event.starts_with("leadership.");
--- a/programs/ctl/explain.hpp
+++ b/programs/ctl/explain.hpp
@@ -27,8 +27,7 @@
 ///     for each change that touched its instance since five seconds before;
 ///     or `not_found`.
 [[nodiscard]] transport::result<std::string>
-explain_request(std::string_view request,
-                const std::vector<std::string>& logs);
+explain_request(std::string_view request, const std::vector<std::string>& logs);
 
 } // namespace hyssopdeal::ctl
 
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -35,8 +35,10 @@
     // The leader's reading reaches the entries first; the others' are there
     // for when it fails.
     const bool led = !leads() && status().leader_id != 0;
-    next_list =
-        now + (led ? settings.list_interval_led : settings.list_interval);
+    const bool busy = leads() && now - listing_changed < settings.list_busy_for;
+    next_list = now + (led    ? settings.list_interval_led
+                       : busy ? settings.list_interval_busy
+                              : settings.list_interval);
     outside.read_list([this, asked = now](auto servers) {
         list_asked = false;
         if (!servers)
@@ -57,6 +59,9 @@
         if (digest != listing.digest)
         {
             log_event("list.changed", {{"servers", servers->size()}});
+            // Servers that leave are gone before others can have started.
+            next_capacity = {};
+            listing_changed = clock.monotonic_now();
         }
         listing = {digest, std::move(*servers)};
         listing_read = asked;
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -162,6 +162,7 @@
     // Platform.
     protocol::server_listing listing;
     std::optional<transport::monotonic_time> listing_read;
+    transport::monotonic_time listing_changed{};
     transport::monotonic_time next_list{};
     bool list_asked = false;
     std::string list_error;
--- a/tests/cluster_process_test.cpp
+++ b/tests/cluster_process_test.cpp
@@ -163,6 +163,38 @@
 
 // [orders] -------------------------------------------------------------------
 
+// The list was read every 700 ms and a plan made every 500 ms, whatever
+// happened: over a second of the two or three that a reclaim is told ahead.
+TEST(cluster_process_tests, leader_plans_at_once_when_servers_change)
+{
+    std::chrono::milliseconds longest{0};
+    // At different times of the two rhythms.
+    for (const auto phase : {0ms, 150ms, 300ms})
+    {
+        cluster_harness cluster{1};
+        protocol::listed_server server;
+        server.service = "s";
+        server.failure_domain = "d0";
+        server.reclaimable = true;
+        for (const char* id : {"a", "b", "c"})
+        {
+            server.id = id;
+            cluster.list.push_back(server);
+        }
+        CHECK_TRUE(cluster.put(0, "1:scaled"));
+        cluster.loop.run_for(1'500ms + phase);
+        CHECK_TRUE(cluster.orders.empty());
+        const auto when = cluster.clock.monotonic_now();
+        cluster.list.front().state = protocol::server_state::draining;
+        CHECK_TRUE(tests::run_until(cluster.loop,
+                                    [&] { return !cluster.orders.empty(); }));
+        longest = std::max(
+            longest, std::chrono::duration_cast<std::chrono::milliseconds>(
+                         cluster.orders.front().second - when));
+    }
+    CHECK_TRUE(longest < 500ms);
+}
+
 TEST(cluster_process_tests, next_leader_orders_late_and_with_a_higher_fence)
 {
     cluster_harness cluster{3};
@@ -338,8 +370,8 @@
         cluster.loop.run_for(100ms);
         CHECK_FALSE(drained.has_value());
     }
-    CHECK_TRUE(tests::run_until(cluster.loop,
-                                [&] { return drained.has_value(); }));
+    CHECK_TRUE(
+        tests::run_until(cluster.loop, [&] { return drained.has_value(); }));
     CHECK_TRUE(*drained < settings.grace);
 }
 
--- a/tests/hyssopctl_test.cpp
+++ b/tests/hyssopctl_test.cpp
@@ -261,8 +261,8 @@
     const auto told = ctl::explain_request("r1", {entry, replica});
     CHECK_TRUE(told.has_value());
     std::vector<std::size_t> places;
-    for (const char* part : {"control.lost", "term=2", "server=s1 status=500",
-                             "outcome=served"})
+    for (const char* part :
+         {"control.lost", "term=2", "server=s1 status=500", "outcome=served"})
     {
         places.push_back(told->find(part));
     }
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -162,7 +162,7 @@
                  {{platform::settings_variable, group_.path(file)},
                   {platform::link_listen_variable, ip(link_address, number)}});
     one.runs = true;
-    one.end_expected = false;
+    one.end_signal = 0;
     ++one.lives;
 }
 
@@ -250,7 +250,7 @@
     auto& one = at(place, which);
     if (number == SIGKILL || number == SIGTERM)
     {
-        one.end_expected = true;
+        one.end_signal = number;
     }
     group_.signal(one.name, number);
 }
@@ -258,10 +258,17 @@
 bool soak_world::ended(fault_place place, std::size_t which)
 {
     auto& one = at(place, which);
-    if (one.runs && group_.wait(one.name, std::chrono::seconds{0}) >= 0)
+    const int code =
+        one.runs ? group_.wait(one.name, std::chrono::seconds{0}) : -1;
+    if (code >= 0)
     {
         one.runs = false;
     }
+    if (code > 0 && one.end_signal == SIGTERM)
+    {
+        ledger.broken("planned stops end well",
+                      fmt::format("{} ended with code {}", one.name, code));
+    }
     return !one.runs;
 }
 
@@ -272,7 +279,7 @@
         auto& all = place == fault_place::entry ? entries_ : replicas_;
         for (auto& [which, one] : all)
         {
-            if (!one.runs || one.end_expected)
+            if (!one.runs || one.end_signal != 0)
             {
                 continue;
             }
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -68,7 +68,6 @@
     bool ended(fault_place place, std::size_t at);
     /// Looks for processes that have ended by themselves.
     void watch();
-    void expect_end(fault_place place, std::size_t at);
     /// A replica that never comes back is replaced under a new number.
     std::size_t replace_replica(std::size_t at);
     /// Writes the settings of an entry anew, with the seeds in another order.
@@ -109,7 +108,7 @@
     {
         std::string name;
         bool runs = false;
-        bool end_expected = false;
+        int end_signal = 0; ///< That was sent to end it; 0: none.
         std::uint32_t lives = 0;
         std::unique_ptr<fault_relay> relay;
     };
