Tell callers at a start to come back after 0.7 s

Cause: after a stop of all processes entries serve again within 0.35 s when the leader has kept its disk, and a second otherwise; callers were told to stay away for 1.2 s and came late.

--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -50,8 +50,9 @@
 
 milliseconds gateway_core::expected_wait() const
 {
-    // From a start of all processes to a leader and its first answer.
-    constexpr milliseconds start_time{1'200};
+    // From a start of all processes to a leader and its first answer: 0.35 s
+    // when the leader has kept its disk, a second when another is elected.
+    constexpr milliseconds start_time{700};
     // An election and a report, once the former leader's lease is over.
     constexpr milliseconds election_time{2'000};
     constexpr milliseconds least{250};
