--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -245,7 +245,13 @@
     {
         add(fmt::format("/v{}/", number), repeat_rule::safe, "app", false);
     }
-    document.services = {{"llm", 64, {}, {}}, {"app", 64, {}, {}}};
+    // Servers may be ordered, so that every leader sends orders.
+    protocol::scaling_terms scaling;
+    scaling.least = 1;
+    scaling.most = 6;
+    scaling.start_time = milliseconds{1'000};
+    scaling.domain_prices = {{"d0", 1.0}, {"d1", 0.9}, {"d2", 1.1}};
+    document.services = {{"llm", 64, {}, scaling}, {"app", 64, {}, {}}};
     document.organisations = {{"o", {key}, {}, 0, 0, 1, false}};
     return document;
 }
--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t slots = 16;
 constexpr std::uint32_t queue = 8;
 constexpr int events_of_stream = 12;
+constexpr double long_part = 0.1;
+constexpr int times_long = 8;
 
 /// The number at the end of a server's id.
 std::uint64_t number_in(const std::string& text)
@@ -54,6 +56,7 @@
         std::string id;
         std::size_t at;
         int next_event = 1;
+        std::chrono::milliseconds step{0}; ///< Between two events.
         bool over = false;
         transport::timer_handle timer;
     };
@@ -123,6 +126,9 @@
     ++self.running;
     auto one = std::make_shared<work>(exchange, call.attempt_id, at);
     one->next_event = 1 + static_cast<int>(number_in(call.resume_after));
+    // Some take a second and more, so that a stop or a leaving server finds
+    // them under way.
+    one->step = self.manner.step * (drawn(long_part) ? times_long : 1);
     one->exchange.on_left([this, one] { end(one, false); });
     const bool stream = request.target.starts_with("/stream/") ||
                         request.target.starts_with("/say/");
@@ -138,7 +144,7 @@
         headers.push_back({"Content-Type", "text/event-stream"});
         one->exchange.begin(200, headers);
     }
-    one->timer = loop.after(self.manner.step, [this, one, stream] {
+    one->timer = loop.after(one->step, [this, one, stream] {
         if (stream)
         {
             return step(one);
@@ -172,7 +178,7 @@
         one->exchange.finish();
         return end(one, true);
     }
-    one->timer = loop.after(self.manner.step, [this, one] { step(one); });
+    one->timer = loop.after(one->step, [this, one] { step(one); });
 }
 
 void soak_servers::impl::end(const std::shared_ptr<work>& one, bool complete)
