--- a/include/hyssopdeal/coordination/cluster/version_move.hpp
+++ b/include/hyssopdeal/coordination/cluster/version_move.hpp
@@ -34,12 +34,15 @@
     double bound_requests = 50; ///< And so many beside.
     double used_part = 0.85; ///< Of the bound: an entry that starts again has
                              ///< lost its counts.
-    double trial_part = 0.5; ///< Of what is used, before all goes over.
+    double trial_part = 0.5; ///< Of what is used; the rest pays for the time
+                             ///< from the shift to the limit.
     double steepest_trial = 0.25;      ///< Share of the requests at most, until
                                        ///< first answers are judged.
-    std::uint64_t least_answers = 20;  ///< To be called good.
+    std::uint64_t least_answers = 20;  ///< To be called good: of a version that
+                                       ///< fails a quarter, five have failed.
     double tolerated_failures = 0.05;  ///< Beyond twice the others' rate.
-    std::uint64_t failures_to_end = 8; ///< With a rate that is clearly worse.
+    std::uint64_t failures_to_end = 8; ///< With a rate that is clearly worse;
+                                       ///< fewer may be chance.
     double clearly_worse_failures = 0.1; ///< Beyond three times the others'.
     /// To commit the end and to tell the platform before the limit.
     std::chrono::milliseconds end_margin{300};
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -16,6 +16,12 @@
 // A replica counts as lost until it has caught up.
 constexpr milliseconds catch_up{6'000};
 constexpr milliseconds soon{50};
+// So that several overlap within the seconds that each takes.
+constexpr double planned_part = 0.4;
+constexpr int least_pause_ms = 100;
+constexpr int most_pause_ms = 1'500;
+constexpr std::size_t planned_acts = 10;
+constexpr std::size_t fault_acts = 13;
 
 } // namespace
 
@@ -85,14 +91,15 @@
         drawing_ = false;
         return;
     }
-    world_.drawn() < 0.4 || world_.settings.planned_only ? plan() : disturb();
-    after(drawn_between(100, 1'500), [this] { next(); });
+    world_.drawn() < planned_part || world_.settings.planned_only ? plan()
+                                                                  : disturb();
+    after(drawn_between(least_pause_ms, most_pause_ms), [this] { next(); });
 }
 
 void soak_faults::plan()
 {
     const auto entry = world_.drawn_below(world_.settings.entries);
-    switch (world_.drawn_below(10))
+    switch (world_.drawn_below(planned_acts))
     {
     case 0:
         return changes_.race();
@@ -106,11 +113,12 @@
         return std::exchange(rolling_, true) ? changes_.change()
                                              : roll_entries(0);
     case 5:
-    case 6: {
-        const char* service = world_.drawn() < 0.5 ? "llm" : "app";
-        const auto ready = world_.servers->ready(service);
-        return replace_server(ready.at(world_.drawn_below(ready.size())));
-    }
+    case 6:
+        if (const auto server = any_server())
+        {
+            replace_server(*server);
+        }
+        return;
     case 7:
         return moves_ == 0 && !world_.settings.planned_only ? move_version()
                                                             : changes_.change();
@@ -119,6 +127,16 @@
     }
 }
 
+/// @return One of those that are ready.
+std::optional<std::size_t> soak_faults::any_server()
+{
+    const auto ready =
+        world_.servers->ready(world_.drawn() < 0.5 ? "llm" : "app");
+    return ready.empty()
+               ? std::nullopt
+               : std::optional{ready.at(world_.drawn_below(ready.size()))};
+}
+
 void soak_faults::disturb()
 {
     const auto entry = world_.drawn_below(world_.settings.entries);
@@ -127,10 +145,12 @@
     const auto place =
         world_.drawn() < 0.5 ? fault_place::entry : fault_place::replica;
     const auto which = place == fault_place::entry ? entry : replica;
-    const auto ready =
-        world_.servers->ready(world_.drawn() < 0.5 ? "llm" : "app");
-    const auto server = ready.at(world_.drawn_below(ready.size()));
-    switch (world_.drawn_below(13))
+    const auto server = any_server();
+    if (!server)
+    {
+        return changes_.change();
+    }
+    switch (world_.drawn_below(fault_acts))
     {
     case 0:
         return restart(fault_place::entry, entry, SIGKILL, disk_state::kept);
@@ -153,9 +173,9 @@
     case 7:
         return break_connections(place, which);
     case 8:
-        return harm_server(server);
+        return harm_server(*server);
     case 9:
-        return crash_server(server);
+        return crash_server(*server);
     case 10:
         return harm_platform();
     case 11:
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <list>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -36,6 +37,7 @@
 private:
     void next();
     void disturb();
+    std::optional<std::size_t> any_server();
     void plan();
     void after(std::chrono::milliseconds delay, std::function<void()> act);
     std::chrono::milliseconds drawn_between(int least_ms, int most_ms);
