--- a/include/hyssopdeal/coordination/cluster/cluster_process.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_process.hpp
@@ -64,8 +64,8 @@
     /// costs, so not always.
     std::chrono::milliseconds list_interval_busy{400};
     std::chrono::milliseconds list_busy_for{10'000}; ///< After a change.
-    /// The same on a replica that another leads: with an entry's second until
-    /// it asks again, below the time in which a drain must be known.
+    /// The same on a replica that another leads: well below the time in which
+    /// a drain must be known.
     std::chrono::milliseconds list_interval_led{1'300};
     /// A new leader's first order to the platform waits for so long, so that
     /// the former leader's are surely over.
--- a/include/hyssopdeal/coordination/cluster/version_move.hpp
+++ b/include/hyssopdeal/coordination/cluster/version_move.hpp
@@ -110,14 +110,13 @@
     [[nodiscard]] std::string evidence() const;
 
 private:
-    [[nodiscard]] protocol::version_counts totals() const;
     /// @return Requests that may still go to the new version.
-    [[nodiscard]] double rest(const protocol::version_counts& seen) const;
-    [[nodiscard]] bool clearly_bad(const protocol::version_counts& seen) const;
-    [[nodiscard]] bool good(const protocol::version_counts& seen) const;
+    [[nodiscard]] double rest() const;
+    [[nodiscard]] bool clearly_bad() const;
+    [[nodiscard]] bool good() const;
     [[nodiscard]] version_move_step decide(transport::wall_time true_now,
                                            bool target_ready);
-    void measure_rate(transport::monotonic_time now, std::uint64_t sent);
+    void measure_rate(transport::monotonic_time now);
 
     version_move_settings settings_;
     rollout_record order_;
@@ -125,6 +124,8 @@
     /// By entry and incarnation.
     std::map<std::pair<std::string, std::uint64_t>, protocol::version_counts>
         counts_;
+    /// Their sum: an answer to an entry must not cost more with each entry.
+    protocol::version_counts seen_;
     transport::monotonic_time measured_{};
     std::uint64_t measured_sent_ = 0;
     double per_second_ = 0;
--- a/programs/ctl/explain.cpp
+++ b/programs/ctl/explain.cpp
@@ -8,6 +8,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "ctl/json_lines.hpp"
+
 namespace hyssopdeal::ctl
 {
 
@@ -33,40 +35,34 @@
     bool of_request = false;
 };
 
-std::vector<log_line> read_lines(std::string_view request,
-                                 const std::string& text)
+std::string text_in(const json& from, const char* key)
 {
-    std::vector<log_line> lines;
-    for (std::size_t at = 0; at < text.size();)
-    {
-        const auto end = std::min(text.find('\n', at), text.size());
-        auto read = json::parse(text.begin() + static_cast<std::ptrdiff_t>(at),
-                                text.begin() + static_cast<std::ptrdiff_t>(end),
-                                nullptr, false);
-        at = end + 1;
-        const bool good = read.is_object() && read.contains("at_ms") &&
-                          read["at_ms"].is_number_integer() &&
-                          read.contains("event") && read["event"].is_string();
-        if (!good)
+    const auto found = from.find(key);
+    return found != from.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string{};
+}
+
+void read_lines(std::string_view request, std::string_view text,
+                std::vector<log_line>& lines)
+{
+    for_each_json_line(text, [&](json value) {
+        const auto at = value.find("at_ms");
+        log_line line;
+        line.event = text_in(value, "event");
+        if (at == value.end() || !at->is_number_integer() || line.event.empty())
         {
-            continue;
+            return;
         }
-        log_line line;
-        line.at_ms = read["at_ms"].get<std::int64_t>();
-        line.instance = read.value("instance", json{""}).is_string()
-                            ? read.value("instance", "")
-                            : "";
-        line.event = read["event"].get<std::string>();
-        line.of_request =
-            read.contains("request") && read["request"] == request;
+        line.at_ms = at->get<std::int64_t>();
+        line.instance = text_in(value, "instance");
+        line.of_request = text_in(value, "request") == request;
         for (const auto* known : {"at_ms", "instance", "event", "request"})
         {
-            read.erase(known);
+            value.erase(known);
         }
-        line.fields = std::move(read);
+        line.fields = std::move(value);
         lines.push_back(std::move(line));
-    }
-    return lines;
+    });
 }
 
 bool changes_beliefs(const log_line& line)
@@ -97,8 +93,7 @@
     std::vector<log_line> lines;
     for (const auto& text : logs)
     {
-        auto more = read_lines(request, text);
-        std::move(more.begin(), more.end(), std::back_inserter(lines));
+        read_lines(request, text, lines);
     }
     std::stable_sort(lines.begin(), lines.end(),
                      [](const auto& left, const auto& right) {
--- a/programs/ctl/trace_view.cpp
+++ b/programs/ctl/trace_view.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "ctl/json_lines.hpp"
+
 namespace hyssopdeal::ctl
 {
 
@@ -102,24 +104,17 @@
 std::vector<span> read_spans(std::string_view text)
 {
     std::vector<span> spans;
-    while (!text.empty())
-    {
-        const auto end = std::min(text.find('\n'), text.size());
-        const auto value = json::parse(text.substr(0, end), nullptr, false);
-        text.remove_prefix(std::min(end + 1, text.size()));
-        if (value.is_object())
+    for_each_json_line(text, [&](const json& value) {
+        try
         {
-            try
-            {
-                add_export(value, spans);
-            }
-            catch (const json::exception&)
-            {
-                // A line of another form; the others still show the trace.
-                continue;
-            }
+            add_export(value, spans);
         }
-    }
+        catch (const json::exception&)
+        {
+            // A line of another form; the others still show the trace.
+            return;
+        }
+    });
     return spans;
 }
 
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -41,8 +41,7 @@
     read_rollout
 };
 
-// An entry that is silent for longer sends nothing any more.
-// Replicas that do not lead are told once a second.
+// An entry that is silent for longer sends nothing any more: six reports.
 constexpr std::chrono::milliseconds load_valid_for{1'500};
 
 // [impl] ---------------------------------------------------------------------
@@ -111,7 +110,9 @@
     // cluster_process_moves.cpp
     void advance_moves();
     void note_versions(const protocol::entry_report& report);
-    [[nodiscard]] version_move& move_of(const rollout_record& order);
+    [[nodiscard]] const version_move*
+    find_move(const rollout_record& order) const;
+    version_move& move_of(const rollout_record& order);
     [[nodiscard]] std::map<std::string, protocol::version_order>
     version_orders(const protocol::entry_report& report) const;
 
--- a/src/coordination/cluster/cluster_process_moves.cpp
+++ b/src/coordination/cluster/cluster_process_moves.cpp
@@ -21,14 +21,22 @@
 
 } // namespace
 
-/// @return The move that carries out an order that is held.
-version_move& cluster_process::impl::move_of(const rollout_record& order)
+/// @return The move that carries out an order; null before it was begun.
+const version_move*
+cluster_process::impl::find_move(const rollout_record& order) const
 {
     const auto found = moves.find(order.service);
-    if (found != moves.end() &&
-        found->second.order().started_ms == order.started_ms)
+    const bool same = found != moves.end() &&
+                      found->second.order().started_ms == order.started_ms;
+    return same ? &found->second : nullptr;
+}
+
+/// @return The same, begun if need be.
+version_move& cluster_process::impl::move_of(const rollout_record& order)
+{
+    if (find_move(order) != nullptr)
     {
-        return found->second;
+        return moves.at(order.service);
     }
     std::set<std::string> others;
     for (const auto& server : listing.servers)
@@ -139,22 +147,20 @@
     for (const auto& [service, held] : machine->state().rollouts())
     {
         const bool running = held.state == rollout_state::running;
-        const auto move = moves.find(service);
-        const bool decided = move != moves.end() &&
-                             move->second.order().started_ms == held.started_ms;
+        const auto* move = find_move(held);
         protocol::version_order order;
         order.target = held.target;
         order.started_ms = held.started_ms;
         order.running = running;
         order.target_share = held.state == rollout_state::completed ? 1 : 0;
         order.retired = held.retired;
-        if (running && decided)
+        if (running && move != nullptr)
         {
             const auto told = report.moves.find(service);
             const bool same = told != report.moves.end() &&
                               told->second.started_ms == held.started_ms;
-            order.target_share = move->second.target_share();
-            order.target_most = move->second.target_most(
+            order.target_share = move->target_share();
+            order.target_most = move->target_most(
                 same ? told->second : protocol::version_counts{});
         }
         orders[service] = std::move(order);
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -9,10 +9,14 @@
 
 #include <hyssopdeal/transport/event_log.hpp>
 
+#include "coordination/cluster/rollout_json.hpp"
+#include "protocol/message_pack.hpp"
+
 namespace hyssopdeal::coordination
 {
 
 using nlohmann::json;
+using protocol::pack_message;
 using protocol::peer_channel;
 using transport::fail;
 using transport::log_event;
@@ -20,9 +24,6 @@
 using transport::verdict;
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(held_document, version, bytes)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(rollout_record, service, target,
-                                                duration_ms, started_ms, state,
-                                                retired)
 
 namespace
 {
@@ -30,12 +31,6 @@
 // An operator moves on after a second without an answer.
 constexpr std::chrono::milliseconds forward_time_limit{900};
 
-std::string pack(const json& value)
-{
-    const auto bytes = json::to_msgpack(value);
-    return {bytes.begin(), bytes.end()};
-}
-
 json unpack(std::string_view bytes)
 {
     return json::from_msgpack(bytes.begin(), bytes.end(), true, false);
@@ -45,11 +40,11 @@
 {
     if (answer)
     {
-        return pack(json{{"body", *answer}});
+        return pack_message(json{{"body", *answer}});
     }
-    return pack(json{{"ran", answer.error().ran},
-                     {"code", answer.error().code},
-                     {"text", answer.error().text}});
+    return pack_message(json{{"ran", answer.error().ran},
+                             {"code", answer.error().code},
+                             {"text", answer.error().text}});
 }
 
 transport::result<std::string> unpack_answer(const std::string& bytes)
@@ -90,15 +85,15 @@
     switch (kind)
     {
     case forwarded_kind::read_document:
-        return on_end(
-            pack(held_document{held.document_version(), held.document()}));
+        return on_end(pack_message(
+            held_document{held.document_version(), held.document()}));
     case forwarded_kind::read_rollout: {
         const auto found = held.rollouts().find(body);
         if (found == held.rollouts().end())
         {
             return on_end(fail(reason::not_found, "No move was ordered."));
         }
-        return on_end(pack(found->second));
+        return on_end(pack_message(found->second));
     }
     case forwarded_kind::put_document: {
         auto document = unpack(body).get<held_document>();
@@ -133,7 +128,8 @@
             hub->set_peer(member.address, member.address);
             return hub->call(
                 member.address, peer_channel::operators,
-                pack(json{{"kind", kind}, {"body", body}}), forward_time_limit,
+                pack_message(json{{"kind", kind}, {"body", body}}),
+                forward_time_limit,
                 [on_answer](const transport::result<std::string>& answer) {
                     answer ? on_answer(unpack_answer(*answer))
                            : on_answer(tl::make_unexpected(answer.error()));
@@ -184,7 +180,7 @@
     const auto version = document->version;
     impl_->order(
         forwarded_kind::put_document,
-        pack(held_document{version, std::move(bytes)}),
+        pack_message(held_document{version, std::move(bytes)}),
         [version, on_done](const auto& ended) {
             log_event("document.put",
                       {{"version", version},
@@ -205,7 +201,7 @@
 void cluster_process::put_rollout(const rollout_record& record,
                                   const done& on_done)
 {
-    impl_->order(forwarded_kind::put_rollout, pack(record),
+    impl_->order(forwarded_kind::put_rollout, pack_message(record),
                  [on_done](const auto& ended) {
                      ended ? on_done({})
                            : on_done(tl::make_unexpected(ended.error()));
--- a/src/coordination/cluster/cluster_state.cpp
+++ b/src/coordination/cluster/cluster_state.cpp
@@ -7,6 +7,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "coordination/cluster/rollout_json.hpp"
+#include "protocol/message_pack.hpp"
+
 namespace hyssopdeal::coordination
 {
 
@@ -16,30 +19,16 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_document_command, version, bytes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(decide_usage_command, window, counts)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(rollout_record, service, target,
-                                                duration_ms, started_ms, state,
-                                                retired)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_rollout_command, record)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(know_entries_command, entries)
 
-namespace
-{
-
-std::string pack(const json& value)
-{
-    const auto bytes = json::to_msgpack(value);
-    return {bytes.begin(), bytes.end()};
-}
-
-} // namespace
-
 // [commands] -----------------------------------------------------------------
 
 std::string encode(const cluster_command& command)
 {
     const auto body =
         std::visit([](const auto& value) { return json(value); }, command);
-    return pack(json::array({command.index(), body}));
+    return protocol::pack_message(json::array({command.index(), body}));
 }
 
 transport::result<cluster_command>
@@ -141,11 +130,11 @@
 
 std::string cluster_state::encode_snapshot() const
 {
-    return pack(json{{"document_version", document_version_},
-                     {"document", document_},
-                     {"usage", usage_},
-                     {"rollouts", rollouts_},
-                     {"entries", entries_}});
+    return protocol::pack_message(json{{"document_version", document_version_},
+                                       {"document", document_},
+                                       {"usage", usage_},
+                                       {"rollouts", rollouts_},
+                                       {"entries", entries_}});
 }
 
 transport::result<void> cluster_state::restore_snapshot(std::string_view bytes)
--- /dev/null
+++ b/src/coordination/cluster/rollout_json.hpp
@@ -0,0 +1,25 @@
+#ifndef HYSSOPDEAL_SRC_COORDINATION_CLUSTER_ROLLOUT_JSON_HPP
+#define HYSSOPDEAL_SRC_COORDINATION_CLUSTER_ROLLOUT_JSON_HPP
+
+/// @file
+/// A move as JSON: in the log, in snapshots, and between replicas. Internal.
+///
+/// Index: [rollout_record]
+
+#include <nlohmann/json.hpp>
+
+#include <hyssopdeal/coordination/cluster/cluster_state.hpp>
+
+namespace hyssopdeal::coordination
+{
+
+// [rollout_record] -----------------------------------------------------------
+
+// With defaults: logs of earlier versions lack the latest members.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(rollout_record, service, target,
+                                                duration_ms, started_ms, state,
+                                                retired)
+
+} // namespace hyssopdeal::coordination
+
+#endif
--- a/src/coordination/cluster/version_move.cpp
+++ b/src/coordination/cluster/version_move.cpp
@@ -4,6 +4,7 @@
 #include <hyssopdeal/coordination/cluster/version_move.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace hyssopdeal::coordination
 {
@@ -15,6 +16,13 @@
 namespace
 {
 
+constexpr std::array counted = {&protocol::version_counts::sent,
+                                &protocol::version_counts::target_sent,
+                                &protocol::version_counts::others_ended,
+                                &protocol::version_counts::others_bad,
+                                &protocol::version_counts::target_ended,
+                                &protocol::version_counts::target_bad};
+
 double rate_of(std::uint64_t bad, std::uint64_t all)
 {
     return all == 0 ? 0 : static_cast<double>(bad) / static_cast<double>(all);
@@ -34,10 +42,16 @@
                              std::uint64_t incarnation,
                              const protocol::version_counts& counts)
 {
-    if (counts.started_ms == order_.started_ms)
+    if (counts.started_ms != order_.started_ms)
     {
-        counts_[{entry, incarnation}] = counts;
+        return;
     }
+    auto& told = counts_[{entry, incarnation}];
+    for (const auto member : counted)
+    {
+        seen_.*member += counts.*member - told.*member;
+    }
+    told = counts;
 }
 
 void version_move::on_evidence(const version_report& report)
@@ -45,75 +59,60 @@
     comparison_.on_report(report);
 }
 
-protocol::version_counts version_move::totals() const
-{
-    protocol::version_counts sum;
-    for (const auto& [entry, seen] : counts_)
-    {
-        sum.sent += seen.sent;
-        sum.target_sent += seen.target_sent;
-        sum.others_ended += seen.others_ended;
-        sum.others_bad += seen.others_bad;
-        sum.target_ended += seen.target_ended;
-        sum.target_bad += seen.target_bad;
-    }
-    return sum;
-}
-
-double version_move::rest(const protocol::version_counts& seen) const
+double version_move::rest() const
 {
     const double bound =
-        settings_.bound_share * static_cast<double>(seen.sent) +
+        settings_.bound_share * static_cast<double>(seen_.sent) +
         settings_.bound_requests;
-    return settings_.used_part * bound - static_cast<double>(seen.target_sent);
+    return settings_.used_part * bound - static_cast<double>(seen_.target_sent);
 }
 
 std::uint64_t
 version_move::target_most(const protocol::version_counts& told) const
 {
-    const auto seen = totals();
     const double part = (static_cast<double>(told.sent) + 1) /
-                        (static_cast<double>(seen.sent) +
+                        (static_cast<double>(seen_.sent) +
                          static_cast<double>(counts_.size()) + 1);
-    const double more = std::max(0.0, rest(seen)) * std::min(1.0, part);
+    const double more = std::max(0.0, rest()) * std::min(1.0, part);
     return told.target_sent + static_cast<std::uint64_t>(more);
 }
 
 /// Counts hold what former leaders were told too; the comparison does not.
-bool version_move::clearly_bad(const protocol::version_counts& seen) const
+bool version_move::clearly_bad() const
 {
     constexpr double times_worse = 3;
     return comparison_.worse() ||
-           (seen.target_bad >= settings_.failures_to_end &&
-            rate_of(seen.target_bad, seen.target_ended) >
-                times_worse * rate_of(seen.others_bad, seen.others_ended) +
+           (seen_.target_bad >= settings_.failures_to_end &&
+            rate_of(seen_.target_bad, seen_.target_ended) >
+                times_worse * rate_of(seen_.others_bad, seen_.others_ended) +
                     settings_.clearly_worse_failures);
 }
 
-bool version_move::good(const protocol::version_counts& seen) const
+bool version_move::good() const
 {
     constexpr double times_worse = 2;
-    return seen.target_ended >= settings_.least_answers &&
-           rate_of(seen.target_bad, seen.target_ended) <=
-               times_worse * rate_of(seen.others_bad, seen.others_ended) +
+    return seen_.target_ended >= settings_.least_answers &&
+           rate_of(seen_.target_bad, seen_.target_ended) <=
+               times_worse * rate_of(seen_.others_bad, seen_.others_ended) +
                    settings_.tolerated_failures;
 }
 
-void version_move::measure_rate(monotonic_time now, std::uint64_t sent)
+void version_move::measure_rate(monotonic_time now)
 {
     if (measured_ == monotonic_time{})
     {
         measured_ = now;
-        measured_sent_ = sent;
+        measured_sent_ = seen_.sent;
         return;
     }
     const std::chrono::duration<double> passed = now - measured_;
     if (passed >= settings_.rate_window)
     {
-        const auto more = sent > measured_sent_ ? sent - measured_sent_ : 0;
+        const auto more =
+            seen_.sent > measured_sent_ ? seen_.sent - measured_sent_ : 0;
         per_second_ = static_cast<double>(more) / passed.count();
         measured_ = now;
-        measured_sent_ = sent;
+        measured_sent_ = seen_.sent;
     }
 }
 
@@ -121,7 +120,7 @@
                                         bool target_ready)
 {
     comparison_.close_window();
-    measure_rate(now, totals().sent);
+    measure_rate(now);
     const auto next = decide(true_now, target_ready);
     target_share_ = next.target_share;
     return next;
@@ -129,8 +128,7 @@
 
 version_move_step version_move::decide(wall_time true_now, bool target_ready)
 {
-    const auto seen = totals();
-    if (clearly_bad(seen))
+    if (clearly_bad())
     {
         return {0, rollout_state::rolled_back};
     }
@@ -140,7 +138,7 @@
     if (left <= settings_.end_margin)
     {
         // Not judged is not good: what is completed cannot be taken back.
-        return target_ready && good(seen)
+        return target_ready && good()
                    ? version_move_step{1, rollout_state::completed}
                    : version_move_step{0, rollout_state::rolled_back};
     }
@@ -149,16 +147,15 @@
         return {};
     }
     const std::chrono::duration<double> seconds_left = left;
-    all_moved_ =
-        all_moved_ || (good(seen) && per_second_ > 0 &&
-                       per_second_ * seconds_left.count() <= rest(seen));
+    all_moved_ = all_moved_ || (good() && per_second_ > 0 &&
+                                per_second_ * seconds_left.count() <= rest());
     if (all_moved_)
     {
         return {1, std::nullopt};
     }
-    const auto target_sent = static_cast<double>(seen.target_sent);
+    const auto target_sent = static_cast<double>(seen_.target_sent);
     const double trial =
-        settings_.trial_part * (rest(seen) + target_sent) - target_sent;
+        settings_.trial_part * (rest() + target_sent) - target_sent;
     const double share = trial / std::max(per_second_, 1.0);
     return {std::clamp(share, 0.0, settings_.steepest_trial), std::nullopt};
 }
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -32,11 +32,10 @@
 constexpr double still_serving_part = 0.36; ///< Of the grace time.
 // From the last answer to the kill: to write logs and end.
 constexpr milliseconds end_margin{300};
-// Replicas that do not lead, or do not answer, are asked less often: each has
-// the list of servers by itself, and may lead next. One that nobody names any
-// more is forgotten.
+// A replica that does not answer is asked less often, and one that nobody names
+// any more is forgotten.
 constexpr milliseconds silent_after{2'000};
-constexpr milliseconds other_interval{1'000};
+constexpr milliseconds silent_interval{1'000};
 constexpr milliseconds forget_after{30'000};
 constexpr milliseconds report_time_limit{1'000};
 // Beside the callers' connections: links, servers, logs.
@@ -79,8 +78,10 @@
     void take_request(http1_exchange exchange);
     void report();
     void ask(const std::string& replica, const std::string& bytes,
-             monotonic_time asked, milliseconds time_limit,
-             const std::function<void()>& on_end = {});
+             milliseconds time_limit,
+             const protocol::peer_hub::answer_handler& on_answer);
+    std::uint64_t take_answer(const std::string& replica, monotonic_time asked,
+                              const transport::result<std::string>& answer);
     void fetch_document(const std::string& replica);
     void
     ask_tokens(const std::string& organisation, double tokens,
@@ -104,8 +105,7 @@
     std::unique_ptr<transport::http1_server> callers;
     std::unique_ptr<transport::http1_server> readiness;
     std::unique_ptr<transport::http1_server> metrics;
-    std::string leader; ///< Hub address; empty: unknown.
-    monotonic_time leader_heard{};
+    std::string leader;                     ///< Hub address; empty: unknown.
     std::optional<monotonic_time> fetching; ///< A newer document, since then.
     bool was_valid = false;
     bool draining = false;
@@ -225,18 +225,22 @@
     std::erase_if(replicas, [&](const auto& item) {
         return now - item.second.named > forget_after;
     });
-    // Without an answer for some reports another replica may lead by now.
-    const bool settled = now - leader_heard < 3 * core.settings.report_interval;
     for (auto& [address, replica] : replicas)
     {
         const bool answers = now - replica.answered < silent_after;
-        const bool soon = settled ? address == leader : answers;
         const auto pause =
-            core.keys_valid() ? other_interval : core.settings.search_interval;
-        if (soon || now - replica.asked >= pause)
+            core.keys_valid() ? silent_interval : core.settings.search_interval;
+        if (answers || now - replica.asked >= pause)
         {
             replica.asked = now;
-            ask(address, bytes, now, report_time_limit);
+            ask(address, bytes, report_time_limit,
+                [this, from = address, now](const auto& answer) {
+                    if (take_answer(from, now, answer) >
+                        core.document_version())
+                    {
+                        fetch_document(from);
+                    }
+                });
         }
     }
 }
@@ -256,52 +260,54 @@
         return;
     }
     fetching = now;
-    ask(replica, protocol::encode(core.report(true)), now, time_limit,
-        [this] { fetching.reset(); });
+    ask(replica, protocol::encode(core.report(true)), time_limit,
+        [this, replica, now](const auto& answer) {
+            fetching.reset();
+            (void)take_answer(replica, now, answer);
+        });
 }
 
-void gateway_process::impl::ask(const std::string& replica,
-                                const std::string& bytes, monotonic_time asked,
-                                milliseconds time_limit,
-                                const std::function<void()>& on_end)
+void gateway_process::impl::ask(
+    const std::string& replica, const std::string& bytes,
+    milliseconds time_limit,
+    const protocol::peer_hub::answer_handler& on_answer)
 {
     hub->set_peer(replica, replica);
-    hub->call(replica, peer_channel::following, bytes, time_limit,
-              [this, replica, asked, on_end](const auto& answer) {
-                  if (on_end)
-                  {
-                      on_end();
-                  }
-                  if (!answer)
-                  {
-                      return;
-                  }
-                  auto orders = protocol::decode_entry_orders(*answer);
-                  if (!orders)
-                  {
-                      return log_event("peer.bad_message",
-                                       {{"what", "orders"},
-                                        {"from", replica},
-                                        {"error", orders.error().text}});
-                  }
-                  const auto now = clock.monotonic_now();
-                  replicas[replica].answered = now;
-                  for (const auto& named : orders->replicas)
-                  {
-                      replicas[named].named = now;
-                  }
-                  if (orders->leads)
-                  {
-                      leader = replica;
-                  }
-                  const auto version = orders->document_version;
-                  core.take_orders(asked, std::move(*orders));
-                  note_validity();
-                  if (version > core.document_version() && !on_end)
-                  {
-                      fetch_document(replica);
-                  }
-              });
+    hub->call(replica, peer_channel::following, bytes, time_limit, on_answer);
+}
+
+/// @return The version that the replica told of; 0 without an answer.
+std::uint64_t
+gateway_process::impl::take_answer(const std::string& replica,
+                                   monotonic_time asked,
+                                   const transport::result<std::string>& answer)
+{
+    if (!answer)
+    {
+        return 0;
+    }
+    auto orders = protocol::decode_entry_orders(*answer);
+    if (!orders)
+    {
+        log_event("peer.bad_message", {{"what", "orders"},
+                                       {"from", replica},
+                                       {"error", orders.error().text}});
+        return 0;
+    }
+    const auto now = clock.monotonic_now();
+    replicas[replica].answered = now;
+    for (const auto& named : orders->replicas)
+    {
+        replicas[named].named = now;
+    }
+    if (orders->leads)
+    {
+        leader = replica;
+    }
+    const auto version = orders->document_version;
+    core.take_orders(asked, std::move(*orders));
+    note_validity();
+    return version;
 }
 
 void gateway_process::impl::ask_tokens(
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -10,6 +10,8 @@
 #include <xxhash.h>
 #include <zlib.h>
 
+#include "protocol/message_pack.hpp"
+
 namespace hyssopdeal::protocol
 {
 
@@ -46,13 +48,6 @@
 // More than operators may send.
 constexpr std::uint64_t most_unpacked_bytes = 33'554'432;
 
-template <class Value>
-std::string pack(const Value& value)
-{
-    const auto bytes = json::to_msgpack(json(value));
-    return {bytes.begin(), bytes.end()};
-}
-
 template <class Value>
 transport::result<Value> unpack(std::string_view bytes)
 {
@@ -111,32 +106,32 @@
 
 std::string encode(const entry_report& value)
 {
-    return pack(value);
+    return pack_message(value);
 }
 
 std::string encode(const entry_orders& value)
 {
-    return pack(value);
+    return pack_message(value);
 }
 
 std::string encode(const token_request& value)
 {
-    return pack(value);
+    return pack_message(value);
 }
 
 std::string encode(const token_answer& value)
 {
-    return pack(value);
+    return pack_message(value);
 }
 
 std::string encode(const join_message& value)
 {
-    return pack(value);
+    return pack_message(value);
 }
 
 std::string encode(const join_answer& value)
 {
-    return pack(value);
+    return pack_message(value);
 }
 
 transport::result<entry_report> decode_entry_report(std::string_view bytes)
@@ -236,7 +231,7 @@
     {
         server.cold_remaining_ms = server.cold_remaining_ms > 0 ? 1 : 0;
     }
-    const auto bytes = pack(sorted);
+    const auto bytes = pack_message(sorted);
     return XXH3_64bits(bytes.data(), bytes.size());
 }
 
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -637,6 +637,25 @@
         }
     }
 
+    void start_with_sixty()
+    {
+        services[0].scaling->most = 60;
+        servers.clear();
+        add(30, "a", server_kind::reclaimable);
+        add(30, "b", server_kind::reclaimable);
+    }
+
+    /// @return Usual servers that a step orders.
+    std::uint32_t usual_ordered(double running)
+    {
+        std::uint32_t sum = 0;
+        for (const auto& order : step(running, order_outcome::accepted))
+        {
+            sum += order.kind == server_kind::usual ? order.count : 0;
+        }
+        return sum;
+    }
+
     std::vector<capacity_order> step(double running, order_outcome outcome)
     {
         now += 1s;
@@ -782,10 +801,7 @@
 // large deployment stood with eight servers for a hundred.
 TEST(capacity_plan_tests, usual_servers_make_up_for_a_large_drought)
 {
-    services[0].scaling->most = 60;
-    servers.clear();
-    add(30, "a", server_kind::reclaimable);
-    add(30, "b", server_kind::reclaimable);
+    start_with_sixty();
     for (int second = 0; second < 30; ++second)
     {
         (void)step(360, order_outcome::accepted);
@@ -795,11 +811,7 @@
     // What piles up behind them makes the load seem three times as large.
     (void)step(1'000, order_outcome::none_available);
     now += 2s;
-    std::uint32_t usual = 0;
-    for (const auto& order : step(1'000, order_outcome::accepted))
-    {
-        usual += order.kind == server_kind::usual ? order.count : 0;
-    }
+    const auto usual = usual_ordered(1'000);
     // In proportion to 60 in all, as the 20 may be reclaimed too.
     CHECK_TRUE(usual >= 25 && usual <= 30);
 }
@@ -807,10 +819,7 @@
 // A leader elected in a drought took what was left for all that had run.
 TEST(capacity_plan_tests, next_leader_knows_what_ran_before_a_drought)
 {
-    services[0].scaling->most = 60;
-    servers.clear();
-    add(30, "a", server_kind::reclaimable);
-    add(30, "b", server_kind::reclaimable);
+    start_with_sixty();
     const auto watch = [&](double running) {
         now += 1s;
         planner.watch(now, services, servers, {{"s", running}});
@@ -827,11 +836,7 @@
     }
     (void)step(360, order_outcome::none_available);
     now += 2s;
-    std::uint32_t usual = 0;
-    for (const auto& order : step(360, order_outcome::accepted))
-    {
-        usual += order.kind == server_kind::usual ? order.count : 0;
-    }
+    const auto usual = usual_ordered(360);
     CHECK_TRUE(usual >= 25 && usual <= 30);
 }
 
--- a/tests/cluster_harness.hpp
+++ b/tests/cluster_harness.hpp
@@ -52,6 +52,16 @@
     return document;
 }
 
+/// A ready server of the service `s`.
+inline protocol::listed_server listed(const std::string& id)
+{
+    protocol::listed_server server;
+    server.id = id;
+    server.service = "s";
+    server.failure_domain = "d0";
+    return server;
+}
+
 class cluster_harness
 {
 public:
--- a/tests/cluster_process_test.cpp
+++ b/tests/cluster_process_test.cpp
@@ -122,14 +122,9 @@
 TEST(cluster_process_tests, move_runs_to_its_end_through_a_leaders_loss)
 {
     cluster_harness cluster{3};
-    protocol::listed_server old_server;
-    old_server.id = "a";
-    old_server.service = "s";
-    old_server.version = "v1";
-    auto new_server = old_server;
-    new_server.id = "b";
-    new_server.version = "v2";
-    cluster.list = {old_server, new_server};
+    cluster.list = {tests::listed("a"), tests::listed("b")};
+    cluster.list[0].version = "v1";
+    cluster.list[1].version = "v2";
     CHECK_TRUE(cluster.put(0, "1:x"));
     coordination::rollout_record order;
     order.service = "s";
@@ -172,14 +167,10 @@
     for (const auto phase : {0ms, 150ms, 300ms})
     {
         cluster_harness cluster{1};
-        protocol::listed_server server;
-        server.service = "s";
-        server.failure_domain = "d0";
-        server.reclaimable = true;
         for (const char* id : {"a", "b", "c"})
         {
-            server.id = id;
-            cluster.list.push_back(server);
+            cluster.list.push_back(tests::listed(id));
+            cluster.list.back().reclaimable = true;
         }
         CHECK_TRUE(cluster.put(0, "1:scaled"));
         cluster.loop.run_for(1'500ms + phase);
@@ -198,11 +189,7 @@
 TEST(cluster_process_tests, next_leader_orders_late_and_with_a_higher_fence)
 {
     cluster_harness cluster{3};
-    protocol::listed_server server;
-    server.id = "a";
-    server.service = "s";
-    server.failure_domain = "d0";
-    cluster.list = {server};
+    cluster.list = {tests::listed("a")};
     CHECK_TRUE(cluster.put(0, "1:scaled"));
     CHECK_TRUE(tests::run_until(cluster.loop,
                                 [&] { return !cluster.orders.empty(); }));
--- a/tests/soak/fault_relay.cpp
+++ b/tests/fault_relay.cpp
@@ -1,4 +1,4 @@
-#include "soak/fault_relay.hpp"
+#include "fault_relay.hpp"
 
 #include <array>
 #include <deque>
@@ -10,7 +10,7 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
-namespace hyssopdeal::soak
+namespace hyssopdeal::tests
 {
 
 using asio::ip::tcp;
@@ -24,9 +24,9 @@
 // How soon held bytes notice that a fault is over.
 constexpr std::chrono::milliseconds look_again{10};
 
-tcp::endpoint endpoint_of(const std::string& address, std::uint16_t port)
+tcp::endpoint endpoint_of(const relay_end& end)
 {
-    return {asio::ip::make_address(address), port};
+    return {asio::ip::make_address(end.address), end.port};
 }
 
 } // namespace
@@ -237,11 +237,10 @@
     std::vector<std::weak_ptr<relayed_connection>> open;
 };
 
-fault_relay::fault_relay(transport::event_loop& loop,
-                         const std::string& address, const std::string& target,
-                         std::uint16_t port)
-    : impl_(std::make_shared<impl>(loop.context(), endpoint_of(address, port),
-                                   endpoint_of(target, port)))
+fault_relay::fault_relay(transport::event_loop& loop, const relay_end& listen,
+                         const relay_end& target)
+    : impl_(std::make_shared<impl>(loop.context(), endpoint_of(listen),
+                                   endpoint_of(target)))
 {
     impl_->accept();
 }
@@ -253,6 +252,18 @@
     reset();
 }
 
+std::uint16_t fault_relay::port() const noexcept
+{
+    return impl_->acceptor.local_endpoint().port();
+}
+
+void fault_relay::cut()
+{
+    asio::error_code ignored;
+    impl_->acceptor.close(ignored);
+    impl_->each([](auto& one) { one.close(); });
+}
+
 void fault_relay::set(const link_fault& fault)
 {
     *impl_->fault = fault;
@@ -268,4 +279,4 @@
     impl_->each([](auto& one) { one.dead = true; });
 }
 
-} // namespace hyssopdeal::soak
+} // namespace hyssopdeal::tests
--- a/tests/soak/fault_relay.hpp
+++ b/tests/fault_relay.hpp
@@ -1,11 +1,11 @@
-#ifndef HYSSOPDEAL_TESTS_SOAK_FAULT_RELAY_HPP
-#define HYSSOPDEAL_TESTS_SOAK_FAULT_RELAY_HPP
+#ifndef HYSSOPDEAL_TESTS_FAULT_RELAY_HPP
+#define HYSSOPDEAL_TESTS_FAULT_RELAY_HPP
 
 /// @file
 /// A TCP relay that delays, silences or resets the connections through it, as
-/// a network with faults does.
+/// a network with faults does, or is cut like a cable or a crashed process.
 ///
-/// Index: [link_fault] [fault_relay]
+/// Index: [link_fault] [relay_end] [fault_relay]
 
 #include <chrono>
 #include <cstdint>
@@ -14,7 +14,7 @@
 
 #include <hyssopdeal/transport/event_loop.hpp>
 
-namespace hyssopdeal::soak
+namespace hyssopdeal::tests
 {
 
 // [link_fault] ---------------------------------------------------------------
@@ -28,25 +28,39 @@
     std::chrono::milliseconds delay{0};
 };
 
+// [relay_end] ----------------------------------------------------------------
+
+/// Where a relay listens, or what it dials.
+struct relay_end
+{
+    std::string address = "127.0.0.1"; ///< IP number.
+    std::uint16_t port = 0;            ///< 0: the kernel picks one.
+};
+
 // [fault_relay] --------------------------------------------------------------
 
 /// Relays connections to one target. Used on the loop's thread.
 class fault_relay
 {
 public:
-    /// @param address IP number to listen on and, on the same port, to dial.
-    fault_relay(transport::event_loop& loop, const std::string& address,
-                const std::string& target, std::uint16_t port);
+    fault_relay(transport::event_loop& loop, const relay_end& listen,
+                const relay_end& target);
     fault_relay(const fault_relay&) = delete;
     fault_relay& operator=(const fault_relay&) = delete;
     ~fault_relay();
 
+    /// @return The port that it listens on.
+    [[nodiscard]] std::uint16_t port() const noexcept;
+
     /// Sets what happens from now on, to open and new connections.
     void set(const link_fault& fault);
 
     /// Resets the open connections.
     void reset();
 
+    /// Closes every connection and refuses new ones.
+    void cut();
+
     /// Silences the open connections for good; new ones work.
     void silence_open();
 
@@ -55,6 +69,6 @@
     std::shared_ptr<impl> impl_;
 };
 
-} // namespace hyssopdeal::soak
+} // namespace hyssopdeal::tests
 
 #endif
--- a/tests/linked_entries.cpp
+++ b/tests/linked_entries.cpp
@@ -176,8 +176,9 @@
         standins::engine_settings settings;
         engines.push_back(
             std::make_unique<standins::engine>(loop, clock, settings));
-        engine_links_.push_back(
-            std::make_unique<cut_relay>(loop, engines.back()->start().value()));
+        engine_links_.push_back(std::make_unique<fault_relay>(
+            loop, relay_end{},
+            relay_end{.port = engines.back()->start().value()}));
         engine_ports_.push_back(engine_links_.back()->port());
     }
     entries_.resize(entries);
@@ -254,7 +255,8 @@
         starting.process.reset();
         return false;
     }
-    starting.callers = std::make_unique<cut_relay>(loop, *port);
+    starting.callers = std::make_unique<fault_relay>(loop, relay_end{},
+                                                     relay_end{.port = *port});
     starting.process->publish(make_view(engine_ports_));
     starting.ended = std::make_shared<std::atomic<bool>>(false);
     starting.waiter =
--- a/tests/linked_entries.hpp
+++ b/tests/linked_entries.hpp
@@ -21,7 +21,7 @@
 #include <hyssopdeal/transport/event_loop.hpp>
 #include <hyssopdeal/transport/http_client.hpp>
 
-#include "cut_relay.hpp"
+#include "fault_relay.hpp"
 #include "standins/engine.hpp"
 
 namespace hyssopdeal::tests
@@ -114,12 +114,12 @@
         coordination::entry_settings settings;
         std::unique_ptr<coordination::entry_process> process;
         std::thread waiter;
-        std::unique_ptr<cut_relay> callers;       ///< What callers connect to.
+        std::unique_ptr<fault_relay> callers;     ///< What callers connect to.
         std::shared_ptr<std::atomic<bool>> ended; // by the waiter
     };
 
     std::string key_file_;
-    std::vector<std::unique_ptr<cut_relay>> engine_links_;
+    std::vector<std::unique_ptr<fault_relay>> engine_links_;
     std::vector<std::uint16_t> engine_ports_;
     std::vector<linked_entry> entries_;
 };
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -17,7 +17,6 @@
 
 constexpr const char* host = "h.example";
 constexpr const char* key = "key-of-o";
-constexpr int events_of_stream = 12;
 constexpr milliseconds call_time_limit{3'000};
 constexpr int good = 200;
 constexpr milliseconds patience{1'000}; ///< Of an operator, for one answer.
@@ -56,9 +55,6 @@
     std::uint64_t number = 0;
     std::string id;
     route_kind kind = route_kind::safe;
-    std::size_t entry = 0;
-    std::uint32_t life = 0;
-    std::uint64_t version = 0;
     int status = 0;
     bool proven = false;
     std::string body;
@@ -126,12 +122,9 @@
     one->number = ++last_;
     one->id = fmt::format("e{}-{}", entry, one->number);
     one->kind = kind;
-    one->entry = entry;
-    one->life = world_.life(entry);
-    one->version = version;
     request_record record;
     record.entry = entry;
-    record.entry_life = one->life;
+    record.entry_life = world_.life(entry);
     record.kind = kind;
     record.version = version;
     world_.ledger.sent(one->id, record);
@@ -180,13 +173,13 @@
     {
         return;
     }
-    std::string expected = "whole " + one->id;
+    std::string expected = plain_text(one->id);
     if (streams(one->kind))
     {
         expected.clear();
         for (int event = 1; event <= events_of_stream; ++event)
         {
-            expected += fmt::format("id: {}\ndata: {}\n\n", event, one->id);
+            expected += event_text(event, one->id);
         }
     }
     if (!one->proven || one->body != expected)
@@ -256,6 +249,18 @@
     return document;
 }
 
+/// Sends a request to a replica that is drawn.
+void soak_operator::ask(transport::http_request request,
+                        const answer_handler& on_answer)
+{
+    const auto& replicas = world_.replicas();
+    const auto address = world_.operators_address(
+        replicas.at(world_.drawn_below(replicas.size())));
+    request.headers.push_back({"Host", address});
+    calls_.push_back(
+        world_.client.fetch(address, request, patience, on_answer));
+}
+
 void soak_operator::change()
 {
     auto one = std::make_shared<order>();
@@ -273,62 +278,42 @@
 
 void soak_operator::put(const std::shared_ptr<order>& one)
 {
-    const auto& replicas = world_.replicas();
-    const auto address = world_.operators_address(
-        replicas.at(world_.drawn_below(replicas.size())));
-    auto request = one->request;
-    request.headers.push_back({"Host", address});
-    const auto number = ++next_call_;
-    calls_[number] = world_.client.fetch(
-        address, request, patience, [this, one](const auto& answer) {
-            if (answer && answer->status == good)
-            {
-                --open_;
-                world_.ledger.accepted(one->version);
-                return;
-            }
-            if (answer && answer->status < 500)
-            {
-                --open_;
-                world_.ledger.broken(
-                    "valid documents are accepted",
-                    fmt::format("version {} was refused with {}", one->version,
-                                answer->status));
-                return;
-            }
-            timers_.push_back(world_.loop.after(pause * ++one->tries,
-                                                [this, one] { put(one); }));
-        });
+    ask(one->request, [this, one](const auto& answer) {
+        if (answer && answer->status == good)
+        {
+            --open_;
+            world_.ledger.accepted(one->version);
+            return;
+        }
+        if (answer && answer->status < 500)
+        {
+            --open_;
+            world_.ledger.broken("valid documents are accepted",
+                                 fmt::format("version {} was refused with {}",
+                                             one->version, answer->status));
+            return;
+        }
+        timers_.push_back(
+            world_.loop.after(pause * ++one->tries, [this, one] { put(one); }));
+    });
 }
 
 void soak_operator::send_invalid()
 {
     auto document = document_of(last_version_ + 1'000);
     document.routes.front().shares = {{"no-such-service", 1}};
-    const auto& replicas = world_.replicas();
-    const auto address = world_.operators_address(
-        replicas.at(world_.drawn_below(replicas.size())));
-    auto request = platform::put_document_request(document);
-    request.headers.push_back({"Host", address});
-    calls_[++next_call_] = world_.client.fetch(
-        address, request, patience, [this](const auto& answer) {
-            if (answer && answer->status == good)
-            {
-                world_.ledger.broken("invalid documents are refused",
-                                     "one with an unknown service was taken");
-            }
-        });
+    ask(platform::put_document_request(document), [this](const auto& answer) {
+        if (answer && answer->status == good)
+        {
+            world_.ledger.broken("invalid documents are refused",
+                                 "one with an unknown service was taken");
+        }
+    });
 }
 
 void soak_operator::read()
 {
-    const auto& replicas = world_.replicas();
-    const auto address = world_.operators_address(
-        replicas.at(world_.drawn_below(replicas.size())));
-    auto request = platform::get_document_request();
-    request.headers.push_back({"Host", address});
-    calls_[++next_call_] = world_.client.fetch(
-        address, request, patience,
+    ask(platform::get_document_request(),
         [this, asked = world_.clock.monotonic_now()](const auto& answer) {
             if (!answer || answer->status != good)
             {
@@ -385,20 +370,14 @@
 void soak_operator::order_move(const transport::http_request& request,
                                milliseconds duration)
 {
-    const auto& replicas = world_.replicas();
-    const auto address = world_.operators_address(
-        replicas.at(world_.drawn_below(replicas.size())));
-    auto sent = request;
-    sent.headers.push_back({"Host", address});
-    calls_[++next_call_] = world_.client.fetch(
-        address, sent, patience, [this, request, duration](const auto& answer) {
-            if (answer && answer->status == good)
-            {
-                return follow_move(duration);
-            }
-            timers_.push_back(world_.loop.after(
-                pause, [=, this] { order_move(request, duration); }));
-        });
+    ask(request, [this, request, duration](const auto& answer) {
+        if (answer && answer->status == good)
+        {
+            return follow_move(duration);
+        }
+        timers_.push_back(world_.loop.after(
+            pause, [=, this] { order_move(request, duration); }));
+    });
 }
 
 /// Asks for the move's state until it has ended.
@@ -412,14 +391,9 @@
         world_.ledger.end_move();
         return on_move_end_(false);
     }
-    const auto& replicas = world_.replicas();
-    const auto address = world_.operators_address(
-        replicas.at(world_.drawn_below(replicas.size())));
-    auto request = platform::get_rollout_request("llm");
-    request.headers.push_back({"Host", address});
     const auto asked = world_.clock.monotonic_now();
-    calls_[++next_call_] = world_.client.fetch(
-        address, request, patience, [this, left, asked](const auto& answer) {
+    ask(platform::get_rollout_request("llm"),
+        [this, left, asked](const auto& answer) {
             const auto state =
                 answer ? platform::read_rollout_answer(*answer) : std::nullopt;
             if (state)
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -87,6 +87,9 @@
     struct order;
     [[nodiscard]] protocol::service_document
     document_of(std::uint64_t version) const;
+    using answer_handler =
+        std::function<void(const transport::result<transport::http_response>&)>;
+    void ask(transport::http_request request, const answer_handler& on_answer);
     void put(const std::shared_ptr<order>& one);
     void follow_move(std::chrono::milliseconds left);
     void order_move(const transport::http_request& request,
@@ -97,8 +100,7 @@
     std::size_t open_ = 0;
     bool steady_ = false;
     bool read_back_ = false;
-    std::uint64_t next_call_ = 0;
-    std::map<std::uint64_t, transport::http1_call> calls_;
+    std::vector<transport::http1_call> calls_;
     std::list<transport::timer_handle> timers_;
     std::function<void(bool)> on_move_end_;
 };
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -71,6 +71,17 @@
     });
 }
 
+/// Undoes a fault after some time, and ends it.
+void soak_faults::end_after(milliseconds time, fault_place place,
+                            std::size_t which, std::size_t record,
+                            std::function<void()> undo)
+{
+    after(time, [=, this, undo = std::move(undo)] {
+        undo();
+        end(place, which, record, milliseconds{0});
+    });
+}
+
 bool soak_faults::free(fault_place place, std::size_t which) const
 {
     // One control replica at a time.
@@ -223,10 +234,8 @@
     }
     const auto record = begin(place, which, false, "freeze");
     world_.signal(place, which, SIGSTOP);
-    after(drawn_between(200, 4'000), [=, this] {
-        world_.signal(place, which, SIGCONT);
-        end(place, which, record, milliseconds{0});
-    });
+    end_after(drawn_between(200, 4'000), place, which, record,
+              [=, this] { world_.signal(place, which, SIGCONT); });
 }
 
 /// Their disks stay, and they are back within a second.
@@ -256,7 +265,7 @@
     world_.signal(fault_place::replica, which, SIGKILL);
     after(drawn_between(300, 1'500), [=, this] {
         (void)world_.ended(fault_place::replica, which);
-        (void)world_.replace_replica(which);
+        world_.replace_replica(which);
         end(fault_place::replica, which, record, 2 * catch_up);
     });
 }
@@ -298,16 +307,14 @@
         return;
     }
     const auto record = begin(place, which, false, "link");
-    link_fault fault;
+    tests::link_fault fault;
     const auto kind = world_.drawn_below(4);
     fault.silent_in = kind == 0 || kind == 1;
     fault.silent_out = kind == 1 || kind == 2;
     fault.delay = kind == 3 ? drawn_between(20, 400) : milliseconds{0};
     world_.link(place, which).set(fault);
-    after(drawn_between(300, 5'000), [=, this] {
-        world_.link(place, which).set({});
-        end(place, which, record, milliseconds{0});
-    });
+    end_after(drawn_between(300, 5'000), place, which, record,
+              [=, this] { world_.link(place, which).set({}); });
 }
 
 void soak_faults::break_connections(fault_place place, std::size_t which)
@@ -354,11 +361,20 @@
         break;
     }
     world_.servers->behave(server, manner);
-    after(drawn_between(500, 4'000), [=, this] {
-        world_.servers->behave(server, {});
-        world_.servers->link(server).set({});
-        end(fault_place::server, server, record, milliseconds{0});
-    });
+    end_after(drawn_between(500, 4'000), fault_place::server, server, record,
+              [=, this] {
+                  world_.servers->behave(server, {});
+                  world_.servers->link(server).set({});
+              });
+}
+
+/// A server of the same service and domain, with the version in force.
+void soak_faults::add_successor(std::size_t server)
+{
+    // Listing another one may move what is listed.
+    const auto before = world_.servers->listed(server);
+    (void)world_.servers->add(before.service, before.failure_domain,
+                              before.service == "llm" ? version_ : "v1");
 }
 
 void soak_faults::crash_server(std::size_t server)
@@ -368,16 +384,12 @@
         return;
     }
     const auto record = begin(fault_place::server, server, false, "crash");
-    const auto domain = world_.servers->domain(server);
-    const auto all = world_.servers->ready("llm");
-    const bool llm = std::find(all.begin(), all.end(), server) != all.end();
     world_.servers->crash(server);
-    after(drawn_between(500, 3'000), [=, this] {
-        world_.servers->forget(server);
-        (void)world_.servers->add(llm ? "llm" : "app", domain,
-                                  llm ? version_ : "v1");
-        end(fault_place::server, server, record, milliseconds{0});
-    });
+    end_after(drawn_between(500, 3'000), fault_place::server, server, record,
+              [=, this] {
+                  world_.servers->forget(server);
+                  add_successor(server);
+              });
 }
 
 /// The new one starts first; the old one leaves well after it is shown as
@@ -389,17 +401,11 @@
         return;
     }
     const auto record = begin(fault_place::server, server, true, "leaves");
-    const auto all = world_.servers->ready("llm");
-    const bool llm = std::find(all.begin(), all.end(), server) != all.end();
-    (void)world_.servers->add(llm ? "llm" : "app",
-                              world_.servers->domain(server),
-                              llm ? version_ : "v1");
+    add_successor(server);
     after(drawn_between(500, 2'000), [=, this] {
         world_.servers->drain(server);
-        after(drawn_between(5'000, 8'000), [=, this] {
-            world_.servers->forget(server);
-            end(fault_place::server, server, record, milliseconds{0});
-        });
+        end_after(drawn_between(5'000, 8'000), fault_place::server, server,
+                  record, [=, this] { world_.servers->forget(server); });
     });
 }
 
@@ -412,10 +418,8 @@
     const auto record = begin(fault_place::platform, 0, false, "platform");
     world_.servers->behave(world_.drawn() < 0.5 ? platform_manner::silent
                                                 : platform_manner::busy);
-    after(drawn_between(500, 4'000), [=, this] {
-        world_.servers->behave(platform_manner::well);
-        end(fault_place::platform, 0, record, milliseconds{0});
-    });
+    end_after(drawn_between(500, 4'000), fault_place::platform, 0, record,
+              [this] { world_.servers->behave(platform_manner::well); });
 }
 
 /// Servers of a new version come; it is good, or fails from some time on.
@@ -431,8 +435,8 @@
     std::vector<std::size_t> made;
     for (std::size_t at = 0; at < old_ones.size(); ++at)
     {
-        made.push_back(
-            world_.servers->add("llm", world_.servers->domain(at), target, {}));
+        made.push_back(world_.servers->add(
+            "llm", world_.servers->listed(at).failure_domain, target, {}));
     }
     if (bad)
     {
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -46,6 +46,10 @@
     void end(fault_place place, std::size_t which, std::size_t record,
              std::chrono::milliseconds later);
 
+    void end_after(std::chrono::milliseconds time, fault_place place,
+                   std::size_t which, std::size_t record,
+                   std::function<void()> undo);
+
     // Of processes.
     void restart(fault_place place, std::size_t which, int number,
                  disk_state disk);
@@ -63,6 +67,7 @@
 
     // Of servers and the platform.
     void harm_server(std::size_t server);
+    void add_successor(std::size_t server);
     void crash_server(std::size_t server);
     void replace_server(std::size_t server);
     void harm_platform();
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -59,6 +59,13 @@
     faults_.at(number).to = clock_.monotonic_now();
 }
 
+bool soak_ledger::touches(const fault_record& fault, monotonic_time from,
+                          monotonic_time to) const
+{
+    return fault.from <= to && (fault.to == monotonic_time::max() ||
+                                fault.to + bounds_.contact >= from);
+}
+
 bool soak_ledger::calm(fault_place place, std::size_t which,
                        monotonic_time from, monotonic_time to) const
 {
@@ -68,18 +75,16 @@
         // Also a planned stop of a replica makes the core unstable.
         const bool counts =
             !fault.planned || fault.place == fault_place::replica;
-        return here && counts && fault.from <= to &&
-               (fault.to == monotonic_time::max() ||
-                fault.to + bounds_.contact >= from);
+        return here && counts && touches(fault, from, to);
     });
 }
 
 // [callers] ------------------------------------------------------------------
 
-request_record& soak_ledger::sent(const std::string& id, request_record record)
+void soak_ledger::sent(const std::string& id, request_record record)
 {
     record.sent = clock_.monotonic_now();
-    return requests_[id] = record;
+    requests_[id] = record;
 }
 
 void soak_ledger::answered(const std::string& id, int status, bool complete)
@@ -116,9 +121,7 @@
             fmt::format("server {} ran {} that no caller sent", server, id));
     }
     auto& seen = found->second;
-    const auto now = clock_.monotonic_now();
     seen.runs += resumed ? 0 : 1;
-    seen.first_run = seen.runs <= 1 && !resumed ? now : seen.first_run;
     seen.run_open = true;
     if (seen.runs > 1 && !repeatable(seen.kind))
     {
@@ -132,7 +135,7 @@
     }
 }
 
-void soak_ledger::run_ended(const std::string& id, bool)
+void soak_ledger::run_ended(const std::string& id)
 {
     if (const auto found = requests_.find(id); found != requests_.end())
     {
@@ -301,9 +304,7 @@
     }
     const bool alone =
         std::none_of(faults_.begin(), faults_.end(), [&](const auto& fault) {
-            return !fault.planned && fault.from <= seen.ended &&
-                   (fault.to == monotonic_time::max() ||
-                    fault.to + bounds_.contact >= seen.sent);
+            return !fault.planned && touches(fault, seen.sent, seen.ended);
         });
     const auto last_sixth = bounds_.grace * 5 / 6;
     for (const auto& fault : faults_)
--- a/tests/soak/soak_ledger.hpp
+++ b/tests/soak/soak_ledger.hpp
@@ -68,7 +68,6 @@
     bool left = false;     ///< The caller gave up.
     bool over = false;
     std::uint32_t runs = 0; ///< At servers, resumed ones left out.
-    monotonic_time first_run{};
     monotonic_time run_ended{};
     bool run_open = false;
 };
@@ -109,13 +108,13 @@
                             monotonic_time from, monotonic_time to) const;
 
     // Callers.
-    request_record& sent(const std::string& id, request_record record);
+    void sent(const std::string& id, request_record record);
     void answered(const std::string& id, int status, bool complete);
     void left(const std::string& id);
 
     // Servers.
     void run_began(const std::string& id, std::size_t server, bool resumed);
-    void run_ended(const std::string& id, bool complete);
+    void run_ended(const std::string& id);
     void arrived(const std::string& id, std::size_t server, bool target);
     void draining(std::size_t server);
 
@@ -152,6 +151,10 @@
     void end_move();
 
 private:
+    /// @return Whether a fault hit the time from the contact time before `from`
+    ///     until `to`.
+    [[nodiscard]] bool touches(const fault_record& fault, monotonic_time from,
+                               monotonic_time to) const;
     void judge_request(const std::string& id, const request_record& seen);
     void judge_stop(const std::string& id, const request_record& seen);
     void judge_probe(const std::string& id, const request_record& seen);
--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -17,7 +17,6 @@
 
 constexpr std::uint32_t slots = 16;
 constexpr std::uint32_t queue = 8;
-constexpr int events_of_stream = 12;
 constexpr double long_part = 0.1;
 constexpr int times_long = 8;
 
@@ -31,6 +30,16 @@
 
 } // namespace
 
+std::string event_text(int number, const std::string& id)
+{
+    return fmt::format("id: {}\ndata: {}\n\n", number, id);
+}
+
+std::string plain_text(const std::string& id)
+{
+    return "whole " + id;
+}
+
 struct soak_servers::impl
 {
     struct server
@@ -41,7 +50,7 @@
         bool runs = true;
         std::uint32_t running = 0;
         std::unique_ptr<transport::http1_server> listener;
-        std::unique_ptr<fault_relay> relay;
+        std::unique_ptr<tests::fault_relay> relay;
     };
 
     /// One request that a server works on.
@@ -74,7 +83,7 @@
 
     void answer(std::size_t at, const http1_exchange& exchange);
     void step(const std::shared_ptr<work>& one);
-    void end(const std::shared_ptr<work>& one, bool complete);
+    void end(const std::shared_ptr<work>& one);
     void answer_platform(http1_exchange exchange);
 
     bool drawn(double part)
@@ -129,14 +138,14 @@
     // Some take a second and more, so that a stop or a leaving server finds
     // them under way.
     one->step = self.manner.step * (drawn(long_part) ? times_long : 1);
-    one->exchange.on_left([this, one] { end(one, false); });
+    one->exchange.on_left([this, one] { end(one); });
     const bool stream = request.target.starts_with("/stream/") ||
                         request.target.starts_with("/say/");
     if (drawn(self.manner.failing))
     {
         one->exchange.send(
             {500, platform::answer_headers(one->id), "server " + one->id});
-        return end(one, true);
+        return end(one);
     }
     if (stream)
     {
@@ -152,8 +161,8 @@
         if (!one->over)
         {
             one->exchange.send(
-                {200, platform::answer_headers(one->id), "whole " + one->id});
-            end(one, true);
+                {200, platform::answer_headers(one->id), plain_text(one->id)});
+            end(one);
         }
     });
 }
@@ -169,19 +178,18 @@
     {
         one->exchange.write("id: ");
         one->exchange.abort();
-        return end(one, false);
+        return end(one);
     }
-    one->exchange.write(
-        fmt::format("id: {}\ndata: {}\n\n", one->next_event, one->id));
+    one->exchange.write(event_text(one->next_event, one->id));
     if (++one->next_event > events_of_stream)
     {
         one->exchange.finish();
-        return end(one, true);
+        return end(one);
     }
     one->timer = loop.after(one->step, [this, one] { step(one); });
 }
 
-void soak_servers::impl::end(const std::shared_ptr<work>& one, bool complete)
+void soak_servers::impl::end(const std::shared_ptr<work>& one)
 {
     if (std::exchange(one->over, true))
     {
@@ -190,7 +198,7 @@
     one->timer.cancel();
     auto& running = servers.at(one->at)->running;
     running -= running > 0 ? 1 : 0;
-    ledger.run_ended(one->id, complete);
+    ledger.run_ended(one->id);
 }
 
 // [platform] -----------------------------------------------------------------
@@ -270,9 +278,9 @@
     {
         impl_->ledger.broken("soak", started.error().text);
     }
-    made->relay =
-        std::make_unique<fault_relay>(impl_->loop, impl_->address(at, true),
-                                      impl_->address(at, false), impl_->port);
+    made->relay = std::make_unique<tests::fault_relay>(
+        impl_->loop, tests::relay_end{impl_->address(at, true), impl_->port},
+        tests::relay_end{impl_->address(at, false), impl_->port});
     impl_->servers.push_back(std::move(made));
     return at;
 }
@@ -301,7 +309,7 @@
     impl_->servers.at(server)->manner = manner;
 }
 
-fault_relay& soak_servers::link(std::size_t server)
+tests::fault_relay& soak_servers::link(std::size_t server)
 {
     return *impl_->servers.at(server)->relay;
 }
@@ -321,9 +329,9 @@
     return found;
 }
 
-const std::string& soak_servers::domain(std::size_t server) const
+const protocol::listed_server& soak_servers::listed(std::size_t server) const
 {
-    return impl_->servers.at(server)->listed.failure_domain;
+    return impl_->servers.at(server)->listed;
 }
 
 void soak_servers::serve_platform(const std::string& address,
--- a/tests/soak/soak_servers.hpp
+++ b/tests/soak/soak_servers.hpp
@@ -5,7 +5,7 @@
 /// Backend servers and the platform's API for a soak, in its own process. Each
 /// server is reached through a relay.
 ///
-/// Index: [server_manner] [soak_servers]
+/// Index: [answers] [server_manner] [soak_servers]
 
 #include <chrono>
 #include <cstdint>
@@ -21,12 +21,22 @@
 #include <hyssopdeal/transport/event_loop.hpp>
 #include <hyssopdeal/transport/http1_server.hpp>
 
-#include "soak/fault_relay.hpp"
+#include "fault_relay.hpp"
 #include "soak/soak_ledger.hpp"
 
 namespace hyssopdeal::soak
 {
 
+// [answers] ------------------------------------------------------------------
+
+inline constexpr int events_of_stream = 12;
+
+/// @return An event of the stream that answers a request.
+[[nodiscard]] std::string event_text(int number, const std::string& id);
+
+/// @return The answer to a request without a stream.
+[[nodiscard]] std::string plain_text(const std::string& id);
+
 // [server_manner] ------------------------------------------------------------
 
 /// How a server answers; parts are of its answers.
@@ -78,14 +88,15 @@
 
     void behave(std::size_t server, server_manner manner);
 
-    [[nodiscard]] fault_relay& link(std::size_t server);
+    [[nodiscard]] tests::fault_relay& link(std::size_t server);
 
     /// @return Numbers of those that are listed as ready and run.
     [[nodiscard]] std::vector<std::size_t>
     ready(const std::string& service) const;
 
-    /// @return Its failure domain.
-    [[nodiscard]] const std::string& domain(std::size_t server) const;
+    /// @return How it is, or was, listed.
+    [[nodiscard]] const protocol::listed_server&
+    listed(std::size_t server) const;
 
     /// Starts the platform's API.
     void serve_platform(const std::string& address, std::uint16_t port);
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -13,6 +13,8 @@
 namespace hyssopdeal::soak
 {
 
+namespace fs = std::filesystem;
+
 namespace
 {
 
@@ -38,6 +40,24 @@
     return fmt::format("d{}", at % domain_count);
 }
 
+/// @return The log file that was written last; empty when there is none.
+fs::path newest_log(const fs::path& folder)
+{
+    fs::path newest;
+    for (const auto& item : fs::recursive_directory_iterator{folder})
+    {
+        const bool log =
+            item.is_regular_file() &&
+            item.path().filename().string().find("log") != std::string::npos;
+        if (log && (newest.empty() ||
+                    fs::last_write_time(newest) < item.last_write_time()))
+        {
+            newest = item.path();
+        }
+    }
+    return newest;
+}
+
 } // namespace
 
 soak_world::soak_world(const soak_settings& own, soak_ledger& own_ledger)
@@ -106,7 +126,7 @@
     return found != all.end() && found->second.runs;
 }
 
-fault_relay& soak_world::link(fault_place place, std::size_t which)
+tests::fault_relay& soak_world::link(fault_place place, std::size_t which)
 {
     return *at(place, which).relay;
 }
@@ -150,9 +170,9 @@
     one.name = fmt::format("{}{}", entry ? "e" : "c", which);
     if (!one.relay)
     {
-        one.relay =
-            std::make_unique<fault_relay>(loop, ip(seen_address, number),
-                                          ip(link_address, number), link_port);
+        one.relay = std::make_unique<tests::fault_relay>(
+            loop, tests::relay_end{ip(seen_address, number), link_port},
+            tests::relay_end{ip(link_address, number), link_port});
     }
     const auto file = one.name + ".yaml";
     group_.write(file, settings_text(place, which, first_start));
@@ -195,47 +215,40 @@
     start_process(fault_place::entry, which, false);
 }
 
+/// Appends bytes that were never synced.
+void soak_world::tear(const fs::path& file)
+{
+    constexpr std::size_t most_bytes = 60;
+    if (file.empty())
+    {
+        return;
+    }
+    std::string bytes(1 + drawn_below(most_bytes), '\0');
+    std::generate(bytes.begin(), bytes.end(),
+                  [this] { return static_cast<char>(random()); });
+    std::ofstream{file, std::ios::binary | std::ios::app} << bytes;
+}
+
 void soak_world::start_replica(std::size_t which, disk_state disk)
 {
-    namespace fs = std::filesystem;
     const fs::path data = group_.path(fmt::format("data-c{}", which));
     if (disk == disk_state::wiped)
     {
         fs::remove_all(data);
     }
-    if (disk == disk_state::torn)
+    else if (disk == disk_state::torn)
     {
-        fs::path newest;
-        for (const auto& item : fs::recursive_directory_iterator{data})
-        {
-            const bool log = item.is_regular_file() &&
-                             item.path().filename().string().find("log") !=
-                                 std::string::npos;
-            if (log && (newest.empty() ||
-                        fs::last_write_time(newest) < item.last_write_time()))
-            {
-                newest = item.path();
-            }
-        }
-        if (!newest.empty())
-        {
-            constexpr std::size_t most_bytes = 60;
-            std::string bytes(1 + drawn_below(most_bytes), '\0');
-            std::generate(bytes.begin(), bytes.end(),
-                          [this] { return static_cast<char>(random()); });
-            std::ofstream{newest, std::ios::binary | std::ios::app} << bytes;
-        }
+        tear(newest_log(data));
     }
     start_process(fault_place::replica, which, false);
 }
 
-std::size_t soak_world::replace_replica(std::size_t which)
+void soak_world::replace_replica(std::size_t which)
 {
     const auto next = replicas_.rbegin()->first + 1;
     std::erase(live_replicas_, which);
     live_replicas_.push_back(next);
     start_process(fault_place::replica, next, false);
-    return next;
 }
 
 void soak_world::rewrite_settings(std::size_t entry)
@@ -255,42 +268,41 @@
     group_.signal(one.name, number);
 }
 
-bool soak_world::ended(fault_place place, std::size_t which)
+/// Notes that a process has ended, and whether it was to.
+void soak_world::look_at(process& one)
 {
-    auto& one = at(place, which);
     const int code =
         one.runs ? group_.wait(one.name, std::chrono::seconds{0}) : -1;
-    if (code >= 0)
+    if (code < 0)
     {
-        one.runs = false;
+        return;
     }
-    if (code > 0 && one.end_signal == SIGTERM)
+    one.runs = false;
+    const auto how = fmt::format("{} ended with code {}", one.name, code);
+    if (one.end_signal == 0)
     {
-        ledger.broken("planned stops end well",
-                      fmt::format("{} ended with code {}", one.name, code));
+        ledger.broken("no process ends by itself", how);
     }
+    else if (one.end_signal == SIGTERM && code > 0)
+    {
+        ledger.broken("planned stops end well", how);
+    }
+}
+
+bool soak_world::ended(fault_place place, std::size_t which)
+{
+    auto& one = at(place, which);
+    look_at(one);
     return !one.runs;
 }
 
 void soak_world::watch()
 {
-    for (const auto place : {fault_place::entry, fault_place::replica})
+    for (auto* all : {&entries_, &replicas_})
     {
-        auto& all = place == fault_place::entry ? entries_ : replicas_;
-        for (auto& [which, one] : all)
+        for (auto& [which, one] : *all)
         {
-            if (!one.runs || one.end_signal != 0)
-            {
-                continue;
-            }
-            const int code = group_.wait(one.name, std::chrono::seconds{0});
-            if (code >= 0)
-            {
-                one.runs = false;
-                ledger.broken(
-                    "no process ends by itself",
-                    fmt::format("{} ended with code {}", one.name, code));
-            }
+            look_at(one);
         }
     }
 }
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <filesystem>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,8 +21,8 @@
 #include <hyssopdeal/transport/event_loop.hpp>
 #include <hyssopdeal/transport/http1_client.hpp>
 
+#include "fault_relay.hpp"
 #include "process_group.hpp"
-#include "soak/fault_relay.hpp"
 #include "soak/soak_ledger.hpp"
 #include "soak/soak_servers.hpp"
 
@@ -69,10 +70,10 @@
     /// Looks for processes that have ended by themselves.
     void watch();
     /// A replica that never comes back is replaced under a new number.
-    std::size_t replace_replica(std::size_t at);
+    void replace_replica(std::size_t at);
     /// Writes the settings of an entry anew, with the seeds in another order.
     void rewrite_settings(std::size_t entry);
-    fault_relay& link(fault_place place, std::size_t at);
+    tests::fault_relay& link(fault_place place, std::size_t at);
 
     // Addresses.
     [[nodiscard]] std::string callers_address(std::size_t entry) const;
@@ -110,13 +111,15 @@
         bool runs = false;
         int end_signal = 0; ///< That was sent to end it; 0: none.
         std::uint32_t lives = 0;
-        std::unique_ptr<fault_relay> relay;
+        std::unique_ptr<tests::fault_relay> relay;
     };
 
     [[nodiscard]] static std::string ip(int kind, std::size_t at);
     [[nodiscard]] process& at(fault_place place, std::size_t which);
     [[nodiscard]] std::string
     settings_text(fault_place place, std::size_t which, bool first_start) const;
+    void tear(const std::filesystem::path& file);
+    void look_at(process& one);
     void start_process(fault_place place, std::size_t which, bool first_start);
 
     tests::process_group group_;
