Give up links whose other process shows no sign of life

Ruled out: closing a link when one of its calls times out. Replication sends without waiting, and a call may be slow at a sound link.

Change: a link that sent and heard nothing for probe_after (1 s) asks the other process, and closes when nothing comes within silence_limit (2 s) more, plus what long messages ahead take at the slowest rate. Both sides do so. Greetings tell whether probes are answered, as older versions close a probed link.

Tests: dialling side with calls, with messages only, accepting side, and sound links that stay.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -12,7 +12,8 @@
 /// First message of each side of a link.
 struct peer_hello {
     1: required string name,
-    2: required binary challenge
+    2: required binary challenge,
+    3: optional bool answers_probes
 }
 
 /// Proof that the sender holds the shared key.
--- a/include/hyssopdeal/protocol/peer_hub.hpp
+++ b/include/hyssopdeal/protocol/peer_hub.hpp
@@ -38,7 +38,8 @@
     operators = 6,   ///< Orders forwarded to the leader.
     reports = 7,     ///< Observations sent to the leader: versions, load.
     joining = 8,     ///< Replicas that find their cluster.
-    following = 9    ///< Entries and replicas: reports and orders.
+    following = 9,   ///< Entries and replicas: reports and orders.
+    probing = 10     ///< Signs of life of the link itself.
 };
 
 // [settings] -----------------------------------------------------------------
@@ -56,7 +57,17 @@
     /// Without an answer another connection is tried beside the first: above
     /// a round trip, below the second after which the kernel tries again.
     std::chrono::milliseconds connect_again_after{100};
-    std::chrono::milliseconds silence_limit{2'000}; ///< Then a link is lost.
+    /// Without an acknowledgement from the kernel, or without an answer to a
+    /// probe, for this long, a link is lost: a reading of the peer that takes
+    /// longer misses every time limit of our calls.
+    std::chrono::milliseconds silence_limit{2'000};
+    /// A link that has sent and received nothing since for this long asks the
+    /// other process for a sign of life: four times the usual pause between
+    /// two reports. A dead link is thereby closed within the sum of the two.
+    std::chrono::milliseconds probe_after{1'000};
+    /// Slowest sending that still counts as progress: a fifth of the slowest
+    /// network link in use, 10 Mbit/s.
+    std::size_t slowest_bytes_per_s = 250'000;
 };
 
 // [peer_hub] -----------------------------------------------------------------
@@ -103,6 +114,9 @@
     void call(std::string_view to, peer_channel channel, std::string payload,
               std::chrono::milliseconds time_limit, answer_handler on_answer);
 
+    /// @return Links that are open or being opened, of both sides.
+    [[nodiscard]] std::size_t open_links() const;
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -224,6 +224,11 @@
 void peer_hello::__set_challenge(const std::string& val) {
   this->challenge = val;
 }
+
+void peer_hello::__set_answers_probes(const bool val) {
+  this->answers_probes = val;
+__isset.answers_probes = true;
+}
 std::ostream& operator<<(std::ostream& out, const peer_hello& obj)
 {
   obj.printTo(out);
@@ -270,6 +275,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answers_probes);
+          this->__isset.answers_probes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -299,6 +312,11 @@
   xfer += oprot->writeBinary(this->challenge);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.answers_probes) {
+    xfer += oprot->writeFieldBegin("answers_probes", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->answers_probes);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -308,24 +326,34 @@
   using ::std::swap;
   swap(a.name, b.name);
   swap(a.challenge, b.challenge);
+  swap(a.answers_probes, b.answers_probes);
+  swap(a.__isset, b.__isset);
 }
 
 peer_hello::peer_hello(const peer_hello& other4) {
   name = other4.name;
   challenge = other4.challenge;
+  answers_probes = other4.answers_probes;
+  __isset = other4.__isset;
 }
 peer_hello::peer_hello(peer_hello&& other5) noexcept {
   name = std::move(other5.name);
   challenge = std::move(other5.challenge);
+  answers_probes = other5.answers_probes;
+  __isset = other5.__isset;
 }
 peer_hello& peer_hello::operator=(const peer_hello& other6) {
   name = other6.name;
   challenge = other6.challenge;
+  answers_probes = other6.answers_probes;
+  __isset = other6.__isset;
   return *this;
 }
 peer_hello& peer_hello::operator=(peer_hello&& other7) noexcept {
   name = std::move(other7.name);
   challenge = std::move(other7.challenge);
+  answers_probes = other7.answers_probes;
+  __isset = other7.__isset;
   return *this;
 }
 void peer_hello::printTo(std::ostream& out) const {
@@ -333,6 +361,7 @@
   out << "peer_hello(";
   out << "name=" << to_string(name);
   out << ", " << "challenge=" << to_string(challenge);
+  out << ", " << "answers_probes="; (__isset.answers_probes ? (out << to_string(answers_probes)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -90,6 +90,10 @@
 
 std::ostream& operator<<(std::ostream& out, const peer_frame& obj);
 
+typedef struct _peer_hello__isset {
+  _peer_hello__isset() : answers_probes(false) {}
+  bool answers_probes :1;
+} _peer_hello__isset;
 
 class peer_hello : public virtual ::apache::thrift::TBase {
  public:
@@ -100,23 +104,33 @@
   peer_hello& operator=(peer_hello&&) noexcept;
   peer_hello() noexcept
              : name(),
-               challenge() {
+               challenge(),
+               answers_probes(0) {
   }
 
   virtual ~peer_hello() noexcept;
   std::string name;
   std::string challenge;
+  bool answers_probes;
+
+  _peer_hello__isset __isset;
 
   void __set_name(const std::string& val);
 
   void __set_challenge(const std::string& val);
 
+  void __set_answers_probes(const bool val);
+
   bool operator == (const peer_hello & rhs) const
   {
     if (!(name == rhs.name))
       return false;
     if (!(challenge == rhs.challenge))
       return false;
+    if (__isset.answers_probes != rhs.__isset.answers_probes)
+      return false;
+    else if (__isset.answers_probes && !(answers_probes == rhs.answers_probes))
+      return false;
     return true;
   }
   bool operator != (const peer_hello &rhs) const {
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -26,8 +26,7 @@
 
 constexpr auto first_channel =
     static_cast<std::int32_t>(peer_channel::replication);
-constexpr auto last_channel =
-    static_cast<std::int32_t>(peer_channel::following);
+constexpr auto last_channel = static_cast<std::int32_t>(peer_channel::probing);
 
 void append_field(std::string& text, std::string_view field)
 {
@@ -83,7 +82,7 @@
 peer_greeting make_greeting(std::string name)
 {
     // Without randomness the challenge stays empty, which the peer refuses.
-    return {std::move(name), transport::random_bytes(challenge_bytes)};
+    return {std::move(name), transport::random_bytes(challenge_bytes), true};
 }
 
 std::string encode_greeting(const peer_greeting& greeting)
@@ -91,6 +90,7 @@
     gen::peer_hello hello;
     hello.name = greeting.name;
     hello.challenge = greeting.challenge;
+    hello.__set_answers_probes(greeting.answers_probes);
     return with_length(to_bytes(hello));
 }
 
@@ -106,7 +106,9 @@
     {
         return fail(reason::corrupt, "A peer's greeting is not valid.");
     }
-    return peer_greeting{std::move(hello->name), std::move(hello->challenge)};
+    return peer_greeting{std::move(hello->name), std::move(hello->challenge),
+                         hello->__isset.answers_probes &&
+                             hello->answers_probes};
 }
 
 std::string make_proof(std::string_view key, link_side side,
--- a/src/protocol/peer_codec.hpp
+++ b/src/protocol/peer_codec.hpp
@@ -67,8 +67,9 @@
 /// First message of each side.
 struct peer_greeting
 {
-    std::string name;      ///< Of the sender.
-    std::string challenge; ///< Random bytes, never used again.
+    std::string name;            ///< Of the sender.
+    std::string challenge;       ///< Random bytes, never used again.
+    bool answers_probes = false; ///< Older versions close a probed link.
 };
 
 /// @return A greeting with a fresh challenge.
--- a/src/protocol/peer_hub.cpp
+++ b/src/protocol/peer_hub.cpp
@@ -1,5 +1,6 @@
 #include <hyssopdeal/protocol/peer_hub.hpp>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -335,6 +336,16 @@
     }
 }
 
+std::size_t peer_hub::open_links() const
+{
+    const auto& peers = impl_->peers;
+    const auto dialled =
+        std::count_if(peers.begin(), peers.end(), [](const auto& item) {
+            return item.second.link != nullptr;
+        });
+    return impl_->accepted.size() + static_cast<std::size_t>(dialled);
+}
+
 void peer_hub::on_message(peer_channel channel, message_handler handler)
 {
     impl_->channels[channel] = std::move(handler);
--- a/src/protocol/peer_link.cpp
+++ b/src/protocol/peer_link.cpp
@@ -39,6 +39,7 @@
     : socket_(std::move(socket)),
       deadline_(socket_.get_executor()),
       next_attempt_(socket_.get_executor()),
+      watch_(socket_.get_executor()),
       settings_(settings),
       side_(side),
       peer_(std::move(peer)),
@@ -112,7 +113,7 @@
         return false;
     }
     queued_bytes_ += bytes.size();
-    queue_.push_back({std::move(bytes), message.correlation});
+    queue_.push_back({std::move(bytes), message.correlation, true});
     if (stage_ == stage::open)
     {
         flush();
@@ -153,6 +154,7 @@
     asio::error_code ignored;
     socket_.close(ignored);
     deadline_.cancel();
+    watch_.cancel();
     drop_attempts();
     const auto handlers = std::exchange(handlers_, {});
     if (handlers.on_closed)
@@ -198,6 +200,8 @@
                 self->close();
                 return;
             }
+            self->unheard_bytes_ = 0;
+            self->probed_ = false;
             self->take({self->read_buffer_.data(), length});
         });
 }
@@ -275,10 +279,79 @@
     {
         return false;
     }
+    if (message->channel == peer_channel::probing)
+    {
+        if (message->kind == frame_kind::message)
+        {
+            // Wants no sign in turn: two idle processes would never rest.
+            write(encode_message(
+                      {peer_channel::probing, 0, frame_kind::answer, {}}),
+                  false);
+        }
+        return true;
+    }
     handlers_.on_message(*this, std::move(*message));
     return true;
 }
 
+// [signs of life] ------------------------------------------------------------
+
+/// The kernel of the other host, or a relay, may acknowledge what its process
+/// never reads, so the process itself is asked.
+void peer_link::expect_sign_of_life(std::size_t bytes)
+{
+    unheard_bytes_ += bytes;
+    if (bytes > 0 && stage_ == stage::open && theirs_.answers_probes &&
+        !watching_)
+    {
+        watching_ = true;
+        watch_for(settings_.probe_after);
+    }
+}
+
+void peer_link::watch_for(std::chrono::milliseconds pause)
+{
+    watch_.expires_after(pause);
+    watch_.async_wait([self = shared_from_this()](const auto& error) {
+        if (!error && self->stage_ == stage::open)
+        {
+            self->on_watch();
+        }
+    });
+}
+
+void peer_link::on_watch()
+{
+    asio::error_code ignored;
+    // What waits unread here is a sign too: this process may have been paused.
+    if (unheard_bytes_ == 0 || socket_.available(ignored) > 0)
+    {
+        watching_ = false;
+        return;
+    }
+    if (!probed_)
+    {
+        probed_ = true;
+        write(encode_message(
+            {peer_channel::probing, 0, frame_kind::message, {}}));
+        watch_for(silence_allowed());
+        return;
+    }
+    log_warning(log_part::peer, "Closed a link without a sign of life. peer={}",
+                peer_);
+    close();
+}
+
+/// @return How long the answer to a probe may take behind what was sent before.
+std::chrono::milliseconds peer_link::silence_allowed() const
+{
+    constexpr std::size_t ms_in_s = 1'000;
+    const auto ahead = std::max(unheard_bytes_, queued_bytes_);
+    return settings_.silence_limit +
+           std::chrono::milliseconds{ahead * ms_in_s /
+                                     settings_.slowest_bytes_per_s};
+}
+
 std::string peer_link::proof_of(link_side side) const
 {
     return side_ == link_side::dialler
@@ -286,10 +359,10 @@
                : make_proof(settings_.shared_key, side, theirs_, own_);
 }
 
-void peer_link::write(std::string bytes)
+void peer_link::write(std::string bytes, bool wants_sign)
 {
     queued_bytes_ += bytes.size();
-    handshake_.push_back({std::move(bytes), 0});
+    handshake_.push_back({std::move(bytes), 0, wants_sign});
     flush();
 }
 
@@ -325,6 +398,7 @@
     for (const auto& item : writing_)
     {
         buffers.push_back(asio::buffer(item.bytes));
+        expect_sign_of_life(item.wants_sign ? item.bytes.size() : 0);
     }
     asio::async_write(
         socket_, buffers,
--- a/src/protocol/peer_link.hpp
+++ b/src/protocol/peer_link.hpp
@@ -88,6 +88,7 @@
     {
         std::string bytes;
         std::uint64_t correlation = 0;
+        bool wants_sign = true; // that the other process reads
     };
 
     void try_connect(const asio::ip::tcp::endpoint& endpoint);
@@ -100,14 +101,19 @@
     [[nodiscard]] bool take_proof(const std::string& frame);
     [[nodiscard]] bool take_message(const std::string& frame);
     [[nodiscard]] std::string proof_of(link_side side) const;
-    void write(std::string bytes);
+    void write(std::string bytes, bool wants_sign = true);
     void flush();
     void fill_batch();
     void set_deadline();
+    void expect_sign_of_life(std::size_t bytes);
+    void watch_for(std::chrono::milliseconds pause);
+    void on_watch();
+    [[nodiscard]] std::chrono::milliseconds silence_allowed() const;
 
     asio::ip::tcp::socket socket_;
     asio::steady_timer deadline_;
     asio::steady_timer next_attempt_;
+    asio::steady_timer watch_;
     std::vector<std::shared_ptr<asio::ip::tcp::socket>> attempts_; // to connect
     peer_hub_settings settings_;
     link_side side_;
@@ -122,6 +128,9 @@
     std::deque<outgoing> queue_;     // no byte of these has left
     std::vector<outgoing> writing_;  // handed to the socket
     std::size_t queued_bytes_ = 0;   // of both
+    std::size_t unheard_bytes_ = 0;  // written since the last byte received
+    bool watching_ = false;
+    bool probed_ = false; // and nothing received since
 };
 
 } // namespace hyssopdeal::protocol
--- a/tests/peer_hub_test.cpp
+++ b/tests/peer_hub_test.cpp
@@ -12,6 +12,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "fault_relay.hpp"
 #include "loop_helper.hpp"
 
 using namespace hyssopdeal::protocol;
@@ -239,6 +240,110 @@
     CHECK_TRUE(call(client, "server", "again").has_value());
 }
 
+// [silent links] -------------------------------------------------------------
+
+namespace
+{
+
+constexpr auto silence = 300ms;
+
+peer_hub_settings impatient(std::string name)
+{
+    auto settings = settings_of(std::move(name));
+    settings.silence_limit = silence;
+    settings.probe_after = 100ms;
+    return settings;
+}
+
+} // namespace
+
+// A relay that acknowledges but delivers nothing kept a link open for good.
+TEST(peer_hub_tests, link_that_fell_silent_is_given_up_by_the_dialling_side)
+{
+    hyssopdeal::tests::fault_relay relay{loop, {}, {"127.0.0.1", port}};
+    peer_hub entry{loop, impatient("entry")};
+    entry.set_peer("server", local(relay.port()));
+    CHECK_TRUE(call(entry, "server", "before").has_value());
+    relay.silence_open();
+    const auto begin = std::chrono::steady_clock::now();
+    bool answered = false;
+    CHECK_TRUE(run_until(
+        loop,
+        [&] {
+            bool ended = false;
+            entry.call("server", peer_channel::grants, "x", 50ms,
+                       [&](auto outcome) {
+                           answered = outcome.has_value();
+                           ended = true;
+                       });
+            (void)run_until(loop, [&] { return ended; });
+            return answered;
+        },
+        5s));
+    // Both waits and a new handshake.
+    CHECK(std::chrono::steady_clock::now() - begin < 3 * silence);
+}
+
+// Replicas send without waiting for answers on the same link.
+TEST(peer_hub_tests, messages_without_answers_find_a_silent_link_too)
+{
+    hyssopdeal::tests::fault_relay relay{loop, {}, {"127.0.0.1", port}};
+    peer_hub replica{loop, impatient("replica")};
+    replica.set_peer("server", local(relay.port()));
+    CHECK_TRUE(call(replica, "server", "before").has_value());
+    relay.silence_open();
+    const auto had = received.size();
+    CHECK_TRUE(run_until(
+        loop,
+        [&] {
+            replica.send("server", peer_channel::grants, "append");
+            (void)run_until(
+                loop, [] { return false; }, 20ms);
+            return received.size() > had;
+        },
+        5s));
+}
+
+TEST(peer_hub_tests, accepting_side_gives_a_silent_link_up)
+{
+    server = std::make_unique<peer_hub>(loop, impatient("server"));
+    port = server->start().value();
+    listen(*server);
+    hyssopdeal::tests::fault_relay relay{loop, {}, {"127.0.0.1", port}};
+    peer_hub entry{loop, settings_of("entry")};
+    entry.set_peer("server", local(relay.port()));
+    CHECK_TRUE(call(entry, "server", "before").has_value());
+    std::optional<result<std::string>> got;
+    entry.call("server", peer_channel::grants, "hold", 5s,
+               [&](auto outcome) { got = std::move(outcome); });
+    CHECK_TRUE(run_until(loop, [&] { return !replies.empty(); }));
+    hyssopdeal::tests::link_fault fault;
+    fault.silent_in = true;
+    relay.set(fault);
+    // The answer arrives; the probe's does not come back.
+    replies.front()("late");
+    CHECK_TRUE(run_until(loop, [&] { return got.has_value(); }));
+    CHECK_TRUE(run_until(
+        loop, [&] { return server->open_links() == 0; }, 2s));
+}
+
+// One that is only idle, slow to answer or busy with a long message stays.
+TEST(peer_hub_tests, sound_links_are_kept)
+{
+    peer_hub entry{loop, impatient("entry")};
+    entry.set_peer("server", local(port));
+    std::optional<result<std::string>> got;
+    entry.call("server", peer_channel::grants, "hold", 5s,
+               [&](auto outcome) { got = std::move(outcome); });
+    (void)run_until(
+        loop, [] { return false; }, 4 * silence);
+    CHECK_FALSE(got.has_value());
+    replies.front()("late");
+    CHECK_TRUE(run_until(loop, [&] { return got.has_value(); }));
+    CHECK_TRUE(got->has_value());
+    LONGS_EQUAL(1, entry.open_links());
+}
+
 TEST(peer_hub_tests, garbage_and_oversized_frames_close_the_link)
 {
     const auto greeting =
