A cancelled call lets its handlers go

Cause (entry_service_test under the address sanitizer): a call keeps its handlers, these keep the attempt, and that keeps the call. Only the end of the call broke the circle; one that was cancelled while its loop ended had none.

Change: cancelling drops the handlers. They are shared, so that one that cancels its own call outlives itself.

--- a/src/transport/curl_call.cpp
+++ b/src/transport/curl_call.cpp
@@ -144,6 +144,8 @@
 void http_call::impl::cancel()
 {
     cancelled = true;
+    // They keep their owner, which keeps this call.
+    handlers.reset();
     if (loop == nullptr)
     {
         return;
@@ -221,9 +223,10 @@
     {
         status = static_cast<int>(code);
         const auto keep = shared_from_this();
-        if (handlers.on_head)
+        const auto called = handlers;
+        if (called && called->on_head)
         {
-            handlers.on_head(status, head);
+            called->on_head(status, head);
         }
     }
     return line.size();
@@ -246,9 +249,10 @@
         return 0;
     }
     const auto keep = shared_from_this();
-    if (handlers.on_data)
+    const auto called = handlers;
+    if (called && called->on_data)
     {
-        handlers.on_data(piece);
+        called->on_data(piece);
     }
     return cancelled ? 0 : piece.size();
 }
@@ -304,10 +308,10 @@
     const auto keep = shared_from_this();
     loop = nullptr;
     running->erase(keep);
-    const auto called = std::exchange(handlers, {});
-    if (!cancelled && called.on_end)
+    const auto called = std::exchange(handlers, nullptr);
+    if (!cancelled && called && called->on_end)
     {
-        called.on_end(std::move(end));
+        called->on_end(std::move(end));
     }
 }
 
--- a/src/transport/curl_call.hpp
+++ b/src/transport/curl_call.hpp
@@ -51,7 +51,8 @@
     curl_multi_loop* loop = nullptr; // emptied at the end of the call
     std::unordered_set<std::shared_ptr<impl>>* running = nullptr;
     http_call_settings settings;
-    http_call_handlers handlers;
+    /// Shared, so that a handler that cancels its call outlives itself.
+    std::shared_ptr<http_call_handlers> handlers; // null once over
     easy_ptr easy;
     slist_ptr lines;
     std::string body;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -119,7 +119,7 @@
     auto call = std::make_shared<http_call::impl>();
     call->running = &impl_->running;
     call->settings = settings;
-    call->handlers = std::move(handlers);
+    call->handlers = std::make_shared<http_call_handlers>(std::move(handlers));
     call->easy.reset(curl_easy_init());
     call->loop = &impl_->loop;
     impl_->running.insert(call);
