A full disk ends no replica

Change: no room (also a limit on a file's size) is its own reason. The storage removes what the failed batch left, so that it can be written again; the disk's thread does so until there is room. For the replica that is a slow disk: nothing is acknowledged before it is stored, reads within the lease go on. A leader without room refuses new writes at once and hands over to a replica that has stored what it could not. Founding and joining wait for room too. A failed sync or read still ends the process.

Tests: batches without room in the storage (what a restart would read is checked each time), full disks of all replicas in a running cluster and at its start.

--- a/include/hyssopdeal/state/log_storage.hpp
+++ b/include/hyssopdeal/state/log_storage.hpp
@@ -9,7 +9,8 @@
 /// A folder holds segments `log-FIRST`, one `snapshot-INDEX` and the file
 /// `term`. Files that are replaced are written aside, synced and renamed. After
 /// the first error nothing is written any more: a failed sync may have lost
-/// what it was to sync, so that it is never tried again.
+/// what it was to sync, so that it is never tried again. Only a full disk is no
+/// such error: what it left is removed, and the same batch may be written again.
 
 #include <algorithm>
 #include <cstdint>
@@ -55,7 +56,8 @@
 
     /// Writes a batch and syncs it.
     ///
-    /// @return Done, or the first error of this storage for ever after.
+    /// @return Done; `storage_full`, and the batch may be written again; or the
+    ///     first other error of this storage for ever after.
     [[nodiscard]] transport::result<void> write(const persist_request& request);
 
     [[nodiscard]] Files& files() noexcept
@@ -96,6 +98,8 @@
     transport::result<void> store_snapshot(const snapshot& snap);
     transport::result<void> truncate_from(log_index index);
     transport::result<void> append(const std::vector<log_record>& records);
+    transport::result<void> take_back(bool created,
+                                      transport::result<void> failed);
     transport::result<void> cut(log_index index);
 
     Files files_;
@@ -328,11 +332,16 @@
 transport::result<void>
 log_storage<Files>::write(const persist_request& request)
 {
-    if (broken_)
+    if (!broken_)
     {
-        broken_ = write_batch(request);
+        return broken_;
     }
-    return broken_;
+    auto done = write_batch(request);
+    if (!done && done.error().code != transport::reason::storage_full)
+    {
+        broken_ = done;
+    }
+    return done;
 }
 
 template <file_access Files>
@@ -386,7 +395,10 @@
     {
         done = files_.remove(snapshot_name_);
     }
-    snapshot_name_ = name;
+    if (done)
+    {
+        snapshot_name_ = name;
+    }
     return done;
 }
 
@@ -398,8 +410,11 @@
     while (done && !segments_.empty() && segments_.back().first >= index)
     {
         done = files_.remove(segments_.back().name);
-        done = done ? files_.sync_folder() : done;
-        segments_.pop_back();
+        if (done)
+        {
+            segments_.pop_back();
+            done = files_.sync_folder();
+        }
     }
     if (done && !segments_.empty() && segments_.back().end() > index)
     {
@@ -427,20 +442,57 @@
     }
     auto& last = segments_.back();
     std::string bytes;
+    std::vector<std::uint64_t> offsets;
     for (const auto& record : records)
     {
-        last.offsets.push_back(last.bytes + bytes.size());
+        offsets.push_back(last.bytes + bytes.size());
         bytes += log_format::encode_record(record, durable_);
     }
-    last.bytes += bytes.size();
     auto done = roll ? files_.create(last.name, bytes)
                      : files_.append(last.name, bytes);
     done = done ? files_.sync(last.name) : done;
     done = done && roll ? files_.sync_folder() : done;
+    if (!done)
+    {
+        return take_back(roll, std::move(done));
+    }
+    last.offsets.insert(last.offsets.end(), offsets.begin(), offsets.end());
+    last.bytes += bytes.size();
     durable_ = records.back().index;
     return done;
 }
 
+/// Removes what a failed append left, so that it can be tried again. The file
+/// was synced before, so a failed sync can have lost only what is written anew.
+///
+/// @return The failure of the append, or a worse one.
+template <file_access Files>
+transport::result<void>
+log_storage<Files>::take_back(bool created, transport::result<void> failed)
+{
+    if (failed.error().code != transport::reason::storage_full)
+    {
+        return failed;
+    }
+    auto& last = segments_.back();
+    if (!created)
+    {
+        const auto cut = files_.truncate(last.name, last.bytes);
+        return cut ? failed : cut;
+    }
+    const auto names = files_.list();
+    if (!names)
+    {
+        return tl::make_unexpected(names.error());
+    }
+    const bool left =
+        std::find(names->begin(), names->end(), last.name) != names->end();
+    const auto removed =
+        left ? files_.remove(last.name) : transport::result<void>{};
+    segments_.pop_back();
+    return removed ? failed : removed;
+}
+
 template <file_access Files>
 transport::result<void> log_storage<Files>::cut(log_index index)
 {
@@ -448,7 +500,10 @@
     while (done && segments_.size() > 1 && segments_.front().end() <= index + 1)
     {
         done = files_.remove(segments_.front().name);
-        segments_.erase(segments_.begin());
+        if (done)
+        {
+            segments_.erase(segments_.begin());
+        }
     }
     return done;
 }
--- a/include/hyssopdeal/transport/failure.hpp
+++ b/include/hyssopdeal/transport/failure.hpp
@@ -54,6 +54,7 @@
     key_in_use,        ///< The idempotency key is claimed and still open.
     key_mismatch,      ///< The idempotency key came with another body.
     storage_failed,    ///< A file could not be written, synced or read.
+    storage_full,      ///< No room on the disk; nothing was stored.
     corrupt,           ///< Stored data does not match its checksum.
     internal           ///< A defect of this program.
 };
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -62,12 +62,32 @@
         return {};
     }
     log_event("cluster.founds", {{"replica", settings.name}, {"id", id}});
-    auto written = storage.write(
-        bootstrap_request(id, founders, cluster_state{}.encode_snapshot()));
+    founds_as = id;
+    return found_cluster();
+}
+
+/// Stores the first state of a new cluster; tried again while there is no room.
+transport::result<void> cluster_process::impl::found_cluster()
+{
+    control_disk::storage_type storage{
+        state::posix_files{settings.data_folder}};
+    const auto founders = founding_replicas(settings.seeds);
+    auto opened = storage.open();
+    auto written =
+        opened ? storage.write(bootstrap_request(
+                     founds_as, founders, cluster_state{}.encode_snapshot()))
+               : transport::result<void>{tl::make_unexpected(opened.error())};
+    if (!written && written.error().code == transport::reason::storage_full)
+    {
+        note_room(true, written.error().text);
+        return {};
+    }
     if (!written)
     {
         return written;
     }
+    note_room(false, {});
+    founds_as = 0;
     control_disk::storage_type again{state::posix_files{settings.data_folder}};
     auto founded = again.open();
     if (!founded)
@@ -77,6 +97,16 @@
     return use_disk(std::move(again), std::move(*founded));
 }
 
+/// A full disk ends nothing: what needs it waits, the rest goes on.
+void cluster_process::impl::note_room(bool full, const std::string& why)
+{
+    if (std::exchange(disk_full, full) != full)
+    {
+        full ? log_event("disk.full", {{"error", why}})
+             : log_event("disk.has_room", {});
+    }
+}
+
 transport::result<void>
 cluster_process::impl::use_disk(control_disk::storage_type storage,
                                 state::recovered_state recovered)
@@ -106,6 +136,14 @@
                         written(number, ended);
                     }
                 });
+        },
+        [this, generation, still = alive](bool full, std::string why) {
+            loop.post([this, generation, still, full, why = std::move(why)] {
+                if (*still && generation == disk_generation)
+                {
+                    note_room(full, why);
+                }
+            });
         });
     for (const auto& member : status().replicas.members)
     {
@@ -176,12 +214,17 @@
                            {"kind", static_cast<int>(change->change)}});
                 step(std::move(*change));
             }
-            if (disk_busy && now - disk_busy_since > settings.disk_patience)
+            if (disk_full ||
+                (disk_busy && now - disk_busy_since > settings.disk_patience))
             {
                 step(transfer_event{});
             }
         }
     }
+    if (founds_as != 0)
+    {
+        retry_founding(now);
+    }
     find_cluster();
     read_list();
     run_duties();
@@ -194,6 +237,32 @@
     ticker = loop.after(tick_interval, [this] { tick(); });
 }
 
+void cluster_process::impl::retry_founding(transport::monotonic_time now)
+{
+    constexpr std::chrono::milliseconds interval{200};
+    if (now < next_founding)
+    {
+        return;
+    }
+    next_founding = now + interval;
+    if (const auto done = found_cluster(); !done)
+    {
+        on_disk_error(done.error().text);
+    }
+}
+
+/// No disk, no replica: the process ends, and its successor reads the disk anew.
+void cluster_process::impl::on_disk_error(const std::string& text)
+{
+    log_event("disk.failed", {{"error", text}});
+    step(disk_failed_event{});
+    disk_failed = true;
+    if (disk_failed_handler)
+    {
+        disk_failed_handler();
+    }
+}
+
 void cluster_process::impl::step(replica_event event)
 {
     if (machine)
@@ -239,13 +308,7 @@
     {
         return step(persisted_event{number});
     }
-    log_event("disk.failed", {{"error", ended.error().text}});
-    step(disk_failed_event{});
-    disk_failed = true;
-    if (disk_failed_handler)
-    {
-        disk_failed_handler();
-    }
+    on_disk_error(ended.error().text);
 }
 
 void cluster_process::impl::follow_leadership()
@@ -286,6 +349,11 @@
 void cluster_process::impl::propose(const cluster_command& command,
                                     done on_done)
 {
+    if (disk_full)
+    {
+        return on_done(transport::fail(transport::reason::storage_full,
+                                       "This replica's disk is full."));
+    }
     const auto id = ++next_proposal;
     waiting.emplace(id, std::move(on_done));
     take(
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -55,6 +55,10 @@
     transport::result<void> open_disk();
     transport::result<void> use_disk(control_disk::storage_type storage,
                                      state::recovered_state recovered);
+    transport::result<void> found_cluster();
+    void retry_founding(transport::monotonic_time now);
+    void note_room(bool full, const std::string& why);
+    void on_disk_error(const std::string& text);
     transport::result<void> open_links();
     void tick();
     void step(replica_event event);
@@ -91,6 +95,7 @@
     void
     order(forwarded_kind kind, const std::string& body,
           const std::function<void(transport::result<std::string>)>& on_end);
+    void note_leaving(const protocol::entry_report& report);
     void on_report(const std::string& payload,
                    const protocol::peer_hub::reply_function& reply);
     void on_token_request(const std::string& payload,
@@ -131,6 +136,9 @@
     transport::monotonic_time disk_busy_since{};
     bool disk_busy = false;
     bool disk_failed = false;
+    bool disk_full = false;
+    std::uint64_t founds_as = 0; ///< Until it has stored its first state.
+    transport::monotonic_time next_founding{};
     std::function<void()> disk_failed_handler;
     std::function<void()> drained_handler;
     transport::monotonic_time drain_until{};
@@ -142,6 +150,7 @@
     transport::monotonic_time leader_seen{};
 
     // Entries.
+    protocol::leaving_servers leaving; ///< While the list shows them ready.
     load_table loads{load_valid_for};
     std::optional<share_allocator> allocator; ///< While it leads.
     bool entries_proposed = false;
--- a/src/coordination/cluster/cluster_process_joining.cpp
+++ b/src/coordination/cluster/cluster_process_joining.cpp
@@ -51,7 +51,7 @@
         std::any_of(seen.replicas.members.begin(), seen.replicas.members.end(),
                     [&](const auto& at) { return at.id == seen.id; });
     const bool settled = member && now - leader_seen < leaderless_before_asking;
-    if (settled || disk_failed || now < next_join)
+    if (settled || disk_failed || founds_as != 0 || now < next_join)
     {
         return;
     }
@@ -166,15 +166,16 @@
         recovered->hard.id = id;
         written = use_disk(std::move(storage), std::move(*recovered));
     }
+    if (!written && written.error().code == transport::reason::storage_full)
+    {
+        // The next round of asking draws another id.
+        return note_room(true, written.error().text);
+    }
     if (!written)
     {
-        log_event("disk.failed", {{"error", written.error().text}});
-        disk_failed = true;
-        if (disk_failed_handler)
-        {
-            disk_failed_handler();
-        }
+        return on_disk_error(written.error().text);
     }
+    note_room(false, {});
 }
 
 /// Drops a disk whose id will never be a member again.
--- a/src/coordination/control_process_impl.hpp
+++ b/src/coordination/control_process_impl.hpp
@@ -101,6 +101,7 @@
     bool draining = false;
     transport::timer_handle ticker;
     std::unique_ptr<control_disk> disk; // its thread ends first
+    bool disk_full = false;
 };
 
 } // namespace hyssopdeal::coordination
--- a/src/coordination/control_process_replica.cpp
+++ b/src/coordination/control_process_replica.cpp
@@ -28,6 +28,10 @@
 {
     step(tick_event{});
     const auto now = clock.monotonic_now();
+    if (disk_full && leads().role == leadership_role::leader)
+    {
+        step(transfer_event{});
+    }
     if (now >= next_promotion)
     {
         next_promotion = now + promote_interval;
@@ -193,6 +197,11 @@
 void control_process::impl::propose(state::command value,
                                     propose_callback on_result)
 {
+    if (disk_full)
+    {
+        return on_result(transport::fail(transport::reason::storage_full,
+                                         "This replica's disk is full."));
+    }
     const auto id = ++next_proposal;
     waiting.emplace(id, std::move(on_result));
     take(machine->propose(clock.monotonic_now(), clock.wall_now(), id,
--- a/src/coordination/entry_answers.cpp
+++ b/src/coordination/entry_answers.cpp
@@ -78,6 +78,7 @@
     case reason::key_mismatch:
         return 422;
     case reason::storage_failed:
+    case reason::storage_full:
     case reason::corrupt:
     case reason::internal:
         return 500;
--- a/src/state/posix_files.cpp
+++ b/src/state/posix_files.cpp
@@ -25,8 +25,11 @@
 tl::unexpected<transport::failure> failed(std::string_view what,
                                           std::string_view name, int error)
 {
+    // EFBIG: a limit of the process or of the file system on one file.
+    const bool full = error == ENOSPC || error == EDQUOT || error == EFBIG;
     return transport::fail(
-        transport::reason::storage_failed,
+        full ? transport::reason::storage_full
+             : transport::reason::storage_failed,
         fmt::format("{} of {} failed: {}.", what, name, std::strerror(error)));
 }
 
--- a/src/transport/failure.cpp
+++ b/src/transport/failure.cpp
@@ -65,6 +65,8 @@
         return "key_mismatch";
     case reason::storage_failed:
         return "storage_failed";
+    case reason::storage_full:
+        return "storage_full";
     case reason::corrupt:
         return "corrupt";
     case reason::internal:
--- a/tests/cluster_process_test.cpp
+++ b/tests/cluster_process_test.cpp
@@ -2,8 +2,11 @@
 /// Clusters that form, lose and replace replicas, over real links and disks:
 /// coordination/cluster/cluster_process.hpp.
 
+#include <csignal>
 #include <optional>
 
+#include <sys/resource.h>
+
 #include <CppUTest/TestHarness.h>
 
 #include <hyssopdeal/protocol/peer_hub.hpp>
@@ -116,6 +119,84 @@
     }));
 }
 
+// [full disks] ---------------------------------------------------------------
+
+namespace
+{
+
+/// No file of this process grows while it lives.
+class no_room
+{
+public:
+    no_room()
+    {
+        (void)std::signal(SIGXFSZ, SIG_IGN);
+        (void)::getrlimit(RLIMIT_FSIZE, &before_);
+        rlimit none = before_;
+        none.rlim_cur = 1;
+        (void)::setrlimit(RLIMIT_FSIZE, &none);
+    }
+    no_room(const no_room&) = delete;
+    no_room& operator=(const no_room&) = delete;
+    ~no_room()
+    {
+        (void)::setrlimit(RLIMIT_FSIZE, &before_);
+    }
+
+private:
+    rlimit before_{};
+};
+
+} // namespace
+
+// A replica ended on its first write without room, and again after each start.
+TEST(cluster_process_tests, full_disks_refuse_writes_and_answer_reads)
+{
+    cluster_harness cluster{3};
+    int ended_disks = 0;
+    for (auto& [at, replica] : cluster.replicas)
+    {
+        replica->on_disk_failed([&] { ++ended_disks; });
+    }
+    CHECK_TRUE(cluster.put(0, "1:kept"));
+    {
+        const no_room full;
+        for (int tries = 0; tries < 3; ++tries)
+        {
+            bool ended = false;
+            transport::result<void> done;
+            cluster.replicas.at(0)->put_document("2:lost", [&](auto how) {
+                done = how;
+                ended = true;
+            });
+            CHECK_TRUE(tests::run_until(cluster.loop, [&] { return ended; }));
+            CHECK_FALSE(done.has_value());
+        }
+        CHECK_TRUE(cluster.reads(0, "1:kept"));
+        CHECK_TRUE(cluster.reads(2, "1:kept"));
+    }
+    CHECK_TRUE(cluster.put(0, "3:on"));
+    CHECK_TRUE(cluster.reads(1, "3:on"));
+    LONGS_EQUAL(0, ended_disks);
+}
+
+TEST(cluster_process_tests, replicas_found_and_join_once_there_is_room)
+{
+    std::optional<no_room> full{std::in_place};
+    cluster_harness cluster{4};
+    for (const auto& started : cluster.start_results)
+    {
+        CHECK_TRUE(started.has_value());
+    }
+    (void)tests::run_until(
+        cluster.loop, [] { return false; }, 500ms);
+    full.reset();
+    CHECK_TRUE(cluster.put(3, "1:first"));
+    CHECK_TRUE(tests::run_until(cluster.loop, [&] {
+        return cluster.metric(3, "hyssopdeal_replica_members") == 4;
+    }));
+}
+
 // [moves] --------------------------------------------------------------------
 
 // The order was kept and answered, and nothing moved.
--- a/tests/faulty_files.hpp
+++ b/tests/faulty_files.hpp
@@ -51,6 +51,7 @@
     std::uint64_t syncs = 0;
     std::uint64_t fault_at = 0; ///< Operation number; 0: none.
     disk_fault fault = disk_fault::none;
+    bool full = false; ///< Writes leave half of their bytes and fail.
 
     /// The process has died: what was not synced may be lost, in part.
     void crash(std::mt19937_64& random)
@@ -116,20 +117,25 @@
     transport::result<void> create(std::string_view name,
                                    std::string_view bytes)
     {
-        return run([&](bool half) {
-            auto made = std::make_shared<faulty_disk::file>();
-            made->now = bytes.substr(0, half ? bytes.size() / 2 : bytes.size());
-            disk_->now.insert_or_assign(std::string{name}, made);
-        });
+        return run(
+            [&](bool half) {
+                auto made = std::make_shared<faulty_disk::file>();
+                made->now =
+                    bytes.substr(0, half ? bytes.size() / 2 : bytes.size());
+                disk_->now.insert_or_assign(std::string{name}, made);
+            },
+            disk_->full);
     }
 
     transport::result<void> append(std::string_view name,
                                    std::string_view bytes)
     {
-        return run([&](bool half) {
-            disk_->now.at(std::string{name})->now +=
-                bytes.substr(0, half ? bytes.size() / 2 : bytes.size());
-        });
+        return run(
+            [&](bool half) {
+                disk_->now.at(std::string{name})->now +=
+                    bytes.substr(0, half ? bytes.size() / 2 : bytes.size());
+            },
+            disk_->full);
     }
 
     transport::result<void> truncate(std::string_view name, std::uint64_t size)
@@ -175,7 +181,7 @@
     }
 
     template <class Operation>
-    transport::result<void> run(Operation operation)
+    transport::result<void> run(Operation operation, bool full = false)
     {
         ++disk_->operations;
         const bool now = disk_->operations == disk_->fault_at;
@@ -188,11 +194,15 @@
         {
             return missing();
         }
-        operation(fault == disk_fault::torn_write);
+        operation(full || fault == disk_fault::torn_write);
         if (fault == disk_fault::crash_after || fault == disk_fault::torn_write)
         {
             throw crashed{};
         }
+        if (full)
+        {
+            return transport::fail(transport::reason::storage_full, "No room.");
+        }
         return {};
     }
 
--- a/tests/log_storage_test.cpp
+++ b/tests/log_storage_test.cpp
@@ -271,6 +271,48 @@
     LONGS_EQUAL(operations, bench.disk->operations);
 }
 
+// A full disk was an error for ever, and half of a record stayed behind.
+TEST(log_storage_tests, batch_without_room_is_written_once_there_is_room)
+{
+    for (const std::uint64_t segment_bytes : {1U, 100'000U})
+    {
+        storage_bench bench;
+        auto storage = bench.storage(segment_bytes);
+        (void)storage.open();
+        CHECK(storage.write(hard_of(1)).has_value());
+        CHECK(storage.write(records_from(1, 2, 1)).has_value());
+        auto request = records_from(2, 5, 2);
+        request.hard = hard_state{7, 2, 0};
+        request.truncate = 2;
+        request.snap =
+            snapshot{1, 1, {}, std::make_shared<const std::string>("state")};
+        bench.disk->full = true;
+        for (int tries = 0; tries < 3; ++tries)
+        {
+            const auto done = storage.write(request);
+            CHECK_FALSE(done.has_value());
+            CHECK(done.error().code == transport::reason::storage_full);
+            // What a restart would read is what was stored before.
+            const auto held = bench.storage(segment_bytes).verify();
+            CHECK(held.has_value());
+            LONGS_EQUAL(1, held->hard.term);
+        }
+        request.hard.reset();
+        request.snap.reset();
+        CHECK_FALSE(storage.write(request).has_value());
+        bench.disk->full = false;
+        CHECK(storage.write(request).has_value());
+        CHECK(storage.write(records_from(6, 6, 2)).has_value());
+        const auto state = bench.storage(segment_bytes).open();
+        CHECK(state.has_value());
+        LONGS_EQUAL(6, state->records.size());
+        LONGS_EQUAL(0, state->torn_bytes);
+        CHECK(state->records[0] == record_at(1, 1));
+        CHECK(state->records[1] == record_at(2, 2));
+        CHECK(state->records[5] == record_at(6, 2));
+    }
+}
+
 // [damage] -------------------------------------------------------------------
 
 TEST(log_storage_tests, damage_of_synced_records_is_refused_with_its_place)
