Heed what servers say of themselves; bound what they send

- A server that says in any answer that it leaves gets no new work: at once here, by the leader's answers on all entries.
The list lags by a second.
- A 503 with Retry-After pauses that server for this entry; when all pause, callers hear when the first is back.
- A server's 408, 429 or 503 without its mark is no promise: 502.
- Plain answers, single events and all that is held of answers are capped.
A server that sends without end is cut and the caller told.
- A stream's silence is measured by whole events and ends at half of the time after which callers give up (was 1.5 s).
- request.ended tells when the first event came; a histogram of the error of predictions.

Tests: request_flow_test, one for each line but the last.

--- a/include/hyssopdeal/coordination/gateway/dialect.hpp
+++ b/include/hyssopdeal/coordination/gateway/dialect.hpp
@@ -55,6 +55,9 @@
     bool other_server = false; ///< The address belongs to another server now.
     bool proven = false;       ///< Comes from a server that ran the request.
     bool encoded = false;      ///< The body is not the server's own.
+    bool leaving = false;      ///< The server ends soon: no new work.
+    /// The server wants nothing from this instance for so long; 0: not said.
+    std::chrono::milliseconds pause{0};
 };
 
 // [caller_dialect] -----------------------------------------------------------
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -54,6 +54,13 @@
     std::chrono::milliseconds keys_valid_for{3'750};
     std::chrono::milliseconds usage_window{5'000};
     std::chrono::milliseconds grace{8'000}; ///< From SIGTERM to the end.
+    /// Longest answer that is not a stream: what a caller may leave unread.
+    std::size_t max_answer_bytes = 4'194'304;
+    /// Longest single event of a stream; events of engines have a few hundred.
+    std::size_t max_event_bytes = 1'048'576;
+    /// Of all answers that are held here at once: below half of the memory of
+    /// the smallest entry instance in use, 160 MB.
+    std::size_t max_held_bytes = 50'331'648;
     repeat_settings repeats;
     quota_settings quotas;
     placement_settings placing;
@@ -74,6 +81,8 @@
     transport::counter resumed;         ///< Streams that went on elsewhere.
     transport::duration_histogram first_event;
     transport::duration_histogram whole_answer;
+    /// Between the predicted and the actual time to the first event.
+    transport::duration_histogram prediction_error;
 };
 
 // [gateway_core] -------------------------------------------------------------
@@ -158,6 +167,7 @@
     version_observer observer; ///< Of services that move to a new version.
     gateway_counters counters;
     std::mt19937_64 random;
+    std::size_t held_bytes = 0; ///< Of answers, not passed on yet.
 
 private:
     void take_document(protocol::entry_orders& orders);
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -76,8 +76,10 @@
 struct known_server
 {
     protocol::listed_server listed;
-    bool usable = true;                 ///< Listed as ready; gets new work.
-    std::uint32_t running = 0;          ///< Of this entry.
+    bool usable = true;                     ///< Listed as ready; gets new work.
+    bool said_leaving = false;              ///< In an answer to this entry.
+    transport::monotonic_time last_heard{}; ///< An event to any request here.
+    std::uint32_t running = 0;              ///< Of this entry.
     std::uint64_t waiting_tokens = 0;   ///< Of this entry, no first event yet.
     protocol::sent_load others;         ///< Of all other entries.
     std::uint32_t reported_waiting = 0; ///< By the server's own count.
@@ -86,6 +88,9 @@
     double failure_rate = 0; ///< Smoothed.
     std::uint32_t failures_in_row = 0;
     transport::monotonic_time avoid_until{};
+    /// The server asked for a pause; unlike one that is avoided it gets nothing
+    /// even when there is no other.
+    transport::monotonic_time paused_until{};
 };
 
 // [choice] -------------------------------------------------------------------
@@ -152,6 +157,24 @@
     /// would find the same.
     void on_unreachable(transport::monotonic_time now, known_server& server);
     void on_success(known_server& server);
+    /// An answer said that the server ends soon: this lifetime of it gets no
+    /// new work again.
+    void on_leaving(known_server& server);
+    /// The server wants no requests from this entry for so long.
+    void on_pause(transport::monotonic_time now, known_server& server,
+                  std::chrono::milliseconds pause);
+
+    /// Takes over which servers other entries have seen leaving.
+    void set_leaving(const protocol::leaving_servers& leaving);
+
+    /// @return Listed servers that are ready by the list, but have told this
+    ///     entry that they leave.
+    [[nodiscard]] protocol::leaving_servers seen_leaving() const;
+
+    /// @return In how long the first server that asked for a pause takes
+    ///     requests again; nothing when none has.
+    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    pause_left(transport::monotonic_time now, const std::string& service) const;
 
     /// @return What this entry has sent, by server id.
     [[nodiscard]] std::map<std::string, protocol::sent_load> own_load() const;
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -67,6 +67,9 @@
     void observe_end(answer_kind how);
     void observe_wait();
     void watch_silence();
+    [[nodiscard]] milliseconds longest_stream_silence() const;
+    [[nodiscard]] bool better_elsewhere();
+    [[nodiscard]] bool begins_late(const placement_choice& choice) const;
     void on_silence();
     transport::head_choice on_head(int status, const headers& received);
     void on_data(std::string_view piece);
@@ -74,11 +77,19 @@
     void on_refused_by_server();
     void on_broken(const transport::failure& error);
     void leave_server();
+    void note_server_terms(const answer_terms& read);
     bool may_repeat_after_run();
     [[nodiscard]] bool repeatable() const;
     [[nodiscard]] milliseconds time_left() const;
 
+    /// @return Whether callers may take the status for "has not run".
+    [[nodiscard]] static constexpr bool promises_not_run(int status)
+    {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
+
     // [answers]
+    void hold(std::size_t bytes);
     void relay_events();
     bool take_event_id(const std::string& event);
     void note_first_event();
@@ -112,11 +123,13 @@
     load_bucket load_ = load_bucket::light; ///< Of that server, when sent.
     bool at_server_ = false;
     monotonic_time sent_at_{};
+    milliseconds first_event_took_{-1}; ///< Of the last attempt with one.
     int status_ = 0;
     headers received_;
     answer_terms answer_;
     bool head_seen_ = false;
     std::string body_;
+    std::size_t held_ = 0; ///< Counted in the core.
     event_splitter events_;
     bool event_seen_ = false; ///< Of this attempt.
     monotonic_time last_sign_{};
@@ -312,27 +325,33 @@
     const auto choice = choose_server();
     if (!choice)
     {
+        const auto pause =
+            core_.servers.pause_left(core_.clock.monotonic_now(), service_);
         return runs_ > 0 ? fail(502, "no_other_server")
-                         : refuse(503, "no_server", soon);
+                         : refuse(503, pause ? "servers_paused" : "no_server",
+                                  std::min(soon, pause.value_or(soon)));
     }
-    // A stream that will surely begin late only delays those behind it; its
-    // caller is better served by coming back. A prompt that is late by its own
-    // length finds no better time.
-    const auto target = route_->target_latency;
-    // Half a target: about the error of a prediction.
-    const auto margin = target / 2;
-    const auto latest = std::max(target, choice->alone) + margin;
-    const bool late = route_->rule == protocol::repeat_rule::stream &&
-                      arrivals_ == 0 && no_connection_ == 0 &&
-                      choice->predicted > latest;
-    if (late)
+    if (arrivals_ == 0 && no_connection_ == 0 && begins_late(*choice))
     {
-        return refuse(503, "overloaded",
-                      choice->predicted - std::max(target, choice->alone));
+        const auto target = std::max(route_->target_latency, choice->alone);
+        return refuse(503, "overloaded", choice->predicted - target);
     }
     send_to(*choice);
 }
 
+/// A stream that will surely begin late only delays those behind it; its caller
+/// is better served by coming back. A prompt that is late by its own length
+/// finds no better time.
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::begins_late(const placement_choice& choice) const
+{
+    // Half a target: about the error of a prediction.
+    const auto target = route_->target_latency;
+    const auto latest = std::max(target, choice.alone) + target / 2;
+    return route_->rule == protocol::repeat_rule::stream &&
+           choice.predicted > latest;
+}
+
 template <caller_dialect Dialect>
 std::optional<placement_choice> request_flow<Dialect>::choose_server()
 {
@@ -376,6 +395,7 @@
     event_seen_ = false;
     body_.clear();
     events_.drop_rest();
+    hold(0);
     ++arrivals_;
     if (arrivals_ > 1)
     {
@@ -413,31 +433,62 @@
     {
         return;
     }
-    // Below the silence after which callers give up.
-    constexpr milliseconds longest_stream_silence{1'500};
     constexpr milliseconds shortest_call_silence{250};
     const auto limit =
         route_->rule == protocol::repeat_rule::stream
-            ? longest_stream_silence
+            ? longest_stream_silence()
             : std::max(shortest_call_silence, route_->target_latency);
+    const auto silent = std::chrono::duration_cast<milliseconds>(
+        core_.clock.monotonic_now() - last_sign_);
+    // One that was silent for long and is kept is looked at again soon.
+    const auto pause = silent < limit ? limit - silent : limit / 4;
     silence_timer_ =
-        core_.loop.after(limit, [weak = this->weak_from_this(), limit] {
+        core_.loop.after(pause, [weak = this->weak_from_this(), limit] {
             const auto self = weak.lock();
             if (!self || self->over_ || !self->at_server_)
             {
                 return;
             }
-            const auto silent =
+            const auto quiet =
                 self->core_.clock.monotonic_now() - self->last_sign_;
-            silent >= limit ? self->on_silence() : self->watch_silence();
+            quiet >= limit ? self->on_silence() : self->watch_silence();
         });
 }
 
+/// Half of the time after which callers give a silent stream up: what is left
+/// is enough to begin anew elsewhere.
+template <caller_dialect Dialect>
+std::chrono::milliseconds request_flow<Dialect>::longest_stream_silence() const
+{
+    constexpr milliseconds least_patience{2'000};
+    constexpr int targets = 4;
+    constexpr int gaps = 8;
+    return std::max({least_patience, targets * route_->target_latency,
+                     gaps * route_->target_gap}) /
+           2;
+}
+
+/// A silent server is told from a slow fleet: a stream that only waits for its
+/// turn would wait anew elsewhere, and what was read for it would be lost.
+///
+/// @return Whether another server would surely begin the stream sooner.
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::better_elsewhere()
+{
+    if (event_seen_ || route_->rule != protocol::repeat_rule::stream)
+    {
+        return true;
+    }
+    const bool alive = choice_.server->last_heard > sent_at_;
+    const auto other = choose_server();
+    return !alive && other && !begins_late(*other);
+}
+
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_silence()
 {
     if (runs_ + 1 < route_->max_attempts &&
-        core_.servers.usable(service_) > tried_.size())
+        core_.servers.usable(service_) > tried_.size() && better_elsewhere())
     {
         call_.cancel();
         return on_broken({transport::verdict::may_have_run,
@@ -453,6 +504,8 @@
 {
     constexpr int first_error = 300;
     const auto read = Dialect::read_answer(status, received);
+    // They hold for the server, whatever request this answers.
+    note_server_terms(read);
     if (!read.attempt_id.empty() && read.attempt_id != terms_.attempt_id)
     {
         transport::log_event("attempt.foreign_answer",
@@ -473,20 +526,63 @@
     return transport::head_choice::take;
 }
 
+template <caller_dialect Dialect>
+void request_flow<Dialect>::note_server_terms(const answer_terms& read)
+{
+    auto& server = *choice_.server;
+    if (read.leaving && !server.said_leaving && !read.other_server)
+    {
+        core_.servers.on_leaving(server);
+        transport::log_event("server.leaving",
+                             {{"server", server.listed.id},
+                              {"told_by", "answer"},
+                              {"request", terms_.attempt_id}});
+    }
+    if (read.pause.count() > 0 && !read.other_server)
+    {
+        core_.servers.on_pause(core_.clock.monotonic_now(), server, read.pause);
+        transport::log_event("server.paused", {{"server", server.listed.id},
+                                               {"for_ms", read.pause},
+                                               {"request", terms_.attempt_id}});
+    }
+}
+
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_data(std::string_view piece)
 {
     constexpr int first_error = 300;
-    last_sign_ = core_.clock.monotonic_now();
     const bool streams =
         route_->rule == protocol::repeat_rule::stream && status_ < first_error;
     if (!streams)
     {
+        last_sign_ = core_.clock.monotonic_now();
         body_ += piece;
-        return;
     }
-    events_.feed(piece);
-    relay_events();
+    else
+    {
+        events_.feed(piece);
+        relay_events();
+    }
+    hold(body_.size() + events_.rest().size());
+    const auto& limits = core_.settings;
+    const bool endless = body_.size() > limits.max_answer_bytes ||
+                         events_.rest().size() > limits.max_event_bytes ||
+                         core_.held_bytes > limits.max_held_bytes;
+    if (!over_ && endless)
+    {
+        call_.cancel();
+        on_broken({transport::verdict::may_have_run,
+                   transport::reason::too_large,
+                   "The answer is longer than this entry holds."});
+    }
+}
+
+/// Counts what this request holds of its answer.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::hold(std::size_t bytes)
+{
+    core_.held_bytes += bytes;
+    core_.held_bytes -= std::exchange(held_, bytes);
 }
 
 template <caller_dialect Dialect>
@@ -523,6 +619,12 @@
         leave_server();
         return fail(502, "resume_failed");
     }
+    if (promises_not_run(status_))
+    {
+        // It came without the mark that makes it true.
+        leave_server();
+        return fail(502, "refused_without_mark");
+    }
     note_first_event();
     leave_server();
     pass_on();
@@ -654,6 +756,10 @@
         {
             continue;
         }
+        // Bytes alone are no progress: a stalled server may send one now and
+        // then.
+        last_sign_ = core_.clock.monotonic_now();
+        choice_.server->last_heard = last_sign_;
         note_first_event();
         if (!begun_)
         {
@@ -698,8 +804,11 @@
     }
     const auto now = core_.clock.monotonic_now();
     observe_wait();
-    core_.servers.on_first_event(
-        choice_, std::chrono::duration_cast<milliseconds>(now - sent_at_));
+    first_event_took_ =
+        std::chrono::duration_cast<milliseconds>(now - sent_at_);
+    core_.servers.on_first_event(choice_, first_event_took_);
+    core_.counters.prediction_error.add(
+        std::chrono::abs(first_event_took_ - choice_.predicted));
     if (!std::exchange(counted_, true))
     {
         const bool streams = route_->rule == protocol::repeat_rule::stream;
@@ -826,6 +935,7 @@
 void request_flow<Dialect>::end(std::string_view outcome, int status)
 {
     over_ = true;
+    hold(0);
     deadline_timer_.cancel();
     silence_timer_.cancel();
     const auto now = core_.clock.monotonic_now();
@@ -839,6 +949,7 @@
          {"document", table_ ? table_->document().version : 0},
          {"server", choice_.server ? choice_.server->listed.id : ""},
          {"predicted_ms", choice_.predicted},
+         {"first_event_ms", first_event_took_},
          {"arrivals", arrivals_},
          {"took_ms", now - exchange_.received_at()}});
 }
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -64,6 +64,10 @@
     std::uint64_t waiting_tokens = 0; ///< Of prompts without a first event.
 };
 
+/// Servers that have told that they leave: when each was born, by id, as a
+/// later server may have the same id.
+using leaving_servers = std::map<std::string, std::uint64_t>;
+
 /// What an entry tells.
 struct entry_report
 {
@@ -81,6 +85,7 @@
     std::map<std::string, sent_load> load; ///< By server id.
     std::map<std::string, version_counts> moves; ///< By service, while moved.
     std::vector<std::string> evidence; ///< Encoded reports on versions.
+    leaving_servers leaving; ///< By their answers; the list shows them later.
 };
 
 // [orders] -------------------------------------------------------------------
@@ -107,6 +112,7 @@
     std::map<std::string, double> shares; ///< Granted, by organisation.
     std::map<std::string, sent_load> others_load; ///< Of all other entries.
     std::map<std::string, version_order> moves;   ///< By service.
+    leaving_servers leaving;                      ///< By answers to any entry.
 };
 
 // [tokens] -------------------------------------------------------------------
--- a/include/hyssopdeal/transport/http1_client.hpp
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -50,6 +50,7 @@
     /// Many times a round trip within a region; a lost packet is not waited
     /// for, as another server can be tried.
     std::chrono::milliseconds connect_time_limit{250};
+    std::size_t max_body_bytes = 0; ///< A longer answer ends the call; 0: none.
 };
 
 // [handlers] -----------------------------------------------------------------
--- a/include/hyssopdeal/transport/http_message.hpp
+++ b/include/hyssopdeal/transport/http_message.hpp
@@ -6,6 +6,7 @@
 ///
 /// Index: [http_header] [http_request] [http_response]
 
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,12 @@
 find_header(const std::vector<http_header>& headers,
             std::string_view name) noexcept;
 
+/// Reads a time in seconds, with or without a fraction, such as Retry-After.
+///
+/// @return Rounded up, a day at most; 0 when it is not such a number.
+[[nodiscard]] std::chrono::milliseconds
+read_seconds(std::string_view text) noexcept;
+
 // [http_request] -------------------------------------------------------------
 
 /// A request, read whole by the server or to be sent by the client.
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -64,6 +64,16 @@
             listing_changed = clock.monotonic_now();
         }
         listing = {digest, std::move(*servers)};
+        // What the list shows itself needs no word of entries.
+        std::erase_if(leaving, [&](const auto& item) {
+            return std::none_of(listing.servers.begin(), listing.servers.end(),
+                                [&](const auto& server) {
+                                    return server.id == item.first &&
+                                           server.born == item.second &&
+                                           server.state ==
+                                               protocol::server_state::ready;
+                                });
+        });
         listing_read = asked;
     });
 }
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -232,9 +232,29 @@
     usage.on_report(true_time(), *report);
     loads.on_report(clock.monotonic_now(), report->entry, report->load);
     note_versions(*report);
+    note_leaving(*report);
     reply(protocol::encode(orders_for(*report)));
 }
 
+/// Passes on who leaves, as far as the list does not show it yet.
+void cluster_process::impl::note_leaving(const protocol::entry_report& report)
+{
+    for (const auto& [id, born] : report.leaving)
+    {
+        const bool listed = std::any_of(
+            listing.servers.begin(), listing.servers.end(),
+            [&, own = &id, of = born](const auto& server) {
+                return server.id == *own && server.born == of &&
+                       server.state == protocol::server_state::ready;
+            });
+        if (listed && leaving.insert_or_assign(id, born).second)
+        {
+            log_event("server.leaving",
+                      {{"server", id}, {"told_by", report.entry}});
+        }
+    }
+}
+
 /// Keeps what the leader needs of the document in force.
 void cluster_process::impl::read_services()
 {
@@ -310,6 +330,7 @@
             orders.listing = listing;
         }
     }
+    orders.leaving = leaving;
     if (!machine)
     {
         return orders;
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -92,6 +92,7 @@
     }
     told.load = servers.own_load();
     told.moves = versions.counts();
+    told.leaving = servers.seen_leaving();
     for (const auto& seen : observer.take_reports(now))
     {
         told.evidence.push_back(encode(seen));
@@ -145,6 +146,7 @@
 {
     take_document(orders);
     take_listing(orders);
+    servers.set_leaving(orders.leaving);
     // A key that is valid here may have been taken away by a document that has
     // not come yet.
     if (orders.leads && orders.document_version <= document_version())
@@ -270,6 +272,8 @@
               "From the request to the first event");
     histogram("hyssopdeal_answer_seconds", counters.whole_answer,
               "From the request to the whole answer");
+    histogram("hyssopdeal_prediction_error_seconds", counters.prediction_error,
+              "Between predicted and actual time from sending to first event");
     out.family("hyssopdeal_dropped_log_lines_total", "counter",
                "Log lines that were not written");
     out.sample(static_cast<double>(transport::dropped_events()));
--- a/src/coordination/gateway/own_dialect.cpp
+++ b/src/coordination/gateway/own_dialect.cpp
@@ -111,6 +111,7 @@
                                       const std::vector<http_header>& headers)
 {
     constexpr int misdirected = 421;
+    constexpr int turned_away = 503;
     answer_terms terms;
     terms.attempt_id = find_header(headers, "Hyssopdeal-Attempt");
     terms.not_executed =
@@ -118,6 +119,12 @@
     terms.other_server = status == misdirected;
     terms.proven = !terms.attempt_id.empty();
     terms.encoded = !find_header(headers, "Content-Encoding").empty();
+    terms.leaving = find_header(headers, "Hyssopdeal-Leaving") == "1";
+    if (status == turned_away)
+    {
+        terms.pause =
+            transport::read_seconds(find_header(headers, "Retry-After"));
+    }
     return terms;
 }
 
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -166,6 +166,7 @@
 {
     const auto serves = [&](const known_server& server) {
         return server.usable && server.listed.service == service &&
+               server.paused_until <= now &&
                versions.admits(server.listed.version);
     };
     const auto shared = shared_part(prompt);
@@ -320,6 +321,61 @@
     server.avoid_until = {};
 }
 
+void placement::on_leaving(known_server& server)
+{
+    server.said_leaving = true;
+    server.usable = false;
+}
+
+void placement::on_pause(monotonic_time now, known_server& server,
+                         milliseconds pause)
+{
+    server.paused_until = std::max(server.paused_until, now + pause);
+}
+
+void placement::set_leaving(const protocol::leaving_servers& leaving)
+{
+    for (const auto& [id, born] : leaving)
+    {
+        const auto found = servers_.find(id);
+        if (found != servers_.end() && found->second->listed.born == born)
+        {
+            found->second->usable = false;
+        }
+    }
+}
+
+protocol::leaving_servers placement::seen_leaving() const
+{
+    protocol::leaving_servers ids;
+    for (const auto& [id, item] : servers_)
+    {
+        if (item->said_leaving &&
+            item->listed.state == protocol::server_state::ready)
+        {
+            ids.emplace(id, item->listed.born);
+        }
+    }
+    return ids;
+}
+
+std::optional<milliseconds>
+placement::pause_left(monotonic_time now, const std::string& service) const
+{
+    std::optional<milliseconds> least;
+    for (const auto& [id, item] : servers_)
+    {
+        if (item->usable && item->listed.service == service &&
+            item->paused_until > now)
+        {
+            const auto left =
+                std::chrono::ceil<milliseconds>(item->paused_until - now);
+            least = std::min(least.value_or(left), left);
+        }
+    }
+    return least;
+}
+
 std::map<std::string, protocol::sent_load> placement::own_load() const
 {
     std::map<std::string, protocol::sent_load> load;
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -28,7 +28,7 @@
                                    failure_domain, document_version,
                                    wants_document, listing_digest,
                                    shares_held_ms, shares, demand, usage, load,
-                                   moves, evidence)
+                                   moves, evidence, leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_server, id, born, service, address,
                                    failure_domain, version, slots, state,
                                    reclaimable, cold_remaining_ms)
@@ -73,7 +73,8 @@
                {"replicas", value.replicas},
                {"shares", value.shares},
                {"others_load", value.others_load},
-               {"moves", value.moves}};
+               {"moves", value.moves},
+               {"leaving", value.leaving}};
     if (value.packed_document)
     {
         out["packed_document"] = *value.packed_document;
@@ -94,6 +95,7 @@
     from.at("shares").get_to(value.shares);
     from.at("others_load").get_to(value.others_load);
     from.at("moves").get_to(value.moves);
+    from.at("leaving").get_to(value.leaving);
     if (from.contains("packed_document"))
     {
         value.packed_document = from.at("packed_document").get<std::string>();
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -31,6 +31,8 @@
 {
 
 constexpr std::size_t read_bytes = 16'384;
+// An instance list of ten thousand servers takes a quarter of it.
+constexpr std::size_t most_fetched_bytes = 8'388'608;
 
 class client_connection;
 
@@ -140,9 +142,12 @@
         });
     }
 
-    void carry(const std::shared_ptr<call_state>& call, std::string bytes)
+    void carry(const std::shared_ptr<call_state>& call, std::string bytes,
+               std::size_t max_body_bytes)
     {
         call_ = call;
+        max_body_bytes_ = max_body_bytes;
+        body_bytes_ = 0;
         out_ = std::move(bytes);
         sent_ = false;
         unanswered_ = true;
@@ -263,6 +268,12 @@
         if (!reader_.body().empty() && !skipping_)
         {
             const auto piece = std::exchange(reader_.body(), {});
+            body_bytes_ += piece.size();
+            if (max_body_bytes_ > 0 && body_bytes_ > max_body_bytes_)
+            {
+                fail(reason::too_large, "The answer is too large.");
+                return false;
+            }
             const auto handlers = call.handlers;
             if (handlers && handlers->on_data)
             {
@@ -418,6 +429,8 @@
     timer_handle connect_timer_;
     monotonic_time idle_since_{};
     milliseconds max_idle_;
+    std::size_t max_body_bytes_ = 0; ///< 0: none.
+    std::size_t body_bytes_ = 0;
     bool connected_ = false;
     bool sent_ = false;       ///< A byte may have left.
     bool unanswered_ = false; ///< Carries a call.
@@ -548,7 +561,7 @@
     if (auto kept = take_idle(*impl_, address, settings.max_idle))
     {
         call->connection = kept;
-        kept->carry(call, std::move(bytes));
+        kept->carry(call, std::move(bytes), settings.max_body_bytes);
         return http1_call{std::move(call)};
     }
     const auto endpoint = parse_endpoint<tcp::endpoint>(address);
@@ -568,7 +581,7 @@
     const auto made =
         std::make_shared<client_connection>(impl_, std::string{address});
     call->connection = made;
-    made->carry(call, std::move(bytes));
+    made->carry(call, std::move(bytes), settings.max_body_bytes);
     made->connect(*endpoint, settings.connect_time_limit);
     return http1_call{std::move(call)};
 }
@@ -597,6 +610,7 @@
     };
     http1_call_settings settings;
     settings.connect_time_limit = time_limit;
+    settings.max_body_bytes = most_fetched_bytes;
     auto call = start(address, request, settings, std::move(handlers));
     call.limit(impl_->loop, time_limit);
     return call;
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
+#include <cmath>
+#include <cstdint>
 
 namespace hyssopdeal::transport
 {
@@ -36,4 +39,26 @@
     return {};
 }
 
+std::chrono::milliseconds read_seconds(std::string_view text) noexcept
+{
+    // Longer than a server of a fleet lives; guards sums with a clock.
+    constexpr double longest_s = 86'400;
+    constexpr double ms_in_s = 1'000;
+    if (text.empty() || text.find_first_not_of("0123456789.") != text.npos)
+    {
+        return std::chrono::milliseconds{0};
+    }
+    double seconds = 0;
+    const auto* const end = text.data() + text.size();
+    const auto read =
+        std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
+    if (read.ptr != end)
+    {
+        return std::chrono::milliseconds{0};
+    }
+    const bool fits = read.ec == std::errc{} && seconds < longest_s;
+    return std::chrono::milliseconds{static_cast<std::int64_t>(
+        std::ceil((fits ? seconds : longest_s) * ms_in_s))};
+}
+
 } // namespace hyssopdeal::transport
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -391,3 +391,274 @@
     STRCMP_CONTAINS("HTTP/1.1 503", answer("/once/").c_str());
     LONGS_EQUAL(1, arrivals.size());
 }
+
+// [servers' own terms] -------------------------------------------------------
+
+// The list was the only sign, which lags by a second and more.
+TEST(request_flow_tests, server_that_says_it_leaves_gets_no_new_work)
+{
+    const std::vector<std::string> marked = {
+        head_of("id1", "Hyssopdeal-Leaving: 1\r\nContent-Length: 2\r\n") + "ok",
+        // An answer to another request, which its caller never gets.
+        head_of("other", "Hyssopdeal-Leaving: 1\r\nContent-Length: 0\r\n") +
+            head_of("id1", "Content-Length: 2\r\n") + "ok",
+        "HTTP/1.1 500 Internal Server Error\r\nHyssopdeal-Attempt: id1\r\n"
+        "Hyssopdeal-Leaving: 1\r\nContent-Length: 0\r\n\r\n"};
+    for (const auto& bytes : marked)
+    {
+        list.clear();
+        arrivals.clear();
+        add_server([&](tests::raw_connection& from) { from.send(bytes); });
+        put_in_force();
+        (void)answer("/once/");
+        LONGS_EQUAL(1, arrivals.size());
+        STRCMP_CONTAINS("HTTP/1.1 503", answer("/once/").c_str());
+        LONGS_EQUAL(1, arrivals.size());
+        // The list that still shows it as ready changes nothing.
+        put_in_force();
+        STRCMP_CONTAINS("HTTP/1.1 503", answer("/once/").c_str());
+        LONGS_EQUAL(1, core->report().leaving.size());
+    }
+}
+
+TEST(request_flow_tests, server_that_leaves_by_the_head_of_a_stream)
+{
+    add_server([](tests::raw_connection& from) {
+        from.send(head_of("id1", "Hyssopdeal-Leaving: 1\r\n"));
+    });
+    put_in_force();
+    const auto caller = send("/stream/");
+    CHECK_TRUE(tests::run_until(loop, [&] { return arrivals.size() == 1; }));
+    (void)tests::run_until(
+        loop, [] { return false; }, 50ms);
+    STRCMP_CONTAINS("HTTP/1.1 503", answer("/once/").c_str());
+    caller->close();
+}
+
+TEST(request_flow_tests, word_of_other_entries_takes_a_leaving_server_out)
+{
+    add_server(whole("ok"));
+    list[0].born = 7;
+    put_in_force();
+    protocol::entry_orders orders;
+    orders.leaving = {{"w0", 6}};
+    core->take_orders(clock.monotonic_now(), orders);
+    STRCMP_CONTAINS("ok", answer("/once/").c_str());
+    orders.leaving = {{"w0", 7}};
+    core->take_orders(clock.monotonic_now(), orders);
+    STRCMP_CONTAINS("HTTP/1.1 503", answer("/once/").c_str());
+    // Only what was seen here is told: no word goes in a circle.
+    LONGS_EQUAL(0, core->report().leaving.size());
+}
+
+TEST(request_flow_tests, server_that_asks_for_a_pause_gets_nothing_meanwhile)
+{
+    add_server([this](tests::raw_connection& from) {
+        from.send(arrivals.size() == 1
+                      ? "HTTP/1.1 503 Service Unavailable\r\n"
+                        "Hyssopdeal-Attempt: id1\r\n"
+                        "Hyssopdeal-Verdict: not_run\r\nRetry-After: 0.6\r\n"
+                        "Content-Length: 0\r\n\r\n"
+                      : head_of("id1", "Content-Length: 2\r\n") + "ok");
+    });
+    put_in_force();
+    const auto began = std::chrono::steady_clock::now();
+    STRCMP_CONTAINS("HTTP/1.1 503", answer("/once/").c_str());
+    // Callers learn when there is a server again.
+    STRCMP_CONTAINS("Retry-After: 0.", answer("/once/").c_str());
+    while (std::chrono::steady_clock::now() - began < 550ms)
+    {
+        (void)answer("/once/");
+    }
+    LONGS_EQUAL(1, arrivals.size());
+    (void)tests::run_until(
+        loop, [] { return false; }, 150ms);
+    STRCMP_CONTAINS("ok", answer("/once/").c_str());
+}
+
+TEST(request_flow_tests, pauses_of_any_form_are_read_or_left)
+{
+    using transport::read_seconds;
+    LONGS_EQUAL(1'500, read_seconds("1.5").count());
+    LONGS_EQUAL(2'000, read_seconds("2").count());
+    LONGS_EQUAL(1, read_seconds("0.0001").count());
+    LONGS_EQUAL(86'400'000, read_seconds("999999999999999999999").count());
+    for (const auto* text : {"", "-1", "1e9", "nan", "inf", "1.2.3", "1 s", ".",
+                             "Wed, 21 Oct 2026 07:28:00 GMT"})
+    {
+        LONGS_EQUAL(0, read_seconds(text).count());
+    }
+}
+
+// A caller may take 503 for "has not run"; this one may have.
+TEST(request_flow_tests, refusal_without_its_mark_is_no_promise)
+{
+    for (const auto* status :
+         {"503 Service Unavailable", "429 Too Many", "408 Request Timeout"})
+    {
+        list.clear();
+        add_server([=](tests::raw_connection& from) {
+            from.send(std::string{"HTTP/1.1 "} + status +
+                      "\r\nHyssopdeal-Attempt: id1\r\n"
+                      "Content-Length: 0\r\n\r\n");
+        });
+        put_in_force();
+        STRCMP_CONTAINS("HTTP/1.1 502", answer("/once/").c_str());
+    }
+}
+
+// [bytes without end] --------------------------------------------------------
+
+namespace
+{
+
+/// Sends a piece again and again until the other side closes.
+void flood(const std::shared_ptr<tests::raw_connection>& to,
+           const std::shared_ptr<const std::string>& piece,
+           const std::shared_ptr<std::size_t>& sent)
+{
+    asio::async_write(to->socket(), asio::buffer(*piece),
+                      [=](const auto& error, std::size_t length) {
+                          *sent += length;
+                          if (!error)
+                          {
+                              flood(to, piece, sent);
+                          }
+                      });
+}
+
+} // namespace
+
+// Bodies and events without end filled the memory until the deadline.
+TEST(request_flow_tests, endless_bytes_are_cut_and_the_caller_is_told)
+{
+    struct endless
+    {
+        const char* path;
+        std::string head;
+        std::string piece;
+    };
+    const std::string filler(65'536, 'x');
+    const auto plain = head_of("id1", "Content-Length: 9000000000\r\n");
+    const auto chunked = head_of("id1", "Transfer-Encoding: chunked\r\n");
+    const std::vector<endless> all = {
+        {"/once/", "HTTP/1.1 200 ", filler},
+        {"/once/", "HTTP/1.1 200 OK\r\nA: ", filler},
+        {"/once/", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+        {"/once/", plain, filler},
+        {"/once/", head_of("id1", ""), filler},
+        {"/once/", chunked, "10000\r\n" + filler + "\r\n"},
+        {"/once/", chunked + "1;", filler},
+        {"/once/", chunked + "1\r\nx\r\n0\r\nA: ", filler},
+        {"/stream/", head_of("id1", "") + "id: 1\ndata: ", filler}};
+    for (const auto& one : all)
+    {
+        list.clear();
+        const auto sent = std::make_shared<std::size_t>(0);
+        add_server([&](tests::raw_connection& from) {
+            from.send(one.head);
+            flood(from.shared_from_this(),
+                  std::make_shared<const std::string>(one.piece), sent);
+        });
+        put_in_force();
+        const auto began = std::chrono::steady_clock::now();
+        const auto got = answer(one.path);
+        STRCMP_CONTAINS("HTTP/1.1 502", got.c_str());
+        STRCMP_CONTAINS("may_have_run", got.c_str());
+        CHECK(std::chrono::steady_clock::now() - began < 1'900ms);
+        CHECK_TRUE(tests::run_until(
+            loop, [&] { return servers.back()->connections.back()->closed; },
+            1s));
+        // The cap, and what the sockets hold.
+        CHECK(*sent < 16'000'000);
+        LONGS_EQUAL(0, core->held_bytes);
+    }
+}
+
+// Any byte counted as a sign of life.
+TEST(request_flow_tests, stream_that_stalls_with_a_byte_now_and_then_goes_on)
+{
+    add_server([this](tests::raw_connection& from) {
+        if (arrivals.size() == 1)
+        {
+            from.send(head_of("id1", "") + "id: 1\ndata: a\n\n: ");
+            return;
+        }
+        from.send(head_of("id1", "Connection: close\r\n") +
+                  "id: 2\ndata: b\n\n");
+        from.close();
+    });
+    add_server([this](tests::raw_connection& from) {
+        if (arrivals.size() == 1)
+        {
+            from.send(head_of("id1", "") + "id: 1\ndata: a\n\n: ");
+            return;
+        }
+        from.send(head_of("id1", "Connection: close\r\n") +
+                  "id: 2\ndata: b\n\n");
+        from.close();
+    });
+    put_in_force();
+    const auto caller = send("/resume/");
+    const auto drips = std::chrono::steady_clock::now();
+    auto next = drips;
+    CHECK_TRUE(tests::run_until(
+        loop,
+        [&] {
+            const auto now = std::chrono::steady_clock::now();
+            if (now >= next)
+            {
+                next = now + 100ms;
+                for (const auto& one : servers)
+                {
+                    if (!one->connections.empty() &&
+                        !one->connections.front()->closed)
+                    {
+                        one->connections.front()->send(".");
+                    }
+                }
+            }
+            return caller->received.find("data: b") != std::string::npos;
+        },
+        1'800ms));
+}
+
+// Slow by one long prompt after the other, but alive: it was cut and begun anew
+// at another server, where it waited again.
+TEST(request_flow_tests, stream_that_waits_its_turn_at_a_live_server_stays)
+{
+    std::vector<std::shared_ptr<tests::raw_connection>> held;
+    const script wait = [&](tests::raw_connection& from) {
+        held.push_back(from.shared_from_this());
+    };
+    add_server(wait);
+    put_in_force();
+    const auto first = send("/resume/");
+    CHECK_TRUE(tests::run_until(loop, [&] { return held.size() == 1; }));
+    const auto second = send("/resume/");
+    CHECK_TRUE(tests::run_until(loop, [&] { return held.size() == 2; }));
+    add_server(wait);
+    put_in_force();
+    // It makes events of the first all the while.
+    const auto began = std::chrono::steady_clock::now();
+    auto next = began;
+    int number = 0;
+    held[0]->send(head_of("id1", ""));
+    (void)tests::run_until(
+        loop,
+        [&] {
+            const auto now = std::chrono::steady_clock::now();
+            if (now >= next)
+            {
+                next = now + 300ms;
+                ++number;
+                held[0]->send("id: " + std::to_string(number) +
+                              "\ndata: a\n\n");
+            }
+            return arrivals.size() > 2;
+        },
+        1'700ms);
+    LONGS_EQUAL(2, arrivals.size());
+    first->close();
+    second->close();
+}
