Spread entries over servers; leave full servers alone for a moment

A stream beyond the slots was counted as 60 ms, though a slot is held for seconds.

Change: an entry looks at a few servers of its own (drawn once, so that each is looked at by about six entries), at the home of the prompt, and at two drawn anew. With few entries it looks at all, as before. A server that refused for want of room gets nothing from that entry for 150 ms; when all are full, callers hear so at once. The queue for a slot is counted by how long streams hold theirs.

--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -64,6 +64,10 @@
     double new_connection_ms = 10;    ///< Cost of opening one: the server's own
                                       ///< work, and a slot held meanwhile.
     double failure_ms = 400;          ///< Cost of a failed try.
+    double first_held_ms = 500;       ///< Of a stream's slot, until measured.
+    /// After a refusal without a time: about a slot of a dozen is free again
+    /// while streams of a second or two run.
+    std::chrono::milliseconds full_for{150};
     std::chrono::milliseconds cache_memory{60'000};
     std::chrono::milliseconds first_avoidance{500}; ///< After failures; twice
                                                     ///< as long each time.
@@ -91,6 +95,7 @@
     /// The server asked for a pause; unlike one that is avoided it gets nothing
     /// even when there is no other.
     transport::monotonic_time paused_until{};
+    transport::monotonic_time full_until{}; ///< As far as its refusal tells.
 };
 
 // [choice] -------------------------------------------------------------------
@@ -103,6 +108,7 @@
     std::chrono::milliseconds alone{0};     ///< The same with nothing ahead.
     std::uint64_t uncached_tokens = 0;
     std::uint64_t waiting_tokens = 0; ///< Known to be ahead of it there.
+    std::uint32_t prompt_tokens = 0;  ///< 0: no prompt.
 };
 
 // [placement] ----------------------------------------------------------------
@@ -121,6 +127,12 @@
     std::vector<std::shared_ptr<known_server>>
     set_servers(const std::vector<protocol::listed_server>& servers);
 
+    /// Takes over how many entries are told the same loads.
+    void set_entries(std::size_t entries)
+    {
+        entries_ = entries;
+    }
+
     /// Takes over what other entries have sent.
     void set_others(const std::map<std::string, protocol::sent_load>& load);
 
@@ -150,7 +162,9 @@
     /// The request no longer runs there.
     ///
     /// @param first_event_seen Whether on_first_event was called.
-    void on_ended(const placement_choice& choice, bool first_event_seen);
+    /// @param held How long it ran after its first event.
+    void on_ended(const placement_choice& choice, bool first_event_seen,
+                  std::chrono::milliseconds held = {});
 
     /// A server failed a request, or served one well.
     void on_failure(transport::monotonic_time now, known_server& server);
@@ -158,6 +172,9 @@
     /// would find the same.
     void on_unreachable(transport::monotonic_time now, known_server& server);
     void on_success(known_server& server);
+    /// The server refused a request, as it has no room: those that come next
+    /// would find the same.
+    void on_full(transport::monotonic_time now, known_server& server);
     /// An answer said that the server ends soon: this lifetime of it gets no
     /// new work again.
     void on_leaving(known_server& server);
@@ -172,8 +189,8 @@
     ///     entry that they leave.
     [[nodiscard]] protocol::leaving_servers seen_leaving() const;
 
-    /// @return In how long the first server that asked for a pause takes
-    ///     requests again; nothing when none has.
+    /// @return In how long the first server that asked for a pause, or had no
+    ///     room, takes requests again; nothing when there is none.
     [[nodiscard]] std::optional<std::chrono::milliseconds>
     pause_left(transport::monotonic_time now, const std::string& service) const;
 
@@ -196,6 +213,8 @@
     [[nodiscard]] double predict_ms(const known_server& server,
                                     const prompt_size& prompt,
                                     std::uint64_t uncached) const;
+    void narrow(std::vector<std::shared_ptr<known_server>>& candidates,
+                const std::shared_ptr<known_server>& home);
     [[nodiscard]] double alone_ms(const known_server& server,
                                   const prompt_size& prompt,
                                   std::uint64_t uncached) const;
@@ -203,6 +222,8 @@
     placement_settings settings_;
     std::string failure_domain_;
     std::mt19937_64 random_;
+    std::uint64_t own_rank_;  ///< Draws this entry's own servers.
+    std::size_t entries_ = 0; ///< That are told the same; 0: not known.
     /// How fast the engines of a service read prompts, as far as it was seen.
     struct prefill_speed
     {
@@ -214,6 +235,8 @@
     void learn_speed(const placement_choice& choice, double prefill_ms);
 
     std::map<std::string, prefill_speed> speeds_; ///< By service.
+    std::map<std::string, double> held_ms_; ///< How long a stream keeps its
+                                            ///< slot, smoothed, by service.
     std::map<std::string, std::shared_ptr<known_server>> servers_; ///< By id.
     std::unordered_map<std::uint64_t, transport::monotonic_time>
         cache_; ///< Last use, by server and part.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -123,6 +123,7 @@
     load_bucket load_ = load_bucket::light; ///< Of that server, when sent.
     bool at_server_ = false;
     monotonic_time sent_at_{};
+    monotonic_time first_event_at_{};
     milliseconds first_event_took_{-1}; ///< Of the last attempt with one.
     int status_ = 0;
     headers received_;
@@ -641,6 +642,10 @@
     {
         server.usable = false;
     }
+    else
+    {
+        core_.servers.on_full(now, server);
+    }
     leave_server();
     const bool again = core_.repeats.take(now, service_);
     transport::log_event("attempt.refused",
@@ -741,7 +746,9 @@
 {
     if (std::exchange(at_server_, false))
     {
-        core_.servers.on_ended(choice_, event_seen_);
+        const auto held = core_.clock.monotonic_now() - first_event_at_;
+        core_.servers.on_ended(choice_, event_seen_,
+                               std::chrono::duration_cast<milliseconds>(held));
     }
 }
 
@@ -804,6 +811,7 @@
     }
     const auto now = core_.clock.monotonic_now();
     observe_wait();
+    first_event_at_ = now;
     first_event_took_ =
         std::chrono::duration_cast<milliseconds>(now - sent_at_);
     core_.servers.on_first_event(choice_, first_event_took_);
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -124,6 +124,7 @@
     /// By all entries, as pack_load() wrote it: the same bytes for each entry.
     std::string packed_load;
     std::map<std::string, sent_load> own_load; ///< Of these, by the asking one.
+    std::uint32_t entries = 0; ///< That report, and are told the same loads.
     /// Until this replica wants the entry's next report.
     std::int64_t next_report_ms = 0;
     std::map<std::string, version_order> moves; ///< By service.
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -420,6 +420,7 @@
     }
     const bool anew = pack_loads(now);
     orders.packed_load = packed_load;
+    orders.entries = static_cast<std::uint32_t>(loads.entries());
     orders.own_load = anew ? loads.of(report.entry) : std::move(load_before);
     orders.moves = version_orders(report);
     return orders;
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -44,7 +44,8 @@
                      std::uint64_t seed)
     : settings_(settings),
       failure_domain_(std::move(failure_domain)),
-      random_(seed)
+      random_(seed),
+      own_rank_(random_())
 {}
 
 // [servers] ------------------------------------------------------------------
@@ -139,9 +140,12 @@
     const double waiting = static_cast<double>(server.waiting_tokens +
                                                server.others.waiting_tokens);
     const double over = std::max(0.0, running + 1 - slots);
+    const auto held = held_ms_.find(server.listed.service);
+    const double held_ms =
+        held == held_ms_.end() ? settings_.first_held_ms : held->second;
     return alone_ms(server, prompt, uncached) +
            waiting / speed_of(server) * server.slowness +
-           over * settings_.request_ms;
+           over * held_ms / slots;
 }
 
 /// @return The same on a server that has nothing else to do.
@@ -157,6 +161,43 @@
     return (fixed_first_event_ms + prefill) * server.slowness;
 }
 
+/// Among many entries that are told the same loads, each would choose the same
+/// server until it is told the next. So an entry looks at a few servers of its
+/// own, at the home of the prompt, and at some drawn ones, by which it finds
+/// room when its own are full.
+void placement::narrow(std::vector<std::shared_ptr<known_server>>& candidates,
+                       const std::shared_ptr<known_server>& home)
+{
+    // Each server is looked at by so many entries as one of their own.
+    constexpr std::size_t entries_for_each = 6;
+    constexpr std::size_t least_own = 3;
+    constexpr std::size_t drawn = 2;
+    const auto count = candidates.size();
+    const auto own = std::max(
+        least_own, entries_ == 0 ? count : count * entries_for_each / entries_);
+    if (own + drawn >= count)
+    {
+        return;
+    }
+    const auto rank = [&](const auto& item) {
+        return item == home ? std::numeric_limits<std::uint64_t>::max()
+                            : place_of(item->listed.id, own_rank_);
+    };
+    const auto at = [&](std::size_t place) {
+        return candidates.begin() + static_cast<std::ptrdiff_t>(place);
+    };
+    std::nth_element(candidates.begin(), at(own), candidates.end(),
+                     [&](const auto& left, const auto& right) {
+                         return rank(left) > rank(right);
+                     });
+    for (std::size_t place = own; place < own + drawn; ++place)
+    {
+        std::uniform_int_distribution<std::size_t> draw{place, count - 1};
+        std::swap(*at(place), *at(draw(random_)));
+    }
+    candidates.resize(own + drawn);
+}
+
 std::optional<placement_choice>
 placement::choose(monotonic_time now, const std::string& service,
                   const prompt_size& prompt, const std::set<std::string>& tried,
@@ -165,7 +206,7 @@
 {
     const auto serves = [&](const known_server& server) {
         return server.usable && server.listed.service == service &&
-               server.paused_until <= now &&
+               server.paused_until <= now && server.full_until <= now &&
                versions.admits(server.listed.version);
     };
     const auto shared = shared_part(prompt);
@@ -187,17 +228,22 @@
             home = item;
         }
     }
-    placement_choice best;
-    double least = std::numeric_limits<double>::infinity();
-    std::uniform_real_distribution<double> noise{0, 1};
+    std::vector<std::shared_ptr<known_server>> candidates;
     for (const auto& [id, item] : servers_)
     {
         const bool fits = serves(*item) && !tried.contains(id) &&
                           (item->avoid_until <= now || !any_trusted);
-        if (!fits)
+        if (fits)
         {
-            continue;
+            candidates.push_back(item);
         }
+    }
+    narrow(candidates, home);
+    placement_choice best;
+    double least = std::numeric_limits<double>::infinity();
+    std::uniform_real_distribution<double> noise{0, 1};
+    for (const auto& item : candidates)
+    {
         const auto kept = cached(now, *item, prompt);
         double uncached = static_cast<double>(
             prompt.prompt_tokens -
@@ -227,10 +273,13 @@
         if (cost < least)
         {
             least = cost;
-            best = {item, milliseconds{static_cast<std::int64_t>(predicted)},
+            best = {item,
+                    milliseconds{static_cast<std::int64_t>(predicted)},
                     milliseconds{static_cast<std::int64_t>(
                         alone_ms(*item, prompt, rest))},
-                    rest, item->waiting_tokens + item->others.waiting_tokens};
+                    rest,
+                    item->waiting_tokens + item->others.waiting_tokens,
+                    prompt.prompt_tokens};
         }
     }
     return best.server ? std::optional{best} : std::nullopt;
@@ -302,9 +351,17 @@
                                   : known->second.tokens_per_ms;
 }
 
-void placement::on_ended(const placement_choice& choice, bool first_event_seen)
+void placement::on_ended(const placement_choice& choice, bool first_event_seen,
+                         milliseconds held)
 {
     auto& server = *choice.server;
+    if (first_event_seen && choice.prompt_tokens > 0)
+    {
+        auto& known =
+            held_ms_.try_emplace(server.listed.service, settings_.first_held_ms)
+                .first->second;
+        known += rate_smoothing * (static_cast<double>(held.count()) - known);
+    }
     server.running -= server.running > 0 ? 1 : 0;
     if (!first_event_seen)
     {
@@ -342,6 +399,11 @@
     server.avoid_until = {};
 }
 
+void placement::on_full(monotonic_time now, known_server& server)
+{
+    server.full_until = std::max(server.full_until, now + settings_.full_for);
+}
+
 void placement::on_leaving(known_server& server)
 {
     server.said_leaving = true;
@@ -386,11 +448,10 @@
     std::optional<milliseconds> least;
     for (const auto& [id, item] : servers_)
     {
-        if (item->usable && item->listed.service == service &&
-            item->paused_until > now)
+        const auto until = std::max(item->paused_until, item->full_until);
+        if (item->usable && item->listed.service == service && until > now)
         {
-            const auto left =
-                std::chrono::ceil<milliseconds>(item->paused_until - now);
+            const auto left = std::chrono::ceil<milliseconds>(until - now);
             least = std::min(least.value_or(left), left);
         }
     }
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -95,6 +95,7 @@
                {"replicas", value.replicas},
                {"shares", value.shares},
                {"own_load", value.own_load},
+               {"entries", value.entries},
                {"next_report_ms", value.next_report_ms},
                {"moves", value.moves},
                {"leaving", value.leaving}};
@@ -121,6 +122,7 @@
     from.at("replicas").get_to(value.replicas);
     from.at("shares").get_to(value.shares);
     from.at("own_load").get_to(value.own_load);
+    from.at("entries").get_to(value.entries);
     from.at("next_report_ms").get_to(value.next_report_ms);
     from.at("moves").get_to(value.moves);
     from.at("leaving").get_to(value.leaving);
--- a/tests/gateway_decisions_test.cpp
+++ b/tests/gateway_decisions_test.cpp
@@ -447,6 +447,58 @@
     CHECK(choose(prompt)->alone < 700ms);
 }
 
+// All entries that were told the same loads chose the same server.
+TEST(placement_tests, many_entries_spread_over_servers_between_two_reports)
+{
+    constexpr std::size_t entries = 294;
+    constexpr int servers_of_all = 163;
+    for (int number = 0; number < servers_of_all; ++number)
+    {
+        add("s" + std::to_string(number));
+    }
+    // One server has a little less to do than the rest.
+    std::map<std::string, protocol::sent_load> others;
+    for (const auto& server : list)
+    {
+        others[server.id] = {4, 2'000};
+    }
+    others["s7"] = {1, 0};
+    prompt_size prompt;
+    prompt.prompt_tokens = 700;
+    std::map<std::string, int> chosen;
+    std::vector<std::unique_ptr<placement>> all;
+    for (std::size_t number = 0; number < entries; ++number)
+    {
+        all.push_back(std::make_unique<placement>(placement_settings{}, "d0",
+                                                  number + 1));
+        (void)all.back()->set_servers(list);
+        all.back()->set_entries(entries);
+        all.back()->set_others(others);
+        ++chosen[all.back()->choose(now, "s", prompt, {})->server->listed.id];
+    }
+    int most = 0;
+    for (const auto& [id, count] : chosen)
+    {
+        most = std::max(most, count);
+    }
+    // Six entries have it as one of their own, and some draw it.
+    CHECK(most <= 20);
+    CHECK(chosen.size() > servers_of_all / 2);
+    // An entry keeps to its own, whose connections are open.
+    std::set<std::string> used;
+    for (int round = 0; round < 100; ++round)
+    {
+        used.insert(all.front()
+                        ->choose(now, "s", prompt, {},
+                                 [&](const auto& address) {
+                                     return used.contains(
+                                         address.substr(0, address.find(':')));
+                                 })
+                        ->server->listed.id);
+    }
+    CHECK(used.size() < 12);
+}
+
 TEST(placement_tests, unreachable_server_is_avoided_at_once)
 {
     add("a");
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -476,6 +476,23 @@
     STRCMP_CONTAINS("ok", answer("/once/").c_str());
 }
 
+// Half of all arrivals at the engines of a large fleet were refused for want of
+// a slot: each refusal was followed by the next request.
+TEST(request_flow_tests, full_server_gets_nothing_for_a_moment)
+{
+    add_server(refuse());
+    put_in_force();
+    STRCMP_CONTAINS("HTTP/1.1 503", answer("/once/").c_str());
+    const auto refused = answer("/once/");
+    STRCMP_CONTAINS("HTTP/1.1 503", refused.c_str());
+    STRCMP_CONTAINS("Retry-After: 0.1", refused.c_str());
+    LONGS_EQUAL(1, arrivals.size());
+    (void)tests::run_until(
+        loop, [] { return false; }, 150ms);
+    (void)answer("/once/");
+    LONGS_EQUAL(2, arrivals.size());
+}
+
 TEST(request_flow_tests, pauses_of_any_form_are_read_or_left)
 {
     using transport::read_seconds;
