A replica that has just started waits for all entries before it decides usage

Entries of a large fleet report once a second to most replicas.

Change: no decision within two seconds of the first report to the process, unless the window is nearly overdue. Windows before the process's start are still left out (a missed duty): what entries that ended had told is not known.

--- a/include/hyssopdeal/coordination/cluster/usage_collector.hpp
+++ b/include/hyssopdeal/coordination/cluster/usage_collector.hpp
@@ -30,6 +30,9 @@
     std::chrono::milliseconds settle{1'500};
     /// An entry without a report for so long is not waited for.
     std::chrono::milliseconds silent_after{2'500};
+    /// After the first report to this process every entry has told its counts:
+    /// above the longest pause between two reports to one replica.
+    std::chrono::milliseconds all_heard_after{2'000};
 };
 
 // [usage_collector] ----------------------------------------------------------
--- a/src/coordination/cluster/usage_collector.cpp
+++ b/src/coordination/cluster/usage_collector.cpp
@@ -87,7 +87,9 @@
                            end_of(window) + milliseconds{300} &&
                        now_true - item.second.reported < settings_.silent_after;
             });
-        if (missing && !late)
+        const bool all_heard =
+            now_true - first_report_ >= settings_.all_heard_after;
+        if ((missing || !all_heard) && !late)
         {
             return std::nullopt;
         }
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -563,6 +563,19 @@
     CHECK_FALSE(usage.next_decision(at(6'700ms), held).has_value());
 }
 
+// A replica that had just started, and led, decided by the entries that had
+// told it so far: 742 of 4,363 requests were missing.
+TEST(usage_collector_tests, process_that_started_late_waits_for_all_entries)
+{
+    report(9'900ms, "a", 1, 3);
+    report(11'400ms, "a", 1, 3);
+    CHECK_FALSE(usage.next_decision(at(11'600ms), held).has_value());
+    report(11'800ms, "b", 1, 4);
+    const auto decision = usage.next_decision(at(11'950ms), held);
+    CHECK_TRUE(decision.has_value());
+    LONGS_EQUAL(7, decision->counts.at("o"));
+}
+
 TEST(usage_collector_tests, ended_entry_counts_with_what_it_told_last)
 {
     report(1s, "a", 0, 3);
