--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -104,7 +104,7 @@
                           const protocol::peer_hub::reply_function& reply);
     [[nodiscard]] protocol::entry_orders
     orders_for(const protocol::entry_report& report,
-               load_table::loads load_before);
+               const load_table::loads& load_before);
     [[nodiscard]] std::int64_t listing_age_ms() const;
     bool pack_loads(transport::monotonic_time now);
     [[nodiscard]] std::chrono::milliseconds report_pause() const;
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -239,11 +239,11 @@
                                               {"error", report.error().text}});
     }
     usage.on_report(true_time(), *report);
-    auto load_before = loads.of(report->entry);
+    const auto load_before = loads.of(report->entry);
     loads.on_report(clock.monotonic_now(), report->entry, report->load);
     note_versions(*report);
     note_leaving(*report);
-    reply(protocol::encode(orders_for(*report, std::move(load_before))));
+    reply(protocol::encode(orders_for(*report, load_before)));
 }
 
 /// Passes on who leaves, as far as the list does not show it yet.
@@ -367,7 +367,7 @@
 
 protocol::entry_orders
 cluster_process::impl::orders_for(const protocol::entry_report& report,
-                                  load_table::loads load_before)
+                                  const load_table::loads& load_before)
 {
     const auto now = clock.monotonic_now();
     protocol::entry_orders orders;
@@ -421,7 +421,7 @@
     const bool anew = pack_loads(now);
     orders.packed_load = packed_load;
     orders.entries = static_cast<std::uint32_t>(loads.entries());
-    orders.own_load = anew ? loads.of(report.entry) : std::move(load_before);
+    orders.own_load = anew ? loads.of(report.entry) : load_before;
     orders.moves = version_orders(report);
     return orders;
 }
