--- a/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
+++ b/include/hyssopdeal/coordination/cluster/capacity_plan.hpp
@@ -155,7 +155,8 @@
         transport::monotonic_time at{};
         std::uint32_t at_start = 0; ///< Servers of either kind.
         std::uint32_t planned = 0;  ///< Of the latest plan that was met.
-        double met = 0;             ///< The load of that plan.
+        double met = 0;             ///< Mean load while plans were met.
+        std::uint32_t met_steps = 0;
         transport::monotonic_time loaded_since{};
     };
 
--- a/src/coordination/cluster/capacity_plan.cpp
+++ b/src/coordination/cluster/capacity_plan.cpp
@@ -162,7 +162,13 @@
     if (!dry && reclaimable_ready + coming >= total)
     {
         known.planned = total;
-        known.met = load;
+        // The mean of about ten seconds: a short burst needs no more servers in
+        // a drought that comes after it.
+        constexpr double least_part = 0.05;
+        known.met_steps += running >= 1 ? 1 : 0;
+        const double part =
+            std::max(least_part, 1.0 / std::max(1U, known.met_steps));
+        known.met += part * (running - known.met);
     }
     const auto part_of_plan = [&](double part) {
         const auto all = known.planned > 0 ? known.planned : known.at_start;
