--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -93,10 +93,14 @@
 
     ~impl()
     {
-        for (const auto& call : running)
+        // Handlers keep whoever keeps their call: with the client's end none is
+        // called any more.
+        const auto ended = std::exchange(running, {});
+        for (const auto& call : ended)
         {
             loop.remove(call->easy.get());
             call->loop = nullptr;
+            call->handlers.reset();
         }
     }
 
