--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -92,10 +92,9 @@
     double failure_rate = 0; ///< Smoothed.
     std::uint32_t failures_in_row = 0;
     transport::monotonic_time avoid_until{};
-    /// The server asked for a pause; unlike one that is avoided it gets nothing
-    /// even when there is no other.
+    /// The server asked for a pause, or had no room; unlike one that is avoided
+    /// it gets nothing even when there is no other.
     transport::monotonic_time paused_until{};
-    transport::monotonic_time full_until{}; ///< As far as its refusal tells.
 };
 
 // [choice] -------------------------------------------------------------------
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -530,8 +530,12 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::note_server_terms(const answer_terms& read)
 {
+    if (read.other_server)
+    {
+        return;
+    }
     auto& server = *choice_.server;
-    if (read.leaving && !server.said_leaving && !read.other_server)
+    if (read.leaving && !server.said_leaving)
     {
         core_.servers.on_leaving(server);
         transport::log_event("server.leaving",
@@ -539,7 +543,7 @@
                               {"told_by", "answer"},
                               {"request", terms_.attempt_id}});
     }
-    if (read.pause.count() > 0 && !read.other_server)
+    if (read.pause.count() > 0)
     {
         core_.servers.on_pause(core_.clock.monotonic_now(), server, read.pause);
         transport::log_event("server.paused", {{"server", server.listed.id},
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -206,7 +206,7 @@
 {
     const auto serves = [&](const known_server& server) {
         return server.usable && server.listed.service == service &&
-               server.paused_until <= now && server.full_until <= now &&
+               server.paused_until <= now &&
                versions.admits(server.listed.version);
     };
     const auto shared = shared_part(prompt);
@@ -401,7 +401,7 @@
 
 void placement::on_full(monotonic_time now, known_server& server)
 {
-    server.full_until = std::max(server.full_until, now + settings_.full_for);
+    on_pause(now, server, settings_.full_for);
 }
 
 void placement::on_leaving(known_server& server)
@@ -448,7 +448,7 @@
     std::optional<milliseconds> least;
     for (const auto& [id, item] : servers_)
     {
-        const auto until = std::max(item->paused_until, item->full_until);
+        const auto until = item->paused_until;
         if (item->usable && item->listed.service == service && until > now)
         {
             const auto left = std::chrono::ceil<milliseconds>(until - now);
--- a/tests/cluster_harness.hpp
+++ b/tests/cluster_harness.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -157,6 +158,22 @@
         std::filesystem::remove_all(folder(at));
     }
 
+    /// Sends a document once.
+    transport::result<void> put_once(std::size_t at, const std::string& bytes)
+    {
+        bool ended = false;
+        transport::result<void> done;
+        replicas.at(at)->put_document(bytes, [&](auto how) {
+            done = std::move(how);
+            ended = true;
+        });
+        if (!run_until(loop, [&] { return ended; }))
+        {
+            throw std::runtime_error{"A document was never answered."};
+        }
+        return done;
+    }
+
     /// Sends a document until it is accepted.
     bool put(std::size_t at, const std::string& bytes)
     {
--- a/tests/cluster_process_test.cpp
+++ b/tests/cluster_process_test.cpp
@@ -90,14 +90,7 @@
     cluster.stop(2);
     CHECK_TRUE(tests::run_until(cluster.loop,
                                 [&] { return cluster.read(0).empty(); }));
-    bool ended = false;
-    transport::result<void> done;
-    cluster.replicas.at(0)->put_document("2:lost", [&](auto how) {
-        done = how;
-        ended = true;
-    });
-    CHECK_TRUE(tests::run_until(cluster.loop, [&] { return ended; }));
-    CHECK_FALSE(done.has_value());
+    CHECK_FALSE(cluster.put_once(0, "2:lost").has_value());
 }
 
 // A removed learner remembered its leader and never asked again.
@@ -163,14 +156,7 @@
         const no_room full;
         for (int tries = 0; tries < 3; ++tries)
         {
-            bool ended = false;
-            transport::result<void> done;
-            cluster.replicas.at(0)->put_document("2:lost", [&](auto how) {
-                done = how;
-                ended = true;
-            });
-            CHECK_TRUE(tests::run_until(cluster.loop, [&] { return ended; }));
-            CHECK_FALSE(done.has_value());
+            CHECK_FALSE(cluster.put_once(0, "2:lost").has_value());
         }
         CHECK_TRUE(cluster.reads(0, "1:kept"));
         CHECK_TRUE(cluster.reads(2, "1:kept"));
@@ -411,18 +397,29 @@
         cluster.loop, [&] { return readiness(cluster) == 200; }, 5s));
 }
 
-// Entries told silent replicas ten times a second at a start, each report
-// before the former was answered: with three hundred entries a replica never
-// came to the newest.
-TEST(cluster_entry_tests, report_is_answered_before_the_next_is_sent)
+namespace
+{
+
+/// @return Links of a scripted replica at the first address.
+protocol::peer_hub_settings replica_links()
 {
-    cluster_harness cluster{0};
     protocol::peer_hub_settings hub;
     hub.self = cluster_harness::hub(0);
     hub.address = cluster_harness::ip(0);
     hub.port = cluster_harness::hub_port;
     hub.shared_key = "key";
-    protocol::peer_hub replica{cluster.loop, hub};
+    return hub;
+}
+
+} // namespace
+
+// Entries told silent replicas ten times a second at a start, each report
+// before the former was answered: with three hundred entries a replica never
+// came to the newest.
+TEST(cluster_entry_tests, report_is_answered_before_the_next_is_sent)
+{
+    cluster_harness cluster{0};
+    protocol::peer_hub replica{cluster.loop, replica_links()};
     std::vector<protocol::peer_hub::reply_function> waiting;
     replica.on_message(protocol::peer_channel::following,
                        [&](const auto&, const auto&, const auto& reply) {
@@ -472,14 +469,7 @@
 TEST(cluster_entry_tests, large_document_is_fetched_once)
 {
     cluster_harness cluster{0};
-    protocol::peer_hub replica{cluster.loop, [] {
-                                   protocol::peer_hub_settings hub;
-                                   hub.self = cluster_harness::hub(0);
-                                   hub.address = cluster_harness::ip(0);
-                                   hub.port = cluster_harness::hub_port;
-                                   hub.shared_key = "key";
-                                   return hub;
-                               }()};
+    protocol::peer_hub replica{cluster.loop, replica_links()};
     protocol::entry_orders orders;
     orders.leads = true;
     orders.document_version = 7;
--- a/tests/peer_hub_test.cpp
+++ b/tests/peer_hub_test.cpp
@@ -75,6 +75,17 @@
                        });
     }
 
+    /// What a call that the server holds back ends with; empty until then.
+    using held_outcome = std::shared_ptr<std::optional<result<std::string>>>;
+
+    held_outcome hold(peer_hub & hub)
+    {
+        auto got = std::make_shared<std::optional<result<std::string>>>();
+        hub.call("server", peer_channel::grants, "hold", 5s,
+                 [got](auto outcome) { *got = std::move(outcome); });
+        return got;
+    }
+
     result<std::string> call(peer_hub & hub, std::string_view to,
                              std::string payload,
                              std::chrono::milliseconds limit = 2s)
@@ -223,14 +234,12 @@
 
 TEST(peer_hub_tests, broken_link_fails_its_calls_and_is_opened_again)
 {
-    std::optional<result<std::string>> got;
-    client.call("server", peer_channel::grants, "hold", 5s,
-                [&](auto outcome) { got = std::move(outcome); });
+    const auto got = hold(client);
     CHECK_TRUE(run_until(loop, [&] { return !replies.empty(); }));
     server.reset();
-    CHECK_TRUE(run_until(loop, [&] { return got.has_value(); }));
-    CHECK(got->error().code == reason::connection_lost);
-    CHECK(got->error().ran == verdict::may_have_run);
+    CHECK_TRUE(run_until(loop, [&] { return got->has_value(); }));
+    CHECK((*got)->error().code == reason::connection_lost);
+    CHECK((*got)->error().ran == verdict::may_have_run);
 
     auto settings = settings_of("server");
     settings.port = port;
@@ -313,16 +322,14 @@
     peer_hub entry{loop, settings_of("entry")};
     entry.set_peer("server", local(relay.port()));
     CHECK_TRUE(call(entry, "server", "before").has_value());
-    std::optional<result<std::string>> got;
-    entry.call("server", peer_channel::grants, "hold", 5s,
-               [&](auto outcome) { got = std::move(outcome); });
+    const auto got = hold(entry);
     CHECK_TRUE(run_until(loop, [&] { return !replies.empty(); }));
     hyssopdeal::tests::link_fault fault;
     fault.silent_in = true;
     relay.set(fault);
     // The answer arrives; the probe's does not come back.
     replies.front()("late");
-    CHECK_TRUE(run_until(loop, [&] { return got.has_value(); }));
+    CHECK_TRUE(run_until(loop, [&] { return got->has_value(); }));
     CHECK_TRUE(run_until(
         loop, [&] { return server->open_links() == 0; }, 2s));
 }
@@ -332,15 +339,13 @@
 {
     peer_hub entry{loop, impatient("entry")};
     entry.set_peer("server", local(port));
-    std::optional<result<std::string>> got;
-    entry.call("server", peer_channel::grants, "hold", 5s,
-               [&](auto outcome) { got = std::move(outcome); });
+    const auto got = hold(entry);
     (void)run_until(
         loop, [] { return false; }, 4 * silence);
-    CHECK_FALSE(got.has_value());
+    CHECK_FALSE(got->has_value());
     replies.front()("late");
-    CHECK_TRUE(run_until(loop, [&] { return got.has_value(); }));
-    CHECK_TRUE(got->has_value());
+    CHECK_TRUE(run_until(loop, [&] { return got->has_value(); }));
+    CHECK_TRUE((*got)->has_value());
     LONGS_EQUAL(1, entry.open_links());
 }
 
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -595,7 +595,7 @@
 // Any byte counted as a sign of life.
 TEST(request_flow_tests, stream_that_stalls_with_a_byte_now_and_then_goes_on)
 {
-    add_server([this](tests::raw_connection& from) {
+    const script stall = [this](tests::raw_connection& from) {
         if (arrivals.size() == 1)
         {
             from.send(head_of("id1", "") + "id: 1\ndata: a\n\n: ");
@@ -604,17 +604,9 @@
         from.send(head_of("id1", "Connection: close\r\n") +
                   "id: 2\ndata: b\n\n");
         from.close();
-    });
-    add_server([this](tests::raw_connection& from) {
-        if (arrivals.size() == 1)
-        {
-            from.send(head_of("id1", "") + "id: 1\ndata: a\n\n: ");
-            return;
-        }
-        from.send(head_of("id1", "Connection: close\r\n") +
-                  "id: 2\ndata: b\n\n");
-        from.close();
-    });
+    };
+    add_server(stall);
+    add_server(stall);
     put_in_force();
     const auto caller = send("/resume/");
     const auto drips = std::chrono::steady_clock::now();
