One subtraction of loads, for the leader's sums and the entries' orders

Decoding repeated load_table's, and load_table::others had no caller left but its test; the test now reads the same sums by the way they take, packed and decoded.

--- a/include/hyssopdeal/coordination/cluster/load_table.hpp
+++ b/include/hyssopdeal/coordination/cluster/load_table.hpp
@@ -24,7 +24,7 @@
 class load_table
 {
 public:
-    using loads = std::map<std::string, protocol::sent_load>; ///< By server id.
+    using loads = protocol::sent_loads;
 
     /// @param valid_for An entry that is silent for longer sends nothing more.
     explicit load_table(std::chrono::milliseconds valid_for);
@@ -33,9 +33,6 @@
     void on_report(transport::monotonic_time now, const std::string& entry,
                    const loads& sent);
 
-    /// @return What all entries but one have sent, where it is anything.
-    [[nodiscard]] loads others(const std::string& entry) const;
-
     /// @return What one entry has sent, as far as it counts in the sums.
     [[nodiscard]] const loads& of(const std::string& entry) const;
 
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -68,6 +68,12 @@
 /// later server may have the same id.
 using leaving_servers = std::map<std::string, std::uint64_t>;
 
+/// Loads by server id; only servers to which something was sent.
+using sent_loads = std::map<std::string, sent_load>;
+
+/// Takes loads out of a sum; servers to which nothing is sent any more go.
+void subtract(sent_loads& from, const sent_loads& sent);
+
 /// What an entry tells.
 struct entry_report
 {
--- a/src/coordination/cluster/load_table.cpp
+++ b/src/coordination/cluster/load_table.cpp
@@ -6,32 +6,9 @@
 namespace hyssopdeal::coordination
 {
 
+using protocol::subtract;
 using transport::monotonic_time;
 
-namespace
-{
-
-/// Takes loads out of a sum; servers to which nothing is sent any more go.
-void subtract(load_table::loads& from, const load_table::loads& sent)
-{
-    for (const auto& [server, load] : sent)
-    {
-        const auto found = from.find(server);
-        if (found == from.end())
-        {
-            continue;
-        }
-        found->second.running -= load.running;
-        found->second.waiting_tokens -= load.waiting_tokens;
-        if (found->second.running == 0 && found->second.waiting_tokens == 0)
-        {
-            from.erase(found);
-        }
-    }
-}
-
-} // namespace
-
 load_table::load_table(std::chrono::milliseconds valid_for)
     : valid_for_(valid_for)
 {}
@@ -74,14 +51,4 @@
     return found == entries_.end() ? nothing : found->second.sent;
 }
 
-load_table::loads load_table::others(const std::string& entry) const
-{
-    auto left = sum_;
-    if (const auto own = entries_.find(entry); own != entries_.end())
-    {
-        subtract(left, own->second.sent);
-    }
-    return left;
-}
-
 } // namespace hyssopdeal::coordination
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -139,12 +139,25 @@
     {
         value.others_load = json::from_msgpack(from.at("load").get_binary())
                                 .get<std::map<std::string, sent_load>>();
-        for (const auto& [server, own] : value.own_load)
+        subtract(value.others_load, value.own_load);
+    }
+}
+
+void subtract(sent_loads& from, const sent_loads& sent)
+{
+    for (const auto& [server, load] : sent)
+    {
+        const auto found = from.find(server);
+        if (found == from.end())
+        {
+            continue;
+        }
+        auto& sum = found->second;
+        sum.running -= std::min(sum.running, load.running);
+        sum.waiting_tokens -= std::min(sum.waiting_tokens, load.waiting_tokens);
+        if (sum.running == 0 && sum.waiting_tokens == 0)
         {
-            auto& sum = value.others_load[server];
-            sum.running -= std::min(sum.running, own.running);
-            sum.waiting_tokens -=
-                std::min(sum.waiting_tokens, own.waiting_tokens);
+            from.erase(found);
         }
     }
 }
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -597,21 +597,33 @@
 
 // [load] ---------------------------------------------------------------------
 
-TEST_GROUP(load_table_tests){};
+TEST_GROUP(load_table_tests)
+{
+    load_table table{1s};
+
+    /// @return What an entry reads of all others' loads in its orders.
+    protocol::sent_loads others(const std::string& entry) const
+    {
+        protocol::entry_orders orders;
+        orders.packed_load = protocol::pack_load(table.all());
+        orders.own_load = table.of(entry);
+        return protocol::decode_entry_orders(protocol::encode(orders))
+            ->others_load;
+    }
+};
 
 TEST(load_table_tests, sums_follow_reports_and_silent_entries_drop_out)
 {
-    load_table table{1s};
     monotonic_time now{100s};
     table.on_report(now, "e1", {{"s1", {2, 100}}, {"s2", {0, 0}}});
     table.on_report(now, "e2", {{"s1", {3, 50}}, {"s3", {1, 0}}});
     LONGS_EQUAL(5, table.all().at("s1").running);
     LONGS_EQUAL(2, table.all().size());
-    LONGS_EQUAL(3, table.others("e1").at("s1").running);
-    LONGS_EQUAL(50, table.others("e1").at("s1").waiting_tokens);
-    LONGS_EQUAL(1, table.others("e2").size());
+    LONGS_EQUAL(3, others("e1").at("s1").running);
+    LONGS_EQUAL(50, others("e1").at("s1").waiting_tokens);
+    LONGS_EQUAL(1, others("e2").size());
     table.on_report(now, "e2", {});
-    LONGS_EQUAL(0, table.others("e1").size());
+    LONGS_EQUAL(0, others("e1").size());
     LONGS_EQUAL(1, table.all().size());
     now += 2s;
     table.on_report(now, "e2", {});
