Requests of the first moments wait for the first document

Ruled out: elections. Change: while an entry has never had valid keys and is younger than 1.5 s, a request waits up to a third of its caller's time, then is refused as before.

--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -112,6 +112,16 @@
     ///     not valid.
     [[nodiscard]] std::chrono::milliseconds expected_wait() const;
 
+    /// Calls back once keys are valid for the first time. Answers the load
+    /// after a start of all processes: callers come at once, and what they need
+    /// is a few hundred ms away.
+    ///
+    /// @param most Longest wait; the call comes then at the latest.
+    /// @return False, without a call ever: nothing is to be waited for, as keys
+    ///     are valid, were valid before, or should have been long ago.
+    bool await_start(std::chrono::milliseconds most,
+                     std::function<void()> on_end);
+
     /// @param wants_document Whether the answer is to hold a newer document.
     /// @return What to tell the replicas now.
     [[nodiscard]] protocol::entry_report report(bool wants_document = false);
@@ -174,11 +184,20 @@
     void take_listing(protocol::entry_orders& orders);
     void take_leaders_word(transport::monotonic_time asked,
                            const protocol::entry_orders& orders);
+    void end_waits();
 
     read_document reads_;
     fetch_tokens fetch_;
     std::shared_ptr<const route_table> table_;
     std::function<void()> document_handler_;
+    /// A request that came before the first document.
+    struct start_wait
+    {
+        std::function<void()> on_end;
+        transport::timer_handle timer;
+    };
+    std::map<std::uint64_t, start_wait> start_waits_; ///< In order of arrival.
+    std::uint64_t last_wait_ = 0;
     std::uint64_t incarnation_;
     transport::monotonic_time started_;
     transport::monotonic_time valid_until_{};
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -53,6 +53,8 @@
     using headers = std::vector<transport::http_header>;
 
     // [admission]
+    [[nodiscard]] bool await_start();
+    void begin();
     bool admit();
     bool find_organisation();
     void take_quota();
@@ -151,16 +153,44 @@
 void request_flow<Dialect>::start()
 {
     core_.counters.received.add();
-    if (!admit())
-    {
-        return;
-    }
+    terms_ = Dialect::read_caller(exchange_.request());
     exchange_.on_left([weak = this->weak_from_this()] {
         if (const auto self = weak.lock())
         {
             self->on_left();
         }
     });
+    if (!await_start())
+    {
+        begin();
+    }
+}
+
+/// A process that has just started has its document within moments; a caller
+/// who is sent away meanwhile comes back only once.
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::await_start()
+{
+    // What is left is enough for a request that comes back after a refusal.
+    constexpr int part_of_time = 3;
+    constexpr milliseconds usual_time_limit{3'000}; ///< Of who names none.
+    return core_.await_start(
+        terms_.time_limit.value_or(usual_time_limit) / part_of_time,
+        [self = this->shared_from_this()] {
+            if (!self->over_)
+            {
+                self->begin();
+            }
+        });
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::begin()
+{
+    if (!admit())
+    {
+        return;
+    }
     // Beyond the servers' own time limit, so that their answer comes first.
     constexpr milliseconds patience{100};
     deadline_timer_ = core_.loop.after(time_left() + patience,
@@ -176,7 +206,6 @@
 template <caller_dialect Dialect>
 bool request_flow<Dialect>::admit()
 {
-    terms_ = Dialect::read_caller(exchange_.request());
     table_ = core_.table();
     if (!table_)
     {
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -65,6 +65,36 @@
     return up < start_time ? std::max(least, start_time - up) : election_time;
 }
 
+bool gateway_core::await_start(milliseconds most, std::function<void()> on_end)
+{
+    // An election after the leader's loss, and two reports.
+    constexpr milliseconds start_ends{1'500};
+    const auto up =
+        duration_cast<milliseconds>(clock.monotonic_now() - started_);
+    const bool starts = valid_until_ == monotonic_time{} && up < start_ends;
+    if (!starts || keys_valid() || most.count() <= 0)
+    {
+        return false;
+    }
+    const auto number = ++last_wait_;
+    auto& wait = start_waits_[number];
+    wait.on_end = std::move(on_end);
+    wait.timer = loop.after(std::min(most, start_ends - up), [this, number] {
+        const auto ended = start_waits_.extract(number);
+        ended.mapped().on_end();
+    });
+    return true;
+}
+
+void gateway_core::end_waits()
+{
+    for (auto& [number, wait] : std::exchange(start_waits_, {}))
+    {
+        wait.timer.cancel();
+        wait.on_end();
+    }
+}
+
 void gateway_core::on_document(std::function<void()> handler)
 {
     document_handler_ = std::move(handler);
@@ -225,6 +255,10 @@
     true_offset_ = milliseconds{orders.true_time_ms} -
                    duration_cast<milliseconds>(middle.time_since_epoch());
     time_known_ = true;
+    if (keys_valid())
+    {
+        end_waits();
+    }
 }
 
 // [metrics] ------------------------------------------------------------------
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -362,6 +362,36 @@
     LONGS_EQUAL(0, arrivals.size());
 }
 
+// All processes start at once and their callers are there at once: each was
+// refused, came back once, and was refused again.
+TEST(request_flow_tests, requests_of_the_start_wait_for_the_first_document)
+{
+    add_server(whole("done"));
+    const auto caller = send("/safe/");
+    loop.run_for(200ms);
+    CHECK_TRUE(caller->received.empty());
+    put_in_force();
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return caller->received.find("done") != std::string::npos; },
+        500ms));
+}
+
+TEST(request_flow_tests, wait_for_the_first_document_is_bounded)
+{
+    const auto began = std::chrono::steady_clock::now();
+    const auto caller = tests::raw_call(loop, port);
+    caller->send("GET /safe/ HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key"
+                 "\r\nX-Request-Deadline-Ms: 600\r\n"
+                 "Hyssopdeal-Attempt: a\r\n\r\n");
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return !caller->received.empty(); }, 1s));
+    const auto took = std::chrono::steady_clock::now() - began;
+    CHECK(took >= 200ms);
+    CHECK(took < 300ms);
+    STRCMP_CONTAINS("HTTP/1.1 503", caller->received.c_str());
+    STRCMP_CONTAINS("Retry-After", caller->received.c_str());
+}
+
 // Streams were taken until they would begin at three times their target: in
 // overload most were late, and many ran into their time limit.
 TEST(request_flow_tests, stream_that_would_begin_too_late_is_told_to_return)
