hyssopctl analyze: where requests were lost or late, from the logs

By second, route, organisation and failure domain, with predicted against actual first events, largest gaps, broken tries by what was believed of their server, servers by kind and dependencies lost; text, JSON or a picture.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -84,7 +84,7 @@
     [[nodiscard]] bool repeatable() const;
     [[nodiscard]] milliseconds time_left() const;
     [[nodiscard]] milliseconds since_arrival() const;
-    [[nodiscard]] bool in_time() const;
+    [[nodiscard]] std::string_view timing() const;
 
     /// @return What is believed of a server, for the log.
     [[nodiscard]] static constexpr std::string_view
@@ -343,15 +343,21 @@
         core_.clock.monotonic_now() - exchange_.received_at());
 }
 
-/// @return Whether the caller's answer began by the route's target and had no
-///     longer gap than the route allows.
+/// @return For the log: how the answer kept the route's targets.
 template <caller_dialect Dialect>
-bool request_flow<Dialect>::in_time() const
+std::string_view request_flow<Dialect>::timing() const
 {
-    return answered_after_.count() >= 0 &&
-           answered_after_ <= route_->target_latency &&
-           (route_->target_gap.count() == 0 ||
-            largest_gap_ <= route_->target_gap);
+    if (answered_after_.count() < 0)
+    {
+        return "no_answer";
+    }
+    if (answered_after_ > route_->target_latency)
+    {
+        return "late_first_event";
+    }
+    const bool late_gap =
+        route_->target_gap.count() > 0 && largest_gap_ > route_->target_gap;
+    return late_gap ? "late_gap" : "in_time";
 }
 
 template <caller_dialect Dialect>
@@ -1046,7 +1052,7 @@
          {"first_event_ms", first_event_took_},
          {"sent_after_ms", sent_after_},
          {"largest_gap_ms", largest_gap_},
-         {"in_time", route_ != nullptr && in_time()},
+         {"timing", timing()},
          {"orders_age_ms", core_.orders_age()},
          {"arrivals", arrivals_},
          {"took_ms", since_arrival()}});
--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -4,9 +4,11 @@
 #include <array>
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <hyssopdeal/protocol/settings_reader.hpp>
 
+#include "ctl/analyze.hpp"
 #include "ctl/declaration_commands.hpp"
 #include "ctl/explain.hpp"
 #include "ctl/move_commands.hpp"
@@ -86,6 +88,27 @@
     return exit_code::done;
 }
 
+/// Reads the log files that the words name, from a place on.
+///
+/// @return Nothing when one cannot be read; the errors say why.
+std::optional<std::vector<std::string>>
+read_logs(const std::vector<std::string>& words, std::size_t first,
+          command_output& output)
+{
+    std::vector<std::string> logs;
+    for (auto at = first; at < words.size(); ++at)
+    {
+        auto text = protocol::read_text_file(words[at]);
+        if (!text)
+        {
+            output.errors += text.error().text + '\n';
+            return std::nullopt;
+        }
+        logs.push_back(std::move(*text));
+    }
+    return logs;
+}
+
 exit_code explain(const ctl_options& options, command_output& output)
 {
     constexpr std::size_t request_word = 1;
@@ -96,18 +119,12 @@
         output.errors += "explain: allowed REQUEST_ID FILE...\n";
         return exit_code::bad_usage;
     }
-    std::vector<std::string> logs;
-    for (auto at = first_file; at < words.size(); ++at)
+    const auto logs = read_logs(words, first_file, output);
+    if (!logs)
     {
-        auto text = protocol::read_text_file(words[at]);
-        if (!text)
-        {
-            output.errors += text.error().text + '\n';
-            return exit_code::bad_usage;
-        }
-        logs.push_back(std::move(*text));
+        return exit_code::bad_usage;
     }
-    const auto told = explain_request(words[request_word], logs);
+    const auto told = explain_request(words[request_word], *logs);
     if (!told)
     {
         output.errors += told.error().text + '\n';
@@ -117,6 +134,40 @@
     return exit_code::done;
 }
 
+exit_code analyze(const ctl_options& options, command_output& output)
+{
+    constexpr std::size_t first_file = 1;
+    if (options.words.size() <= first_file)
+    {
+        output.errors += "analyze: allowed FILE...\n";
+        return exit_code::bad_usage;
+    }
+    const auto logs = read_logs(options.words, first_file, output);
+    if (!logs)
+    {
+        return exit_code::bad_usage;
+    }
+    const auto sums = analyze_logs(*logs);
+    if (!sums)
+    {
+        output.errors += sums.error().text + '\n';
+        return exit_code::failed;
+    }
+    switch (options.format)
+    {
+    case output_format::text:
+        output.text += text_of(*sums);
+        break;
+    case output_format::json:
+        output.text += json_of(*sums).dump(2) + '\n';
+        break;
+    case output_format::svg:
+        output.text += svg_of(*sums);
+        break;
+    }
+    return exit_code::done;
+}
+
 } // namespace
 
 exit_code run_command(const ctl_options& options, const transport::clock& clock,
@@ -131,6 +182,10 @@
     {
         return explain(options, output);
     }
+    if (command == "analyze")
+    {
+        return analyze(options, output);
+    }
     session run(options, clock, output);
     if (command == "contract")
     {
@@ -153,7 +208,8 @@
         return inspect(run);
     }
     return run.refuse(fmt::format("found \"{}\", allowed contract, service, "
-                                  "move, instance, inspect, trace, explain",
+                                  "move, instance, inspect, trace, explain, "
+                                  "analyze",
                                   command));
 }
 
--- a/programs/ctl/options.cpp
+++ b/programs/ctl/options.cpp
@@ -2,6 +2,7 @@
 
 #include <getopt.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -39,6 +40,9 @@
   trace FILE [TRACE_ID]      draw a request's spans (OTLP JSON lines)
   explain ID FILE...         what was decided on a request, from the logs of
                              instances (JSON lines), in order of time
+  analyze FILE...            where requests were lost or late, by second, route,
+                             organisation and failure domain, from the same
+                             logs
 
 options
   --settings FILE       control addresses and token file, JSON with comments
@@ -50,6 +54,7 @@
   --revision N          write only when the record still has this revision
   --time-limit SECONDS  of one order, with its retries (default 10)
   --json                print JSON
+  --svg                 print a picture (analyze)
   --check               read the settings and files named, send nothing
   --help, --version
 
@@ -70,6 +75,7 @@
     revision_option,
     limit_option,
     json_option,
+    svg_option,
     check_option,
     by_option,
     canary_option,
@@ -78,7 +84,7 @@
     version_option
 };
 
-const std::array<option, 15> known_options = {{
+const std::array<option, 16> known_options = {{
     {"settings", required_argument, nullptr, settings_option},
     {"control", required_argument, nullptr, control_option},
     {"token-file", required_argument, nullptr, token_option},
@@ -87,6 +93,7 @@
     {"revision", required_argument, nullptr, revision_option},
     {"time-limit", required_argument, nullptr, limit_option},
     {"json", no_argument, nullptr, json_option},
+    {"svg", no_argument, nullptr, svg_option},
     {"check", no_argument, nullptr, check_option},
     {"by", required_argument, nullptr, by_option},
     {"canary", required_argument, nullptr, canary_option},
@@ -184,6 +191,9 @@
     case json_option:
         raw.options.format = output_format::json;
         break;
+    case svg_option:
+        raw.options.format = output_format::svg;
+        break;
     case check_option:
         raw.check = true;
         break;
@@ -202,8 +212,11 @@
 // Commands that talk to no control replica need no settings.
 bool is_local(const ctl_options& options)
 {
-    return !options.words.empty() && (options.words.front() == "trace" ||
-                                      options.words.front() == "explain");
+    constexpr std::array<std::string_view, 3> local = {"trace", "explain",
+                                                       "analyze"};
+    return !options.words.empty() &&
+           std::find(local.begin(), local.end(), options.words.front()) !=
+               local.end();
 }
 
 std::optional<exit_code> read_files(raw_options& raw)
--- a/programs/ctl/options.hpp
+++ b/programs/ctl/options.hpp
@@ -37,7 +37,8 @@
 enum class output_format : std::uint8_t
 {
     text,
-    json
+    json,
+    svg ///< Of `analyze`.
 };
 
 /// What the command line says.
--- a/programs/load/svg_plot.hpp
+++ b/programs/load/svg_plot.hpp
@@ -4,7 +4,7 @@
 /// @file
 /// Draws results as SVG pictures.
 ///
-/// Index: [plot_line] [drawing] [plots]
+/// Index: [plots]
 
 #include <string>
 #include <string_view>
@@ -15,30 +15,6 @@
 namespace hyssopdeal::load
 {
 
-// [plot_line] ----------------------------------------------------------------
-
-/// One point.
-struct plot_point
-{
-    double x = 0;
-    double y = 0;
-};
-
-/// One line of a picture.
-struct plot_line
-{
-    std::string name;
-    std::vector<plot_point> points; ///< By x.
-};
-
-// [drawing] ------------------------------------------------------------------
-
-/// @return A picture with axes, scales, a legend and the lines.
-[[nodiscard]] std::string svg_plot(std::string_view title,
-                                   std::string_view x_name,
-                                   std::string_view y_name,
-                                   const std::vector<plot_line>& lines);
-
 // [plots] --------------------------------------------------------------------
 
 /// @return First-token latency at p95 by time, a line for each class.
--- a/scripts/hyssopctl-completion.bash
+++ b/scripts/hyssopctl-completion.bash
@@ -3,11 +3,11 @@
 {
     local word=${COMP_WORDS[COMP_CWORD]} before=${COMP_WORDS[COMP_CWORD - 1]}
     local options="--settings --control --token-file --wait --order-id
-        --revision --time-limit --json --check --by --canary --watch --help
+        --revision --time-limit --json --svg --check --by --canary --watch --help
         --version"
     local words=""
     case "$before" in
-    --settings | --token-file | apply | diff | trace | explain)
+    --settings | --token-file | apply | diff | trace | explain | analyze)
         mapfile -t COMPREPLY < <(compgen -f -- "$word")
         return
         ;;
@@ -15,7 +15,7 @@
     move) words="start status cancel" ;;
     instance) words="drain" ;;
     inspect) words="members grants streams moves log routes" ;;
-    *) words="contract service move instance inspect trace explain
+    *) words="contract service move instance inspect trace explain analyze
         $options" ;;
     esac
     mapfile -t COMPREPLY < <(compgen -W "$words" -- "$word")
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -4,6 +4,8 @@
 
 #include "coordination/cluster/cluster_process_impl.hpp"
 
+#include <algorithm>
+
 #include <hyssopdeal/transport/event_log.hpp>
 
 namespace hyssopdeal::coordination
@@ -111,7 +113,16 @@
     const auto digest = protocol::digest_of(servers);
     if (digest != listing.digest)
     {
-        log_event("list.changed", {{"servers", servers.size()}});
+        const auto reclaimable =
+            std::count_if(servers.begin(), servers.end(),
+                          [](const auto& item) { return item.reclaimable; });
+        const auto going =
+            std::count_if(servers.begin(), servers.end(), [](const auto& item) {
+                return item.state != protocol::server_state::ready;
+            });
+        log_event("list.changed", {{"servers", servers.size()},
+                                   {"reclaimable", reclaimable},
+                                   {"leaving", going}});
         // Servers that leave are gone before others can have started.
         next_capacity = {};
         listing_changed = clock.monotonic_now();
--- a/tests/hyssopctl_test.cpp
+++ b/tests/hyssopctl_test.cpp
@@ -8,9 +8,12 @@
 
 #include <unistd.h>
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
 
+#include "ctl/analyze.hpp"
 #include "ctl/commands.hpp"
 #include "ctl/explain.hpp"
 #include "ctl/json_table.hpp"
@@ -276,3 +279,41 @@
     CHECK_TRUE(run({"explain", "r1"}) == exit_code::bad_usage);
     CHECK_TRUE(run({"explain", "r1", "/no/such/file"}) == exit_code::bad_usage);
 }
+
+TEST(hyssopctl, analyzes_where_requests_were_lost)
+{
+    const std::string replica =
+        R"({"at_ms":1000,"instance":"c0","event":"leadership.changed","term":1})"
+        "\n"
+        R"({"at_ms":1500,"instance":"c0","event":"list.changed","servers":5,"reclaimable":3,"leaving":1})";
+    const std::string entry =
+        R"({"at_ms":1100,"instance":"e0","event":"process.started","failure_domain":"a"})"
+        "\n"
+        R"({"at_ms":3000,"instance":"e0","event":"request.ended","outcome":"served","status":200,"route":"long","organisation":"o","timing":"in_time","predicted_ms":150,"first_event_ms":120,"largest_gap_ms":30})"
+        "\nno json\n"
+        R"({"at_ms":3001,"instance":"e0","event":"request.ended","outcome":"served","status":200,"route":"long","organisation":"o","timing":"late_gap","predicted_ms":110,"first_event_ms":300,"largest_gap_ms":900})"
+        "\n"
+        R"({"at_ms":5000,"instance":"e0","event":"request.ended","outcome":"quota","status":429,"route":"short","organisation":"o"})"
+        "\n"
+        R"({"at_ms":5100,"instance":"e0","event":"attempt.broken","server_state":"gone","error":"reset","next":"end"})"
+        "\n"
+        R"({"at_ms":5101,"instance":"e0","event":"request.ended","outcome":"attempt_broken","status":0,"route":"short","organisation":"o"})";
+    const auto sums = ctl::analyze_logs({entry, replica});
+    CHECK_TRUE(sums.has_value());
+    LONGS_EQUAL(4, sums->all.asked);
+    LONGS_EQUAL(1, sums->routes.at("long").in_time);
+    LONGS_EQUAL(1, sums->routes.at("long").late);
+    LONGS_EQUAL(1, sums->routes.at("long").reasons.at("late_gap"));
+    LONGS_EQUAL(1, sums->seconds.at(4).refused);
+    LONGS_EQUAL(1, sums->seconds.at(4).failed);
+    LONGS_EQUAL(4, sums->domains.at("a").asked);
+    LONGS_EQUAL(2, sums->predictions.at(1).requests);
+    LONGS_EQUAL(2, sums->servers.at(0).usual);
+    LONGS_EQUAL(1, sums->broken.at("gone: reset, then end"));
+    STRCMP_CONTAINS("quota=1", ctl::text_of(*sums).c_str());
+    LONGS_EQUAL(4, ctl::json_of(*sums)["all"]["asked"].get<int>());
+    STRCMP_CONTAINS("refused", ctl::svg_of(*sums).c_str());
+    CHECK_FALSE(ctl::analyze_logs({replica}).has_value());
+    CHECK_TRUE(run({"analyze"}) == exit_code::bad_usage);
+    CHECK_TRUE(run({"analyze", "/no/such/file"}) == exit_code::bad_usage);
+}
--- a/tests/real_process_test.cpp
+++ b/tests/real_process_test.cpp
@@ -151,8 +151,8 @@
         if (code != 0)
         {
             group.keep_folder();
-            FAIL(fmt::format("exit {}: {}\nfiles: {}", code,
-                             group.output(name), group.path(""))
+            FAIL(fmt::format("exit {}: {}\nfiles: {}", code, group.output(name),
+                             group.path(""))
                      .c_str());
         }
     }
