Streams of servers that are about to end are moved with their memory

Change: the list tells when a server ends; in its last second each stream that has begun is stopped there with the engine's own operation, copied to the server that would begin a stream of one token first, and goes on after its last event as the same run. Refused there, it goes back; without its state it never goes out again. Moves count as repeats and keep their budget.

--- a/include/hyssopdeal/coordination/gateway/dialect.hpp
+++ b/include/hyssopdeal/coordination/gateway/dialect.hpp
@@ -45,6 +45,15 @@
     std::chrono::milliseconds time_limit{0};
     std::uint32_t rank = 0;   ///< 0 is the most urgent.
     std::string resume_after; ///< Goes on after this event; empty: no.
+    std::string moved_run;    ///< Goes on with this run's state; empty: no.
+};
+
+/// What a server answers when it is to hand a running stream over.
+struct move_answer
+{
+    /// The stream has stopped there and can go on with this.
+    std::string moved_run;
+    bool copied = false; ///< The other server has all of it.
 };
 
 /// What an answer's head says.
@@ -80,6 +89,13 @@
     {
         Dialect::caller_headers(headers)
         } -> std::same_as<std::vector<transport::http_header>>;
+    // Asks the server at `from` to stop a stream and to copy it to another.
+    {
+        Dialect::make_move(std::string_view{}, std::string_view{})
+        } -> std::same_as<transport::http_request>;
+    {
+        Dialect::read_move(std::string_view{}, status, std::string_view{})
+        } -> std::same_as<move_answer>;
 };
 
 } // namespace hyssopdeal::coordination
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -79,6 +79,7 @@
     transport::counter left;            ///< Callers who left before the end.
     transport::counter repeats;         ///< Attempts beyond a request's first.
     transport::counter resumed;         ///< Streams that went on elsewhere.
+    transport::counter moved;           ///< Of servers that were to end.
     transport::duration_histogram first_event;
     transport::duration_histogram whole_answer;
     /// Between the predicted and the actual time to the first event.
--- a/include/hyssopdeal/coordination/gateway/own_dialect.hpp
+++ b/include/hyssopdeal/coordination/gateway/own_dialect.hpp
@@ -31,6 +31,12 @@
 
     [[nodiscard]] static std::vector<transport::http_header>
     caller_headers(const std::vector<transport::http_header>& headers);
+
+    [[nodiscard]] static transport::http_request
+    make_move(std::string_view attempt_id, std::string_view target);
+
+    [[nodiscard]] static move_answer
+    read_move(std::string_view source, int status, std::string_view body);
 };
 
 static_assert(caller_dialect<own_dialect>);
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -95,6 +95,8 @@
     /// The server asked for a pause, or had no room; unlike one that is avoided
     /// it gets nothing even when there is no other.
     transport::monotonic_time paused_until{};
+    /// When it ends with whatever it still does, as far as it was told.
+    std::optional<transport::monotonic_time> ends_at;
 };
 
 // [choice] -------------------------------------------------------------------
@@ -122,9 +124,11 @@
     /// Takes over the instance list. A server that is gone, draining, or has
     /// started again gets no new work as what it was.
     ///
+    /// @param read When the list was read: times in it count from there.
     /// @return Servers that are no longer usable.
     std::vector<std::shared_ptr<known_server>>
-    set_servers(const std::vector<protocol::listed_server>& servers);
+    set_servers(const std::vector<protocol::listed_server>& servers,
+                transport::monotonic_time read = {});
 
     /// Takes over how many entries are told the same loads.
     void set_entries(std::size_t entries)
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -6,7 +6,7 @@
 /// attempts at servers, repeats where they are allowed, and the relay of the
 /// answer.
 ///
-/// Index: [request_flow] [admission] [attempts] [answers] [ends]
+/// Index: [request_flow] [admission] [attempts] [moving] [answers] [ends]
 ///
 /// A request that is refused as not run has never been handed to a connection,
 /// or every server that got it has said that it did not run it.
@@ -86,6 +86,15 @@
     [[nodiscard]] milliseconds since_arrival() const;
     [[nodiscard]] std::string_view timing() const;
 
+    // [moving]
+    [[nodiscard]] bool wants_move() const;
+    void begin_move();
+    void
+    on_move_answer(const transport::result<transport::http_response>& answer);
+    void on_moved_stream_end(const transport::http1_call_end& how);
+    void go_on_at(const std::shared_ptr<known_server>& server);
+    void on_move_refused();
+
     /// @return What is believed of a server, for the log.
     [[nodiscard]] static constexpr std::string_view
     state_of(const known_server& server)
@@ -155,6 +164,22 @@
     bool event_seen_ = false; ///< Of this attempt.
     monotonic_time last_sign_{};
 
+    // Of a move to another server. The run stays the same one.
+    enum class move_state : std::uint8_t
+    {
+        none,
+        asked,  ///< Its server is to stop it and to hand it over.
+        stopped ///< It was handed over; the last events are on their way.
+    };
+    move_state move_ = move_state::none;
+    std::uint32_t moves_ = 0;
+    transport::http1_call move_call_;
+    std::shared_ptr<known_server> move_from_;
+    std::shared_ptr<known_server> move_to_;
+    bool copied_ = false;   ///< `move_to_` has all of it.
+    std::string moved_run_; ///< That the running attempt goes on with.
+    std::optional<transport::failure> cut_; ///< While the move was asked for.
+
     // Of the answer.
     bool begun_ = false; ///< The caller has the head.
     bool counted_ = false;
@@ -408,6 +433,7 @@
         const auto target = std::max(route_->target_latency, choice->alone);
         return refuse(503, "overloaded", choice->predicted - target);
     }
+    moved_run_.clear();
     send_to(*choice);
 }
 
@@ -483,6 +509,7 @@
     terms.time_limit = time_left();
     terms.rank = rank_;
     terms.resume_after = last_event_;
+    terms.moved_run = moved_run_;
     const auto limits = connection_limits();
     transport::http1_call_handlers handlers;
     const auto self = this->shared_from_this();
@@ -563,6 +590,10 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_silence()
 {
+    if (move_ != move_state::none)
+    {
+        return watch_silence();
+    }
     if (runs_ + 1 < route_->max_attempts &&
         core_.servers.usable(service_) > tried_.size() && better_elsewhere())
     {
@@ -671,6 +702,10 @@
     constexpr int first_error = 300;
     constexpr int first_server_error = 500;
     silence_timer_.cancel();
+    if (move_ != move_state::none && !how.complete)
+    {
+        return on_moved_stream_end(how);
+    }
     if (!how.complete)
     {
         return on_broken(how.error);
@@ -726,6 +761,10 @@
         core_.servers.on_full(now, server);
     }
     leave_server();
+    if (!moved_run_.empty())
+    {
+        return on_move_refused();
+    }
     const bool again = core_.repeats.take(now, service_);
     transport::log_event("attempt.refused",
                          {{"request", terms_.attempt_id},
@@ -764,6 +803,10 @@
         observe_end(answer_kind::broken);
     }
     leave_server();
+    if (not_run && !moved_run_.empty())
+    {
+        return on_move_refused();
+    }
     const bool again = not_run ? no_connection_ < most_connection_tries
                                : repeatable() && may_repeat_after_run();
     transport::log_event("attempt.broken",
@@ -833,6 +876,147 @@
     }
 }
 
+// [moving] -------------------------------------------------------------------
+
+/// A server that is reclaimed ends its streams, and most of them cannot begin
+/// anew. Those that end before it does need no move.
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::wants_move() const
+{
+    // Several of the longest gaps that routes allow, and a copy of the largest
+    // prompt behind those of all other streams of its server.
+    constexpr milliseconds ahead{1'000};
+    constexpr std::uint32_t most_moves = 3; ///< Also of those that failed.
+    const auto& ends = choice_.server->ends_at;
+    if (!ends || move_ != move_state::none || moves_ >= most_moves ||
+        last_event_.empty())
+    {
+        return false;
+    }
+    const auto now = core_.clock.monotonic_now();
+    const auto* service = table_->find_service(service_);
+    return now < *ends && *ends - now <= ahead && service != nullptr &&
+           service->engine && service->engine->moves_streams;
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::begin_move()
+{
+    const auto now = core_.clock.monotonic_now();
+    // It brings its memory along, so that only what runs there matters.
+    const auto choice = core_.servers.choose(
+        now, service_, {1, terms_.size.most_output_tokens, {}},
+        {choice_.server->listed.id});
+    // Another version would go on with other weights.
+    if (!choice ||
+        choice->server->listed.version != choice_.server->listed.version ||
+        !core_.repeats.take(now, service_))
+    {
+        return;
+    }
+    ++moves_;
+    move_ = move_state::asked;
+    move_from_ = choice_.server;
+    move_to_ = choice->server;
+    cut_.reset();
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(*move_from_->ends_at - now);
+    move_call_ = core_.client.fetch(
+        move_from_->listed.address,
+        Dialect::make_move(terms_.attempt_id, move_to_->listed.address), left,
+        // The stream's own call ends meanwhile and holds this no longer.
+        [self = this->shared_from_this()](const auto& answer) {
+            if (!self->over_)
+            {
+                self->on_move_answer(answer);
+            }
+        });
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_move_answer(
+    const transport::result<transport::http_response>& answer)
+{
+    const auto& from = move_from_->listed;
+    const auto read =
+        answer ? Dialect::read_move(from.address, answer->status, answer->body)
+               : move_answer{};
+    transport::log_event("stream.move",
+                         {{"request", terms_.attempt_id},
+                          {"from", from.id},
+                          {"to", move_to_->listed.id},
+                          {"status", answer ? answer->status : 0},
+                          {"error", answer ? "" : answer.error().text},
+                          {"stopped", !read.moved_run.empty()},
+                          {"copied", read.copied},
+                          {"after_event", last_event_}});
+    if (read.moved_run.empty())
+    {
+        // It goes on where it was, unless it was cut meanwhile.
+        move_ = move_state::none;
+        return cut_ ? on_broken(*std::exchange(cut_, std::nullopt)) : void();
+    }
+    // The last events may still be on their way; they take a round trip.
+    constexpr milliseconds last_events{50};
+    move_ = move_state::stopped;
+    moved_run_ = read.moved_run;
+    copied_ = read.copied;
+    core_.counters.moved.add();
+    if (cut_)
+    {
+        return go_on_at(copied_ ? move_to_ : move_from_);
+    }
+    silence_timer_ =
+        core_.loop.after(last_events, [self = this->shared_from_this()] {
+            if (!self->over_)
+            {
+                self->call_.cancel();
+                self->go_on_at(self->copied_ ? self->move_to_
+                                             : self->move_from_);
+            }
+        });
+}
+
+/// The server has closed the stream that it hands over.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_moved_stream_end(
+    const transport::http1_call_end& how)
+{
+    cut_ = how.error;
+    if (move_ == move_state::stopped)
+    {
+        go_on_at(copied_ ? move_to_ : move_from_);
+    }
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::go_on_at(
+    const std::shared_ptr<known_server>& server)
+{
+    leave_server();
+    move_ = move_state::none;
+    placement_choice choice;
+    choice.server = server;
+    choice.prompt_tokens = terms_.size.prompt_tokens;
+    send_to(choice);
+}
+
+/// The server that was to go on did not. The one before still has the run, and
+/// some time.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_move_refused()
+{
+    if (std::exchange(copied_, false) && choice_.server != move_from_)
+    {
+        return go_on_at(move_from_);
+    }
+    if (repeatable() && may_repeat_after_run())
+    {
+        return try_next();
+    }
+    fail(502, "move_refused");
+}
+
 // [answers] ------------------------------------------------------------------
 
 template <caller_dialect Dialect>
@@ -867,6 +1051,10 @@
         {
             return;
         }
+        if (wants_move())
+        {
+            begin_move();
+        }
     }
 }
 
@@ -903,9 +1091,12 @@
     first_event_at_ = now;
     first_event_took_ =
         std::chrono::duration_cast<milliseconds>(now - sent_at_);
-    core_.servers.on_first_event(choice_, first_event_took_);
-    core_.counters.prediction_error.add(
-        std::chrono::abs(first_event_took_ - choice_.predicted));
+    if (moved_run_.empty())
+    {
+        core_.servers.on_first_event(choice_, first_event_took_);
+        core_.counters.prediction_error.add(
+            std::chrono::abs(first_event_took_ - choice_.predicted));
+    }
     if (!std::exchange(counted_, true))
     {
         const bool streams = route_->rule == protocol::repeat_rule::stream;
@@ -1039,6 +1230,7 @@
     hold(0);
     deadline_timer_.cancel();
     silence_timer_.cancel();
+    move_call_.cancel();
     transport::log_event(
         "request.ended",
         {{"request", terms_.attempt_id},
@@ -1055,6 +1247,7 @@
          {"timing", timing()},
          {"orders_age_ms", core_.orders_age()},
          {"arrivals", arrivals_},
+         {"moves", moves_},
          {"took_ms", since_arrival()}});
 }
 
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -101,6 +101,8 @@
 {
     std::uint64_t digest = 0; ///< Of the servers.
     std::vector<listed_server> servers;
+    /// True time, Unix ms, of the first reading that showed these servers.
+    std::int64_t read_ms = 0;
 };
 
 /// The leader's list, for a replica that asks with the digest of its own.
--- a/include/hyssopdeal/protocol/service_document.hpp
+++ b/include/hyssopdeal/protocol/service_document.hpp
@@ -62,6 +62,7 @@
 {
     std::uint32_t slots = 0;         ///< Requests of one batch.
     std::uint64_t memory_tokens = 0; ///< Running and cached together.
+    bool moves_streams = false; ///< A running stream can go on at another one.
 };
 
 /// How many servers may be ordered, in each failure domain.
@@ -151,6 +152,9 @@
     server_state state = server_state::ready;
     bool reclaimable = false;
     std::int64_t cold_remaining_ms = 0; ///< Slow for so much longer.
+    /// From the reading of the list until it ends; -1: not told. Servers that
+    /// are reclaimed end whatever they still do.
+    std::int64_t leaves_ms = -1;
 
     bool operator==(const listed_server&) const = default;
 };
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -71,7 +71,12 @@
             log_event("list.regained", {});
             list_error.clear();
         }
-        take_list(asked, std::move(*servers));
+        const auto passed =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                clock.monotonic_now() - asked);
+        const auto read =
+            true_time().time_since_epoch().count() - passed.count();
+        take_list(asked, {0, std::move(*servers), read});
     });
 }
 
@@ -93,7 +98,7 @@
     const auto at = asked - std::chrono::milliseconds{read->age_ms};
     if (read->listing)
     {
-        take_list(at, read->listing->servers);
+        take_list(at, *read->listing);
     }
     else
     {
@@ -102,17 +107,17 @@
     return true;
 }
 
-void cluster_process::impl::take_list(
-    transport::monotonic_time read,
-    std::vector<protocol::listed_server> servers)
+void cluster_process::impl::take_list(transport::monotonic_time read,
+                                      protocol::server_listing latest)
 {
     if (listing_read && read < *listing_read)
     {
         return;
     }
-    const auto digest = protocol::digest_of(servers);
-    if (digest != listing.digest)
+    latest.digest = protocol::digest_of(latest.servers);
+    if (latest.digest != listing.digest)
     {
+        const auto& servers = latest.servers;
         const auto reclaimable =
             std::count_if(servers.begin(), servers.end(),
                           [](const auto& item) { return item.reclaimable; });
@@ -126,8 +131,8 @@
         // Servers that leave are gone before others can have started.
         next_capacity = {};
         listing_changed = clock.monotonic_now();
+        listing = std::move(latest);
     }
-    listing = {digest, std::move(servers)};
     // What the list shows itself needs no word of entries.
     std::erase_if(leaving, [&](const auto& item) {
         return std::none_of(listing.servers.begin(), listing.servers.end(),
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -115,7 +115,7 @@
     bool take_leaders_list(transport::monotonic_time asked,
                            const transport::result<std::string>& answer);
     void take_list(transport::monotonic_time read,
-                   std::vector<protocol::listed_server> servers);
+                   protocol::server_listing latest);
     void run_duties();
     void send_usage(const decide_usage_command& decision);
     void plan_servers();
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -243,7 +243,13 @@
     }
     listing_read_ = read;
     listing_digest_ = orders.listing->digest;
-    for (const auto& lost : servers.set_servers(orders.listing->servers))
+    // Entries that do not know the true time yet take the list for fresh.
+    const auto shown =
+        time_known_ && orders.listing->read_ms > 0
+            ? monotonic_time{milliseconds{orders.listing->read_ms} -
+                             true_offset_}
+            : read;
+    for (const auto& lost : servers.set_servers(orders.listing->servers, shown))
     {
         client.forget(lost->listed.address);
     }
@@ -291,6 +297,8 @@
     total("hyssopdeal_left_total", counters.left, "Callers who left");
     total("hyssopdeal_repeats_total", counters.repeats, "Repeated attempts");
     total("hyssopdeal_resumed_total", counters.resumed, "Resumed streams");
+    total("hyssopdeal_moved_total", counters.moved,
+          "Streams moved from servers that were to end");
     out.family("hyssopdeal_connections_total", "counter",
                "Connections opened to servers");
     out.sample(static_cast<double>(client.connections_opened()));
--- a/src/coordination/gateway/own_dialect.cpp
+++ b/src/coordination/gateway/own_dialect.cpp
@@ -36,6 +36,7 @@
            transport::same_header_name(name, "Hyssopdeal-Organisation") ||
            transport::same_header_name(name, "Hyssopdeal-Server") ||
            transport::same_header_name(name, "Hyssopdeal-Priority") ||
+           transport::same_header_name(name, "Hyssopdeal-Moved-Run") ||
            transport::same_header_name(name, "X-Request-Deadline-Ms");
 }
 
@@ -104,9 +105,38 @@
     {
         request.headers.push_back({"Last-Event-ID", terms.resume_after});
     }
+    if (!terms.moved_run.empty())
+    {
+        request.headers.push_back({"Hyssopdeal-Moved-Run", terms.moved_run});
+    }
+    return request;
+}
+
+http_request own_dialect::make_move(std::string_view attempt_id,
+                                    std::string_view target)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/v1/streams/move";
+    request.headers = {{"Hyssopdeal-Attempt", std::string{attempt_id}},
+                       {"Hyssopdeal-Move-To", std::string{target}}};
     return request;
 }
 
+move_answer own_dialect::read_move(std::string_view source, int status,
+                                   std::string_view body)
+{
+    constexpr int copied = 200;
+    constexpr int not_copied = 503;
+    move_answer answer;
+    if (!body.empty() && (status == copied || status == not_copied))
+    {
+        answer.moved_run = std::string{source} + '/' + std::string{body};
+        answer.copied = status == copied;
+    }
+    return answer;
+}
+
 answer_terms own_dialect::read_answer(int status,
                                       const std::vector<http_header>& headers)
 {
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -51,7 +51,8 @@
 // [servers] ------------------------------------------------------------------
 
 std::vector<std::shared_ptr<known_server>>
-placement::set_servers(const std::vector<protocol::listed_server>& servers)
+placement::set_servers(const std::vector<protocol::listed_server>& servers,
+                       monotonic_time read)
 {
     std::map<std::string, std::shared_ptr<known_server>> next;
     for (const auto& listed : servers)
@@ -66,6 +67,10 @@
         const bool was_usable = !same || item->usable;
         item->usable =
             was_usable && listed.state == protocol::server_state::ready;
+        if (listed.leaves_ms >= 0)
+        {
+            item->ends_at = read + milliseconds{listed.leaves_ms};
+        }
         next[listed.id] = std::move(item);
     }
     std::vector<std::shared_ptr<known_server>> lost;
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -43,8 +43,8 @@
                                    moves, evidence, leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_server, id, born, service, address,
                                    failure_domain, version, slots, state,
-                                   reclaimable, cold_remaining_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(server_listing, digest, servers)
+                                   reclaimable, cold_remaining_ms, leaves_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(server_listing, digest, servers, read_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(token_request, organisation, tokens)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(token_answer, granted, wait_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_message, id, address, operators,
@@ -322,6 +322,7 @@
     for (auto& server : sorted)
     {
         server.cold_remaining_ms = server.cold_remaining_ms > 0 ? 1 : 0;
+        server.leaves_ms = server.leaves_ms < 0 ? -1 : 0;
     }
     const auto bytes = pack_message(sorted);
     return XXH3_64bits(bytes.data(), bytes.size());
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -3,6 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <hyssopdeal/protocol/follow_messages.hpp>
+
 #include "platform/documents.hpp"
 #include "platform/messages.hpp"
 #include "platform/settings.hpp"
@@ -23,7 +25,7 @@
  {"host":"h.example","path_prefix":"/b/","route_kind":"safe",
   "timeout_ms":500.0,"service":"t","auth_exempt":true}],
  "services":[{"name":"s","max_connections":370,
-  "engine":{"slots":64,"kv_capacity_tokens":598552},
+  "engine":{"slots":64,"kv_capacity_tokens":598552,"moves":true},
   "scaling":{"min":1,"max":6,"boot_time_s":4.0,"spot_price":0.18,
    "zone_prices":{"z1":1.0,"z2":0.8}}},{"name":"t"}],
  "limits":{"max_header_bytes":16384,"idle_timeout_ms":15000},
@@ -126,7 +128,7 @@
     LONGS_EQUAL(0x91bd3f06, terms.size.parts.at(1).id);
     CHECK_TRUE(*terms.time_limit == 9s);
     const auto sent =
-        platform_dialect::make_request(original, {"o", "i1", 800ms, 0, ""});
+        platform_dialect::make_request(original, {"o", "i1", 800ms, 0, "", ""});
     const auto header = [&](const char* name) {
         return std::string{transport::find_header(sent.headers, name)};
     };
@@ -182,3 +184,52 @@
     CHECK_FALSE(read_settings("{").has_value());
     CHECK_FALSE(read_settings("").has_value());
 }
+
+TEST(platform_codec_tests, moves_of_running_streams_are_spoken)
+{
+    const auto move = platform_dialect::make_move("a7", "10.0.0.2:80");
+    STRCMP_EQUAL("/api/kv-move", move.target.c_str());
+    STRCMP_EQUAL(R"({"id":"a7","last":true,"target":"10.0.0.2:80"})",
+                 move.body.c_str());
+    const auto copied = platform_dialect::read_move(
+        "10.0.0.1:80", 200, R"({"handle":"h3","made":5})");
+    STRCMP_EQUAL("10.0.0.1:80/h3", copied.moved_run.c_str());
+    CHECK_TRUE(copied.copied);
+    const auto stopped =
+        platform_dialect::read_move("10.0.0.1:80", 503, R"({"handle":"h3"})");
+    STRCMP_EQUAL("10.0.0.1:80/h3", stopped.moved_run.c_str());
+    CHECK_FALSE(stopped.copied);
+    // Nothing was stopped.
+    for (const auto& [status, body] :
+         std::vector<std::pair<int, std::string>>{{503, "{}"},
+                                                  {404, R"({"handle":"h"})"},
+                                                  {200, "no json"},
+                                                  {200, "[]"}})
+    {
+        const auto read =
+            platform_dialect::read_move("10.0.0.1:80", status, body);
+        STRCMP_EQUAL("", read.moved_run.c_str());
+    }
+    const auto request = platform_dialect::make_request(
+        {}, {"", "i2", 800ms, 0, "5", copied.moved_run});
+    STRCMP_EQUAL("10.0.0.1:80/h3",
+                 std::string{transport::find_header(request.headers, "Kv-From")}
+                     .c_str());
+}
+
+TEST(platform_codec_tests, list_tells_when_a_server_ends)
+{
+    const auto page = decode_list_page(
+        R"({"instances":[{"id":"a","service":"s","address":"10.0.0.1:80",
+        "zone":"z","state":"draining","spot":true,"leaves_ms":1800},
+        {"id":"b","service":"s","address":"10.0.0.2:80","zone":"z",
+        "state":"ready"}],"next_token":null})");
+    CHECK_TRUE(page.has_value());
+    LONGS_EQUAL(1'800, page->servers[0].leaves_ms);
+    LONGS_EQUAL(-1, page->servers[1].leaves_ms);
+    // The time runs down by itself: it makes no new list.
+    auto later = page->servers;
+    later[0].leaves_ms = 900;
+    CHECK_TRUE(protocol::digest_of(page->servers) ==
+               protocol::digest_of(later));
+}
--- a/tests/real_process_test.cpp
+++ b/tests/real_process_test.cpp
@@ -135,6 +135,20 @@
         apply_rate(400);
     }
 
+    // Waits for a process that was killed. One that had ended before has its
+    // reason in its log, so all logs are kept.
+    void expect_killed(const std::string& name)
+    {
+        const int code = group.wait(name, start_limit);
+        if (code != 128 + SIGKILL)
+        {
+            group.keep_folder();
+            FAIL(fmt::format("{} ended with {}\nfiles: {}", name, code,
+                             group.path(""))
+                     .c_str());
+        }
+    }
+
     // Writes a contract and waits until it is in force everywhere. If that
     // fails, all logs are kept.
     void apply_rate(int rate)
@@ -320,7 +334,7 @@
     group.signal(system.entry(1), SIGCONT);
     // A replica dies while a contract is written, and starts again.
     group.signal(system.replica(0), SIGKILL);
-    CHECK_EQUAL(128 + SIGKILL, group.wait(system.replica(0), start_limit));
+    system.expect_killed(system.replica(0));
     system.apply_rate(350);
     system.start_replica(0);
     pause();
@@ -334,8 +348,8 @@
     group.signal(system.replica(2), SIGKILL);
     group.signal("engine-3", SIGKILL);
     const int load = group.wait("load", load_limit);
-    CHECK_EQUAL(128 + SIGKILL, group.wait(system.entry(2), start_limit));
-    CHECK_EQUAL(128 + SIGKILL, group.wait(system.replica(2), start_limit));
+    system.expect_killed(system.entry(2));
+    system.expect_killed(system.replica(2));
     system.start_replica(2);
     system.start_entry(2);
     system.apply_rate(300);
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -23,7 +23,8 @@
 {
     protocol::service_document document;
     document.version = 1;
-    document.services = {{"s", 0, {}, {}}};
+    document.services = {
+        {"s", 0, protocol::engine_terms{8, 100'000, true}, {}}};
     const auto add = [&](const char* prefix, protocol::repeat_rule rule,
                          bool resumable) {
         protocol::document_route route;
@@ -702,3 +703,176 @@
     first->close();
     second->close();
 }
+
+// [moving] -------------------------------------------------------------------
+
+TEST_GROUP_BASE(stream_move_tests, TEST_GROUP_CppUTestGrouprequest_flow_tests)
+{
+    std::shared_ptr<tests::raw_connection> stream; ///< At the first server.
+    std::vector<std::string> moves;                ///< Heads of move calls.
+
+    /// The first server runs a stream and answers calls that move it.
+    void add_source(const script& on_move)
+    {
+        add_server([this, on_move](tests::raw_connection& from) {
+            if (arrivals.back().starts_with("POST /v1/streams/move"))
+            {
+                moves.push_back(arrivals.back());
+                return on_move(from);
+            }
+            stream = from.shared_from_this();
+            from.send(head_of("id1", "") + "id: 1\ndata: a\n\n");
+        });
+    }
+
+    /// A server that goes on after the second event.
+    void add_target()
+    {
+        add_server([](tests::raw_connection& from) {
+            from.send(head_of("id1", "Connection: close\r\n") +
+                      "id: 3\ndata: c\n\n");
+            from.close();
+        });
+    }
+
+    script hand_over(const char* status)
+    {
+        return [this, status](tests::raw_connection& from) {
+            stream->reset();
+            from.send(std::string{"HTTP/1.1 "} + status +
+                      "\r\nContent-Length: 2\r\n\r\nh7");
+        };
+    }
+
+    /// Tells that the first server ends soon.
+    void put_leaving(std::chrono::milliseconds left)
+    {
+        list[0].state = protocol::server_state::draining;
+        list[0].leaves_ms = left.count();
+        put_in_force();
+    }
+
+    /// Starts a stream at the first server, then lets it learn that it ends.
+    std::shared_ptr<tests::raw_connection> run_until_second_event(
+        const std::string& path, std::chrono::milliseconds left)
+    {
+        put_in_force();
+        const auto caller = send(path);
+        CHECK_TRUE(received(caller, "data: a"));
+        put_leaving(left);
+        stream->send("id: 2\ndata: b\n\n");
+        return caller;
+    }
+
+    bool received(const std::shared_ptr<tests::raw_connection>& caller,
+                  const char* text)
+    {
+        return tests::run_until(
+            loop,
+            [&] { return caller->received.find(text) != std::string::npos; },
+            1s);
+    }
+};
+
+// A reclaim cut every stream of its servers, told though it was seconds before.
+TEST(stream_move_tests, stream_goes_on_elsewhere_before_its_server_ends)
+{
+    add_source(hand_over("200 OK"));
+    add_target();
+    // Cheaper by far, so that the first server gets it.
+    list[1].failure_domain = "far";
+    list[0].failure_domain = "";
+    const auto caller = run_until_second_event("/stream/", 800ms);
+    CHECK_TRUE(received(caller, "data: c"));
+    LONGS_EQUAL(1, moves.size());
+    STRCMP_CONTAINS("Hyssopdeal-Attempt: id1", moves[0].c_str());
+    STRCMP_CONTAINS(("Hyssopdeal-Move-To: " + list[1].address).c_str(),
+                    moves[0].c_str());
+    STRCMP_CONTAINS(
+        ("Hyssopdeal-Moved-Run: " + list[0].address + "/h7").c_str(),
+        arrivals.back().c_str());
+    STRCMP_CONTAINS("Last-Event-ID: 2", arrivals.back().c_str());
+    LONGS_EQUAL(1, core->counters.moved.value());
+}
+
+TEST(stream_move_tests, stream_of_a_server_that_has_time_stays)
+{
+    add_source(hand_over("200 OK"));
+    add_target();
+    list[1].failure_domain = "far";
+    const auto caller = run_until_second_event("/stream/", 5s);
+    CHECK_TRUE(received(caller, "data: b"));
+    loop.run_for(100ms);
+    LONGS_EQUAL(0, moves.size());
+}
+
+TEST(stream_move_tests, stream_that_is_not_handed_over_goes_on_where_it_is)
+{
+    add_source([](tests::raw_connection& from) {
+        from.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    });
+    add_target();
+    list[1].failure_domain = "far";
+    const auto caller = run_until_second_event("/stream/", 800ms);
+    CHECK_TRUE(tests::run_until(loop, [&] { return moves.size() == 1; }));
+    stream->send("id: 3\ndata: here\n\n");
+    CHECK_TRUE(received(caller, "data: here"));
+}
+
+// A stopped run that no other server took goes on at its own one.
+TEST(stream_move_tests, stream_without_room_elsewhere_goes_on_at_its_server)
+{
+    add_source(hand_over("503 Service Unavailable"));
+    add_target();
+    list[1].failure_domain = "far";
+    const auto caller = run_until_second_event("/stream/", 800ms);
+    CHECK_TRUE(tests::run_until(loop, [&] { return arrivals.size() == 3; }));
+    STRCMP_CONTAINS(
+        ("Hyssopdeal-Moved-Run: " + list[0].address + "/h7").c_str(),
+        arrivals.back().c_str());
+    STRCMP_CONTAINS(("Hyssopdeal-Server: " + list[0].id).c_str(),
+                    arrivals.back().c_str());
+}
+
+// It may run only once: without its state it never goes out again.
+TEST(stream_move_tests, refused_stream_goes_back_and_is_never_begun_anew)
+{
+    int sent = 0;
+    add_server([&](tests::raw_connection& from) {
+        if (arrivals.back().starts_with("POST /v1/streams/move"))
+        {
+            return hand_over("200 OK")(from);
+        }
+        if (++sent > 1)
+        {
+            return refuse()(from);
+        }
+        stream = from.shared_from_this();
+        from.send(head_of("id1", "") + "id: 1\ndata: a\n\n");
+    });
+    add_server(refuse());
+    list[1].failure_domain = "far";
+    const auto caller = run_until_second_event("/stream/", 800ms);
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return caller->closed; }, 1s));
+    // The stream, the move, the refusal at the second, the one at the first.
+    LONGS_EQUAL(4, arrivals.size());
+    for (std::size_t at = 2; at < arrivals.size(); ++at)
+    {
+        STRCMP_CONTAINS("Hyssopdeal-Moved-Run: ", arrivals[at].c_str());
+    }
+}
+
+TEST(stream_move_tests, caller_who_leaves_during_a_move_ends_it)
+{
+    add_source([](tests::raw_connection&) {});
+    add_target();
+    list[1].failure_domain = "far";
+    const auto caller = run_until_second_event("/stream/", 800ms);
+    CHECK_TRUE(tests::run_until(loop, [&] { return moves.size() == 1; }));
+    caller->close();
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return core->counters.left.value() == 1; }));
+    loop.run_for(200ms);
+    LONGS_EQUAL(2, arrivals.size());
+}
