Others lead at once when the former leader has lost its disk

Argument: what a voter granted a leader ends with the leader's process. A process without an id at that leader's address is its successor, as an address belongs to one process at a time. Only voters whose latest known term was led by the lost one stop waiting; a leader of a later term has a majority that knows that term, which neither stops waiting nor votes in it again. Test: fails without the change; a later leader is not disturbed.

--- a/include/hyssopdeal/coordination/replica.hpp
+++ b/include/hyssopdeal/coordination/replica.hpp
@@ -94,6 +94,13 @@
 struct transfer_event
 {};
 
+/// A voter's process has ended and has lost its disk: its successor said so
+/// from the same address.
+struct voter_lost_event
+{
+    std::uint64_t id = 0;
+};
+
 /// The state machine was saved at an applied index.
 struct compact_event
 {
@@ -103,7 +110,7 @@
 using replica_event =
     std::variant<tick_event, message_event, propose_event, change_event,
                  persisted_event, disk_failed_event, transfer_event,
-                 compact_event>;
+                 voter_lost_event, compact_event>;
 
 // [actions] ------------------------------------------------------------------
 
--- a/src/coordination/cluster/cluster_process_joining.cpp
+++ b/src/coordination/cluster/cluster_process_joining.cpp
@@ -3,6 +3,7 @@
 
 #include "coordination/cluster/cluster_process_impl.hpp"
 
+#include <algorithm>
 #include <random>
 
 #include <hyssopdeal/transport/digest.hpp>
@@ -115,6 +116,15 @@
             answer.leader = member.address;
         }
     }
+    // Only a process without a disk has no id, and one address belongs to one
+    // process at a time.
+    const auto lost = std::find_if(
+        seen.replicas.members.begin(), seen.replicas.members.end(),
+        [&](const auto& member) { return member.address == request.address; });
+    if (request.id == 0 && lost != seen.replicas.members.end())
+    {
+        step(voter_lost_event{lost->id});
+    }
     // A set that is not committed may still be taken back.
     if (!leads() || seen.replicas_index > seen.commit)
     {
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -42,7 +42,7 @@
     // A vote given before the restart may stand behind a lease.
     heard = start;
     reset_election_timer();
-    returns = led_last() && votes();
+    returns = last_leader() == hard.id && votes();
     election_due = returns ? start : election_due;
 }
 
@@ -171,6 +171,29 @@
     }
 }
 
+/// Nobody needs to wait for a leader that is surely gone. A leader of a later
+/// term has a majority that knows its term, for which this changes nothing.
+template <reconcile_strategy Strategy>
+void basic_replica<Strategy>::impl::on(const voter_lost_event& event)
+{
+    // A few round trips: the next one stands when the first did not win, as it
+    // lacked the newest records.
+    constexpr std::chrono::milliseconds turn{50};
+    const bool known = role == replica_role_now::leader || !votes() ||
+                       event.id != last_leader();
+    if (known)
+    {
+        return;
+    }
+    leader_lost = true;
+    int before = 0;
+    for (const auto id : voters())
+    {
+        before += id < hard.id && id != event.id ? 1 : 0;
+    }
+    election_due = std::min(election_due, now + before * turn);
+}
+
 template <reconcile_strategy Strategy>
 void basic_replica<Strategy>::impl::on(compact_event& event)
 {
--- a/src/coordination/replica_election.cpp
+++ b/src/coordination/replica_election.cpp
@@ -2,6 +2,7 @@
 /// The consensus core: elections and the leader's lease.
 
 #include <algorithm>
+#include <charconv>
 #include <functional>
 #include <string>
 #include <utility>
@@ -104,7 +105,7 @@
 bool basic_replica<Strategy>::impl::hears_leader() const
 {
     return role == replica_role_now::leader ||
-           now - heard < settings.election_timeout;
+           (!leader_lost && now - heard < settings.election_timeout);
 }
 
 template <reconcile_strategy Strategy>
@@ -140,6 +141,7 @@
     }
     role = replica_role_now::follower;
     returns = false;
+    leader_lost = false;
     leader = new_leader;
     peers.clear();
     granted.clear();
@@ -210,25 +212,30 @@
     }
 }
 
-/// @return Whether this replica led the latest term that it knows. Its own
-///     lease then is the only one that others may still heed, and it is over;
-///     a leader of a later term has a majority that refuses this one's votes.
+/// @return Who led the latest term that this replica knows; 0: not known. Its
+///     lease is the only one that this replica may have confirmed, and ends
+///     with its process; a leader of a later term has a majority that refuses
+///     votes of the next one.
 template <reconcile_strategy Strategy>
-bool basic_replica<Strategy>::impl::led_last() const
+std::uint64_t basic_replica<Strategy>::impl::last_leader() const
 {
     for (auto at = log.last(); at > log.base(); --at)
     {
         const auto& record = log.at(at);
         if (record.term != hard.term)
         {
-            return false;
+            return 0;
         }
         if (record.kind == state::record_kind::empty)
         {
-            return record.payload == std::to_string(hard.id);
+            std::uint64_t id = 0;
+            const auto& text = record.payload;
+            const auto read =
+                std::from_chars(text.data(), text.data() + text.size(), id);
+            return read.ec == std::errc{} ? id : 0;
         }
     }
-    return false;
+    return 0;
 }
 
 template <reconcile_strategy Strategy>
--- a/src/coordination/replica_impl.hpp
+++ b/src/coordination/replica_impl.hpp
@@ -109,6 +109,7 @@
     void on(const persisted_event& event);
     void on(const disk_failed_event& event);
     void on(const transfer_event& event);
+    void on(const voter_lost_event& event);
     void on(compact_event& event);
     void answer(std::uint64_t id, transport::result<log_index> index);
     bool append_own(state::record_kind kind, std::string payload);
@@ -121,7 +122,7 @@
     void start_pre_vote();
     void start_election(vote_kind kind);
     void ask_for_votes(vote_kind kind);
-    [[nodiscard]] bool led_last() const;
+    [[nodiscard]] std::uint64_t last_leader() const;
     void become_leader();
     void on_message(const replica_message& from, vote_request& body);
     void on_message(const replica_message& from, vote_reply& body);
@@ -195,6 +196,9 @@
     /// Until a leader is heard after a restart: this replica led the latest
     /// term, so that no other's lease is in its way.
     bool returns = false;
+    /// The leader of the latest term has lost its disk. What it was granted
+    /// ended with its process.
+    bool leader_lost = false;
     monotonic_time ask_again_due{}; ///< While it returns.
     std::set<std::uint64_t> granted;
     std::map<std::uint64_t, reconcile_hint> vote_hints;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -224,6 +224,58 @@
     LONGS_EQUAL(old, cluster.reader());
 }
 
+// They waited for a whole election timeout, as if it might still lead.
+TEST(replica_tests, others_lead_at_once_when_the_former_leader_lost_its_disk)
+{
+    quiet_cluster cluster{3};
+    const auto old = cluster.reader();
+    for (const auto id : {1U, 2U, 3U})
+    {
+        cluster.crash(id);
+    }
+    cluster.run_for(500ms);
+    std::vector<std::uint64_t> left;
+    for (const auto id : {1U, 2U, 3U})
+    {
+        if (id != old)
+        {
+            cluster.start(id);
+            left.push_back(id);
+        }
+    }
+    cluster.run_for(20ms);
+    for (const auto id : left)
+    {
+        cluster.step(cluster.nodes.at(id), coordination::voter_lost_event{old});
+    }
+    cluster.run_for(250ms);
+    CHECK(cluster.reader() != 0 && cluster.reader() != old);
+}
+
+// Only what the lost voter was granted is over; the next leader's is not.
+TEST(replica_tests, loss_of_an_earlier_leader_disturbs_no_later_one)
+{
+    quiet_cluster cluster{3};
+    const auto old = cluster.reader();
+    cluster.crash(old);
+    cluster.run_for(3s);
+    const auto next = cluster.reader();
+    CHECK(next != 0);
+    const auto& node = cluster.nodes.at(next);
+    const auto term = node.machine->status(cluster.clock_of(node)).leads.term;
+    for (const auto id : {1U, 2U, 3U})
+    {
+        if (id != old)
+        {
+            cluster.step(cluster.nodes.at(id),
+                         coordination::voter_lost_event{old});
+        }
+    }
+    cluster.run_for(1s);
+    LONGS_EQUAL(next, cluster.reader());
+    LONGS_EQUAL(term, node.machine->status(cluster.clock_of(node)).leads.term);
+}
+
 TEST(replica_tests, former_leader_does_not_disturb_its_successor)
 {
     quiet_cluster cluster{3};
