--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -84,6 +84,7 @@
     [[nodiscard]] milliseconds pause_for(const std::string& address,
                                          const known_replica& replica) const;
     void report();
+    void report_now();
     void ask(const std::string& replica, const std::string& bytes,
              milliseconds time_limit,
              const protocol::peer_hub::answer_handler& on_answer);
@@ -282,6 +283,16 @@
     }
 }
 
+/// Tells all replicas that owe no answer, whatever their pauses are.
+void gateway_process::impl::report_now()
+{
+    for (auto& [address, replica] : replicas)
+    {
+        replica.asked = {};
+    }
+    report();
+}
+
 /// Fetches a newer document from one replica at a time. It may be large: if
 /// every replica sent it at every report, it would fill this entry's link and
 /// the replicas' memory.
@@ -301,6 +312,12 @@
         [this, replica, now](const auto& answer) {
             fetching.reset();
             (void)take_answer(replica, now, answer);
+            // Only the leader's word makes keys valid, and another replica may
+            // have had the document first.
+            if (core.document_version() > 0 && !core.keys_valid())
+            {
+                report_now();
+            }
         });
 }
 
