--- a/tests/gateway_decisions_test.cpp
+++ b/tests/gateway_decisions_test.cpp
@@ -4,6 +4,7 @@
 /// document's checks.
 
 #include <hyssopdeal/coordination/gateway/event_splitter.hpp>
+#include <hyssopdeal/coordination/gateway/gateway_core.hpp>
 #include <hyssopdeal/coordination/gateway/placement.hpp>
 #include <hyssopdeal/coordination/gateway/repeat_allowance.hpp>
 #include <hyssopdeal/coordination/gateway/route_table.hpp>
@@ -13,6 +14,7 @@
 #include <functional>
 
 #include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
 
 using namespace hyssopdeal;
 using namespace hyssopdeal::coordination;
@@ -499,6 +501,137 @@
     CHECK(used.size() < 12);
 }
 
+namespace
+{
+
+// Six entries and ten engines under clumps of prompts, as on a small site.
+struct crowding_model
+{
+    /// @return How many of the prompts found more than 0.4 s of others' prefill
+    ///     ahead: as long, each event of the streams beside them waits.
+    static int crowded_prompts(std::chrono::milliseconds report_interval,
+                               std::uint64_t seed)
+    {
+        constexpr int entries = 6;
+        constexpr int engines = 10;
+        constexpr double tokens_per_ms = 32.4;
+        constexpr double crowded_ms = 400;
+        constexpr auto length = 60'000;
+        std::mt19937_64 random{seed};
+        std::vector<protocol::listed_server> list;
+        for (int number = 0; number < engines; ++number)
+        {
+            protocol::listed_server server;
+            server.id = "s" + std::to_string(number);
+            server.service = "s";
+            server.slots = 128;
+            server.address = server.id + ":1";
+            list.push_back(server);
+        }
+        std::vector<std::unique_ptr<placement>> all;
+        for (int number = 0; number < entries; ++number)
+        {
+            all.push_back(std::make_unique<placement>(placement_settings{}, "d",
+                                                      seed * entries + number));
+            (void)all.back()->set_servers(list);
+            all.back()->set_entries(entries);
+        }
+        struct running
+        {
+            int entry;
+            placement_choice choice;
+            double sent_ms;
+            double first_ms;
+        };
+        std::vector<running> open;
+        std::map<std::string, double> busy_until;
+        std::vector<double> next_report(entries);
+        for (int number = 0; number < entries; ++number)
+        {
+            next_report[number] = static_cast<double>(
+                random() % static_cast<std::uint64_t>(report_interval.count()));
+        }
+        std::vector<std::map<std::string, protocol::sent_load>> told(entries);
+        int crowded = 0;
+        for (int ms = 0; ms < length; ++ms)
+        {
+            const transport::monotonic_time now{1h +
+                                                std::chrono::milliseconds{ms}};
+            for (auto at = open.begin(); at != open.end();)
+            {
+                if (at->first_ms > ms)
+                {
+                    ++at;
+                    continue;
+                }
+                const std::chrono::milliseconds took{
+                    static_cast<std::int64_t>(at->first_ms - at->sent_ms)};
+                all[at->entry]->on_first_event(at->choice, took);
+                all[at->entry]->on_ended(at->choice, true, 1s);
+                at = open.erase(at);
+            }
+            for (int number = 0; number < entries; ++number)
+            {
+                if (ms < next_report[number])
+                {
+                    continue;
+                }
+                next_report[number] += report_interval.count();
+                told[number] = all[number]->own_load();
+                std::map<std::string, protocol::sent_load> others;
+                for (int other = 0; other < entries; ++other)
+                {
+                    for (const auto& [id, load] : told[other])
+                    {
+                        const bool own = other == number;
+                        others[id].running += own ? 0 : load.running;
+                        others[id].waiting_tokens +=
+                            own ? 0 : load.waiting_tokens;
+                    }
+                }
+                all[number]->set_others(others);
+            }
+            // Forty prompts a second, three at a time.
+            for (int one = 0; ms % 75 == 0 && one < 3; ++one)
+            {
+                const int entry = static_cast<int>(random() % entries);
+                prompt_size prompt;
+                prompt.prompt_tokens =
+                    static_cast<std::uint32_t>(500 + random() % 9'000);
+                const auto choice = *all[entry]->choose(now, "s", prompt, {});
+                all[entry]->on_sent(now, choice, prompt);
+                auto& busy = busy_until[choice.server->listed.id];
+                const double ahead = std::max(0.0, busy - ms);
+                crowded += ahead > crowded_ms ? 1 : 0;
+                busy = ms + ahead + prompt.prompt_tokens / tokens_per_ms;
+                constexpr double first_step = 60;
+                open.push_back({entry, choice, static_cast<double>(ms),
+                                busy + first_step});
+            }
+        }
+        return crowded;
+    }
+};
+
+} // namespace
+
+// Entries placed by loads of up to 0.25 s ago, and put long prompts together
+// whose prefill held up all streams of that engine.
+TEST(placement_tests, usual_reports_are_fresh_enough_to_keep_prompts_apart)
+{
+    int at_usual = 0;
+    int at_quarter_second = 0;
+    for (std::uint64_t seed = 1; seed <= 4; ++seed)
+    {
+        at_usual += crowding_model::crowded_prompts(
+            gateway_settings{}.report_interval, seed);
+        at_quarter_second += crowding_model::crowded_prompts(250ms, seed);
+    }
+    CHECK(at_quarter_second > 100);
+    CHECK_TEXT(at_usual * 10 < at_quarter_second * 9,
+               fmt::format("{} of {}", at_usual, at_quarter_second).c_str());
+}
+
 TEST(placement_tests, unreachable_server_is_avoided_at_once)
 {
     add("a");
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -378,6 +378,27 @@
         500ms));
 }
 
+// Forty callers of the first 0.2 s, each of whom comes back once at most.
+TEST(request_flow_tests, callers_of_the_start_are_all_served)
+{
+    add_server(whole("done"));
+    std::vector<std::shared_ptr<tests::raw_connection>> callers;
+    for (int number = 0; number < 40; ++number)
+    {
+        callers.push_back(send("/safe/"));
+        loop.run_for(5ms);
+    }
+    put_in_force();
+    const auto served = [&] {
+        return std::count_if(callers.begin(), callers.end(), [](auto& caller) {
+            return caller->received.find("done") != std::string::npos;
+        });
+    };
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return served() == 40; }, 1s));
+    LONGS_EQUAL(0, core->counters.refused.value());
+}
+
 TEST(request_flow_tests, wait_for_the_first_document_is_bounded)
 {
     const auto began = std::chrono::steady_clock::now();
@@ -795,6 +816,66 @@
     LONGS_EQUAL(1, core->counters.moved.value());
 }
 
+// Twenty streams on the server that is reclaimed: all of them end whole.
+TEST(stream_move_tests, all_streams_of_a_reclaimed_server_end_whole)
+{
+    std::map<std::string, std::shared_ptr<tests::raw_connection>> streams;
+    const auto attempt_in = [](const std::string& head) {
+        const std::string name = "Hyssopdeal-Attempt: ";
+        const auto at = head.find(name) + name.size();
+        return head.substr(at, head.find('\r', at) - at);
+    };
+    add_server([&](tests::raw_connection& from) {
+        const auto attempt = attempt_in(arrivals.back());
+        if (arrivals.back().starts_with("POST /v1/streams/move"))
+        {
+            streams.at(attempt)->reset();
+            return from.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7");
+        }
+        streams[attempt] = from.shared_from_this();
+        from.send(head_of(attempt, "") + "id: 1\ndata: a\n\n");
+    });
+    add_server([&](tests::raw_connection& from) {
+        from.send(
+            head_of(attempt_in(arrivals.back()), "Connection: close\r\n") +
+            "id: 3\ndata: c\n\n");
+        from.close();
+    });
+    for (auto& server : list)
+    {
+        server.slots = 64;
+    }
+    list[1].state = protocol::server_state::draining;
+    put_in_force();
+    // Moves are repeats, and the budget of these grows with requests.
+    for (int number = 0; number < 400; ++number)
+    {
+        core->repeats.on_request(clock.monotonic_now(), "s");
+    }
+    std::vector<std::shared_ptr<tests::raw_connection>> callers;
+    for (int number = 0; number < 20; ++number)
+    {
+        callers.push_back(send_prompt("id" + std::to_string(number), 10));
+    }
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return streams.size() == 20; }, 2s));
+    list[1].id = "w9";
+    list[1].state = protocol::server_state::ready;
+    put_leaving(800ms);
+    for (auto& [attempt, running] : streams)
+    {
+        running->send("id: 2\ndata: b\n\n");
+    }
+    const auto whole_streams = [&] {
+        return std::count_if(callers.begin(), callers.end(), [](auto& caller) {
+            return caller->received.find("data: c") != std::string::npos;
+        });
+    };
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return whole_streams() == 20; }, 2s));
+    LONGS_EQUAL(0, core->counters.failed.value());
+}
+
 TEST(stream_move_tests, stream_of_a_server_that_has_time_stays)
 {
     add_source(hand_over("200 OK"));
