--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -778,7 +778,7 @@
         const std::string& path, std::chrono::milliseconds left)
     {
         put_in_force();
-        const auto caller = send(path);
+        auto caller = send(path);
         CHECK_TRUE(received(caller, "data: a"));
         put_leaving(left);
         stream->send("id: 2\ndata: b\n\n");
@@ -841,9 +841,9 @@
             "id: 3\ndata: c\n\n");
         from.close();
     });
-    for (auto& server : list)
+    for (auto& listed : list)
     {
-        server.slots = 64;
+        listed.slots = 64;
     }
     list[1].state = protocol::server_state::draining;
     put_in_force();
@@ -853,6 +853,7 @@
         core->repeats.on_request(clock.monotonic_now(), "s");
     }
     std::vector<std::shared_ptr<tests::raw_connection>> callers;
+    callers.reserve(20);
     for (int number = 0; number < 20; ++number)
     {
         callers.push_back(send_prompt("id" + std::to_string(number), 10));
