--- a/programs/ctl/analyze.cpp
+++ b/programs/ctl/analyze.cpp
@@ -34,13 +34,6 @@
     "control.", "leadership.", "process.", "disk.",     "list.lost",
     "cluster.", "loop.",       "move.",    "server.lea"};
 
-std::string text_in(const json& from, const char* key)
-{
-    const auto found = from.find(key);
-    return found != from.end() && found->is_string() ? found->get<std::string>()
-                                                     : std::string{};
-}
-
 std::int64_t number_in(const json& from, const char* key, std::int64_t other)
 {
     const auto found = from.find(key);
--- a/programs/ctl/explain.cpp
+++ b/programs/ctl/explain.cpp
@@ -35,13 +35,6 @@
     bool of_request = false;
 };
 
-std::string text_in(const json& from, const char* key)
-{
-    const auto found = from.find(key);
-    return found != from.end() && found->is_string() ? found->get<std::string>()
-                                                     : std::string{};
-}
-
 void read_lines(std::string_view request, std::string_view text,
                 std::vector<log_line>& lines)
 {
--- a/programs/ctl/json_lines.hpp
+++ b/programs/ctl/json_lines.hpp
@@ -4,9 +4,10 @@
 /// @file
 /// Reads files in which each line is a JSON object.
 ///
-/// Index: [for_each_json_line]
+/// Index: [for_each_json_line] [text_in]
 
 #include <algorithm>
+#include <string>
 #include <string_view>
 
 #include <nlohmann/json.hpp>
@@ -32,6 +33,17 @@
     }
 }
 
+// [text_in] ------------------------------------------------------------------
+
+/// @return An object's text member; empty when it has none.
+[[nodiscard]] inline std::string text_in(const nlohmann::json& from,
+                                         const char* key)
+{
+    const auto found = from.find(key);
+    return found != from.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string{};
+}
+
 } // namespace hyssopdeal::ctl
 
 #endif
