Log the prompt parts, load and first event of broken attempts

Change: attempt.broken has prompt_parts (eight ids at most), had_event and server_running; hyssopdeal_broken_attempts_total is kept apart by event.

--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -86,6 +86,9 @@
     transport::counter repeats; ///< Retries: attempts after the first.
     transport::counter resumed; ///< Streams resumed on another server.
     transport::counter moved;   ///< Streams moved off leaving servers.
+    /// Attempts that ended without a complete response and may have run.
+    transport::counter broken_before_event;
+    transport::counter broken_after_event;
     transport::duration_histogram first_event;
     transport::duration_histogram whole_answer;
     /// Difference between predicted and actual time to the first event.
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -48,6 +48,10 @@
                                     ///< shared with other requests.
 };
 
+/// @return The ids of the first parts in hexadecimal, separated by commas, for
+///     logs.
+[[nodiscard]] std::string format_parts(const prompt_size& prompt);
+
 // [settings] -----------------------------------------------------------------
 
 /// Settings that end in `_penalty_ms` are costs added to the predicted time to
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -851,8 +851,12 @@
     else
     {
         ++possible_runs_;
+        (event_received_ ? core_.counters.broken_after_event
+                         : core_.counters.broken_before_event)
+            .add();
         record_attempt_outcome(answer_kind::broken);
     }
+    const auto running_before = server.running;
     release_server();
     if (not_run && !moved_run_.empty())
     {
@@ -866,6 +870,9 @@
                           {"verdict", transport::to_string(error.ran)},
                           {"error", error.text},
                           {"after_event", last_event_id_},
+                          {"had_event", event_received_},
+                          {"prompt_parts", format_parts(terms_.size)},
+                          {"server_running", running_before},
                           {"server_state", server_state_name(server)},
                           {"heard_ago_ms", now - server.last_heard},
                           {"next", retry ? "repeat" : "end"}});
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -312,6 +312,12 @@
     total("hyssopdeal_resumed_total", counters.resumed, "Resumed streams");
     total("hyssopdeal_moved_total", counters.moved,
           "Streams moved from servers that were to end");
+    out.family("hyssopdeal_broken_attempts_total", "counter",
+               "Attempts without a complete answer that may have run");
+    out.sample(static_cast<double>(counters.broken_before_event.value()),
+               {{"event", "none"}});
+    out.sample(static_cast<double>(counters.broken_after_event.value()),
+               {{"event", "some"}});
     out.family("hyssopdeal_connections_total", "counter",
                "Connections opened to servers");
     out.sample(static_cast<double>(client.connections_opened()));
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <limits>
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 namespace hyssopdeal::coordination
@@ -40,6 +41,19 @@
 
 } // namespace
 
+std::string format_parts(const prompt_size& prompt)
+{
+    constexpr std::size_t max_parts = 8; // Bounds the length of a log line.
+    std::string text;
+    for (std::size_t index = 0;
+         index < std::min(max_parts, prompt.parts.size()); ++index)
+    {
+        text += fmt::format("{}{:x}", index == 0 ? "" : ",",
+                            prompt.parts[index].id);
+    }
+    return text;
+}
+
 placement::placement(placement_settings settings, std::string failure_domain,
                      std::uint64_t seed)
     : settings_(settings),
