--- a/tests/cluster_harness.hpp
+++ b/tests/cluster_harness.hpp
@@ -34,7 +34,8 @@
 // [cluster_harness] ----------------------------------------------------------
 
 /// Decodes a test document: a version, a colon and any text. The text `scaled`
-/// adds a service for which servers may be ordered.
+/// adds a service for which servers may be ordered, the text `prompts` a route
+/// to it for streams that cannot be resumed.
 inline transport::result<protocol::service_document>
 read_test_document(const std::string& bytes)
 {
@@ -52,6 +53,21 @@
         terms.domain_prices = {{"d0", 1.0}};
         document.services = {{"s", 0, {}, terms}};
     }
+    if (bytes.ends_with(":prompts"))
+    {
+        protocol::document_route route;
+        route.name = "stream";
+        route.host = "h";
+        route.path_prefix = "/stream/";
+        route.rule = protocol::repeat_rule::stream;
+        route.time_limit = std::chrono::seconds{10};
+        route.target_latency = std::chrono::seconds{1};
+        route.needs_key = false;
+        route.shares = {{"s", 1}};
+        document.routes = {route};
+        document.services = {
+            {"s", 0, protocol::engine_terms{8, 100'000, true}, {}}};
+    }
     return document;
 }
 
--- a/tests/raw_peer.hpp
+++ b/tests/raw_peer.hpp
@@ -111,6 +111,13 @@
         return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
     }
 
+    /// Refuses further connections, like a process that has ended.
+    void stop()
+    {
+        asio::error_code error;
+        acceptor_.close(error);
+    }
+
     std::vector<std::shared_ptr<raw_connection>> connections;
 
 private:
@@ -135,12 +142,13 @@
 
 // [raw_caller] ---------------------------------------------------------------
 
-/// Connects to a port of this machine.
-inline std::shared_ptr<raw_connection> raw_call(transport::event_loop& loop,
-                                                std::uint16_t port)
+/// Connects to a port of this machine, by default at 127.0.0.1.
+inline std::shared_ptr<raw_connection>
+raw_call(transport::event_loop& loop, std::uint16_t port,
+         const std::string& address = "127.0.0.1")
 {
     asio::ip::tcp::socket socket{loop.context()};
-    socket.connect({asio::ip::address_v4::loopback(), port});
+    socket.connect({asio::ip::make_address(address), port});
     auto made = std::make_shared<raw_connection>(std::move(socket));
     made->read();
     return made;
