Quarantine prompts that crash servers, on all entries

Cause: each entry treated each crash as a fault of that server, and routed the next such request to the next one. Nothing related crashes at different servers to what they had in common, and nothing that one entry saw reached the others. Change: entries report requests that had no event when the connection to their server broke, and when requests with a suspected part were answered (crash_evidence). The leader holds a part responsible once three servers have crashed under requests that contain it, at least one of them under a request sent after an earlier crash, and no request with it was answered since (crash_attribution). The prompt, the parts that all those requests share, goes into the log and with the orders to every entry, which refuses it as not run at once, with the time that the quarantine lasts. It ends after ten minutes, or when a request that was already sent is answered; after its end one crash is enough for one of twice the time. Why it works: what sound requests share with the crashing ones is answered on some entry within moments, which clears it; the part itself is never answered. Servers lost together blame no prompt: nothing was sent after their crash. Being in the log, it survives the leader, and the loss of all processes.

--- a/include/hyssopdeal/coordination/cluster/cluster_state.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_state.hpp
@@ -3,8 +3,9 @@
 
 /// @file
 /// The replicated state of a cluster: the configuration document, the decided
-/// usage counts, the rollouts of service versions, and the entries that may
-/// hold quota shares. Deterministic: all times are taken from the commands.
+/// usage counts, the rollouts of service versions, the entries that may hold
+/// quota shares, and the prompts that are quarantined because they crash
+/// servers. Deterministic: all times are taken from the commands.
 ///
 /// Index: [commands] [cluster_state]
 
@@ -16,6 +17,8 @@
 #include <string_view>
 #include <variant>
 
+#include <hyssopdeal/protocol/follow_messages.hpp>
+#include <hyssopdeal/transport/clock.hpp>
 #include <hyssopdeal/transport/failure.hpp>
 
 namespace hyssopdeal::coordination
@@ -72,8 +75,36 @@
     std::set<std::string> entries; ///< Names of instances.
 };
 
-using cluster_command = std::variant<put_document_command, decide_usage_command,
-                                     put_rollout_command, set_entries_command>;
+/// A prompt that is not sent to servers because it crashes them.
+struct quarantine_record
+{
+    protocol::part_ids parts;  ///< A request is refused if it has all of them.
+    std::int64_t until_ms = 0; ///< True time, Unix ms.
+    std::int64_t duration_ms = 0; ///< From its start to `until_ms`.
+
+    bool operator==(const quarantine_record&) const = default;
+};
+
+/// Puts a quarantine in force, or prolongs one.
+struct put_quarantine_command
+{
+    quarantine_record record;
+};
+
+/// Ends a quarantine whose prompt was answered.
+struct lift_quarantine_command
+{
+    protocol::part_ids parts;
+};
+
+using cluster_command =
+    std::variant<put_document_command, decide_usage_command,
+                 put_rollout_command, set_entries_command,
+                 put_quarantine_command, lift_quarantine_command>;
+
+/// @return Whether a quarantine is in force.
+[[nodiscard]] bool in_force(const quarantine_record& record,
+                            transport::wall_time true_now);
 
 [[nodiscard]] std::string encode(const cluster_command& command);
 
@@ -90,6 +121,8 @@
     /// Number of usage windows whose decision is kept; enough to resend each
     /// one until it is overdue.
     static constexpr std::size_t max_usage_windows = 12;
+    /// Number of quarantines that are kept; the ones that end first go.
+    static constexpr std::size_t max_quarantines = 64;
 
     void apply(const cluster_command& command);
 
@@ -122,6 +155,14 @@
         return entries_;
     }
 
+    /// @return Quarantines by their parts: those in force, and some that have
+    ///     ended.
+    [[nodiscard]] const std::map<protocol::part_ids, quarantine_record>&
+    quarantines() const noexcept
+    {
+        return quarantines_;
+    }
+
     [[nodiscard]] std::string encode_snapshot() const;
 
     /// @return `corrupt` if the bytes cannot be decoded; the state is then
@@ -134,12 +175,15 @@
     void apply_command(const decide_usage_command& command);
     void apply_command(const put_rollout_command& command);
     void apply_command(const set_entries_command& command);
+    void apply_command(const put_quarantine_command& command);
+    void apply_command(const lift_quarantine_command& command);
 
     std::uint64_t document_version_ = 0;
     std::string document_;
     std::deque<decide_usage_command> usage_;         ///< In order of windows.
     std::map<std::string, rollout_record> rollouts_; ///< By service.
     std::set<std::string> entries_;
+    std::map<protocol::part_ids, quarantine_record> quarantines_;
 };
 
 } // namespace hyssopdeal::coordination
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include <hyssopdeal/coordination/gateway/crash_evidence.hpp>
 #include <hyssopdeal/coordination/gateway/placement.hpp>
 #include <hyssopdeal/coordination/gateway/route_table.hpp>
 #include <hyssopdeal/coordination/gateway/service_retry_budgets.hpp>
@@ -89,6 +90,7 @@
     /// Attempts that ended without a complete response and may have run.
     transport::counter broken_before_event;
     transport::counter broken_after_event;
+    transport::counter quarantined; ///< Refused: the prompt crashes servers.
     transport::duration_histogram first_event;
     transport::duration_histogram whole_answer;
     /// Difference between predicted and actual time to the first event.
@@ -196,6 +198,7 @@
     placement servers;
     version_split versions;
     version_observer observer; ///< For services that change to a new version.
+    crash_evidence crashes;    ///< Prompts that crash servers.
     gateway_counters counters;
     std::mt19937_64 random;
     /// Buffered response bytes of all requests that are not forwarded yet.
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -48,6 +48,12 @@
                                     ///< shared with other requests.
 };
 
+/// Parses parts as `ID:TOKENS`, the id in hexadecimal, separated by commas.
+///
+/// @return The parts before the first that is not valid: parts behind it cannot
+///     be cached.
+[[nodiscard]] std::vector<prompt_part> parse_parts(std::string_view text);
+
 /// @return The ids of the first parts in hexadecimal, separated by commas, for
 ///     logs.
 [[nodiscard]] std::string format_parts(const prompt_size& prompt);
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -63,6 +63,7 @@
     void acquire_quota();
     void on_quota_result(milliseconds wait);
     void select_service();
+    bool refuse_quarantined();
 
     // [attempts]
     [[nodiscard]] transport::http1_call_settings make_call_settings() const;
@@ -292,7 +293,25 @@
     rank_ = route_->rank;
     select_service();
     core_.repeats.on_request(core_.clock.monotonic_now(), service_);
-    return !route_->needs_key || authenticate();
+    return (!route_->needs_key || authenticate()) && !refuse_quarantined();
+}
+
+/// Ends the request if its prompt crashes servers.
+///
+/// @return Whether it was ended.
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::refuse_quarantined()
+{
+    const auto remaining =
+        core_.crashes.quarantine_of(core_.clock.monotonic_now(), terms_.size);
+    if (!remaining)
+    {
+        return false;
+    }
+    core_.counters.quarantined.add();
+    possible_runs_ > 0 ? fail(502, "prompt_quarantined")
+                       : refuse(503, "prompt_quarantined", *remaining);
+    return true;
 }
 
 template <caller_dialect Dialect>
@@ -440,6 +459,10 @@
                    ? fail(504, "no_time_left")
                    : refuse(503, "no_time_left", milliseconds{0});
     }
+    if (refuse_quarantined())
+    {
+        return;
+    }
     const auto choice = select_server();
     if (!choice)
     {
@@ -856,6 +879,11 @@
             .add();
         record_attempt_outcome(answer_kind::broken);
     }
+    if (!not_run && !event_received_ && moved_run_.empty() &&
+        error.code == transport::reason::connection_lost)
+    {
+        core_.crashes.on_broken(now, sent_at_, choice_.server, terms_.size);
+    }
     const auto running_before = server.running;
     release_server();
     if (not_run && !moved_run_.empty())
@@ -1175,6 +1203,11 @@
         core_.counters.prediction_error.add(
             std::chrono::abs(time_to_first_event_ - choice_.predicted));
     }
+    constexpr int first_error_status = 300;
+    if (response_status_ < first_error_status)
+    {
+        core_.crashes.on_answered(now, terms_.size);
+    }
     if (!std::exchange(usage_counted_, true))
     {
         const bool is_stream = route_->rule == protocol::repeat_rule::stream;
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -5,8 +5,9 @@
 /// What entries and control replicas of a cluster tell each other several
 /// times a second, and how a replica joins.
 ///
-/// Index: [versions] [report] [orders] [tokens] [joining] [encoding]
+/// Index: [versions] [crashes] [report] [orders] [tokens] [joining] [encoding]
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -48,6 +49,49 @@
     std::uint64_t target_bad = 0;
 };
 
+// [crashes] ------------------------------------------------------------------
+
+/// Ids of parts of a prompt.
+using part_ids = std::set<std::uint64_t>;
+
+/// How long entries and replicas remember under which prompts servers crashed
+/// and which were answered.
+constexpr std::chrono::minutes crash_evidence_lifetime{5};
+
+/// A request that had no event when the connection to its server broke.
+struct broken_prompt
+{
+    std::uint64_t number = 0; ///< Counted by the entry; tells repeats.
+    std::string server;
+    std::uint64_t born = 0; ///< The server's start.
+    std::int64_t sent_age_ms = 0;
+    std::int64_t broken_age_ms = 0;
+    part_ids parts;
+};
+
+/// What one entry saw of prompts that may crash servers.
+struct crash_report
+{
+    std::vector<broken_prompt> broken; ///< Latest ones, repeated for a while.
+    /// Age of the latest first event of a request with a suspected part, in ms.
+    std::map<std::uint64_t, std::int64_t> answered;
+    std::vector<part_ids> disproved; ///< Quarantined prompts with an event.
+};
+
+/// Requests with all of these parts are refused.
+struct prompt_quarantine
+{
+    part_ids parts;
+    std::int64_t remaining_ms = 0;
+};
+
+/// What the leader tells entries of prompts that crash servers.
+struct crash_orders
+{
+    part_ids suspects; ///< Entries report when they were answered.
+    std::vector<prompt_quarantine> quarantine;
+};
+
 // [report] -------------------------------------------------------------------
 
 /// Requests that began to run in a window of true time.
@@ -92,6 +136,7 @@
     std::map<std::string, version_counts> moves; ///< By service, while moved.
     std::vector<std::string> evidence; ///< Encoded reports on versions.
     leaving_servers leaving; ///< By their answers; the list shows them later.
+    crash_report crashes;
 };
 
 // [orders] -------------------------------------------------------------------
@@ -137,6 +182,7 @@
     std::int64_t next_report_ms = 0;
     std::map<std::string, version_order> moves; ///< By service.
     leaving_servers leaving;                    ///< By answers to any entry.
+    crash_orders crashes;                       ///< Of the leader.
 };
 
 // [tokens] -------------------------------------------------------------------
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -232,6 +232,7 @@
     run_leader_tasks();
     plan_servers();
     advance_moves();
+    advance_quarantines();
     if (drained_handler && (!machine || !leads() || now >= drain_deadline))
     {
         loop.post(std::exchange(drained_handler, nullptr));
@@ -332,6 +333,7 @@
         entries_proposed = false;
         moves.clear();
         move_end_proposed = false;
+        quarantine_proposed = false;
     }
     else if (!leading)
     {
@@ -504,6 +506,11 @@
     gauge("hyssopdeal_listed_servers",
           static_cast<double>(impl_->listing.servers.size()),
           "Servers on the instance list");
+    gauge("hyssopdeal_quarantined_prompts",
+          impl_->machine ? static_cast<double>(
+                               impl_->machine->state().quarantines().size())
+                         : 0,
+          "Prompts that crashed servers, some of them released again");
     gauge("hyssopdeal_reporting_entries",
           static_cast<double>(impl_->loads.entries()), "Entries that report");
     return out.text();
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -12,6 +12,7 @@
 /// - cluster_process_serving.cpp: requests of operators, replicas and entries
 /// - cluster_process_duties.cpp: instance list, the leader's platform orders
 /// - cluster_process_moves.cpp: rollouts of new service versions
+/// - cluster_process_crashes.cpp: quarantine of prompts that crash servers
 
 #include <cstdint>
 #include <map>
@@ -21,6 +22,7 @@
 #include <string>
 
 #include <hyssopdeal/coordination/cluster/cluster_process.hpp>
+#include <hyssopdeal/coordination/cluster/crash_attribution.hpp>
 #include <hyssopdeal/coordination/cluster/load_table.hpp>
 #include <hyssopdeal/coordination/cluster/version_rollout.hpp>
 #include <hyssopdeal/protocol/follow_messages.hpp>
@@ -135,6 +137,14 @@
     [[nodiscard]] std::map<std::string, protocol::version_order>
     version_orders(const protocol::entry_report& report) const;
 
+    // cluster_process_crashes.cpp
+    void on_crash_report(const protocol::entry_report& report);
+    void advance_quarantines();
+    void propose_quarantine(const cluster_command& command,
+                            std::string_view event,
+                            const protocol::part_ids& parts);
+    [[nodiscard]] protocol::crash_orders crash_orders() const;
+
     transport::event_loop& loop;
     const transport::clock& clock;
     cluster_settings settings;
@@ -197,6 +207,10 @@
     bool move_end_proposed = false;
     transport::monotonic_time next_move_step{};
 
+    crash_attribution crashes{crash_attribution_settings{}};
+    bool quarantine_proposed = false;
+    transport::monotonic_time next_quarantine_step{};
+
     // Platform.
     protocol::server_listing listing;
     std::optional<transport::monotonic_time> listing_read_at;
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -245,6 +245,7 @@
     loads.on_report(clock.monotonic_now(), report->entry, report->load);
     on_version_reports(*report);
     on_leaving_servers(*report);
+    on_crash_report(*report);
     reply(protocol::encode(orders_for(*report, load_before)));
 }
 
@@ -438,6 +439,7 @@
     orders.entries = static_cast<std::uint32_t>(loads.entries());
     orders.own_load = refreshed ? loads.of(report.entry) : load_before;
     orders.moves = version_orders(report);
+    orders.crashes = crash_orders();
     return orders;
 }
 
--- a/src/coordination/cluster/cluster_state.cpp
+++ b/src/coordination/cluster/cluster_state.cpp
@@ -21,6 +21,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(decide_usage_command, window, counts)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_rollout_command, record)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(set_entries_command, entries)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_record, parts, until_ms,
+                                   duration_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_quarantine_command, record)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(lift_quarantine_command, parts)
 
 // [commands] -----------------------------------------------------------------
 
@@ -49,6 +53,10 @@
             return body.get<put_rollout_command>();
         case 3:
             return body.get<set_entries_command>();
+        case 4:
+            return body.get<put_quarantine_command>();
+        case 5:
+            return body.get<lift_quarantine_command>();
         default:
             return fail(reason::corrupt, "Unknown kind of command.");
         }
@@ -128,6 +136,35 @@
     entries_ = command.entries;
 }
 
+bool in_force(const quarantine_record& record, transport::wall_time true_now)
+{
+    return true_now <
+           transport::wall_time{std::chrono::milliseconds{record.until_ms}};
+}
+
+void cluster_state::apply_command(const put_quarantine_command& command)
+{
+    const auto& record = command.record;
+    const auto started_ms = record.until_ms - record.duration_ms;
+    std::erase_if(quarantines_, [&](const auto& item) {
+        return item.second.until_ms + item.second.duration_ms < started_ms;
+    });
+    quarantines_[record.parts] = record;
+    if (quarantines_.size() > max_quarantines)
+    {
+        quarantines_.erase(std::min_element(
+            quarantines_.begin(), quarantines_.end(),
+            [](const auto& left, const auto& right) {
+                return left.second.until_ms < right.second.until_ms;
+            }));
+    }
+}
+
+void cluster_state::apply_command(const lift_quarantine_command& command)
+{
+    quarantines_.erase(command.parts);
+}
+
 // [snapshots] ----------------------------------------------------------------
 
 std::string cluster_state::encode_snapshot() const
@@ -136,7 +173,8 @@
                                        {"document", document_},
                                        {"usage", usage_},
                                        {"rollouts", rollouts_},
-                                       {"entries", entries_}});
+                                       {"entries", entries_},
+                                       {"quarantines", quarantines_}});
 }
 
 transport::result<void> cluster_state::restore_snapshot(std::string_view bytes)
@@ -150,6 +188,11 @@
         decoded.at("usage").get_to(next.usage_);
         decoded.at("rollouts").get_to(next.rollouts_);
         decoded.at("entries").get_to(next.entries_);
+        // Missing in snapshots of earlier versions.
+        if (decoded.contains("quarantines"))
+        {
+            decoded.at("quarantines").get_to(next.quarantines_);
+        }
         *this = std::move(next);
         return {};
     }
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -138,6 +138,7 @@
     result.load = servers.own_load();
     result.moves = versions.counts();
     result.leaving = servers.seen_leaving();
+    result.crashes = crashes.report(now);
     for (const auto& seen : observer.take_reports(now))
     {
         result.evidence.push_back(encode(seen));
@@ -278,6 +279,7 @@
     servers.set_peer_loads(orders.others_load);
     servers.set_gateway_count(orders.entries);
     versions.set_orders(sent_at, orders.moves);
+    crashes.set_orders(now, orders.crashes);
     const auto midpoint = sent_at + (now - sent_at) / 2;
     wall_clock_offset_ =
         milliseconds{orders.true_time_ms} -
@@ -318,6 +320,11 @@
                {{"event", "none"}});
     out.sample(static_cast<double>(counters.broken_after_event.value()),
                {{"event", "some"}});
+    total("hyssopdeal_quarantine_refusals_total", counters.quarantined,
+          "Requests refused because their prompt crashes servers");
+    out.family("hyssopdeal_quarantined_prompts", "gauge",
+               "Prompts that are not sent to servers");
+    out.sample(static_cast<double>(crashes.quarantined()));
     out.family("hyssopdeal_connections_total", "counter",
                "Connections opened to servers");
     out.sample(static_cast<double>(client.connections_opened()));
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -280,7 +280,9 @@
         const auto due = replica.reported_at +
                          report_interval_for(address, replica) -
                          core.settings.leader_search_interval / 2;
-        if (!replica.awaiting_answer && now >= due)
+        // Prompts that crash servers are reported without delay.
+        const bool news = address == leader && core.crashes.has_news(now);
+        if (!replica.awaiting_answer && (now >= due || news))
         {
             if (bytes.empty())
             {
@@ -288,6 +290,10 @@
             }
             replica.reported_at = now;
             replica.awaiting_answer = true;
+            if (address == leader)
+            {
+                core.crashes.mark_reported(now);
+            }
             call_replica(address, bytes, report_time_limit,
                          [this, from = address, now](const auto& answer) {
                              replicas[from].awaiting_answer = false;
--- a/src/coordination/gateway/native_dialect.cpp
+++ b/src/coordination/gateway/native_dialect.cpp
@@ -70,6 +70,8 @@
     }
     metadata.has_token_counts = parse_number(
         find_header(headers, "Hyssopdeal-Prompt"), metadata.size.prompt_tokens);
+    metadata.size.parts =
+        parse_parts(find_header(headers, "Hyssopdeal-Prompt-Parts"));
     metadata.resume_after = find_header(headers, "Last-Event-ID");
     return metadata;
 }
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -4,6 +4,7 @@
 #include <hyssopdeal/coordination/gateway/placement.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
 
 #include <fmt/format.h>
@@ -41,6 +42,34 @@
 
 } // namespace
 
+std::vector<prompt_part> parse_parts(std::string_view text)
+{
+    constexpr int hexadecimal = 16;
+    constexpr int decimal = 10;
+    const auto parse = [](std::string_view number, auto& result, int base) {
+        const auto* const end = number.data() + number.size();
+        const auto parsed = std::from_chars(number.data(), end, result, base);
+        return !number.empty() && parsed.ec == std::errc{} && parsed.ptr == end;
+    };
+    std::vector<prompt_part> parts;
+    while (!text.empty())
+    {
+        const auto end = std::min(text.find(','), text.size());
+        const auto item = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        const auto colon = item.find(':');
+        prompt_part part;
+        if (colon == std::string_view::npos ||
+            !parse(item.substr(0, colon), part.id, hexadecimal) ||
+            !parse(item.substr(colon + 1), part.tokens, decimal))
+        {
+            return parts;
+        }
+        parts.push_back(part);
+    }
+    return parts;
+}
+
 std::string format_parts(const prompt_size& prompt)
 {
     constexpr std::size_t max_parts = 8; // Bounds the length of a log line.
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -36,11 +36,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(version_counts, started_ms, sent,
                                    target_sent, others_ended, others_bad,
                                    target_ended, target_bad)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(entry_report, entry, incarnation,
-                                   failure_domain, document_version,
-                                   wants_document, listing_digest,
-                                   shares_held_ms, shares, demand, usage, load,
-                                   moves, evidence, leaving)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(broken_prompt, number, server, born,
+                                   sent_age_ms, broken_age_ms, parts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(crash_report, broken, answered, disproved)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(prompt_quarantine, parts, remaining_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(crash_orders, suspects, quarantine)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_server, id, born, service, address,
                                    failure_domain, version, slots, state,
                                    reclaimable, cold_remaining_ms, leaves_ms)
@@ -86,6 +86,52 @@
 } // namespace
 
 // Optional members are left out when they are empty.
+void to_json(json& out, const entry_report& value)
+{
+    out = json{{"entry", value.entry},
+               {"incarnation", value.incarnation},
+               {"failure_domain", value.failure_domain},
+               {"document_version", value.document_version},
+               {"wants_document", value.wants_document},
+               {"listing_digest", value.listing_digest},
+               {"shares_held_ms", value.shares_held_ms},
+               {"shares", value.shares},
+               {"demand", value.demand},
+               {"usage", value.usage},
+               {"load", value.load},
+               {"moves", value.moves},
+               {"evidence", value.evidence},
+               {"leaving", value.leaving}};
+    const auto& crashes = value.crashes;
+    if (!crashes.broken.empty() || !crashes.answered.empty() ||
+        !crashes.disproved.empty())
+    {
+        out["crashes"] = crashes;
+    }
+}
+
+void from_json(const json& from, entry_report& value)
+{
+    from.at("entry").get_to(value.entry);
+    from.at("incarnation").get_to(value.incarnation);
+    from.at("failure_domain").get_to(value.failure_domain);
+    from.at("document_version").get_to(value.document_version);
+    from.at("wants_document").get_to(value.wants_document);
+    from.at("listing_digest").get_to(value.listing_digest);
+    from.at("shares_held_ms").get_to(value.shares_held_ms);
+    from.at("shares").get_to(value.shares);
+    from.at("demand").get_to(value.demand);
+    from.at("usage").get_to(value.usage);
+    from.at("load").get_to(value.load);
+    from.at("moves").get_to(value.moves);
+    from.at("evidence").get_to(value.evidence);
+    from.at("leaving").get_to(value.leaving);
+    if (from.contains("crashes"))
+    {
+        from.at("crashes").get_to(value.crashes);
+    }
+}
+
 void to_json(json& out, const entry_orders& value)
 {
     out = json{{"leads", value.leads},
@@ -99,6 +145,10 @@
                {"next_report_ms", value.next_report_ms},
                {"moves", value.moves},
                {"leaving", value.leaving}};
+    if (!value.crashes.suspects.empty() || !value.crashes.quarantine.empty())
+    {
+        out["crashes"] = value.crashes;
+    }
     if (value.packed_document)
     {
         out["packed_document"] = *value.packed_document;
@@ -126,6 +176,10 @@
     from.at("next_report_ms").get_to(value.next_report_ms);
     from.at("moves").get_to(value.moves);
     from.at("leaving").get_to(value.leaving);
+    if (from.contains("crashes"))
+    {
+        from.at("crashes").get_to(value.crashes);
+    }
     if (from.contains("packed_document"))
     {
         value.packed_document = from.at("packed_document").get<std::string>();
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -167,11 +167,13 @@
     cluster.apply(decide_usage_command{7, {{"a", 3}}});
     cluster.apply(put_rollout_command{make_rollout("s", "v2", 1'000, 5)});
     cluster.apply(set_entries_command{{"e1"}});
+    cluster.apply(put_quarantine_command{{{1, 2}, 9'000, 600}});
     cluster_state other;
     CHECK_TRUE(other.restore_snapshot(cluster.encode_snapshot()).has_value());
     STRCMP_EQUAL("five", other.document().c_str());
     CHECK_TRUE(other.rollouts() == cluster.rollouts());
     CHECK_TRUE(other.entries() == cluster.entries());
+    CHECK_TRUE(other.quarantines() == cluster.quarantines());
     LONGS_EQUAL(1, other.usage().size());
     CHECK_FALSE(other.restore_snapshot("junk").has_value());
     LONGS_EQUAL(5, other.document_version());
@@ -186,6 +188,21 @@
     CHECK_FALSE(decode_cluster_command("\xc1junk").has_value());
 }
 
+TEST(cluster_state_tests, quarantines_are_lifted_and_forgotten)
+{
+    cluster.apply(put_quarantine_command{{{1}, 9'000, 600}});
+    cluster.apply(put_quarantine_command{{{2}, 9'500, 600}});
+    const auto& held = cluster.quarantines();
+    CHECK_TRUE(in_force(held.at({1}), transport::wall_time{8'999ms}));
+    CHECK_FALSE(in_force(held.at({1}), transport::wall_time{9'000ms}));
+    cluster.apply(lift_quarantine_command{{2}});
+    LONGS_EQUAL(1, held.size());
+    // Remembered after its end for as long as it lasted.
+    cluster.apply(put_quarantine_command{{{3}, 10'201, 600}});
+    LONGS_EQUAL(1, held.size());
+    CHECK_TRUE(held.contains({3}));
+}
+
 TEST(cluster_state_tests, repeated_order_does_not_restart_a_rollout)
 {
     cluster.apply(put_rollout_command{make_rollout("s", "v2", 1'000, 5)});
--- a/tests/crash_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -9,6 +9,9 @@
 
 #include <fmt/format.h>
 
+#include <hyssopdeal/coordination/cluster/crash_attribution.hpp>
+#include <hyssopdeal/coordination/gateway/crash_evidence.hpp>
+
 #include "cluster_harness.hpp"
 #include "raw_peer.hpp"
 
@@ -242,3 +245,265 @@
         });
     CHECK_TRUE(served * 10 >= static_cast<std::ptrdiff_t>(sound.size()) * 9);
 }
+
+// Several messages between processes are needed before a quarantine holds, so
+// it must not be lost with the process that decided it.
+TEST(crash_quarantine_tests, quarantine_survives_restart_of_all_processes)
+{
+    (void)play(3s);
+    const auto crashes_before = crashes;
+    CHECK_TRUE(tests::run_until(loop(), [&] {
+        return cluster.metric(cluster.leader(),
+                              "hyssopdeal_quarantined_prompts") == 1;
+    }));
+    gateways.clear();
+    for (std::size_t index = 0; index < 3; ++index)
+    {
+        cluster.stop(index);
+    }
+    for (std::size_t index = 0; index < 3; ++index)
+    {
+        cluster.start(index, coordination::cluster_start::later);
+    }
+    for (std::size_t index = 0; index < 2; ++index)
+    {
+        gateways.push_back(start_gateway(index));
+    }
+    CHECK_TRUE(tests::run_until(loop(), [&] {
+        return cluster.leader() != cluster_harness::no_leader;
+    }));
+    loop().run_for(1'500ms);
+    (void)play(2s);
+    CHECK_EQUAL(crashes_before, crashes);
+}
+
+// [decisions] ----------------------------------------------------------------
+
+namespace
+{
+
+constexpr auto settle_time = 350ms;
+
+} // namespace
+
+TEST_GROUP(crash_attribution_tests)
+{
+    coordination::crash_attribution attribution{{}};
+    coordination::crash_attribution::quarantines held;
+    transport::monotonic_time now{1h};
+    std::uint64_t broken = 0;
+
+    [[nodiscard]] transport::wall_time true_now() const
+    {
+        return transport::wall_time{
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                now.time_since_epoch())};
+    }
+
+    /// A server crashes under requests that were sent 200 ms ago.
+    void crash(const std::string& server,
+               const std::vector<protocol::part_ids>& requests)
+    {
+        protocol::crash_report report;
+        for (const auto& parts : requests)
+        {
+            report.broken.push_back({++broken, server, 1, 200, 0, parts});
+        }
+        attribution.on_report(now, "e", 1, report);
+    }
+
+    void answered(std::uint64_t part)
+    {
+        protocol::crash_report report;
+        report.answered[part] = 0;
+        attribution.on_report(now, "e", 1, report);
+    }
+
+    /// @return The parts that are quarantined after the evidence has settled.
+    protocol::part_ids decide()
+    {
+        now += settle_time;
+        const auto next =
+            attribution.next_quarantine(now, true_now(), settle_time, held);
+        if (next)
+        {
+            held[next->parts] = *next;
+        }
+        return next ? next->parts : protocol::part_ids{};
+    }
+};
+
+TEST(crash_attribution_tests, part_of_every_crash_is_told_from_answered_ones)
+{
+    std::uint64_t other = 20;
+    for (const auto* server : {"w1", "w2", "w3"})
+    {
+        crash(server, {{1, 2, 9}, {1, ++other}});
+        now += 500ms;
+        answered(1);
+        answered(2);
+    }
+    CHECK_TRUE(decide() == protocol::part_ids{9});
+    CHECK_TRUE(decide().empty());
+}
+
+TEST(crash_attribution_tests, sound_requests_of_the_same_crashes_are_not_blamed)
+{
+    for (const auto* server : {"w1", "w2", "w3"})
+    {
+        crash(server, {{1, 2, 9}, {1, 3}});
+        now += 500ms;
+    }
+    // Nothing with part 1 was answered, but each crash has a request with more
+    // parts in common.
+    CHECK_TRUE(decide() == (protocol::part_ids{1, 2, 9}));
+    CHECK_TRUE(decide().empty());
+}
+
+TEST(crash_attribution_tests, quarantine_is_widened_by_one_further_crash)
+{
+    for (const auto* server : {"w1", "w2", "w3"})
+    {
+        crash(server, {{2, 9}});
+        now += 500ms;
+    }
+    CHECK_TRUE(decide() == (protocol::part_ids{2, 9}));
+    crash("w4", {{4, 9}});
+    CHECK_TRUE(decide() == protocol::part_ids{9});
+}
+
+TEST(crash_attribution_tests, servers_lost_at_the_same_moment_blame_no_prompt)
+{
+    for (const auto* server : {"w1", "w2", "w3", "w4", "w5"})
+    {
+        crash(server, {{1, 2}});
+    }
+    CHECK_TRUE(decide().empty());
+}
+
+TEST(crash_attribution_tests, answered_part_is_cleared_of_earlier_crashes)
+{
+    for (const auto* server : {"w1", "w2", "w3"})
+    {
+        crash(server, {{1}});
+        now += 500ms;
+    }
+    CHECK_TRUE(attribution.suspects() == protocol::part_ids{1});
+    answered(1);
+    CHECK_TRUE(decide().empty());
+    CHECK_TRUE(attribution.suspects().empty());
+}
+
+TEST(crash_attribution_tests, evidence_that_has_not_settled_decides_nothing)
+{
+    for (const auto* server : {"w1", "w2", "w3"})
+    {
+        crash(server, {{1}});
+        now += 500ms;
+    }
+    now -= 500ms;
+    CHECK_FALSE(attribution.next_quarantine(now, true_now(), settle_time, held)
+                    .has_value());
+}
+
+TEST(crash_attribution_tests, repeated_reports_of_a_crash_count_once)
+{
+    protocol::crash_report report;
+    report.broken.push_back({1, "w1", 1, 200, 0, {1}});
+    for (int round = 0; round < 9; ++round)
+    {
+        attribution.on_report(now, "e", 1, report);
+        now += 100ms;
+        report.broken.front().sent_age_ms += 100;
+        report.broken.front().broken_age_ms += 100;
+    }
+    CHECK_TRUE(attribution.suspects().empty());
+}
+
+TEST(crash_attribution_tests, ended_quarantine_is_renewed_for_twice_the_time)
+{
+    for (const auto* server : {"w1", "w2", "w3"})
+    {
+        crash(server, {{9}});
+        now += 500ms;
+    }
+    CHECK_TRUE(decide() == protocol::part_ids{9});
+    const auto first = held.begin()->second.duration_ms;
+    now += std::chrono::milliseconds{first};
+    CHECK_TRUE(decide().empty());
+    crash("w4", {{9}});
+    CHECK_TRUE(decide() == protocol::part_ids{9});
+    CHECK_EQUAL(2 * first, held.begin()->second.duration_ms);
+}
+
+TEST_GROUP(crash_evidence_tests)
+{
+    coordination::crash_evidence evidence;
+    transport::monotonic_time now{1h};
+    std::shared_ptr<coordination::known_server> server =
+        std::make_shared<coordination::known_server>();
+
+    static coordination::prompt_size prompt(
+        const std::vector<std::uint64_t>& ids)
+    {
+        coordination::prompt_size size;
+        for (const auto id : ids)
+        {
+            size.parts.push_back({id, 10});
+        }
+        return size;
+    }
+
+    void quarantine(const protocol::part_ids& parts)
+    {
+        protocol::crash_orders orders;
+        orders.quarantine = {{parts, 60'000}};
+        evidence.set_orders(now, orders);
+    }
+};
+
+TEST(crash_evidence_tests, prompt_with_all_parts_is_quarantined_until_the_end)
+{
+    quarantine({2, 9});
+    CHECK_TRUE(evidence.quarantine_of(now, prompt({1, 2, 9, 5})) == 60s);
+    CHECK_FALSE(evidence.quarantine_of(now, prompt({1, 2, 5})).has_value());
+    CHECK_FALSE(evidence.quarantine_of(now, prompt({})).has_value());
+    now += 60s;
+    CHECK_FALSE(evidence.quarantine_of(now, prompt({2, 9})).has_value());
+}
+
+TEST(crash_evidence_tests, server_that_sends_events_afterwards_has_not_crashed)
+{
+    evidence.on_broken(now, now - 200ms, server, prompt({1, 2}));
+    CHECK_FALSE(evidence.has_news(now));
+    now += 100ms;
+    CHECK_TRUE(evidence.has_news(now));
+    LONGS_EQUAL(1, evidence.report(now).broken.size());
+    evidence.mark_reported(now);
+    CHECK_FALSE(evidence.has_news(now));
+    server->last_heard = now;
+    CHECK_TRUE(evidence.report(now).broken.empty());
+}
+
+TEST(crash_evidence_tests, answers_with_suspected_parts_are_reported)
+{
+    evidence.on_answered(now, prompt({1, 2}));
+    now += 40ms;
+    CHECK_TRUE(evidence.report(now).answered.empty());
+    protocol::crash_orders orders;
+    orders.suspects = {2, 3};
+    evidence.set_orders(now, orders);
+    CHECK_TRUE(evidence.has_news(now));
+    const auto report = evidence.report(now);
+    LONGS_EQUAL(1, report.answered.size());
+    LONGS_EQUAL(40, report.answered.at(2));
+}
+
+TEST(crash_evidence_tests, answer_to_a_quarantined_prompt_disproves_it)
+{
+    quarantine({2, 9});
+    evidence.on_answered(now, prompt({2, 9, 5}));
+    const auto report = evidence.report(now);
+    LONGS_EQUAL(1, report.disproved.size());
+    CHECK_TRUE(report.disproved.front() == (protocol::part_ids{2, 9}));
+}
