Treat a stream that ends inside an event as broken off

What callers saw: a server that crashed while it wrote a stream without a length closed its connection, and the caller got the cut-off stream with a proper end, as a complete success. Cause: the end of the connection completes a message without a length, and the gateway sent on what was left in the event splitter. Change: a stream with a cut-off event, or one without a length that ends before its first event, is an attempt that broke: resumed where the route allows it, 502 or an aborted response elsewhere. Blank lines after the last event are sent on as before. Test: three tests of request_flow_test failed before and pass.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -81,6 +81,8 @@
                                             const headers& response_headers);
     void on_response_data(std::string_view data);
     void on_attempt_end(const transport::http1_call_end& result);
+    [[nodiscard]] bool
+    stream_broken_off(const transport::http1_call_end& result) const;
     void on_attempt_refused();
     void on_attempt_error(const transport::failure& error);
     void release_server();
@@ -784,6 +786,12 @@
     {
         return on_attempt_refused();
     }
+    if (stream_broken_off(result))
+    {
+        return on_attempt_error({transport::verdict::may_have_run,
+                                 transport::reason::connection_lost,
+                                 "The stream ended inside an event."});
+    }
     ++possible_runs_;
     const bool failed = response_status_ >= first_server_error_status;
     record_attempt_outcome(failed ? answer_kind::failed : answer_kind::whole);
@@ -816,6 +824,22 @@
     finish_response();
 }
 
+/// @return Whether a stream that its framing reports as complete has lost its
+///     end: no event may be cut off, and one without a length that ends before
+///     its first event was ended by the loss of the server.
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::stream_broken_off(
+    const transport::http1_call_end& result) const
+{
+    constexpr int first_error_status = 300;
+    const bool is_stream = route_->rule == protocol::repeat_rule::stream &&
+                           response_status_ < first_error_status;
+    const bool inside_event = event_splitter_.remainder().find_first_not_of(
+                                  "\r\n") != std::string::npos;
+    return is_stream &&
+           (inside_event || (result.ended_by_close && !event_received_));
+}
+
 /// Handles a response by which the server reports that it did not run the
 /// request.
 template <caller_dialect Dialect>
--- a/include/hyssopdeal/transport/http1_client.hpp
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -69,6 +69,9 @@
     bool complete = false; ///< The answer was read to its proper end.
     failure error; ///< Only when not complete. Its verdict is not_run only if
                    ///< no byte was handed to a connection.
+    /// The answer had no length and ended with its connection. A server that
+    /// crashes ends its connections in the same way.
+    bool ended_by_close = false;
 };
 
 /// Called on the loop's thread; on_end comes last and exactly once, unless the
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -352,7 +352,7 @@
         {
             go_idle();
         }
-        call->end({true, {}});
+        call->end({true, {}, reader_.ended_by_close()});
     }
 
     void go_idle()
--- a/src/transport/http1_reader.cpp
+++ b/src/transport/http1_reader.cpp
@@ -21,6 +21,7 @@
     state_ = read_state::head;
     head_bytes_ = 0;
     keeps_alive_ = false;
+    ended_by_close_ = false;
     last_was_value_ = false;
     method_.clear();
     target_.clear();
@@ -123,6 +124,7 @@
     if (state_ == read_state::complete)
     {
         keeps_alive_ = false;
+        ended_by_close_ = true;
     }
     else
     {
--- a/src/transport/http1_reader.hpp
+++ b/src/transport/http1_reader.hpp
@@ -85,6 +85,12 @@
     }
 
     /// @return Whether the connection may carry another message afterwards.
+    /// @return Whether feed_end() completed the message.
+    [[nodiscard]] bool ended_by_close() const noexcept
+    {
+        return ended_by_close_;
+    }
+
     [[nodiscard]] bool keeps_alive() const noexcept
     {
         return keeps_alive_;
@@ -127,6 +133,7 @@
     read_state state_ = read_state::head;
     std::size_t head_bytes_ = 0;
     bool keeps_alive_ = false;
+    bool ended_by_close_ = false;
     bool last_was_value_ = false;
     std::string method_;
     std::string target_;
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -291,6 +291,50 @@
     CHECK_TRUE(response.find("id: 2") == std::string::npos);
 }
 
+// Responses without a length end with their connection, whether the server
+// completed them or crashed.
+TEST(request_flow_tests, stream_closed_inside_an_event_does_not_look_complete)
+{
+    add_server([](tests::raw_connection& connection) {
+        connection.send(response_head("id1", "") +
+                        "id: 1\ndata: a\n\nid: 2\nda");
+        connection.close();
+    });
+    apply_configuration();
+    const auto response = fetch("/stream/");
+    STRCMP_CONTAINS("data: a", response.c_str());
+    CHECK_TRUE(response.find("\r\n0\r\n") == std::string::npos);
+    CHECK_TRUE(response.find("id: 2") == std::string::npos);
+}
+
+TEST(request_flow_tests, stream_closed_before_its_first_event_is_no_success)
+{
+    add_server([](tests::raw_connection& connection) {
+        connection.send(response_head("id1", ""));
+        connection.close();
+    });
+    apply_configuration();
+    STRCMP_CONTAINS("HTTP/1.1 502", fetch("/stream/").c_str());
+}
+
+TEST(request_flow_tests, stream_closed_inside_an_event_is_resumed)
+{
+    int round = 0;
+    const server_script respond = [&round](tests::raw_connection& connection) {
+        connection.send(response_head("id1", "") +
+                        (round++ == 0 ? "id: 1\ndata: a\n\nid: 2\nda"
+                                      : "id: 2\ndata: b\n\n"));
+        connection.close();
+    };
+    add_server(respond);
+    add_server(respond);
+    apply_configuration();
+    const auto response = fetch("/resume/");
+    STRCMP_CONTAINS("id: 2\ndata: b", response.c_str());
+    STRCMP_CONTAINS("\r\n0\r\n", response.c_str());
+    STRCMP_CONTAINS("Last-Event-ID: 1", received_requests.at(1).c_str());
+}
+
 TEST(request_flow_tests, resumable_stream_resumes_after_its_last_complete_event)
 {
     int round = 0;
