Deliver the evidence on rollouts to each leader, all of it

Cause: an entry drained its observations into whatever report came next. One that went to followers only, or was lost, took them along; a new leader judged by what came after its election. Evidence: read from gateway_process::report(): one encoding serves all replicas that are due, and followers ignore it. On fleets where the leader is due less often than each timer tick, each report to followers alone drops observations. Change: only reports to the leader carry evidence, repeated until that leader has answered, as answers now tell its term; a new leader gets all of the running rollouts at once, and begins to judge when it arrives. Test: rollout_evidence_tests; both properties were not there before.

--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -19,11 +19,11 @@
 
 #include <hyssopdeal/coordination/gateway/crash_evidence.hpp>
 #include <hyssopdeal/coordination/gateway/placement.hpp>
+#include <hyssopdeal/coordination/gateway/rollout_evidence.hpp>
 #include <hyssopdeal/coordination/gateway/route_table.hpp>
 #include <hyssopdeal/coordination/gateway/service_retry_budgets.hpp>
 #include <hyssopdeal/coordination/gateway/token_quota.hpp>
 #include <hyssopdeal/coordination/gateway/version_split.hpp>
-#include <hyssopdeal/coordination/version_observer.hpp>
 #include <hyssopdeal/protocol/follow_messages.hpp>
 #include <hyssopdeal/transport/clock.hpp>
 #include <hyssopdeal/transport/event_loop.hpp>
@@ -97,6 +97,14 @@
     transport::duration_histogram prediction_error;
 };
 
+/// What a report is sent for.
+enum class report_purpose : std::uint8_t
+{
+    inform,
+    inform_leader, ///< Includes the evidence on rollouts.
+    fetch_document ///< Asks for a newer document, if the replica has one.
+};
+
 // [gateway_core] -------------------------------------------------------------
 
 /// Not thread-safe; use only on the event loop's thread.
@@ -141,10 +149,21 @@
     bool await_start(std::chrono::milliseconds max_wait,
                      std::function<void()> on_end);
 
-    /// @param wants_document Asks the replica to include a newer document in
-    ///     its answer, if it has one.
     /// @return The report to send to control replicas.
-    [[nodiscard]] protocol::entry_report report(bool wants_document = false);
+    [[nodiscard]] protocol::entry_report
+    report(report_purpose purpose = report_purpose::inform);
+
+    /// Records that the leader has answered the latest report with the purpose
+    /// `inform_leader`.
+    ///
+    /// @param leader_term As it was when that report was made.
+    void on_report_confirmed(std::uint64_t leader_term);
+
+    /// @return Term of the latest leader; 0 before the first.
+    [[nodiscard]] std::uint64_t leader_term() const noexcept
+    {
+        return leader_term_;
+    }
 
     /// @return Version of the active document; 0 before the first.
     [[nodiscard]] std::uint64_t document_version() const noexcept
@@ -197,7 +216,7 @@
     service_retry_budgets repeats;
     placement servers;
     version_split versions;
-    version_observer observer; ///< For services that change to a new version.
+    rollout_evidence rollouts; ///< For services that change to a new version.
     crash_evidence crashes;    ///< Prompts that crash servers.
     gateway_counters counters;
     std::mt19937_64 random;
@@ -225,6 +244,7 @@
                                                       ///< arrival.
     std::uint64_t last_wait_id_ = 0;
     std::uint64_t incarnation_;
+    std::uint64_t leader_term_ = 0;
     transport::monotonic_time started_at_;
     transport::monotonic_time keys_valid_until_{};
     std::uint64_t server_list_digest_ = 0;
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -959,7 +959,7 @@
     }
     const auto& version = choice_.server->listed.version;
     core_.versions.on_ended(service_, version, outcome != answer_kind::whole);
-    core_.observer.on_answer(
+    core_.rollouts.observer.on_answer(
         {service_, version, route_->name, load_at_start_, outcome, {}, {}});
 }
 
@@ -970,7 +970,7 @@
 {
     if (attempt_active_ && core_.versions.moves(service_))
     {
-        core_.observer.on_first_token(
+        core_.rollouts.observer.on_first_token(
             service_, choice_.server->listed.version, route_->name,
             load_at_start_,
             std::chrono::duration_cast<std::chrono::microseconds>(
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -163,6 +163,7 @@
     /// Whether this replica leads and no other can: only then do validity,
     /// shares and time count.
     bool leads = false;
+    std::uint64_t leader_term = 0; ///< Of this leader; tells leaders apart.
     std::uint64_t document_version = 0;
     std::optional<std::string> packed_document; ///< When it was wanted.
     std::int64_t listing_age_ms = -1;           ///< -1: no list was read.
--- a/src/coordination/cluster/cluster_process_moves.cpp
+++ b/src/coordination/cluster/cluster_process_moves.cpp
@@ -60,10 +60,18 @@
 void cluster_process::impl::on_version_reports(
     const protocol::entry_report& report)
 {
-    if (!leads())
+    if (!leads() || !listing_read_at)
     {
         return;
     }
+    for (const auto& [service, order] : machine->state().rollouts())
+    {
+        // An entry sends its evidence to a new leader once.
+        if (order.state == rollout_state::running)
+        {
+            find_or_start_move(order);
+        }
+    }
     for (const auto& [service, counts] : report.moves)
     {
         if (const auto found = moves.find(service); found != moves.end())
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -423,6 +423,7 @@
         return orders;
     }
     orders.leads = true;
+    orders.leader_term = leading_term;
     orders.true_time_ms = quorum_time().time_since_epoch().count();
     cache_document();
     allocator->set_eligible_entries(replicated.entries());
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -37,7 +37,7 @@
       repeats(settings.repeats),
       servers(settings.placement_options, settings.failure_domain,
               transport::random_seed()),
-      observer(settings.name, transport::random_seed(), clock.monotonic_now()),
+      rollouts(settings.name, transport::random_seed(), clock.monotonic_now()),
       random(transport::random_seed()),
       parse_document_(std::move(parse_document)),
       incarnation_(transport::random_seed()),
@@ -117,7 +117,7 @@
 
 // [reports] ------------------------------------------------------------------
 
-protocol::entry_report gateway_core::report(bool wants_document)
+protocol::entry_report gateway_core::report(report_purpose purpose)
 {
     const auto now = clock.monotonic_now();
     protocol::entry_report result;
@@ -125,7 +125,7 @@
     result.incarnation = incarnation_;
     result.failure_domain = settings.failure_domain;
     result.document_version = document_version();
-    result.wants_document = wants_document;
+    result.wants_document = purpose == report_purpose::fetch_document;
     result.listing_digest = server_list_digest_;
     result.shares = quota.shares();
     result.shares_held_ms = std::max<std::int64_t>(
@@ -139,13 +139,23 @@
     result.moves = versions.counts();
     result.leaving = servers.seen_leaving();
     result.crashes = crashes.report(now);
-    for (const auto& seen : observer.take_reports(now))
+    if (purpose == report_purpose::inform_leader)
     {
-        result.evidence.push_back(encode(seen));
+        crashes.mark_reported(now);
+        for (const auto& seen :
+             rollouts.reports_for(now, leader_term_, versions.counts()))
+        {
+            result.evidence.push_back(encode(seen));
+        }
     }
     return result;
 }
 
+void gateway_core::on_report_confirmed(std::uint64_t leader_term)
+{
+    rollouts.on_confirmed(leader_term);
+}
+
 void gateway_core::count_usage(const std::string& organisation,
                                monotonic_time at)
 {
@@ -273,6 +283,7 @@
                                        const protocol::entry_orders& orders)
 {
     const auto now = clock.monotonic_now();
+    leader_term_ = orders.leader_term;
     keys_valid_until_ =
         std::max(keys_valid_until_, sent_at + settings.keys_valid_for);
     quota.set_shares(now, orders.shares, sent_at + settings.keys_valid_for);
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -89,6 +89,7 @@
     report_interval_for(const std::string& address,
                         const known_replica& replica) const;
     void report();
+    void report_to_leader(monotonic_time now);
     void report_now();
     void call_replica(const std::string& replica, const std::string& bytes,
                       milliseconds time_limit,
@@ -284,15 +285,16 @@
         const bool news = address == leader && core.crashes.has_news(now);
         if (!replica.awaiting_answer && (now >= due || news))
         {
-            if (bytes.empty())
-            {
-                bytes = protocol::encode(core.report());
-            }
             replica.reported_at = now;
             replica.awaiting_answer = true;
             if (address == leader)
             {
-                core.crashes.mark_reported(now);
+                report_to_leader(now);
+                continue;
+            }
+            if (bytes.empty())
+            {
+                bytes = protocol::encode(core.report());
             }
             call_replica(address, bytes, report_time_limit,
                          [this, from = address, now](const auto& answer) {
@@ -307,6 +309,28 @@
     }
 }
 
+/// Sends a report with evidence that only the leader uses.
+void gateway_process::impl::report_to_leader(monotonic_time now)
+{
+    call_replica(leader,
+                 protocol::encode(core.report(report_purpose::inform_leader)),
+                 report_time_limit,
+                 [this, from = leader, now,
+                  term = core.leader_term()](const auto& answer) {
+                     replicas[from].awaiting_answer = false;
+                     const auto version = handle_answer(from, now, answer);
+                     if (replicas[from].led_at == replicas[from].answered_at &&
+                         replicas[from].answered_at >= now)
+                     {
+                         core.on_report_confirmed(term);
+                     }
+                     if (version > core.document_version())
+                     {
+                         fetch_document(from);
+                     }
+                 });
+}
+
 /// Sends a report at once to every replica that has no answer outstanding,
 /// regardless of its report interval.
 void gateway_process::impl::report_now()
@@ -333,8 +357,9 @@
         return;
     }
     fetch_started_at = now;
-    call_replica(replica, protocol::encode(core.report(true)), time_limit,
-                 [this, replica, now](const auto& answer) {
+    call_replica(replica,
+                 protocol::encode(core.report(report_purpose::fetch_document)),
+                 time_limit, [this, replica, now](const auto& answer) {
                      fetch_started_at.reset();
                      (void)handle_answer(replica, now, answer);
                      // Keys become valid only by an answer of the leader, but
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -135,6 +135,7 @@
 void to_json(json& out, const entry_orders& value)
 {
     out = json{{"leads", value.leads},
+               {"leader_term", value.leader_term},
                {"document_version", value.document_version},
                {"listing_age_ms", value.listing_age_ms},
                {"true_time_ms", value.true_time_ms},
@@ -166,6 +167,8 @@
 void from_json(const json& from, entry_orders& value)
 {
     from.at("leads").get_to(value.leads);
+    // Missing in answers of earlier versions.
+    value.leader_term = from.value("leader_term", std::uint64_t{0});
     from.at("document_version").get_to(value.document_version);
     from.at("listing_age_ms").get_to(value.listing_age_ms);
     from.at("true_time_ms").get_to(value.true_time_ms);
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -10,6 +10,7 @@
 #include <hyssopdeal/coordination/cluster/share_allocator.hpp>
 #include <hyssopdeal/coordination/cluster/usage_collector.hpp>
 #include <hyssopdeal/coordination/cluster/version_rollout.hpp>
+#include <hyssopdeal/coordination/gateway/rollout_evidence.hpp>
 #include <hyssopdeal/coordination/gateway/version_split.hpp>
 #include <hyssopdeal/coordination/version_observer.hpp>
 
@@ -459,6 +460,63 @@
     CHECK_TRUE(run_rollout(1e9, 0, 1).end == rollout_state::rolled_back);
 }
 
+// [rollout evidence] ---------------------------------------------------------
+
+TEST_GROUP(rollout_evidence_tests)
+{
+    monotonic_time now{100s};
+    rollout_evidence evidence{"e", 1, now};
+    std::map<std::string, protocol::version_counts> running{{"s", {}}};
+
+    void answer()
+    {
+        evidence.observer.on_answer(
+            {"s", "v2", "r", load_bucket::light, answer_kind::whole, {}, {}});
+    }
+
+    /// @return Answers in the reports, not counting repeated reports.
+    std::uint64_t answers_reported(std::uint64_t leader_term)
+    {
+        std::uint64_t answers = 0;
+        for (const auto& report :
+             evidence.reports_for(now, leader_term, running))
+        {
+            for (const auto& cell : report.cells)
+            {
+                answers += cell.requests;
+            }
+        }
+        return answers;
+    }
+};
+
+TEST(rollout_evidence_tests, unconfirmed_answers_are_reported_again)
+{
+    answer();
+    LONGS_EQUAL(1, answers_reported(1));
+    answer();
+    LONGS_EQUAL(2, answers_reported(1));
+    evidence.on_confirmed(1);
+    LONGS_EQUAL(0, answers_reported(1));
+}
+
+TEST(rollout_evidence_tests, new_leader_gets_all_answers_of_the_rollout)
+{
+    for (int round = 0; round < 3; ++round)
+    {
+        answer();
+        LONGS_EQUAL(1, answers_reported(1));
+        evidence.on_confirmed(1);
+    }
+    LONGS_EQUAL(3, answers_reported(2));
+    evidence.on_confirmed(1);
+    LONGS_EQUAL(3, answers_reported(2));
+    evidence.on_confirmed(2);
+    LONGS_EQUAL(0, answers_reported(2));
+    running["s"].started_ms = 1;
+    LONGS_EQUAL(0, answers_reported(3));
+}
+
 // [shares] -------------------------------------------------------------------
 
 TEST_GROUP(share_allocator_tests){};
