Judge slow answers of a new version also where few come, and by their gaps

Cause: missing evidence counted as good evidence. (1) What came from the new version before a route had 50 answers of the old one was dropped, which is most of the trial of a service with a few requests per second. (2) A version was completed when its failures were few, whether its speed was known or not. (3) Only the 90% quantile was compared, which takes over a hundred answers where half of them are slow, and only the time to the first event, although a slow model server shows between events. (4) A service with few slots spread its answers over three load buckets, none of which ever had enough. Change: answers wait for their reference; a version is completed only with 20 answers that could be compared and were not slow; answers beyond the old version's 98% quantile are judged too, by a sequential test and by their rate, like failures; gateways report the mean gap of the first events of a stream; a reference is pooled from the same and heavier loads where no bucket has enough. Why it works: of the few answers of a trial, the slow ones of a bad version lie almost all beyond nearly all of the old version's, and a good one's do not. Test: slow_version_of_a_plain_service_is_not_completed failed before, also with bursts and a new leader; answers_before_the_first_reference_are_judged is new. good_version_of_a_plain_service_is_completed holds before and after.

--- a/include/hyssopdeal/coordination/cluster/version_rollout.hpp
+++ b/include/hyssopdeal/coordination/cluster/version_rollout.hpp
@@ -46,13 +46,15 @@
     /// Answers needed before a version is acceptable: one that fails a quarter
     /// of its requests has failed five by then.
     std::uint64_t min_answers = 20;
-    /// Acceptable failure rate beyond twice that of the other versions.
-    double accepted_failure_margin = 0.05;
-    /// Failures needed for a rollback by failure rate; fewer may be chance.
-    std::uint64_t min_failures_to_roll_back = 8;
-    /// Failure rate, beyond three times that of the other versions, above which
-    /// the version is rolled back.
-    double rollback_failure_margin = 0.1;
+    /// Acceptable rate of failed or of slow answers beyond twice that of the
+    /// other versions.
+    double accepted_margin = 0.05;
+    /// Failed or slow answers needed for a rollback by their rate; fewer may be
+    /// chance.
+    std::uint64_t min_bad_to_roll_back = 8;
+    /// Rate of failed or of slow answers, beyond three times that of the other
+    /// versions, above which the version is rolled back.
+    double rollback_margin = 0.1;
     /// Time before the limit in which the end is committed and sent to the
     /// platform.
     std::chrono::milliseconds commit_margin{300};
@@ -64,7 +66,8 @@
     /// A rollout takes seconds: some dozens of windows, a few routes and loads.
     comparison_settings comparison{
         .failures = {.false_alarm = 0.005, .tests = 20, .windows = 200},
-        .latency = {.tests = 20, .windows = 200, .effect = 0.2}};
+        .latency = {.tests = 20, .windows = 200, .effect = 0.2},
+        .tail_quantile = 0.98};
 };
 
 // [version_rollout_step] -----------------------------------------------------
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -72,6 +72,7 @@
     void start_attempt(const placement_choice& choice);
     void record_attempt_outcome(answer_kind outcome);
     void record_first_event_delay();
+    void record_event_gap();
     void arm_idle_timer();
     [[nodiscard]] milliseconds stream_idle_timeout() const;
     [[nodiscard]] bool should_fail_over();
@@ -175,6 +176,8 @@
     event_splitter event_splitter_;
     /// Whether this attempt had its first event or its complete response.
     bool event_received_ = false;
+    std::uint32_t attempt_events_ = 0; ///< Relayed from this attempt.
+    bool gap_recorded_ = false;
     monotonic_time last_activity_{};
 
     // Move of the running stream to another server, which continues the same
@@ -551,6 +554,8 @@
     response_status_ = 0;
     head_received_ = false;
     event_received_ = false;
+    attempt_events_ = 0;
+    gap_recorded_ = false;
     response_body_.clear();
     event_splitter_.discard_remainder();
     set_buffered_bytes(0);
@@ -957,6 +962,7 @@
     {
         return;
     }
+    record_event_gap();
     const auto& version = choice_.server->listed.version;
     core_.versions.on_ended(service_, version, outcome != answer_kind::whole);
     core_.rollouts.observer.on_answer(
@@ -978,6 +984,23 @@
     }
 }
 
+/// Records, during a rollout, the mean gap between the events of an attempt:
+/// once, after some events, so that a slow version is seen before its answers
+/// end, or at the end of a short answer.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::record_event_gap()
+{
+    if (attempt_events_ > 1 && !std::exchange(gap_recorded_, true) &&
+        core_.versions.moves(service_))
+    {
+        core_.rollouts.observer.on_token_gap(
+            service_, choice_.server->listed.version, route_->name,
+            load_at_start_,
+            std::chrono::duration_cast<std::chrono::microseconds>(
+                (last_event_at_ - first_event_at_) / (attempt_events_ - 1)));
+    }
+}
+
 template <caller_dialect Dialect>
 void request_flow<Dialect>::release_server()
 {
@@ -1172,6 +1195,11 @@
                             Dialect::caller_headers(response_headers_));
         }
         last_event_at_ = last_activity_;
+        constexpr std::uint32_t events_for_gap = 9;
+        if (++attempt_events_ == events_for_gap)
+        {
+            record_event_gap();
+        }
         exchange_.write(*event);
         if (finished_)
         {
--- a/include/hyssopdeal/coordination/version_comparison.hpp
+++ b/include/hyssopdeal/coordination/version_comparison.hpp
@@ -30,6 +30,10 @@
     double failure_tolerance = 0.005; ///< Added to the old version's rate.
     double slow_quantile = 0.9;       ///< Of the old version; slower is slow.
     double slow_tolerance = 0.05;     ///< Added to the old version's rate.
+    /// Of the old version's latencies; slower ones are judged by themselves.
+    /// 0: off.
+    double tail_quantile = 0;
+    double tail_tolerance = 0.02;          ///< Added to the old version's rate.
     std::uint64_t reference_requests = 50; ///< Fewer give no reference.
     double failure_rate_unknown = 0.05;    ///< Without any reference.
     std::uint64_t memory = 4'000;          ///< Old answers kept for each cell.
@@ -49,6 +53,16 @@
     std::uint64_t old_bad = 0;      ///< Failed, broken or empty.
 };
 
+// [tail_summary] -------------------------------------------------------------
+
+/// Answers of the new version that are slower than nearly all of the old one's.
+struct tail_summary
+{
+    std::uint64_t answers = 0; ///< Those for which there was a reference.
+    std::uint64_t slow = 0;
+    double expected_slow = 0; ///< At the old version's rate, as an upper bound.
+};
+
 // [version_comparison] -------------------------------------------------------
 
 /// Evidence of one move, kept in the leader's memory only: the next leader
@@ -79,6 +93,13 @@
     /// @return What is known by route, for each route with any traffic.
     [[nodiscard]] std::vector<route_evidence> routes() const;
 
+    /// @return The slow answers so far, by the time to the first token; empty
+    ///     unless `tail_quantile` is set.
+    [[nodiscard]] const tail_summary& first_token_tail() const;
+
+    /// @return The same by the time between tokens.
+    [[nodiscard]] const tail_summary& between_tokens_tail() const;
+
     /// @return Answers of the new version so far.
     [[nodiscard]] std::uint64_t new_requests() const;
 
--- a/include/hyssopdeal/coordination/version_observer.hpp
+++ b/include/hyssopdeal/coordination/version_observer.hpp
@@ -61,6 +61,12 @@
                         std::string_view route, load_bucket load,
                         std::chrono::microseconds after);
 
+    /// Counts the mean time between the tokens of an answer while it goes on;
+    /// leave `version_observation::between_tokens` empty for this answer.
+    void on_token_gap(std::string_view service, std::string_view version,
+                      std::string_view route, load_bucket load,
+                      std::chrono::microseconds mean_gap);
+
     /// Counts an answer that ended.
     void on_answer(const version_observation& seen);
 
--- a/src/coordination/cluster/version_rollout.cpp
+++ b/src/coordination/cluster/version_rollout.cpp
@@ -23,9 +23,10 @@
                                       &protocol::version_counts::target_ended,
                                       &protocol::version_counts::target_bad};
 
-double failure_rate(std::uint64_t bad, std::uint64_t all)
+template <class Number>
+double fraction(Number part, std::uint64_t all)
 {
-    return all == 0 ? 0 : static_cast<double>(bad) / static_cast<double>(all);
+    return all == 0 ? 0 : static_cast<double>(part) / static_cast<double>(all);
 }
 
 } // namespace
@@ -85,22 +86,43 @@
 bool version_rollout::clearly_bad() const
 {
     constexpr double rate_factor = 3;
+    const auto too_many = [&](std::uint64_t bad, std::uint64_t all,
+                              double usual_rate) {
+        return bad >= settings_.min_bad_to_roll_back &&
+               fraction(bad, all) >
+                   rate_factor * usual_rate + settings_.rollback_margin;
+    };
+    const auto too_slow = [&](const tail_summary& tail) {
+        return too_many(tail.slow, tail.answers,
+                        fraction(tail.expected_slow, tail.answers));
+    };
     return comparison_.worse() ||
-           (totals_.target_bad >= settings_.min_failures_to_roll_back &&
-            failure_rate(totals_.target_bad, totals_.target_ended) >
-                rate_factor *
-                        failure_rate(totals_.others_bad, totals_.others_ended) +
-                    settings_.rollback_failure_margin);
+           too_many(totals_.target_bad, totals_.target_ended,
+                    fraction(totals_.others_bad, totals_.others_ended)) ||
+           too_slow(comparison_.first_token_tail()) ||
+           too_slow(comparison_.between_tokens_tail());
 }
 
+/// A version is accepted on evidence: without enough answers that could be
+/// compared, it is not known to be as fast as the others.
 bool version_rollout::acceptable() const
 {
     constexpr double rate_factor = 2;
-    return totals_.target_ended >= settings_.min_answers &&
-           failure_rate(totals_.target_bad, totals_.target_ended) <=
-               rate_factor *
-                       failure_rate(totals_.others_bad, totals_.others_ended) +
-                   settings_.accepted_failure_margin;
+    const auto few_enough = [&](std::uint64_t bad, std::uint64_t all,
+                                double usual_rate) {
+        return all >= settings_.min_answers &&
+               fraction(bad, all) <=
+                   rate_factor * usual_rate + settings_.accepted_margin;
+    };
+    const auto fast_enough = [&](const tail_summary& tail) {
+        return few_enough(tail.slow, tail.answers,
+                          fraction(tail.expected_slow, tail.answers));
+    };
+    const auto& gaps = comparison_.between_tokens_tail();
+    return few_enough(totals_.target_bad, totals_.target_ended,
+                      fraction(totals_.others_bad, totals_.others_ended)) &&
+           fast_enough(comparison_.first_token_tail()) &&
+           (gaps.answers == 0 || fast_enough(gaps));
 }
 
 void version_rollout::measure_rate(monotonic_time now)
--- a/src/coordination/version_comparison.cpp
+++ b/src/coordination/version_comparison.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <set>
 
 #include <fmt/format.h>
@@ -69,11 +70,15 @@
     sequential_test failures;
     sequential_test first_token;
     sequential_test between_tokens;
+    sequential_test first_token_tail;
+    sequential_test between_tokens_tail;
 
     [[nodiscard]] bool worse() const
     {
         return failures.verdict() == test_verdict::worse ||
                first_token.verdict() == test_verdict::worse ||
+               first_token_tail.verdict() == test_verdict::worse ||
+               between_tokens_tail.verdict() == test_verdict::worse ||
                between_tokens.verdict() == test_verdict::worse;
     }
 };
@@ -139,6 +144,10 @@
     sequential_test all_failures; ///< Over all routes and loads.
     sequential_test all_first_token;
     sequential_test all_between_tokens;
+    sequential_test all_first_token_tail;
+    sequential_test all_between_tokens_tail;
+    tail_summary first_token_tail;
+    tail_summary between_tokens_tail;
 
     route_state& route_of(const std::string& name)
     {
@@ -156,23 +165,31 @@
             cell.failures = made.failures;
             cell.first_token = made.first_token;
             cell.between_tokens = made.between_tokens;
+            cell.first_token_tail = made.first_token;
+            cell.between_tokens_tail = made.first_token;
         }
         return made;
     }
 
     /// The old version at the same load, else at the next higher one with
-    /// enough answers: being slower there, it raises no false alarm.
-    const side* reference_of(const route_state& route, std::size_t load) const
+    /// enough answers, else at all of these together: being slower there, it
+    /// raises no false alarm.
+    std::optional<side> reference_of(const route_state& route,
+                                     std::size_t load) const
     {
+        side pooled;
         for (auto at = load; at < load_bucket_count; ++at)
         {
             const auto& memory = route.loads.at(at).old_memory;
             if (memory.requests >= settings.reference_requests)
             {
-                return &memory;
+                return memory;
             }
+            pooled.merge(memory);
         }
-        return nullptr;
+        return pooled.requests >= settings.reference_requests
+                   ? std::optional{pooled}
+                   : std::nullopt;
     }
 
     double failure_reference(const route_state& route,
@@ -197,23 +214,56 @@
         return rate + settings.failure_tolerance;
     }
 
+    /// Judges the latencies that exceed nearly all of the old version's: where
+    /// only some answers are slow, these differ most.
+    void judge_tail(const route_state& route, std::size_t load,
+                    latency_member member, sequential_test& by_load,
+                    sequential_test& overall, tail_summary& summary) const
+    {
+        const auto& cell = route.loads.at(load);
+        const auto& fresh = cell.new_window.*member;
+        const auto reference = reference_of(route, load);
+        if (settings.tail_quantile <= 0 || fresh.total() == 0 || !reference ||
+            ((*reference).*member).total() < settings.reference_requests)
+        {
+            return;
+        }
+        const auto& old = (*reference).*member;
+        const auto bin = old.quantile_bin(settings.tail_quantile);
+        const auto& now = cell.old_window.*member;
+        const double rate =
+            std::max(upper_rate(old.above(bin), old.total()),
+                     now.total() >= settings.reference_requests
+                         ? upper_rate(now.above(bin), now.total())
+                         : 0) +
+            settings.tail_tolerance;
+        const auto slow = fresh.above(bin);
+        by_load.add(slow, fresh.total(), rate);
+        overall.add(slow, fresh.total(), rate);
+        summary.answers += fresh.total();
+        summary.slow += slow;
+        summary.expected_slow += rate * static_cast<double>(fresh.total());
+    }
+
+    /// Judges the new answers, and keeps them for later while there is nothing
+    /// to compare them with.
     void judge_latency(route_state& route, std::size_t load,
                        latency_member member, sequential_test& by_load,
                        sequential_test& by_route, sequential_test& overall)
     {
-        const auto& fresh = route.loads.at(load).new_window.*member;
+        auto& fresh = route.loads.at(load).new_window.*member;
         const auto total = fresh.total();
         if (total == 0)
         {
             return;
         }
-        const auto* reference = reference_of(route, load);
+        const auto reference = reference_of(route, load);
         std::size_t bin = 0;
         double rate = 0;
-        if (reference != nullptr &&
-            (reference->*member).total() >= settings.reference_requests)
+        if (reference &&
+            ((*reference).*member).total() >= settings.reference_requests)
         {
-            const auto& old = reference->*member;
+            const auto& old = (*reference).*member;
             bin = old.quantile_bin(settings.slow_quantile);
             rate = upper_rate(old.above(bin), old.total());
             const auto& now = route.loads.at(load).old_window.*member;
@@ -237,6 +287,7 @@
         by_load.add(slow, total, rate + settings.slow_tolerance);
         by_route.add(slow, total, rate + settings.slow_tolerance);
         overall.add(slow, total, rate + settings.slow_tolerance);
+        fresh = {};
     }
 
     /// A leader elected after the old version lost its traffic never saw it.
@@ -256,6 +307,10 @@
             route.failures.add(fresh.bad, fresh.requests, rate);
             all_failures.add(fresh.bad, fresh.requests, rate);
         }
+        judge_tail(route, load, &side::first_token, cell.first_token_tail,
+                   all_first_token_tail, first_token_tail);
+        judge_tail(route, load, &side::between_tokens, cell.between_tokens_tail,
+                   all_between_tokens_tail, between_tokens_tail);
         judge_latency(route, load, &side::first_token, cell.first_token,
                       route.first_token, all_first_token);
         judge_latency(route, load, &side::between_tokens, cell.between_tokens,
@@ -284,6 +339,8 @@
     impl_->all_failures = sequential_test{settings.failures};
     impl_->all_first_token = sequential_test{settings.latency};
     impl_->all_between_tokens = sequential_test{settings.latency};
+    impl_->all_first_token_tail = sequential_test{settings.latency};
+    impl_->all_between_tokens_tail = sequential_test{settings.latency};
     impl_->old_versions = std::move(old_versions);
     impl_->new_version = std::move(new_version);
     impl_->first_token_target = first_token_target;
@@ -348,7 +405,8 @@
         for (auto& cell : route.loads)
         {
             cell.old_window = {};
-            cell.new_window = {};
+            cell.new_window.requests = 0;
+            cell.new_window.bad = 0;
         }
     }
 }
@@ -367,8 +425,10 @@
     {
         return true;
     }
-    for (const auto* test : {&impl_->all_failures, &impl_->all_first_token,
-                             &impl_->all_between_tokens})
+    for (const auto* test :
+         {&impl_->all_failures, &impl_->all_first_token,
+          &impl_->all_between_tokens, &impl_->all_first_token_tail,
+          &impl_->all_between_tokens_tail})
     {
         if (test->verdict() == test_verdict::worse)
         {
@@ -391,6 +451,16 @@
     return result;
 }
 
+const tail_summary& version_comparison::first_token_tail() const
+{
+    return impl_->first_token_tail;
+}
+
+const tail_summary& version_comparison::between_tokens_tail() const
+{
+    return impl_->between_tokens_tail;
+}
+
 std::uint64_t version_comparison::new_requests() const
 {
     return impl_->new_requests;
@@ -442,6 +512,8 @@
             note(cell.failures, "failures");
             note(cell.first_token, "first_token");
             note(cell.between_tokens, "between_tokens");
+            note(cell.first_token_tail, "first_token_tail");
+            note(cell.between_tokens_tail, "between_tokens_tail");
         }
         result += fmt::format(
             "route={} verdict={} new={}/{} old={}/{}{}{}\n", item.route,
@@ -449,6 +521,15 @@
             item.new_requests, item.old_bad, item.old_requests,
             why.empty() ? "" : " because", why);
     }
+    const auto add_tail = [&](const char* name, const tail_summary& tail) {
+        if (tail.answers > 0)
+        {
+            result += fmt::format("{} slow={}/{} expected={:.1f}\n", name,
+                                  tail.slow, tail.answers, tail.expected_slow);
+        }
+    };
+    add_tail("first_token_tail", impl_->first_token_tail);
+    add_tail("between_tokens_tail", impl_->between_tokens_tail);
     for (const auto& [entry, trips] : impl_->trips)
     {
         for (const auto& trip : trips)
--- a/src/coordination/version_observer.cpp
+++ b/src/coordination/version_observer.cpp
@@ -82,6 +82,15 @@
     impl::cell_of(report, version, route, load).first_token.add(after);
 }
 
+void version_observer::on_token_gap(std::string_view service,
+                                    std::string_view version,
+                                    std::string_view route, load_bucket load,
+                                    std::chrono::microseconds mean_gap)
+{
+    auto& report = impl_->report_of(service);
+    impl::cell_of(report, version, route, load).between_tokens.add(mean_gap);
+}
+
 void version_observer::on_answer(const version_observation& seen)
 {
     auto& report = impl_->report_of(seen.service);
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -12,9 +12,9 @@
 #include <hyssopdeal/coordination/cluster/version_rollout.hpp>
 #include <hyssopdeal/coordination/gateway/rollout_evidence.hpp>
 #include <hyssopdeal/coordination/gateway/version_split.hpp>
-#include <hyssopdeal/coordination/version_observer.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 
 #include <CppUTest/TestHarness.h>
@@ -245,7 +245,9 @@
 // its next report.
 TEST_GROUP(version_rollout_tests)
 {
-    static constexpr int requests_per_second = 60;
+    int requests_per_second = 60;
+    double slow_fraction = 1; ///< Of the new version's answers.
+    double work_spread = 0;   ///< Of the logarithm of an answer's latency.
     static constexpr double burst_from_s = 10.4;
     static constexpr unsigned seeds = 20;
     static constexpr std::int64_t duration_ms = 12'000;
@@ -281,15 +283,16 @@
         constexpr double noise = 0.3;
         const auto order = make_rollout("s", "v2", duration_ms, 1'000);
         version_rollout rollout{settings, order, {"v1"}};
-        std::vector<version_observer> observers;
+        std::vector<rollout_evidence> entries;
         std::vector<version_split> splits(3);
         monotonic_time now{100s};
-        observers.reserve(splits.size());
+        entries.reserve(splits.size());
         for (const auto* name : {"a", "b", "c"})
         {
-            observers.emplace_back(name, 1, now);
+            entries.emplace_back(name, 1, now);
         }
         outcome result;
+        std::uint64_t leader_term = 1;
         double share = 0;
         for (int step = 0; step < steps; ++step)
         {
@@ -298,6 +301,7 @@
             if (new_leader_halfway && step == steps / 3)
             {
                 rollout = version_rollout{settings, order, {"v1"}};
+                ++leader_term;
             }
             for (std::size_t at = 0; at < splits.size(); ++at)
             {
@@ -325,17 +329,22 @@
                     splits[at].on_sent("s", version);
                     const bool bad = target && seconds >= fails_from_s &&
                                      chance(failing_fraction);
+                    const bool slow = target && chance(slow_fraction);
                     const double relative_latency =
-                        target ? latency_factor
-                               : 1 + noise * (chance(0.5) ? 1 : 0);
-                    observers[at].on_first_token(
-                        "s", version, "r", load_bucket::light,
+                        slow ? latency_factor
+                             : 1 + (target ? 0 : noise) * (chance(0.5) ? 1 : 0);
+                    const double work =
+                        std::exp(std::normal_distribution<double>{
+                            0, work_spread}(random));
+                    const auto* route = sent % 3 == 2 ? "q" : "r";
+                    entries[at].observer.on_first_token(
+                        "s", version, route, load_bucket::light,
                         std::chrono::microseconds{static_cast<std::int64_t>(
-                            100'000 * relative_latency)});
-                    observers[at].on_answer(
+                            100'000 * relative_latency * work)});
+                    entries[at].observer.on_answer(
                         {"s",
                          version,
-                         "r",
+                         route,
                          load_bucket::light,
                          bad ? answer_kind::failed : answer_kind::whole,
                          {},
@@ -346,10 +355,12 @@
                 {
                     rollout.on_counts(std::to_string(at), 1, counts);
                 }
-                for (const auto& report : observers[at].take_reports(now))
+                for (const auto& report : entries[at].reports_for(
+                         now, leader_term, splits[at].counts()))
                 {
                     rollout.on_evidence(report);
                 }
+                entries[at].on_confirmed(leader_term);
             }
             if (result.end)
             {
@@ -415,6 +426,44 @@
     }
 }
 
+// A plain service gets a few requests per second on two routes, and half of the
+// new version's answers are several times slower.
+TEST(version_rollout_tests, slow_version_of_a_plain_service_is_not_completed)
+{
+    requests_per_second = 21;
+    slow_fraction = 0.5;
+    work_spread = 0.5;
+    for (unsigned seed = 1; seed <= seeds; ++seed)
+    {
+        for (const bool new_leader : {false, true})
+        {
+            for (const double burst_factor : {1.0, 3.0})
+            {
+                random.seed(seed);
+                const auto result =
+                    run_rollout(1e9, 0, 5, burst_factor, new_leader);
+                CHECK_TRUE(result.end == rollout_state::rolled_back);
+                check_request_budget(result);
+            }
+        }
+    }
+}
+
+TEST(version_rollout_tests, good_version_of_a_plain_service_is_completed)
+{
+    requests_per_second = 21;
+    work_spread = 0.5;
+    for (unsigned seed = 1; seed <= seeds; ++seed)
+    {
+        for (const bool new_leader : {false, true})
+        {
+            random.seed(seed);
+            const auto result = run_rollout(1e9, 0, 1, 1, new_leader);
+            CHECK_TRUE(result.end == rollout_state::completed);
+        }
+    }
+}
+
 // The new version answers well until the given time, which may be after all
 // traffic was shifted to it.
 TEST(version_rollout_tests,
--- a/tests/version_evidence_test.cpp
+++ b/tests/version_evidence_test.cpp
@@ -147,6 +147,30 @@
     CHECK(comparison.worse());
 }
 
+// The trial of a short move is nearly over before the old version has given
+// enough answers to compare with.
+TEST(version_comparison_tests, answers_before_the_first_reference_are_judged)
+{
+    auto comparison = make_comparison();
+    std::uint64_t sequence = 0;
+    const auto report = [&](const char* version, std::chrono::milliseconds time,
+                            int answers) {
+        auto made = report_of(++sequence, version, 0, 0);
+        auto& cell = made.cells.front();
+        cell.requests = static_cast<std::uint64_t>(answers);
+        for (int i = 0; i < answers; ++i)
+        {
+            cell.first_token.add(time);
+        }
+        comparison.on_report(made);
+        comparison.close_window();
+    };
+    report("v2", 900ms, 40);
+    CHECK_FALSE(comparison.worse());
+    report("v1", 100ms, 60);
+    CHECK(comparison.worse());
+}
+
 TEST(version_comparison_tests, a_leader_without_a_reference_still_judges)
 {
     auto comparison = make_comparison();
