Do not take a rare route's usual failures for a bad version

Cause: below 50 answers of the old version, 5 in 100 were taken for its rate of failures, whatever it had shown. Change: failures that the old version has shown raise that rate. Test: rare_route_that_always_fails_is_no_evidence failed before.

--- a/src/coordination/version_comparison.cpp
+++ b/src/coordination/version_comparison.cpp
@@ -206,6 +206,12 @@
         {
             rate = upper_rate(all.bad, all.requests);
         }
+        else if (all.bad > 0)
+        {
+            // Some routes fail on every version.
+            rate = std::max(rate, static_cast<double>(all.bad + 1) /
+                                      static_cast<double>(all.requests + 2));
+        }
         const auto& now = cell.old_window;
         if (now.requests > 0 && now.bad * 4 > now.requests)
         {
--- a/tests/version_evidence_test.cpp
+++ b/tests/version_evidence_test.cpp
@@ -119,6 +119,19 @@
     CHECK_FALSE(comparison.worse());
 }
 
+TEST(version_comparison_tests, rare_route_that_always_fails_is_no_evidence)
+{
+    auto comparison = make_comparison();
+    for (std::uint64_t i = 0; i < 16; ++i)
+    {
+        comparison.on_report(report_of(2 * i + 1, "v1", 1, 1));
+        comparison.close_window();
+        comparison.on_report(report_of(2 * i + 2, "v2", 1, 1));
+        comparison.close_window();
+    }
+    CHECK_FALSE(comparison.worse());
+}
+
 TEST(version_comparison_tests, is_worse_when_guards_of_two_entries_tripped)
 {
     auto comparison = make_comparison();
@@ -165,6 +178,7 @@
         comparison.on_report(made);
         comparison.close_window();
     };
+    report("v1", 100ms, 5);
     report("v2", 900ms, 40);
     CHECK_FALSE(comparison.worse());
     report("v1", 100ms, 60);
