--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -89,7 +89,6 @@
     report_interval_for(const std::string& address,
                         const known_replica& replica) const;
     void report();
-    void report_to_leader(monotonic_time now);
     void report_now();
     void call_replica(const std::string& replica, const std::string& bytes,
                       milliseconds time_limit,
@@ -285,52 +284,39 @@
         const bool news = address == leader && core.crashes.has_news(now);
         if (!replica.awaiting_answer && (now >= due || news))
         {
-            replica.reported_at = now;
-            replica.awaiting_answer = true;
-            if (address == leader)
-            {
-                report_to_leader(now);
-                continue;
-            }
-            if (bytes.empty())
+            const bool to_leader = address == leader;
+            if (!to_leader && bytes.empty())
             {
                 bytes = protocol::encode(core.report());
             }
-            call_replica(address, bytes, report_time_limit,
-                         [this, from = address, now](const auto& answer) {
-                             replicas[from].awaiting_answer = false;
-                             if (handle_answer(from, now, answer) >
-                                 core.document_version())
-                             {
-                                 fetch_document(from);
-                             }
-                         });
+            replica.reported_at = now;
+            replica.awaiting_answer = true;
+            call_replica(
+                address,
+                to_leader ? protocol::encode(
+                                core.report(report_purpose::inform_leader))
+                          : bytes,
+                report_time_limit,
+                [this, from = address, now, to_leader,
+                 term = core.leader_term()](const auto& answer) {
+                    auto& answering = replicas[from];
+                    answering.awaiting_answer = false;
+                    const auto version = handle_answer(from, now, answer);
+                    const bool led = answering.answered_at >= now &&
+                                     answering.led_at == answering.answered_at;
+                    if (to_leader && led)
+                    {
+                        core.on_report_confirmed(term);
+                    }
+                    if (version > core.document_version())
+                    {
+                        fetch_document(from);
+                    }
+                });
         }
     }
 }
 
-/// Sends a report with evidence that only the leader uses.
-void gateway_process::impl::report_to_leader(monotonic_time now)
-{
-    call_replica(leader,
-                 protocol::encode(core.report(report_purpose::inform_leader)),
-                 report_time_limit,
-                 [this, from = leader, now,
-                  term = core.leader_term()](const auto& answer) {
-                     replicas[from].awaiting_answer = false;
-                     const auto version = handle_answer(from, now, answer);
-                     if (replicas[from].led_at == replicas[from].answered_at &&
-                         replicas[from].answered_at >= now)
-                     {
-                         core.on_report_confirmed(term);
-                     }
-                     if (version > core.document_version())
-                     {
-                         fetch_document(from);
-                     }
-                 });
-}
-
 /// Sends a report at once to every replica that has no answer outstanding,
 /// regardless of its report interval.
 void gateway_process::impl::report_now()
