Blame no frequent part for crashes before the harmful one is known

Cause: requests with the harmful part were under way to many servers when the first one crashed, so all their crashes were one generation; a part that many sound requests share was in requests sent on to servers that crashed next, and qualified before it. Change: a part is blamed only if no other part that may still qualify is in as many crashes; crashes that a quarantine explains count only for its own parts. Test: frequent_part_is_not_blamed_before_the_harmful_one failed before.

--- a/include/hyssopdeal/coordination/cluster/crash_attribution.hpp
+++ b/include/hyssopdeal/coordination/cluster/crash_attribution.hpp
@@ -97,8 +97,11 @@
     bool forget_old(transport::monotonic_time now);
     /// Updates what follows from the requests.
     void judge(transport::monotonic_time now);
+    /// @param explained Crashes that count only for the blamed parts.
     /// @return Number of servers that crashed under each suspected part.
-    [[nodiscard]] std::map<std::uint64_t, std::size_t> count_crashes() const;
+    [[nodiscard]] std::map<std::uint64_t, std::size_t>
+    count_crashes(const std::set<incarnation_id>& explained,
+                  const protocol::part_ids& blamed) const;
     [[nodiscard]] protocol::part_ids most_suspected(
         const std::map<std::uint64_t, std::size_t>& crashes_by_part) const;
     /// @return Length of the longest series of crashes under a part in which
--- a/src/coordination/cluster/crash_attribution.cpp
+++ b/src/coordination/cluster/crash_attribution.cpp
@@ -4,6 +4,7 @@
 #include <hyssopdeal/coordination/cluster/crash_attribution.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <tuple>
 
@@ -99,7 +100,7 @@
 
 void crash_attribution::judge(monotonic_time now)
 {
-    const auto crashes_by_part = count_crashes();
+    const auto crashes_by_part = count_crashes({}, {});
     suspects_ = most_suspected(crashes_by_part);
     std::map<std::uint64_t, monotonic_time> next;
     for (const auto& [part, crashes] : crashes_by_part)
@@ -115,14 +116,19 @@
     responsible_since_ = std::move(next);
 }
 
-std::map<std::uint64_t, std::size_t> crash_attribution::count_crashes() const
+std::map<std::uint64_t, std::size_t>
+crash_attribution::count_crashes(const std::set<incarnation_id>& explained,
+                                 const part_ids& blamed) const
 {
     std::map<std::uint64_t, std::set<incarnation_id>> servers;
     for (const auto& request : requests_)
     {
         for (const auto part : request.suspected_parts)
         {
-            servers[part].insert(request.server);
+            if (!explained.contains(request.server) || blamed.contains(part))
+            {
+                servers[part].insert(request.server);
+            }
         }
     }
     std::map<std::uint64_t, std::size_t> crashes;
@@ -209,12 +215,17 @@
     // A crash is explained if any of the requests that it broke would have been
     // refused by a quarantine in force; the other requests are not to blame.
     std::set<incarnation_id> explained;
+    part_ids blamed;
     for (const auto& [parts, record] : held)
     {
+        if (!in_force(record, true_now))
+        {
+            continue;
+        }
+        blamed.insert(parts.begin(), parts.end());
         for (const auto& request : requests_)
         {
-            if (in_force(record, true_now) &&
-                contains_all(request.parts, parts))
+            if (contains_all(request.parts, parts))
             {
                 explained.insert(request.server);
             }
@@ -237,19 +248,34 @@
                               request.suspected_parts.end());
         }
     }
-    const auto crashes = count_crashes();
-    std::tuple<std::size_t, std::size_t> best_rank{0, 0};
+    const auto crashes = count_crashes(explained, blamed);
+    const auto settled = [&](std::uint64_t part) {
+        const auto found = responsible_since_.find(part);
+        return found != responsible_since_.end() &&
+               now - found->second >= settle_time;
+    };
+    // Parts of many requests are soon in several crashes. As long as another
+    // part is in as many, and more may be known of it shortly, none is blamed.
+    std::size_t most_unsettled = 0;
+    for (const auto part : open_parts)
+    {
+        most_unsettled = std::max(
+            most_unsettled, settled(part) ? std::size_t{0} : crashes.at(part));
+    }
+    std::tuple<std::size_t, std::size_t> best_rank{
+        most_unsettled, std::numeric_limits<std::size_t>::max()};
     part_ids best;
-    for (const auto& [part, since] : responsible_since_)
+    for (const auto part : open_parts)
     {
-        if (now - since < settle_time || !open_parts.contains(part))
+        const auto count = crashes.at(part);
+        if (!settled(part) || count < settings_.min_crashes)
         {
             continue;
         }
         // Parts that occur together only are not told apart: all of them make
         // up the prompt, so that requests with some of them are still served.
         auto common = common_parts(part);
-        const std::tuple rank{crashes.at(part), common.size()};
+        const std::tuple rank{count, common.size()};
         if (rank > best_rank)
         {
             best_rank = rank;
--- a/tests/crash_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -360,6 +360,29 @@
     CHECK_TRUE(decide().empty());
 }
 
+// Requests with the harmful part are under way to many servers when the first
+// one crashes; other requests are sent on to servers that crash next.
+TEST(crash_attribution_tests,
+     frequent_part_is_not_blamed_before_the_harmful_one)
+{
+    const auto crash_with_late_sound_request = [&](const char* server) {
+        protocol::crash_report report;
+        report.broken.push_back({++broken, server, 1, 900, 0, {1, 9}});
+        report.broken.push_back(
+            {++broken, server, 1, 50, 0, {5, 100 + broken}});
+        attribution.on_report(now, "e", 1, report);
+    };
+    for (const auto* server : {"w1", "w2", "w3"})
+    {
+        crash_with_late_sound_request(server);
+        now += 100ms;
+    }
+    CHECK_TRUE(decide().empty());
+    crash("w4", {{1, 9}});
+    CHECK_TRUE(decide() == (protocol::part_ids{1, 9}));
+    CHECK_TRUE(decide().empty());
+}
+
 TEST(crash_attribution_tests, quarantine_is_widened_by_one_further_crash)
 {
     for (const auto* server : {"w1", "w2", "w3"})
