Attribute crashes that come shortly after the first event too

Cause: a request with an event was never suspected, and its parts were cleared by it. A server that sends one event before it crashes under a prompt was never told from others. Change: a request counts as answered once it has ended well, or 200 ms after its first event; until then it is suspected when its connection breaks. An answer that only the end of its connection ended clears nothing. Test: prompt_part_that_crashes_servers_after_one_event_is_quarantined_too failed before.

--- a/include/hyssopdeal/coordination/gateway/crash_evidence.hpp
+++ b/include/hyssopdeal/coordination/gateway/crash_evidence.hpp
@@ -2,9 +2,9 @@
 #define HYSSOPDEAL_COORDINATION_GATEWAY_CRASH_EVIDENCE_HPP
 
 /// @file
-/// What one gateway sees of prompts that crash servers: which prompts had no
-/// event when the connection to their server broke, and which parts of prompts
-/// were answered. The leader attributes crashes from the reports of all
+/// What one gateway sees of prompts that crash servers: which requests were in
+/// their queue or just begun when the connection to their server broke, and
+/// which parts of prompts were answered. The leader attributes crashes from the reports of all
 /// gateways and orders which prompts are quarantined. Performs no I/O.
 ///
 /// Index: [crash_evidence]
@@ -32,7 +32,7 @@
 {
 public:
     /// Records that the connection to a server broke before the first event of
-    /// a request.
+    /// a request, or shortly after it.
     ///
     /// @param sent_at When the request was sent to the server.
     void on_broken(transport::monotonic_time now,
@@ -40,7 +40,7 @@
                    const std::shared_ptr<known_server>& server,
                    const prompt_size& prompt);
 
-    /// Records the first event of a request.
+    /// Records that a request was answered, or begun some time ago.
     void on_answered(transport::monotonic_time now, const prompt_size& prompt);
 
     /// Applies the leader's orders.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -73,6 +73,8 @@
     void record_attempt_outcome(answer_kind outcome);
     void record_first_event_delay();
     void record_event_gap();
+    [[nodiscard]] bool survived_start() const;
+    void record_survived_start();
     void arm_idle_timer();
     [[nodiscard]] milliseconds stream_idle_timeout() const;
     [[nodiscard]] bool should_fail_over();
@@ -178,6 +180,7 @@
     bool event_received_ = false;
     std::uint32_t attempt_events_ = 0; ///< Relayed from this attempt.
     bool gap_recorded_ = false;
+    bool start_recorded_ = false; ///< The prompt did not crash the server.
     monotonic_time last_activity_{};
 
     // Move of the running stream to another server, which continues the same
@@ -556,6 +559,7 @@
     event_received_ = false;
     attempt_events_ = 0;
     gap_recorded_ = false;
+    start_recorded_ = false;
     response_body_.clear();
     event_splitter_.discard_remainder();
     set_buffered_bytes(0);
@@ -825,6 +829,10 @@
         return fail(502, "refused_without_mark");
     }
     on_first_event();
+    if (response_status_ < first_error_status && !result.ended_by_close)
+    {
+        record_survived_start();
+    }
     release_server();
     finish_response();
 }
@@ -908,7 +916,7 @@
             .add();
         record_attempt_outcome(answer_kind::broken);
     }
-    if (!not_run && !event_received_ && moved_run_.empty() &&
+    if (!not_run && !survived_start() && moved_run_.empty() &&
         error.code == transport::reason::connection_lost)
     {
         core_.crashes.on_broken(now, sent_at_, choice_.server, terms_.size);
@@ -984,6 +992,25 @@
     }
 }
 
+/// @return Whether the server was still well some time after the first event of
+///     the attempt: one that crashes under a prompt may send that event first.
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::survived_start() const
+{
+    constexpr milliseconds crash_delay{200};
+    return event_received_ &&
+           core_.clock.monotonic_now() - first_event_at_ >= crash_delay;
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::record_survived_start()
+{
+    if (!std::exchange(start_recorded_, true))
+    {
+        core_.crashes.on_answered(core_.clock.monotonic_now(), terms_.size);
+    }
+}
+
 /// Records, during a rollout, the mean gap between the events of an attempt:
 /// once, after some events, so that a slow version is seen before its answers
 /// end, or at the end of a short answer.
@@ -1195,6 +1222,10 @@
                             Dialect::caller_headers(response_headers_));
         }
         last_event_at_ = last_activity_;
+        if (survived_start())
+        {
+            record_survived_start();
+        }
         constexpr std::uint32_t events_for_gap = 9;
         if (++attempt_events_ == events_for_gap)
         {
@@ -1255,11 +1286,6 @@
         core_.counters.prediction_error.add(
             std::chrono::abs(time_to_first_event_ - choice_.predicted));
     }
-    constexpr int first_error_status = 300;
-    if (response_status_ < first_error_status)
-    {
-        core_.crashes.on_answered(now, terms_.size);
-    }
     if (!std::exchange(usage_counted_, true))
     {
         const bool is_stream = route_->rule == protocol::repeat_rule::stream;
--- a/tests/crash_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -55,6 +55,7 @@
     std::vector<std::unique_ptr<coordination::gateway_process>> gateways;
     std::array<server, server_count> servers;
     int starts = 0;
+    bool event_before_crash = false;
     std::size_t crashes = 0;
     /// Times at which requests with the crashing part reached servers.
     std::vector<transport::monotonic_time> reached;
@@ -154,6 +155,13 @@
                 }
                 if (crashing)
                 {
+                    if (event_before_crash)
+                    {
+                        open->send("HTTP/1.1 200 OK\r\nHyssopdeal-Attempt: " +
+                                   attempt +
+                                   "\r\nContent-Length: 99\r\n\r\n"
+                                   "id: 1\ndata: last\n\n");
+                    }
                     return crash(index);
                 }
                 open->send("HTTP/1.1 200 OK\r\nHyssopdeal-Attempt: " + attempt +
@@ -232,6 +240,15 @@
     }
 };
 
+TEST(crash_quarantine_tests,
+     prompt_part_that_crashes_servers_after_one_event_is_quarantined_too)
+{
+    event_before_crash = true;
+    (void)play(8s);
+    CHECK_TRUE(crashes > 0);
+    CHECK_TRUE(reached_after_the_bound() <= allowed_after_the_bound);
+}
+
 TEST(crash_quarantine_tests,
      prompt_part_that_crashes_servers_reaches_no_more_of_them)
 {
