--- a/include/hyssopdeal/coordination/gateway/crash_evidence.hpp
+++ b/include/hyssopdeal/coordination/gateway/crash_evidence.hpp
@@ -4,8 +4,9 @@
 /// @file
 /// What one gateway sees of prompts that crash servers: which requests were in
 /// their queue or just begun when the connection to their server broke, and
-/// which parts of prompts were answered. The leader attributes crashes from the reports of all
-/// gateways and orders which prompts are quarantined. Performs no I/O.
+/// which parts of prompts were answered. The leader attributes crashes from the
+/// reports of all gateways and orders which prompts are quarantined. Performs
+/// no I/O.
 ///
 /// Index: [crash_evidence]
 
