--- a/include/hyssopdeal/coordination/gateway/dialect.hpp
+++ b/include/hyssopdeal/coordination/gateway/dialect.hpp
@@ -79,6 +79,9 @@
     /// Time without new requests that the server asks of this gateway instance;
     /// 0 if none.
     std::chrono::milliseconds pause{0};
+    /// Text that names the requests per second that the server takes from all
+    /// gateway instances together; empty if it names no limit.
+    std::string rate_limit;
 };
 
 // [caller_dialect] -----------------------------------------------------------
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -91,6 +91,9 @@
     transport::counter broken_before_event;
     transport::counter broken_after_event;
     transport::counter quarantined; ///< Refused: the prompt crashes servers.
+    /// Attempts sent to servers that have named a rate limit.
+    transport::counter rate_limited_first_attempts;
+    transport::counter rate_limited_retries;
     transport::duration_histogram first_event;
     transport::duration_histogram whole_answer;
     /// Difference between predicted and actual time to the first event.
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -117,6 +117,9 @@
     /// Set if the server requested a pause or was full. Until then it receives
     /// no requests, even if no other server is available.
     transport::monotonic_time paused_until{};
+    /// Requests per second that the server takes from all gateways together,
+    /// as its latest response to this gateway named it.
+    std::optional<double> rate_limit;
     /// Announced time at which the server ends, including its running requests.
     std::optional<transport::monotonic_time> ends_at;
 };
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -568,6 +568,12 @@
     {
         core_.counters.repeats.add();
     }
+    if (choice.server->rate_limit)
+    {
+        (delivered_attempts_ > 1 ? core_.counters.rate_limited_retries
+                                 : core_.counters.rate_limited_first_attempts)
+            .add();
+    }
     forward_metadata terms;
     terms.organisation = organisation_;
     terms.server_id = choice.server->listed.id;
@@ -734,6 +740,18 @@
                                                {"for_ms", response.pause},
                                                {"request", terms_.attempt_id}});
     }
+    const auto limit = transport::read_decimal(response.rate_limit);
+    if (limit != server.rate_limit)
+    {
+        server.rate_limit = limit;
+        transport::log_event("server.rate_limit",
+                             {{"server", server.listed.id},
+                              {"per_s", limit.value_or(0)},
+                              {"named", response.rate_limit},
+                              {"running", server.running},
+                              {"others_running", server.peer_load.running},
+                              {"request", terms_.attempt_id}});
+    }
 }
 
 template <caller_dialect Dialect>
--- a/include/hyssopdeal/transport/http_message.hpp
+++ b/include/hyssopdeal/transport/http_message.hpp
@@ -7,6 +7,7 @@
 /// Index: [http_header] [http_request] [http_response]
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +41,12 @@
 [[nodiscard]] std::chrono::milliseconds
 read_seconds(std::string_view text) noexcept;
 
+/// Reads a number such as `1.5`, without sign or exponent.
+///
+/// @return Nothing when it is not such a number, or too large for one.
+[[nodiscard]] std::optional<double>
+read_decimal(std::string_view text) noexcept;
+
 // [http_request] -------------------------------------------------------------
 
 /// A request, read whole by the server or to be sent by the client.
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -336,6 +336,22 @@
     out.family("hyssopdeal_quarantined_prompts", "gauge",
                "Prompts that are not sent to servers");
     out.sample(static_cast<double>(crashes.quarantined()));
+    out.family("hyssopdeal_rate_limited_attempts_total", "counter",
+               "Attempts sent to servers that named a rate limit");
+    out.sample(
+        static_cast<double>(counters.rate_limited_first_attempts.value()),
+        {{"attempt", "first"}});
+    out.sample(static_cast<double>(counters.rate_limited_retries.value()),
+               {{"attempt", "retry"}});
+    out.family("hyssopdeal_server_rate_limit", "gauge",
+               "Requests per second that a server takes from all entries");
+    for (const auto& [id, server] : servers.servers())
+    {
+        if (server->rate_limit)
+        {
+            out.sample(*server->rate_limit, {{"server", id}});
+        }
+    }
     out.family("hyssopdeal_connections_total", "counter",
                "Connections opened to servers");
     out.sample(static_cast<double>(client.connections_opened()));
--- a/src/coordination/gateway/native_dialect.cpp
+++ b/src/coordination/gateway/native_dialect.cpp
@@ -155,6 +155,7 @@
     metadata.content_encoded =
         !find_header(headers, "Content-Encoding").empty();
     metadata.leaving = find_header(headers, "Hyssopdeal-Leaving") == "1";
+    metadata.rate_limit = find_header(headers, "Hyssopdeal-Rate-Limit");
     if (status == service_unavailable)
     {
         metadata.pause =
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -61,4 +61,16 @@
         std::ceil((fits ? seconds : longest_s) * ms_in_s))};
 }
 
+std::optional<double> read_decimal(std::string_view text) noexcept
+{
+    double number = 0;
+    const auto* const end = text.data() + text.size();
+    const auto read =
+        std::from_chars(text.data(), end, number, std::chars_format::fixed);
+    const bool digits_only = text.find_first_not_of("0123456789.") == text.npos;
+    return digits_only && read.ec == std::errc{} && read.ptr == end
+               ? std::optional{number}
+               : std::nullopt;
+}
+
 } // namespace hyssopdeal::transport
