--- /dev/null
+++ b/tests/server_rate_limit_test.cpp
@@ -0,0 +1,225 @@
+/// @file
+/// Servers that name the rate of requests that they take from all gateways
+/// together, behind several gateways and a cluster of control replicas with
+/// real links.
+
+#include <algorithm>
+#include <array>
+#include <deque>
+
+#include <CppUTest/TestHarness.h>
+
+#include <fmt/format.h>
+
+#include "cluster_harness.hpp"
+#include "raw_peer.hpp"
+
+using namespace hyssopdeal;
+using namespace std::chrono_literals;
+using tests::cluster_harness;
+using tests::raw_connection;
+using transport::monotonic_time;
+
+namespace
+{
+
+constexpr auto contact_time = 3s;
+constexpr auto window = 4s;
+constexpr std::size_t gateway_count = 5;
+constexpr std::size_t server_count = 4;
+constexpr std::uint16_t callers_port = 27'601;
+
+/// @return Requests that a server may get in some window, by the platform's
+///     rule.
+double allowed_in_window(double limit_per_s)
+{
+    constexpr double tolerance = 1.5;
+    constexpr double slack = 5;
+    return tolerance * limit_per_s *
+               std::chrono::duration<double>(window).count() +
+           slack;
+}
+
+} // namespace
+
+TEST_GROUP(server_rate_limit_tests)
+{
+    struct server
+    {
+        std::shared_ptr<tests::raw_listener> listener;
+        std::string limit; ///< Named in each response; empty: none.
+        std::deque<monotonic_time> arrivals;
+    };
+
+    cluster_harness cluster{3};
+    std::array<std::unique_ptr<coordination::gateway_process>, gateway_count>
+        gateways;
+    std::array<server, server_count> servers;
+    std::vector<std::shared_ptr<raw_connection>> callers;
+    std::vector<transport::timer_handle> answers;
+    std::size_t sent = 0;
+
+    void setup() override
+    {
+        for (std::size_t index = 0; index < server_count; ++index)
+        {
+            start_server(index);
+        }
+        CHECK_TRUE(cluster.put(0, "1:prompts"));
+        for (std::size_t index = 0; index < gateway_count; ++index)
+        {
+            start_gateway(index);
+        }
+        loop().run_for(1'500ms);
+    }
+
+    void teardown() override
+    {
+        for (auto& gateway : gateways)
+        {
+            gateway.reset();
+        }
+    }
+
+    transport::event_loop& loop()
+    {
+        return cluster.loop;
+    }
+
+    monotonic_time now()
+    {
+        return cluster.clock.monotonic_now();
+    }
+
+    void start_gateway(std::size_t index)
+    {
+        coordination::gateway_settings settings;
+        settings.name = fmt::format("e{}", index);
+        settings.failure_domain = "d0";
+        settings.address = cluster_harness::ip(100 + index);
+        settings.hub_port = cluster_harness::hub_port;
+        settings.seeds = cluster.seeds();
+        settings.shared_key = "key";
+        settings.callers_port = callers_port;
+        settings.readiness_port = callers_port + 1;
+        gateways.at(index) = std::make_unique<coordination::gateway_process>(
+            loop(), cluster.clock, settings, tests::read_test_document,
+            coordination::make_request_handler<coordination::native_dialect>());
+        CHECK_TRUE(gateways.at(index)->start().has_value());
+    }
+
+    void start_server(std::size_t index)
+    {
+        auto& item = servers.at(index);
+        item.listener = std::make_shared<tests::raw_listener>(
+            loop(), [this, index](raw_connection& connection) {
+                if (connection.received.find("\r\n\r\n") != std::string::npos)
+                {
+                    answer(index, connection,
+                           std::exchange(connection.received, {}));
+                }
+            });
+        auto listed = tests::listed(fmt::format("w{}", index));
+        listed.address = item.listener->address();
+        listed.slots = 8;
+        cluster.list.push_back(listed);
+    }
+
+    void answer(std::size_t index, raw_connection & connection,
+                const std::string& head)
+    {
+        constexpr auto time_to_first_event = 30ms;
+        auto& item = servers.at(index);
+        item.arrivals.push_back(now());
+        const auto id = head.find("Hyssopdeal-Attempt: ") + 20;
+        answers.push_back(loop().after(
+            time_to_first_event,
+            [limit = item.limit,
+             attempt = head.substr(id, head.find('\r', id) - id),
+             open = connection.shared_from_this()] {
+                open->send(
+                    "HTTP/1.1 200 OK\r\nHyssopdeal-Attempt: " + attempt +
+                    (limit.empty() ? std::string{}
+                                   : "\r\nHyssopdeal-Rate-Limit: " + limit) +
+                    "\r\nContent-Length: 19\r\n\r\nid: 1\ndata: whole\n\n");
+            }));
+    }
+
+    void send()
+    {
+        const auto gateway = sent++ % gateway_count;
+        callers.push_back(tests::raw_call(loop(), callers_port,
+                                          cluster_harness::ip(100 + gateway)));
+        callers.back()->send(fmt::format(
+            "POST /stream/x HTTP/1.1\r\nHost: h\r\nHyssopdeal-Prompt: 100\r\n"
+            "Hyssopdeal-Prompt-Parts: a1:40,{:x}:60\r\n"
+            "Hyssopdeal-Attempt: id{}\r\nContent-Length: 0\r\n\r\n",
+            0x10'000 + sent, sent));
+    }
+
+    /// Sends 40 requests a second, in turn to each running gateway.
+    void play(std::chrono::milliseconds time)
+    {
+        const auto end = now() + time;
+        while (now() < end)
+        {
+            send();
+            loop().run_for(25ms);
+        }
+    }
+
+    [[nodiscard]] std::size_t arrived_since(std::size_t index,
+                                            monotonic_time since) const
+    {
+        const auto& arrivals = servers.at(index).arrivals;
+        return static_cast<std::size_t>(
+            std::count_if(arrivals.begin(), arrivals.end(),
+                          [&](const auto at) { return at >= since; }));
+    }
+
+    /// @return The most requests that a server got in a window that begins at
+    ///     some time or later.
+    [[nodiscard]] std::size_t most_in_window(std::size_t index,
+                                             monotonic_time since) const
+    {
+        const auto& arrivals = servers.at(index).arrivals;
+        std::size_t most = 0;
+        for (const auto first : arrivals)
+        {
+            const auto count =
+                std::count_if(arrivals.begin(), arrivals.end(), [&](auto at) {
+                    return at >= first && at < first + window;
+                });
+            most = first < since
+                       ? most
+                       : std::max(most, static_cast<std::size_t>(count));
+        }
+        return most;
+    }
+
+    [[nodiscard]] std::size_t served() const
+    {
+        return count_responses("data: whole");
+    }
+
+    [[nodiscard]] std::size_t count_responses(std::string_view text) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            callers.begin(), callers.end(), [&](const auto& caller) {
+                return caller->received.find(text) != std::string::npos;
+            }));
+    }
+};
+
+TEST(server_rate_limit_tests, server_gets_no_more_than_the_rate_that_it_named)
+{
+    constexpr double limit = 1;
+    play(1s);
+    servers[0].limit = "1";
+    const auto named = now();
+    play(contact_time + 2 * window);
+    loop().run_for(200ms);
+    const auto most = most_in_window(0, named + contact_time);
+    CHECK_COMPARE(static_cast<double>(most), <=, allowed_in_window(limit));
+    CHECK_EQUAL(callers.size(), served());
+}
