Do not use an HTTP server's state after it was moved away

Operators and callers saw: nothing in the default build.

Cause: one argument of a call moved impl_, another read it; their order is the compiler's choice.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -597,9 +597,9 @@
     // Connections that are still open count themselves out at the server's
     // acceptor when the loop destroys them.
     auto& loop = impl_->loop;
-    loop.keep(
-        std::shared_ptr<impl>{std::move(impl_)},
-        [answers = impl_->shared->answers] { answers->release_connections(); });
+    const auto answers = impl_->shared->answers;
+    loop.keep(std::shared_ptr<impl>{std::move(impl_)},
+              [answers] { answers->release_connections(); });
 }
 
 result<std::uint16_t> http_server::start()
--- a/tests/http_loopback_test.cpp
+++ b/tests/http_loopback_test.cpp
@@ -12,6 +12,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "loop_helper.hpp"
+#include "raw_peer.hpp"
 
 using namespace hyssopdeal::transport;
 using namespace std::chrono_literals;
@@ -366,3 +367,41 @@
     CHECK(find_header((*got)->headers, "Hyssopdeal-Verdict") == "not_run");
     CHECK_FALSE(find_header((*got)->headers, "Retry-After").empty());
 }
+
+TEST_GROUP(http_client_peer_tests)
+{
+    event_loop loop;
+    http_client client{loop};
+    std::vector<std::unique_ptr<hyssopdeal::tests::raw_listener>> peers;
+
+    /// @return How a call ended whose server sent these bytes and closed.
+    http_call_end call(std::string_view response)
+    {
+        peers.push_back(std::make_unique<hyssopdeal::tests::raw_listener>(
+            loop, [response](auto& connection) {
+                connection.send(response);
+                connection.close();
+            }));
+        std::optional<http_call_end> end;
+        http_call_handlers handlers;
+        handlers.on_end = [&](http_call_end how) { end = std::move(how); };
+        const auto running =
+            client.start(peers.back()->address(), {"GET", "/", {}, {}}, {},
+                         std::move(handlers));
+        CHECK_TRUE(run_until(loop, [&] { return end.has_value(); }));
+        return *end;
+    }
+};
+
+TEST(http_client_peer_tests, head_cut_off_at_any_byte_is_no_whole_answer)
+{
+    constexpr std::string_view head =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    CHECK_TRUE(call(head).complete);
+    for (std::size_t length = 1; length < head.size(); ++length)
+    {
+        const auto end = call(head.substr(0, length));
+        CHECK_FALSE(end.complete);
+        CHECK_TRUE(end.error.ran == verdict::may_have_run);
+    }
+}
