--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -713,7 +713,9 @@
     }
     const bool unproven =
         status < first_error_status && !response.execution_proven;
-    if (unproven || response.content_encoded)
+    // Without an id it may be a repeated response to an earlier request.
+    const bool unassigned = response.attempt_id.empty();
+    if (unproven || unassigned || response.content_encoded)
     {
         return transport::head_choice::reject;
     }
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -498,6 +498,7 @@
 {
     add_server([](tests::raw_connection& connection) {
         connection.send("HTTP/1.1 421 Misdirected Request\r\n"
+                        "Hyssopdeal-Attempt: id1\r\n"
                         "Content-Length: 0\r\n\r\n");
     });
     apply_configuration();
@@ -649,6 +650,97 @@
     }
 }
 
+// [other operators' reports] --------------------------------------------------
+
+// A faulty server may send an earlier refusal once more, after the next request
+// has reached it.
+TEST(request_flow_tests, repeated_refusal_is_not_taken_for_the_next_response)
+{
+    const auto refusal = [](const char* status, const std::string& id) {
+        return std::string{"HTTP/1.1 "} + status + "\r\n" + id +
+               "Hyssopdeal-Verdict: not_run\r\nContent-Length: 0\r\n\r\n";
+    };
+    using one = std::pair<const char*, const char*>;
+    for (const auto& [status, id] :
+         {one{"503 Service Unavailable", "Hyssopdeal-Attempt: id0\r\n"},
+          one{"503 Service Unavailable", ""},
+          one{"421 Misdirected Request", "Hyssopdeal-Attempt: id0\r\n"},
+          one{"421 Misdirected Request", ""}})
+    {
+        listed_servers.clear();
+        received_requests.clear();
+        const auto respond = [=, first = refusal(status, id)](
+                                 tests::raw_connection& connection) {
+            connection.send(
+                first + response_head("id1", "Content-Length: 4\r\n") + "done");
+        };
+        add_server(respond);
+        add_server(respond);
+        apply_configuration();
+        const auto response = fetch("/once/");
+        CHECK_TRUE(response.find("HTTP/1.1 503") == std::string::npos);
+        CHECK_TRUE(response.find("not_run") == std::string::npos);
+        LONGS_EQUAL(1, received_requests.size());
+    }
+}
+
+TEST(request_flow_tests, error_of_a_second_server_does_not_enter_the_stream)
+{
+    for (const std::string error :
+         {"HTTP/1.1 500 Internal Server Error\r\nHyssopdeal-Attempt: id1\r\n"
+          "Content-Length: 8\r\n\r\nbad luck",
+          "HTTP/1.1 404 Not Found\r\nHyssopdeal-Attempt: id1\r\n"
+          "Content-Length: 8\r\n\r\nbad luck",
+          "HTTP/1.1 503 Service Unavailable\r\nHyssopdeal-Attempt: id1\r\n"
+          "Hyssopdeal-Verdict: not_run\r\nContent-Length: 8\r\n\r\nbad luck",
+          "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 8\r\n\r\n"
+          "bad luck",
+          "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nbad luck",
+          "HTTP/1.1 200 OK\r\nHyssopdeal-Attempt: id1\r\n"
+          "Content-Length: 8\r\n\r\nbad luck",
+          "bad luck\r\n\r\n"})
+    {
+        listed_servers.clear();
+        int round = 0;
+        const auto respond = [&round,
+                              error](tests::raw_connection& connection) {
+            if (round++ == 0)
+            {
+                connection.send(response_head("id1", "") +
+                                "id: 1\ndata: a\n\nid: 2\nda");
+                return connection.reset();
+            }
+            connection.send(error);
+            connection.close();
+        };
+        add_server(respond);
+        add_server(respond);
+        apply_configuration();
+        const auto response = fetch("/resume/");
+        STRCMP_CONTAINS("data: a", response.c_str());
+        CHECK_TRUE(response.find("bad luck") == std::string::npos);
+        CHECK_TRUE(response.find("HTTP/1.1", 1) == std::string::npos);
+        CHECK_TRUE(response.find("\r\n0\r\n") == std::string::npos);
+    }
+}
+
+TEST(request_flow_tests, head_cut_off_at_any_byte_is_no_success)
+{
+    const auto head = response_head("id1", "Content-Length: 0\r\n");
+    for (std::size_t length = 1; length < head.size(); ++length)
+    {
+        listed_servers.clear();
+        core->servers.set_servers({});
+        add_server([&](tests::raw_connection& connection) {
+            connection.send(std::string_view{head}.substr(0, length));
+            connection.close();
+        });
+        apply_configuration();
+        STRCMP_CONTAINS("HTTP/1.1 502",
+                        fetch(length % 2 == 0 ? "/once/" : "/stream/").c_str());
+    }
+}
+
 // [unbounded responses] ------------------------------------------------------
 
 namespace
