Soak: servers that name rates, one of a service or all

The draws are apart from the others, so that the faults of kept seeds stay.

Callers are told servers_rate_limited only if an untried server lacks just a permit; before, also when all servers of a service with any limit were tried.

--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -223,6 +223,12 @@
     remaining_pause(transport::monotonic_time now,
                     const std::string& service) const;
 
+    /// @return Whether a server could be chosen, apart from those already
+    ///     tried, if it had a permit.
+    [[nodiscard]] bool lacks_permit(transport::monotonic_time now,
+                                    const std::string& service,
+                                    const std::set<std::string>& tried);
+
     /// @return The running load sent by this gateway, by server id.
     [[nodiscard]] std::map<std::string, protocol::sent_load> own_load() const;
 
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -480,11 +480,11 @@
     if (!choice)
     {
         const auto now = core_.clock.monotonic_now();
-        if (const auto turn =
-                core_.servers.permits().reserve_turn(now, service_))
+        if (core_.servers.lacks_permit(now, service_, tried_servers_))
         {
             core_.counters.rate_limited_refusals.add();
-            return refuse(503, "servers_rate_limited", *turn);
+            return refuse(503, "servers_rate_limited",
+                          core_.servers.permits().reserve_turn(now, service_));
         }
         const auto pause = core_.servers.remaining_pause(now, service_);
         return refuse(503, pause ? "servers_paused" : "no_server",
--- a/include/hyssopdeal/coordination/gateway/server_permits.hpp
+++ b/include/hyssopdeal/coordination/gateway/server_permits.hpp
@@ -83,12 +83,12 @@
     [[nodiscard]] protocol::rate_limit_report
     report(transport::monotonic_time now);
 
-    /// Estimates when a refused request could be sent if all servers of its
-    /// service lack permits. Each call assumes that the caller returns then, so
-    /// that later ones are told later times.
+    /// Estimates when a request that was refused for want of a permit could be
+    /// sent. Each call assumes that the caller returns then, so that later ones
+    /// are told later times.
     ///
-    /// @return Nothing if no server of the service has a limit.
-    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    /// @return 0 if no server of the service has a limit.
+    [[nodiscard]] std::chrono::milliseconds
     reserve_turn(transport::monotonic_time now, const std::string& service);
 
     /// @return Requests per second, by server.
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -522,6 +522,17 @@
     return least;
 }
 
+bool placement::lacks_permit(monotonic_time now, const std::string& service,
+                             const std::set<std::string>& tried)
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
+        const auto& server = *item.second;
+        return server.usable && server.listed.service == service &&
+               server.paused_until <= now && !tried.contains(item.first) &&
+               !permits_.may_send(now, server.listed);
+    });
+}
+
 std::map<std::string, protocol::sent_load> placement::own_load() const
 {
     std::map<std::string, protocol::sent_load> load;
--- a/src/coordination/gateway/server_permits.cpp
+++ b/src/coordination/gateway/server_permits.cpp
@@ -146,8 +146,8 @@
     return true;
 }
 
-std::optional<milliseconds>
-server_permits::reserve_turn(monotonic_time now, const std::string& service)
+milliseconds server_permits::reserve_turn(monotonic_time now,
+                                          const std::string& service)
 {
     constexpr milliseconds max_wait{10'000};
     double per_s = 0;
@@ -160,7 +160,7 @@
     }
     if (per_s == 0)
     {
-        return std::nullopt;
+        return milliseconds{0};
     }
     const auto between_turns = std::chrono::ceil<milliseconds>(
         std::chrono::duration<double>(std::max(1U, gateways_) / per_s));
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <list>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 
@@ -72,6 +73,7 @@
     void replace_server(std::size_t server);
     void harm_platform();
     void move_version();
+    void limit_rates();
 
     bool free(fault_place place, std::size_t which) const;
 
@@ -84,6 +86,9 @@
     std::size_t moves_ = 0;
     bool rolling_ = false;
     std::string version_ = "v1"; ///< That new servers of `llm` have.
+    /// Apart from the world's, so that the other faults of a seed stay as they
+    /// were.
+    std::mt19937_64 rates_random_;
     std::list<transport::timer_handle> timers_;
 };
 
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -163,6 +163,7 @@
     {
         repeats_.push_back(now);
     }
+    judge_rate(seen, server);
     const auto since = draining_since_.find(server);
     if (since != draining_since_.end() && now - since->second > bounds_.drain &&
         calm(fault_place::entry, seen.entry, since->second, now) &&
@@ -178,6 +179,70 @@
     }
 }
 
+void soak_ledger::named_rate(std::size_t server, double per_s)
+{
+    limits_[server] = {per_s, clock_.monotonic_now(), {}, {}};
+}
+
+void soak_ledger::told_rate(const std::string& id, std::size_t server)
+{
+    const auto seen = requests_.find(id);
+    if (seen == requests_.end())
+    {
+        return;
+    }
+    const auto now = clock_.monotonic_now();
+    const auto entry = seen->second.entry;
+    const auto [told, first] = limits_[server].told.try_emplace(entry, now);
+    if (!first && hit_since(entry, told->second))
+    {
+        told->second = now;
+    }
+}
+
+/// @return Whether a fault or a planned stop hit an entry at a time or later.
+bool soak_ledger::hit_since(std::size_t entry, monotonic_time since) const
+{
+    return std::any_of(faults_.begin(), faults_.end(), [&](const auto& fault) {
+        return fault.place == fault_place::entry && fault.which == entry &&
+               fault.to >= since;
+    });
+}
+
+/// Counts requests of entries that have been told and that nothing hit since.
+void soak_ledger::judge_rate(const request_record& seen, std::size_t server)
+{
+    const auto found = limits_.find(server);
+    if (found == limits_.end() || found->second.per_s == 0)
+    {
+        return;
+    }
+    auto& limit = found->second;
+    const auto now = clock_.monotonic_now();
+    const auto told = limit.told.find(seen.entry);
+    if (now < limit.since + bounds_.contact || told == limit.told.end() ||
+        now < told->second + bounds_.told_slack ||
+        hit_since(seen.entry, told->second))
+    {
+        return;
+    }
+    while (!limit.arrivals.empty() &&
+           limit.arrivals.front() + bounds_.rate_window < now)
+    {
+        limit.arrivals.pop_front();
+    }
+    limit.arrivals.push_back(now);
+    const double window =
+        std::chrono::duration<double>(bounds_.rate_window).count();
+    if (static_cast<double>(limit.arrivals.size()) >
+        bounds_.rate_tolerance * limit.per_s * window + bounds_.rate_slack)
+    {
+        broken("a server gets no more than the rate that it named",
+               fmt::format("server {} named {:.1f} a second and got {} in {} s",
+                           server, limit.per_s, limit.arrivals.size(), window));
+    }
+}
+
 void soak_ledger::draining(std::size_t server)
 {
     draining_since_[server] = clock_.monotonic_now();
--- a/tests/soak/soak_ledger.hpp
+++ b/tests/soak/soak_ledger.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -87,6 +88,10 @@
     double repeat_ratio = 0.2;
     std::uint64_t repeat_slack = 56;
     std::chrono::milliseconds repeat_window{10'000};
+    std::chrono::milliseconds rate_window{4'000};
+    std::chrono::milliseconds told_slack{500}; ///< From the answer that told.
+    double rate_tolerance = 1.5;
+    double rate_slack = 5;
     double bad_version_share = 0.1;
     std::uint64_t bad_version_requests = 50;
 };
@@ -118,6 +123,12 @@
     void arrived(const std::string& id, std::size_t server, bool target);
     void draining(std::size_t server);
 
+    /// A server names a rate from now on, or none any more (0).
+    void named_rate(std::size_t server, double per_s);
+
+    /// A server names its rate in the answer to a request.
+    void told_rate(const std::string& id, std::size_t server);
+
     // Operators.
     void accepted(std::uint64_t version);
     [[nodiscard]] std::uint64_t newest_accepted() const noexcept
@@ -161,6 +172,17 @@
     void judge_recovery(monotonic_time steady_from);
     void judge_repeats();
     void judge_leavers();
+    [[nodiscard]] bool hit_since(std::size_t entry, monotonic_time since) const;
+    void judge_rate(const request_record& seen, std::size_t server);
+
+    /// What a server named, which entries it has told, and what these sent.
+    struct named_limit
+    {
+        double per_s = 0;
+        monotonic_time since{};
+        std::map<std::size_t, monotonic_time> told; ///< By entry.
+        std::deque<monotonic_time> arrivals;
+    };
 
     const transport::clock& clock_;
     soak_bounds bounds_;
@@ -169,6 +191,7 @@
     std::map<std::uint64_t, monotonic_time> accepted_at_;
     std::uint64_t newest_accepted_ = 0;
     std::map<std::size_t, monotonic_time> draining_since_;
+    std::map<std::size_t, named_limit> limits_; ///< By server.
     std::map<std::pair<std::size_t, std::uint32_t>,
              std::map<std::uint64_t, monotonic_time>>
         shown_; ///< First time, by entry's life and version.
--- a/tests/soak/soak_servers.hpp
+++ b/tests/soak/soak_servers.hpp
@@ -88,12 +88,18 @@
 
     void behave(std::size_t server, server_manner manner);
 
+    /// Names a rate in each answer of a server from now on; 0: none any more.
+    void name_rate(std::size_t server, double per_s);
+
     [[nodiscard]] tests::fault_relay& link(std::size_t server);
 
     /// @return Numbers of those that are listed as ready and run.
     [[nodiscard]] std::vector<std::size_t>
     ready(const std::string& service) const;
 
+    /// @return Names of all services that have or had servers.
+    [[nodiscard]] std::vector<std::string> services() const;
+
     /// @return How it is, or was, listed.
     [[nodiscard]] const protocol::listed_server&
     listed(std::size_t server) const;
