Drop permits of a higher limit when a server lowers it

Callers saw nothing; a server that lowers its limit from 300 to 1 a second got 23 requests in the next 4 s, 11 allowed, as permits lived on for a second. permits_of_a_higher_limit_end_with_it failed before with 23. Found by reading.

--- a/src/coordination/gateway/server_permits.cpp
+++ b/src/coordination/gateway/server_permits.cpp
@@ -222,6 +222,10 @@
         limited = {};
         limited.born = born;
     }
+    if (per_s < previous)
+    {
+        limited.grants.clear();
+    }
     limited.per_s = per_s;
     limited.said_at = said_at;
     limited.known_to_leader = false;
--- a/tests/server_permits_test.cpp
+++ b/tests/server_permits_test.cpp
@@ -274,6 +274,18 @@
     CHECK_COMPARE(fleet.mean_per_s(fleet.now - 2s), >, 450);
 }
 
+TEST(server_permits_tests, permits_of_a_higher_limit_end_with_it)
+{
+    simulation fleet{9, 300};
+    fleet.play(3s, 30, 9);
+    fleet.limit_per_s = 1;
+    fleet.play(200ms, 30, 9);
+    const auto lowered = fleet.now;
+    fleet.play(4s, 900, 9);
+    CHECK_COMPARE(static_cast<double>(fleet.most_in_window(lowered)), <=,
+                  fleet.allowed_in_window());
+}
+
 TEST(server_permits_tests, restarted_server_has_no_limit)
 {
     server_permits permits{1};
