Reach servers through other entries when an entry is cut off from them

What callers saw: at an entry that is partitioned from all servers while callers still reach it, requests end in 502 and 503.

Cause: an entry had no path to a server but its own.

The request is written only after the relay has connected, so that "not run" stays true; the entry keeps keys, quotas, retries, versions and permits, and each counts once. A stopping entry waits for the connections that it relays. Servers are probed, one each 100 ms, until they are reached; the probe's connection is kept for use.

Weighed: passing whole requests to another entry, which would have to count quotas, permits and retries a second time and repeat the verdicts.

--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -21,6 +21,7 @@
 #include <hyssopdeal/coordination/gateway/placement.hpp>
 #include <hyssopdeal/coordination/gateway/rollout_evidence.hpp>
 #include <hyssopdeal/coordination/gateway/route_table.hpp>
+#include <hyssopdeal/coordination/gateway/server_reach.hpp>
 #include <hyssopdeal/coordination/gateway/service_retry_budgets.hpp>
 #include <hyssopdeal/coordination/gateway/token_quota.hpp>
 #include <hyssopdeal/coordination/gateway/version_split.hpp>
@@ -44,8 +45,10 @@
     std::string link_listen_address;
     std::uint16_t callers_port = 0;
     std::uint16_t readiness_port = 0;
-    std::uint16_t metrics_port = 0;      ///< 0 disables the metrics listener.
-    std::uint16_t hub_port = 0;          ///< Must be the same on all instances.
+    std::uint16_t metrics_port = 0; ///< 0 disables the metrics listener.
+    std::uint16_t hub_port = 0;     ///< Must be the same on all instances.
+    /// For connections that other gateways relay through this one; 0: none.
+    std::uint16_t relay_port = 0;
     std::vector<std::string> seeds;      ///< Hub addresses of control replicas.
     std::string shared_key;              ///< Authenticates peer connections.
     std::size_t max_connections = 1'500; ///< Limit for caller connections.
@@ -71,6 +74,7 @@
     retry_budget_settings repeats;
     quota_settings quotas;
     placement_settings placement_options;
+    server_reach_settings reach;
     transport::http1_client_settings client;
 };
 
@@ -95,6 +99,7 @@
     transport::counter rate_limited_first_attempts;
     transport::counter rate_limited_retries;
     transport::counter rate_limited_refusals; ///< No server had a permit left.
+    transport::counter relayed_attempts;      ///< Sent through another gateway.
     transport::duration_histogram first_event;
     transport::duration_histogram whole_answer;
     /// Difference between predicted and actual time to the first event.
@@ -219,6 +224,10 @@
     token_quota quota;
     service_retry_budgets repeats;
     placement servers;
+    server_reach reach;
+    /// Where other gateways may connect to servers through this one; empty:
+    /// nowhere.
+    std::string relay_address;
     version_split versions;
     rollout_evidence rollouts; ///< For services that change to a new version.
     crash_evidence crashes;    ///< Prompts that crash servers.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -87,7 +87,10 @@
     [[nodiscard]] bool
     stream_broken_off(const transport::http1_call_end& result) const;
     void on_attempt_refused();
-    void on_attempt_error(const transport::failure& error);
+    [[nodiscard]] transport::http1_call_settings choose_path();
+    [[nodiscard]] bool record_connect_failure(bool relay_failed);
+    void on_attempt_error(const transport::failure& error,
+                          bool relay_failed = false);
     void release_server();
     void update_server_state(const response_metadata& response);
     bool try_reserve_retry();
@@ -155,6 +158,8 @@
     // Current attempt, and timing of the request.
     transport::http1_call attempt_call_;
     placement_choice choice_;
+    std::string relay_; ///< Through which the attempt was sent; empty: none.
+    bool opened_connection_ = false; ///< The attempt began without one.
     /// Load of the server when the attempt started.
     load_bucket load_at_start_ = load_bucket::light;
     bool attempt_active_ = false;
@@ -591,7 +596,7 @@
     terms.rank = rank_;
     terms.resume_after = last_event_id_;
     terms.moved_run = moved_run_;
-    const auto settings = make_call_settings();
+    const auto settings = choose_path();
     transport::http1_call_handlers handlers;
     const auto self = this->shared_from_this();
     handlers.on_head = [self](int status, const headers& response_headers) {
@@ -610,6 +615,57 @@
     arm_idle_timer();
 }
 
+/// Decides how the chosen server is connected to.
+template <caller_dialect Dialect>
+transport::http1_call_settings request_flow<Dialect>::choose_path()
+{
+    // The time limit of the relay for its own connection, and a round trip.
+    constexpr milliseconds relayed_connect_time_limit{400};
+    const auto& server = choice_.server->listed;
+    auto settings = make_call_settings();
+    opened_connection_ = !core_.client.keeps(server.address, settings.max_idle);
+    relay_.clear();
+    if (opened_connection_)
+    {
+        relay_ = core_.reach
+                     .relay_for(core_.clock.monotonic_now(), server.id,
+                                [&](const auto& relay) {
+                                    return core_.client.keeps(server.address,
+                                                              settings.max_idle,
+                                                              relay);
+                                })
+                     .value_or("");
+    }
+    if (!relay_.empty())
+    {
+        core_.counters.relayed_attempts.add();
+        settings.relay = relay_;
+        settings.connect_time_limit = relayed_connect_time_limit;
+    }
+    return settings;
+}
+
+/// @return Whether the server can be tried again on another path.
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::record_connect_failure(bool relay_failed)
+{
+    const auto now = core_.clock.monotonic_now();
+    const auto& id = choice_.server->listed.id;
+    if (relay_.empty())
+    {
+        core_.reach.on_unreached(now, id);
+    }
+    else if (relay_failed)
+    {
+        core_.reach.on_helper_failed(now, relay_);
+    }
+    else
+    {
+        core_.reach.on_helper_unreached(now, id);
+    }
+    return core_.reach.relay_for(now, id).has_value();
+}
+
 /// Starts the idle timeout, after which a retryable request may be sent to
 /// another server. Requests that are not retryable have none.
 template <caller_dialect Dialect>
@@ -701,6 +757,11 @@
 {
     constexpr int first_error_status = 300;
     const auto response = Dialect::parse_response(status, response_headers);
+    if (opened_connection_ && relay_.empty())
+    {
+        core_.reach.on_reached(core_.clock.monotonic_now(),
+                               choice_.server->listed.id);
+    }
     // The server's state holds even if the response is to another request.
     update_server_state(response);
     if (!response.attempt_id.empty() &&
@@ -812,7 +873,7 @@
     }
     if (!result.complete)
     {
-        return on_attempt_error(result.error);
+        return on_attempt_error(result.error, result.relay_failed);
     }
     if (response_terms_.not_executed || response_terms_.other_server)
     {
@@ -913,8 +974,11 @@
 }
 
 /// Handles an attempt that ended without a complete response.
+///
+/// @param relay_failed As in transport::http1_call_end.
 template <caller_dialect Dialect>
-void request_flow<Dialect>::on_attempt_error(const transport::failure& error)
+void request_flow<Dialect>::on_attempt_error(const transport::failure& error,
+                                             bool relay_failed)
 {
     constexpr std::uint32_t max_connect_failures = 4;
     constexpr milliseconds no_connection_retry_after{300};
@@ -924,8 +988,15 @@
     const bool not_run = error.ran == transport::verdict::not_run;
     const bool unreachable =
         not_run || error.code == transport::reason::timed_out;
-    unreachable ? core_.servers.on_unreachable(now, server)
-                : core_.servers.on_failure(now, server);
+    if (not_run && record_connect_failure(relay_failed))
+    {
+        tried_servers_.erase(server.listed.id);
+    }
+    else
+    {
+        unreachable ? core_.servers.on_unreachable(now, server)
+                    : core_.servers.on_failure(now, server);
+    }
     if (not_run)
     {
         --delivered_attempts_;
@@ -960,6 +1031,7 @@
                           {"after_event", last_event_id_},
                           {"had_event", event_received_},
                           {"prompt_parts", format_parts(terms_.size)},
+                          {"relay", relay_},
                           {"server_running", running_before},
                           {"server_state", server_state_name(server)},
                           {"heard_ago_ms", now - server.last_heard},
@@ -1457,6 +1529,7 @@
          {"organisation", organisation_},
          {"document", route_table_ ? route_table_->document().version : 0},
          {"server", choice_.server ? choice_.server->listed.id : ""},
+         {"relay", relay_},
          {"predicted_ms", choice_.predicted},
          {"first_event_ms", time_to_first_event_},
          {"sent_after_ms", time_to_first_attempt_},
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -5,8 +5,8 @@
 /// What entries and control replicas of a cluster tell each other several
 /// times a second, and how a replica joins.
 ///
-/// Index: [versions] [crashes] [rate_limits] [report] [orders] [tokens]
-///     [joining] [encoding]
+/// Index: [versions] [crashes] [rate_limits] [relays] [report] [orders]
+///     [tokens] [joining] [encoding]
 
 #include <chrono>
 #include <cstdint>
@@ -130,6 +130,16 @@
     std::int64_t permits_valid_ms = 0; ///< Since the entry sent its report.
 };
 
+// [relays] -------------------------------------------------------------------
+
+/// What an entry tells of connections that are relayed between entries.
+struct relay_report
+{
+    std::string address;      ///< Of its relay, `IP:port`; empty: none.
+    bool partitioned = false; ///< From servers, so that it cannot help others.
+    std::vector<std::string> helpers; ///< Relays that it was told of.
+};
+
 // [report] -------------------------------------------------------------------
 
 /// Requests that began to run in a window of true time.
@@ -176,6 +186,7 @@
     leaving_servers leaving; ///< By their answers; the list shows them later.
     crash_report crashes;
     rate_limit_report rate_limits;
+    relay_report relay;
 };
 
 // [orders] -------------------------------------------------------------------
@@ -224,6 +235,8 @@
     leaving_servers leaving;                    ///< By answers to any entry.
     crash_orders crashes;                       ///< Of the leader.
     rate_limit_orders rate_limits;              ///< Of the leader.
+    /// Relays through which the entry reaches servers when it cannot itself.
+    std::vector<std::string> helpers;
 };
 
 // [tokens] -------------------------------------------------------------------
--- a/include/hyssopdeal/transport/http1_client.hpp
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -39,6 +39,10 @@
     /// Sent and not acknowledged, or silent, for this long: the connection is
     /// lost. Below the gap after which callers give up a stream.
     std::chrono::milliseconds silence_limit{1'500};
+    /// Address from which servers are connected to; empty: chosen by the
+    /// kernel.
+    std::string source_address;
+    std::string relay_key; ///< Shared key of the relays; see tcp_relay.
 };
 
 /// Limits of one call.
@@ -51,6 +55,8 @@
     /// for, as another server can be tried.
     std::chrono::milliseconds connect_time_limit{250};
     std::size_t max_body_bytes = 0; ///< A longer answer ends the call; 0: none.
+    /// `IP:port` of the relay through which to connect; empty: none.
+    std::string relay;
 };
 
 // [handlers] -----------------------------------------------------------------
@@ -72,6 +78,8 @@
     /// The answer had no length and ended with its connection. A server that
     /// crashes ends its connections in the same way.
     bool ended_by_close = false;
+    /// The relay was not reached or refused; nothing is known of the server.
+    bool relay_failed = false;
 };
 
 /// Called on the loop's thread; on_end comes last and exactly once, unless the
@@ -141,13 +149,24 @@
           const std::function<void(result<http_response>)>& on_answer);
 
     /// @param max_idle As for a call.
+    /// @param relay As for a call.
     /// @return Whether a call would find a connection that is open already.
     [[nodiscard]] bool keeps(std::string_view address,
-                             std::chrono::milliseconds max_idle) const;
+                             std::chrono::milliseconds max_idle,
+                             std::string_view relay = {}) const;
 
-    /// Closes the idle connections to a server that is gone.
+    /// Connects to a server and keeps the connection for a later call.
+    ///
+    /// @param on_end Gets whether the server was reached.
+    void probe(const std::string& address, std::chrono::milliseconds time_limit,
+               std::function<void(bool reached)> on_end);
+
+    /// Closes the idle connections to a server that is gone, also relayed ones.
     void forget(const std::string& address);
 
+    /// Closes the idle connections through a relay.
+    void forget_relay(const std::string& relay);
+
     /// @return Connections opened since the start.
     [[nodiscard]] std::uint64_t connections_opened() const noexcept;
 
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -25,9 +25,11 @@
 #include <hyssopdeal/coordination/cluster/crash_attribution.hpp>
 #include <hyssopdeal/coordination/cluster/load_table.hpp>
 #include <hyssopdeal/coordination/cluster/permit_allocator.hpp>
+#include <hyssopdeal/coordination/cluster/relay_directory.hpp>
 #include <hyssopdeal/coordination/cluster/version_rollout.hpp>
 #include <hyssopdeal/protocol/follow_messages.hpp>
 #include <hyssopdeal/protocol/peer_hub.hpp>
+#include <hyssopdeal/transport/digest.hpp>
 
 #include "coordination/control_disk.hpp"
 
@@ -185,6 +187,7 @@
     /// ready.
     protocol::leaving_servers leaving;
     load_table loads{load_report_lifetime};
+    relay_directory relays{load_report_lifetime, transport::random_seed()};
     std::optional<share_allocator> allocator; ///< Leader only.
     permit_allocator permits;                 ///< Used on the leader only.
     bool entries_proposed = false;
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -243,6 +243,7 @@
     usage.on_report(quorum_time(), *report);
     const auto load_before = loads.of(report->entry);
     loads.on_report(clock.monotonic_now(), report->entry, report->load);
+    relays.on_report(clock.monotonic_now(), *report);
     on_version_reports(*report);
     on_leaving_servers(*report);
     on_crash_report(*report);
@@ -443,6 +444,7 @@
     orders.crashes = crash_orders();
     orders.rate_limits = permits.on_report(
         now, report.entry, report.rate_limits, report_interval());
+    orders.helpers = relays.helpers_for(now, report);
     return orders;
 }
 
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -37,6 +37,7 @@
       repeats(settings.repeats),
       servers(settings.placement_options, settings.failure_domain,
               transport::random_seed()),
+      reach(settings.reach, transport::random_seed()),
       rollouts(settings.name, transport::random_seed(), clock.monotonic_now()),
       random(transport::random_seed()),
       parse_document_(std::move(parse_document)),
@@ -140,6 +141,7 @@
     result.leaving = servers.seen_leaving();
     result.crashes = crashes.report(now);
     result.rate_limits = servers.permits().report(now);
+    result.relay = {relay_address, reach.partitioned(now), reach.helpers()};
     if (purpose == report_purpose::inform_leader)
     {
         crashes.mark_reported(now);
@@ -271,6 +273,7 @@
             ? monotonic_time{milliseconds{orders.listing->read_ms} -
                              wall_clock_offset_}
             : read_at;
+    reach.set_servers(orders.listing->servers);
     for (const auto& removed :
          servers.set_servers(orders.listing->servers, state_at))
     {
@@ -294,6 +297,10 @@
     crashes.set_orders(now, orders.crashes);
     servers.permits().set_orders(sent_at, now, orders.rate_limits,
                                  orders.entries);
+    for (const auto& dropped : reach.set_helpers(orders.helpers))
+    {
+        client.forget_relay(dropped);
+    }
     const auto midpoint = sent_at + (now - sent_at) / 2;
     wall_clock_offset_ =
         milliseconds{orders.true_time_ms} -
@@ -355,6 +362,11 @@
     total("hyssopdeal_rate_limit_refusals_total",
           counters.rate_limited_refusals,
           "Requests refused because no server took one more at that time");
+    total("hyssopdeal_relayed_attempts_total", counters.relayed_attempts,
+          "Attempts sent through another gateway");
+    out.family("hyssopdeal_unreached_servers", "gauge",
+               "Servers to which no direct connection could be opened");
+    out.sample(static_cast<double>(reach.unreached()));
     out.family("hyssopdeal_connections_total", "counter",
                "Connections opened to servers");
     out.sample(static_cast<double>(client.connections_opened()));
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -3,6 +3,7 @@
 
 #include <hyssopdeal/coordination/gateway/gateway_process.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -12,6 +13,7 @@
 
 #include <hyssopdeal/protocol/peer_hub.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
+#include <hyssopdeal/transport/tcp_relay.hpp>
 
 namespace hyssopdeal::coordination
 {
@@ -81,6 +83,8 @@
 
     transport::result<void> listen();
     transport::result<void> listen_for_peers();
+    transport::result<void> listen_for_relayed();
+    void probe_servers();
     std::unique_ptr<transport::http1_server>
     make_server(std::uint16_t port, std::size_t max_connections,
                 std::function<void(http1_exchange)> handler);
@@ -116,6 +120,7 @@
     /// may become the leader, including those that are not seeds.
     std::map<std::string, known_replica> replicas;
     std::unique_ptr<protocol::peer_hub> hub;
+    std::unique_ptr<transport::tcp_relay> relay;
     std::unique_ptr<transport::http1_server> callers;
     std::unique_ptr<transport::http1_server> readiness;
     std::unique_ptr<transport::http1_server> metrics;
@@ -196,6 +201,39 @@
     return port ? transport::result<void>{} : tl::make_unexpected(port.error());
 }
 
+/// Other gateways reach servers through this one while it does.
+transport::result<void> gateway_process::impl::listen_for_relayed()
+{
+    if (core.settings.relay_port == 0)
+    {
+        return {};
+    }
+    transport::tcp_relay_settings settings;
+    settings.address = core.settings.link_listen_address.empty()
+                           ? core.settings.address
+                           : core.settings.link_listen_address;
+    settings.port = core.settings.relay_port;
+    settings.shared_key = core.settings.shared_key;
+    settings.source_address = core.settings.client.source_address;
+    relay = std::make_unique<transport::tcp_relay>(
+        loop, settings, [this](const auto& target) {
+            const auto now = clock.monotonic_now();
+            const auto& servers = core.servers.servers();
+            return std::any_of(
+                servers.begin(), servers.end(), [&](const auto& item) {
+                    return item.second->listed.address == target &&
+                           item.second->paused_until <= now;
+                });
+        });
+    const auto port = relay->start();
+    if (!port)
+    {
+        return tl::make_unexpected(port.error());
+    }
+    core.relay_address = fmt::format("{}:{}", core.settings.address, *port);
+    return {};
+}
+
 void gateway_process::impl::handle_request(http1_exchange exchange)
 {
     const auto serving_period = std::chrono::duration_cast<milliseconds>(
@@ -264,6 +302,7 @@
     report_timer =
         loop.after(core.settings.leader_search_interval, [this] { report(); });
     log_validity_change();
+    probe_servers();
     const auto now = clock.monotonic_now();
     for (const auto& seed : seeds)
     {
@@ -317,6 +356,28 @@
     }
 }
 
+/// Finds out when servers that were not reached directly are reached again.
+void gateway_process::impl::probe_servers()
+{
+    constexpr milliseconds time_limit{250};
+    for (const auto& id : core.reach.due_probes(clock.monotonic_now()))
+    {
+        const auto server = core.servers.servers().find(id);
+        if (server == core.servers.servers().end())
+        {
+            continue;
+        }
+        core.client.probe(server->second->listed.address, time_limit,
+                          [this, id](bool reached) {
+                              if (reached)
+                              {
+                                  core.reach.on_reached(clock.monotonic_now(),
+                                                        id);
+                              }
+                          });
+    }
+}
+
 /// Sends a report at once to every replica that has no answer outstanding,
 /// regardless of its report interval.
 void gateway_process::impl::report_now()
@@ -449,7 +510,8 @@
 void gateway_process::impl::check_drained()
 {
     const auto elapsed = drain_elapsed();
-    const bool idle = callers->busy_connections() == 0;
+    const bool idle = callers->busy_connections() == 0 &&
+                      (!relay || relay->open_connections() == 0);
     if (accepting && elapsed >= accept_period)
     {
         accepting = false;
@@ -487,6 +549,10 @@
 {
     auto done = impl_->listen_for_peers();
     if (done)
+    {
+        done = impl_->listen_for_relayed();
+    }
+    if (done)
     {
         done = impl_->listen();
     }
@@ -518,6 +584,14 @@
     impl_->drain_started_at = impl_->clock.monotonic_now();
     impl_->on_drained = std::move(on_drained);
     impl_->callers->drain();
+    if (impl_->relay)
+    {
+        // The leader names other helpers, and gateways close their connections
+        // through this one once these are idle.
+        impl_->core.relay_address.clear();
+        impl_->relay->drain();
+        impl_->report_now();
+    }
     impl_->check_drained();
 }
 
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -45,6 +45,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rate_limit_report, stated, wanted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rate_limit_orders, stated, permits,
                                    permits_valid_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(relay_report, address, partitioned, helpers)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_server, id, born, service, address,
                                    failure_domain, version, slots, state,
                                    reclaimable, cold_remaining_ms, leaves_ms)
@@ -117,6 +118,10 @@
     {
         out["rate_limits"] = limits;
     }
+    if (!value.relay.address.empty() || !value.relay.helpers.empty())
+    {
+        out["relay"] = value.relay;
+    }
 }
 
 void from_json(const json& from, entry_report& value)
@@ -143,6 +148,10 @@
     {
         from.at("rate_limits").get_to(value.rate_limits);
     }
+    if (from.contains("relay"))
+    {
+        from.at("relay").get_to(value.relay);
+    }
 }
 
 void to_json(json& out, const entry_orders& value)
@@ -167,6 +176,10 @@
     {
         out["rate_limits"] = value.rate_limits;
     }
+    if (!value.helpers.empty())
+    {
+        out["helpers"] = value.helpers;
+    }
     if (value.packed_document)
     {
         out["packed_document"] = *value.packed_document;
@@ -204,6 +217,10 @@
     {
         from.at("rate_limits").get_to(value.rate_limits);
     }
+    if (from.contains("helpers"))
+    {
+        from.at("helpers").get_to(value.helpers);
+    }
     if (from.contains("packed_document"))
     {
         value.packed_document = from.at("packed_document").get<std::string>();
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <compare>
 #include <deque>
 #include <map>
 #include <optional>
@@ -15,6 +16,9 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <fmt/format.h>
+
+#include <hyssopdeal/transport/tcp_relay.hpp>
 
 #include "transport/http1_reader.hpp"
 #include "transport/http1_writer.hpp"
@@ -42,6 +46,15 @@
 
 struct http1_client::impl
 {
+    /// How a server is connected to.
+    struct path
+    {
+        std::string address;
+        std::string relay; ///< Empty: directly.
+
+        auto operator<=>(const path&) const = default;
+    };
+
     impl(event_loop& own_loop, const clock& own_time,
          http1_client_settings own_settings)
         : loop(own_loop),
@@ -52,11 +65,13 @@
     event_loop& loop;
     const clock& time;
     http1_client_settings settings;
-    std::map<std::string, std::deque<std::shared_ptr<client_connection>>,
-             std::less<>>
-        idle;
+    /// Idle connections by server and relay.
+    std::map<path, std::deque<std::shared_ptr<client_connection>>> idle;
     std::uint64_t opened = 0;
     bool ended = false;
+
+    template <class Predicate>
+    void close_idle(Predicate closes);
 };
 
 struct http1_call::impl
@@ -111,22 +126,36 @@
 class client_connection : public std::enable_shared_from_this<client_connection>
 {
 public:
-    client_connection(std::shared_ptr<client_state> client, std::string address)
+    client_connection(std::shared_ptr<client_state> client,
+                      client_state::path path)
         : client_(std::move(client)),
-          address_(std::move(address)),
+          path_(std::move(path)),
           socket_(client_->loop.context()),
           reader_(message_kind::response, client_->settings.max_head_bytes),
           max_idle_(client_->settings.max_idle)
     {}
 
+    /// @param to The server or, if there is one, the relay.
     void connect(const tcp::endpoint& to, milliseconds limit)
     {
         connect_timer_ =
             client_->loop.after(limit, [self = shared_from_this()] {
                 self->fail(reason::connect_failed, "No connection in time.");
             });
+        if (path_.relay.empty())
+        {
+            asio::error_code error;
+            open_from(socket_, to.protocol(), client_->settings.source_address,
+                      error);
+            if (error)
+            {
+                return client_->loop.post(
+                    [self = shared_from_this(), text = error.message()] {
+                        self->fail(reason::connect_failed, text);
+                    });
+            }
+        }
         socket_.async_connect(to, [self = shared_from_this()](const auto& e) {
-            self->connect_timer_.cancel();
             if (self->closed_)
             {
                 return;
@@ -135,13 +164,20 @@
             {
                 return self->fail(reason::connect_failed, e.message());
             }
-            self->connected_ = true;
             limit_silence(self->socket_, self->client_->settings.silence_limit);
-            self->read();
-            self->write();
+            self->path_.relay.empty() ? self->on_connected()
+                                      : self->request_relay();
         });
     }
 
+    /// Connects without a call; the connection becomes idle.
+    void probe(const tcp::endpoint& to, milliseconds limit,
+               std::function<void(bool)> on_end)
+    {
+        on_probe_end_ = std::move(on_end);
+        connect(to, limit);
+    }
+
     void carry(const std::shared_ptr<call_state>& call, std::string bytes,
                std::size_t max_body_bytes)
     {
@@ -189,6 +225,80 @@
     }
 
 private:
+    void on_connected()
+    {
+        connect_timer_.cancel();
+        connected_ = true;
+        read();
+        if (const auto on_end = std::exchange(on_probe_end_, nullptr))
+        {
+            go_idle();
+            return client_->ended ? void() : on_end(true);
+        }
+        write();
+    }
+
+    /// Asks the relay for a connection to the server. The call's request
+    /// follows only once that is open.
+    void request_relay()
+    {
+        relay_failed_ = true;
+        relay_request_ = fmt::format(
+            "CONNECT {0} HTTP/1.1\r\nHost: {0}\r\nProxy-Authorization: "
+            "{1}\r\n\r\n",
+            path_.address,
+            relay_proof(client_->settings.relay_key, path_.address));
+        asio::async_write(
+            socket_, asio::buffer(relay_request_),
+            [self = shared_from_this()](const auto& error, std::size_t) {
+                if (!self->closed_)
+                {
+                    error ? self->fail(reason::connect_failed, error.message())
+                          : self->read_relay_response();
+                }
+            });
+    }
+
+    void read_relay_response()
+    {
+        socket_.async_read_some(
+            asio::buffer(in_),
+            [self = shared_from_this()](const auto& error, std::size_t length) {
+                if (self->closed_)
+                {
+                    return;
+                }
+                if (error)
+                {
+                    return self->fail(reason::connect_failed, error.message());
+                }
+                self->relay_response_.append(self->in_.data(), length);
+                self->take_relay_response();
+            });
+    }
+
+    void take_relay_response()
+    {
+        constexpr std::size_t max_bytes = 256;
+        constexpr std::string_view accepted = "HTTP/1.1 200 ";
+        const auto end = relay_response_.find("\r\n\r\n");
+        if (end == std::string::npos && relay_response_.size() < max_bytes)
+        {
+            return read_relay_response();
+        }
+        if (end + 4 == relay_response_.size() &&
+            relay_response_.starts_with(accepted))
+        {
+            relay_failed_ = false;
+            return on_connected();
+        }
+        relay_failed_ = !relay_response_.starts_with(
+            fmt::format("HTTP/1.1 {} ", relay_unreachable_status));
+        fail(reason::connect_failed,
+             "The relay did not connect: " +
+                 relay_response_.substr(0, relay_response_.find('\r')));
+    }
+
     void write()
     {
         writing_ = true;
@@ -362,7 +472,7 @@
         skipping_ = false;
         call_.reset();
         out_.clear();
-        auto& list = client_->idle[address_];
+        auto& list = client_->idle[path_];
         if (client_->ended ||
             list.size() >= client_->settings.max_idle_for_each)
         {
@@ -396,16 +506,24 @@
         const auto keep = shared_from_this();
         const auto ran = sent_ ? verdict::may_have_run : verdict::not_run;
         const auto call = std::exchange(call_, {}).lock();
+        const auto on_probe_end = std::exchange(on_probe_end_, nullptr);
         close();
         if (call)
         {
-            call->end({false, {ran, code, std::move(text)}});
+            const bool relay_failed = !path_.relay.empty() && !connected_ &&
+                                      (relay_failed_ || relay_request_.empty());
+            call->end(
+                {false, {ran, code, std::move(text)}, false, relay_failed});
+        }
+        if (on_probe_end && !client_->ended)
+        {
+            on_probe_end(false);
         }
     }
 
     void drop_from_idle()
     {
-        const auto found = client_->idle.find(address_);
+        const auto found = client_->idle.find(path_);
         if (found == client_->idle.end())
         {
             return;
@@ -420,7 +538,7 @@
     }
 
     std::shared_ptr<client_state> client_;
-    std::string address_;
+    client_state::path path_;
     tcp::socket socket_;
     http1_reader reader_;
     std::array<char, read_bytes> in_{};
@@ -431,6 +549,10 @@
     milliseconds max_idle_;
     std::size_t max_body_bytes_ = 0; ///< 0: none.
     std::size_t body_bytes_ = 0;
+    std::function<void(bool)> on_probe_end_;
+    std::string relay_request_;
+    std::string relay_response_;
+    bool relay_failed_ = false; ///< Until the relay says otherwise.
     bool connected_ = false;
     bool sent_ = false;       ///< A byte may have left.
     bool unanswered_ = false; ///< Carries a call.
@@ -443,10 +565,11 @@
 
 /// Takes the connection that was used last, which is the least likely to be
 /// closed by its server at this moment.
-std::shared_ptr<client_connection>
-take_idle(client_state& client, std::string_view address, milliseconds max_idle)
+std::shared_ptr<client_connection> take_idle(client_state& client,
+                                             const client_state::path& path,
+                                             milliseconds max_idle)
 {
-    const auto found = client.idle.find(address);
+    const auto found = client.idle.find(path);
     const auto now = client.time.monotonic_now();
     while (found != client.idle.end() && !found->second.empty())
     {
@@ -468,6 +591,25 @@
 
 } // namespace
 
+template <class Predicate>
+void http1_client::impl::close_idle(Predicate closes)
+{
+    for (auto at = idle.begin(); at != idle.end();)
+    {
+        if (!closes(at->first))
+        {
+            ++at;
+            continue;
+        }
+        const auto list = std::move(at->second);
+        at = idle.erase(at);
+        for (const auto& connection : list)
+        {
+            connection->close();
+        }
+    }
+}
+
 // [http1_call] ---------------------------------------------------------------
 
 http1_call::http1_call() noexcept = default;
@@ -558,13 +700,15 @@
     auto call = std::make_shared<http1_call::impl>();
     call->handlers = std::make_shared<http1_call_handlers>(std::move(handlers));
     auto bytes = write_request(request);
-    if (auto kept = take_idle(*impl_, address, settings.max_idle))
+    const impl::path path{std::string{address}, settings.relay};
+    if (auto kept = take_idle(*impl_, path, settings.max_idle))
     {
         call->connection = kept;
         kept->carry(call, std::move(bytes), settings.max_body_bytes);
         return http1_call{std::move(call)};
     }
-    const auto endpoint = parse_endpoint<tcp::endpoint>(address);
+    const auto endpoint = parse_endpoint<tcp::endpoint>(
+        settings.relay.empty() ? address : settings.relay);
     if (!endpoint)
     {
         impl_->loop.post([weak = std::weak_ptr{call}] {
@@ -578,8 +722,7 @@
         return http1_call{std::move(call)};
     }
     ++impl_->opened;
-    const auto made =
-        std::make_shared<client_connection>(impl_, std::string{address});
+    const auto made = std::make_shared<client_connection>(impl_, path);
     call->connection = made;
     made->carry(call, std::move(bytes), settings.max_body_bytes);
     made->connect(*endpoint, settings.connect_time_limit);
@@ -616,9 +759,11 @@
     return call;
 }
 
-bool http1_client::keeps(std::string_view address, milliseconds max_idle) const
+bool http1_client::keeps(std::string_view address, milliseconds max_idle,
+                         std::string_view relay) const
 {
-    const auto found = impl_->idle.find(address);
+    const auto found =
+        impl_->idle.find({std::string{address}, std::string{relay}});
     if (found == impl_->idle.end() || found->second.empty())
     {
         return false;
@@ -628,19 +773,29 @@
            std::min(max_idle, newest->max_idle());
 }
 
-void http1_client::forget(const std::string& address)
+void http1_client::probe(const std::string& address, milliseconds time_limit,
+                         std::function<void(bool reached)> on_end)
 {
-    const auto found = impl_->idle.find(address);
-    if (found == impl_->idle.end())
+    const auto endpoint = parse_endpoint<tcp::endpoint>(address);
+    if (!endpoint)
     {
-        return;
-    }
-    const auto list = std::exchange(found->second, {});
-    impl_->idle.erase(found);
-    for (const auto& connection : list)
-    {
-        connection->close();
+        return impl_->loop.post(
+            [on_end = std::move(on_end)] { on_end(false); });
     }
+    ++impl_->opened;
+    std::make_shared<client_connection>(impl_, impl::path{address, {}})
+        ->probe(*endpoint, time_limit, std::move(on_end));
+}
+
+void http1_client::forget(const std::string& address)
+{
+    impl_->close_idle(
+        [&](const auto& path) { return path.address == address; });
+}
+
+void http1_client::forget_relay(const std::string& relay)
+{
+    impl_->close_idle([&](const auto& path) { return path.relay == relay; });
 }
 
 std::uint64_t http1_client::connections_opened() const noexcept
--- a/src/transport/socket_options.hpp
+++ b/src/transport/socket_options.hpp
@@ -4,15 +4,17 @@
 /// @file
 /// Internal: socket options that Asio has no names for.
 ///
-/// Index: [silence]
+/// Index: [silence] [source_address]
 
 #include <algorithm>
 #include <chrono>
+#include <string>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <asio/ip/address.hpp>
 #include <asio/ip/tcp.hpp>
 
 namespace hyssopdeal::transport
@@ -43,6 +45,27 @@
     set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
 }
 
+// [source_address] -----------------------------------------------------------
+
+/// Opens a socket that connects from an address of this instance.
+///
+/// @param source IP address; empty: chosen by the kernel.
+inline void open_from(asio::ip::tcp::socket& socket,
+                      const asio::ip::tcp& protocol, const std::string& source,
+                      asio::error_code& error)
+{
+    socket.open(protocol, error);
+    if (error || source.empty())
+    {
+        return;
+    }
+    const auto address = asio::ip::make_address(source, error);
+    if (!error)
+    {
+        socket.bind({address, 0}, error);
+    }
+}
+
 } // namespace hyssopdeal::transport
 
 #endif
--- /dev/null
+++ b/tests/cut_off_entry_test.cpp
@@ -0,0 +1,233 @@
+/// @file
+/// Gateways that are partitioned from all servers while callers and the control
+/// replicas reach them, with real links.
+
+#include <algorithm>
+#include <array>
+
+#include <CppUTest/TestHarness.h>
+
+#include <fmt/format.h>
+
+#include "cluster_harness.hpp"
+#include "raw_peer.hpp"
+
+using namespace hyssopdeal;
+using namespace std::chrono_literals;
+using tests::cluster_harness;
+using tests::raw_connection;
+using transport::monotonic_time;
+
+namespace
+{
+
+constexpr std::size_t gateway_count = 4;
+constexpr std::size_t server_count = 4;
+constexpr std::uint16_t callers_port = 27'601;
+constexpr std::uint16_t relay_port = 27'603;
+// From a documentation range, so that no connection can be opened from it.
+constexpr auto unusable_source = "192.0.2.1";
+
+} // namespace
+
+TEST_GROUP(cut_off_entry_tests)
+{
+    cluster_harness cluster{3};
+    std::array<std::unique_ptr<coordination::gateway_process>, gateway_count>
+        gateways;
+    std::vector<std::shared_ptr<tests::raw_listener>> servers;
+    std::array<std::vector<std::shared_ptr<raw_connection>>, gateway_count>
+        callers;
+    std::vector<transport::timer_handle> answers;
+    std::size_t sent = 0;
+    std::size_t arrived = 0;
+    std::chrono::milliseconds response_time = 30ms;
+
+    void setup() override
+    {
+        for (std::size_t index = 0; index < server_count; ++index)
+        {
+            start_server(index);
+        }
+        CHECK_TRUE(cluster.put(0, "1:prompts"));
+    }
+
+    void teardown() override
+    {
+        for (auto& gateway : gateways)
+        {
+            gateway.reset();
+        }
+    }
+
+    transport::event_loop& loop()
+    {
+        return cluster.loop;
+    }
+
+    void start_server(std::size_t index)
+    {
+        servers.push_back(std::make_shared<tests::raw_listener>(
+            loop(), [this](raw_connection& connection) {
+                if (connection.received.find("\r\n\r\n") != std::string::npos)
+                {
+                    answer(connection, std::exchange(connection.received, {}));
+                }
+            }));
+        auto listed = tests::listed(fmt::format("w{}", index));
+        listed.address = servers.back()->address();
+        listed.slots = 8;
+        cluster.list.push_back(listed);
+    }
+
+    void answer(raw_connection & connection, const std::string& head)
+    {
+        ++arrived;
+        const auto id = head.find("Hyssopdeal-Attempt: ") + 20;
+        answers.push_back(loop().after(
+            response_time, [attempt = head.substr(id, head.find('\r', id) - id),
+                            open = connection.shared_from_this()] {
+                open->send(fmt::format(
+                    "HTTP/1.1 200 OK\r\nHyssopdeal-Attempt: {}\r\n"
+                    "Content-Length: 19\r\n\r\nid: 1\ndata: whole\n\n",
+                    attempt));
+            }));
+    }
+
+    void start_gateways(std::size_t cut_off)
+    {
+        for (std::size_t index = 0; index < gateway_count; ++index)
+        {
+            coordination::gateway_settings settings;
+            settings.name = fmt::format("e{}", index);
+            settings.failure_domain = fmt::format("d{}", index / 2);
+            settings.address = cluster_harness::ip(100 + index);
+            settings.hub_port = cluster_harness::hub_port;
+            settings.relay_port = relay_port;
+            settings.seeds = cluster.seeds();
+            settings.shared_key = "key";
+            settings.client.relay_key = "key";
+            settings.client.source_address =
+                index < cut_off ? unusable_source : "";
+            settings.callers_port = callers_port;
+            settings.readiness_port = callers_port + 1;
+            settings.grace = 4s;
+            gateways.at(index) =
+                std::make_unique<coordination::gateway_process>(
+                    loop(), cluster.clock, settings, tests::read_test_document,
+                    coordination::make_request_handler<
+                        coordination::native_dialect>());
+            CHECK_TRUE(gateways.at(index)->start().has_value());
+        }
+        loop().run_for(1'500ms);
+    }
+
+    void send(std::size_t gateway)
+    {
+        callers.at(gateway).push_back(tests::raw_call(
+            loop(), callers_port, cluster_harness::ip(100 + gateway)));
+        callers.at(gateway).back()->send(
+            fmt::format("POST /stream/x HTTP/1.1\r\nHost: h\r\n"
+                        "Hyssopdeal-Attempt: id{}\r\nContent-Length: 0\r\n\r\n",
+                        ++sent));
+    }
+
+    /// Sends 20 requests a second to each gateway.
+    void play(std::chrono::milliseconds time)
+    {
+        const auto end = cluster.clock.monotonic_now() + time;
+        while (cluster.clock.monotonic_now() < end)
+        {
+            for (std::size_t gateway = 0; gateway < gateway_count; ++gateway)
+            {
+                send(gateway);
+            }
+            loop().run_for(50ms);
+        }
+    }
+
+    [[nodiscard]] std::size_t served(std::size_t gateway) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(callers.at(gateway).begin(),
+                          callers.at(gateway).end(), [](const auto& caller) {
+                              return caller->received.find("data: whole") !=
+                                     std::string::npos;
+                          }));
+    }
+
+    void forget_callers()
+    {
+        for (auto& list : callers)
+        {
+            list.clear();
+        }
+    }
+};
+
+TEST(cut_off_entry_tests, callers_of_a_cut_off_gateway_are_served_like_others)
+{
+    start_gateways(1);
+    play(1s);
+    forget_callers();
+    arrived = 0;
+    play(3s);
+    loop().run_for(500ms);
+    const auto total = callers.at(0).size();
+    CHECK_EQUAL(total, served(1));
+    CHECK_COMPARE(static_cast<double>(served(0)), >=,
+                  0.95 * static_cast<double>(total));
+    CHECK_EQUAL(gateway_count * total, arrived);
+}
+
+TEST(cut_off_entry_tests, callers_are_served_when_most_gateways_are_cut_off)
+{
+    start_gateways(gateway_count - 1);
+    play(1s);
+    forget_callers();
+    play(2s);
+    loop().run_for(500ms);
+    for (std::size_t gateway = 0; gateway < gateway_count; ++gateway)
+    {
+        CHECK_COMPARE(static_cast<double>(served(gateway)), >=,
+                      0.95 * static_cast<double>(callers.at(gateway).size()));
+    }
+}
+
+TEST(cut_off_entry_tests, planned_stop_of_a_helper_cuts_off_no_relayed_request)
+{
+    start_gateways(gateway_count - 2);
+    play(1s);
+    forget_callers();
+    response_time = 800ms;
+    play(300ms);
+    bool drained = false;
+    gateways.at(2)->drain([&] { drained = true; });
+    play(1s);
+    CHECK_TRUE(tests::run_until(loop(), [&] { return drained; }));
+    gateways.at(2).reset();
+    loop().run_for(1s);
+    CHECK_EQUAL(callers.at(0).size(), served(0));
+    CHECK_EQUAL(callers.at(1).size(), served(1));
+}
+
+TEST(cut_off_entry_tests, loss_of_a_helper_leaves_other_requests_served)
+{
+    start_gateways(gateway_count - 2);
+    play(1s);
+    gateways.at(2).reset();
+    callers.at(2).clear();
+    for (std::size_t round = 0; round < 20; ++round)
+    {
+        send(0);
+        loop().run_for(50ms);
+    }
+    forget_callers();
+    for (std::size_t round = 0; round < 20; ++round)
+    {
+        send(0);
+        loop().run_for(50ms);
+    }
+    loop().run_for(200ms);
+    CHECK_EQUAL(callers.at(0).size(), served(0));
+}
