--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -59,7 +59,7 @@
          http1_client_settings own_settings)
         : loop(own_loop),
           time(own_time),
-          settings(own_settings)
+          settings(std::move(own_settings))
     {}
 
     event_loop& loop;
@@ -676,7 +676,7 @@
 
 http1_client::http1_client(event_loop& loop, const clock& time,
                            http1_client_settings settings)
-    : impl_(std::make_shared<impl>(loop, time, settings))
+    : impl_(std::make_shared<impl>(loop, time, std::move(settings)))
 {}
 
 http1_client::~http1_client()
