Listen by one function; derive what the relay's end is from one flag

The relay and the HTTP server opened their acceptors by the same lines: both call listen_on() now. A relayed connection's `ended` was set and never decided anything: removed. The client's `relay_failed_` starts as "there is a relay", which makes the second condition at a failure needless.

--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -132,7 +132,8 @@
           path_(std::move(path)),
           socket_(client_->loop.context()),
           reader_(message_kind::response, client_->settings.max_head_bytes),
-          max_idle_(client_->settings.max_idle)
+          max_idle_(client_->settings.max_idle),
+          relay_failed_(!path_.relay.empty())
     {}
 
     /// @param to The server or, if there is one, the relay.
@@ -242,7 +243,6 @@
     /// follows only once that is open.
     void request_relay()
     {
-        relay_failed_ = true;
         relay_request_ = fmt::format(
             "CONNECT {0} HTTP/1.1\r\nHost: {0}\r\nProxy-Authorization: "
             "{1}\r\n\r\n",
@@ -510,10 +510,8 @@
         close();
         if (call)
         {
-            const bool relay_failed = !path_.relay.empty() && !connected_ &&
-                                      (relay_failed_ || relay_request_.empty());
             call->end(
-                {false, {ran, code, std::move(text)}, false, relay_failed});
+                {false, {ran, code, std::move(text)}, false, relay_failed_});
         }
         if (on_probe_end && !client_->ended)
         {
@@ -552,7 +550,7 @@
     std::function<void(bool)> on_probe_end_;
     std::string relay_request_;
     std::string relay_response_;
-    bool relay_failed_ = false; ///< Until the relay says otherwise.
+    bool relay_failed_; ///< Until the relay has reached the server or not.
     bool connected_ = false;
     bool sent_ = false;       ///< A byte may have left.
     bool unanswered_ = false; ///< Carries a call.
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -19,6 +19,7 @@
 #include "transport/http1_reader.hpp"
 #include "transport/http1_writer.hpp"
 #include "transport/ip_endpoint.hpp"
+#include "transport/socket_options.hpp"
 
 namespace hyssopdeal::transport
 {
@@ -564,25 +565,8 @@
 result<std::uint16_t> http1_server::start()
 {
     asio::error_code error;
-    const auto number = asio::ip::make_address(impl_->settings.address, error);
-    const tcp::endpoint endpoint{number, impl_->settings.port};
     auto& acceptor = impl_->acceptor;
-    if (!error)
-    {
-        acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error)
-    {
-        acceptor.set_option(tcp::acceptor::reuse_address{true}, error);
-    }
-    if (!error)
-    {
-        acceptor.bind(endpoint, error);
-    }
-    if (!error)
-    {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
+    listen_on(acceptor, impl_->settings.address, impl_->settings.port, error);
     if (error)
     {
         return fail(reason::bad_settings,
--- a/src/transport/socket_options.hpp
+++ b/src/transport/socket_options.hpp
@@ -4,10 +4,11 @@
 /// @file
 /// Internal: socket options that Asio has no names for.
 ///
-/// Index: [silence] [source_address]
+/// Index: [silence] [source_address] [listening]
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include <netinet/in.h>
@@ -66,6 +67,36 @@
     }
 }
 
+// [listening] ----------------------------------------------------------------
+
+/// Binds an acceptor and starts to listen.
+///
+/// @param address IP address.
+inline void listen_on(asio::ip::tcp::acceptor& acceptor,
+                      const std::string& address, std::uint16_t port,
+                      asio::error_code& error)
+{
+    const auto number = asio::ip::make_address(address, error);
+    const asio::ip::tcp::endpoint endpoint{number, port};
+    if (!error)
+    {
+        acceptor.open(endpoint.protocol(), error);
+    }
+    if (!error)
+    {
+        acceptor.set_option(asio::ip::tcp::acceptor::reuse_address{true},
+                            error);
+    }
+    if (!error)
+    {
+        acceptor.bind(endpoint, error);
+    }
+    if (!error)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+}
+
 } // namespace hyssopdeal::transport
 
 #endif
--- a/src/transport/tcp_relay.cpp
+++ b/src/transport/tcp_relay.cpp
@@ -115,7 +115,6 @@
         tcp::socket& from;
         tcp::socket& to;
         std::array<char, 16'384> bytes{};
-        bool ended = false;
     };
 
     void read_head()
@@ -260,8 +259,7 @@
     /// more, so its server is told at once.
     void on_end(flow& way)
     {
-        way.ended = true;
-        if (&way == &to_server_ || to_server_.ended)
+        if (&way == &to_server_)
         {
             return reset_both();
         }
@@ -340,25 +338,8 @@
 result<std::uint16_t> tcp_relay::start()
 {
     asio::error_code error;
-    const auto address = asio::ip::make_address(impl_->settings.address, error);
-    const tcp::endpoint endpoint{address, impl_->settings.port};
     auto& acceptor = impl_->acceptor;
-    if (!error)
-    {
-        acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error)
-    {
-        acceptor.set_option(tcp::acceptor::reuse_address{true}, error);
-    }
-    if (!error)
-    {
-        acceptor.bind(endpoint, error);
-    }
-    if (!error)
-    {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
+    listen_on(acceptor, impl_->settings.address, impl_->settings.port, error);
     if (error)
     {
         return fail(reason::connect_failed,
