Quarantine requests that crash servers without a prompt of their own

Cause: crashes were related only to parts of prompts. Requests without a prompt, and those whose prompt is sound and whose body is not, had nothing by which crashes at different servers could be told to be theirs.

Ruled out: retries (the unsafe class is the worst), a quarantine that comes late (there is none).

Each request has a digest of its organisation, host, method, path and body that counts like one more part. It is the same in all repeats and in no sound request, so it is in every crash and never answered. As plain answers clear it, a plain response now also shows that its server lives.

request_without_a_prompt_that_crashes_servers_reaches_no_more_of_them and request_that_crashes_servers_by_its_body_reaches_no_more_of_them failed before.

--- a/include/hyssopdeal/coordination/cluster/crash_attribution.hpp
+++ b/include/hyssopdeal/coordination/cluster/crash_attribution.hpp
@@ -2,7 +2,8 @@
 #define HYSSOPDEAL_COORDINATION_CLUSTER_CRASH_ATTRIBUTION_HPP
 
 /// @file
-/// Attributes crashes of servers to parts of prompts, from the reports of all
+/// Attributes crashes of servers to what their requests contained, parts of
+/// prompts or whole requests (both called parts here), from the reports of all
 /// entries. Handles load in which a few requests crash every server that begins
 /// to answer them while sound requests share their other parts. A crash breaks
 /// many requests at once, so one crash proves nothing: a part is held
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -102,7 +102,7 @@
     bool usable = true; ///< Listed as ready; may receive new requests.
     /// A response to this gateway announced that the server ends soon.
     bool said_leaving = false;
-    transport::monotonic_time last_heard{}; ///< Latest event of any request.
+    transport::monotonic_time last_heard{}; ///< Latest event or response.
     std::uint32_t running = 0;              ///< Requests of this gateway.
     /// Uncached prompt tokens of this gateway's requests that have not had
     /// their first event.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -147,6 +147,7 @@
     std::string organisation_;
     std::uint32_t rank_ = 0;
     request_metadata terms_;
+    std::optional<request_content> content_; ///< Once admitted.
     std::string service_;
     double quota_tokens_ = 0; ///< Requested from the quota.
     monotonic_time deadline_{};
@@ -307,24 +308,29 @@
     select_service();
     core_.repeats.on_request(core_.clock.monotonic_now(), service_);
     core_.servers.permits().on_request(core_.clock.monotonic_now(), service_);
-    return (!route_->needs_key || authenticate()) && !refuse_quarantined();
+    if (route_->needs_key && !authenticate())
+    {
+        return false;
+    }
+    content_.emplace(exchange_.request(), organisation_, terms_.size);
+    return !refuse_quarantined();
 }
 
-/// Ends the request if its prompt crashes servers.
+/// Ends the request if it is one that crashes servers.
 ///
 /// @return Whether it was ended.
 template <caller_dialect Dialect>
 bool request_flow<Dialect>::refuse_quarantined()
 {
     const auto remaining =
-        core_.crashes.quarantine_of(core_.clock.monotonic_now(), terms_.size);
+        core_.crashes.quarantine_of(core_.clock.monotonic_now(), *content_);
     if (!remaining)
     {
         return false;
     }
     core_.counters.quarantined.add();
-    possible_runs_ > 0 ? fail(502, "prompt_quarantined")
-                       : refuse(503, "prompt_quarantined", *remaining);
+    possible_runs_ > 0 ? fail(502, "request_quarantined")
+                       : refuse(503, "request_quarantined", *remaining);
     return true;
 }
 
@@ -785,6 +791,10 @@
     response_terms_ = response;
     head_received_ = true;
     last_activity_ = core_.clock.monotonic_now();
+    if (route_->rule != protocol::repeat_rule::stream)
+    {
+        choice_.server->last_heard = last_activity_;
+    }
     return transport::head_choice::take;
 }
 
@@ -1013,7 +1023,7 @@
     if (!not_run && !survived_start() && moved_run_.empty() &&
         error.code == transport::reason::connection_lost)
     {
-        core_.crashes.on_broken(now, sent_at_, choice_.server, terms_.size);
+        core_.crashes.on_broken(now, sent_at_, choice_.server, *content_);
     }
     const auto running_before = server.running;
     release_server();
@@ -1031,6 +1041,7 @@
                           {"after_event", last_event_id_},
                           {"had_event", event_received_},
                           {"prompt_parts", format_parts(terms_.size)},
+                          {"digest", fmt::format("{:x}", content_->digest)},
                           {"relay", relay_},
                           {"server_running", running_before},
                           {"server_state", server_state_name(server)},
@@ -1102,7 +1113,7 @@
 {
     if (!std::exchange(start_recorded_, true))
     {
-        core_.crashes.on_answered(core_.clock.monotonic_now(), terms_.size);
+        core_.crashes.on_answered(core_.clock.monotonic_now(), *content_);
     }
 }
 
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -52,7 +52,7 @@
 
 // [crashes] ------------------------------------------------------------------
 
-/// Ids of parts of a prompt.
+/// Ids of parts of a prompt, and a digest of the request that has it.
 using part_ids = std::set<std::uint64_t>;
 
 /// How long entries and replicas remember under which prompts servers crashed
@@ -70,13 +70,13 @@
     part_ids parts;
 };
 
-/// What one entry saw of prompts that may crash servers.
+/// What one entry saw of requests that may crash servers.
 struct crash_report
 {
     std::vector<broken_prompt> broken; ///< Latest ones, repeated for a while.
     /// Age of the latest first event of a request with a suspected part, in ms.
     std::map<std::uint64_t, std::int64_t> answered;
-    std::vector<part_ids> disproved; ///< Quarantined prompts with an event.
+    std::vector<part_ids> disproved; ///< Quarantined, but answered.
 };
 
 /// Requests with all of these parts are refused.
@@ -86,7 +86,7 @@
     std::int64_t remaining_ms = 0;
 };
 
-/// What the leader tells entries of prompts that crash servers.
+/// What the leader tells entries of requests that crash servers.
 struct crash_orders
 {
     part_ids suspects; ///< Entries report when they were answered.
--- a/src/coordination/gateway/crash_evidence.cpp
+++ b/src/coordination/gateway/crash_evidence.cpp
@@ -1,9 +1,12 @@
 /// @file
-/// What one gateway sees of prompts that crash servers.
+/// What one gateway sees of requests that crash servers.
 
 #include <hyssopdeal/coordination/gateway/crash_evidence.hpp>
 
 #include <algorithm>
+#include <string>
+
+#include <xxhash.h>
 
 namespace hyssopdeal::coordination
 {
@@ -24,25 +27,10 @@
 constexpr std::size_t max_broken = 64;
 constexpr std::size_t max_answered = 20'000;
 
-protocol::part_ids ids_of(const prompt_size& prompt)
+bool contains_all(const request_content& content, const protocol::part_ids& ids)
 {
-    protocol::part_ids ids;
-    for (const auto& part : prompt.parts)
-    {
-        if (ids.size() < max_parts)
-        {
-            ids.insert(part.id);
-        }
-    }
-    return ids;
-}
-
-bool contains_all(const prompt_size& prompt, const protocol::part_ids& ids)
-{
-    return std::all_of(ids.begin(), ids.end(), [&](auto id) {
-        return std::any_of(prompt.parts.begin(), prompt.parts.end(),
-                           [&](const auto& part) { return part.id == id; });
-    });
+    return std::includes(content.ids.begin(), content.ids.end(), ids.begin(),
+                         ids.end());
 }
 
 std::int64_t age_ms(monotonic_time now, monotonic_time then)
@@ -52,31 +40,54 @@
 
 } // namespace
 
-void crash_evidence::on_broken(monotonic_time now, monotonic_time sent_at,
-                               const std::shared_ptr<known_server>& server,
-                               const prompt_size& prompt)
+request_content::request_content(const transport::http_request& request,
+                                 std::string_view organisation,
+                                 const prompt_size& prompt)
 {
-    if (prompt.parts.empty())
+    for (const auto text :
+         {organisation, transport::find_header(request.headers, "Host"),
+          std::string_view{request.method}, std::string_view{request.target},
+          std::string_view{request.body}})
     {
-        return;
+        digest = XXH3_64bits_withSeed(text.data(), text.size(), digest);
     }
+    const auto count = std::min(max_parts, prompt.parts.size());
+    ids.reserve(count + 1);
+    ids.push_back(digest);
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        ids.push_back(prompt.parts[index].id);
+    }
+    std::sort(ids.begin(), ids.end());
+    ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
+}
+
+void crash_evidence::on_broken(monotonic_time now, monotonic_time sent_at,
+                               const std::shared_ptr<known_server>& server,
+                               const request_content& content)
+{
     if (broken_.size() >= max_broken)
     {
         broken_.pop_front();
     }
-    broken_.push_back(
-        {now, sent_at, server, ids_of(prompt), ++last_number_, false});
+    broken_.push_back({now,
+                       sent_at,
+                       server,
+                       {content.ids.begin(), content.ids.end()},
+                       ++last_number_,
+                       false});
 }
 
-void crash_evidence::on_answered(monotonic_time now, const prompt_size& prompt)
+void crash_evidence::on_answered(monotonic_time now,
+                                 const request_content& content)
 {
-    for (const auto& part : prompt.parts)
+    for (const auto id : content.ids)
     {
-        answered_[part.id] = now;
+        answered_[id] = now;
     }
     for (const auto& item : quarantine_)
     {
-        if (contains_all(prompt, item.parts))
+        if (contains_all(content, item.parts))
         {
             disproved_[item.parts] = now;
         }
@@ -111,11 +122,11 @@
 
 std::optional<milliseconds>
 crash_evidence::quarantine_of(monotonic_time now,
-                              const prompt_size& prompt) const
+                              const request_content& content) const
 {
     for (const auto& item : quarantine_)
     {
-        if (now < item.until && contains_all(prompt, item.parts))
+        if (now < item.until && contains_all(content, item.parts))
         {
             return duration_cast<milliseconds>(item.until - now);
         }
--- a/tests/cluster_harness.hpp
+++ b/tests/cluster_harness.hpp
@@ -34,8 +34,9 @@
 // [cluster_harness] ----------------------------------------------------------
 
 /// Decodes a test document: a version, a colon and any text. The text `scaled`
-/// adds a service for which servers may be ordered, the text `prompts` a route
-/// to it for streams that cannot be resumed.
+/// adds a service for which servers may be ordered, the text `prompts` two
+/// routes to it: for streams that cannot be resumed and for requests that must
+/// not run twice.
 inline transport::result<protocol::service_document>
 read_test_document(const std::string& bytes)
 {
@@ -65,6 +66,10 @@
         route.needs_key = false;
         route.shares = {{"s", 1}};
         document.routes = {route};
+        route.name = "once";
+        route.path_prefix = "/once/";
+        route.rule = protocol::repeat_rule::once;
+        document.routes.push_back(route);
         document.services = {
             {"s", 0, protocol::engine_terms{8, 100'000, true}, {}}};
     }
--- a/tests/crash_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -24,7 +24,9 @@
 {
 
 constexpr std::string_view crashing_part = "dead";
+constexpr std::string_view crashing_body = "crash";
 constexpr std::size_t crashes_before_the_bound = 5;
+constexpr std::size_t crashes_by_one_request_before_the_bound = 3;
 constexpr std::size_t allowed_after_the_bound = 3;
 constexpr auto contact_time = 3s;
 constexpr std::uint16_t callers_port = 27'601;
@@ -56,8 +58,9 @@
     std::array<server, server_count> servers;
     int starts = 0;
     bool event_before_crash = false;
+    std::size_t bound_crashes = crashes_before_the_bound;
     std::size_t crashes = 0;
-    /// Times at which requests with the crashing part reached servers.
+    /// Times at which crashing requests reached servers.
     std::vector<transport::monotonic_time> reached;
     transport::monotonic_time last_counted_crash{};
     std::vector<std::shared_ptr<raw_connection>> callers;
@@ -138,7 +141,8 @@
     {
         constexpr auto time_to_first_event = 30ms;
         const bool crashing =
-            parts_of(head).find(crashing_part) != std::string::npos;
+            parts_of(head).find(crashing_part) != std::string::npos ||
+            head.ends_with(crashing_body);
         if (crashing)
         {
             reached.push_back(cluster.clock.monotonic_now());
@@ -179,7 +183,7 @@
             return;
         }
         item.running = false;
-        if (++crashes == crashes_before_the_bound)
+        if (++crashes == bound_crashes)
         {
             last_counted_crash = cluster.clock.monotonic_now();
         }
@@ -208,6 +212,52 @@
         return caller;
     }
 
+    /// @param head Request line and headers of the request's own.
+    std::shared_ptr<raw_connection> send_body(std::string_view head,
+                                              std::string_view body)
+    {
+        ++sent;
+        const std::size_t gateway = static_cast<std::size_t>(sent) % 2;
+        auto caller = tests::raw_call(loop(), callers_port,
+                                      cluster_harness::ip(100 + gateway));
+        caller->send(fmt::format("{}Host: h\r\nHyssopdeal-Attempt: id{}\r\n"
+                                 "Content-Length: {}\r\n\r\n{}",
+                                 head, sent, body.size(), body));
+        return caller;
+    }
+
+    /// Sends one crashing request again and again, every 150 ms, and sound ones
+    /// that differ from it by their body only in between.
+    ///
+    /// @return The sound requests' callers.
+    std::vector<std::shared_ptr<raw_connection>> play_repeated(
+        std::string_view head, std::chrono::milliseconds time)
+    {
+        std::vector<std::shared_ptr<raw_connection>> sound;
+        const auto end = cluster.clock.monotonic_now() + time;
+        while (cluster.clock.monotonic_now() < end)
+        {
+            callers.push_back(send_body(head, crashing_body));
+            loop().run_for(75ms);
+            sound.push_back(send_body(head, fmt::format("sound{}", sent)));
+            loop().run_for(75ms);
+        }
+        loop().run_for(500ms);
+        return sound;
+    }
+
+    /// Sound requests fail only while they share a server with a crashing one.
+    static bool nearly_all_served(
+        const std::vector<std::shared_ptr<raw_connection>>& sound)
+    {
+        const auto served =
+            std::count_if(sound.begin(), sound.end(), [](const auto& caller) {
+                return caller->received.find("data: sound") !=
+                       std::string::npos;
+            });
+        return served * 10 >= static_cast<std::ptrdiff_t>(sound.size()) * 9;
+    }
+
     /// Sends crashing prompts every 150 ms and sound ones that share all other
     /// parts in between.
     ///
@@ -232,7 +282,7 @@
     [[nodiscard]] std::size_t reached_after_the_bound() const
     {
         const auto bound = last_counted_crash + contact_time;
-        return crashes < crashes_before_the_bound
+        return crashes < bound_crashes
                    ? 0
                    : static_cast<std::size_t>(std::count_if(
                          reached.begin(), reached.end(),
@@ -255,12 +305,30 @@
     const auto sound = play(8s);
     CHECK_TRUE(crashes > 0);
     CHECK_TRUE(reached_after_the_bound() <= allowed_after_the_bound);
-    // Sound prompts fail only while they share a server with a crashing one.
-    const auto served =
-        std::count_if(sound.begin(), sound.end(), [](const auto& caller) {
-            return caller->received.find("data: sound") != std::string::npos;
-        });
-    CHECK_TRUE(served * 10 >= static_cast<std::ptrdiff_t>(sound.size()) * 9);
+    CHECK_TRUE(nearly_all_served(sound));
+}
+
+TEST(crash_quarantine_tests,
+     request_without_a_prompt_that_crashes_servers_reaches_no_more_of_them)
+{
+    bound_crashes = crashes_by_one_request_before_the_bound;
+    const auto sound = play_repeated("POST /once/x HTTP/1.1\r\n", 8s);
+    CHECK_TRUE(crashes > 0);
+    CHECK_TRUE(reached_after_the_bound() <= allowed_after_the_bound);
+    CHECK_TRUE(nearly_all_served(sound));
+}
+
+TEST(crash_quarantine_tests,
+     request_that_crashes_servers_by_its_body_reaches_no_more_of_them)
+{
+    bound_crashes = crashes_by_one_request_before_the_bound;
+    const auto sound =
+        play_repeated("POST /stream/x HTTP/1.1\r\nHyssopdeal-Prompt: 100\r\n"
+                      "Hyssopdeal-Prompt-Parts: a1:40,b2:30,c3:30\r\n",
+                      8s);
+    CHECK_TRUE(crashes > 0);
+    CHECK_TRUE(reached_after_the_bound() <= allowed_after_the_bound);
+    CHECK_TRUE(nearly_all_served(sound));
 }
 
 // Several messages between processes are needed before a quarantine holds, so
@@ -503,7 +571,7 @@
     std::shared_ptr<coordination::known_server> server =
         std::make_shared<coordination::known_server>();
 
-    static coordination::prompt_size prompt(
+    static coordination::request_content prompt(
         const std::vector<std::uint64_t>& ids)
     {
         coordination::prompt_size size;
@@ -511,7 +579,7 @@
         {
             size.parts.push_back({id, 10});
         }
-        return size;
+        return {{}, {}, size};
     }
 
     void quarantine(const protocol::part_ids& parts)
