Soak: servers that send a refusal once more on a kept connection

No soak had servers that repeat an earlier refusal, with or without its attempt id, in front of a later response.

The fault relay in front of a server can now send what the server sent once more; the soak lets one server after the other refuse two fifths of its requests and repeats a third of these refusals as they were and a third without the attempt id.

--- a/tests/fault_relay.cpp
+++ b/tests/fault_relay.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <deque>
+#include <utility>
 #include <vector>
 
 #include <asio/buffer.hpp>
@@ -104,14 +105,26 @@
                     // What a process sent before its end still arrives.
                     return way.held.empty() ? self->end(way) : self->pump(way);
                 }
-                way.held.push_back({steady::now() + self->fault->delay,
-                                    {way.piece.data(), size}});
-                way.held_bytes += size;
+                auto bytes = self->with_repeated(way, {way.piece.data(), size});
+                way.held_bytes += bytes.size();
+                way.held.push_back(
+                    {steady::now() + self->fault->delay, std::move(bytes)});
                 self->pump(way);
                 self->read(way);
             });
     }
 
+    std::string with_repeated(const direction& way, std::string_view sent)
+    {
+        if (&way != &out)
+        {
+            return std::string{sent};
+        }
+        const auto earlier = std::exchange(
+            repeated, fault->repeat ? fault->repeat(sent) : std::string{});
+        return earlier + std::string{sent};
+    }
+
     void pump(direction& way)
     {
         if (way.writing || way.held.empty())
@@ -187,6 +200,7 @@
     tcp::socket far;
     std::shared_ptr<const link_fault> fault;
     bool dead = false;
+    std::string repeated; ///< In front of the next bytes from the target.
     direction in;
     direction out;
 };
--- a/tests/fault_relay.hpp
+++ b/tests/fault_relay.hpp
@@ -9,8 +9,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <hyssopdeal/transport/event_loop.hpp>
 
@@ -26,6 +28,9 @@
     bool silent_in = false;  ///< Towards the target.
     bool silent_out = false; ///< From the target.
     std::chrono::milliseconds delay{0};
+    /// Makes what the target sends once more, in front of its next bytes on the
+    /// same connection, from bytes that it sent; empty: nothing.
+    std::function<std::string(std::string_view sent)> repeat;
 };
 
 // [relay_end] ----------------------------------------------------------------
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -28,7 +28,8 @@
 soak_faults::soak_faults(soak_world& world, soak_operator& changes)
     : world_(world),
       changes_(changes),
-      rates_random_(world.settings.seed)
+      rates_random_(world.settings.seed),
+      refusals_random_(world.settings.seed)
 {}
 
 void soak_faults::start(std::chrono::seconds duration)
@@ -37,6 +38,10 @@
     drawing_ = true;
     next();
     limit_rates();
+    if (!world_.settings.planned_only)
+    {
+        repeat_refusals();
+    }
 }
 
 bool soak_faults::over() const noexcept
@@ -465,6 +470,32 @@
     });
 }
 
+/// One server after the other repeats refusals for some seconds.
+void soak_faults::repeat_refusals()
+{
+    if (world_.clock.monotonic_now() >= until_)
+    {
+        return;
+    }
+    const auto services = world_.servers->services();
+    const auto servers = world_.servers->ready(
+        services.at(refusals_random_() % services.size()));
+    const milliseconds time{1'000 + refusals_random_() % 2'000};
+    const auto seed = refusals_random_();
+    after(time, [this] { repeat_refusals(); });
+    const auto server = servers.empty() ? 0 : servers[seed % servers.size()];
+    if (servers.empty() || !free(fault_place::server, server))
+    {
+        return;
+    }
+    const auto record = begin(fault_place::server, server, false, "refusals");
+    world_.servers->repeat_refusals(server, seed);
+    end_after(time, fault_place::server, server, record, [=, this] {
+        world_.servers->behave(server, {});
+        world_.servers->link(server).set({});
+    });
+}
+
 /// One server of a service, or all of them, name a rate for some seconds.
 void soak_faults::limit_rates()
 {
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -74,6 +74,7 @@
     void harm_platform();
     void move_version();
     void limit_rates();
+    void repeat_refusals();
 
     bool free(fault_place place, std::size_t which) const;
 
@@ -89,6 +90,7 @@
     /// Apart from the world's, so that the other faults of a seed stay as they
     /// were.
     std::mt19937_64 rates_random_;
+    std::mt19937_64 refusals_random_;
     std::list<transport::timer_handle> timers_;
 };
 
--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "platform/counterpart.hpp"
+#include "transport/http1_writer.hpp"
 
 namespace hyssopdeal::soak
 {
@@ -333,6 +334,30 @@
     impl_->servers.at(server)->manner = manner;
 }
 
+void soak_servers::repeat_refusals(std::size_t server, std::uint64_t seed)
+{
+    constexpr double refused_part = 0.4;
+    auto& one = *impl_->servers.at(server);
+    one.manner = {.full = refused_part};
+    tests::link_fault fault;
+    fault.repeat = [random = std::mt19937_64{seed}](
+                       std::string_view sent) mutable -> std::string {
+        constexpr int full = 503;
+        const bool refusal = sent.starts_with(fmt::format("HTTP/1.1 {}", full));
+        switch (refusal ? random() % 3 : 2)
+        {
+        case 0:
+            return std::string{sent};
+        case 1:
+            return transport::write_response(platform::not_run_answer(full, ""),
+                                             transport::connection_use::keep);
+        default:
+            return {};
+        }
+    };
+    one.relay->set(fault);
+}
+
 void soak_servers::name_rate(std::size_t server, double per_s)
 {
     impl_->servers.at(server)->rate = per_s;
--- a/tests/soak/soak_servers.hpp
+++ b/tests/soak/soak_servers.hpp
@@ -88,6 +88,10 @@
 
     void behave(std::size_t server, server_manner manner);
 
+    /// From now on a server refuses some requests, and sends some refusals once
+    /// more in front of a later answer on the same connection.
+    void repeat_refusals(std::size_t server, std::uint64_t seed);
+
     /// Names a rate in each answer of a server from now on; 0: none any more.
     void name_rate(std::size_t server, double per_s);
 
