--- a/tests/fault_relay.hpp
+++ b/tests/fault_relay.hpp
@@ -30,7 +30,7 @@
     std::chrono::milliseconds delay{0};
     /// Makes what the target sends once more, in front of its next bytes on the
     /// same connection, from bytes that it sent; empty: nothing.
-    std::function<std::string(std::string_view sent)> repeat;
+    std::function<std::string(std::string_view sent)> repeat = nullptr;
 };
 
 // [relay_end] ----------------------------------------------------------------
