Skip one unreadable entry of the instance list instead of the whole list

What callers would have seen: servers that start or leave stay unknown for as long as another program's odd entry stays in the list.

Cause: a page was parsed as one text, and json::parse throws for a number too large or bytes that are no UTF-8 anywhere in it. Numbers were converted without a check of their range (llround of 1e300, slots cut to 32 bits), and an address was not looked at.

Ruled out: a crash by 200,000 levels (the library does not recurse). Weighed: a parser that reads numbers as texts (a second JSON library for one call), and repairing the text at each error (a spoiled entry could become a plausible one).

odd_list_item_hides_no_others (20 kinds of odd entry) and numbers_out_of_range_are_refused_in_documents failed before.

--- a/include/hyssopdeal/transport/http1_client.hpp
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -7,7 +7,7 @@
 /// request asked for end their connection, and a connection is used again only
 /// after an answer without any doubt.
 ///
-/// Index: [settings] [handlers] [http1_call] [http1_client]
+/// Index: [address] [settings] [handlers] [http1_call] [http1_client]
 
 #include <chrono>
 #include <cstddef>
@@ -26,6 +26,12 @@
 namespace hyssopdeal::transport
 {
 
+// [address] ------------------------------------------------------------------
+
+/// @return Whether a text is an IP number and a port, as `IP:port`, to which
+///     can be connected.
+[[nodiscard]] bool is_address(std::string_view text);
+
 // [settings] -----------------------------------------------------------------
 
 /// Times and caps of all calls of a client.
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -608,6 +608,13 @@
     }
 }
 
+// [address] ------------------------------------------------------------------
+
+bool is_address(std::string_view text)
+{
+    return parse_endpoint<tcp::endpoint>(text).has_value();
+}
+
 // [http1_call] ---------------------------------------------------------------
 
 http1_call::http1_call() noexcept = default;
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -3,6 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <fmt/format.h>
+
 #include <hyssopdeal/protocol/follow_messages.hpp>
 
 #include "platform/documents.hpp"
@@ -103,6 +105,68 @@
     CHECK_FALSE(decode_list_page("{\"instances\":7}").has_value());
 }
 
+// Another program may write into the same list.
+TEST(platform_codec_tests, odd_list_item_hides_no_others)
+{
+    const auto item = [](std::string_view id, std::string_view more) {
+        return fmt::format(R"({{"id":"{}","service":"s","zone":"z",)"
+                           R"("state":"ready",{}}})",
+                           id, more);
+    };
+    const std::string address = R"("address":"10.0.0.1:80")";
+    constexpr std::size_t levels = 200'000;
+    const std::string deep =
+        std::string(levels, '[') + std::string(levels, ']');
+    const std::vector<std::string> odd = {
+        item("odd", address + R"(,"other":1e999)"),
+        item("odd", address + R"(,"leaves_ms":1e999)"),
+        item("odd", address + R"(,"leaves_ms":1e300)"),
+        item("odd", address + R"(,"cold_remaining_ms":-1e300)"),
+        item("odd", address + R"(,"born":1e300)"),
+        item("odd", address + R"(,"slots":4294967297)"),
+        item("odd", address + R"(,"slots":99999999999999999999)"),
+        item("odd", address + R"(,"slots":-1)"),
+        item("odd", R"("address":"10.0.0.1:99999")"),
+        item("odd", R"("address":"10.0.0.1:0")"),
+        item("odd", R"("address":"10.0.0.1:")"),
+        item("odd", R"("address":"some.host:80")"),
+        item("odd", address + R"(,"other":)" + deep),
+        item("odd\xff", address),
+        item("odd\n", address),
+        item("odd", address + ","),
+        deep,
+        "1e999",
+        "nothing",
+        ""};
+    for (const auto& text : odd)
+    {
+        const auto page = decode_list_page(
+            R"({"other":[[1,"]"],{"instances":[7]}],"instances":[)" +
+            item("i1", address + R"(,"note":"\"],[{")") + "," + text + "," +
+            item("i2", address) + R"(],"next_token":"p-50"})");
+        CHECK_TRUE(page.has_value());
+        LONGS_EQUAL(2, page->servers.size());
+        STRCMP_EQUAL("i1", page->servers[0].id.c_str());
+        STRCMP_EQUAL("i2", page->servers[1].id.c_str());
+        LONGS_EQUAL(1, page->skipped);
+        STRCMP_EQUAL("p-50", page->next.c_str());
+    }
+    CHECK_TRUE(decode_list_page(R"({"instances":[]})")->servers.empty());
+    CHECK_FALSE(decode_list_page(R"({"instances":[{"id":"i1"})").has_value());
+    CHECK_FALSE(decode_list_page(R"({"instances":[]}])").has_value());
+}
+
+TEST(platform_codec_tests, numbers_out_of_range_are_refused_in_documents)
+{
+    const auto refused = [](const char* from, const char* to) {
+        return !decode_document(replaced(good_document, from, to)).has_value();
+    };
+    CHECK_TRUE(refused("15000", "1e300"));
+    CHECK_TRUE(refused("15000", "1e999"));
+    CHECK_TRUE(refused("\"weight\":90", "\"weight\":4294967386"));
+    CHECK_TRUE(refused("\"version\":7", "\"version\":1e300"));
+}
+
 TEST(platform_codec_tests, callers_cannot_set_what_is_the_systems_to_set)
 {
     transport::http_request original{
