Answer what is under way when an entry's grace period ends

What callers would have seen: a closed connection without an answer for requests at servers 0.3 s before the end of a planned stop, also for those that waited or were refused by a server and were passed on in its last seconds.

Cause: a request knew its own time limit but not that of the process. Ruled out: new requests late in the grace period, which are refused from 0.36 of it on.

From half of the grace period on no attempt is started; servers are told the time that is left of it, so that their own answer arrives first; requests under way are registered and end as 504, or as 503 if no attempt may have run, before the process exits. Ending a silent attempt early is not a reason to fail over then either.

--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -106,6 +106,13 @@
     transport::duration_histogram prediction_error;
 };
 
+/// Until when a process that shuts down does what.
+struct shutdown_times
+{
+    transport::monotonic_time last_attempt{}; ///< No later attempt is started.
+    transport::monotonic_time server_limit{}; ///< Servers are to end by then.
+};
+
 /// What a report is sent for.
 enum class report_purpose : std::uint8_t
 {
@@ -211,6 +218,21 @@
     void count_usage(const std::string& organisation,
                      transport::monotonic_time at);
 
+    /// Registers a request under way.
+    ///
+    /// @param on_end Called by end_requests().
+    /// @return Id for remove_request().
+    std::uint64_t add_request(std::function<void()> on_end);
+    void remove_request(std::uint64_t id);
+
+    /// Ends all requests under way with a response, as the process is about to
+    /// exit.
+    void end_requests();
+
+    /// @return Whether an attempt may be started: it might not complete before
+    ///     the process exits.
+    [[nodiscard]] bool may_attempt() const;
+
     /// Sets a handler that is called after each change of the active document.
     void set_document_handler(std::function<void()> handler);
 
@@ -230,7 +252,8 @@
     std::string relay_address;
     version_split versions;
     rollout_evidence rollouts; ///< For services that change to a new version.
-    crash_evidence crashes;    ///< Prompts that crash servers.
+    crash_evidence crashes;    ///< Requests that crash servers.
+    std::optional<shutdown_times> shutdown; ///< Once the process shuts down.
     gateway_counters counters;
     std::mt19937_64 random;
     /// Buffered response bytes of all requests that are not forwarded yet.
@@ -256,6 +279,8 @@
     std::map<std::uint64_t, start_wait> start_waits_; ///< By id, so in order of
                                                       ///< arrival.
     std::uint64_t last_wait_id_ = 0;
+    std::map<std::uint64_t, std::function<void()>> requests_; ///< By id.
+    std::uint64_t last_request_id_ = 0;
     std::uint64_t incarnation_;
     std::uint64_t leader_term_ = 0;
     transport::monotonic_time started_at_;
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -55,6 +55,9 @@
     using monotonic_time = transport::monotonic_time;
     using headers = std::vector<transport::http_header>;
 
+    /// The load balancer sends the retry to another gateway.
+    static constexpr milliseconds shutdown_retry_after{100};
+
     // [admission]
     [[nodiscard]] bool wait_for_document();
     void start_processing();
@@ -137,6 +140,7 @@
     void refuse(int status, std::string_view reason, milliseconds retry_after);
     void fail(int status, std::string_view reason);
     void on_deadline();
+    void end_unanswered(std::string_view reason, milliseconds retry_after);
     void on_caller_disconnected();
     void finish(std::string_view outcome, int status);
 
@@ -214,6 +218,7 @@
     std::string last_event_id_;
     std::uint64_t last_event_number_ = 0;
     bool finished_ = false;
+    std::uint64_t registration_ = 0; ///< As a request under way.
     transport::timer_handle deadline_timer_;
     /// Idle timeout; after a stream was stopped for a move, the wait for its
     /// last events.
@@ -233,6 +238,12 @@
             self->on_caller_disconnected();
         }
     });
+    registration_ = core_.add_request([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+        {
+            self->end_unanswered("shutdown", shutdown_retry_after);
+        }
+    });
     if (!wait_for_document())
     {
         start_processing();
@@ -416,8 +427,11 @@
 template <caller_dialect Dialect>
 std::chrono::milliseconds request_flow<Dialect>::remaining_time() const
 {
+    const auto end = core_.shutdown
+                         ? std::min(deadline_, core_.shutdown->server_limit)
+                         : deadline_;
     return std::chrono::duration_cast<milliseconds>(
-        deadline_ - core_.clock.monotonic_now());
+        end - core_.clock.monotonic_now());
 }
 
 template <caller_dialect Dialect>
@@ -479,6 +493,12 @@
                    ? fail(504, "no_time_left")
                    : refuse(503, "no_time_left", milliseconds{0});
     }
+    if (!core_.may_attempt())
+    {
+        return possible_runs_ > 0
+                   ? fail(502, "shutdown")
+                   : refuse(503, "shutdown", shutdown_retry_after);
+    }
     if (refuse_quarantined())
     {
         return;
@@ -744,7 +764,7 @@
     {
         return arm_idle_timer();
     }
-    if (possible_runs_ + 1 < route_->max_attempts &&
+    if (core_.may_attempt() && possible_runs_ + 1 < route_->max_attempts &&
         core_.servers.usable(service_) > tried_servers_.size() &&
         should_fail_over())
     {
@@ -1063,7 +1083,7 @@
 template <caller_dialect Dialect>
 bool request_flow<Dialect>::try_reserve_retry()
 {
-    return possible_runs_ < route_->max_attempts &&
+    return core_.may_attempt() && possible_runs_ < route_->max_attempts &&
            core_.servers.usable(service_) > tried_servers_.size() &&
            core_.repeats.take(core_.clock.monotonic_now(), service_);
 }
@@ -1494,20 +1514,27 @@
 
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_deadline()
+{
+    if (!finished_ && !event_received_)
+    {
+        record_first_event_delay();
+    }
+    end_unanswered("deadline_passed", milliseconds{0});
+}
+
+/// Ends a request that has no complete response at a limit of its time.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::end_unanswered(std::string_view reason,
+                                           milliseconds retry_after)
 {
     if (finished_)
     {
         return;
     }
     const bool may_have_run = attempt_active_ || possible_runs_ > 0;
-    if (!event_received_)
-    {
-        record_first_event_delay();
-    }
     attempt_call_.cancel();
     release_server();
-    may_have_run ? fail(504, "deadline_passed")
-                 : refuse(503, "deadline_passed", milliseconds{0});
+    may_have_run ? fail(504, reason) : refuse(503, reason, retry_after);
 }
 
 template <caller_dialect Dialect>
@@ -1527,6 +1554,7 @@
 void request_flow<Dialect>::finish(std::string_view outcome, int status)
 {
     finished_ = true;
+    core_.remove_request(registration_);
     set_buffered_bytes(0);
     deadline_timer_.cancel();
     idle_timer_.cancel();
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -111,6 +111,34 @@
     }
 }
 
+// [requests] -----------------------------------------------------------------
+
+std::uint64_t gateway_core::add_request(std::function<void()> on_end)
+{
+    requests_[++last_request_id_] = std::move(on_end);
+    return last_request_id_;
+}
+
+void gateway_core::remove_request(std::uint64_t id)
+{
+    requests_.erase(id);
+}
+
+void gateway_core::end_requests()
+{
+    for (const auto& [id, on_end] : std::exchange(requests_, {}))
+    {
+        on_end();
+    }
+}
+
+bool gateway_core::may_attempt() const
+{
+    return !shutdown || clock.monotonic_now() < shutdown->last_attempt;
+}
+
+// [document] -----------------------------------------------------------------
+
 void gateway_core::set_document_handler(std::function<void()> handler)
 {
     document_handler_ = std::move(handler);
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -35,8 +35,14 @@
 // Requests that arrive after this part of the grace period are rejected, as
 // they might not complete before the process exits.
 constexpr double serving_share_of_grace = 0.36;
+// Requests that have been accepted by then are not sent to servers later.
+constexpr double attempt_share_of_grace = 0.5;
 // Kept free at the end of the grace period for writing logs and exiting.
 constexpr milliseconds exit_margin{300};
+// Of which: for the last responses to leave.
+constexpr milliseconds last_responses_time{100};
+// Servers end at their time limit by themselves, and their responses arrive.
+constexpr milliseconds server_response_margin{100};
 // A replica that does not answer gets reports less often. One that is neither a
 // seed nor listed in any answer is removed after `forget_after`.
 constexpr milliseconds unresponsive_after{2'000};
@@ -526,7 +532,10 @@
     {
         log_event("process.drained", {{"took_ms", elapsed},
                                       {"open", callers->busy_connections()}});
-        return on_drained();
+        core.end_requests();
+        drain_timer = loop.after(idle ? milliseconds{0} : last_responses_time,
+                                 [this] { on_drained(); });
+        return;
     }
     drain_timer = loop.after(drain_check_interval, [this] { check_drained(); });
 }
@@ -582,6 +591,11 @@
     log_event("process.drains", {{"open", impl_->callers->busy_connections()}});
     impl_->draining = true;
     impl_->drain_started_at = impl_->clock.monotonic_now();
+    const auto& grace = impl_->core.settings.grace;
+    impl_->core.shutdown = shutdown_times{
+        impl_->drain_started_at + std::chrono::duration_cast<milliseconds>(
+                                      grace * attempt_share_of_grace),
+        impl_->drain_started_at + grace - exit_margin - server_response_margin};
     impl_->on_drained = std::move(on_drained);
     impl_->callers->drain();
     if (impl_->relay)
