--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -141,9 +141,10 @@
     for (const auto& text : odd)
     {
         const auto page = decode_list_page(
-            R"({"other":[[1,"]"],{"instances":[7]}],"instances":[)" +
-            item("i1", address + R"(,"note":"\"],[{")") + "," + text + "," +
-            item("i2", address) + R"(],"next_token":"p-50"})");
+            fmt::format(R"({{"other":[[1,"]"],{{"instances":[7]}}],)"
+                        R"("instances":[{},{},{}],"next_token":"p-50"}})",
+                        item("i1", address + R"(,"note":"\"],[{")"), text,
+                        item("i2", address)));
         CHECK_TRUE(page.has_value());
         LONGS_EQUAL(2, page->servers.size());
         STRCMP_EQUAL("i1", page->servers[0].id.c_str());
