Tell a silent leader from an exceeded quota in logs and metrics

Such requests end as quota_leader_silent, still with 429 and the same Retry-After, and hyssopdeal_leader_silent_refusals_total counts them.

silent_leader_is_told_from_an_exceeded_quota failed to build before.

--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -98,14 +98,30 @@
     /// Attempts sent to servers that have named a rate limit.
     transport::counter rate_limited_first_attempts;
     transport::counter rate_limited_retries;
-    transport::counter rate_limited_refusals; ///< No server had a permit left.
-    transport::counter relayed_attempts;      ///< Sent through another gateway.
+    transport::counter rate_limited_refusals;  ///< No server had a permit left.
+    transport::counter leader_silent_refusals; ///< No answer on a quota.
+    transport::counter relayed_attempts; ///< Sent through another gateway.
     transport::duration_histogram first_event;
     transport::duration_histogram whole_answer;
     /// Difference between predicted and actual time to the first event.
     transport::duration_histogram prediction_error;
 };
 
+/// Why tokens of a quota were not taken.
+enum class quota_refusal : std::uint8_t
+{
+    none,
+    exceeded,
+    leader_silent ///< Not known: the leader did not answer in time.
+};
+
+/// Outcome of taking tokens of a quota.
+struct quota_result
+{
+    quota_refusal refusal = quota_refusal::none;
+    std::chrono::milliseconds retry_after{0}; ///< 0 if the tokens were taken.
+};
+
 /// Until when a process that shuts down does what.
 struct shutdown_times
 {
@@ -193,10 +209,12 @@
     void apply_orders(transport::monotonic_time sent_at,
                       protocol::entry_orders orders);
 
-    /// Requests tokens of an organisation's quota from the leader.
+    /// Requests tokens of an organisation's quota from the leader. The answer is
+    /// an error if there is none in time.
     using token_fetcher = std::function<void(
         const std::string& organisation, double tokens,
-        std::function<void(protocol::token_answer)> on_answer)>;
+        std::function<void(const transport::result<protocol::token_answer>&)>
+            on_answer)>;
 
     /// Sets the function that requests tokens from the leader. Without one,
     /// only the local share of a quota can be used.
@@ -205,12 +223,9 @@
     /// Takes tokens for a request from the local share, or else from the
     /// leader.
     ///
-    /// @param on_end Called once, possibly before this function returns, with 0
-    ///     if the tokens were taken and otherwise with the time after which to
-    ///     retry.
-    void
-    take_tokens(const std::string& organisation, double tokens,
-                const std::function<void(std::chrono::milliseconds)>& on_end);
+    /// @param on_end Called once, possibly before this function returns.
+    void take_tokens(const std::string& organisation, double tokens,
+                     const std::function<void(quota_result)>& on_end);
 
     /// Counts a request against an organisation's usage.
     ///
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -64,7 +64,7 @@
     bool admit();
     bool authenticate();
     void acquire_quota();
-    void on_quota_result(milliseconds wait);
+    void on_quota_result(const quota_result& result);
     void select_service();
     bool refuse_quarantined();
 
@@ -377,26 +377,31 @@
         return start_next_attempt();
     }
     core_.take_tokens(organisation_, quota_tokens_,
-                      [self = this->shared_from_this()](milliseconds wait) {
-                          self->on_quota_result(wait);
+                      [self = this->shared_from_this()](const auto& result) {
+                          self->on_quota_result(result);
                       });
 }
 
 template <caller_dialect Dialect>
-void request_flow<Dialect>::on_quota_result(milliseconds wait)
+void request_flow<Dialect>::on_quota_result(const quota_result& result)
 {
+    const bool taken = result.refusal == quota_refusal::none;
     if (finished_)
     {
-        if (wait.count() == 0)
+        if (taken)
         {
             core_.quota.refund(organisation_, quota_tokens_);
         }
         return;
     }
-    if (wait.count() > 0)
+    if (!taken)
     {
         quota_tokens_ = 0;
-        return refuse(429, "quota", wait);
+        return refuse(429,
+                      result.refusal == quota_refusal::exceeded
+                          ? "quota"
+                          : "quota_leader_silent",
+                      result.retry_after);
     }
     start_next_attempt();
 }
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -212,19 +212,31 @@
 }
 
 void gateway_core::take_tokens(const std::string& organisation, double tokens,
-                               const std::function<void(milliseconds)>& on_end)
+                               const std::function<void(quota_result)>& on_end)
 {
+    // Most elections have ended by then.
+    constexpr milliseconds leader_retry_after{500};
     const auto wait = quota.take(clock.monotonic_now(), organisation, tokens);
-    if (wait.count() == 0 || !fetch_tokens_)
+    if (wait.count() == 0)
     {
-        return on_end(wait);
+        return on_end({});
     }
-    fetch_tokens_(
-        organisation, tokens, [on_end](protocol::token_answer answer) {
-            on_end(answer.granted ? milliseconds{0}
-                                  : milliseconds{std::max<std::int64_t>(
-                                        1, answer.wait_ms)});
-        });
+    if (!fetch_tokens_)
+    {
+        return on_end({quota_refusal::exceeded, wait});
+    }
+    fetch_tokens_(organisation, tokens, [this, on_end](const auto& answer) {
+        if (!answer)
+        {
+            counters.leader_silent_refusals.add();
+            return on_end({quota_refusal::leader_silent, leader_retry_after});
+        }
+        answer->granted
+            ? on_end({})
+            : on_end(
+                  {quota_refusal::exceeded,
+                   milliseconds{std::max<std::int64_t>(1, answer->wait_ms)}});
+    });
 }
 
 // [orders] -------------------------------------------------------------------
@@ -390,6 +402,9 @@
     total("hyssopdeal_rate_limit_refusals_total",
           counters.rate_limited_refusals,
           "Requests refused because no server took one more at that time");
+    total("hyssopdeal_leader_silent_refusals_total",
+          counters.leader_silent_refusals,
+          "Requests refused because the leader did not answer on their quota");
     total("hyssopdeal_relayed_attempts_total", counters.relayed_attempts,
           "Attempts sent through another gateway");
     out.family("hyssopdeal_unreached_servers", "gauge",
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -109,7 +109,8 @@
     void fetch_document(const std::string& replica);
     void request_tokens(
         const std::string& organisation, double tokens,
-        const std::function<void(protocol::token_answer)>& on_answer);
+        const std::function<
+            void(const transport::result<protocol::token_answer>&)>& on_answer);
     void apply_limits();
     void log_validity_change();
     void check_drained();
@@ -471,25 +472,22 @@
 
 void gateway_process::impl::request_tokens(
     const std::string& organisation, double tokens,
-    const std::function<void(protocol::token_answer)>& on_answer)
+    const std::function<void(const transport::result<protocol::token_answer>&)>&
+        on_answer)
 {
     // A reachable leader answers within a few ms. The time limit is below the
     // retry delay, so that waiting never costs a caller more than a retry.
     constexpr milliseconds time_limit{150};
-    constexpr milliseconds retry_after{500};
     if (leader.empty())
     {
-        return on_answer({false, retry_after.count()});
+        return on_answer(transport::fail(transport::reason::no_quorum,
+                                         "No leader is known."));
     }
     hub->call(leader, peer_channel::grants,
               protocol::encode(protocol::token_request{organisation, tokens}),
-              time_limit, [on_answer, retry_after](const auto& bytes) {
-                  const auto answer =
-                      bytes ? protocol::decode_token_answer(*bytes)
-                            : transport::result<protocol::token_answer>{
-                                  tl::make_unexpected(bytes.error())};
-                  answer ? on_answer(*answer)
-                         : on_answer({false, retry_after.count()});
+              time_limit,
+              [on_answer](const transport::result<std::string>& bytes) {
+                  on_answer(bytes.and_then(protocol::decode_token_answer));
               });
 }
 
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -48,6 +48,10 @@
     terms.name = "o";
     terms.keys = {"key"};
     document.organisations = {terms};
+    terms.name = "limited";
+    terms.keys = {"limited"};
+    terms.tokens_per_second = 1;
+    document.organisations.push_back(terms);
     return document;
 }
 
@@ -202,6 +206,28 @@
     }
 };
 
+TEST(request_flow_tests, silent_leader_is_told_from_an_exceeded_quota)
+{
+    add_server([](auto&) {});
+    apply_configuration();
+    core->set_token_fetcher([](const auto&, double, const auto& on_answer) {
+        on_answer(transport::fail(transport::reason::timed_out, "No answer."));
+    });
+    const auto caller = tests::raw_call(loop, gateway_port);
+    caller->send("POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                 "Authorization: Bearer limited\r\n"
+                 "Hyssopdeal-Attempt: id1\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(
+        tests::run_until(loop, [&] { return !caller->received.empty(); }));
+    CHECK_TRUE(caller->received.starts_with("HTTP/1.1 429 "));
+    CHECK_TRUE(caller->received.find("not_run: quota_leader_silent") !=
+               std::string::npos);
+    CHECK_TRUE(received_requests.empty());
+    CHECK_TRUE(
+        core->metrics().find("hyssopdeal_leader_silent_refusals_total 1") !=
+        std::string::npos);
+}
+
 TEST(request_flow_tests, request_carries_the_gateway_headers)
 {
     add_server(respond_with("done"));
