--- a/include/hyssopdeal/coordination/cluster/report_pacing.hpp
+++ b/include/hyssopdeal/coordination/cluster/report_pacing.hpp
@@ -73,7 +73,7 @@
 private:
     report_pacing_settings settings_;
     double factor_ = 1; ///< Of the interval by the number of entries.
-    std::chrono::milliseconds latest_{0}; ///< Since the latest adjustment.
+    std::chrono::milliseconds worst_delay_{0}; ///< Since the adjustment.
     transport::monotonic_time adjusted_at_{};
     transport::monotonic_time last_slot_{}; ///< Of the latest entry's report.
 };
--- a/src/coordination/cluster/report_pacing.cpp
+++ b/src/coordination/cluster/report_pacing.cpp
@@ -18,9 +18,9 @@
 {
     // Beyond this the interval is at its upper bound for any fleet.
     constexpr double max_factor = 16;
-    latest_ = std::max(latest_, delay);
+    worst_delay_ = std::max(worst_delay_, delay);
     const auto since = now - adjusted_at_;
-    const bool late = latest_ > settings_.late;
+    const bool late = worst_delay_ > settings_.late;
     if (since < (late ? settings_.slower_interval : settings_.faster_interval))
     {
         return;
@@ -29,11 +29,11 @@
     {
         factor_ = std::min(max_factor, factor_ * settings_.slower);
     }
-    else if (latest_ < settings_.in_time)
+    else if (worst_delay_ < settings_.in_time)
     {
         factor_ = std::max(1.0, factor_ * settings_.faster);
     }
-    latest_ = milliseconds{0};
+    worst_delay_ = milliseconds{0};
     adjusted_at_ = now;
 }
 
