--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -22,6 +22,8 @@
 
 // The current usage window and earlier ones whose totals are not final yet.
 constexpr std::size_t max_usage_windows = 4;
+// Most elections have ended by then.
+constexpr milliseconds leader_retry_after{500};
 
 } // namespace
 
@@ -214,8 +216,6 @@
 void gateway_core::take_tokens(const std::string& organisation, double tokens,
                                const std::function<void(quota_result)>& on_end)
 {
-    // Most elections have ended by then.
-    constexpr milliseconds leader_retry_after{500};
     const auto wait = quota.take(clock.monotonic_now(), organisation, tokens);
     if (wait.count() == 0)
     {
