Keep each entry's next report within the longest interval

The spreading of reports could ask for one a quarter later than the longest interval, on which the lifetime of loads at replicas (twice that interval) rests. Found by reading; interval_stays_within_its_bounds failed with the added check.

--- a/src/coordination/cluster/report_pacing.cpp
+++ b/src/coordination/cluster/report_pacing.cpp
@@ -50,12 +50,13 @@
 milliseconds report_pacing::next_report(transport::monotonic_time now,
                                         std::size_t entries, report_use use)
 {
-    const auto mean = interval(entries, use);
-    const auto between = std::chrono::duration_cast<std::chrono::microseconds>(
-        mean / static_cast<double>(std::max<std::size_t>(1, entries)));
-    last_slot_ = std::clamp(last_slot_ + between,
-                            now + std::chrono::microseconds{mean} * 3 / 4,
-                            now + std::chrono::microseconds{mean} * 5 / 4);
+    using std::chrono::microseconds;
+    const microseconds mean = interval(entries, use);
+    const auto between =
+        mean / static_cast<std::int64_t>(std::max<std::size_t>(1, entries));
+    const auto longest = std::min<microseconds>(mean * 5 / 4, settings_.max);
+    last_slot_ =
+        std::clamp(last_slot_ + between, now + mean * 3 / 4, now + longest);
     return std::chrono::duration_cast<milliseconds>(last_slot_ - now);
 }
 
--- a/tests/report_pacing_test.cpp
+++ b/tests/report_pacing_test.cpp
@@ -152,4 +152,8 @@
     }
     CHECK_TRUE(pacing.interval(2'000, report_use::lead) == 1'250ms);
     CHECK_TRUE(pacing.interval(2'000, report_use::follow) == 1'250ms);
+    for (int count = 0; count < 4'000; ++count)
+    {
+        CHECK_TRUE(pacing.next_report(now, 2'000, report_use::lead) <= 1'250ms);
+    }
 }
