Keep one margin for servers' responses, one name for the leader's answer

The margin by which a gateway outlasts a server's time limit stood in request_flow and gateway_process, the type of the token callback three times, and the choice of what a replica uses reports for twice. An include that nothing used is gone. No behaviour changes; request_flow_test, planned_stop_test and cluster_process_test pass.

--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -122,6 +122,10 @@
     std::chrono::milliseconds retry_after{0}; ///< 0 if the tokens were taken.
 };
 
+/// A gateway waits this much longer than a server's time limit, so that the
+/// server's own response at that limit arrives first.
+constexpr std::chrono::milliseconds server_response_margin{100};
+
 /// Until when a process that shuts down does what.
 struct shutdown_times
 {
@@ -209,12 +213,13 @@
     void apply_orders(transport::monotonic_time sent_at,
                       protocol::entry_orders orders);
 
-    /// Requests tokens of an organisation's quota from the leader. The answer is
-    /// an error if there is none in time.
-    using token_fetcher = std::function<void(
-        const std::string& organisation, double tokens,
-        std::function<void(const transport::result<protocol::token_answer>&)>
-            on_answer)>;
+    /// Receives the leader's answer, or an error if there is none in time.
+    using token_handler =
+        std::function<void(const transport::result<protocol::token_answer>&)>;
+    /// Requests tokens of an organisation's quota from the leader.
+    using token_fetcher =
+        std::function<void(const std::string& organisation, double tokens,
+                           token_handler on_answer)>;
 
     /// Sets the function that requests tokens from the leader. Without one,
     /// only the local share of a quota can be used.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -278,9 +278,6 @@
     {
         return;
     }
-    // The gateway waits longer than the server's time limit, so that the
-    // server's own timeout response arrives first.
-    constexpr milliseconds server_response_margin{100};
     deadline_timer_ =
         core_.loop.after(remaining_time() + server_response_margin,
                          [weak = this->weak_from_this()] {
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -117,6 +117,7 @@
                const load_table::loads& load_before);
     [[nodiscard]] std::int64_t listing_age_ms() const;
     bool refresh_packed_load(transport::monotonic_time now);
+    [[nodiscard]] report_use use_of_reports() const;
     [[nodiscard]] std::chrono::milliseconds report_interval() const;
 
     // cluster_process_duties.cpp
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -361,10 +361,14 @@
     return true;
 }
 
+report_use cluster_process::impl::use_of_reports() const
+{
+    return leads() ? report_use::lead : report_use::follow;
+}
+
 std::chrono::milliseconds cluster_process::impl::report_interval() const
 {
-    return pacing.interval(loads.entries(),
-                           leads() ? report_use::lead : report_use::follow);
+    return pacing.interval(loads.entries(), use_of_reports());
 }
 
 /// Records which entries may hold shares of quotas. Compares all entries, so it
@@ -393,10 +397,7 @@
     protocol::entry_orders orders;
     orders.replicas.assign(known_replicas.begin(), known_replicas.end());
     orders.next_report_ms =
-        pacing
-            .next_report(now, loads.entries(),
-                         leads() ? report_use::lead : report_use::follow)
-            .count();
+        pacing.next_report(now, loads.entries(), use_of_reports()).count();
     orders.listing_age_ms = listing_age_ms();
     if (listing_read_at)
     {
--- a/src/coordination/gateway/crash_evidence.cpp
+++ b/src/coordination/gateway/crash_evidence.cpp
@@ -4,7 +4,6 @@
 #include <hyssopdeal/coordination/gateway/crash_evidence.hpp>
 
 #include <algorithm>
-#include <string>
 
 #include <xxhash.h>
 
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -41,8 +41,6 @@
 constexpr milliseconds exit_margin{300};
 // Of which: for the last responses to leave.
 constexpr milliseconds last_responses_time{100};
-// Servers end at their time limit by themselves, and their responses arrive.
-constexpr milliseconds server_response_margin{100};
 // A replica that does not answer gets reports less often. One that is neither a
 // seed nor listed in any answer is removed after `forget_after`.
 constexpr milliseconds unresponsive_after{2'000};
@@ -107,10 +105,8 @@
                                 monotonic_time sent_at,
                                 const transport::result<std::string>& answer);
     void fetch_document(const std::string& replica);
-    void request_tokens(
-        const std::string& organisation, double tokens,
-        const std::function<
-            void(const transport::result<protocol::token_answer>&)>& on_answer);
+    void request_tokens(const std::string& organisation, double tokens,
+                        const gateway_core::token_handler& on_answer);
     void apply_limits();
     void log_validity_change();
     void check_drained();
@@ -472,8 +468,7 @@
 
 void gateway_process::impl::request_tokens(
     const std::string& organisation, double tokens,
-    const std::function<void(const transport::result<protocol::token_answer>&)>&
-        on_answer)
+    const gateway_core::token_handler& on_answer)
 {
     // A reachable leader answers within a few ms. The time limit is below the
     // retry delay, so that waiting never costs a caller more than a retry.
