Tests: one set of gateway settings, one loop of crashing and sound requests

Five tests set up the same gateway settings; cluster_harness makes them. The crash tests sent, alternated and judged requests twice over.

--- a/tests/cluster_harness.hpp
+++ b/tests/cluster_harness.hpp
@@ -129,6 +129,22 @@
         return fmt::format("{}:{}", ip(index), hub_port);
     }
 
+    /// @return Settings of a gateway that reports to these replicas.
+    [[nodiscard]] coordination::gateway_settings
+    gateway_settings(std::size_t index = 0) const
+    {
+        coordination::gateway_settings settings;
+        settings.name = fmt::format("e{}", index);
+        settings.failure_domain = "d0";
+        settings.address = ip(100 + index);
+        settings.hub_port = hub_port;
+        settings.seeds = seeds_;
+        settings.shared_key = "key";
+        settings.callers_port = 27'601;
+        settings.readiness_port = 27'602;
+        return settings;
+    }
+
     void start(std::size_t index, coordination::cluster_start how)
     {
         coordination::cluster_settings settings;
--- a/tests/cluster_process_test.cpp
+++ b/tests/cluster_process_test.cpp
@@ -342,28 +342,15 @@
 // [entry] --------------------------------------------------------------------
 
 TEST_GROUP(cluster_entry_tests){
-    static coordination::gateway_settings entry_settings(
-        const cluster_harness& cluster){coordination::gateway_settings settings;
-settings.name = "e0";
-settings.failure_domain = "d0";
-settings.address = cluster_harness::ip(100);
-settings.hub_port = cluster_harness::hub_port;
-settings.seeds = cluster.seeds();
-settings.shared_key = "key";
-settings.callers_port = 27'601;
-settings.readiness_port = 27'602;
-return settings;
-}
 
-static int readiness(cluster_harness& cluster)
-{
-    transport::http1_client client{cluster.loop, cluster.clock, {}};
-    int status = 0;
-    const auto call = client.fetch(
-        cluster_harness::ip(100) + ":27602", {"GET", "/", {}, ""}, 500ms,
-        [&](const auto& answer) { status = answer ? answer->status : -1; });
-    (void)tests::run_until(cluster.loop, [&] { return status != 0; });
-    return status;
+    static int readiness(cluster_harness & cluster){
+        transport::http1_client client{cluster.loop, cluster.clock, {}};
+int status = 0;
+const auto call = client.fetch(
+    cluster_harness::ip(100) + ":27602", {"GET", "/", {}, ""}, 500ms,
+    [&](const auto& answer) { status = answer ? answer->status : -1; });
+(void)tests::run_until(cluster.loop, [&] { return status != 0; });
+return status;
 }
 }
 ;
@@ -398,7 +385,7 @@
         },
         30s));
     coordination::gateway_process entry{
-        cluster.loop, cluster.clock, entry_settings(cluster),
+        cluster.loop, cluster.clock, cluster.gateway_settings(),
         tests::read_test_document,
         coordination::make_request_handler<coordination::native_dialect>()};
     CHECK_TRUE(entry.start().has_value());
@@ -435,7 +422,7 @@
                            waiting.push_back(reply);
                        });
     CHECK_TRUE(replica.start().has_value());
-    auto settings = entry_settings(cluster);
+    auto settings = cluster.gateway_settings();
     settings.seeds = {cluster_harness::hub_address(0)};
     coordination::gateway_process entry{
         cluster.loop, cluster.clock, settings, tests::read_test_document,
@@ -496,7 +483,7 @@
             reply(protocol::encode(orders));
         });
     CHECK_TRUE(replica.start().has_value());
-    auto settings = entry_settings(cluster);
+    auto settings = cluster.gateway_settings();
     settings.seeds = {cluster_harness::hub_address(0)};
     coordination::gateway_process entry{
         cluster.loop, cluster.clock, settings, tests::read_test_document,
@@ -520,7 +507,7 @@
 {
     cluster_harness cluster{3};
     CHECK_TRUE(cluster.put(0, "1:x"));
-    const auto settings = entry_settings(cluster);
+    const auto settings = cluster.gateway_settings();
     coordination::gateway_process entry{
         cluster.loop, cluster.clock, settings, tests::read_test_document,
         coordination::make_request_handler<coordination::native_dialect>()};
@@ -558,7 +545,7 @@
 {
     cluster_harness cluster{3};
     CHECK_TRUE(cluster.put(0, "1:x"));
-    auto settings = entry_settings(cluster);
+    auto settings = cluster.gateway_settings();
     settings.keys_valid_for = 700ms;
     coordination::gateway_process entry{
         cluster.loop, cluster.clock, settings, tests::read_test_document,
--- a/tests/crash_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -100,17 +100,9 @@
     std::unique_ptr<coordination::gateway_process> start_gateway(
         std::size_t index)
     {
-        coordination::gateway_settings settings;
-        settings.name = fmt::format("e{}", index);
-        settings.failure_domain = "d0";
-        settings.address = cluster_harness::ip(100 + index);
-        settings.hub_port = cluster_harness::hub_port;
-        settings.seeds = cluster.seeds();
-        settings.shared_key = "key";
-        settings.callers_port = callers_port;
-        settings.readiness_port = callers_port + 1;
         auto gateway = std::make_unique<coordination::gateway_process>(
-            loop(), cluster.clock, settings, tests::read_test_document,
+            loop(), cluster.clock, cluster.gateway_settings(index),
+            tests::read_test_document,
             coordination::make_request_handler<coordination::native_dialect>());
         CHECK_TRUE(gateway->start().has_value());
         return gateway;
@@ -197,24 +189,9 @@
             loop().after(restart_time, [this, index] { start_server(index); });
     }
 
-    std::shared_ptr<raw_connection> send(const std::string& parts)
-    {
-        ++sent;
-        const std::size_t gateway = static_cast<std::size_t>(sent) % 2;
-        auto caller = tests::raw_call(loop(), callers_port,
-                                      cluster_harness::ip(100 + gateway));
-        caller->send(fmt::format("POST /stream/x HTTP/1.1\r\nHost: h\r\n"
-                                 "Hyssopdeal-Prompt: 100\r\n"
-                                 "Hyssopdeal-Prompt-Parts: {},{:x}:5\r\n"
-                                 "Hyssopdeal-Attempt: id{}\r\n"
-                                 "Content-Length: 0\r\n\r\n",
-                                 parts, 0x10'000 + sent, sent));
-        return caller;
-    }
-
     /// @param head Request line and headers of the request's own.
-    std::shared_ptr<raw_connection> send_body(std::string_view head,
-                                              std::string_view body)
+    std::shared_ptr<raw_connection> send(std::string_view head,
+                                         std::string_view body)
     {
         ++sent;
         const std::size_t gateway = static_cast<std::size_t>(sent) % 2;
@@ -226,57 +203,74 @@
         return caller;
     }
 
-    /// Sends one crashing request again and again, every 150 ms, and sound ones
-    /// that differ from it by their body only in between.
+    std::shared_ptr<raw_connection> send_prompt(const std::string& parts)
+    {
+        return send(fmt::format("POST /stream/x HTTP/1.1\r\n"
+                                "Hyssopdeal-Prompt: 100\r\n"
+                                "Hyssopdeal-Prompt-Parts: {},{:x}:5\r\n",
+                                parts, 0x10'001 + sent),
+                    "");
+    }
+
+    /// Sends a crashing request every 150 ms and a sound one in between.
     ///
     /// @return The sound requests' callers.
-    std::vector<std::shared_ptr<raw_connection>> play_repeated(
-        std::string_view head, std::chrono::milliseconds time)
+    template <class SendCrashing, class SendSound>
+    std::vector<std::shared_ptr<raw_connection>> alternate(
+        std::chrono::milliseconds time, SendCrashing send_crashing,
+        SendSound send_sound)
     {
         std::vector<std::shared_ptr<raw_connection>> sound;
         const auto end = cluster.clock.monotonic_now() + time;
         while (cluster.clock.monotonic_now() < end)
         {
-            callers.push_back(send_body(head, crashing_body));
+            callers.push_back(send_crashing());
             loop().run_for(75ms);
-            sound.push_back(send_body(head, fmt::format("sound{}", sent)));
+            sound.push_back(send_sound());
             loop().run_for(75ms);
         }
         loop().run_for(500ms);
         return sound;
     }
 
-    /// Sound requests fail only while they share a server with a crashing one.
-    static bool nearly_all_served(
-        const std::vector<std::shared_ptr<raw_connection>>& sound)
+    /// Sends crashing prompts, and sound ones that share all other parts.
+    std::vector<std::shared_ptr<raw_connection>> play(
+        std::chrono::milliseconds time)
+    {
+        return alternate(
+            time,
+            [this] {
+                return send_prompt(
+                    fmt::format("a1:40,b2:30,{}:20", crashing_part));
+            },
+            [this] { return send_prompt("a1:40,b2:30"); });
+    }
+
+    /// Sends one crashing request again and again, and sound ones that differ
+    /// from it by their body only.
+    std::vector<std::shared_ptr<raw_connection>> play_repeated(
+        std::string_view head, std::chrono::milliseconds time)
+    {
+        bound_crashes = crashes_by_one_request_before_the_bound;
+        return alternate(
+            time, [&] { return send(head, crashing_body); },
+            [&] { return send(head, fmt::format("sound{}", sent)); });
+    }
+
+    /// Checks that crashing requests reach no more servers after the bound, and
+    /// that sound ones fail only while they share a server with one of them.
+    void check_contained(
+        const std::vector<std::shared_ptr<raw_connection>>& sound) const
     {
+        CHECK_TRUE(crashes > 0);
+        CHECK_TRUE(reached_after_the_bound() <= allowed_after_the_bound);
         const auto served =
             std::count_if(sound.begin(), sound.end(), [](const auto& caller) {
                 return caller->received.find("data: sound") !=
                        std::string::npos;
             });
-        return served * 10 >= static_cast<std::ptrdiff_t>(sound.size()) * 9;
-    }
-
-    /// Sends crashing prompts every 150 ms and sound ones that share all other
-    /// parts in between.
-    ///
-    /// @return The sound prompts' callers.
-    std::vector<std::shared_ptr<raw_connection>> play(
-        std::chrono::milliseconds time)
-    {
-        std::vector<std::shared_ptr<raw_connection>> sound;
-        const auto end = cluster.clock.monotonic_now() + time;
-        while (cluster.clock.monotonic_now() < end)
-        {
-            callers.push_back(
-                send(fmt::format("a1:40,b2:30,{}:20", crashing_part)));
-            loop().run_for(75ms);
-            sound.push_back(send("a1:40,b2:30"));
-            loop().run_for(75ms);
-        }
-        loop().run_for(500ms);
-        return sound;
+        CHECK_TRUE(served * 10 >=
+                   static_cast<std::ptrdiff_t>(sound.size()) * 9);
     }
 
     [[nodiscard]] std::size_t reached_after_the_bound() const
@@ -302,33 +296,22 @@
 TEST(crash_quarantine_tests,
      prompt_part_that_crashes_servers_reaches_no_more_of_them)
 {
-    const auto sound = play(8s);
-    CHECK_TRUE(crashes > 0);
-    CHECK_TRUE(reached_after_the_bound() <= allowed_after_the_bound);
-    CHECK_TRUE(nearly_all_served(sound));
+    check_contained(play(8s));
 }
 
 TEST(crash_quarantine_tests,
      request_without_a_prompt_that_crashes_servers_reaches_no_more_of_them)
 {
-    bound_crashes = crashes_by_one_request_before_the_bound;
-    const auto sound = play_repeated("POST /once/x HTTP/1.1\r\n", 8s);
-    CHECK_TRUE(crashes > 0);
-    CHECK_TRUE(reached_after_the_bound() <= allowed_after_the_bound);
-    CHECK_TRUE(nearly_all_served(sound));
+    check_contained(play_repeated("POST /once/x HTTP/1.1\r\n", 8s));
 }
 
 TEST(crash_quarantine_tests,
      request_that_crashes_servers_by_its_body_reaches_no_more_of_them)
 {
-    bound_crashes = crashes_by_one_request_before_the_bound;
-    const auto sound =
+    check_contained(
         play_repeated("POST /stream/x HTTP/1.1\r\nHyssopdeal-Prompt: 100\r\n"
                       "Hyssopdeal-Prompt-Parts: a1:40,b2:30,c3:30\r\n",
-                      8s);
-    CHECK_TRUE(crashes > 0);
-    CHECK_TRUE(reached_after_the_bound() <= allowed_after_the_bound);
-    CHECK_TRUE(nearly_all_served(sound));
+                      8s));
 }
 
 // Several messages between processes are needed before a quarantine holds, so
--- a/tests/cut_off_entry_test.cpp
+++ b/tests/cut_off_entry_test.cpp
@@ -98,19 +98,12 @@
     {
         for (std::size_t index = 0; index < gateway_count; ++index)
         {
-            coordination::gateway_settings settings;
-            settings.name = fmt::format("e{}", index);
+            auto settings = cluster.gateway_settings(index);
             settings.failure_domain = fmt::format("d{}", index / 2);
-            settings.address = cluster_harness::ip(100 + index);
-            settings.hub_port = cluster_harness::hub_port;
             settings.relay_port = relay_port;
-            settings.seeds = cluster.seeds();
-            settings.shared_key = "key";
             settings.client.relay_key = "key";
             settings.client.source_address =
                 index < cut_off ? unusable_source : "";
-            settings.callers_port = callers_port;
-            settings.readiness_port = callers_port + 1;
             settings.grace = 4s;
             gateways.at(index) =
                 std::make_unique<coordination::gateway_process>(
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -72,15 +72,7 @@
     void start()
     {
         CHECK_TRUE(cluster.put(0, "1:prompts"));
-        coordination::gateway_settings settings;
-        settings.name = "e0";
-        settings.failure_domain = "d0";
-        settings.address = cluster_harness::ip(100);
-        settings.hub_port = cluster_harness::hub_port;
-        settings.seeds = cluster.seeds();
-        settings.shared_key = "key";
-        settings.callers_port = callers_port;
-        settings.readiness_port = callers_port + 1;
+        auto settings = cluster.gateway_settings();
         settings.grace = grace;
         gateway = std::make_unique<coordination::gateway_process>(
             loop(), cluster.clock, settings, tests::read_test_document,
--- a/tests/server_rate_limit_test.cpp
+++ b/tests/server_rate_limit_test.cpp
@@ -93,17 +93,9 @@
 
     void start_gateway(std::size_t index)
     {
-        coordination::gateway_settings settings;
-        settings.name = fmt::format("e{}", index);
-        settings.failure_domain = "d0";
-        settings.address = cluster_harness::ip(100 + index);
-        settings.hub_port = cluster_harness::hub_port;
-        settings.seeds = cluster.seeds();
-        settings.shared_key = "key";
-        settings.callers_port = callers_port;
-        settings.readiness_port = callers_port + 1;
         gateways.at(index) = std::make_unique<coordination::gateway_process>(
-            loop(), cluster.clock, settings, tests::read_test_document,
+            loop(), cluster.clock, cluster.gateway_settings(index),
+            tests::read_test_document,
             coordination::make_request_handler<coordination::native_dialect>());
         CHECK_TRUE(gateways.at(index)->start().has_value());
     }
