--- a/tests/cluster_harness.hpp
+++ b/tests/cluster_harness.hpp
@@ -140,8 +140,8 @@
         settings.hub_port = hub_port;
         settings.seeds = seeds_;
         settings.shared_key = "key";
-        settings.callers_port = 27'601;
-        settings.readiness_port = 27'602;
+        settings.callers_port = callers_port;
+        settings.readiness_port = callers_port + 1;
         return settings;
     }
 
@@ -275,6 +275,7 @@
     static constexpr std::size_t no_leader = 1'000;
     static constexpr std::chrono::milliseconds order_lease{500};
     static constexpr std::uint16_t hub_port = 27'600;
+    static constexpr std::uint16_t callers_port = 27'601;
 
     transport::event_loop loop;
     transport::system_clock clock;
--- a/tests/crash_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t crashes_by_one_request_before_the_bound = 3;
 constexpr std::size_t allowed_after_the_bound = 3;
 constexpr auto contact_time = 3s;
-constexpr std::uint16_t callers_port = 27'601;
+constexpr auto callers_port = cluster_harness::callers_port;
 
 std::string parts_of(const std::string& head)
 {
--- a/tests/cut_off_entry_test.cpp
+++ b/tests/cut_off_entry_test.cpp
@@ -23,7 +23,7 @@
 
 constexpr std::size_t gateway_count = 4;
 constexpr std::size_t server_count = 4;
-constexpr std::uint16_t callers_port = 27'601;
+constexpr auto callers_port = cluster_harness::callers_port;
 constexpr std::uint16_t relay_port = 27'603;
 // From a documentation range, so that no connection can be opened from it.
 constexpr auto unusable_source = "192.0.2.1";
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-constexpr std::uint16_t callers_port = 27'601;
+constexpr auto callers_port = cluster_harness::callers_port;
 constexpr auto grace = 3s;
 
 std::string not_executed(const std::string& request)
--- a/tests/server_rate_limit_test.cpp
+++ b/tests/server_rate_limit_test.cpp
@@ -27,7 +27,7 @@
 constexpr auto window = 4s;
 constexpr std::size_t gateway_count = 5;
 constexpr std::size_t server_count = 4;
-constexpr std::uint16_t callers_port = 27'601;
+constexpr auto callers_port = cluster_harness::callers_port;
 
 /// @return Requests that a server may get in some window, by the platform's
 ///     rule.
