--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,6 @@
 /// @file
 /// An operator sends a config that was cut short inside a name.
 
-#include <exception>
 #include <string>
 
 #include <fmt/format.h>
@@ -89,20 +88,5 @@
 
 int main(int argc, char** argv)
 {
-    if (argc != 3)
-    {
-        return cannot_run;
-    }
-    try
-    {
-        limit_run_time(std::chrono::seconds{110});
-        record log{argv[2]};
-        world fleet{argv[1], log, core_machines, 0};
-        return play(fleet, log);
-    }
-    catch (const std::exception& error)
-    {
-        fmt::print(stderr, "{}\n", error.what());
-        return cannot_run;
-    }
+    return run_case(argc, argv, core_machines, 0, play);
 }
--- a/review/support/world.cpp
+++ b/review/support/world.cpp
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <cerrno>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
-#include <cstring>
+#include <exception>
 #include <filesystem>
 #include <memory>
 #include <random>
@@ -15,6 +15,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -159,6 +160,22 @@
     }
 }
 
+void connection::reset()
+{
+    const linger at_once{1, 0};
+    (void)::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &at_once,
+                       sizeof at_once);
+    close();
+}
+
+void connection::reset_from_outside()
+{
+    // Disconnecting resets a channel at once and leaves the descriptor open.
+    sockaddr none{};
+    none.sa_family = AF_UNSPEC;
+    (void)::connect(descriptor_, &none, sizeof none);
+}
+
 bool connection::write(std::string_view bytes)
 {
     while (!bytes.empty())
@@ -351,22 +368,32 @@
 
 // [listener] -----------------------------------------------------------------
 
-void serve(const std::string& ip, std::uint16_t port,
-           std::function<void(connection&)> handler)
+listener::listener(std::string ip, std::uint16_t port,
+                   std::function<void(connection&)> handler)
+    : ip_(std::move(ip)),
+      port_(port),
+      handler_(std::move(handler))
+{
+    open();
+}
+
+void listener::open()
 {
-    const int listening = listen_on(ip, port);
-    if (listening < 0)
+    const std::lock_guard lock{mutex_};
+    descriptor_ = listen_on(ip_, port_);
+    if (descriptor_ < 0)
     {
-        throw std::runtime_error{fmt::format("{}:{} is not free", ip, port)};
+        throw std::runtime_error{fmt::format("{}:{} is not free", ip_, port_)};
     }
-    std::thread{[listening, own = std::move(handler)] {
+    std::thread{[listening = descriptor_, own = handler_] {
         while (true)
         {
             const int accepted =
                 ::accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
             if (accepted < 0)
             {
-                continue;
+                ::close(listening);
+                return;
             }
             std::thread{[accepted, own] {
                 connection peer{accepted};
@@ -376,6 +403,41 @@
     }}.detach();
 }
 
+void listener::close()
+{
+    const std::lock_guard lock{mutex_};
+    // Ends the accepting thread, which closes the descriptor.
+    ::shutdown(descriptor_, SHUT_RDWR);
+}
+
+void listener::cut()
+{
+    // A filter of one step, which lets no byte of an opening packet through.
+    const std::lock_guard lock{mutex_};
+    sock_filter drop{BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program{1, &drop};
+    (void)::setsockopt(descriptor_, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                       sizeof program);
+}
+
+void listener::heal()
+{
+    const std::lock_guard lock{mutex_};
+    const int unused = 0;
+    (void)::setsockopt(descriptor_, SOL_SOCKET, SO_DETACH_FILTER, &unused,
+                       sizeof unused);
+}
+
+void serve(const std::string& ip, std::uint16_t port,
+           std::function<void(connection&)> handler)
+{
+    // Lives as long as the process.
+    static std::mutex mutex;
+    static std::vector<std::unique_ptr<listener>> all;
+    const std::lock_guard lock{mutex};
+    all.push_back(std::make_unique<listener>(ip, port, std::move(handler)));
+}
+
 // [world] --------------------------------------------------------------------
 
 world::world(std::string root, record& log, std::size_t replica_count,
@@ -397,13 +459,19 @@
 
 world::~world()
 {
-    for (const auto& [own, one] : processes_)
+    stop();
+}
+
+void world::stop()
+{
+    for (auto& [own, one] : processes_)
     {
         if (one.pid > 0)
         {
             ::kill(one.pid, SIGCONT);
             ::kill(one.pid, SIGKILL);
             ::waitpid(one.pid, nullptr, 0);
+            one.pid = 0;
         }
     }
     std::error_code ignored;
@@ -666,13 +734,35 @@
     return text == nullptr || std::string_view{text} != "0";
 }
 
-void limit_run_time(std::chrono::seconds limit)
+int run_case(int argc, char** argv, std::size_t replicas, std::size_t entries,
+             const std::function<int(world&, record&)>& play)
 {
-    std::thread{[limit] {
-        std::this_thread::sleep_for(limit);
-        fmt::print(stderr, "The case takes too long.\n");
-        std::_Exit(cannot_run);
-    }}.detach();
+    if (argc != 3)
+    {
+        return cannot_run;
+    }
+    int code = cannot_run;
+    try
+    {
+        record log{argv[2]};
+        world fleet{argv[1], log, replicas, entries};
+        std::thread{[] {
+            constexpr std::chrono::seconds time_limit{110};
+            std::this_thread::sleep_for(time_limit);
+            fmt::print(stderr, "The case takes too long.\n");
+            std::_Exit(cannot_run);
+        }}.detach();
+        code = play(fleet, log);
+        fleet.stop();
+        (void)std::fflush(stdout);
+        // Threads of connections that are still open must not outlive this.
+        std::_Exit(code);
+    }
+    catch (const std::exception& error)
+    {
+        fmt::print(stderr, "{}\n", error.what());
+    }
+    return code;
 }
 
 } // namespace review
--- a/review/support/world.hpp
+++ b/review/support/world.hpp
@@ -8,6 +8,7 @@
 ///
 /// Index: [record] [http] [listener] [world] [case]
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
@@ -88,6 +89,10 @@
     std::optional<http_request> read_request();
     http_response read_response();
     void close();
+    /// Closes so that the other side gets a reset.
+    void reset();
+    /// The same, while another thread reads or writes.
+    void reset_from_outside();
 
 private:
     bool read_more();
@@ -110,7 +115,32 @@
 
 // [listener] -----------------------------------------------------------------
 
-/// Accepts connections, each on a thread of its own, until the process ends.
+/// Accepts connections, each on a thread of its own, until it is closed. A port
+/// without a listener resets what comes.
+class listener
+{
+public:
+    listener(std::string ip, std::uint16_t port,
+             std::function<void(connection&)> handler);
+    listener(const listener&) = delete;
+    listener& operator=(const listener&) = delete;
+
+    void open();
+    void close();
+
+    /// From now on new connections hang, as behind a partition.
+    void cut();
+    void heal();
+
+private:
+    std::string ip_;
+    std::uint16_t port_;
+    std::function<void(connection&)> handler_;
+    std::mutex mutex_;
+    int descriptor_ = -1;
+};
+
+/// The same until the process ends.
 void serve(const std::string& ip, std::uint16_t port,
            std::function<void(connection&)> handler);
 
@@ -133,6 +163,9 @@
     world& operator=(const world&) = delete;
     ~world();
 
+    /// Ends all processes and removes the temporary folder.
+    void stop();
+
     /// Starts the platform's API and all processes for the first time.
     void start();
     void start_process(role kind, std::size_t number, bool bootstrap);
@@ -198,8 +231,11 @@
 /// @return Whether the case runs with its disruption.
 bool with_trouble();
 
-/// Ends the process as one that could not run when it takes too long.
-void limit_run_time(std::chrono::seconds limit);
+/// Runs a case with the arguments ROOT and RECORD, for 110 s at most.
+///
+/// @param play Returns the exit code.
+int run_case(int argc, char** argv, std::size_t replicas, std::size_t entries,
+             const std::function<int(world&, record&)>& play);
 
 } // namespace review
 
