--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -5,7 +5,7 @@
 
 #include <fmt/format.h>
 
-#include "world.hpp"
+#include "../support/world.hpp"
 
 namespace
 {
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,6 +7,6 @@
 mkdir -p "$out"
 for source in "$here"/[0-9]/case.cpp; do
     number=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread -I "$here/support" \
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread \
         -o "$out/case-$number" "$source" "$here/support/world.cpp" -lfmt
 done
