Serialize JSON by a function that cannot throw for bytes from outside

Cause: the parser's error text quotes the invalid bytes, and answer_failure() put it into a JSON body by dump(), which throws type_error.316 for a string that is not UTF-8. Nothing catches it on the way to the event loop.

Ruled out: the parser itself (its exceptions are caught), the log (quote_json replaces invalid bytes).

Fix: json_text() is the only serializer in include/, src/ and platform/, which layers_test checks. Same cause on related paths, mended with it: roll-outs, the order to move a stream (the caller's X-Attempt-Id), orders to engines, the platform's calls of hyssop-controld, /v1 responses, the members' page.

--- a/src/coordination/control_api.cpp
+++ b/src/coordination/control_api.cpp
@@ -9,6 +9,7 @@
 
 #include <hyssopdeal/protocol/contract_json.hpp>
 #include <hyssopdeal/transport/digest.hpp>
+#include <hyssopdeal/transport/json_text.hpp>
 
 #include "coordination/control_api_call.hpp"
 #include "coordination/control_json.hpp"
@@ -80,7 +81,7 @@
     response.status = status;
     response.headers = {{"Content-Type", "application/json"},
                         {"Hyssopdeal-Index", std::to_string(index)}};
-    response.body = body.dump() + "\n";
+    response.body = transport::json_text(body) + "\n";
     auto once = responder;
     once.send(std::move(response));
 }
@@ -107,7 +108,7 @@
                         {{"reason", to_string(error.code)},
                          {"text", error.text},
                          {"verdict", to_string(error.ran)}}}};
-    response.body = body.dump() + "\n";
+    response.body = transport::json_text(body) + "\n";
     auto once = responder;
     once.send(std::move(response));
 }
--- a/src/coordination/control_folder.cpp
+++ b/src/coordination/control_folder.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <hyssopdeal/state/log_storage.hpp>
+#include <hyssopdeal/transport/json_text.hpp>
 
 #include "coordination/control_json.hpp"
 
@@ -159,7 +160,7 @@
     {
         return tl::make_unexpected(state.error());
     }
-    return export_json(*state).dump(2) + "\n";
+    return transport::json_text(export_json(*state), 2) + "\n";
 }
 
 } // namespace hyssopdeal::coordination
--- a/src/coordination/entry_answers.cpp
+++ b/src/coordination/entry_answers.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <hyssopdeal/transport/json_text.hpp>
+
 namespace hyssopdeal::coordination
 {
 
@@ -92,8 +94,7 @@
                                           {{"reason", to_string(error.code)},
                                            {"text", error.text},
                                            {"verdict", to_string(error.ran)}}}};
-    return body.dump(-1, ' ', false,
-                     nlohmann::ordered_json::error_handler_t::replace);
+    return transport::json_text(body);
 }
 
 transport::http_response failure_answer(const transport::failure& error,
--- a/src/coordination/entry_inspection.cpp
+++ b/src/coordination/entry_inspection.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <hyssopdeal/transport/json_text.hpp>
+
 #include "entry_answers.hpp"
 #include "stream_session.hpp"
 
@@ -110,8 +112,7 @@
             const ordered_json body = {{page, rows}};
             responder.send({200,
                             {{"Content-Type", "application/json"}},
-                            body.dump(-1, ' ', false,
-                                      ordered_json::error_handler_t::replace)});
+                            transport::json_text(body)});
         }
     }
 };
@@ -287,8 +288,9 @@
     else if (page == "members")
     {
         const ordered_json body = {{"members", member_rows(shard.shared)}};
-        responder.send(
-            {200, {{"Content-Type", "application/json"}}, body.dump()});
+        responder.send({200,
+                        {{"Content-Type", "application/json"}},
+                        transport::json_text(body)});
     }
     else
     {
--- a/src/coordination/move_webhook.cpp
+++ b/src/coordination/move_webhook.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <hyssopdeal/transport/json_text.hpp>
 #include <hyssopdeal/transport/logging.hpp>
 
 namespace hyssopdeal::coordination
@@ -43,8 +44,7 @@
                               {"outcome", outcome_of(move.status.phase)},
                               {"evidence", move.status.evidence}};
     const auto number = next_++;
-    messages_[number].body =
-        body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    messages_[number].body = transport::json_text(body);
     post(number);
 }
 
--- a/src/protocol/chat_codec.cpp
+++ b/src/protocol/chat_codec.cpp
@@ -1,4 +1,5 @@
 #include <hyssopdeal/protocol/chat_codec.hpp>
+#include <hyssopdeal/transport/json_text.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -225,7 +226,7 @@
                 limit > progress.tokens ? limit - progress.tokens : 1U;
         }
     }
-    return parsed.dump(-1, ' ', false, json::error_handler_t::replace);
+    return transport::json_text(parsed);
 }
 
 bool is_end_mark(std::string_view data) noexcept
--- a/src/protocol/engine_orders.cpp
+++ b/src/protocol/engine_orders.cpp
@@ -1,4 +1,5 @@
 #include <hyssopdeal/protocol/engine_orders.hpp>
+#include <hyssopdeal/transport/json_text.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -75,7 +76,7 @@
     request.method = "POST";
     request.target = orders_path;
     request.headers = {{"Content-Type", "application/json"}};
-    request.body = body.dump();
+    request.body = transport::json_text(body);
     return request;
 }
 
--- a/src/protocol/platform_api.cpp
+++ b/src/protocol/platform_api.cpp
@@ -1,4 +1,5 @@
 #include <hyssopdeal/protocol/platform_api.hpp>
+#include <hyssopdeal/transport/json_text.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -43,7 +44,7 @@
     request.method = "POST";
     request.target = std::move(target);
     request.headers = {{"Content-Type", "application/json"}};
-    request.body = body.dump();
+    request.body = transport::json_text(body);
     return request;
 }
 
--- a/src/protocol/settings_reader.cpp
+++ b/src/protocol/settings_reader.cpp
@@ -1,4 +1,5 @@
 #include <hyssopdeal/protocol/settings_reader.hpp>
+#include <hyssopdeal/transport/json_text.hpp>
 
 #include <sys/stat.h>
 
@@ -644,7 +645,7 @@
 std::string write_fields(settings_fields& fields)
 {
     constexpr int indentation = 2;
-    return written(fields).dump(indentation) + '\n';
+    return transport::json_text(written(fields), indentation) + '\n';
 }
 
 } // namespace hyssopdeal::protocol
--- a/src/protocol/span_writer.cpp
+++ b/src/protocol/span_writer.cpp
@@ -1,4 +1,5 @@
 #include <hyssopdeal/protocol/span_writer.hpp>
+#include <hyssopdeal/transport/json_text.hpp>
 
 #include <cerrno>
 #include <cstring>
@@ -143,8 +144,7 @@
          ordered_json::array(
              {{{"resource", resource},
                {"scopeSpans", ordered_json::array({scope})}}})}};
-    impl_->kept +=
-        request.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+    impl_->kept += transport::json_text(request);
     impl_->kept += '\n';
 }
 
--- a/src/transport/event_log.cpp
+++ b/src/transport/event_log.cpp
@@ -2,6 +2,7 @@
 /// Structured logs on spdlog's bounded asynchronous queue.
 
 #include <hyssopdeal/transport/event_log.hpp>
+#include <hyssopdeal/transport/json_text.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -67,8 +68,7 @@
     {
         return fmt::format("\"{}\"", text);
     }
-    return nlohmann::json(text).dump(-1, ' ', true,
-                                     nlohmann::json::error_handler_t::replace);
+    return ascii_json_text(text);
 }
 
 void log_event(std::string_view event,
--- a/tests/cluster_harness.hpp
+++ b/tests/cluster_harness.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -89,9 +90,16 @@
 class cluster_harness
 {
 public:
+    using document_decoder =
+        std::function<transport::result<protocol::service_document>(
+            const std::string&)>;
+
     /// @param count Number of replicas; the first three at most are the seeds.
-    explicit cluster_harness(std::size_t count)
-        : folder_(std::filesystem::temp_directory_path() /
+    /// @param decoder Decodes put documents.
+    explicit cluster_harness(std::size_t count,
+                             document_decoder decoder = read_test_document)
+        : decode_document(std::move(decoder)),
+          folder_(std::filesystem::temp_directory_path() /
                   fmt::format("hyssopdeal-cluster-{}-{}", ::getpid(),
                               next_number()))
     {
@@ -179,7 +187,9 @@
             orders.push_back({fence, clock.monotonic_now()});
             on_done(coordination::order_outcome::accepted);
         };
-        platform.read_document = read_test_document;
+        platform.read_document = [this](const std::string& bytes) {
+            return decode_document(bytes);
+        };
         auto made = std::make_unique<coordination::cluster_process>(
             loop, clock, settings, std::move(platform));
         start_results.push_back(made->start());
@@ -196,6 +206,18 @@
         std::filesystem::remove_all(folder(index));
     }
 
+    /// @return Bytes of all files in a replica's data folder.
+    [[nodiscard]] std::uintmax_t stored_bytes(std::size_t index) const
+    {
+        std::uintmax_t bytes = 0;
+        for (const auto& file :
+             std::filesystem::directory_iterator{folder(index)})
+        {
+            bytes += file.file_size();
+        }
+        return bytes;
+    }
+
     /// Puts a document once, without a retry.
     transport::result<void> put_once(std::size_t index,
                                      const std::string& bytes)
@@ -279,6 +301,7 @@
 
     transport::event_loop loop;
     transport::system_clock clock;
+    document_decoder decode_document;
     std::vector<protocol::listed_server> list;
     /// Number of reads from the platform, by replica.
     std::map<std::size_t, int> list_reads;
--- a/tests/layers_test.cpp
+++ b/tests/layers_test.cpp
@@ -34,10 +34,43 @@
     return {};
 }
 
+std::size_t count_calls(const std::filesystem::path& file,
+                        const std::string& call)
+{
+    std::ifstream stream{file};
+    std::string line;
+    std::size_t count = 0;
+    while (std::getline(stream, line))
+    {
+        count += line.find(call) != std::string::npos ? 1 : 0;
+    }
+    return count;
+}
+
 } // namespace
 
 TEST_GROUP(layer_tests){};
 
+// Regression: dump() threw for an error text that quoted invalid UTF-8, which
+// ended every replica that got the request.
+TEST(layer_tests, servers_serialize_json_by_a_function_that_cannot_throw)
+{
+    const std::filesystem::path root{HYSSOPDEAL_SOURCE_DIR};
+    for (const char* folder : {"include", "src", "platform"})
+    {
+        for (const auto& item :
+             std::filesystem::recursive_directory_iterator{root / folder})
+        {
+            const bool wraps_it = item.path().stem() == "json_text";
+            if (item.is_regular_file() && !wraps_it)
+            {
+                LONGS_EQUAL_TEXT(0, count_calls(item.path(), "dump("),
+                                 item.path().c_str());
+            }
+        }
+    }
+}
+
 TEST(layer_tests, no_layer_includes_one_above_it)
 {
     const std::filesystem::path root{HYSSOPDEAL_SOURCE_DIR};
