Keep the replicated log within bytes; give batches back when a disk is full

No change was acknowledged; after the leader's process was killed nobody was elected, entries refused requests with keys, the configuration could not be read back.

--- a/include/hyssopdeal/coordination/replica.hpp
+++ b/include/hyssopdeal/coordination/replica.hpp
@@ -40,9 +40,18 @@
                                              ///< than the clocks' rate error.
     std::size_t max_batch_bytes = 1'048'576; ///< Records in one append.
     std::size_t max_batches_in_flight = 16;  ///< To one follower.
+    std::size_t max_bytes_in_flight = 4'194'304; ///< Or one batch.
     std::size_t snapshot_chunk_bytes = 262'144;
-    std::size_t kept_records = 1'000;      ///< Behind a snapshot.
-    std::size_t max_unpersisted = 100'000; ///< Records; more are refused.
+    /// Records behind a snapshot that are kept for followers, in memory and on
+    /// the disk: the newest that are within both limits.
+    std::size_t kept_records = 1'000;
+    std::size_t kept_bytes = 16'777'216; ///< Payload.
+    /// Records that wait for this disk or for a majority; beyond either limit
+    /// proposals are refused.
+    std::size_t max_unpersisted = 100'000;
+    std::size_t max_unpersisted_bytes = 8'388'608; ///< Payload.
+    /// Between two writes to a full disk.
+    std::chrono::milliseconds disk_retry_interval{150};
 };
 
 // [events] -------------------------------------------------------------------
@@ -86,6 +95,12 @@
     std::uint64_t number = 0;
 };
 
+/// The batch of the last persist action found no room and may be half written.
+struct disk_full_event
+{
+    std::uint64_t number = 0;
+};
+
 /// The disk has failed: the replica goes silent.
 struct disk_failed_event
 {};
@@ -109,8 +124,8 @@
 
 using replica_event =
     std::variant<tick_event, message_event, propose_event, change_event,
-                 persisted_event, disk_failed_event, transfer_event,
-                 voter_lost_event, compact_event>;
+                 persisted_event, disk_full_event, disk_failed_event,
+                 transfer_event, voter_lost_event, compact_event>;
 
 // [actions] ------------------------------------------------------------------
 
@@ -132,7 +147,8 @@
 /// What to do, in any order but: restore before applies.
 struct replica_actions
 {
-    std::optional<state::persist_request> persist; ///< Then persisted_event.
+    /// Then persisted_event or disk_full_event.
+    std::optional<state::persist_request> persist;
     std::vector<replica_message> sends;
     std::optional<state::snapshot> restore; ///< Replaces the state machine.
     std::vector<state::log_record> applies; ///< Committed and on this disk.
@@ -153,6 +169,7 @@
     state::log_index base = 0;           ///< Records up to it are gone.
     state::replica_set replicas;         ///< In effect, perhaps not committed.
     state::log_index replicas_index = 0; ///< Of the record that set them.
+    bool disk_full = false;              ///< Writes wait for room.
     bool halted = false;                 ///< The disk has failed.
 };
 
--- a/include/hyssopdeal/state/log_record.hpp
+++ b/include/hyssopdeal/state/log_record.hpp
@@ -71,8 +71,8 @@
     std::optional<hard_state> hard;    ///< To replace.
     std::optional<snapshot> snap;      ///< To store.
     std::optional<log_index> truncate; ///< Drop records from it on.
-    std::vector<log_record> records;   ///< To append.
     std::optional<log_index> cut;      ///< Records up to it may go.
+    std::vector<log_record> records;   ///< To append.
 };
 
 /// What a disk held when it was opened.
--- a/include/hyssopdeal/state/log_storage.hpp
+++ b/include/hyssopdeal/state/log_storage.hpp
@@ -30,7 +30,9 @@
 /// Sizes of the files.
 struct log_storage_settings
 {
-    std::uint64_t segment_bytes = 16'777'216; ///< A new segment from there.
+    /// A new segment from there. What is cut off stays until its segment holds
+    /// nothing else.
+    std::uint64_t segment_bytes = 4'194'304;
 };
 
 // [log_storage] --------------------------------------------------------------
@@ -100,6 +102,8 @@
     transport::result<void> append(const std::vector<log_record>& records);
     transport::result<void> take_back(bool created,
                                       transport::result<void> failed);
+    transport::result<void> remove_partial(std::string_view name,
+                                           transport::result<void> failed);
     transport::result<void> cut(log_index index);
 
     Files files_;
@@ -363,14 +367,15 @@
     {
         done = truncate_from(*request.truncate);
     }
-    if (done && !request.records.empty())
-    {
-        done = append(request.records);
-    }
+    // Before the append, for which it may make room.
     if (done && request.cut)
     {
         done = cut(*request.cut);
     }
+    if (done && !request.records.empty())
+    {
+        done = append(request.records);
+    }
     return done;
 }
 
@@ -381,7 +386,11 @@
 {
     auto done = files_.create(aside, bytes);
     done = done ? files_.sync(aside) : done;
-    done = done ? files_.rename(aside, name) : done;
+    if (!done)
+    {
+        return remove_partial(aside, std::move(done));
+    }
+    done = files_.rename(aside, name);
     return done ? files_.sync_folder() : done;
 }
 
@@ -480,16 +489,32 @@
         const auto cut = files_.truncate(last.name, last.bytes);
         return cut ? failed : cut;
     }
+    const auto name = last.name;
+    segments_.pop_back();
+    return remove_partial(name, std::move(failed));
+}
+
+/// Removes a file whose creation failed for want of room, as it may take the
+/// room that other writes need.
+///
+/// @return The failure of the creation, or a worse one.
+template <file_access Files>
+transport::result<void>
+log_storage<Files>::remove_partial(std::string_view name,
+                                   transport::result<void> failed)
+{
+    if (failed.error().code != transport::reason::storage_full)
+    {
+        return failed;
+    }
     const auto names = files_.list();
     if (!names)
     {
         return tl::make_unexpected(names.error());
     }
     const bool left =
-        std::find(names->begin(), names->end(), last.name) != names->end();
-    const auto removed =
-        left ? files_.remove(last.name) : transport::result<void>{};
-    segments_.pop_back();
+        std::find(names->begin(), names->end(), name) != names->end();
+    const auto removed = left ? files_.remove(name) : transport::result<void>{};
     return removed ? failed : removed;
 }
 
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -138,14 +138,6 @@
                         on_disk_written(number, ended);
                     }
                 });
-        },
-        [this, epoch, process_alive = alive](bool full, std::string why) {
-            loop.post([this, epoch, process_alive, full, why = std::move(why)] {
-                if (*process_alive && epoch == disk_epoch)
-                {
-                    set_disk_full(full, why);
-                }
-            });
         });
     for (const auto& member : status().replicas.members)
     {
@@ -318,7 +310,13 @@
     disk_busy = false;
     if (ended)
     {
-        return step(persisted_event{number});
+        step(persisted_event{number});
+        return set_disk_full(status().disk_full, {});
+    }
+    if (ended.error().code == transport::reason::storage_full)
+    {
+        set_disk_full(true, ended.error().text);
+        return step(disk_full_event{number});
     }
     on_disk_error(ended.error().text);
 }
--- a/src/coordination/control_disk.hpp
+++ b/src/coordination/control_disk.hpp
@@ -28,14 +28,8 @@
     using done_function = std::function<void(std::uint64_t number,
                                              transport::result<void> written)>;
 
-    /// Tells that the disk has become full, or has room again.
-    using room_function = std::function<void(bool full, std::string why)>;
-
-    /// @param done Called on the disk's thread, as is the next. A batch that
-    ///     finds no room is tried again until it is stored or the end.
-    /// @param on_room Called when it changes.
-    control_disk(storage_type storage, done_function done,
-                 room_function on_room);
+    /// @param done Called on the disk's thread.
+    control_disk(storage_type storage, done_function done);
     control_disk(const control_disk&) = delete;
     control_disk& operator=(const control_disk&) = delete;
     ~control_disk();
@@ -45,11 +39,9 @@
 
 private:
     void run();
-    transport::result<void> store(const state::persist_request& request);
 
     storage_type storage_;
     done_function done_;
-    room_function on_room_;
     std::mutex mutex_;
     std::condition_variable wake_;
     std::optional<state::persist_request> next_; // guarded by mutex_
--- a/src/coordination/control_process.cpp
+++ b/src/coordination/control_process.cpp
@@ -59,21 +59,10 @@
     }
     machine.emplace(std::move(*made));
     disk = std::make_unique<control_disk>(
-        std::move(storage),
-        [this](std::uint64_t number, auto done) {
+        std::move(storage), [this](std::uint64_t number, auto done) {
             loop.post([this, number, done = std::move(done)] {
                 written(number, done);
             });
-        },
-        [this](bool full, std::string why) {
-            loop.post([this, full, why = std::move(why)] {
-                full ? transport::log_error(
-                           log_part::log,
-                           "The disk is full; nothing new is stored. {}", why)
-                     : transport::log_info(log_part::log,
-                                           "The disk has room again.");
-                disk_full = full;
-            });
         });
     return {};
 }
--- a/src/coordination/control_process_impl.hpp
+++ b/src/coordination/control_process_impl.hpp
@@ -58,6 +58,7 @@
     void step(replica_event event);
     void take(machine_actions actions);
     void written(std::uint64_t number, const transport::result<void>& done);
+    void set_disk_full(bool full, const std::string& why);
     void send(const replica_message& message);
     void on_replica_message(const std::string& from,
                             const std::string& payload);
--- a/src/coordination/control_process_replica.cpp
+++ b/src/coordination/control_process_replica.cpp
@@ -120,7 +120,14 @@
 {
     if (done)
     {
-        return step(persisted_event{number});
+        step(persisted_event{number});
+        return set_disk_full(machine->status(clock.monotonic_now()).disk_full,
+                             {});
+    }
+    if (done.error().code == transport::reason::storage_full)
+    {
+        set_disk_full(true, done.error().text);
+        return step(disk_full_event{number});
     }
     transport::log_error(log_part::log,
                          "The disk has failed, this replica is silent. {}",
@@ -128,6 +135,17 @@
     step(disk_failed_event{});
 }
 
+void control_process::impl::set_disk_full(bool full, const std::string& why)
+{
+    if (std::exchange(disk_full, full) != full)
+    {
+        full ? transport::log_error(
+                   log_part::log, "The disk is full; nothing new is stored. {}",
+                   why)
+             : transport::log_info(log_part::log, "The disk has room again.");
+    }
+}
+
 // [replicas] -----------------------------------------------------------------
 
 void control_process::impl::send(const replica_message& message)
--- a/src/coordination/control_settings.cpp
+++ b/src/coordination/control_settings.cpp
@@ -47,6 +47,7 @@
     fields.integer("snapshot_records", value.machine.snapshot_records, 100,
                    10'000'000);
     fields.integer("kept_records", log.kept_records, 100, 1'000'000);
+    fields.integer("kept_bytes", log.kept_bytes, 65'536, 1'073'741'824);
     fields.duration("pull_interval_ms", value.learning.pull_interval,
                     milliseconds{50}, milliseconds{60'000});
 }
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -204,18 +204,36 @@
     }
     snap = std::move(event.snap);
     pending_snap = snap;
-    if (snap.index > settings.kept_records)
-    {
-        const log_index target = snap.index - settings.kept_records;
-        log.cut(target);
-        pending_cut = target;
-    }
+    const log_index target = cut_target();
+    log.cut(target);
+    pending_cut = target;
     while (sets.size() > 1 && sets[1].index <= log.base())
     {
         sets.erase(sets.begin());
     }
 }
 
+/// @return The last record that no follower needs: it lies behind the snapshot,
+///     and the records between the two are within the limits.
+template <reconcile_strategy Strategy>
+log_index basic_replica<Strategy>::impl::cut_target() const
+{
+    log_index target = std::min(snap.index, log.last());
+    std::size_t records = 0;
+    std::size_t bytes = 0;
+    while (target > log.base())
+    {
+        records += 1;
+        bytes += log.at(target).payload.size();
+        if (records > settings.kept_records || bytes > settings.kept_bytes)
+        {
+            break;
+        }
+        --target;
+    }
+    return target;
+}
+
 // [proposals] ----------------------------------------------------------------
 
 template <reconcile_strategy Strategy>
@@ -229,8 +247,9 @@
 bool basic_replica<Strategy>::impl::append_own(state::record_kind kind,
                                                std::string payload)
 {
-    if (log.last() - durable >= settings.max_unpersisted ||
-        log.last() - commit >= settings.max_unpersisted)
+    const log_index settled = std::min(durable, commit);
+    if (log.last() - settled >= settings.max_unpersisted ||
+        log.payload_bytes_after(settled) >= settings.max_unpersisted_bytes)
     {
         return false;
     }
@@ -380,6 +399,7 @@
     shown.base = own.log.base();
     shown.replicas = own.replicas();
     shown.replicas_index = own.sets.back().index;
+    shown.disk_full = own.disk_full;
     shown.halted = own.halted;
     shown.leads.term = own.hard.term;
     for (const auto& member : own.replicas().members)
--- a/src/coordination/replica_disk.cpp
+++ b/src/coordination/replica_disk.cpp
@@ -84,13 +84,22 @@
 
 // [batches] ------------------------------------------------------------------
 
+template <reconcile_strategy Strategy>
+bool basic_replica<Strategy>::impl::has_work_for_disk() const
+{
+    return hard_given != hard_version || pending_truncate || pending_snap ||
+           pending_cut || given < log.last();
+}
+
 /// One batch at a time: what comes while the disk is busy makes the next one.
+///
+/// On a full disk the parts are tried one by one, the smallest first: a vote
+/// needs a few bytes, and a snapshot with its cut frees room for records.
 template <reconcile_strategy Strategy>
 void basic_replica<Strategy>::impl::persist_more()
 {
-    const bool work = hard_given != hard_version || pending_truncate ||
-                      pending_snap || pending_cut || given < log.last();
-    if (busy || !work)
+    constexpr std::size_t max_record_bytes = 4'194'304;
+    if (busy || !has_work_for_disk() || (disk_full && now < disk_retry_due))
     {
         return;
     }
@@ -99,22 +108,56 @@
     if (hard_given != hard_version)
     {
         request.hard = hard;
+        hard_given = hard_version;
+    }
+    if (!disk_full || !request.hard)
+    {
+        request.snap = std::exchange(pending_snap, std::nullopt);
+        request.truncate = std::exchange(pending_truncate, std::nullopt);
+        request.cut = std::exchange(pending_cut, std::nullopt);
     }
-    request.snap = std::exchange(pending_snap, std::nullopt);
-    request.truncate = std::exchange(pending_truncate, std::nullopt);
-    request.cut = std::exchange(pending_cut, std::nullopt);
+    const bool has_other_parts =
+        request.hard || request.snap || request.truncate || request.cut;
     given = std::max(given, log.base());
-    if (given < log.last())
+    const log_index before = given;
+    if (given < log.last() && (!disk_full || !has_other_parts))
     {
-        constexpr std::size_t max_bytes = 16'777'216;
-        request.records = log.slice(given + 1, log.last(), max_bytes);
+        request.records = log.slice(given + 1, log.last(), max_record_bytes);
         given = request.records.back().index;
     }
-    hard_given = hard_version;
-    busy = disk_batch{request.number, hard_version, given, request.snap};
+    busy = disk_batch{request.number,   hard_given, given, request.snap, before,
+                      request.truncate, request.cut};
     out->persist = std::move(request);
 }
 
+/// Takes the batch back; what has come since joins it.
+template <reconcile_strategy Strategy>
+void basic_replica<Strategy>::impl::on(const disk_full_event& event)
+{
+    if (!busy || busy->number != event.number)
+    {
+        return;
+    }
+    const auto batch = *std::exchange(busy, std::nullopt);
+    disk_full = true;
+    disk_retry_due = now + settings.disk_retry_interval;
+    hard_given = hard_durable;
+    given = std::max(std::min(given, batch.before), log.base());
+    if (batch.truncate)
+    {
+        pending_truncate = std::min(pending_truncate.value_or(*batch.truncate),
+                                    *batch.truncate);
+    }
+    if (batch.cut)
+    {
+        pending_cut = std::max(pending_cut.value_or(*batch.cut), *batch.cut);
+    }
+    if (!pending_snap)
+    {
+        pending_snap = batch.snap;
+    }
+}
+
 template <reconcile_strategy Strategy>
 void basic_replica<Strategy>::impl::on(const persisted_event& event)
 {
@@ -124,6 +167,8 @@
     }
     const auto batch = *std::exchange(busy, std::nullopt);
     hard_durable = batch.hard_version;
+    disk_full = disk_full && batch.last <= batch.before && has_work_for_disk();
+    disk_retry_due = now;
     const bool installed =
         installing && batch.snap && batch.snap->index == snap.index;
     if (installed)
--- a/src/coordination/replica_impl.hpp
+++ b/src/coordination/replica_impl.hpp
@@ -37,18 +37,26 @@
     snapshot ///< Chunk by chunk.
 };
 
+/// An append that was not answered yet.
+struct sent_batch
+{
+    log_index last = 0;
+    std::size_t bytes = 0; ///< Payload.
+};
+
 /// Leader's view of another replica.
 struct peer_progress
 {
     send_mode mode = send_mode::probe;
     log_index next = 1;
     log_index match = 0;
-    std::deque<log_index> in_flight; ///< Last index of each append.
-    monotonic_time contact{};        ///< Latest send time it answered.
-    bool answered = false;           ///< contact is of an answer.
-    monotonic_time progress{};       ///< When match last grew.
+    std::deque<sent_batch> in_flight;
+    monotonic_time contact{};  ///< Latest send time it answered.
+    bool answered = false;     ///< contact is of an answer.
+    monotonic_time progress{}; ///< When match last grew.
     std::uint64_t snapshot_offset = 0;
-    log_index snapshot_index = 0;
+    /// The one being sent: newer ones must not start the transfer again.
+    state::snapshot snapshot;
 };
 
 /// What a snapshot from the leader has come to so far.
@@ -76,6 +84,10 @@
     std::uint64_t hard_version = 0;
     log_index last = 0; ///< Durable afterwards.
     std::optional<state::snapshot> snap;
+    // To write the batch again after it found no room.
+    log_index before = 0; ///< Last index handed to the disk before.
+    std::optional<log_index> truncate;
+    std::optional<log_index> cut;
 };
 
 /// A message that waits until term and vote are synced.
@@ -107,6 +119,7 @@
     void on(propose_event& event);
     void on(change_event& event);
     void on(const persisted_event& event);
+    void on(const disk_full_event& event);
     void on(const disk_failed_event& event);
     void on(const transfer_event& event);
     void on(const voter_lost_event& event);
@@ -116,6 +129,7 @@
     void apply_committed();
     [[nodiscard]] transport::result<state::replica_set>
     changed_set(const change_event& event) const;
+    [[nodiscard]] log_index cut_target() const;
 
     // replica_election.cpp
     void become_follower(term_number new_term, std::uint64_t new_leader);
@@ -144,6 +158,7 @@
     void replicate(std::uint64_t id, peer_progress& peer);
     void send_append(std::uint64_t id, peer_progress& peer,
                      std::vector<state::log_record> records);
+    void start_snapshot(std::uint64_t id, peer_progress& peer);
     void send_chunk(std::uint64_t id, peer_progress& peer);
     void use_hint(peer_progress& peer, const reconcile_hint& hint);
     void heard_from(std::uint64_t id, std::int64_t sent);
@@ -166,6 +181,7 @@
     void change_hard(term_number new_term, std::uint64_t vote);
     void truncate(log_index from);
     void note_replicas(const state::log_record& record);
+    [[nodiscard]] bool has_work_for_disk() const;
     void persist_more();
 
     [[nodiscard]] const state::replica_set& replicas() const
@@ -231,6 +247,8 @@
     bool installing = false; ///< A snapshot of the leader is not synced yet.
     std::uint64_t batch_number = 0;
     std::optional<disk_batch> busy;
+    bool disk_full = false; ///< The last batch with records found no room.
+    monotonic_time disk_retry_due{};
     std::deque<held_message> held;
 };
 
--- a/src/coordination/replica_leader.cpp
+++ b/src/coordination/replica_leader.cpp
@@ -64,7 +64,7 @@
     if (shared < log.base())
     {
         peer.mode = send_mode::snapshot;
-        peer.snapshot_index = snap.index;
+        peer.snapshot = snap;
         peer.snapshot_offset = 0;
     }
 }
@@ -85,24 +85,30 @@
     send(id, std::move(request));
 }
 
+template <reconcile_strategy Strategy>
+void basic_replica<Strategy>::impl::start_snapshot(std::uint64_t id,
+                                                   peer_progress& peer)
+{
+    peer.mode = send_mode::snapshot;
+    peer.snapshot = snap;
+    peer.snapshot_offset = 0;
+    send_chunk(id, peer);
+}
+
 template <reconcile_strategy Strategy>
 void basic_replica<Strategy>::impl::send_chunk(std::uint64_t id,
                                                peer_progress& peer)
 {
-    if (peer.snapshot_index != snap.index)
-    {
-        peer.snapshot_index = snap.index;
-        peer.snapshot_offset = 0;
-    }
-    if (!snap.bytes)
+    const auto& sent = peer.snapshot;
+    if (!sent.bytes)
     {
         return;
     }
-    const auto& bytes = *snap.bytes;
+    const auto& bytes = *sent.bytes;
     snapshot_chunk chunk;
-    chunk.index = snap.index;
-    chunk.term = snap.term;
-    chunk.replicas = snap.replicas;
+    chunk.index = sent.index;
+    chunk.term = sent.term;
+    chunk.replicas = sent.replicas;
     chunk.total = bytes.size();
     chunk.crc = static_cast<std::uint32_t>(
         crc32_z(0, reinterpret_cast<const Bytef*>(bytes.data()), bytes.size()));
@@ -122,19 +128,28 @@
     }
     if (peer.next <= log.base())
     {
-        peer.mode = send_mode::snapshot;
-        peer.snapshot_offset = 0;
-        return send_chunk(id, peer);
+        return start_snapshot(id, peer);
+    }
+    std::size_t bytes = 0;
+    for (const auto& batch : peer.in_flight)
+    {
+        bytes += batch.bytes;
     }
     while (peer.next <= log.last() &&
-           peer.in_flight.size() < settings.max_batches_in_flight)
+           peer.in_flight.size() < settings.max_batches_in_flight &&
+           bytes < settings.max_bytes_in_flight)
     {
         auto records =
             log.slice(peer.next, log.last(), settings.max_batch_bytes);
-        const log_index last = records.back().index;
+        sent_batch batch{records.back().index, 0};
+        for (const auto& record : records)
+        {
+            batch.bytes += record.payload.size();
+        }
         send_append(id, peer, std::move(records));
-        peer.next = last + 1;
-        peer.in_flight.push_back(last);
+        peer.next = batch.last + 1;
+        bytes += batch.bytes;
+        peer.in_flight.push_back(batch);
     }
 }
 
@@ -169,9 +184,7 @@
         }
         if (peer.next <= log.base())
         {
-            peer.mode = send_mode::snapshot;
-            peer.snapshot_offset = 0;
-            send_chunk(id, peer);
+            start_snapshot(id, peer);
             continue;
         }
         replicate(id, peer);
@@ -227,7 +240,7 @@
         peer.match = body.match;
         peer.progress = now;
     }
-    while (!peer.in_flight.empty() && peer.in_flight.front() <= peer.match)
+    while (!peer.in_flight.empty() && peer.in_flight.front().last <= peer.match)
     {
         peer.in_flight.pop_front();
     }
@@ -262,11 +275,12 @@
     }
     heard_from(from.from, body.sent);
     auto& peer = found->second;
-    if (peer.mode != send_mode::snapshot || body.index != peer.snapshot_index)
+    const auto& sent = peer.snapshot;
+    if (peer.mode != send_mode::snapshot || body.index != sent.index)
     {
         return;
     }
-    const bool more = snap.bytes && body.received < snap.bytes->size();
+    const bool more = sent.bytes && body.received < sent.bytes->size();
     if (more)
     {
         peer.snapshot_offset = body.received;
@@ -274,6 +288,7 @@
     }
     peer.mode = send_mode::probe;
     peer.next = body.index + 1;
+    peer.snapshot = {};
     send_append(from.from, peer, {});
 }
 
--- a/src/coordination/replica_log.cpp
+++ b/src/coordination/replica_log.cpp
@@ -67,6 +67,17 @@
     }
 }
 
+std::size_t
+replica_log::payload_bytes_after(state::log_index index) const noexcept
+{
+    std::size_t bytes = 0;
+    for (auto at = std::max(index, base()); at < last(); ++at)
+    {
+        bytes += this->at(at + 1).payload.size();
+    }
+    return bytes;
+}
+
 std::vector<state::log_record> replica_log::slice(state::log_index from,
                                                   state::log_index up_to,
                                                   std::size_t max_bytes) const
--- a/src/coordination/replica_log.hpp
+++ b/src/coordination/replica_log.hpp
@@ -59,6 +59,10 @@
         return records_[index - outline_.base - 1];
     }
 
+    /// @return Payload bytes of the records after an index.
+    [[nodiscard]] std::size_t
+    payload_bytes_after(state::log_index index) const noexcept;
+
     /// Copies records from an index on, at least one if there is one.
     ///
     /// @param up_to Last index at most.
--- a/tests/cluster_process_test.cpp
+++ b/tests/cluster_process_test.cpp
@@ -186,6 +186,29 @@
     }));
 }
 
+// Regression: after some 350 changes of a document of 370 kB the disks of all
+// replicas, of 128 MB, were full for good.
+TEST(cluster_process_tests, changes_of_a_large_document_leave_room_on_the_disk)
+{
+    constexpr int changes = 250;
+    constexpr std::size_t document_bytes = 370'000;
+    constexpr std::uintmax_t most_bytes = 64'000'000;
+    cluster_harness cluster{3};
+    const std::string content(document_bytes, 'x');
+    for (int version = 1; version <= changes; ++version)
+    {
+        CHECK_TRUE(cluster.put(0, fmt::format("{}:{}", version, content)));
+    }
+    for (std::size_t index = 0; index < 3; ++index)
+    {
+        CHECK_TRUE(cluster.stored_bytes(index) < most_bytes);
+    }
+    const auto leader = cluster.leader();
+    cluster.stop(leader);
+    const auto other = leader == 0 ? 1 : 0;
+    CHECK_TRUE(cluster.reads(other, fmt::format("{}:{}", changes, content)));
+}
+
 // [moves] --------------------------------------------------------------------
 
 // Regression: the rollout was stored and acknowledged but never carried out.
--- a/tests/faulty_files.hpp
+++ b/tests/faulty_files.hpp
@@ -6,7 +6,9 @@
 ///
 /// Index: [faulty_disk] [faulty_files]
 
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -52,6 +54,28 @@
     std::uint64_t fault_at = 0; ///< Operation number; 0: none.
     disk_fault fault = disk_fault::none;
     bool full = false; ///< Writes leave half of their bytes and fail.
+    std::size_t capacity = std::numeric_limits<std::size_t>::max(); ///< Bytes.
+
+    /// @return Bytes of all files.
+    [[nodiscard]] std::size_t used() const
+    {
+        std::size_t bytes = 0;
+        for (const auto& [name, item] : now)
+        {
+            bytes += item->now.size();
+        }
+        return bytes;
+    }
+
+    /// @param freed Bytes that are replaced by the write.
+    /// @return How many of a write's bytes reach the disk.
+    [[nodiscard]] std::size_t taken_of(std::size_t bytes,
+                                       std::size_t freed = 0) const
+    {
+        const auto in_use = used() - freed;
+        const auto room = capacity > in_use ? capacity - in_use : 0;
+        return std::min(full ? bytes / 2 : bytes, room);
+    }
 
     /// The process has died: what was not synced may be lost, in part.
     void crash(std::mt19937_64& random)
@@ -117,25 +141,29 @@
     transport::result<void> create(std::string_view name,
                                    std::string_view bytes)
     {
+        const auto old = disk_->now.find(name);
+        const auto freed =
+            old == disk_->now.end() ? 0 : old->second->now.size();
+        const auto taken = disk_->taken_of(bytes.size(), freed);
         return run(
             [&](bool half) {
                 auto made = std::make_shared<faulty_disk::file>();
-                made->now =
-                    bytes.substr(0, half ? bytes.size() / 2 : bytes.size());
+                made->now = bytes.substr(0, half ? bytes.size() / 2 : taken);
                 disk_->now.insert_or_assign(std::string{name}, made);
             },
-            disk_->full);
+            disk_->full || taken < bytes.size());
     }
 
     transport::result<void> append(std::string_view name,
                                    std::string_view bytes)
     {
+        const auto taken = disk_->taken_of(bytes.size());
         return run(
             [&](bool half) {
                 disk_->now.at(std::string{name})->now +=
-                    bytes.substr(0, half ? bytes.size() / 2 : bytes.size());
+                    bytes.substr(0, half ? bytes.size() / 2 : taken);
             },
-            disk_->full);
+            disk_->full || taken < bytes.size());
     }
 
     transport::result<void> truncate(std::string_view name, std::uint64_t size)
@@ -194,7 +222,7 @@
         {
             return missing();
         }
-        operation(full || fault == disk_fault::torn_write);
+        operation(fault == disk_fault::torn_write);
         if (fault == disk_fault::crash_after || fault == disk_fault::torn_write)
         {
             throw crashed{};
--- a/tests/replica_fault_test.cpp
+++ b/tests/replica_fault_test.cpp
@@ -300,10 +300,15 @@
     }
 
     std::set<std::uint64_t> live; ///< Not replaced.
+    bool fills_disks = false;
 
     void bring()
     {
         const auto id = any();
+        if (fills_disks && cluster_.random() % 2 == 0)
+        {
+            return fill_disk(cluster_.random() % 2 == 0 ? leader_or(id) : id);
+        }
         switch (cluster_.random() % 12)
         {
         case 0:
@@ -345,6 +350,8 @@
             auto& node = cluster_.nodes.at(id);
             node.paused_until = {};
             node.disk->fault = disk_fault::none;
+            node.disk->full = false;
+            node.disk->capacity = std::numeric_limits<std::size_t>::max();
             restart(id);
         }
     }
@@ -420,6 +427,18 @@
         repair([=, this] { restart(id); });
     }
 
+    /// No room at all, or only for small writes.
+    void fill_disk(std::uint64_t id)
+    {
+        const auto disk = cluster_.nodes.at(id).disk;
+        disk->full = cluster_.random() % 2 == 0;
+        disk->capacity = disk->used() + cluster_.random() % 400;
+        repair([=] {
+            disk->full = false;
+            disk->capacity = std::numeric_limits<std::size_t>::max();
+        });
+    }
+
     void block(std::uint64_t from, std::uint64_t to)
     {
         cluster_.blocked.insert({from, to});
@@ -530,13 +549,29 @@
     std::vector<std::string> faults;
 };
 
-schedule_result run_schedule(std::uint64_t seed, std::uint64_t voters)
+/// What a schedule draws from.
+enum class fault_kinds
+{
+    all_but_full_disks,
+    all
+};
+
+schedule_result run_schedule(std::uint64_t seed, std::uint64_t voters,
+                             fault_kinds kinds)
 {
     replica_harness cluster{seed, voters};
     const std::uint64_t disks[] = {8, 60, 300};
     cluster.slowest_disk = disks[cluster.random() % 3];
     clients callers{cluster};
     trouble faults{cluster};
+    if (kinds == fault_kinds::all)
+    {
+        faults.fills_disks = true;
+        cluster.settings.snapshot_bytes = 3'000;
+        cluster.settings.replica.kept_bytes = 2'000;
+        cluster.settings.replica.max_unpersisted_bytes = 10'000;
+        cluster.storage_settings.segment_bytes = 1'000;
+    }
     cluster.run_for(1'500ms);
     callers.start(4);
     const auto count = 2 + cluster.random() % 9;
@@ -567,12 +602,13 @@
     return asked == nullptr ? 150 : std::strtoull(asked, nullptr, 10);
 }
 
-void run_schedules(std::uint64_t first_seed, std::uint64_t voters)
+void run_schedules(std::uint64_t first_seed, std::uint64_t voters,
+                   fault_kinds kinds = fault_kinds::all_but_full_disks)
 {
     std::uint64_t acknowledged = 0;
     for (std::uint64_t at = 0; at < schedules(); ++at)
     {
-        const auto result = run_schedule(first_seed + at, voters);
+        const auto result = run_schedule(first_seed + at, voters, kinds);
         acknowledged += result.acknowledged;
         if (!result.faults.empty())
         {
@@ -598,3 +634,13 @@
 {
     run_schedules(500'000, 5);
 }
+
+TEST(replica_fault_tests, three_replicas_with_full_disks_keep_their_promises)
+{
+    run_schedules(700'000, 3, fault_kinds::all);
+}
+
+TEST(replica_fault_tests, five_replicas_with_full_disks_keep_their_promises)
+{
+    run_schedules(800'000, 5, fault_kinds::all);
+}
--- a/tests/replica_harness.hpp
+++ b/tests/replica_harness.hpp
@@ -58,6 +58,7 @@
         std::function<void(transport::result<state::command_result>)>;
 
     coordination::control_machine_settings settings;
+    state::log_storage_settings storage_settings;
     std::mt19937_64 random;
     nanoseconds now{1h};
     std::map<std::uint64_t, harness_node> nodes;
@@ -161,7 +162,7 @@
         {
             return;
         }
-        node.storage.emplace(faulty_files{node.disk});
+        node.storage.emplace(faulty_files{node.disk}, storage_settings);
         auto recovered = node.storage->open();
         if (!recovered)
         {
@@ -380,12 +381,17 @@
     {
         try
         {
-            const bool done = node.storage->write(request).has_value();
+            const auto done = node.storage->write(request);
             if (done)
             {
                 return step(node,
                             coordination::persisted_event{request.number});
             }
+            if (done.error().code == transport::reason::storage_full)
+            {
+                return step(node,
+                            coordination::disk_full_event{request.number});
+            }
             step(node, coordination::disk_failed_event{});
         }
         catch (const crashed&)
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -32,16 +32,82 @@
         run_for(3s);
     }
 
+    /// Restarts all replicas with a log that is short in bytes.
+    void keep_short_logs()
+    {
+        settings.snapshot_bytes = 10'000;
+        settings.replica.kept_records = 1'000;
+        settings.replica.kept_bytes = 20'000;
+        settings.replica.max_unpersisted_bytes = 20'000;
+        storage_settings.segment_bytes = 5'000;
+        for (const auto& [id, node] : nodes)
+        {
+            crash(id);
+            start(id);
+        }
+        run_for(3s);
+    }
+
+    /// Writes a contract whose record has about 1,000 bytes.
+    bool write_large(double rate)
+    {
+        static const std::string name(900, 'n');
+        return write(name, rate).has_value();
+    }
+
+    /// @return Whether all running replicas follow one leader within a time.
+    bool elects_within(milliseconds limit)
+    {
+        const auto end = now + limit;
+        while (now < end)
+        {
+            run_for(20ms);
+            std::set<std::uint64_t> leaders_now;
+            for (const auto& [id, node] : nodes)
+            {
+                if (node.machine)
+                {
+                    leaders_now.insert(
+                        node.machine->status(clock_of(node)).leader_id);
+                }
+            }
+            if (leaders_now.size() == 1 && !leaders_now.contains(0) &&
+                nodes.at(*leaders_now.begin()).machine)
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /// @return Whether a write is accepted within a time.
+    bool accepts_writes_within(milliseconds limit)
+    {
+        const auto end = now + limit;
+        double rate = 0;
+        while (now < end)
+        {
+            if (write_large(++rate))
+            {
+                return true;
+            }
+            run_for(50ms);
+        }
+        return false;
+    }
+
     /// Writes through the leader and waits.
     transport::result<state::command_result> write(const std::string& name,
                                                    double rate)
     {
-        transport::result<state::command_result> answer =
-            transport::fail(transport::reason::timed_out, "");
+        // The answer may come after this returns.
+        const auto answer =
+            std::make_shared<transport::result<state::command_result>>(
+                transport::fail(transport::reason::timed_out, ""));
         const auto leader = reader();
         if (leader == 0)
         {
-            return answer;
+            return *answer;
         }
         const auto& contracts =
             nodes.at(leader).machine->state().tables().contracts;
@@ -49,9 +115,9 @@
         const auto revision =
             found == contracts.end() ? 0 : found->second.changed;
         propose(leader, contract_command(name, rate, revision),
-                [&](auto result) { answer = std::move(result); });
+                [answer](auto result) { *answer = std::move(result); });
         run_for(300ms);
-        return answer;
+        return *answer;
     }
 
     transport::result<state::command_result>
@@ -378,3 +444,157 @@
     cluster.check_converged({1, 2, 3});
     CHECK(cluster.faults.empty());
 }
+
+// [full disks] ---------------------------------------------------------------
+
+// Regression: records were kept by their number only, so that some hundred large
+// ones filled the disks of all replicas for good.
+TEST(replica_tests, large_records_leave_room_on_the_disk)
+{
+    constexpr std::size_t capacity = 70'000;
+    quiet_cluster cluster{3};
+    cluster.keep_short_logs();
+    for (auto& [id, node] : cluster.nodes)
+    {
+        node.disk->capacity = capacity;
+    }
+    for (int round = 1; round <= 300; ++round)
+    {
+        CHECK_TRUE(cluster.write_large(round));
+    }
+    const auto leader = cluster.reader();
+    cluster.crash(leader);
+    cluster.run_for(3s);
+    CHECK_TRUE(cluster.reader() != 0);
+    CHECK_TRUE(cluster.write_large(1'000));
+    cluster.start(leader);
+    cluster.run_for(3s);
+    cluster.check_converged({1, 2, 3});
+    CHECK_TRUE(cluster.faults.empty());
+}
+
+// Regression: a vote waited behind the records that found no room, so that
+// nobody was elected.
+TEST(replica_tests, replica_without_room_for_records_still_votes)
+{
+    quiet_cluster cluster{3};
+    cluster.keep_short_logs();
+    const auto leader = cluster.reader();
+    const std::uint64_t short_of_room = leader == 1 ? 2 : 1;
+    auto& disk = *cluster.nodes.at(short_of_room).disk;
+    disk.capacity = disk.used() + 300;
+    CHECK_TRUE(cluster.write_large(1));
+    const auto& machine = *cluster.nodes.at(short_of_room).machine;
+    CHECK_TRUE(machine.status(cluster.clock_of(cluster.nodes.at(short_of_room)))
+                   .disk_full);
+    cluster.crash(leader);
+    // Nothing can be committed yet, but the leader is elected.
+    CHECK_TRUE(cluster.elects_within(5s));
+    disk.capacity = std::numeric_limits<std::size_t>::max();
+    CHECK_TRUE(cluster.accepts_writes_within(2s));
+    cluster.start(leader);
+    cluster.run_for(3s);
+    cluster.check_converged({1, 2, 3});
+    CHECK_TRUE(cluster.faults.empty());
+}
+
+// Regression: a partly written file took the room that smaller writes needed.
+TEST(replica_tests, snapshot_without_room_does_not_block_votes)
+{
+    quiet_cluster cluster{3};
+    cluster.keep_short_logs();
+    const auto leader = cluster.reader();
+    const auto behind = leader == 1 ? 2 : 1;
+    auto& disk = *cluster.nodes.at(behind).disk;
+    cluster.crash(behind);
+    for (int round = 1; round <= 60; ++round)
+    {
+        CHECK_TRUE(cluster.write_large(round));
+    }
+    disk.capacity = disk.used() + 300;
+    cluster.start(behind);
+    cluster.run_for(2s);
+    cluster.crash(leader);
+    CHECK_TRUE(cluster.elects_within(5s));
+    disk.capacity = std::numeric_limits<std::size_t>::max();
+    CHECK_TRUE(cluster.accepts_writes_within(2s));
+    cluster.start(leader);
+    cluster.run_for(3s);
+    cluster.check_converged({1, 2, 3});
+    CHECK_TRUE(cluster.faults.empty());
+}
+
+// Report of other operators: after disks had been full one after another, changes
+// were refused to the end of the day.
+TEST(replica_tests, writes_go_on_after_disks_were_full_in_turn)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        quiet_cluster cluster{4, seed};
+        cluster.keep_short_logs();
+        for (std::uint64_t turn = 0; turn < 8; ++turn)
+        {
+            // Each second turn the leader's.
+            const auto leader = cluster.reader();
+            const auto id =
+                turn % 2 == 1 && leader != 0 ? leader : 1 + turn / 2 % 4;
+            auto& disk = *cluster.nodes.at(id).disk;
+            disk.full = true;
+            for (int round = 0; round < 40; ++round)
+            {
+                (void)cluster.write_large(round);
+                const bool lost = turn % 3 == 2 && round == 20;
+                if (lost)
+                {
+                    cluster.crash(id);
+                    cluster.start(id);
+                }
+            }
+            disk.full = false;
+            CHECK_TRUE(cluster.accepts_writes_within(2s));
+        }
+        cluster.run_for(3s);
+        cluster.check_converged({1, 2, 3, 4});
+        CHECK_TRUE(cluster.faults.empty());
+    }
+}
+
+// Regression: a transfer started again with each newer snapshot, so that a
+// replica stayed behind while large changes went on.
+TEST(replica_tests, snapshot_arrives_although_newer_ones_are_made)
+{
+    quiet_cluster cluster{3};
+    cluster.keep_short_logs();
+    cluster.settings.replica.kept_bytes = 60'000;
+    for (const auto& [id, node] : cluster.nodes)
+    {
+        cluster.crash(id);
+        cluster.start(id);
+    }
+    cluster.run_for(3s);
+    const auto leader = cluster.reader();
+    const std::uint64_t behind = leader == 1 ? 2 : 1;
+    const auto name_of = [](int number) {
+        return fmt::format("{}-{}", std::string(900, 'n'), number);
+    };
+    cluster.crash(behind);
+    for (int number = 0; number < 90; ++number)
+    {
+        (void)cluster.write(name_of(number), 1);
+    }
+    cluster.start(behind);
+    const auto before =
+        cluster.nodes.at(behind).machine->state().applied_index();
+    // Half a second for the transfer, a newer snapshot each fifth of a second.
+    for (int number = 0; number < 100; ++number)
+    {
+        cluster.propose(leader, contract_command(name_of(number % 90), 2, 0),
+                        [](auto) {});
+        cluster.run_for(20ms);
+    }
+    CHECK_TRUE(cluster.nodes.at(behind).machine->state().applied_index() >
+               before);
+    cluster.run_for(3s);
+    cluster.check_converged({1, 2, 3});
+    CHECK_TRUE(cluster.faults.empty());
+}
