Confirm the end of answers that end with their connection

Cause: an answer without a length that ended with its connection was taken for complete. The kernel closes the connections of a killed server or relay in the same good order, and a server closes a stream that a move stopped.

Evidence: the soak's servers now leave the length out of 0.3 of their answers and are killed one after the other, their connections closed in good order.

Ruled out: chunked streams (http_parser reports the missing last chunk), events cut in their middle, resets.

Fix: one place decides for every such answer. A stream that was told to stop is not complete unless the server declined; else a new connection by the same path must stay open for 10 ms, and a server that runs prompts must give its report with the listed start time. What is not confirmed is a lost connection.

--- a/include/hyssopdeal/coordination/gateway/dialect.hpp
+++ b/include/hyssopdeal/coordination/gateway/dialect.hpp
@@ -61,6 +61,8 @@
     /// not stopped.
     std::string moved_run;
     bool copied = false; ///< The target server has the run's complete state.
+    /// The response shows that the request did not stop the stream.
+    bool not_stopped = false;
 };
 
 /// Metadata from the status and headers of a server's response.
@@ -90,7 +92,8 @@
 concept caller_dialect = requires(
     const transport::http_request& request,
     const transport::http_request& original, const forward_metadata& metadata,
-    const std::vector<transport::http_header>& headers, int status)
+    const std::vector<transport::http_header>& headers, int status,
+    const protocol::document_service& service)
 {
     {
         Dialect::parse_request(request)
@@ -114,6 +117,16 @@
         Dialect::parse_move_result(std::string_view{}, status,
                                    std::string_view{})
         } -> std::same_as<move_result>;
+    // make_liveness_check(service) asks a server of it for anything, without
+    // running a request; nothing if there is no such call.
+    // parse_start_time(body) reads from the response when the server started,
+    // in the unit of listed_server::born; 0 if it does not say.
+    {
+        Dialect::make_liveness_check(service)
+        } -> std::same_as<std::optional<transport::http_request>>;
+    {
+        Dialect::parse_start_time(std::string_view{})
+        } -> std::same_as<std::uint64_t>;
 };
 
 } // namespace hyssopdeal::coordination
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -93,6 +93,8 @@
     transport::counter moved;   ///< Streams moved off leaving servers.
     /// Attempts that ended without a complete response and may have run.
     transport::counter broken_before_event;
+    /// Responses without a length whose server or relay was gone at their end.
+    transport::counter unconfirmed_ends;
     transport::counter broken_after_event;
     transport::counter quarantined; ///< Refused: the prompt crashes servers.
     /// Attempts sent to servers that have named a rate limit.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -57,6 +57,8 @@
 
     /// The load balancer sends the retry to another gateway.
     static constexpr milliseconds shutdown_retry_after{100};
+    /// The time limit of the relay for its own connection, and a round trip.
+    static constexpr milliseconds relayed_connect_time_limit{400};
 
     // [admission]
     [[nodiscard]] bool wait_for_document();
@@ -87,6 +89,12 @@
                                             const headers& response_headers);
     void on_response_data(std::string_view data);
     void on_attempt_end(const transport::http1_call_end& result);
+    void confirm_end();
+    void check_path(const transport::http1_call_settings& path);
+    void check_server(const transport::http1_call_settings& path);
+    void on_path_failed(const transport::http1_call_settings& path);
+    [[nodiscard]] static transport::head_filter own_head_filter();
+    void on_complete_response();
     [[nodiscard]] bool
     stream_broken_off(const transport::http1_call_end& result) const;
     void on_attempt_refused();
@@ -106,7 +114,8 @@
     [[nodiscard]] bool should_move() const;
     void start_move();
     void on_move_response(
-        const transport::result<transport::http_response>& response);
+        const transport::result<transport::http_response>& response,
+        bool was_asked_before);
     void on_moved_stream_closed(const transport::http1_call_end& result);
     void resume_on(const std::shared_ptr<known_server>& server);
     void on_move_refused();
@@ -164,6 +173,8 @@
     transport::http1_call attempt_call_;
     placement_choice choice_;
     std::string relay_; ///< Through which the attempt was sent; empty: none.
+    transport::http1_call_settings call_settings_;
+    transport::http1_call liveness_call_;
     bool opened_connection_ = false; ///< The attempt began without one.
     /// Load of the server when the attempt started.
     load_bucket load_at_start_ = load_bucket::light;
@@ -207,10 +218,12 @@
     std::shared_ptr<known_server> move_source_;
     std::shared_ptr<known_server> move_target_;
     bool state_copied_ = false; ///< Whether `move_target_` has the run's state.
+    /// The source was asked to stop the current attempt and may do so.
+    bool may_be_stopped_ = false;
     /// Handle of the stopped run that the current attempt resumes; empty: none.
     std::string moved_run_;
-    /// Error that ended the source's response during the move.
-    std::optional<transport::failure> stream_error_;
+    /// How the source's response ended during the move.
+    std::optional<transport::http1_call_end> ended_during_move_;
 
     // Response to the caller.
     bool response_started_ = false; ///< The head was sent.
@@ -624,7 +637,8 @@
     terms.rank = rank_;
     terms.resume_after = last_event_id_;
     terms.moved_run = moved_run_;
-    const auto settings = choose_path();
+    may_be_stopped_ = false;
+    call_settings_ = choose_path();
     transport::http1_call_handlers handlers;
     const auto self = this->shared_from_this();
     handlers.on_head = [self](int status, const headers& response_headers) {
@@ -639,7 +653,7 @@
     attempt_call_ =
         core_.client.start(choice.server->listed.address,
                            Dialect::make_request(exchange_.request(), terms),
-                           settings, std::move(handlers));
+                           call_settings_, std::move(handlers));
     arm_idle_timer();
 }
 
@@ -647,8 +661,6 @@
 template <caller_dialect Dialect>
 transport::http1_call_settings request_flow<Dialect>::choose_path()
 {
-    // The time limit of the relay for its own connection, and a round trip.
-    constexpr milliseconds relayed_connect_time_limit{400};
     const auto& server = choice_.server->listed;
     auto settings = make_call_settings();
     opened_connection_ = !core_.client.keeps(server.address, settings.max_idle);
@@ -896,10 +908,9 @@
 void request_flow<Dialect>::on_attempt_end(
     const transport::http1_call_end& result)
 {
-    constexpr int first_error_status = 300;
-    constexpr int first_server_error_status = 500;
     idle_timer_.cancel();
-    if (move_state_ != move_state::none && !result.complete)
+    if (move_state_ != move_state::none &&
+        (!result.complete || result.ended_by_close))
     {
         return on_moved_stream_closed(result);
     }
@@ -917,6 +928,119 @@
                                  transport::reason::connection_lost,
                                  "The stream ended inside an event."});
     }
+    result.ended_by_close ? confirm_end() : on_complete_response();
+}
+
+/// Decides whether a response that ended with its connection is complete. The
+/// connection closes in the same way when the server finished, when it or the
+/// relay was killed, and when the server stopped the stream to move it.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::confirm_end()
+{
+    if (may_be_stopped_)
+    {
+        return on_attempt_error(
+            {transport::verdict::may_have_run,
+             transport::reason::connection_lost,
+             "The connection closed after the stream was to be moved."});
+    }
+    check_path(call_settings_);
+}
+
+/// Completes the response if the processes on the path that carried it still
+/// run.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::check_path(
+    const transport::http1_call_settings& path)
+{
+    core_.client.check_path(choice_.server->listed.address, path,
+                            [self = this->shared_from_this(), path,
+                             attempt = delivered_attempts_](bool runs) {
+                                if (!self->finished_ && self->attempt_active_ &&
+                                    self->delivered_attempts_ == attempt)
+                                {
+                                    runs ? self->check_server(path)
+                                         : self->on_path_failed(path);
+                                }
+                            });
+}
+
+/// Completes the response if the server answers: a connection may be accepted
+/// for a process that has ended.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::check_server(
+    const transport::http1_call_settings& path)
+{
+    // Many times what a server takes to answer without running a request.
+    constexpr milliseconds time_limit{500};
+    const auto* service = route_table_->find_service(service_);
+    const auto request = service == nullptr
+                             ? std::optional<transport::http_request>{}
+                             : Dialect::make_liveness_check(*service);
+    if (!request)
+    {
+        return on_complete_response();
+    }
+    liveness_call_ = core_.client.fetch(
+        choice_.server->listed.address, *request,
+        {.time_limit = time_limit,
+         .relay = path.relay,
+         .on_head = own_head_filter()},
+        [self = this->shared_from_this(), path](const auto& response) {
+            if (self->finished_ || !self->attempt_active_)
+            {
+                return;
+            }
+            const auto& listed = self->choice_.server->listed;
+            const auto started =
+                response ? Dialect::parse_start_time(response->body) : 0;
+            const bool restarted =
+                started != 0 && listed.born != 0 && started != listed.born;
+            response && !restarted ? self->on_complete_response()
+                                   : self->on_path_failed(path);
+        });
+}
+
+/// A late response to a request on the same connection names its attempt; it
+/// does not answer a call that belongs to no attempt.
+template <caller_dialect Dialect>
+transport::head_filter request_flow<Dialect>::own_head_filter()
+{
+    return [](int status, const headers& response_headers) {
+        return Dialect::parse_response(status, response_headers)
+                       .attempt_id.empty()
+                   ? transport::head_choice::take
+                   : transport::head_choice::skip;
+    };
+}
+
+/// A gateway that is cut off from a server may still have a connection to it.
+/// What ended on a direct one is judged through a relay then.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_path_failed(
+    const transport::http1_call_settings& path)
+{
+    const auto relay = core_.reach.relay_for(core_.clock.monotonic_now(),
+                                             choice_.server->listed.id);
+    if (path.relay.empty() && relay)
+    {
+        auto relayed = path;
+        relayed.relay = *relay;
+        relayed.connect_time_limit = relayed_connect_time_limit;
+        return check_path(relayed);
+    }
+    core_.counters.unconfirmed_ends.add();
+    on_attempt_error({transport::verdict::may_have_run,
+                      transport::reason::connection_lost,
+                      "The server or the relay ended with the connection."});
+}
+
+/// Handles a response that is known to be whole.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_complete_response()
+{
+    constexpr int first_error_status = 300;
+    constexpr int first_server_error_status = 500;
     ++possible_runs_;
     const bool failed = response_status_ >= first_server_error_status;
     record_attempt_outcome(failed ? answer_kind::failed : answer_kind::whole);
@@ -945,7 +1069,7 @@
         return fail(502, "refused_without_mark");
     }
     on_first_event();
-    if (response_status_ < first_error_status && !result.ended_by_close)
+    if (response_status_ < first_error_status)
     {
         record_survived_start();
     }
@@ -1215,28 +1339,31 @@
     core_.servers.permits().take(now, choice->server->listed);
     ++move_attempts_;
     move_state_ = move_state::requested;
+    const bool was_asked_before = std::exchange(may_be_stopped_, true);
     move_source_ = choice_.server;
     move_target_ = choice->server;
-    stream_error_.reset();
+    ended_during_move_.reset();
     const auto remaining =
         std::chrono::duration_cast<milliseconds>(*move_source_->ends_at - now);
     move_call_ = core_.client.fetch(
         move_source_->listed.address,
         Dialect::make_move(terms_.attempt_id, move_target_->listed.address),
-        remaining,
+        {.time_limit = remaining, .relay = {}, .on_head = {}},
         // The callback owns this object, because the stream's own call may end
         // before the move does.
-        [self = this->shared_from_this()](const auto& response) {
+        [self = this->shared_from_this(),
+         was_asked_before](const auto& response) {
             if (!self->finished_)
             {
-                self->on_move_response(response);
+                self->on_move_response(response, was_asked_before);
             }
         });
 }
 
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_move_response(
-    const transport::result<transport::http_response>& response)
+    const transport::result<transport::http_response>& response,
+    bool was_asked_before)
 {
     const auto& source = move_source_->listed;
     const auto move =
@@ -1254,12 +1381,12 @@
                           {"after_event", last_event_id_}});
     if (move.moved_run.empty())
     {
-        // The stream stays on its server, unless its response broke off during
-        // the request.
+        // The stream stays on its server, unless its response ended during the
+        // request.
         move_state_ = move_state::none;
-        return stream_error_ ? on_attempt_error(
-                                   *std::exchange(stream_error_, std::nullopt))
-                             : void();
+        may_be_stopped_ = was_asked_before || !move.not_stopped;
+        const auto ended = std::exchange(ended_during_move_, std::nullopt);
+        return ended ? on_attempt_end(*ended) : void();
     }
     // The last events may still be in transit; they arrive within a round trip.
     constexpr milliseconds last_events_delay{50};
@@ -1267,7 +1394,7 @@
     moved_run_ = move.moved_run;
     state_copied_ = move.copied;
     core_.counters.moved.add();
-    if (stream_error_)
+    if (ended_during_move_)
     {
         return resume_on(state_copied_ ? move_target_ : move_source_);
     }
@@ -1282,12 +1409,13 @@
         });
 }
 
-/// Handles the end of the source server's incomplete response during a move.
+/// Handles the end of the source server's response during a move, unless its
+/// framing shows that it is complete.
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_moved_stream_closed(
     const transport::http1_call_end& result)
 {
-    stream_error_ = result.error;
+    ended_during_move_ = result;
     if (move_state_ == move_state::stopped)
     {
         resume_on(state_copied_ ? move_target_ : move_source_);
@@ -1561,6 +1689,7 @@
     deadline_timer_.cancel();
     idle_timer_.cancel();
     move_call_.cancel();
+    liveness_call_.cancel();
     transport::log_event(
         "request.ended",
         {{"request", terms_.attempt_id},
--- a/include/hyssopdeal/transport/http1_client.hpp
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -75,14 +75,19 @@
     reject ///< It cannot be trusted: end the call as a broken answer.
 };
 
+/// Judges an answer by its status and headers.
+using head_filter =
+    std::function<head_choice(int status, const std::vector<http_header>&)>;
+
 /// How a call ended.
 struct http1_call_end
 {
     bool complete = false; ///< The answer was read to its proper end.
     failure error; ///< Only when not complete. Its verdict is not_run only if
                    ///< no byte was handed to a connection.
-    /// The answer had no length and ended with its connection. A server that
-    /// crashes ends its connections in the same way.
+    /// The answer had no length and ended with its connection. The kernel of a
+    /// server or relay that was killed closes its connections in the same way:
+    /// check_path() tells.
     bool ended_by_close = false;
     /// The relay was not reached or refused; nothing is known of the server.
     bool relay_failed = false;
@@ -92,12 +97,19 @@
 /// call was cancelled. None is called before start() has returned.
 struct http1_call_handlers
 {
-    std::function<head_choice(int status, const std::vector<http_header>&)>
-        on_head;
+    head_filter on_head;
     std::function<void(std::string_view piece)> on_data;
     std::function<void(http1_call_end)> on_end;
 };
 
+/// Limits and path of a call that collects its answer.
+struct http1_fetch_settings
+{
+    std::chrono::milliseconds time_limit{0}; ///< From now to the answer's end.
+    std::string relay;                       ///< As for a call.
+    head_filter on_head; ///< Whether an answer is this call's; empty: any is.
+};
+
 // [http1_call] ---------------------------------------------------------------
 
 /// Owns a running call; destroying it cancels the call and closes its
@@ -147,11 +159,10 @@
 
     /// Sends a request and collects the whole answer.
     ///
-    /// @param time_limit From now to the answer's end.
     /// @param on_answer Gets the answer, or a failure with its verdict.
     [[nodiscard]] http1_call
     fetch(std::string_view address, const http_request& request,
-          std::chrono::milliseconds time_limit,
+          const http1_fetch_settings& settings,
           const std::function<void(result<http_response>)>& on_answer);
 
     /// @param max_idle As for a call.
@@ -167,6 +178,16 @@
     void probe(const std::string& address, std::chrono::milliseconds time_limit,
                std::function<void(bool reached)> on_end);
 
+    /// Tells whether the processes at the ends of a path still run, after one of
+    /// them closed a connection: by a new one that stays open for a moment, and
+    /// is kept for a later call.
+    ///
+    /// @param settings As of the call whose connection was closed.
+    /// @param on_end Gets the result; false also when the path is cut.
+    void check_path(const std::string& address,
+                    const http1_call_settings& settings,
+                    std::function<void(bool runs)> on_end);
+
     /// Closes the idle connections to a server that is gone, also relayed ones.
     void forget(const std::string& address);
 
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -381,6 +381,9 @@
                {{"event", "none"}});
     out.sample(static_cast<double>(counters.broken_after_event.value()),
                {{"event", "some"}});
+    total("hyssopdeal_unconfirmed_ends_total", counters.unconfirmed_ends,
+          "Answers without a length whose server or relay was gone at their "
+          "end");
     total("hyssopdeal_quarantine_refusals_total", counters.quarantined,
           "Requests refused because their prompt crashes servers");
     out.family("hyssopdeal_quarantined_prompts", "gauge",
--- a/src/coordination/gateway/native_dialect.cpp
+++ b/src/coordination/gateway/native_dialect.cpp
@@ -131,7 +131,9 @@
 {
     constexpr int copied = 200;
     constexpr int not_copied = 503;
+    constexpr int no_such_run = 404;
     move_result result;
+    result.not_stopped = status == no_such_run;
     if (!body.empty() && (status == copied || status == not_copied))
     {
         result.moved_run = std::string{source} + '/' + std::string{body};
@@ -174,4 +176,15 @@
     return kept;
 }
 
+std::optional<http_request>
+native_dialect::make_liveness_check(const protocol::document_service&)
+{
+    return std::nullopt;
+}
+
+std::uint64_t native_dialect::parse_start_time(std::string_view)
+{
+    return 0;
+}
+
 } // namespace hyssopdeal::coordination
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -44,7 +44,7 @@
 
 // [state] --------------------------------------------------------------------
 
-struct http1_client::impl
+struct http1_client::impl : std::enable_shared_from_this<http1_client::impl>
 {
     /// How a server is connected to.
     struct path
@@ -72,6 +72,10 @@
 
     template <class Predicate>
     void close_idle(Predicate closes);
+
+    /// @param stays_open The probe succeeds if it is open for so long.
+    void probe(const path& to, milliseconds time_limit, milliseconds stays_open,
+               std::function<void(bool)> on_end);
 };
 
 struct http1_call::impl
@@ -172,10 +176,13 @@
     }
 
     /// Connects without a call; the connection becomes idle.
+    ///
+    /// @param stays_open The probe succeeds if it is open for so long.
     void probe(const tcp::endpoint& to, milliseconds limit,
-               std::function<void(bool)> on_end)
+               milliseconds stays_open, std::function<void(bool)> on_end)
     {
         on_probe_end_ = std::move(on_end);
+        probe_time_ = stays_open;
         connect(to, limit);
     }
 
@@ -231,12 +238,25 @@
         connect_timer_.cancel();
         connected_ = true;
         read();
+        if (!on_probe_end_)
+        {
+            return write();
+        }
+        if (probe_time_ <= milliseconds{0})
+        {
+            return end_probe();
+        }
+        connect_timer_ = client_->loop.after(
+            probe_time_, [self = shared_from_this()] { self->end_probe(); });
+    }
+
+    void end_probe()
+    {
         if (const auto on_end = std::exchange(on_probe_end_, nullptr))
         {
             go_idle();
-            return client_->ended ? void() : on_end(true);
+            client_->ended ? void() : on_end(true);
         }
-        write();
     }
 
     /// Asks the relay for a connection to the server. The call's request
@@ -347,8 +367,7 @@
             const auto call = call_.lock();
             if (!call || done_)
             {
-                // Bytes that no request asked for.
-                return close();
+                return on_unrequested_end("Bytes that no request asked for.");
             }
             bytes.remove_prefix(reader_.feed(bytes));
             if (!take_progress(*call, bytes.empty()))
@@ -487,7 +506,7 @@
         const auto call = call_.lock();
         if (!call || done_)
         {
-            return close();
+            return on_unrequested_end(error.message());
         }
         if (error == asio::error::eof)
         {
@@ -501,6 +520,13 @@
         fail(reason::connection_lost, error.message());
     }
 
+    /// Ends a connection that waits for no answer.
+    void on_unrequested_end(std::string text)
+    {
+        on_probe_end_ ? fail(reason::connection_lost, std::move(text))
+                      : close();
+    }
+
     void fail(reason code, std::string text)
     {
         const auto keep = shared_from_this();
@@ -548,6 +574,7 @@
     std::size_t max_body_bytes_ = 0; ///< 0: none.
     std::size_t body_bytes_ = 0;
     std::function<void(bool)> on_probe_end_;
+    milliseconds probe_time_{0};
     std::string relay_request_;
     std::string relay_response_;
     bool relay_failed_; ///< Until the relay has reached the server or not.
@@ -589,6 +616,21 @@
 
 } // namespace
 
+void http1_client::impl::probe(const path& to, milliseconds time_limit,
+                               milliseconds stays_open,
+                               std::function<void(bool)> on_end)
+{
+    const auto endpoint =
+        parse_endpoint<tcp::endpoint>(to.relay.empty() ? to.address : to.relay);
+    if (!endpoint)
+    {
+        return loop.post([on_end = std::move(on_end)] { on_end(false); });
+    }
+    ++opened;
+    std::make_shared<client_connection>(shared_from_this(), to)
+        ->probe(*endpoint, time_limit, stays_open, std::move(on_end));
+}
+
 template <class Predicate>
 void http1_client::impl::close_idle(Predicate closes)
 {
@@ -736,16 +778,17 @@
 
 http1_call
 http1_client::fetch(std::string_view address, const http_request& request,
-                    milliseconds time_limit,
+                    const http1_fetch_settings& settings,
                     const std::function<void(result<http_response>)>& on_answer)
 {
     auto collected = std::make_shared<http_response>();
     http1_call_handlers handlers;
-    handlers.on_head = [collected](int status, const auto& headers) {
-        collected->status = status;
-        collected->headers = headers;
-        return head_choice::take;
-    };
+    handlers.on_head =
+        [collected, judge = settings.on_head](int status, const auto& headers) {
+            collected->status = status;
+            collected->headers = headers;
+            return judge ? judge(status, headers) : head_choice::take;
+        };
     handlers.on_data = [collected](std::string_view piece) {
         collected->body += piece;
     };
@@ -756,11 +799,12 @@
         }
         on_answer(tl::make_unexpected(std::move(how.error)));
     };
-    http1_call_settings settings;
-    settings.connect_time_limit = time_limit;
-    settings.max_body_bytes = most_fetched_bytes;
-    auto call = start(address, request, settings, std::move(handlers));
-    call.limit(impl_->loop, time_limit);
+    http1_call_settings call_settings;
+    call_settings.connect_time_limit = settings.time_limit;
+    call_settings.max_body_bytes = most_fetched_bytes;
+    call_settings.relay = settings.relay;
+    auto call = start(address, request, call_settings, std::move(handlers));
+    call.limit(impl_->loop, settings.time_limit);
     return call;
 }
 
@@ -781,15 +825,18 @@
 void http1_client::probe(const std::string& address, milliseconds time_limit,
                          std::function<void(bool reached)> on_end)
 {
-    const auto endpoint = parse_endpoint<tcp::endpoint>(address);
-    if (!endpoint)
-    {
-        return impl_->loop.post(
-            [on_end = std::move(on_end)] { on_end(false); });
-    }
-    ++impl_->opened;
-    std::make_shared<client_connection>(impl_, impl::path{address, {}})
-        ->probe(*endpoint, time_limit, std::move(on_end));
+    impl_->probe({address, {}}, time_limit, milliseconds{0}, std::move(on_end));
+}
+
+void http1_client::check_path(const std::string& address,
+                              const http1_call_settings& settings,
+                              std::function<void(bool runs)> on_end)
+{
+    // A process that ends closes its listener and its connections one after
+    // another; a connection that it still accepts is reset within this time.
+    constexpr milliseconds stays_open{10};
+    impl_->probe({address, settings.relay}, settings.connect_time_limit,
+                 stays_open, std::move(on_end));
 }
 
 void http1_client::forget(const std::string& address)
--- a/tests/fault_relay.cpp
+++ b/tests/fault_relay.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <deque>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -10,6 +11,9 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <fmt/format.h>
+
+#include "transport/http1_reader.hpp"
 
 namespace hyssopdeal::tests
 {
@@ -32,6 +36,99 @@
 
 } // namespace
 
+namespace
+{
+
+/// Takes length and chunks away from some of a connection's HTTP responses.
+class length_remover
+{
+public:
+    /// @param part Of the responses.
+    length_remover(double part, std::uint64_t seed)
+        : part_(part),
+          random_(seed)
+    {}
+
+    /// @return What is sent in place of the bytes.
+    std::string take(std::string_view bytes)
+    {
+        std::string sent;
+        while (!bytes.empty() && !ended_)
+        {
+            if (!reader_.started())
+            {
+                chosen_ =
+                    std::uniform_real_distribution<double>{}(random_) < part_;
+                head_sent_ = false;
+            }
+            const auto used = reader_.feed(bytes);
+            if (reader_.state() == transport::read_state::bad)
+            {
+                // Not a response: passed on as it is.
+                return sent + std::string{bytes};
+            }
+            if (!chosen_)
+            {
+                sent += bytes.substr(0, used);
+            }
+            bytes.remove_prefix(used);
+            if (reader_.state() != transport::read_state::head && chosen_)
+            {
+                sent += take_head() + std::exchange(reader_.body(), {});
+            }
+            reader_.body().clear();
+            if (reader_.state() == transport::read_state::complete)
+            {
+                ended_ = chosen_;
+                reader_.reset();
+            }
+        }
+        return sent;
+    }
+
+    [[nodiscard]] bool in_use() const noexcept
+    {
+        return part_ > 0;
+    }
+
+    /// @return Whether the connection ends after what was taken.
+    [[nodiscard]] bool ended() const noexcept
+    {
+        return ended_;
+    }
+
+private:
+    std::string take_head()
+    {
+        if (std::exchange(head_sent_, true))
+        {
+            return {};
+        }
+        auto head = fmt::format("HTTP/1.1 {} \r\n", reader_.status());
+        for (const auto& header : reader_.headers())
+        {
+            const bool framing = header.name == "Transfer-Encoding" ||
+                                 header.name == "Content-Length" ||
+                                 header.name == "Connection";
+            head += framing ? std::string{}
+                            : header.name + ": " + header.value + "\r\n";
+        }
+        return head + "Connection: close\r\n\r\n";
+    }
+
+    static constexpr std::size_t max_head_bytes = 65'536;
+
+    transport::http1_reader reader_{transport::message_kind::response,
+                                    max_head_bytes};
+    double part_;
+    std::mt19937_64 random_;
+    bool chosen_ = false;
+    bool head_sent_ = false;
+    bool ended_ = false;
+};
+
+} // namespace
+
 /// Two sockets; what one receives the other sends.
 struct relayed_connection : std::enable_shared_from_this<relayed_connection>
 {
@@ -68,6 +165,7 @@
         : near(std::move(from)),
           far(near.get_executor()),
           fault(std::move(now)),
+          lengths(fault->without_length, std::random_device{}()),
           in(near, far, &link_fault::silent_in),
           out(far, near, &link_fault::silent_out)
     {}
@@ -106,6 +204,15 @@
                     return way.held.empty() ? self->end(way) : self->pump(way);
                 }
                 auto bytes = self->with_repeated(way, {way.piece.data(), size});
+                if (&way == &self->out && self->lengths.in_use())
+                {
+                    bytes = self->lengths.take(bytes);
+                    way.ended = self->lengths.ended();
+                    if (bytes.empty())
+                    {
+                        return way.ended ? self->end(way) : self->read(way);
+                    }
+                }
                 way.held_bytes += bytes.size();
                 way.held.push_back(
                     {steady::now() + self->fault->delay, std::move(bytes)});
@@ -173,7 +280,7 @@
     {
         asio::error_code ignored;
         way.to.shutdown(tcp::socket::shutdown_send, ignored);
-        if (in.ended && out.ended)
+        if ((in.ended && out.ended) || lengths.ended())
         {
             close();
         }
@@ -201,6 +308,7 @@
     std::shared_ptr<const link_fault> fault;
     bool dead = false;
     std::string repeated; ///< In front of the next bytes from the target.
+    length_remover lengths;
     direction in;
     direction out;
 };
--- a/tests/fault_relay.hpp
+++ b/tests/fault_relay.hpp
@@ -31,6 +31,9 @@
     /// Makes what the target sends once more, in front of its next bytes on the
     /// same connection, from bytes that it sent; empty: nothing.
     std::function<std::string(std::string_view sent)> repeat = nullptr;
+    /// Part of the target's HTTP responses that get neither a length nor chunks
+    /// and end with their connection. For connections opened from now on.
+    double without_length = 0;
 };
 
 // [relay_end] ----------------------------------------------------------------
@@ -63,7 +66,8 @@
     /// Resets the open connections.
     void reset();
 
-    /// Closes every connection and refuses new ones.
+    /// Closes every connection in good order and refuses new ones, as the
+    /// kernel does for a target that was killed.
     void cut();
 
     /// Silences the open connections for good; new ones work.
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -298,3 +298,18 @@
     CHECK_TRUE(protocol::digest_of(page->servers) ==
                protocol::digest_of(later));
 }
+
+TEST(platform_codec_tests, servers_that_run_prompts_are_asked_whether_they_live)
+{
+    using platform::platform_dialect;
+    protocol::document_service service;
+    CHECK_FALSE(platform_dialect::make_liveness_check(service).has_value());
+    service.engine = protocol::engine_terms{8, 1'000, false};
+    const auto check = platform_dialect::make_liveness_check(service);
+    STRCMP_EQUAL("/api/report", check.value().target.c_str());
+    LONGS_EQUAL(7, platform_dialect::parse_start_time(R"({"born":7})"));
+    for (const auto* odd : {"", "[]", R"({"born":"7"})", R"({"born":-1})"})
+    {
+        LONGS_EQUAL(0, platform_dialect::parse_start_time(odd));
+    }
+}
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -61,6 +61,21 @@
            more_headers + "\r\n";
 }
 
+/// The native dialect with a call that asks servers for their start.
+struct checking_dialect : native_dialect
+{
+    static std::optional<transport::http_request>
+    make_liveness_check(const protocol::document_service&)
+    {
+        return transport::http_request{"GET", "/alive", {}, ""};
+    }
+
+    static std::uint64_t parse_start_time(std::string_view body)
+    {
+        return std::strtoull(std::string{body}.c_str(), nullptr, 10);
+    }
+};
+
 } // namespace
 
 TEST_GROUP(request_flow_tests)
@@ -190,6 +205,24 @@
         };
     }
 
+    /// Closes a connection and the server's listener in good order, as the
+    /// kernel does for a process that was killed.
+    void kill_server(std::size_t index, tests::raw_connection & connection)
+    {
+        backend_listeners.at(index)->stop();
+        connection.close();
+    }
+
+    /// @return A server that is killed after it has sent some bytes of a
+    ///     response without a length.
+    server_script be_killed_after(const std::string& bytes)
+    {
+        return [this, bytes](tests::raw_connection& connection) {
+            connection.send(response_head("id1", "") + bytes);
+            kill_server(0, connection);
+        };
+    }
+
     static server_script reset()
     {
         return [](tests::raw_connection& connection) { connection.reset(); };
@@ -343,6 +376,152 @@
     STRCMP_CONTAINS("HTTP/1.1 502", fetch("/stream/").c_str());
 }
 
+// Regression: the end of a killed server's connection was taken for the end of
+// the stream.
+TEST(request_flow_tests, stream_of_a_killed_server_does_not_look_complete)
+{
+    add_server(be_killed_after("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    apply_configuration();
+    const auto response = fetch("/stream/");
+    STRCMP_CONTAINS("data: b", response.c_str());
+    CHECK_TRUE(response.find("\r\n0\r\n") == std::string::npos);
+    LONGS_EQUAL(1, core->counters.unconfirmed_ends.value());
+}
+
+TEST(request_flow_tests, stream_of_a_killed_server_is_resumed)
+{
+    const auto respond = [this](tests::raw_connection& connection) {
+        const auto& request = received_requests.back();
+        if (received_requests.size() > 1)
+        {
+            connection.send(response_head("id1", "") + "id: 2\ndata: b\n\n");
+            return connection.close();
+        }
+        connection.send(response_head("id1", "") + "id: 1\ndata: a\n\n");
+        const bool first =
+            request.find("Hyssopdeal-Server: w0") != std::string::npos;
+        kill_server(first ? 0 : 1, connection);
+    };
+    add_server(respond);
+    add_server(respond);
+    apply_configuration();
+    const auto response = fetch("/resume/");
+    STRCMP_CONTAINS("data: a", response.c_str());
+    STRCMP_CONTAINS("data: b", response.c_str());
+    STRCMP_CONTAINS("\r\n0\r\n", response.c_str());
+    LONGS_EQUAL(2, received_requests.size());
+}
+
+// Regression: half of a body was passed on as the whole of it.
+TEST(request_flow_tests, response_of_a_killed_server_is_no_success)
+{
+    add_server(be_killed_after("half of "));
+    apply_configuration();
+    STRCMP_CONTAINS("HTTP/1.1 502", fetch("/once/").c_str());
+    LONGS_EQUAL(1, received_requests.size());
+}
+
+TEST(request_flow_tests,
+     responses_without_a_length_of_running_servers_are_whole)
+{
+    add_server([](tests::raw_connection& connection) {
+        connection.send(response_head("id1", "") + "id: 1\ndata: a\n\n");
+        connection.close();
+    });
+    apply_configuration();
+    for (const auto* path : {"/stream/", "/resume/"})
+    {
+        const auto response = fetch(path);
+        STRCMP_CONTAINS("data: a", response.c_str());
+        STRCMP_CONTAINS("\r\n0\r\n", response.c_str());
+    }
+    for (const auto* path : {"/once/", "/safe/"})
+    {
+        STRCMP_CONTAINS("HTTP/1.1 200", fetch(path).c_str());
+    }
+    LONGS_EQUAL(4, received_requests.size());
+    LONGS_EQUAL(0, core->counters.unconfirmed_ends.value());
+}
+
+// Regression: something still accepted connections in the place of a server
+// whose process had ended.
+TEST(request_flow_tests, stream_of_a_server_that_does_not_answer_is_broken_off)
+{
+    std::string alive; // What the server answers; empty: nothing.
+    add_server([&](tests::raw_connection& connection) {
+        if (received_requests.back().starts_with("GET /alive"))
+        {
+            return alive.empty()
+                       ? void()
+                       : connection.send("HTTP/1.1 200 OK\r\nContent-Length: 1"
+                                         "\r\n\r\n" +
+                                         alive);
+        }
+        connection.send(response_head("id1", "") + "id: 1\ndata: a\n\n");
+        connection.close();
+    });
+    listed_servers[0].born = 7;
+    apply_configuration();
+    transport::http1_server gateway{
+        loop, clock, transport::http1_server_settings{},
+        [this](transport::http1_exchange exchange) {
+            std::make_shared<request_flow<checking_dialect>>(
+                *core, std::move(exchange))
+                ->start();
+        }};
+    gateway_port = gateway.start().value();
+    const auto is_whole = [this] {
+        const auto caller = send("/stream/");
+        const auto has_end = [&] {
+            return caller->received.find("\r\n0\r\n") != std::string::npos;
+        };
+        (void)tests::run_until(
+            loop, [&] { return caller->closed || has_end(); }, 2s);
+        return has_end();
+    };
+    CHECK_FALSE(is_whole());
+    alive = "8"; // Another incarnation.
+    CHECK_FALSE(is_whole());
+    alive = "7";
+    CHECK_TRUE(is_whole());
+}
+
+// Regression: the end of a killed relay's connection was taken for the end of
+// the stream.
+TEST(request_flow_tests, stream_through_a_killed_relay_does_not_look_complete)
+{
+    // It speaks for the server, too.
+    add_server([this](tests::raw_connection& connection) {
+        if (received_requests.back().starts_with("CONNECT "))
+        {
+            return connection.send("HTTP/1.1 200 \r\n\r\n");
+        }
+        connection.send(response_head("id1", "") + "id: 1\ndata: a\n\n");
+        kill_server(0, connection);
+    });
+    const auto relay = listed_servers.front().address;
+    listed_servers.clear();
+    for (const auto* id : {"w0", "w1"})
+    {
+        protocol::listed_server listed;
+        listed.id = id;
+        listed.service = "s";
+        listed.slots = 8;
+        listed.address = "127.0.0.1:1";
+        listed_servers.push_back(listed);
+    }
+    apply_configuration();
+    core->reach.set_servers(listed_servers);
+    (void)core->reach.set_helpers({relay});
+    for (const auto* id : {"w0", "w1"})
+    {
+        core->reach.on_unreached(clock.monotonic_now(), id);
+    }
+    const auto response = fetch("/stream/");
+    STRCMP_CONTAINS("data: a", response.c_str());
+    CHECK_TRUE(response.find("\r\n0\r\n") == std::string::npos);
+}
+
 TEST(request_flow_tests, stream_closed_inside_an_event_is_resumed)
 {
     int round = 0;
@@ -1150,6 +1329,52 @@
     }
 }
 
+// Regression: the connection of a stopped stream without a length closes in good
+// order before the move is answered, which was taken for the end of the stream.
+TEST(stream_move_tests, stopped_stream_without_a_length_does_not_look_complete)
+{
+    transport::timer_handle answer;
+    add_source([&, this](tests::raw_connection& connection) {
+        stream_connection->close();
+        answer = loop.after(50ms, [move = connection.shared_from_this()] {
+            move->send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7");
+        });
+    });
+    add_target();
+    listed_servers[1].failure_domain = "far";
+    const auto caller = run_until_second_event("/stream/", 800ms);
+    CHECK_TRUE(wait_for_text(caller, "data: c"));
+    CHECK_TRUE(wait_for_text(caller, "\r\n0\r\n"));
+    LONGS_EQUAL(1, core->counters.moved.value());
+}
+
+TEST(stream_move_tests, stream_stopped_by_an_unanswered_move_is_broken_off)
+{
+    add_source([this](tests::raw_connection& connection) {
+        connection.reset();
+        stream_connection->close();
+    });
+    add_target();
+    listed_servers[1].failure_domain = "far";
+    const auto caller = run_until_second_event("/stream/", 800ms);
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return caller->closed; }, 1s));
+    CHECK_TRUE(caller->received.find("\r\n0\r\n") == std::string::npos);
+}
+
+TEST(stream_move_tests, stream_that_ends_before_its_move_is_whole)
+{
+    add_source([this](tests::raw_connection& connection) {
+        stream_connection->close();
+        connection.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    });
+    add_target();
+    listed_servers[1].failure_domain = "far";
+    const auto caller = run_until_second_event("/stream/", 800ms);
+    CHECK_TRUE(wait_for_text(caller, "\r\n0\r\n"));
+    LONGS_EQUAL(2, received_requests.size());
+}
+
 TEST(stream_move_tests, caller_disconnect_during_a_move_cancels_it)
 {
     add_source([](tests::raw_connection&) {});
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -244,7 +244,8 @@
     scaling.most = 6;
     scaling.start_time = milliseconds{1'000};
     scaling.domain_prices = {{"d0", 1.0}, {"d1", 0.9}, {"d2", 1.1}};
-    document.services = {{"llm", 64, {}, scaling}, {"app", 64, {}, {}}};
+    const protocol::engine_terms engine{16, 1'000'000, false};
+    document.services = {{"llm", 64, engine, scaling}, {"app", 64, {}, {}}};
     document.organisations = {{"o", {key}, {}, 0, 0, 1, false}};
     return document;
 }
@@ -257,8 +258,9 @@
     const auto address = world_.operators_address(
         replicas.at(world_.drawn_below(replicas.size())));
     request.headers.push_back({"Host", address});
-    calls_.push_back(
-        world_.client.fetch(address, request, patience, on_answer));
+    calls_.push_back(world_.client.fetch(
+        address, request, {.time_limit = patience, .relay = {}, .on_head = {}},
+        on_answer));
 }
 
 void soak_operator::change()
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -29,7 +29,8 @@
     : world_(world),
       changes_(changes),
       rates_random_(world.settings.seed),
-      refusals_random_(world.settings.seed)
+      refusals_random_(world.settings.seed),
+      ends_random_(world.settings.seed)
 {}
 
 void soak_faults::start(std::chrono::seconds duration)
@@ -41,6 +42,7 @@
     if (!world_.settings.planned_only)
     {
         repeat_refusals();
+        kill_servers();
     }
 }
 
@@ -193,7 +195,7 @@
     case 8:
         return harm_server(*server);
     case 9:
-        return crash_server(*server);
+        return crash_server(*server, connection_end::reset);
     case 10:
         return harm_platform();
     case 11:
@@ -361,7 +363,8 @@
         manner.step = milliseconds{90};
         break;
     case 4:
-        world_.servers->link(server).set({true, true, {}});
+        world_.servers->link(server).set(
+            {.silent_in = true, .silent_out = true});
         break;
     default:
         world_.servers->link(server).reset();
@@ -371,7 +374,7 @@
     end_after(drawn_between(500, 4'000), fault_place::server, server, record,
               [=, this] {
                   world_.servers->behave(server, {});
-                  world_.servers->link(server).set({});
+                  world_.servers->heal_link(server);
               });
 }
 
@@ -384,14 +387,14 @@
                               before.service == "llm" ? version_ : "v1");
 }
 
-void soak_faults::crash_server(std::size_t server)
+void soak_faults::crash_server(std::size_t server, connection_end how)
 {
     if (!free(fault_place::server, server))
     {
         return;
     }
     const auto record = begin(fault_place::server, server, false, "crash");
-    world_.servers->crash(server);
+    world_.servers->crash(server, how);
     end_after(drawn_between(500, 3'000), fault_place::server, server, record,
               [=, this] {
                   world_.servers->forget(server);
@@ -492,10 +495,30 @@
     world_.servers->repeat_refusals(server, seed);
     end_after(time, fault_place::server, server, record, [=, this] {
         world_.servers->behave(server, {});
-        world_.servers->link(server).set({});
+        world_.servers->heal_link(server);
     });
 }
 
+/// One server after the other is killed between the events of its streams.
+void soak_faults::kill_servers()
+{
+    if (world_.clock.monotonic_now() >= until_)
+    {
+        return;
+    }
+    const auto services = world_.servers->services();
+    const auto servers =
+        world_.servers->ready(services.at(ends_random_() % services.size()));
+    const auto drawn = ends_random_();
+    after(milliseconds{1'000 + ends_random_() % 2'000},
+          [this] { kill_servers(); });
+    // The last of a service is spared.
+    if (servers.size() > 1)
+    {
+        crash_server(servers[drawn % servers.size()], connection_end::closed);
+    }
+}
+
 /// One server of a service, or all of them, name a rate for some seconds.
 void soak_faults::limit_rates()
 {
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -69,12 +69,13 @@
     // Of servers and the platform.
     void harm_server(std::size_t server);
     void add_successor(std::size_t server);
-    void crash_server(std::size_t server);
+    void crash_server(std::size_t server, connection_end how);
     void replace_server(std::size_t server);
     void harm_platform();
     void move_version();
     void limit_rates();
     void repeat_refusals();
+    void kill_servers();
 
     bool free(fault_place place, std::size_t which) const;
 
@@ -91,6 +92,7 @@
     /// were.
     std::mt19937_64 rates_random_;
     std::mt19937_64 refusals_random_;
+    std::mt19937_64 ends_random_;
     std::list<transport::timer_handle> timers_;
 };
 
--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -22,6 +22,9 @@
 constexpr double long_part = 0.1;
 constexpr int times_long = 8;
 
+/// Some responses end with their connection.
+const tests::link_fault usual_link{.without_length = 0.3};
+
 /// The number at the end of a server's id.
 std::uint64_t number_in(const std::string& text)
 {
@@ -116,6 +119,11 @@
     constexpr int misdirected = 421;
     auto& self = *servers.at(at);
     const auto& request = exchange.request();
+    if (const auto report = platform::report_answer(request, self.listed.born))
+    {
+        auto copy = exchange;
+        return copy.send(*report);
+    }
     const auto call = platform::read_server_call(request);
     const auto refuse = [&](int status) {
         auto copy = exchange;
@@ -307,6 +315,7 @@
         impl_->loop, tests::relay_end{impl_->address(at, true), impl_->port},
         tests::relay_end{impl_->address(at, false), impl_->port});
     impl_->servers.push_back(std::move(made));
+    impl_->servers.back()->relay->set(usual_link);
     return at;
 }
 
@@ -316,11 +325,11 @@
     impl_->ledger.draining(server);
 }
 
-void soak_servers::crash(std::size_t server)
+void soak_servers::crash(std::size_t server, connection_end how)
 {
     auto& one = *impl_->servers.at(server);
     one.runs = false;
-    one.relay->reset();
+    how == connection_end::closed ? one.relay->cut() : one.relay->reset();
     one.relay.reset();
 }
 
@@ -339,7 +348,7 @@
     constexpr double refused_part = 0.4;
     auto& one = *impl_->servers.at(server);
     one.manner = {.full = refused_part};
-    tests::link_fault fault;
+    auto fault = usual_link;
     fault.repeat = [random = std::mt19937_64{seed}](
                        std::string_view sent) mutable -> std::string {
         constexpr int full = 503;
@@ -369,6 +378,11 @@
     return *impl_->servers.at(server)->relay;
 }
 
+void soak_servers::heal_link(std::size_t server)
+{
+    impl_->servers.at(server)->relay->set(usual_link);
+}
+
 std::vector<std::size_t> soak_servers::ready(const std::string& service) const
 {
     std::vector<std::size_t> found;
--- a/tests/soak/soak_servers.hpp
+++ b/tests/soak/soak_servers.hpp
@@ -56,6 +56,13 @@
     busy ///< 429 for everything.
 };
 
+/// How the connections of a server end with it.
+enum class connection_end : std::uint8_t
+{
+    reset,
+    closed ///< In good order, as the kernel does for a killed process.
+};
+
 // [soak_servers] -------------------------------------------------------------
 
 /// All servers that ever were, by number.
@@ -81,7 +88,9 @@
     void drain(std::size_t server);
 
     /// Ends it at once; it stays on the list for a while.
-    void crash(std::size_t server);
+    ///
+    /// @param how What becomes of its connections.
+    void crash(std::size_t server, connection_end how);
 
     /// Takes it off the list.
     void forget(std::size_t server);
@@ -97,6 +106,9 @@
 
     [[nodiscard]] tests::fault_relay& link(std::size_t server);
 
+    /// Ends what a fault does to a server's link.
+    void heal_link(std::size_t server);
+
     /// @return Numbers of those that are listed as ready and run.
     [[nodiscard]] std::vector<std::size_t>
     ready(const std::string& service) const;
