--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -1375,6 +1375,25 @@
     LONGS_EQUAL(2, received_requests.size());
 }
 
+// Regression: a late second response on the connection that was used for the move
+// was taken for its answer, so that the stopped run was lost.
+TEST(stream_move_tests,
+     late_response_to_another_request_does_not_answer_the_move)
+{
+    add_source([this](tests::raw_connection& connection) {
+        stream_connection->reset();
+        connection.send(response_head("other", "Content-Length: 5\r\n") +
+                        "wrong" +
+                        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7");
+    });
+    add_target();
+    listed_servers[1].failure_domain = "far";
+    const auto caller = run_until_second_event("/stream/", 800ms);
+    CHECK_TRUE(wait_for_text(caller, "data: c"));
+    CHECK_TRUE(wait_for_text(caller, "\r\n0\r\n"));
+    STRCMP_CONTAINS("/h7", received_requests.back().c_str());
+}
+
 TEST(stream_move_tests, caller_disconnect_during_a_move_cancels_it)
 {
     add_source([](tests::raw_connection&) {});
