End the largest response when the buffers are full, not the next one

A report of other operators: a faulty server's bytes without end ended the requests of other callers. Shown here: with 2 MB for all responses, six endless ones beside twenty sound ones ended sound ones with 502.

Cause: the limit of all buffered bytes was checked by the request that added to them, so that whoever came next paid.

Evidence: full_buffers_end_the_largest_responses_only fails when the adding request is ended. Ruled out: memory without a bound (heads, chunk extensions, trailers, bodies and events have limits, each tested).

Fix: gateway_core keeps the bytes of each request and ends the largest holder. Interim answers and answers of other requests are read past up to 4 MiB, no longer until the deadline.

--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -95,6 +95,8 @@
     transport::counter broken_before_event;
     /// Responses without a length whose server or relay was gone at their end.
     transport::counter unconfirmed_ends;
+    /// Responses given up as the largest when the buffers were full.
+    transport::counter buffer_overflows;
     transport::counter broken_after_event;
     transport::counter quarantined; ///< Refused: the prompt crashes servers.
     /// Attempts sent to servers that have named a rate limit.
@@ -243,10 +245,25 @@
     /// Registers a request under way.
     ///
     /// @param on_end Called by end_requests().
+    /// @param on_overflow Called by set_buffered_bytes(); must end the attempt
+    ///     whose response is buffered.
     /// @return Id for remove_request().
-    std::uint64_t add_request(std::function<void()> on_end);
+    std::uint64_t add_request(std::function<void()> on_end,
+                              std::function<void()> on_overflow);
     void remove_request(std::uint64_t id);
 
+    /// Sets how many bytes of its response a request holds that are not
+    /// forwarded yet. Beyond the limit of all requests the largest holder loses
+    /// its response: a server that sends without end must not end the responses
+    /// of others.
+    void set_buffered_bytes(std::uint64_t id, std::size_t bytes);
+
+    /// @return Response bytes of all requests that are not forwarded yet.
+    [[nodiscard]] std::size_t buffered_bytes() const noexcept
+    {
+        return buffered_bytes_;
+    }
+
     /// Ends all requests under way with a response, as the process is about to
     /// exit.
     void end_requests();
@@ -278,8 +295,6 @@
     std::optional<shutdown_times> shutdown; ///< Once the process shuts down.
     gateway_counters counters;
     std::mt19937_64 random;
-    /// Buffered response bytes of all requests that are not forwarded yet.
-    std::size_t buffered_bytes = 0;
 
 private:
     void apply_document(protocol::entry_orders& orders);
@@ -301,8 +316,15 @@
     std::map<std::uint64_t, start_wait> start_waits_; ///< By id, so in order of
                                                       ///< arrival.
     std::uint64_t last_wait_id_ = 0;
-    std::map<std::uint64_t, std::function<void()>> requests_; ///< By id.
+    struct open_request
+    {
+        std::function<void()> on_end;
+        std::function<void()> on_overflow;
+        std::size_t buffered_bytes = 0;
+    };
+    std::map<std::uint64_t, open_request> requests_; ///< By id.
     std::uint64_t last_request_id_ = 0;
+    std::size_t buffered_bytes_ = 0; ///< Of all requests.
     std::uint64_t incarnation_;
     std::uint64_t leader_term_ = 0;
     transport::monotonic_time started_at_;
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -139,7 +139,7 @@
     }
 
     // [responses]
-    void set_buffered_bytes(std::size_t bytes);
+    void give_up_response();
     void relay_events();
     bool accept_event(const std::string& event);
     void on_first_event();
@@ -195,7 +195,6 @@
     response_metadata response_terms_;
     bool head_received_ = false;
     std::string response_body_;
-    std::size_t buffered_bytes_ = 0; ///< Included in `core_.buffered_bytes`.
     event_splitter event_splitter_;
     /// Whether this attempt had its first event or its complete response.
     bool event_received_ = false;
@@ -251,12 +250,19 @@
             self->on_caller_disconnected();
         }
     });
-    registration_ = core_.add_request([weak = this->weak_from_this()] {
-        if (const auto self = weak.lock())
-        {
-            self->end_unanswered("shutdown", shutdown_retry_after);
-        }
-    });
+    registration_ = core_.add_request(
+        [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock())
+            {
+                self->end_unanswered("shutdown", shutdown_retry_after);
+            }
+        },
+        [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock())
+            {
+                self->give_up_response();
+            }
+        });
     if (!wait_for_document())
     {
         start_processing();
@@ -617,7 +623,8 @@
     start_recorded_ = false;
     response_body_.clear();
     event_splitter_.discard_remainder();
-    set_buffered_bytes(0);
+    core_.set_buffered_bytes(registration_, 0);
+    liveness_call_.cancel();
     ++delivered_attempts_;
     if (delivered_attempts_ > 1)
     {
@@ -880,28 +887,31 @@
         event_splitter_.feed(data);
         relay_events();
     }
-    set_buffered_bytes(response_body_.size() +
-                       event_splitter_.remainder().size());
     const auto& limits = core_.settings;
-    const bool too_large =
-        response_body_.size() > limits.max_answer_bytes ||
-        event_splitter_.remainder().size() > limits.max_event_bytes ||
-        core_.buffered_bytes > limits.max_buffered_bytes;
-    if (!finished_ && too_large)
+    if (response_body_.size() > limits.max_answer_bytes ||
+        event_splitter_.remainder().size() > limits.max_event_bytes)
     {
-        attempt_call_.cancel();
-        on_attempt_error(
-            {transport::verdict::may_have_run, transport::reason::too_large,
-             "The response exceeds a buffer limit of the gateway."});
+        return give_up_response();
     }
+    core_.set_buffered_bytes(registration_,
+                             response_body_.size() +
+                                 event_splitter_.remainder().size());
 }
 
-/// Updates this request's share of the gateway's buffered response bytes.
+/// Ends an attempt whose response exceeds a buffer limit.
 template <caller_dialect Dialect>
-void request_flow<Dialect>::set_buffered_bytes(std::size_t bytes)
+void request_flow<Dialect>::give_up_response()
 {
-    core_.buffered_bytes += bytes;
-    core_.buffered_bytes -= std::exchange(buffered_bytes_, bytes);
+    if (finished_ || !attempt_active_)
+    {
+        return;
+    }
+    attempt_call_.cancel();
+    liveness_call_.cancel();
+    core_.set_buffered_bytes(registration_, 0);
+    on_attempt_error({transport::verdict::may_have_run,
+                      transport::reason::too_large,
+                      "The response exceeds a buffer limit of the gateway."});
 }
 
 template <caller_dialect Dialect>
@@ -986,8 +996,10 @@
         {.time_limit = time_limit,
          .relay = path.relay,
          .on_head = own_head_filter()},
-        [self = this->shared_from_this(), path](const auto& response) {
-            if (self->finished_ || !self->attempt_active_)
+        [self = this->shared_from_this(), path,
+         attempt = delivered_attempts_](const auto& response) {
+            if (self->finished_ || !self->attempt_active_ ||
+                self->delivered_attempts_ != attempt)
             {
                 return;
             }
@@ -1685,7 +1697,6 @@
 {
     finished_ = true;
     core_.remove_request(registration_);
-    set_buffered_bytes(0);
     deadline_timer_.cancel();
     idle_timer_.cancel();
     move_call_.cancel();
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -115,20 +115,53 @@
 
 // [requests] -----------------------------------------------------------------
 
-std::uint64_t gateway_core::add_request(std::function<void()> on_end)
+std::uint64_t gateway_core::add_request(std::function<void()> on_end,
+                                        std::function<void()> on_overflow)
 {
-    requests_[++last_request_id_] = std::move(on_end);
+    requests_[++last_request_id_] = {std::move(on_end), std::move(on_overflow)};
     return last_request_id_;
 }
 
 void gateway_core::remove_request(std::uint64_t id)
 {
+    set_buffered_bytes(id, 0);
     requests_.erase(id);
 }
 
+void gateway_core::set_buffered_bytes(std::uint64_t id, std::size_t bytes)
+{
+    const auto found = requests_.find(id);
+    if (found == requests_.end())
+    {
+        return;
+    }
+    buffered_bytes_ += bytes;
+    buffered_bytes_ -= std::exchange(found->second.buffered_bytes, bytes);
+    if (buffered_bytes_ <= settings.max_buffered_bytes)
+    {
+        return;
+    }
+    const auto largest = std::max_element(
+        requests_.begin(), requests_.end(),
+        [](const auto& left, const auto& right) {
+            return left.second.buffered_bytes < right.second.buffered_bytes;
+        });
+    log_event("buffers.full", {{"bytes", buffered_bytes_},
+                               {"largest", largest->second.buffered_bytes}});
+    counters.buffer_overflows.add();
+    // The handler may remove the request.
+    const auto on_overflow = largest->second.on_overflow;
+    on_overflow();
+}
+
 void gateway_core::end_requests()
 {
-    for (const auto& [id, on_end] : std::exchange(requests_, {}))
+    std::vector<std::function<void()>> handlers;
+    for (const auto& [id, request] : requests_)
+    {
+        handlers.push_back(request.on_end);
+    }
+    for (const auto& on_end : handlers)
     {
         on_end();
     }
@@ -381,6 +414,8 @@
                {{"event", "none"}});
     out.sample(static_cast<double>(counters.broken_after_event.value()),
                {{"event", "some"}});
+    total("hyssopdeal_buffer_overflows_total", counters.buffer_overflows,
+          "Answers given up as the largest when the buffers were full");
     total("hyssopdeal_unconfirmed_ends_total", counters.unconfirmed_ends,
           "Answers without a length whose server or relay was gone at their "
           "end");
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -35,6 +35,8 @@
 {
 
 constexpr std::size_t read_bytes = 16'384;
+// Of heads and of answers that are read past; they may come without end.
+constexpr std::size_t max_skipped_bytes = 4'194'304;
 // An instance list of ten thousand servers takes a quarter of it.
 constexpr std::size_t most_fetched_bytes = 8'388'608;
 
@@ -192,6 +194,7 @@
         call_ = call;
         max_body_bytes_ = max_body_bytes;
         body_bytes_ = 0;
+        skipped_bytes_ = 0;
         out_ = std::move(bytes);
         sent_ = false;
         unanswered_ = true;
@@ -369,7 +372,14 @@
             {
                 return on_unrequested_end("Bytes that no request asked for.");
             }
-            bytes.remove_prefix(reader_.feed(bytes));
+            const auto used = reader_.feed(bytes);
+            bytes.remove_prefix(used);
+            skipped_bytes_ += head_seen_ && !skipping_ ? 0 : used;
+            if (skipped_bytes_ > max_skipped_bytes)
+            {
+                return fail(reason::broken_answer,
+                            "Too many bytes of other answers.");
+            }
             if (!take_progress(*call, bytes.empty()))
             {
                 return;
@@ -573,6 +583,7 @@
     milliseconds max_idle_;
     std::size_t max_body_bytes_ = 0; ///< 0: none.
     std::size_t body_bytes_ = 0;
+    std::size_t skipped_bytes_ = 0; ///< Before the body of the answer taken.
     std::function<void(bool)> on_probe_end_;
     milliseconds probe_time_{0};
     std::string relay_request_;
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -24,10 +24,10 @@
 {
     protocol::service_document document;
     document.version = 1;
-    document.services = {
-        {"s", 0, protocol::engine_terms{8, 100'000, true}, {}}};
+    document.services = {{"s", 0, protocol::engine_terms{8, 100'000, true}, {}},
+                         {"f", 0, {}, {}}};
     const auto add = [&](const char* prefix, protocol::repeat_rule rule,
-                         bool resumable) {
+                         bool resumable, const char* service = "s") {
         protocol::document_route route;
         route.name = prefix;
         route.host = "h";
@@ -37,13 +37,14 @@
         route.target_latency = 300ms;
         route.max_attempts = 2;
         route.resumable = resumable;
-        route.shares = {{"s", 1}};
+        route.shares = {{service, 1}};
         document.routes.push_back(route);
     };
     add("/safe/", protocol::repeat_rule::safe, false);
     add("/once/", protocol::repeat_rule::once, false);
     add("/stream/", protocol::repeat_rule::stream, false);
     add("/resume/", protocol::repeat_rule::stream, true);
+    add("/faulty/", protocol::repeat_rule::once, false, "f");
     protocol::organisation_terms terms;
     terms.name = "o";
     terms.keys = {"key"};
@@ -94,9 +95,14 @@
 
     void setup() override
     {
-        gateway_settings settings;
+        start_gateway({});
+    }
+
+    void start_gateway(gateway_settings settings)
+    {
         settings.name = "e";
         settings.keys_valid_for = 60s;
+        gateway_server.reset();
         core = std::make_unique<gateway_core>(
             loop, clock, settings,
             [](const std::string&) { return make_document(); });
@@ -979,6 +985,11 @@
         std::string chunk;
     };
     const std::string filler(65'536, 'x');
+    std::string interim;
+    while (interim.size() < filler.size())
+    {
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
     const auto plain = response_head("id1", "Content-Length: 9000000000\r\n");
     const auto chunked = response_head("id1", "Transfer-Encoding: chunked\r\n");
     const std::vector<unbounded_response> test_cases = {
@@ -990,6 +1001,9 @@
         {"/once/", chunked, "10000\r\n" + filler + "\r\n"},
         {"/once/", chunked + "1;", filler},
         {"/once/", chunked + "1\r\nx\r\n0\r\nA: ", filler},
+        {"/once/", "", interim},
+        {"/once/", response_head("other", "Content-Length: 9000000000\r\n"),
+         filler},
         {"/stream/", response_head("id1", "") + "id: 1\ndata: ", filler}};
     for (const auto& test_case : test_cases)
     {
@@ -1014,8 +1028,78 @@
             1s));
         // The buffer limit plus the socket buffers.
         CHECK(*sent < 16'000'000);
-        LONGS_EQUAL(0, core->buffered_bytes);
+        LONGS_EQUAL(0, core->buffered_bytes());
+    }
+}
+
+// Report of other operators: a faulty server's bytes filled the buffers, and the
+// sound responses that were under way beside it ended.
+TEST(request_flow_tests, full_buffers_end_the_largest_responses_only)
+{
+    constexpr std::size_t sound = 20;
+    constexpr std::size_t faulty = 6;
+    gateway_settings settings;
+    settings.max_buffered_bytes = 2'000'000;
+    start_gateway(settings);
+    const std::string half(20'000, 'y');
+    const auto filler = std::make_shared<const std::string>(16'384, 'x');
+    std::vector<std::shared_ptr<tests::raw_connection>> unfinished;
+    add_server([&](tests::raw_connection& connection) {
+        const auto& request = received_requests.back();
+        const auto id = request.substr(request.find("Attempt: ") + 9, 3);
+        connection.send(response_head(id, "Content-Length: 40000\r\n") + half);
+        unfinished.push_back(connection.shared_from_this());
+    });
+    add_server([&](tests::raw_connection& connection) {
+        const auto& request = received_requests.back();
+        const auto id = request.substr(request.find("Attempt: ") + 9, 3);
+        connection.send(response_head(id, ""));
+        flood(connection.shared_from_this(), filler,
+              std::make_shared<std::size_t>(0));
+    });
+    listed_servers[1].service = "f";
+    apply_configuration();
+    const auto call = [this](const char* path, std::size_t number) {
+        auto caller = tests::raw_call(loop, gateway_port);
+        caller->send(fmt::format(
+            "POST {}x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n"
+            "Hyssopdeal-Attempt: {}\r\nContent-Length: 0\r\n\r\n",
+            path, 100 + number));
+        return caller;
+    };
+    std::vector<std::shared_ptr<tests::raw_connection>> callers;
+    for (std::size_t number = 0; number < sound; ++number)
+    {
+        callers.push_back(call("/once/", number));
+    }
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return unfinished.size() == sound; }, 1s));
+    std::vector<std::shared_ptr<tests::raw_connection>> flooded;
+    for (std::size_t number = 0; number < faulty; ++number)
+    {
+        flooded.push_back(call("/faulty/", sound + number));
+    }
+    CHECK_TRUE(tests::run_until(
+        loop,
+        [&] { return core->counters.buffer_overflows.value() >= faulty - 1; },
+        1'500ms));
+    for (const auto& connection : unfinished)
+    {
+        connection->send(half);
+    }
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return gateway_server->open_requests() == 0; }, 2s));
+    loop.run_for(20ms);
+    for (const auto& caller : callers)
+    {
+        STRCMP_CONTAINS("HTTP/1.1 200", caller->received.c_str());
+        CHECK_TRUE(caller->received.ends_with(half + half));
+    }
+    for (const auto& caller : flooded)
+    {
+        STRCMP_CONTAINS("HTTP/1.1 502", caller->received.c_str());
     }
+    LONGS_EQUAL(0, core->buffered_bytes());
 }
 
 // Guards against counting any byte as activity: a stalled server that sends
