--- a/tests/cluster_process_test.cpp
+++ b/tests/cluster_process_test.cpp
@@ -370,7 +370,8 @@
         transport::http1_client client{cluster.loop, cluster.clock, {}};
 int status = 0;
 const auto call = client.fetch(
-    cluster_harness::ip(100) + ":27602", {"GET", "/", {}, ""}, 500ms,
+    cluster_harness::ip(100) + ":27602", {"GET", "/", {}, ""},
+    {.time_limit = 500ms, .relay = {}, .on_head = {}},
     [&](const auto& answer) { status = answer ? answer->status : -1; });
 (void)tests::run_until(cluster.loop, [&] { return status != 0; });
 return status;
@@ -541,7 +542,8 @@
         transport::http1_client client{cluster.loop, cluster.clock, {}};
         int status = 0;
         const auto sent = client.fetch(
-            cluster_harness::ip(100) + ":27601", {"GET", "/", {}, ""}, 500ms,
+            cluster_harness::ip(100) + ":27601", {"GET", "/", {}, ""},
+            {.time_limit = 500ms, .relay = {}, .on_head = {}},
             [&](const auto& answer) { status = answer ? answer->status : -1; });
         (void)tests::run_until(cluster.loop, [&] { return status != 0; });
         return status;
