Start no work on a relay's connection after the relay has ended

Seen: cut_off_entry_test under the address sanitizer, beside 14 busy processes: a read of a relayed connection that was complete when the relay ended asked the destroyed gateway whether it admits the target.

Cause: resetting a connection does not take back a read or an accept whose handler is queued without an error. Only a process that goes on after its gateway has ended is affected, that is the tests.

Fix: both handlers look whether their socket is still open. The test passed once afterwards, alone; the run beside load was not repeated.

--- a/src/transport/tcp_relay.cpp
+++ b/src/transport/tcp_relay.cpp
@@ -122,7 +122,8 @@
         client_.async_read_some(
             asio::buffer(to_server_.bytes),
             [self = shared_from_this()](const auto& error, std::size_t length) {
-                if (error)
+                // Closed while the read was already complete.
+                if (error || !self->client_.is_open())
                 {
                     return self->reset_both();
                 }
@@ -299,7 +300,8 @@
     acceptor.async_accept([weak = weak_from_this()](const auto& error,
                                                     tcp::socket socket) {
         const auto self = weak.lock();
-        if (!self || error == asio::error::operation_aborted)
+        if (!self || !self->acceptor.is_open() ||
+            error == asio::error::operation_aborted)
         {
             return;
         }
