Simplify: one flag of a move's request, defaults of a fetch, shared test steps

No behaviour changed. may_be_stopped_ is read only while no move is under way, so that it need not be threaded through the answer; empty members of http1_fetch_settings are their defaults; replica_test's restarts and endings and request_flow_test's senders exist once. No assertion was dropped.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -114,8 +114,7 @@
     [[nodiscard]] bool should_move() const;
     void start_move();
     void on_move_response(
-        const transport::result<transport::http_response>& response,
-        bool was_asked_before);
+        const transport::result<transport::http_response>& response);
     void on_moved_stream_closed(const transport::http1_call_end& result);
     void resume_on(const std::shared_ptr<known_server>& server);
     void on_move_refused();
@@ -217,7 +216,7 @@
     std::shared_ptr<known_server> move_source_;
     std::shared_ptr<known_server> move_target_;
     bool state_copied_ = false; ///< Whether `move_target_` has the run's state.
-    /// The source was asked to stop the current attempt and may do so.
+    /// An earlier request to stop the current attempt was not clearly declined.
     bool may_be_stopped_ = false;
     /// Handle of the stopped run that the current attempt resumes; empty: none.
     std::string moved_run_;
@@ -1351,7 +1350,6 @@
     core_.servers.permits().take(now, choice->server->listed);
     ++move_attempts_;
     move_state_ = move_state::requested;
-    const bool was_asked_before = std::exchange(may_be_stopped_, true);
     move_source_ = choice_.server;
     move_target_ = choice->server;
     ended_during_move_.reset();
@@ -1360,22 +1358,20 @@
     move_call_ = core_.client.fetch(
         move_source_->listed.address,
         Dialect::make_move(terms_.attempt_id, move_target_->listed.address),
-        {.time_limit = remaining, .relay = {}, .on_head = own_head_filter()},
+        {.time_limit = remaining, .on_head = own_head_filter()},
         // The callback owns this object, because the stream's own call may end
         // before the move does.
-        [self = this->shared_from_this(),
-         was_asked_before](const auto& response) {
+        [self = this->shared_from_this()](const auto& response) {
             if (!self->finished_)
             {
-                self->on_move_response(response, was_asked_before);
+                self->on_move_response(response);
             }
         });
 }
 
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_move_response(
-    const transport::result<transport::http_response>& response,
-    bool was_asked_before)
+    const transport::result<transport::http_response>& response)
 {
     const auto& source = move_source_->listed;
     const auto move =
@@ -1396,7 +1392,7 @@
         // The stream stays on its server, unless its response ended during the
         // request.
         move_state_ = move_state::none;
-        may_be_stopped_ = was_asked_before || !move.not_stopped;
+        may_be_stopped_ = may_be_stopped_ || !move.not_stopped;
         const auto ended = std::exchange(ended_during_move_, std::nullopt);
         return ended ? on_attempt_end(*ended) : void();
     }
--- a/include/hyssopdeal/transport/http1_client.hpp
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -106,8 +106,9 @@
 struct http1_fetch_settings
 {
     std::chrono::milliseconds time_limit{0}; ///< From now to the answer's end.
-    std::string relay;                       ///< As for a call.
-    head_filter on_head; ///< Whether an answer is this call's; empty: any is.
+    std::string relay{};                     ///< As for a call.
+    /// Whether an answer is this call's; empty: any is.
+    head_filter on_head{};
 };
 
 // [http1_call] ---------------------------------------------------------------
--- a/tests/cluster_process_test.cpp
+++ b/tests/cluster_process_test.cpp
@@ -369,10 +369,11 @@
     static int readiness(cluster_harness & cluster){
         transport::http1_client client{cluster.loop, cluster.clock, {}};
 int status = 0;
-const auto call = client.fetch(
-    cluster_harness::ip(100) + ":27602", {"GET", "/", {}, ""},
-    {.time_limit = 500ms, .relay = {}, .on_head = {}},
-    [&](const auto& answer) { status = answer ? answer->status : -1; });
+const auto call =
+    client.fetch(cluster_harness::ip(100) + ":27602", {"GET", "/", {}, ""},
+                 {.time_limit = 500ms}, [&](const auto& answer) {
+                     status = answer ? answer->status : -1;
+                 });
 (void)tests::run_until(cluster.loop, [&] { return status != 0; });
 return status;
 }
@@ -543,7 +544,7 @@
         int status = 0;
         const auto sent = client.fetch(
             cluster_harness::ip(100) + ":27601", {"GET", "/", {}, ""},
-            {.time_limit = 500ms, .relay = {}, .on_head = {}},
+            {.time_limit = 500ms},
             [&](const auto& answer) { status = answer ? answer->status : -1; });
         (void)tests::run_until(cluster.loop, [&] { return status != 0; });
         return status;
--- a/tests/fault_relay.cpp
+++ b/tests/fault_relay.cpp
@@ -34,11 +34,6 @@
     return {asio::ip::make_address(end.address), end.port};
 }
 
-} // namespace
-
-namespace
-{
-
 /// Takes length and chunks away from some of a connection's HTTP responses.
 class length_remover
 {
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -40,6 +40,11 @@
         settings.replica.kept_bytes = 20'000;
         settings.replica.max_unpersisted_bytes = 20'000;
         storage_settings.segment_bytes = 5'000;
+        restart_all();
+    }
+
+    void restart_all()
+    {
         for (const auto& [id, node] : nodes)
         {
             crash(id);
@@ -48,6 +53,29 @@
         run_for(3s);
     }
 
+    /// Lets all replicas catch up and checks what they hold.
+    void check_converges()
+    {
+        std::set<std::uint64_t> ids;
+        for (const auto& [id, node] : nodes)
+        {
+            ids.insert(id);
+        }
+        run_for(3s);
+        check_converged(ids);
+        CHECK_TRUE(faults.empty());
+    }
+
+    /// Makes room on a replica's disk again; then writes must be accepted, and
+    /// the former leader catch up.
+    void check_recovers(faulty_disk& disk, std::uint64_t former_leader)
+    {
+        disk.capacity = std::numeric_limits<std::size_t>::max();
+        CHECK_TRUE(accepts_writes_within(2s));
+        start(former_leader);
+        check_converges();
+    }
+
     /// Writes a contract whose record has about 1,000 bytes.
     bool write_large(double rate)
     {
@@ -468,9 +496,7 @@
     CHECK_TRUE(cluster.reader() != 0);
     CHECK_TRUE(cluster.write_large(1'000));
     cluster.start(leader);
-    cluster.run_for(3s);
-    cluster.check_converged({1, 2, 3});
-    CHECK_TRUE(cluster.faults.empty());
+    cluster.check_converges();
 }
 
 // Regression: a vote waited behind the records that found no room, so that
@@ -490,12 +516,7 @@
     cluster.crash(leader);
     // Nothing can be committed yet, but the leader is elected.
     CHECK_TRUE(cluster.elects_within(5s));
-    disk.capacity = std::numeric_limits<std::size_t>::max();
-    CHECK_TRUE(cluster.accepts_writes_within(2s));
-    cluster.start(leader);
-    cluster.run_for(3s);
-    cluster.check_converged({1, 2, 3});
-    CHECK_TRUE(cluster.faults.empty());
+    cluster.check_recovers(disk, leader);
 }
 
 // Regression: a partly written file took the room that smaller writes needed.
@@ -516,12 +537,7 @@
     cluster.run_for(2s);
     cluster.crash(leader);
     CHECK_TRUE(cluster.elects_within(5s));
-    disk.capacity = std::numeric_limits<std::size_t>::max();
-    CHECK_TRUE(cluster.accepts_writes_within(2s));
-    cluster.start(leader);
-    cluster.run_for(3s);
-    cluster.check_converged({1, 2, 3});
-    CHECK_TRUE(cluster.faults.empty());
+    cluster.check_recovers(disk, leader);
 }
 
 // Report of other operators: after disks had been full one after another, changes
@@ -553,9 +569,7 @@
             disk.full = false;
             CHECK_TRUE(cluster.accepts_writes_within(2s));
         }
-        cluster.run_for(3s);
-        cluster.check_converged({1, 2, 3, 4});
-        CHECK_TRUE(cluster.faults.empty());
+        cluster.check_converges();
     }
 }
 
@@ -566,12 +580,7 @@
     quiet_cluster cluster{3};
     cluster.keep_short_logs();
     cluster.settings.replica.kept_bytes = 60'000;
-    for (const auto& [id, node] : cluster.nodes)
-    {
-        cluster.crash(id);
-        cluster.start(id);
-    }
-    cluster.run_for(3s);
+    cluster.restart_all();
     const auto leader = cluster.reader();
     const std::uint64_t behind = leader == 1 ? 2 : 1;
     const auto name_of = [](int number) {
@@ -594,7 +603,5 @@
     }
     CHECK_TRUE(cluster.nodes.at(behind).machine->state().applied_index() >
                before);
-    cluster.run_for(3s);
-    cluster.check_converged({1, 2, 3});
-    CHECK_TRUE(cluster.faults.empty());
+    cluster.check_converges();
 }
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -148,12 +148,14 @@
         core->apply_orders(clock.monotonic_now(), orders);
     }
 
-    std::shared_ptr<tests::raw_connection> send(const std::string& path)
+    std::shared_ptr<tests::raw_connection> send(
+        const std::string& path, const std::string& attempt = "id1")
     {
         auto caller = tests::raw_call(loop, gateway_port);
         caller->send("POST " + path +
                      "x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n"
-                     "Hyssopdeal-Attempt: id1\r\nContent-Length: 0\r\n\r\n");
+                     "Hyssopdeal-Attempt: " +
+                     attempt + "\r\nContent-Length: 0\r\n\r\n");
         return caller;
     }
 
@@ -1059,25 +1061,18 @@
     });
     listed_servers[1].service = "f";
     apply_configuration();
-    const auto call = [this](const char* path, std::size_t number) {
-        auto caller = tests::raw_call(loop, gateway_port);
-        caller->send(fmt::format(
-            "POST {}x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n"
-            "Hyssopdeal-Attempt: {}\r\nContent-Length: 0\r\n\r\n",
-            path, 100 + number));
-        return caller;
-    };
     std::vector<std::shared_ptr<tests::raw_connection>> callers;
     for (std::size_t number = 0; number < sound; ++number)
     {
-        callers.push_back(call("/once/", number));
+        callers.push_back(send("/once/", std::to_string(100 + number)));
     }
     CHECK_TRUE(tests::run_until(
         loop, [&] { return unfinished.size() == sound; }, 1s));
     std::vector<std::shared_ptr<tests::raw_connection>> flooded;
     for (std::size_t number = 0; number < faulty; ++number)
     {
-        flooded.push_back(call("/faulty/", sound + number));
+        flooded.push_back(
+            send("/faulty/", std::to_string(100 + sound + number)));
     }
     CHECK_TRUE(tests::run_until(
         loop,
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -258,9 +258,8 @@
     const auto address = world_.operators_address(
         replicas.at(world_.drawn_below(replicas.size())));
     request.headers.push_back({"Host", address});
-    calls_.push_back(world_.client.fetch(
-        address, request, {.time_limit = patience, .relay = {}, .on_head = {}},
-        on_answer));
+    calls_.push_back(world_.client.fetch(address, request,
+                                         {.time_limit = patience}, on_answer));
 }
 
 void soak_operator::change()
