Tests: the faulty network loses no bytes that it holds back

A response from which fault_relay takes the length ended its connection when its last chunk was read, also while earlier bytes were still held: by a silence, a delay, or a write under way. Callers of the soak could then get a stream in which events were missing although no server had ended; the test would have blamed the product.

--- a/tests/fault_relay.cpp
+++ b/tests/fault_relay.cpp
@@ -203,9 +203,14 @@
                 {
                     bytes = self->lengths.take(bytes);
                     way.ended = self->lengths.ended();
+                    if (bytes.empty() && way.ended)
+                    {
+                        return way.held.empty() ? self->end(way)
+                                                : self->pump(way);
+                    }
                     if (bytes.empty())
                     {
-                        return way.ended ? self->end(way) : self->read(way);
+                        return self->read(way);
                     }
                 }
                 way.held_bytes += bytes.size();
--- a/tests/raw_peer.hpp
+++ b/tests/raw_peer.hpp
@@ -106,9 +106,14 @@
         accept();
     }
 
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return acceptor_.local_endpoint().port();
+    }
+
     [[nodiscard]] std::string address() const
     {
-        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+        return "127.0.0.1:" + std::to_string(port());
     }
 
     /// Refuses further connections, like a process that has ended.
