Soak: a stream that is resumed after its last event has no further one

Cause: the soak's servers wrote one event before they looked whether any was left, so a stream resumed after event 12 got an event 13. Entries resume there when the server is lost after the last event and before the end of its answer; since answers without a length are confirmed, and servers are killed in series, that happens more often.

--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -213,7 +213,11 @@
         one->exchange.abort();
         return end(one);
     }
-    one->exchange.write(event_text(one->next_event, one->id));
+    // A stream may be resumed after its last event.
+    if (one->next_event <= events_of_stream)
+    {
+        one->exchange.write(event_text(one->next_event, one->id));
+    }
     if (++one->next_event > events_of_stream)
     {
         one->exchange.finish();
