Complete a stream that is resumed after its last event

Callers whose server was lost between the last event and the end of its answer had their stream broken off, although they had all of it.

Cause: the stream is resumed after its last event, where the next server has nothing to add. If its answer has no length, the empty end was taken for the loss of that server, at one server after the other until the attempts were used up. The rule is older than the confirmation of such ends, which now tells the two apart: the server that resumes must still run and give its report.

A stream that was not resumed and ends without an event stays broken off (stream_closed_before_its_first_event_is_no_success).

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -1090,7 +1090,8 @@
 
 /// @return Whether a stream that its framing reports as complete has lost its
 ///     end: no event may be cut off, and one without a length that ends before
-///     its first event was ended by the loss of the server.
+///     its first event was ended by the loss of the server. One that was resumed
+///     may have had its last event before.
 template <caller_dialect Dialect>
 bool request_flow<Dialect>::stream_broken_off(
     const transport::http1_call_end& result) const
@@ -1100,8 +1101,10 @@
                            response_status_ < first_error_status;
     const bool inside_event = event_splitter_.remainder().find_first_not_of(
                                   "\r\n") != std::string::npos;
-    return is_stream &&
-           (inside_event || (result.ended_by_close && !event_received_));
+    const bool resumed =
+        !last_event_id_.empty() || !terms_.resume_after.empty();
+    return is_stream && (inside_event || (result.ended_by_close &&
+                                          !event_received_ && !resumed));
 }
 
 /// Handles a response by which the server reports that it did not run the
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -420,6 +420,31 @@
     LONGS_EQUAL(2, received_requests.size());
 }
 
+// Regression: a stream whose server was killed right after the last event was
+// broken off, as nothing was left to resume.
+TEST(request_flow_tests, stream_is_resumed_after_its_last_event)
+{
+    const auto respond = [this](tests::raw_connection& connection) {
+        const auto& request = received_requests.back();
+        if (received_requests.size() > 1)
+        {
+            connection.send(response_head("id1", ""));
+            return connection.close();
+        }
+        connection.send(response_head("id1", "") + "id: 1\ndata: a\n\n");
+        const bool first =
+            request.find("Hyssopdeal-Server: w0") != std::string::npos;
+        kill_server(first ? 0 : 1, connection);
+    };
+    add_server(respond);
+    add_server(respond);
+    apply_configuration();
+    const auto response = fetch("/resume/");
+    STRCMP_CONTAINS("data: a", response.c_str());
+    STRCMP_CONTAINS("\r\n0\r\n", response.c_str());
+    LONGS_EQUAL(2, received_requests.size());
+}
+
 // Regression: half of a body was passed on as the whole of it.
 TEST(request_flow_tests, response_of_a_killed_server_is_no_success)
 {
