Use no more than the slots of brittle servers, all entries together

Entries placed requests into the servers' queues by their own prediction and learned of a full server by its rejections, all servers at the same moment.

Change: while a server says that it is brittle, the slots of its service are dealt in turn to the entries, by the instance list, the leader's count and the entry's number, so that the sum is known without a call; nothing waits at a server; what has no slot is refused at once; a server that rejects is left alone for entries / N seconds. Reports and orders carry the word to entries that did not hear it.

Soak: servers of a service turn slow and brittle, and a burst follows. That the soak's rule fails on the code before was not run.

--- a/include/hyssopdeal/coordination/cluster/load_table.hpp
+++ b/include/hyssopdeal/coordination/cluster/load_table.hpp
@@ -42,6 +42,11 @@
         return sum_;
     }
 
+    /// Takes time proportional to the number of entries.
+    ///
+    /// @return How many entries with a current report have smaller names.
+    [[nodiscard]] std::size_t position(const std::string& entry) const;
+
     /// @return The number of entries with a current report.
     [[nodiscard]] std::size_t entries() const noexcept
     {
--- a/include/hyssopdeal/coordination/gateway/dialect.hpp
+++ b/include/hyssopdeal/coordination/gateway/dialect.hpp
@@ -84,6 +84,9 @@
     /// Text that names the requests per second that the server takes from all
     /// gateway instances together; empty if it names no limit.
     std::string rate_limit;
+    /// Text that names the requests per second that the server can reject for
+    /// want of room without falling over; empty if it is not brittle.
+    std::string withstood_rejections;
 };
 
 // [caller_dialect] -----------------------------------------------------------
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -102,7 +102,8 @@
     /// Attempts sent to servers that have named a rate limit.
     transport::counter rate_limited_first_attempts;
     transport::counter rate_limited_retries;
-    transport::counter rate_limited_refusals;  ///< No server had a permit left.
+    transport::counter rate_limited_refusals; ///< No server had a permit left.
+    transport::counter brittle_refusals; ///< No slot left on brittle servers.
     transport::counter leader_silent_refusals; ///< No answer on a quota.
     transport::counter relayed_attempts; ///< Sent through another gateway.
     transport::duration_histogram first_event;
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -22,6 +22,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <hyssopdeal/coordination/gateway/brittle_servers.hpp>
 #include <hyssopdeal/coordination/gateway/server_permits.hpp>
 #include <hyssopdeal/coordination/gateway/version_split.hpp>
 #include <hyssopdeal/protocol/follow_messages.hpp>
@@ -201,7 +202,8 @@
     /// Records a successful request and ends a backoff.
     void on_success(known_server& server);
     /// Records that a server refused a request for lack of a free slot. Pauses
-    /// the server, as it would refuse the next requests as well.
+    /// the server, as it would refuse the next requests as well; longer if it
+    /// is brittle.
     void on_full(transport::monotonic_time now, known_server& server);
     /// Records that a response announced the end of the server. This
     /// incarnation of the server gets no new requests.
@@ -229,6 +231,12 @@
                                     const std::string& service,
                                     const std::set<std::string>& tried);
 
+    /// @return Whether a server could be chosen, apart from those already
+    ///     tried, if it was not brittle.
+    [[nodiscard]] bool lacks_brittle_slot(transport::monotonic_time now,
+                                          const std::string& service,
+                                          const std::set<std::string>& tried);
+
     /// @return The running load sent by this gateway, by server id.
     [[nodiscard]] std::map<std::string, protocol::sent_load> own_load() const;
 
@@ -252,7 +260,19 @@
         return permits_;
     }
 
+    /// @return The servers that fall over if they reject many requests. choose()
+    ///     places no more on them than this gateway's share of their slots.
+    [[nodiscard]] brittle_servers& brittle() noexcept
+    {
+        return brittle_;
+    }
+    [[nodiscard]] const brittle_servers& brittle() const noexcept
+    {
+        return brittle_;
+    }
+
 private:
+    [[nodiscard]] bool has_brittle_slot(const known_server& server) const;
     /// @return Tokens of the prompt's prefix that the server probably has
     ///     cached, judging by the requests of this gateway.
     [[nodiscard]] std::uint64_t cached_tokens(transport::monotonic_time now,
@@ -276,6 +296,7 @@
     std::mt19937_64 random_;
     std::uint64_t subset_seed_; ///< Ranks servers for this gateway's subset.
     server_permits permits_;
+    brittle_servers brittle_;
     std::size_t gateway_count_ = 0; ///< With the same load reports; 0: unknown.
     struct prefill_speed
     {
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -57,6 +57,8 @@
 
     /// The load balancer sends the retry to another gateway.
     static constexpr milliseconds shutdown_retry_after{100};
+    /// Some slots of a service become free in this time.
+    static constexpr milliseconds servers_full_retry_after{400};
     /// The time limit of the relay for its own connection, and a round trip.
     static constexpr milliseconds relayed_connect_time_limit{400};
 
@@ -537,6 +539,11 @@
             return refuse(503, "servers_rate_limited",
                           core_.servers.permits().reserve_turn(now, service_));
         }
+        if (core_.servers.lacks_brittle_slot(now, service_, tried_servers_))
+        {
+            core_.counters.brittle_refusals.add();
+            return refuse(503, "servers_full", servers_full_retry_after);
+        }
         const auto pause = core_.servers.remaining_pause(now, service_);
         return refuse(503, pause ? "servers_paused" : "no_server",
                       std::min(no_server_retry_after,
@@ -865,9 +872,12 @@
     }
     // The time of the request that another response belongs to is not known.
     const bool own = response.attempt_id == terms_.attempt_id;
-    core_.servers.permits().on_response(
-        core_.clock.monotonic_now(), server.listed, response.rate_limit,
-        own ? std::optional{sent_at_} : std::nullopt);
+    const auto sent_at = own ? std::optional{sent_at_} : std::nullopt;
+    const auto now = core_.clock.monotonic_now();
+    core_.servers.permits().on_response(now, server.listed, response.rate_limit,
+                                        sent_at);
+    core_.servers.brittle().on_response(now, server.listed,
+                                        response.withstood_rejections, sent_at);
 }
 
 template <caller_dialect Dialect>
@@ -1112,7 +1122,6 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_attempt_refused()
 {
-    constexpr milliseconds servers_full_retry_after{400};
     const auto now = core_.clock.monotonic_now();
     auto& server = *choice_.server;
     if (response_terms_.other_server)
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -5,8 +5,8 @@
 /// What entries and control replicas of a cluster tell each other several
 /// times a second, and how a replica joins.
 ///
-/// Index: [versions] [crashes] [rate_limits] [relays] [report] [orders]
-///     [tokens] [joining] [encoding]
+/// Index: [versions] [crashes] [rate_limits] [brittle_services] [relays]
+///     [report] [orders] [tokens] [joining] [encoding]
 
 #include <chrono>
 #include <cstdint>
@@ -130,6 +130,21 @@
     std::int64_t permits_valid_ms = 0; ///< Since the entry sent its report.
 };
 
+// [brittle_services] ---------------------------------------------------------
+
+/// How long it counts for other entries that a server has said that it is
+/// brittle.
+constexpr std::chrono::seconds brittle_statement_lifetime{3};
+
+/// What the servers of a service said last of the requests that they can reject.
+struct brittle_service
+{
+    double rejections_per_s = 0; ///< More of them make a server fall over.
+    std::int64_t age_ms = 0;     ///< Since the response.
+};
+
+using brittle_services = std::map<std::string, brittle_service>; ///< By name.
+
 // [relays] -------------------------------------------------------------------
 
 /// What an entry tells of connections that are relayed between entries.
@@ -186,6 +201,7 @@
     leaving_servers leaving; ///< By their answers; the list shows them later.
     crash_report crashes;
     rate_limit_report rate_limits;
+    brittle_services brittle; ///< By responses to this entry.
     relay_report relay;
 };
 
@@ -235,6 +251,9 @@
     leaving_servers leaving;                    ///< By answers to any entry.
     crash_orders crashes;                       ///< Of the leader.
     rate_limit_orders rate_limits;              ///< Of the leader.
+    brittle_services brittle;                   ///< By responses to any entry.
+    /// Of the asking one, below `entries`; sent along with `brittle`.
+    std::uint32_t entry_number = 0;
     /// Relays through which the entry reaches servers when it cannot itself.
     std::vector<std::string> helpers;
 };
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -21,6 +21,7 @@
 #include <set>
 #include <string>
 
+#include <hyssopdeal/coordination/cluster/brittle_directory.hpp>
 #include <hyssopdeal/coordination/cluster/cluster_process.hpp>
 #include <hyssopdeal/coordination/cluster/crash_attribution.hpp>
 #include <hyssopdeal/coordination/cluster/load_table.hpp>
@@ -190,6 +191,7 @@
     /// ready.
     protocol::leaving_servers leaving;
     load_table loads{load_report_lifetime};
+    brittle_directory brittle;
     relay_directory relays{load_report_lifetime, transport::random_seed()};
     std::optional<share_allocator> allocator; ///< Leader only.
     permit_allocator permits;                 ///< Used on the leader only.
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -243,6 +243,7 @@
     usage.on_report(quorum_time(), *report);
     const auto load_before = loads.of(report->entry);
     loads.on_report(clock.monotonic_now(), report->entry, report->load);
+    brittle.on_report(clock.monotonic_now(), report->brittle);
     relays.on_report(clock.monotonic_now(), *report);
     on_version_reports(*report);
     on_leaving_servers(*report);
@@ -447,6 +448,12 @@
     orders.crashes = crash_orders();
     orders.rate_limits = permits.on_report(
         now, report.entry, report.rate_limits, report_interval());
+    orders.brittle = brittle.services(now);
+    if (!orders.brittle.empty())
+    {
+        orders.entry_number =
+            static_cast<std::uint32_t>(loads.position(report.entry));
+    }
     orders.helpers = relays.helpers_for(now, report);
     return orders;
 }
--- a/src/coordination/cluster/load_table.cpp
+++ b/src/coordination/cluster/load_table.cpp
@@ -3,6 +3,8 @@
 
 #include <hyssopdeal/coordination/cluster/load_table.hpp>
 
+#include <iterator>
+
 namespace hyssopdeal::coordination
 {
 
@@ -51,4 +53,10 @@
     return found == entries_.end() ? none : found->second.sent;
 }
 
+std::size_t load_table::position(const std::string& entry) const
+{
+    return static_cast<std::size_t>(
+        std::distance(entries_.begin(), entries_.lower_bound(entry)));
+}
+
 } // namespace hyssopdeal::coordination
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -204,6 +204,7 @@
     result.leaving = servers.seen_leaving();
     result.crashes = crashes.report(now);
     result.rate_limits = servers.permits().report(now);
+    result.brittle = servers.brittle().report(now);
     result.relay = {relay_address, reach.partitioned(now), reach.helpers()};
     if (purpose == report_purpose::inform_leader)
     {
@@ -370,6 +371,8 @@
     crashes.set_orders(now, orders.crashes);
     servers.permits().set_orders(sent_at, now, orders.rate_limits,
                                  orders.entries);
+    servers.brittle().set_orders(now, orders.brittle, orders.entries,
+                                 orders.entry_number);
     for (const auto& dropped : reach.set_helpers(orders.helpers))
     {
         client.forget_relay(dropped);
@@ -440,6 +443,16 @@
     total("hyssopdeal_rate_limit_refusals_total",
           counters.rate_limited_refusals,
           "Requests refused because no server took one more at that time");
+    out.family("hyssopdeal_brittle_servers", "gauge",
+               "Rejections per second after which a server of the service "
+               "falls over");
+    for (const auto& [service, per_s] : servers.brittle().services())
+    {
+        out.sample(per_s, {{"service", service}});
+    }
+    total("hyssopdeal_brittle_refusals_total", counters.brittle_refusals,
+          "Requests refused because no slot of a brittle server was left to "
+          "this entry");
     total("hyssopdeal_leader_silent_refusals_total",
           counters.leader_silent_refusals,
           "Requests refused because the leader did not answer on their quota");
--- a/src/coordination/gateway/native_dialect.cpp
+++ b/src/coordination/gateway/native_dialect.cpp
@@ -158,6 +158,7 @@
         !find_header(headers, "Content-Encoding").empty();
     metadata.leaving = find_header(headers, "Hyssopdeal-Leaving") == "1";
     metadata.rate_limit = find_header(headers, "Hyssopdeal-Rate-Limit");
+    metadata.withstood_rejections = find_header(headers, "Hyssopdeal-Brittle");
     if (status == service_unavailable)
     {
         metadata.pause =
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -89,7 +89,8 @@
       failure_domain_(std::move(failure_domain)),
       random_(seed),
       subset_seed_(random_()),
-      permits_(random_())
+      permits_(random_()),
+      brittle_(random_())
 {}
 
 // [servers] ------------------------------------------------------------------
@@ -99,6 +100,7 @@
                        monotonic_time read_at)
 {
     permits_.set_servers(servers);
+    brittle_.set_servers(servers);
     std::map<std::string, std::shared_ptr<known_server>> next;
     for (const auto& listed : servers)
     {
@@ -262,7 +264,8 @@
         return server.usable && server.listed.service == service &&
                server.paused_until <= now &&
                versions.admits(server.listed.version) &&
-               permits_.may_send(now, server.listed);
+               permits_.may_send(now, server.listed) &&
+               has_brittle_slot(server);
     };
     const auto prefix_id = shared_prefix_id(prompt);
     std::shared_ptr<known_server> affinity_server;
@@ -465,7 +468,9 @@
 
 void placement::on_full(monotonic_time now, known_server& server)
 {
-    on_pause(now, server, settings_.full_server_pause);
+    on_pause(now, server,
+             std::max(settings_.full_server_pause,
+                      brittle_.rejection_pause(server.listed)));
 }
 
 void placement::on_leaving(known_server& server)
@@ -533,6 +538,25 @@
     });
 }
 
+bool placement::lacks_brittle_slot(monotonic_time now,
+                                   const std::string& service,
+                                   const std::set<std::string>& tried)
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
+        const auto& server = *item.second;
+        return server.usable && server.listed.service == service &&
+               server.paused_until <= now && !tried.contains(item.first) &&
+               permits_.may_send(now, server.listed) &&
+               !has_brittle_slot(server);
+    });
+}
+
+bool placement::has_brittle_slot(const known_server& server) const
+{
+    return brittle_.may_send(server.listed, server.running,
+                             server.peer_load.running);
+}
+
 std::map<std::string, protocol::sent_load> placement::own_load() const
 {
     std::map<std::string, protocol::sent_load> load;
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -45,6 +45,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rate_limit_report, stated, wanted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rate_limit_orders, stated, permits,
                                    permits_valid_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(brittle_service, rejections_per_s, age_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(relay_report, address, partitioned, helpers)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_server, id, born, service, address,
                                    failure_domain, version, slots, state,
@@ -118,6 +119,10 @@
     {
         out["rate_limits"] = limits;
     }
+    if (!value.brittle.empty())
+    {
+        out["brittle"] = value.brittle;
+    }
     if (!value.relay.address.empty() || !value.relay.helpers.empty())
     {
         out["relay"] = value.relay;
@@ -148,6 +153,10 @@
     {
         from.at("rate_limits").get_to(value.rate_limits);
     }
+    if (from.contains("brittle"))
+    {
+        from.at("brittle").get_to(value.brittle);
+    }
     if (from.contains("relay"))
     {
         from.at("relay").get_to(value.relay);
@@ -176,6 +185,11 @@
     {
         out["rate_limits"] = value.rate_limits;
     }
+    if (!value.brittle.empty())
+    {
+        out["brittle"] = value.brittle;
+        out["entry_number"] = value.entry_number;
+    }
     if (!value.helpers.empty())
     {
         out["helpers"] = value.helpers;
@@ -217,6 +231,11 @@
     {
         from.at("rate_limits").get_to(value.rate_limits);
     }
+    if (from.contains("brittle"))
+    {
+        from.at("brittle").get_to(value.brittle);
+        from.at("entry_number").get_to(value.entry_number);
+    }
     if (from.contains("helpers"))
     {
         from.at("helpers").get_to(value.helpers);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -121,16 +121,22 @@
     orders.document_version = 3;
     orders.packed_document = pack_text("text");
     orders.moves["s"] = {"v2", 5, true, 0.25, 9, {"v0"}};
+    orders.brittle["s"] = {2.5, 40};
+    orders.entry_number = 6;
     const auto read = decode_entry_orders(encode(orders));
     CHECK_TRUE(read.has_value());
     STRCMP_EQUAL("text", unpack_text(*read->packed_document)->c_str());
     CHECK_TRUE(read->moves == orders.moves);
+    DOUBLES_EQUAL(2.5, read->brittle.at("s").rejections_per_s, 0);
+    CHECK_EQUAL(6, read->entry_number);
     entry_report report;
     report.wants_document = true;
     report.moves["s"].target_bad = 4;
+    report.brittle["s"] = {2.5, 40};
     const auto told = decode_entry_report(encode(report));
     CHECK_TRUE(told.has_value() && told->wants_document);
     CHECK_EQUAL(4, told->moves.at("s").target_bad);
+    CHECK_EQUAL(40, told->brittle.at("s").age_ms);
 }
 
 TEST(follow_message_tests, packed_text_that_is_damaged_is_refused)
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -7,6 +7,7 @@
 
 #include <hyssopdeal/protocol/follow_messages.hpp>
 
+#include "platform/counterpart.hpp"
 #include "platform/documents.hpp"
 #include "platform/messages.hpp"
 #include "platform/settings.hpp"
@@ -313,3 +314,14 @@
         LONGS_EQUAL(0, platform_dialect::parse_start_time(odd));
     }
 }
+
+TEST(platform_codec_tests, brittle_servers_are_told_from_others)
+{
+    using platform::platform_dialect;
+    STRCMP_EQUAL("3", platform_dialect::parse_response(
+                          503, {platform::brittle_header(3)})
+                          .withstood_rejections.c_str());
+    STRCMP_EQUAL(
+        "",
+        platform_dialect::parse_response(503, {}).withstood_rejections.c_str());
+}
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -88,7 +88,7 @@
 void soak_callers::next()
 {
     std::exponential_distribution<double> pause{
-        world_.settings.calls_per_second};
+        world_.settings.calls_per_second * world_.load_factor};
     timer_ = world_.loop.after(
         std::chrono::duration_cast<std::chrono::nanoseconds>(
             std::chrono::duration<double>{pause(world_.random)}),
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -30,7 +30,8 @@
       changes_(changes),
       rates_random_(world.settings.seed),
       refusals_random_(world.settings.seed),
-      ends_random_(world.settings.seed)
+      ends_random_(world.settings.seed),
+      brittle_random_(world.settings.seed)
 {}
 
 void soak_faults::start(std::chrono::seconds duration)
@@ -43,6 +44,7 @@
     {
         repeat_refusals();
         kill_servers();
+        make_brittle();
     }
 }
 
@@ -519,6 +521,45 @@
     }
 }
 
+/// All servers of a service are slow and brittle for some seconds; a burst comes
+/// when entries know that.
+void soak_faults::make_brittle()
+{
+    constexpr std::uint32_t withstood_per_s = 3;
+    constexpr milliseconds before_burst{5'000};
+    constexpr milliseconds burst{2'000};
+    constexpr double load_factor = 4;
+    const server_manner slow{.step = milliseconds{60}};
+    const auto services = world_.servers->services();
+    const auto service = services.at(brittle_random_() % services.size());
+    after(milliseconds{1'000 + brittle_random_() % 10'000}, [=, this] {
+        const auto servers = world_.servers->ready(service);
+        if (world_.clock.monotonic_now() >= until_ || servers.empty())
+        {
+            return;
+        }
+        ++open_;
+        world_.ledger.brittle(servers.size());
+        for (const auto server : servers)
+        {
+            world_.servers->be_brittle(server, withstood_per_s);
+            world_.servers->behave(server, slow);
+        }
+        after(before_burst, [=, this] { world_.load_factor = load_factor; });
+        after(before_burst + burst, [=, this] {
+            world_.load_factor = 1;
+            world_.ledger.brittle(0);
+            for (const auto server : servers)
+            {
+                world_.servers->be_brittle(server, 0);
+                world_.servers->behave(server, {});
+            }
+            --open_;
+            make_brittle();
+        });
+    });
+}
+
 /// One server of a service, or all of them, name a rate for some seconds.
 void soak_faults::limit_rates()
 {
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -76,6 +76,7 @@
     void limit_rates();
     void repeat_refusals();
     void kill_servers();
+    void make_brittle();
 
     bool free(fault_place place, std::size_t which) const;
 
@@ -93,6 +94,7 @@
     std::mt19937_64 rates_random_;
     std::mt19937_64 refusals_random_;
     std::mt19937_64 ends_random_;
+    std::mt19937_64 brittle_random_;
     std::list<transport::timer_handle> timers_;
 };
 
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -245,6 +245,30 @@
     }
 }
 
+void soak_ledger::brittle(std::size_t servers)
+{
+    const double allowed =
+        bounds_.falls +
+        bounds_.falls_of_servers * static_cast<double>(brittle_servers_);
+    if (static_cast<double>(falls_) > allowed)
+    {
+        broken("brittle servers are not made to fall over",
+               fmt::format("{} falls of {} servers, allowed {:.1f}", falls_,
+                           brittle_servers_, allowed));
+    }
+    brittle_servers_ = servers;
+    brittle_since_ = clock_.monotonic_now();
+    falls_ = 0;
+}
+
+void soak_ledger::fell_over()
+{
+    if (clock_.monotonic_now() >= brittle_since_ + bounds_.contact)
+    {
+        ++falls_;
+    }
+}
+
 void soak_ledger::draining(std::size_t server)
 {
     draining_since_[server] = clock_.monotonic_now();
--- a/tests/soak/soak_ledger.hpp
+++ b/tests/soak/soak_ledger.hpp
@@ -92,6 +92,8 @@
     std::chrono::milliseconds told_slack{500}; ///< From the answer that told.
     double rate_tolerance = 1.5;
     double rate_slack = 5;
+    double falls = 2; ///< In one brittle time.
+    double falls_of_servers = 0.1;
     double bad_version_share = 0.1;
     std::uint64_t bad_version_requests = 50;
 };
@@ -129,6 +131,10 @@
     /// A server names its rate in the answer to a request.
     void told_rate(const std::string& id, std::size_t server);
 
+    /// Servers of a service are brittle from now on, or no longer (0).
+    void brittle(std::size_t servers);
+    void fell_over();
+
     // Operators.
     void accepted(std::uint64_t version);
     [[nodiscard]] std::uint64_t newest_accepted() const noexcept
@@ -199,6 +205,9 @@
     std::map<std::uint64_t, std::string> holders_;
     std::uint64_t highest_token_ = 0;
     std::vector<monotonic_time> repeats_;
+    std::size_t brittle_servers_ = 0;
+    monotonic_time brittle_since_{};
+    std::size_t falls_ = 0;
     bool move_runs_ = false;
     bool move_bad_ = false;
     std::uint64_t move_all_ = 0;
--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <deque>
 #include <set>
 
 #include <fmt/format.h>
@@ -19,6 +20,7 @@
 
 constexpr std::uint32_t slots = 16;
 constexpr std::uint32_t queue = 8;
+constexpr std::uint32_t brittle_queue = 2;
 constexpr double long_part = 0.1;
 constexpr int times_long = 8;
 
@@ -51,7 +53,9 @@
     {
         protocol::listed_server listed;
         server_manner manner;
-        double rate = 0; ///< Named in each answer; 0: none.
+        double rate = 0;                   ///< Named in each answer; 0: none.
+        std::uint32_t withstood_per_s = 0; ///< Said in each answer; 0: all.
+        std::deque<transport::monotonic_time> rejections;
         bool on_list = true;
         bool runs = true;
         std::uint32_t running = 0;
@@ -88,8 +92,9 @@
     {}
 
     void answer(std::size_t at, const http1_exchange& exchange);
-    void add_rate(std::size_t at, const std::string& id,
-                  std::vector<transport::http_header>& headers);
+    void add_limits(std::size_t at, const std::string& id,
+                    std::vector<transport::http_header>& headers);
+    void reject(std::size_t at);
     void step(const std::shared_ptr<work>& one);
     void end(const std::shared_ptr<work>& one);
     void answer_platform(http1_exchange exchange);
@@ -130,7 +135,7 @@
         auto response = platform::not_run_answer(status, call.attempt_id);
         if (status != misdirected)
         {
-            add_rate(at, call.attempt_id, response.headers);
+            add_limits(at, call.attempt_id, response.headers);
         }
         copy.send(response);
     };
@@ -140,9 +145,13 @@
     }
     ledger.arrived(call.attempt_id, at,
                    !target.empty() && self.listed.version == target);
-    if (self.running >= slots + queue || drawn(self.manner.full))
+    const auto room =
+        slots + (self.withstood_per_s > 0 ? brittle_queue : queue);
+    const bool full = self.running >= room;
+    if (full || drawn(self.manner.full))
     {
-        return refuse(503);
+        refuse(503);
+        return full ? reject(at) : void();
     }
     if (call.organisation != "o")
     {
@@ -163,14 +172,14 @@
     if (drawn(self.manner.failing))
     {
         auto headers = platform::answer_headers(one->id);
-        add_rate(at, one->id, headers);
+        add_limits(at, one->id, headers);
         one->exchange.send({500, headers, "server " + one->id});
         return end(one);
     }
     if (stream)
     {
         auto headers = platform::answer_headers(one->id);
-        add_rate(at, one->id, headers);
+        add_limits(at, one->id, headers);
         headers.push_back({"Content-Type", "text/event-stream"});
         one->exchange.begin(200, headers);
     }
@@ -182,15 +191,16 @@
         if (!one->over)
         {
             auto headers = platform::answer_headers(one->id);
-            add_rate(one->at, one->id, headers);
+            add_limits(one->at, one->id, headers);
             one->exchange.send({200, headers, plain_text(one->id)});
             end(one);
         }
     });
 }
 
-void soak_servers::impl::add_rate(std::size_t at, const std::string& id,
-                                  std::vector<transport::http_header>& headers)
+void soak_servers::impl::add_limits(
+    std::size_t at, const std::string& id,
+    std::vector<transport::http_header>& headers)
 {
     const auto rate = servers.at(at)->rate;
     if (rate > 0)
@@ -198,6 +208,35 @@
         headers.push_back(platform::rate_limit_header(rate));
         ledger.told_rate(id, at);
     }
+    if (const auto withstood = servers.at(at)->withstood_per_s; withstood > 0)
+    {
+        headers.push_back(platform::brittle_header(withstood));
+    }
+}
+
+/// Counts a rejection for want of room. A server that falls over loses its
+/// connections and is back at once.
+void soak_servers::impl::reject(std::size_t at)
+{
+    auto& self = *servers.at(at);
+    const auto now = clock.monotonic_now();
+    self.rejections.push_back(now);
+    while (now - self.rejections.front() >= std::chrono::seconds{1})
+    {
+        self.rejections.pop_front();
+    }
+    if (self.withstood_per_s > 0 &&
+        self.rejections.size() > self.withstood_per_s)
+    {
+        self.rejections.clear();
+        ledger.fell_over();
+        loop.post([link = self.relay.get(), &self] {
+            if (self.relay.get() == link)
+            {
+                link->reset();
+            }
+        });
+    }
 }
 
 void soak_servers::impl::step(const std::shared_ptr<work>& one)
@@ -377,6 +416,12 @@
     impl_->ledger.named_rate(server, per_s);
 }
 
+void soak_servers::be_brittle(std::size_t server,
+                              std::uint32_t rejections_per_s)
+{
+    impl_->servers.at(server)->withstood_per_s = rejections_per_s;
+}
+
 tests::fault_relay& soak_servers::link(std::size_t server)
 {
     return *impl_->servers.at(server)->relay;
--- a/tests/soak/soak_servers.hpp
+++ b/tests/soak/soak_servers.hpp
@@ -104,6 +104,10 @@
     /// Names a rate in each answer of a server from now on; 0: none any more.
     void name_rate(std::size_t server, double per_s);
 
+    /// Lets a server fall over from now on if it rejects more requests a second
+    /// for want of room; 0: none any more.
+    void be_brittle(std::size_t server, std::uint32_t rejections_per_s);
+
     [[nodiscard]] tests::fault_relay& link(std::size_t server);
 
     /// Ends what a fault does to a server's link.
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -97,6 +97,7 @@
     transport::system_clock clock;
     std::mt19937_64 random;
     const soak_settings settings;
+    double load_factor = 1; ///< Of the calls a second.
     soak_ledger& ledger;
     transport::http1_client client;
     std::unique_ptr<soak_servers> servers;
