--- a/include/hyssopdeal/coordination/gateway/server_reach.hpp
+++ b/include/hyssopdeal/coordination/gateway/server_reach.hpp
@@ -94,6 +94,10 @@
     ///     view of them says little about them.
     [[nodiscard]] bool partitioned(transport::monotonic_time now) const;
 
+    /// @return Whether so many servers could not be reached since any was that
+    ///     this gateway is of no help to others.
+    [[nodiscard]] bool cut_off() const;
+
     /// @return Servers to connect to now, to learn whether they are reached
     ///     directly again.
     [[nodiscard]] std::vector<std::string>
@@ -108,6 +112,7 @@
 private:
     struct unreached_server
     {
+        transport::monotonic_time first_at{}; ///< It was not reached.
         transport::monotonic_time since{};
         transport::monotonic_time probed_at{};
         /// A helper did not reach it; until then it is not relayed to.
--- a/include/hyssopdeal/transport/tcp_relay.hpp
+++ b/include/hyssopdeal/transport/tcp_relay.hpp
@@ -42,7 +42,7 @@
 
 // [relay_proof] --------------------------------------------------------------
 
-/// Status of a relay's response when it does not reach the server.
+/// Status of a relay's response when it does not reach the server, but others.
 inline constexpr int relay_unreachable_status = 504;
 
 /// @return The value of the Proxy-Authorization header for a target.
@@ -59,9 +59,14 @@
     struct impl;
     /// Returns whether connections to an `IP:port` are relayed.
     using target_filter = std::function<bool(const std::string& target)>;
+    /// Is told of each attempt to connect to an `IP:port`. Returns whether this
+    /// instance reaches other servers.
+    using connect_handler =
+        std::function<bool(const std::string& target, bool connected)>;
 
+    /// @param on_connect May be empty: then others are taken to be reached.
     tcp_relay(event_loop& loop, tcp_relay_settings settings,
-              target_filter admits);
+              target_filter admits, connect_handler on_connect = {});
     tcp_relay(const tcp_relay&) = delete;
     tcp_relay& operator=(const tcp_relay&) = delete;
     ~tcp_relay();
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -88,6 +88,8 @@
     transport::result<void> listen();
     transport::result<void> listen_for_peers();
     transport::result<void> listen_for_relayed();
+    [[nodiscard]] bool on_relay_connect(const std::string& target,
+                                        bool connected);
     void probe_servers();
     std::unique_ptr<transport::http1_server>
     make_server(std::uint16_t port, std::size_t max_connections,
@@ -205,6 +207,24 @@
 }
 
 /// Other gateways reach servers through this one while it does.
+/// Learns from a relayed connection as from one of this gateway's own.
+///
+/// @return Whether this gateway reaches other servers.
+bool gateway_process::impl::on_relay_connect(const std::string& target,
+                                             bool connected)
+{
+    const auto now = clock.monotonic_now();
+    for (const auto& [id, server] : core.servers.servers())
+    {
+        if (server->listed.address == target)
+        {
+            connected ? core.reach.on_reached(now, id)
+                      : core.reach.on_unreached(now, id);
+        }
+    }
+    return !core.reach.cut_off();
+}
+
 transport::result<void> gateway_process::impl::listen_for_relayed()
 {
     if (core.settings.relay_port == 0)
@@ -219,7 +239,8 @@
     settings.shared_key = core.settings.shared_key;
     settings.source_address = core.settings.client.source_address;
     relay = std::make_unique<transport::tcp_relay>(
-        loop, settings, [this](const auto& target) {
+        loop, settings,
+        [this](const auto& target) {
             const auto now = clock.monotonic_now();
             const auto& servers = core.servers.servers();
             return std::any_of(
@@ -227,6 +248,9 @@
                     return item.second->listed.address == target &&
                            item.second->paused_until <= now;
                 });
+        },
+        [this](const auto& target, bool connected) {
+            return on_relay_connect(target, connected);
         });
     const auto port = relay->start();
     if (!port)
--- a/src/coordination/gateway/server_reach.cpp
+++ b/src/coordination/gateway/server_reach.cpp
@@ -57,6 +57,7 @@
     auto& state = unreached_[server];
     if (state.since == monotonic_time{})
     {
+        state.first_at = now;
         state.probed_at = now;
     }
     state.since = now;
@@ -75,6 +76,14 @@
                })) >= settings_.min_unreached;
 }
 
+bool server_reach::cut_off() const
+{
+    return static_cast<std::size_t>(std::count_if(
+               unreached_.begin(), unreached_.end(), [&](const auto& item) {
+                   return item.second.first_at > reached_at_;
+               })) >= settings_.min_unreached;
+}
+
 // [helpers] ------------------------------------------------------------------
 
 std::vector<std::string>
--- a/src/transport/tcp_relay.cpp
+++ b/src/transport/tcp_relay.cpp
@@ -39,10 +39,11 @@
 struct tcp_relay::impl : std::enable_shared_from_this<tcp_relay::impl>
 {
     impl(event_loop& own_loop, tcp_relay_settings own_settings,
-         target_filter filter)
+         target_filter filter, connect_handler handler)
         : loop(own_loop),
           settings(std::move(own_settings)),
           admits(std::move(filter)),
+          on_connect(std::move(handler)),
           acceptor(loop.context())
     {}
 
@@ -51,6 +52,7 @@
     event_loop& loop;
     tcp_relay_settings settings;
     target_filter admits;
+    connect_handler on_connect;
     tcp::acceptor acceptor;
     std::set<std::shared_ptr<relayed_connection>> connections;
     std::size_t open = 0; ///< Of these, connected to a server.
@@ -180,22 +182,35 @@
                   error);
         if (error)
         {
-            return refuse(relay_unreachable_status, error.message());
+            return on_unreachable(error);
         }
-        server_.async_connect(endpoint, [self = shared_from_this()](
-                                            const auto& failed) {
-            self->timer_.cancel();
-            if (!self->client_.is_open())
-            {
-                return;
-            }
-            failed ? self->refuse(relay_unreachable_status, failed.message())
-                   : self->on_connected();
-        });
+        server_.async_connect(
+            endpoint, [self = shared_from_this()](const auto& failed) {
+                self->timer_.cancel();
+                if (!self->client_.is_open())
+                {
+                    return;
+                }
+                failed ? self->on_unreachable(failed) : self->on_connected();
+            });
+    }
+
+    /// Tells a client whether to try other servers or other relays.
+    void on_unreachable(const asio::error_code& error)
+    {
+        constexpr int cut_off_status = 503;
+        const bool reaches_others =
+            !relay_->on_connect || relay_->on_connect(reader_.target(), false);
+        refuse(reaches_others ? relay_unreachable_status : cut_off_status,
+               error.message());
     }
 
     void on_connected()
     {
+        if (relay_->on_connect)
+        {
+            (void)relay_->on_connect(reader_.target(), true);
+        }
         limit_silence(server_, relay_->settings.silence_limit);
         open_ = true;
         ++relay_->open;
@@ -321,9 +336,9 @@
 }
 
 tcp_relay::tcp_relay(event_loop& loop, tcp_relay_settings settings,
-                     target_filter admits)
-    : impl_(
-          std::make_shared<impl>(loop, std::move(settings), std::move(admits)))
+                     target_filter admits, connect_handler on_connect)
+    : impl_(std::make_shared<impl>(loop, std::move(settings), std::move(admits),
+                                   std::move(on_connect)))
 {}
 
 tcp_relay::~tcp_relay()
--- a/tests/cut_off_entry_test.cpp
+++ b/tests/cut_off_entry_test.cpp
@@ -22,6 +22,7 @@
 {
 
 constexpr std::size_t gateway_count = 4;
+constexpr std::size_t max_gateways = 8;
 constexpr std::size_t server_count = 4;
 constexpr auto callers_port = cluster_harness::callers_port;
 constexpr std::uint16_t relay_port = 27'603;
@@ -33,11 +34,12 @@
 TEST_GROUP(cut_off_entry_tests)
 {
     cluster_harness cluster{3};
-    std::array<std::unique_ptr<coordination::gateway_process>, gateway_count>
+    std::array<std::unique_ptr<coordination::gateway_process>, max_gateways>
         gateways;
     std::vector<std::shared_ptr<tests::raw_listener>> servers;
-    std::array<std::vector<std::shared_ptr<raw_connection>>, gateway_count>
+    std::array<std::vector<std::shared_ptr<raw_connection>>, max_gateways>
         callers;
+    std::size_t started = 0; ///< Gateways.
     std::vector<transport::timer_handle> answers;
     std::size_t sent = 0;
     std::size_t arrived = 0;
@@ -94,9 +96,10 @@
             }));
     }
 
-    void start_gateways(std::size_t cut_off)
+    void start_gateways(std::size_t cut_off, std::size_t count = gateway_count)
     {
-        for (std::size_t index = 0; index < gateway_count; ++index)
+        started = count;
+        for (std::size_t index = 0; index < count; ++index)
         {
             auto settings = cluster.gateway_settings(index);
             settings.failure_domain = fmt::format("d{}", index / 2);
@@ -131,7 +134,7 @@
         const auto end = cluster.clock.monotonic_now() + time;
         while (cluster.clock.monotonic_now() < end)
         {
-            for (std::size_t gateway = 0; gateway < gateway_count; ++gateway)
+            for (std::size_t gateway = 0; gateway < started; ++gateway)
             {
                 send(gateway);
             }
@@ -149,6 +152,20 @@
                           }));
     }
 
+    void check_callers_are_served()
+    {
+        play(1s);
+        forget_callers();
+        play(2s);
+        loop().run_for(500ms);
+        for (std::size_t gateway = 0; gateway < started; ++gateway)
+        {
+            CHECK_COMPARE(static_cast<double>(served(gateway)), >=,
+                          0.95 *
+                              static_cast<double>(callers.at(gateway).size()));
+        }
+    }
+
     void forget_callers()
     {
         for (auto& list : callers)
@@ -176,15 +193,15 @@
 TEST(cut_off_entry_tests, callers_are_served_when_most_gateways_are_cut_off)
 {
     start_gateways(gateway_count - 1);
-    play(1s);
-    forget_callers();
-    play(2s);
-    loop().run_for(500ms);
-    for (std::size_t gateway = 0; gateway < gateway_count; ++gateway)
-    {
-        CHECK_COMPARE(static_cast<double>(served(gateway)), >=,
-                      0.95 * static_cast<double>(callers.at(gateway).size()));
-    }
+    check_callers_are_served();
+}
+
+// Regression: cut-off gateways that were each other's helpers took each other's
+// refusals for a sign that the servers are down.
+TEST(cut_off_entry_tests, one_gateway_helps_all_others)
+{
+    start_gateways(max_gateways - 1, max_gateways);
+    check_callers_are_served();
 }
 
 TEST(cut_off_entry_tests, planned_stop_of_a_helper_cuts_off_no_relayed_request)
--- a/tests/server_reach_test.cpp
+++ b/tests/server_reach_test.cpp
@@ -73,6 +73,25 @@
     CHECK_TRUE(reach.relay_for(now + 1'001ms, "w0").has_value());
 }
 
+// Guards against callers of cut-off gateways that are refused because other
+// cut-off gateways, as their helpers, reported that the servers are down.
+TEST(server_reach_tests, gateway_is_cut_off_by_servers_that_fail_after_the_last)
+{
+    reach.on_reached(now, "w0");
+    reach.on_unreached(now + 1ms, "w1");
+    CHECK_FALSE(reach.cut_off());
+    reach.on_unreached(now + 2ms, "w2");
+    CHECK_TRUE(reach.cut_off());
+    // In a partial cut others are reached.
+    reach.on_reached(now + 3ms, "w3");
+    reach.on_unreached(now + 4ms, "w1");
+    reach.on_unreached(now + 4ms, "w2");
+    CHECK_FALSE(reach.cut_off());
+    reach.on_unreached(now + 5ms, "w3");
+    reach.on_unreached(now + 5ms, "w4");
+    CHECK_TRUE(reach.cut_off());
+}
+
 TEST(server_reach_tests, failed_helper_is_paused_and_a_connected_one_preferred)
 {
     reach.on_unreached(now, "w0");
