--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -531,7 +531,7 @@
     constexpr double load_factor = 4;
     const server_manner slow{.step = milliseconds{60}};
     const auto services = world_.servers->services();
-    const auto service = services.at(brittle_random_() % services.size());
+    const auto& service = services.at(brittle_random_() % services.size());
     after(milliseconds{1'000 + brittle_random_() % 10'000}, [=, this] {
         const auto servers = world_.servers->ready(service);
         if (world_.clock.monotonic_now() >= until_ || servers.empty())
