Soak: wait for the end of a roll over all entries

Cause: entries are stopped one after the other, 0.94 s each; by their logs the 90th was stopped 84 s after the first, and the soak waited for a minute. Ruled out: a process that hung (each of the 90 ended and was started again) and a move (the stops went on to the end).

The limit is 2 s for each entry now, and a minute at least, so that it is the same as before for up to 30 entries.

--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -4,6 +4,7 @@
 
 #include <getopt.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -122,7 +123,9 @@
     {
         constexpr auto start_limit = 15s;
         constexpr auto calm_before = 2s;
-        constexpr auto faults_end_limit = 60s;
+        // Entries are stopped one after the other, about one each second.
+        const auto faults_end_limit =
+            std::max<std::chrono::seconds>(60s, 2s * world_.settings.entries);
         constexpr auto calm_after = 3s;
         world_.start();
         operator_.change();
