One log of unreadable text, for rate limits and brittleness

brittle_servers had written the throttled log line of server_permits again: one for each server and minute. Both use unreadable_text_log now. Event names stay; the text of server.unreadable_brittleness is cut at 40 characters, as that of server.unreadable_rate_limit, in place of 64.

--- a/include/hyssopdeal/coordination/gateway/brittle_servers.hpp
+++ b/include/hyssopdeal/coordination/gateway/brittle_servers.hpp
@@ -21,6 +21,7 @@
 #include <string_view>
 #include <vector>
 
+#include <hyssopdeal/coordination/gateway/unreadable_text_log.hpp>
 #include <hyssopdeal/protocol/follow_messages.hpp>
 #include <hyssopdeal/transport/clock.hpp>
 
@@ -109,8 +110,7 @@
     std::map<std::string, statement> told_; ///< By the leader, by service.
     /// The least that a server of the service withstands.
     std::map<std::string, double> services_;
-    /// When text that is not a number was logged, by server id.
-    std::map<std::string, transport::monotonic_time> unreadable_logged_at_;
+    unreadable_text_log unreadable_{"server.unreadable_brittleness"};
 };
 
 } // namespace hyssopdeal::coordination
--- a/include/hyssopdeal/coordination/gateway/server_permits.hpp
+++ b/include/hyssopdeal/coordination/gateway/server_permits.hpp
@@ -25,6 +25,7 @@
 #include <string_view>
 #include <vector>
 
+#include <hyssopdeal/coordination/gateway/unreadable_text_log.hpp>
 #include <hyssopdeal/protocol/follow_messages.hpp>
 #include <hyssopdeal/transport/clock.hpp>
 
@@ -147,8 +148,7 @@
     std::map<std::string, request_rate> rates_;     ///< By service.
     /// When the next refused request could be sent, by service.
     std::map<std::string, transport::monotonic_time> next_turns_;
-    /// When text that is not a number was logged, by server id.
-    std::map<std::string, transport::monotonic_time> unreadable_logged_at_;
+    unreadable_text_log unreadable_{"server.unreadable_rate_limit"};
     transport::monotonic_time orders_at_{};
     std::uint32_t gateways_ = 0; ///< 0: not known yet.
 };
--- a/src/coordination/gateway/brittle_servers.cpp
+++ b/src/coordination/gateway/brittle_servers.cpp
@@ -57,9 +57,7 @@
         slots_before_[id] = total;
         total += slots_of(*server);
     }
-    std::erase_if(unreadable_logged_at_, [this](const auto& item) {
-        return !slots_before_.contains(item.first);
-    });
+    unreadable_.keep(slots_before_);
 }
 
 void brittle_servers::on_response(monotonic_time now,
@@ -67,8 +65,6 @@
                                   std::string_view text,
                                   std::optional<monotonic_time> sent_at)
 {
-    constexpr std::chrono::minutes unreadable_log_interval{1};
-    constexpr std::size_t max_logged_text = 64;
     if (services_.empty() && text.empty())
     {
         return;
@@ -95,15 +91,7 @@
             now};
         return update_services(now);
     }
-    const auto [logged, first] =
-        unreadable_logged_at_.try_emplace(server.id, now);
-    if (first || now - logged->second >= unreadable_log_interval)
-    {
-        logged->second = now;
-        log_event("server.unreadable_brittleness",
-                  {{"server", server.id},
-                   {"named", text.substr(0, max_logged_text)}});
-    }
+    unreadable_.add(now, server.id, text);
 }
 
 bool brittle_servers::may_send(const protocol::listed_server& server,
--- a/src/coordination/gateway/server_permits.cpp
+++ b/src/coordination/gateway/server_permits.cpp
@@ -54,9 +54,7 @@
         return listed == services_.end() ||
                listed->second.born != item.second.born;
     });
-    std::erase_if(unreadable_logged_at_, [this](const auto& item) {
-        return !services_.contains(item.first);
-    });
+    unreadable_.keep(services_);
 }
 
 // [requests] -----------------------------------------------------------------
@@ -176,8 +174,6 @@
                                  std::string_view text,
                                  std::optional<monotonic_time> sent_at)
 {
-    constexpr std::chrono::minutes unreadable_log_interval{1};
-    constexpr std::size_t max_logged_text = 40;
     const auto listed = services_.find(server.id);
     if (listed == services_.end() || listed->second.born != server.born)
     {
@@ -199,15 +195,7 @@
                       std::clamp(*limit, min_limit_per_s, max_limit_per_s), now,
                       "response");
     }
-    const auto [logged, first] =
-        unreadable_logged_at_.try_emplace(server.id, now);
-    if (first || now - logged->second >= unreadable_log_interval)
-    {
-        logged->second = now;
-        log_event("server.unreadable_rate_limit",
-                  {{"server", server.id},
-                   {"named", text.substr(0, max_logged_text)}});
-    }
+    unreadable_.add(now, server.id, text);
 }
 
 void server_permits::record(monotonic_time now, const std::string& id,
