Simplify: one predicate for candidates, no copy of an attempt's relay

placement asked three times in the same words whether a server may be used now. request_flow kept the relay of an attempt beside the settings that hold it, and asked twice whether an attempt is still the current one. A comment of gateway_process stood above another function than its own. No behaviour is meant to change.

--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -272,6 +272,15 @@
     }
 
 private:
+    /// @return Whether the server is one of the service and may be used now,
+    ///     as far as permits and slots are not concerned.
+    [[nodiscard]] static bool is_candidate(transport::monotonic_time now,
+                                           const known_server& server,
+                                           const std::string& service)
+    {
+        return server.usable && server.listed.service == service &&
+               server.paused_until <= now;
+    }
     [[nodiscard]] bool has_brittle_slot(const known_server& server) const;
     /// @return Tokens of the prompt's prefix that the server probably has
     ///     cached, judging by the requests of this gateway.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -95,6 +95,11 @@
     void check_path(const transport::http1_call_settings& path);
     void check_server(const transport::http1_call_settings& path);
     void on_path_failed(const transport::http1_call_settings& path);
+    /// @return Whether the attempt with a number is under way.
+    [[nodiscard]] bool is_current(std::uint32_t attempt) const
+    {
+        return !finished_ && attempt_active_ && delivered_attempts_ == attempt;
+    }
     [[nodiscard]] static transport::head_filter own_head_filter();
     void on_complete_response();
     [[nodiscard]] bool
@@ -173,7 +178,6 @@
     // Current attempt, and timing of the request.
     transport::http1_call attempt_call_;
     placement_choice choice_;
-    std::string relay_; ///< Through which the attempt was sent; empty: none.
     transport::http1_call_settings call_settings_;
     transport::http1_call liveness_call_;
     bool opened_connection_ = false; ///< The attempt began without one.
@@ -677,22 +681,20 @@
     const auto& server = choice_.server->listed;
     auto settings = make_call_settings();
     opened_connection_ = !core_.client.keeps(server.address, settings.max_idle);
-    relay_.clear();
     if (opened_connection_)
     {
-        relay_ = core_.reach
-                     .relay_for(core_.clock.monotonic_now(), server.id,
-                                [&](const auto& relay) {
-                                    return core_.client.keeps(server.address,
-                                                              settings.max_idle,
-                                                              relay);
-                                })
-                     .value_or("");
+        settings.relay =
+            core_.reach
+                .relay_for(core_.clock.monotonic_now(), server.id,
+                           [&](const auto& relay) {
+                               return core_.client.keeps(
+                                   server.address, settings.max_idle, relay);
+                           })
+                .value_or("");
     }
-    if (!relay_.empty())
+    if (!settings.relay.empty())
     {
         core_.counters.relayed_attempts.add();
-        settings.relay = relay_;
         settings.connect_time_limit = relayed_connect_time_limit;
     }
     return settings;
@@ -704,13 +706,13 @@
 {
     const auto now = core_.clock.monotonic_now();
     const auto& id = choice_.server->listed.id;
-    if (relay_.empty())
+    if (call_settings_.relay.empty())
     {
         core_.reach.on_unreached(now, id);
     }
     else if (relay_failed)
     {
-        core_.reach.on_helper_failed(now, relay_);
+        core_.reach.on_helper_failed(now, call_settings_.relay);
     }
     else
     {
@@ -810,7 +812,7 @@
 {
     constexpr int first_error_status = 300;
     const auto response = Dialect::parse_response(status, response_headers);
-    if (opened_connection_ && relay_.empty())
+    if (opened_connection_ && call_settings_.relay.empty())
     {
         core_.reach.on_reached(core_.clock.monotonic_now(),
                                choice_.server->listed.id);
@@ -975,8 +977,7 @@
     core_.client.check_path(choice_.server->listed.address, path,
                             [self = this->shared_from_this(), path,
                              attempt = delivered_attempts_](bool runs) {
-                                if (!self->finished_ && self->attempt_active_ &&
-                                    self->delivered_attempts_ == attempt)
+                                if (self->is_current(attempt))
                                 {
                                     runs ? self->check_server(path)
                                          : self->on_path_failed(path);
@@ -1007,8 +1008,7 @@
          .on_head = own_head_filter()},
         [self = this->shared_from_this(), path,
          attempt = delivered_attempts_](const auto& response) {
-            if (self->finished_ || !self->attempt_active_ ||
-                self->delivered_attempts_ != attempt)
+            if (!self->is_current(attempt))
             {
                 return;
             }
@@ -1211,7 +1211,7 @@
                           {"had_event", event_received_},
                           {"prompt_parts", format_parts(terms_.size)},
                           {"digest", fmt::format("{:x}", content_->digest)},
-                          {"relay", relay_},
+                          {"relay", call_settings_.relay},
                           {"server_running", running_before},
                           {"server_state", server_state_name(server)},
                           {"heard_ago_ms", now - server.last_heard},
@@ -1718,7 +1718,7 @@
          {"organisation", organisation_},
          {"document", route_table_ ? route_table_->document().version : 0},
          {"server", choice_.server ? choice_.server->listed.id : ""},
-         {"relay", relay_},
+         {"relay", call_settings_.relay},
          {"predicted_ms", choice_.predicted},
          {"first_event_ms", time_to_first_event_},
          {"sent_after_ms", time_to_first_attempt_},
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -206,7 +206,6 @@
     return port ? transport::result<void>{} : tl::make_unexpected(port.error());
 }
 
-/// Other gateways reach servers through this one while it does.
 /// Learns from a relayed connection as from one of this gateway's own.
 ///
 /// @return Whether this gateway reaches other servers.
@@ -225,6 +224,7 @@
     return !core.reach.cut_off();
 }
 
+/// Other gateways reach servers through this one while it does.
 transport::result<void> gateway_process::impl::listen_for_relayed()
 {
     if (core.settings.relay_port == 0)
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -261,8 +261,7 @@
                   const version_choice& versions)
 {
     const auto eligible = [&](const known_server& server) {
-        return server.usable && server.listed.service == service &&
-               server.paused_until <= now &&
+        return is_candidate(now, server, service) &&
                versions.admits(server.listed.version) &&
                permits_.may_send(now, server.listed) &&
                has_brittle_slot(server);
@@ -532,8 +531,8 @@
 {
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
         const auto& server = *item.second;
-        return server.usable && server.listed.service == service &&
-               server.paused_until <= now && !tried.contains(item.first) &&
+        return is_candidate(now, server, service) &&
+               !tried.contains(item.first) &&
                !permits_.may_send(now, server.listed);
     });
 }
@@ -544,8 +543,8 @@
 {
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
         const auto& server = *item.second;
-        return server.usable && server.listed.service == service &&
-               server.paused_until <= now && !tried.contains(item.first) &&
+        return is_candidate(now, server, service) &&
+               !tried.contains(item.first) &&
                permits_.may_send(now, server.listed) &&
                !has_brittle_slot(server);
     });
