Tests: shared steps for gateways, attempt ids and resumed streams

Five test programs made a gateway and read the attempt's id from a head in the same words; the harness does both now. Two tests of resumed streams differed in one string. All assertions stay as they were.

--- a/tests/brittle_service_test.cpp
+++ b/tests/brittle_service_test.cpp
@@ -67,11 +67,7 @@
         for (std::size_t index = 0; index < gateway_count; ++index)
         {
             gateways.at(index) =
-                std::make_unique<coordination::gateway_process>(
-                    loop(), cluster.clock, cluster.gateway_settings(index),
-                    tests::read_test_document,
-                    coordination::make_request_handler<
-                        coordination::native_dialect>());
+                cluster.make_gateway(cluster.gateway_settings(index));
             CHECK_TRUE(gateways.at(index)->start().has_value());
         }
         loop().run_for(1'500ms);
@@ -103,10 +99,8 @@
                 if (connection.received.find("\r\n\r\n") != std::string::npos)
                 {
                     const auto head = std::exchange(connection.received, {});
-                    const auto id = head.find("Hyssopdeal-Attempt: ") + 20;
-                    take(servers.at(index),
-                         {connection.shared_from_this(),
-                          head.substr(id, head.find('\r', id) - id)});
+                    take(servers.at(index), {connection.shared_from_this(),
+                                             tests::attempt_in(head)});
                 }
             });
         auto listed = tests::listed(fmt::format("w{}", index));
--- a/tests/cluster_harness.hpp
+++ b/tests/cluster_harness.hpp
@@ -77,6 +77,14 @@
     return document;
 }
 
+/// @return The id of the attempt in a request's head.
+inline std::string attempt_in(const std::string& head)
+{
+    const std::string name = "Hyssopdeal-Attempt: ";
+    const auto id = head.find(name) + name.size();
+    return head.substr(id, head.find('\r', id) - id);
+}
+
 /// A ready server of the service `s`.
 inline protocol::listed_server listed(const std::string& id)
 {
@@ -153,6 +161,15 @@
         return settings;
     }
 
+    /// @return A gateway for callers of the native dialect, not started yet.
+    [[nodiscard]] std::unique_ptr<coordination::gateway_process>
+    make_gateway(const coordination::gateway_settings& settings)
+    {
+        return std::make_unique<coordination::gateway_process>(
+            loop, clock, settings, read_test_document,
+            coordination::make_request_handler<coordination::native_dialect>());
+    }
+
     void start(std::size_t index, coordination::cluster_start how)
     {
         coordination::cluster_settings settings;
--- a/tests/crash_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -100,10 +100,7 @@
     std::unique_ptr<coordination::gateway_process> start_gateway(
         std::size_t index)
     {
-        auto gateway = std::make_unique<coordination::gateway_process>(
-            loop(), cluster.clock, cluster.gateway_settings(index),
-            tests::read_test_document,
-            coordination::make_request_handler<coordination::native_dialect>());
+        auto gateway = cluster.make_gateway(cluster.gateway_settings(index));
         CHECK_TRUE(gateway->start().has_value());
         return gateway;
     }
@@ -139,11 +136,9 @@
         {
             reached.push_back(cluster.clock.monotonic_now());
         }
-        const auto id = head.find("Hyssopdeal-Attempt: ") + 20;
         answers.push_back(loop().after(
             time_to_first_event,
-            [this, index, crashing,
-             attempt = head.substr(id, head.find('\r', id) - id),
+            [this, index, crashing, attempt = tests::attempt_in(head),
              open = connection.shared_from_this()] {
                 if (open->closed)
                 {
--- a/tests/cut_off_entry_test.cpp
+++ b/tests/cut_off_entry_test.cpp
@@ -85,10 +85,9 @@
     void answer(raw_connection & connection, const std::string& head)
     {
         ++arrived;
-        const auto id = head.find("Hyssopdeal-Attempt: ") + 20;
-        answers.push_back(loop().after(
-            response_time, [attempt = head.substr(id, head.find('\r', id) - id),
-                            open = connection.shared_from_this()] {
+        answers.push_back(
+            loop().after(response_time, [attempt = tests::attempt_in(head),
+                                         open = connection.shared_from_this()] {
                 open->send(fmt::format(
                     "HTTP/1.1 200 OK\r\nHyssopdeal-Attempt: {}\r\n"
                     "Content-Length: 19\r\n\r\nid: 1\ndata: whole\n\n",
@@ -108,11 +107,7 @@
             settings.client.source_address =
                 index < cut_off ? unusable_source : "";
             settings.grace = 4s;
-            gateways.at(index) =
-                std::make_unique<coordination::gateway_process>(
-                    loop(), cluster.clock, settings, tests::read_test_document,
-                    coordination::make_request_handler<
-                        coordination::native_dialect>());
+            gateways.at(index) = cluster.make_gateway(settings);
             CHECK_TRUE(gateways.at(index)->start().has_value());
         }
         loop().run_for(1'500ms);
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -22,11 +22,9 @@
 
 std::string not_executed(const std::string& request)
 {
-    const auto id = request.find("Hyssopdeal-Attempt: ") + 20;
     return "HTTP/1.1 503 Full\r\nHyssopdeal-Verdict: not_run\r\n"
            "Hyssopdeal-Attempt: " +
-           request.substr(id, request.find('\r', id) - id) +
-           "\r\nContent-Length: 0\r\n\r\n";
+           tests::attempt_in(request) + "\r\nContent-Length: 0\r\n\r\n";
 }
 
 } // namespace
@@ -74,9 +72,7 @@
         CHECK_TRUE(cluster.put(0, "1:prompts"));
         auto settings = cluster.gateway_settings();
         settings.grace = grace;
-        gateway = std::make_unique<coordination::gateway_process>(
-            loop(), cluster.clock, settings, tests::read_test_document,
-            coordination::make_request_handler<coordination::native_dialect>());
+        gateway = cluster.make_gateway(settings);
         CHECK_TRUE(gateway->start().has_value());
         loop().run_for(1'500ms);
     }
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -221,6 +221,27 @@
         connection.close();
     }
 
+    /// Adds two servers. The first that gets the stream is killed after its
+    /// first event; the other one resumes it with some bytes.
+    void add_servers_that_resume_with(const std::string& bytes)
+    {
+        const auto respond = [this, bytes](tests::raw_connection& connection) {
+            const auto& request = received_requests.back();
+            if (received_requests.size() > 1)
+            {
+                connection.send(response_head("id1", "") + bytes);
+                return connection.close();
+            }
+            connection.send(response_head("id1", "") + "id: 1\ndata: a\n\n");
+            const bool first =
+                request.find("Hyssopdeal-Server: w0") != std::string::npos;
+            kill_server(first ? 0 : 1, connection);
+        };
+        add_server(respond);
+        add_server(respond);
+        apply_configuration();
+    }
+
     /// @return A server that is killed after it has sent some bytes of a
     ///     response without a length.
     server_script be_killed_after(const std::string& bytes)
@@ -398,21 +419,7 @@
 
 TEST(request_flow_tests, stream_of_a_killed_server_is_resumed)
 {
-    const auto respond = [this](tests::raw_connection& connection) {
-        const auto& request = received_requests.back();
-        if (received_requests.size() > 1)
-        {
-            connection.send(response_head("id1", "") + "id: 2\ndata: b\n\n");
-            return connection.close();
-        }
-        connection.send(response_head("id1", "") + "id: 1\ndata: a\n\n");
-        const bool first =
-            request.find("Hyssopdeal-Server: w0") != std::string::npos;
-        kill_server(first ? 0 : 1, connection);
-    };
-    add_server(respond);
-    add_server(respond);
-    apply_configuration();
+    add_servers_that_resume_with("id: 2\ndata: b\n\n");
     const auto response = fetch("/resume/");
     STRCMP_CONTAINS("data: a", response.c_str());
     STRCMP_CONTAINS("data: b", response.c_str());
@@ -424,21 +431,7 @@
 // broken off, as nothing was left to resume.
 TEST(request_flow_tests, stream_is_resumed_after_its_last_event)
 {
-    const auto respond = [this](tests::raw_connection& connection) {
-        const auto& request = received_requests.back();
-        if (received_requests.size() > 1)
-        {
-            connection.send(response_head("id1", ""));
-            return connection.close();
-        }
-        connection.send(response_head("id1", "") + "id: 1\ndata: a\n\n");
-        const bool first =
-            request.find("Hyssopdeal-Server: w0") != std::string::npos;
-        kill_server(first ? 0 : 1, connection);
-    };
-    add_server(respond);
-    add_server(respond);
-    apply_configuration();
+    add_servers_that_resume_with("");
     const auto response = fetch("/resume/");
     STRCMP_CONTAINS("data: a", response.c_str());
     STRCMP_CONTAINS("\r\n0\r\n", response.c_str());
--- a/tests/server_rate_limit_test.cpp
+++ b/tests/server_rate_limit_test.cpp
@@ -93,10 +93,8 @@
 
     void start_gateway(std::size_t index)
     {
-        gateways.at(index) = std::make_unique<coordination::gateway_process>(
-            loop(), cluster.clock, cluster.gateway_settings(index),
-            tests::read_test_document,
-            coordination::make_request_handler<coordination::native_dialect>());
+        gateways.at(index) =
+            cluster.make_gateway(cluster.gateway_settings(index));
         CHECK_TRUE(gateways.at(index)->start().has_value());
     }
 
@@ -123,11 +121,9 @@
         constexpr auto time_to_first_event = 30ms;
         auto& item = servers.at(index);
         item.arrivals.push_back(now());
-        const auto id = head.find("Hyssopdeal-Attempt: ") + 20;
         answers.push_back(loop().after(
             time_to_first_event,
-            [limit = item.limit,
-             attempt = head.substr(id, head.find('\r', id) - id),
+            [limit = item.limit, attempt = tests::attempt_in(head),
              open = connection.shared_from_this()] {
                 open->send(fmt::format(
                     "HTTP/1.1 200 OK\r\nHyssopdeal-Attempt: {}\r\n{}"
