Soak: hold signals to a process back until it takes them

A signal that arrives before the first instruction of a program ends it, whatever the program does. Change: processes of the soak start with SIGTERM, SIGINT and SIGHUP blocked, which the program unblocks when its handlers stand. That the program itself holds signals back while it starts stays tested by platform_process_test.

--- a/tests/process_group.cpp
+++ b/tests/process_group.cpp
@@ -42,6 +42,21 @@
     ::_exit(not_started);
 }
 
+/// @return The signals that tell a program to stop or to read its settings.
+const sigset_t& stop_signals()
+{
+    static const sigset_t signals = [] {
+        sigset_t set;
+        sigemptyset(&set);
+        for (const int number : {SIGTERM, SIGINT, SIGHUP})
+        {
+            sigaddset(&set, number);
+        }
+        return set;
+    }();
+    return signals;
+}
+
 } // namespace
 
 process_group::process_group()
@@ -95,11 +110,15 @@
         environment.push_back(added.back().data());
     }
     environment.push_back(nullptr);
+    sigset_t before;
+    pthread_sigmask(SIG_BLOCK, hold_signals_ ? &stop_signals() : nullptr,
+                    &before);
     const int id = ::fork();
     if (id == 0)
     {
         become(file, log, pointers, environment);
     }
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
     running_[name] = id;
 }
 
--- a/tests/process_group.hpp
+++ b/tests/process_group.hpp
@@ -26,6 +26,15 @@
     process_group& operator=(const process_group&) = delete;
     ~process_group();
 
+    /// Lets signals to programs that are started from now on wait until the
+    /// program takes them. Without it a signal that arrives before the first
+    /// instruction of the program ends the process, which no program can
+    /// prevent.
+    void hold_signals_at_start() noexcept
+    {
+        hold_signals_ = true;
+    }
+
     /// Starts a program of the build folder; its output goes into the folder.
     ///
     /// @param variables Of its environment, beside those of this process.
@@ -71,6 +80,7 @@
     std::string folder_;
     std::map<std::string, int> running_; ///< Ids by name.
     bool keep_folder_ = false;
+    bool hold_signals_ = false;
 };
 
 } // namespace hyssopdeal::tests
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -66,6 +66,7 @@
       ledger(own_ledger),
       client(loop, clock, {})
 {
+    group_.hold_signals_at_start();
     servers = std::make_unique<soak_servers>(
         loop, clock, ledger, own.seed,
         [](std::size_t number, bool seen) {
