Evacuate failure domains by an operator's order

Operators could not keep requests away from a domain that is about to be lost: entries noticed only when its servers announced their end or broke, and the planner went on ordering there.

POST and DELETE /api/evacuation/ZONE at any replica put a command into the replicated log and are acknowledged after the commit. The state holds the set of domains and a revision that each change raises. Every replica sends both with its answers to reports; an entry keeps the set with the highest revision, so that a replica that lags behind reverts nothing. placement skips the domains' servers for first attempts, retries, relayed attempts and the targets of moves. A moved run that would resume in such a domain is handled as one whose server did not resume it. The check whether an untried server is left for a retry or a failover compared two counts, which would be wrong once evacuated servers are left out of one of them; it now looks for such a server.

The capacity planner orders nothing in evacuated domains, does not count their servers, and keeps the total of all domains. For peak_window after the last evacuation it lowers no numbers, because the servers that return may be cold.

Measured: evacuation_test, cluster_decisions_test, operators_api_test, platform_codec_test, cluster_process_test, request_flow_test, gateway_decisions_test, layers_test and platform_boundary_test pass, each run once. The whole suite was not run.

--- a/include/hyssopdeal/coordination/cluster/capacity_planner.hpp
+++ b/include/hyssopdeal/coordination/cluster/capacity_planner.hpp
@@ -17,6 +17,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -98,12 +99,15 @@
     ///
     /// @param servers The platform's instance list.
     /// @param running Concurrent requests at all servers, by service.
+    /// @param evacuated Domains without orders, whose servers do not count; the
+    ///     others are to carry all load.
     /// @return Orders to send now; pass the outcome of each to on_answer().
     [[nodiscard]] std::vector<capacity_order>
     step(transport::monotonic_time now,
          const std::vector<protocol::document_service>& services,
          const std::vector<protocol::listed_server>& servers,
-         const std::map<std::string, double>& running);
+         const std::map<std::string, double>& running,
+         const std::set<std::string>& evacuated = {});
 
     void on_answer(transport::monotonic_time now, const capacity_order& order,
                    order_outcome outcome);
@@ -113,7 +117,8 @@
     void watch(transport::monotonic_time now,
                const std::vector<protocol::document_service>& services,
                const std::vector<protocol::listed_server>& servers,
-               const std::map<std::string, double>& running);
+               const std::map<std::string, double>& running,
+               const std::set<std::string>& evacuated = {});
 
 private:
     /// The latest order for one kind of server in one domain.
@@ -142,6 +147,7 @@
     void plan(transport::monotonic_time now,
               const protocol::document_service& service,
               const counts_by_domain& ready, double running,
+              const std::set<std::string>& evacuated,
               std::vector<capacity_order>& orders);
     [[nodiscard]] std::uint32_t
     initial_server_floor(transport::monotonic_time now,
@@ -176,6 +182,9 @@
     std::map<std::string, order_state> order_states_; ///< By service, domain,
                                                       ///< kind.
     std::map<std::string, load_history> load_histories_; ///< By service.
+    /// No numbers are lowered until then: servers of a domain whose evacuation
+    /// has ended may still be cold.
+    transport::monotonic_time keep_until_{};
 };
 
 } // namespace hyssopdeal::coordination
--- a/include/hyssopdeal/coordination/cluster/cluster_process.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_process.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,9 @@
 {
     std::string name; ///< Instance name.
     std::string failure_domain;
+    /// Failure domains of the deployment; those of the instance list are known
+    /// besides.
+    std::set<std::string> known_domains;
     std::string address;             ///< IP address.
     std::string link_listen_address; ///< Replica links; empty: `address`.
     std::uint16_t hub_port = 0;      ///< The same on all instances.
@@ -146,6 +150,9 @@
     /// Replaces the seeds; later join requests go to the new ones.
     void set_seeds(std::vector<std::string> seeds);
 
+    /// Replaces `cluster_settings::known_domains`.
+    void set_known_domains(std::set<std::string> domains);
+
     /// Replicates a document and puts it in force in the whole cluster. An
     /// invalid document is refused with `bad_request`. A version that is not
     /// higher than the one in force succeeds and changes nothing.
@@ -162,6 +169,13 @@
     void read_rollout(const std::string& service,
                       const rollout_callback& on_done);
 
+    /// Begins or ends the evacuation of a failure domain: its servers get no
+    /// more requests, and no servers are ordered there. An order that is in
+    /// force already succeeds. Fails with `not_found` if there is no such
+    /// domain.
+    void put_evacuation(const std::string& domain, bool evacuated,
+                        const result_callback& on_done);
+
     /// Transfers leadership if this replica leads. Calls back once it no longer
     /// leads, or after 1.5 s.
     void drain(std::function<void()> on_drained);
--- a/include/hyssopdeal/coordination/cluster/cluster_state.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_state.hpp
@@ -4,8 +4,8 @@
 /// @file
 /// The replicated state of a cluster: the configuration document, the decided
 /// usage counts, the rollouts of service versions, the entries that may hold
-/// quota shares, and the prompts that are quarantined because they crash
-/// servers. Deterministic: all times are taken from the commands.
+/// quota shares, the prompts that are quarantined because they crash servers,
+/// and the evacuated failure domains. Deterministic: all times are taken from the commands.
 ///
 /// Index: [commands] [cluster_state]
 
@@ -97,10 +97,19 @@
     protocol::part_ids parts;
 };
 
+/// Begins or ends the evacuation of a failure domain.
+struct put_evacuation_command
+{
+    std::string domain;
+    bool evacuated = false;
+    std::int64_t at_ms = 0; ///< True time of the order, Unix ms.
+};
+
 using cluster_command =
     std::variant<put_document_command, decide_usage_command,
                  put_rollout_command, set_entries_command,
-                 put_quarantine_command, lift_quarantine_command>;
+                 put_quarantine_command, lift_quarantine_command,
+                 put_evacuation_command>;
 
 /// @return Whether a quarantine is in force.
 [[nodiscard]] bool in_force(const quarantine_record& record,
@@ -163,6 +172,20 @@
         return quarantines_;
     }
 
+    /// @return When each evacuated failure domain was ordered to be evacuated,
+    ///     in true time, Unix ms.
+    [[nodiscard]] const std::map<std::string, std::int64_t>&
+    evacuations() const noexcept
+    {
+        return evacuations_;
+    }
+
+    /// @return Number of changes of the set of evacuated domains.
+    [[nodiscard]] std::uint64_t evacuation_revision() const noexcept
+    {
+        return evacuation_revision_;
+    }
+
     [[nodiscard]] std::string encode_snapshot() const;
 
     /// @return `corrupt` if the bytes cannot be decoded; the state is then
@@ -177,6 +200,7 @@
     void apply_command(const set_entries_command& command);
     void apply_command(const put_quarantine_command& command);
     void apply_command(const lift_quarantine_command& command);
+    void apply_command(const put_evacuation_command& command);
 
     std::uint64_t document_version_ = 0;
     std::string document_;
@@ -184,6 +208,8 @@
     std::map<std::string, rollout_record> rollouts_; ///< By service.
     std::set<std::string> entries_;
     std::map<protocol::part_ids, quarantine_record> quarantines_;
+    std::map<std::string, std::int64_t> evacuations_; ///< By domain.
+    std::uint64_t evacuation_revision_ = 0;
 };
 
 } // namespace hyssopdeal::coordination
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -105,6 +105,7 @@
     transport::counter rate_limited_refusals; ///< No server had a permit left.
     transport::counter brittle_refusals; ///< No slot left on brittle servers.
     transport::counter leader_silent_refusals; ///< No answer on a quota.
+    transport::counter evacuation_refusals;    ///< All servers are evacuated.
     transport::counter relayed_attempts; ///< Sent through another gateway.
     transport::duration_histogram first_event;
     transport::duration_histogram whole_answer;
@@ -300,6 +301,7 @@
 private:
     void apply_document(protocol::entry_orders& orders);
     void apply_server_list(protocol::entry_orders& orders);
+    void apply_evacuations(const protocol::entry_orders& orders);
     void apply_leader_orders(transport::monotonic_time sent_at,
                              const protocol::entry_orders& orders);
     void finish_start_waits();
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -22,6 +22,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <hyssopdeal/coordination/evacuation/evacuated_domains.hpp>
 #include <hyssopdeal/coordination/gateway/brittle_servers.hpp>
 #include <hyssopdeal/coordination/gateway/server_permits.hpp>
 #include <hyssopdeal/coordination/gateway/version_split.hpp>
@@ -240,8 +241,13 @@
     /// @return The running load sent by this gateway, by server id.
     [[nodiscard]] std::map<std::string, protocol::sent_load> own_load() const;
 
-    /// @return The number of usable servers of a service.
-    [[nodiscard]] std::size_t usable(const std::string& service) const;
+    /// @return Whether a usable server of a service is left that was not tried.
+    [[nodiscard]] bool has_untried(const std::string& service,
+                                   const std::set<std::string>& tried) const;
+
+    /// @return Whether a service has usable servers, but all in evacuated
+    ///     domains.
+    [[nodiscard]] bool all_evacuated(const std::string& service) const;
 
     [[nodiscard]] const std::map<std::string, std::shared_ptr<known_server>>&
     servers() const noexcept
@@ -271,15 +277,31 @@
         return brittle_;
     }
 
+    /// @return The failure domains whose servers choose() skips.
+    [[nodiscard]] evacuated_domains& evacuated() noexcept
+    {
+        return evacuated_;
+    }
+    [[nodiscard]] const evacuated_domains& evacuated() const noexcept
+    {
+        return evacuated_;
+    }
+
 private:
+    /// @return Whether the server is one of the service and may get requests.
+    [[nodiscard]] bool is_usable(const known_server& server,
+                                 const std::string& service) const
+    {
+        return server.usable && server.listed.service == service &&
+               !evacuated_.contains(server.listed.failure_domain);
+    }
     /// @return Whether the server is one of the service and may be used now,
     ///     as far as permits and slots are not concerned.
-    [[nodiscard]] static bool is_candidate(transport::monotonic_time now,
-                                           const known_server& server,
-                                           const std::string& service)
+    [[nodiscard]] bool is_candidate(transport::monotonic_time now,
+                                    const known_server& server,
+                                    const std::string& service) const
     {
-        return server.usable && server.listed.service == service &&
-               server.paused_until <= now;
+        return is_usable(server, service) && server.paused_until <= now;
     }
     [[nodiscard]] bool has_brittle_slot(const known_server& server) const;
     /// @return Tokens of the prompt's prefix that the server probably has
@@ -306,6 +328,7 @@
     std::uint64_t subset_seed_; ///< Ranks servers for this gateway's subset.
     server_permits permits_;
     brittle_servers brittle_;
+    evacuated_domains evacuated_;
     std::size_t gateway_count_ = 0; ///< With the same load reports; 0: unknown.
     struct prefill_speed
     {
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -569,6 +569,10 @@
             core_.counters.brittle_refusals.add();
             return refuse(503, "servers_full", servers_full_retry_after);
         }
+        if (core_.servers.all_evacuated(service_))
+        {
+            core_.counters.evacuation_refusals.add();
+        }
         const auto pause = core_.servers.remaining_pause(now, service_);
         return refuse(503, pause ? "servers_paused" : "no_server",
                       std::min(no_server_retry_after,
@@ -826,7 +830,7 @@
     }
     if (resume_point_known_ && !numbers_went_back_ && core_.may_attempt() &&
         possible_runs_ + 1 < route_->max_attempts &&
-        core_.servers.usable(service_) > tried_servers_.size() &&
+        core_.servers.has_untried(service_, tried_servers_) &&
         should_fail_over())
     {
         attempt_call_.cancel();
@@ -1346,7 +1350,7 @@
 {
     return resume_point_known_ && core_.may_attempt() &&
            possible_runs_ < route_->max_attempts &&
-           core_.servers.usable(service_) > tried_servers_.size() &&
+           core_.servers.has_untried(service_, tried_servers_) &&
            core_.repeats.take(core_.clock.monotonic_now(), service_);
 }
 
@@ -1573,6 +1577,12 @@
 {
     release_server();
     move_state_ = move_state::none;
+    if (core_.servers.evacuated().contains(server->listed.failure_domain))
+    {
+        // The domain was evacuated during the move.
+        choice_.server = server;
+        return on_move_refused();
+    }
     placement_choice choice;
     choice.server = server;
     choice.prompt_tokens = terms_.size.prompt_tokens;
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -203,6 +203,7 @@
     rate_limit_report rate_limits;
     brittle_services brittle; ///< By responses to this entry.
     relay_report relay;
+    std::uint64_t evacuation_revision = 0; ///< In force here; 0: none.
 };
 
 // [orders] -------------------------------------------------------------------
@@ -256,6 +257,10 @@
     std::uint32_t entry_number = 0;
     /// Relays through which the entry reaches servers when it cannot itself.
     std::vector<std::string> helpers;
+    /// Number of changes of the evacuated failure domains; the highest counts,
+    /// whichever replica answers.
+    std::uint64_t evacuation_revision = 0;
+    std::set<std::string> evacuated; ///< Their servers get no requests.
 };
 
 // [tokens] -------------------------------------------------------------------
--- a/src/coordination/cluster/capacity_planner.cpp
+++ b/src/coordination/cluster/capacity_planner.cpp
@@ -29,9 +29,11 @@
 capacity_planner::step(monotonic_time now,
                        const std::vector<protocol::document_service>& services,
                        const std::vector<protocol::listed_server>& servers,
-                       const std::map<std::string, double>& running)
+                       const std::map<std::string, double>& running,
+                       const std::set<std::string>& evacuated)
 {
     std::vector<capacity_order> orders;
+    keep_until_ = evacuated.empty() ? keep_until_ : now + settings_.peak_window;
     for (const auto& service : services)
     {
         if (!service.scaling || service.scaling->domain_prices.empty())
@@ -41,8 +43,10 @@
         counts_by_domain ready;
         for (const auto& server : servers)
         {
-            const bool is_ready = server.service == service.name &&
-                                  server.state == protocol::server_state::ready;
+            const bool is_ready =
+                server.service == service.name &&
+                server.state == protocol::server_state::ready &&
+                !evacuated.contains(server.failure_domain);
             if (is_ready)
             {
                 auto& count = ready[server.failure_domain];
@@ -51,7 +55,7 @@
         }
         const auto load = running.find(service.name);
         plan(now, service, ready, load == running.end() ? 0 : load->second,
-             orders);
+             evacuated, orders);
     }
     return orders;
 }
@@ -120,13 +124,17 @@
 void capacity_planner::plan(monotonic_time now,
                             const protocol::document_service& service,
                             const counts_by_domain& ready, double running,
+                            const std::set<std::string>& evacuated,
                             std::vector<capacity_order>& orders)
 {
     const auto& scaling = *service.scaling;
     std::vector<std::pair<double, std::string>> domains;
     for (const auto& [domain, price] : scaling.domain_prices)
     {
-        domains.emplace_back(price, domain);
+        if (!evacuated.contains(domain))
+        {
+            domains.emplace_back(price, domain);
+        }
     }
     std::sort(domains.begin(), domains.end());
     const auto ready_in = [&](const std::string& domain) {
@@ -141,11 +149,18 @@
     const auto servers_for_load = [&](double running_per_server) {
         return static_cast<std::uint32_t>(std::ceil(load / running_per_server));
     };
+    if (domains.empty())
+    {
+        return;
+    }
     const auto domain_count = static_cast<std::uint32_t>(domains.size());
-    const auto servers_wanted =
-        std::max({settings_.min_servers_per_domain * domain_count,
-                  servers_for_load(settings_.target_running_per_server),
-                  initial_server_floor(now, service.name, ready)});
+    // The minimum of evacuated domains falls to the others.
+    const auto min_wanted =
+        settings_.min_servers_per_domain *
+        static_cast<std::uint32_t>(scaling.domain_prices.size());
+    const auto servers_wanted = std::max(
+        {min_wanted, servers_for_load(settings_.target_running_per_server),
+         initial_server_floor(now, service.name, ready)});
     std::uint32_t reclaimable_ready = 0;
     std::uint32_t reclaimable_starting = 0;
     std::uint32_t max_reclaimable_in_domain = 0;
@@ -211,6 +226,7 @@
             ? min_servers - after_domain_loss
             : 0;
     const bool enough_reclaimable =
+        now >= keep_until_ &&
         reclaimable_ready >= std::min(min_servers, servers_wanted);
     auto on_demand = on_demand_held;
     std::uint32_t on_demand_total = 0;
@@ -249,10 +265,15 @@
         const auto planned = std::min(
             (unassigned + domains_left - 1) / domains_left, scaling.most);
         unassigned -= std::min(unassigned, planned);
+        const auto& current =
+            order_state_of(make_order(domain, server_kind::reclaimable, 0));
+        const auto ordered =
+            current.accepted ? current.count : counts.reclaimable;
+        const auto kept = now < keep_until_ ? ordered : 0;
         const auto room = scaling.most - std::min(scaling.most, on_demand[at]);
         place_order(now,
                     make_order(domain, server_kind::reclaimable,
-                               std::min(planned, room)),
+                               std::min(std::max(planned, kept), room)),
                     counts.reclaimable, orders);
         place_order(now,
                     make_order(domain, server_kind::on_demand, on_demand[at]),
@@ -288,9 +309,10 @@
 void capacity_planner::watch(
     monotonic_time now, const std::vector<protocol::document_service>& services,
     const std::vector<protocol::listed_server>& servers,
-    const std::map<std::string, double>& running)
+    const std::map<std::string, double>& running,
+    const std::set<std::string>& evacuated)
 {
-    (void)step(now, services, servers, running);
+    (void)step(now, services, servers, running, evacuated);
     order_states_.clear();
 }
 
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -231,6 +231,7 @@
     plan_servers();
     advance_moves();
     advance_quarantines();
+    log_entries_behind();
     propose_eligible_entries();
     if (drained_handler && (!machine || !leads() || now >= drain_deadline))
     {
@@ -471,6 +472,11 @@
     impl_->settings.seeds = std::move(seeds);
 }
 
+void cluster_process::set_known_domains(std::set<std::string> domains)
+{
+    impl_->settings.known_domains = std::move(domains);
+}
+
 void cluster_process::drain(std::function<void()> on_drained)
 {
     // Longer than a leadership transfer takes.
@@ -519,6 +525,11 @@
                                impl_->machine->state().quarantines().size())
                          : 0,
           "Prompts that crashed servers, some of them released again");
+    gauge("hyssopdeal_evacuated_domains",
+          impl_->machine ? static_cast<double>(
+                               impl_->machine->state().evacuations().size())
+                         : 0,
+          "Failure domains whose servers get no new requests");
     gauge("hyssopdeal_rate_limited_servers",
           static_cast<double>(impl_->permits.limited()),
           "Servers that named a rate limit; 0 on followers");
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -137,6 +137,10 @@
         next_capacity_plan = {};
         listing_changed_at = clock.monotonic_now();
         listing = std::move(latest);
+        for (const auto& server : listing.servers)
+        {
+            listed_domains.insert(server.failure_domain);
+        }
         permits.set_servers(listing.servers);
     }
     // Drop reports of leaving servers that the list no longer shows as ready.
@@ -235,10 +239,11 @@
     }
     if (!may_send_orders())
     {
-        return capacity.watch(now, stable_services, listing.servers, running);
+        return capacity.watch(now, stable_services, listing.servers, running,
+                              evacuated());
     }
-    for (const auto& order :
-         capacity.step(now, stable_services, listing.servers, running))
+    for (const auto& order : capacity.step(
+             now, stable_services, listing.servers, running, evacuated()))
     {
         send_order(order, running[order.service]);
     }
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -13,6 +13,7 @@
 /// - cluster_process_duties.cpp: instance list, the leader's platform orders
 /// - cluster_process_moves.cpp: rollouts of new service versions
 /// - cluster_process_crashes.cpp: quarantine of prompts that crash servers
+/// - cluster_process_evacuation.cpp: evacuation of failure domains
 
 #include <cstdint>
 #include <map>
@@ -21,6 +22,8 @@
 #include <set>
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 #include <hyssopdeal/coordination/cluster/brittle_directory.hpp>
 #include <hyssopdeal/coordination/cluster/cluster_process.hpp>
 #include <hyssopdeal/coordination/cluster/crash_attribution.hpp>
@@ -29,6 +32,7 @@
 #include <hyssopdeal/coordination/cluster/relay_directory.hpp>
 #include <hyssopdeal/coordination/cluster/report_pacing.hpp>
 #include <hyssopdeal/coordination/cluster/version_rollout.hpp>
+#include <hyssopdeal/coordination/evacuation/evacuated_domains.hpp>
 #include <hyssopdeal/protocol/follow_messages.hpp>
 #include <hyssopdeal/protocol/peer_hub.hpp>
 #include <hyssopdeal/transport/digest.hpp>
@@ -48,7 +52,8 @@
     read_document,
     put_rollout,
     read_rollout,
-    read_listing
+    read_listing,
+    put_evacuation
 };
 
 // The load of an entry that has not reported for longer no longer counts. Twice
@@ -152,6 +157,14 @@
                             const protocol::part_ids& parts);
     [[nodiscard]] protocol::crash_orders crash_orders() const;
 
+    // cluster_process_evacuation.cpp
+    [[nodiscard]] transport::result<void>
+    check_domain(const std::string& domain) const;
+    void propose_evacuation(const nlohmann::json& order,
+                            const result_callback& on_done);
+    [[nodiscard]] std::set<std::string> evacuated() const;
+    void log_entries_behind();
+
     transport::event_loop& loop;
     const transport::clock& clock;
     cluster_settings settings;
@@ -221,6 +234,10 @@
     bool quarantine_proposed = false;
     transport::monotonic_time next_quarantine_step{};
 
+    evacuation_progress evacuation_reports;
+    /// Every one that an instance list has shown.
+    std::set<std::string> listed_domains;
+
     // Platform.
     protocol::server_listing listing;
     std::optional<transport::monotonic_time> listing_read_at;
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -123,6 +123,8 @@
         record.started_ms = quorum_time().time_since_epoch().count();
         return propose(put_rollout_command{std::move(record)}, ended);
     }
+    case request_kind::put_evacuation:
+        return propose_evacuation(unpack(body), ended);
     }
 }
 
@@ -245,6 +247,8 @@
     loads.on_report(clock.monotonic_now(), report->entry, report->load);
     brittle.on_report(clock.monotonic_now(), report->brittle);
     relays.on_report(clock.monotonic_now(), *report);
+    evacuation_reports.on_report(clock.monotonic_now(), report->entry,
+                                 report->evacuation_revision);
     on_version_reports(*report);
     on_leaving_servers(*report);
     on_crash_report(*report);
@@ -420,6 +424,8 @@
     }
     const auto& replicated = machine->state();
     orders.document_version = replicated.document_version();
+    orders.evacuation_revision = replicated.evacuation_revision();
+    orders.evacuated = evacuated();
     if (report.wants_document &&
         replicated.document_version() > report.document_version)
     {
--- a/src/coordination/cluster/cluster_state.cpp
+++ b/src/coordination/cluster/cluster_state.cpp
@@ -25,6 +25,8 @@
                                    duration_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_quarantine_command, record)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(lift_quarantine_command, parts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_evacuation_command, domain, evacuated,
+                                   at_ms)
 
 // [commands] -----------------------------------------------------------------
 
@@ -57,6 +59,8 @@
             return body.get<put_quarantine_command>();
         case 5:
             return body.get<lift_quarantine_command>();
+        case 6:
+            return body.get<put_evacuation_command>();
         default:
             return fail(reason::corrupt, "Unknown kind of command.");
         }
@@ -165,16 +169,28 @@
     quarantines_.erase(command.parts);
 }
 
+void cluster_state::apply_command(const put_evacuation_command& command)
+{
+    const bool changed =
+        command.evacuated
+            ? evacuations_.emplace(command.domain, command.at_ms).second
+            : evacuations_.erase(command.domain) > 0;
+    evacuation_revision_ += changed ? 1 : 0;
+}
+
 // [snapshots] ----------------------------------------------------------------
 
 std::string cluster_state::encode_snapshot() const
 {
-    return protocol::pack_message(json{{"document_version", document_version_},
-                                       {"document", document_},
-                                       {"usage", usage_},
-                                       {"rollouts", rollouts_},
-                                       {"entries", entries_},
-                                       {"quarantines", quarantines_}});
+    return protocol::pack_message(
+        json{{"document_version", document_version_},
+             {"document", document_},
+             {"usage", usage_},
+             {"rollouts", rollouts_},
+             {"entries", entries_},
+             {"quarantines", quarantines_},
+             {"evacuations", evacuations_},
+             {"evacuation_revision", evacuation_revision_}});
 }
 
 transport::result<void> cluster_state::restore_snapshot(std::string_view bytes)
@@ -193,6 +209,11 @@
         {
             decoded.at("quarantines").get_to(next.quarantines_);
         }
+        if (decoded.contains("evacuations"))
+        {
+            decoded.at("evacuations").get_to(next.evacuations_);
+            decoded.at("evacuation_revision").get_to(next.evacuation_revision_);
+        }
         *this = std::move(next);
         return {};
     }
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -205,6 +205,7 @@
     result.crashes = crashes.report(now);
     result.rate_limits = servers.permits().report(now);
     result.brittle = servers.brittle().report(now);
+    result.evacuation_revision = servers.evacuated().revision();
     result.relay = {relay_address, reach.partitioned(now), reach.helpers()};
     if (purpose == report_purpose::inform_leader)
     {
@@ -279,6 +280,7 @@
                                 protocol::entry_orders orders)
 {
     apply_document(orders);
+    apply_evacuations(orders);
     apply_server_list(orders);
     servers.set_leaving(orders.leaving);
     // While the leader has a newer document, a key that is valid in the local
@@ -357,6 +359,19 @@
                                   {"age_ms", orders.listing_age_ms}});
 }
 
+void gateway_core::apply_evacuations(const protocol::entry_orders& orders)
+{
+    const auto changes = servers.evacuated().apply(
+        clock.monotonic_now(), orders.evacuation_revision, orders.evacuated);
+    for (const auto& [domain, evacuated] : changes)
+    {
+        log_event("evacuation.in_force",
+                  {{"domain", domain},
+                   {"order", evacuated ? "begin" : "end"},
+                   {"revision", orders.evacuation_revision}});
+    }
+}
+
 void gateway_core::apply_leader_orders(monotonic_time sent_at,
                                        const protocol::entry_orders& orders)
 {
@@ -456,6 +471,11 @@
     total("hyssopdeal_leader_silent_refusals_total",
           counters.leader_silent_refusals,
           "Requests refused because the leader did not answer on their quota");
+    total("hyssopdeal_evacuation_refusals_total", counters.evacuation_refusals,
+          "Requests refused because all servers are in evacuated domains");
+    out.family("hyssopdeal_evacuated_domains", "gauge",
+               "Failure domains whose servers get no new requests");
+    out.sample(static_cast<double>(servers.evacuated().domains().size()));
     total("hyssopdeal_relayed_attempts_total", counters.relayed_attempts,
           "Attempts sent through another gateway");
     out.family("hyssopdeal_unreached_servers", "gauge",
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -146,13 +146,27 @@
     }
 }
 
-std::size_t placement::usable(const std::string& service) const
+bool placement::has_untried(const std::string& service,
+                            const std::set<std::string>& tried) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(servers_.begin(), servers_.end(), [&](const auto& item) {
-            return item.second->usable &&
-                   item.second->listed.service == service;
-        }));
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
+        return is_usable(*item.second, service) && !tried.contains(item.first);
+    });
+}
+
+bool placement::all_evacuated(const std::string& service) const
+{
+    bool any_usable = false;
+    for (const auto& [id, item] : servers_)
+    {
+        if (is_usable(*item, service))
+        {
+            return false;
+        }
+        any_usable =
+            any_usable || (item->usable && item->listed.service == service);
+    }
+    return any_usable;
 }
 
 // [prediction] ---------------------------------------------------------------
@@ -517,7 +531,7 @@
     for (const auto& [id, item] : servers_)
     {
         const auto until = item->paused_until;
-        if (item->usable && item->listed.service == service && until > now)
+        if (is_usable(*item, service) && until > now)
         {
             const auto left = std::chrono::ceil<milliseconds>(until - now);
             least = std::min(least.value_or(left), left);
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -127,6 +127,10 @@
     {
         out["relay"] = value.relay;
     }
+    if (value.evacuation_revision > 0)
+    {
+        out["evacuation_revision"] = value.evacuation_revision;
+    }
 }
 
 void from_json(const json& from, entry_report& value)
@@ -161,6 +165,8 @@
     {
         from.at("relay").get_to(value.relay);
     }
+    value.evacuation_revision =
+        from.value("evacuation_revision", std::uint64_t{0});
 }
 
 void to_json(json& out, const entry_orders& value)
@@ -194,6 +200,11 @@
     {
         out["helpers"] = value.helpers;
     }
+    if (value.evacuation_revision > 0)
+    {
+        out["evacuation_revision"] = value.evacuation_revision;
+        out["evacuated"] = value.evacuated;
+    }
     if (value.packed_document)
     {
         out["packed_document"] = *value.packed_document;
@@ -240,6 +251,11 @@
     {
         from.at("helpers").get_to(value.helpers);
     }
+    if (from.contains("evacuated"))
+    {
+        from.at("evacuation_revision").get_to(value.evacuation_revision);
+        from.at("evacuated").get_to(value.evacuated);
+    }
     if (from.contains("packed_document"))
     {
         value.packed_document = from.at("packed_document").get<std::string>();
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -19,6 +19,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <nlohmann/json.hpp>
+
 using namespace hyssopdeal;
 using namespace hyssopdeal::coordination;
 using namespace std::chrono_literals;
@@ -180,6 +182,40 @@
     LONGS_EQUAL(5, other.document_version());
 }
 
+// Guards against resends that look like new orders, and against a restart that
+// loses an order.
+TEST(cluster_state_tests, only_changes_of_evacuations_raise_their_revision)
+{
+    cluster.apply(put_evacuation_command{"a", true, 5});
+    cluster.apply(put_evacuation_command{"a", true, 9});
+    cluster.apply(put_evacuation_command{"b", false, 9});
+    LONGS_EQUAL(1, cluster.evacuation_revision());
+    LONGS_EQUAL(5, cluster.evacuations().at("a"));
+    const auto command = decode_cluster_command(
+        encode(cluster_command{put_evacuation_command{"b", true, 10}}));
+    CHECK_TRUE(command.has_value());
+    cluster.apply(*command);
+    cluster_state other;
+    CHECK_TRUE(other.restore_snapshot(cluster.encode_snapshot()).has_value());
+    CHECK_TRUE(other.evacuations() == cluster.evacuations());
+    other.apply(put_evacuation_command{"a", false, 11});
+    LONGS_EQUAL(3, other.evacuation_revision());
+    LONGS_EQUAL(1, other.evacuations().size());
+}
+
+// Guards against a replica that cannot start on the disk of an earlier version.
+TEST(cluster_state_tests, snapshot_of_an_earlier_version_is_read)
+{
+    auto snapshot = nlohmann::json::from_msgpack(cluster.encode_snapshot());
+    snapshot.erase("evacuations");
+    snapshot.erase("evacuation_revision");
+    const auto packed = nlohmann::json::to_msgpack(snapshot);
+    const std::string bytes{packed.begin(), packed.end()};
+    cluster.apply(put_evacuation_command{"a", true, 5});
+    CHECK_TRUE(cluster.restore_snapshot(bytes).has_value());
+    CHECK_TRUE(cluster.evacuations().empty());
+}
+
 TEST(cluster_state_tests, encoded_command_is_decoded)
 {
     const auto read = decode_cluster_command(
@@ -1033,6 +1069,31 @@
     CHECK_TRUE(on_demand >= 36 && on_demand <= 42);
 }
 
+// Guards against servers ordered where they are about to be lost, and against
+// a shortage in the remaining domains.
+TEST(capacity_planner_tests, other_domains_carry_the_load_of_an_evacuated_one)
+{
+    start_with_sixty_servers();
+    (void)step(240, order_outcome::accepted);
+    now += 1s;
+    const auto orders =
+        planner.step(now, services, servers, {{"s", 240}}, {"a"});
+    LONGS_EQUAL(1, orders.size());
+    STRCMP_EQUAL("b", orders[0].domain.c_str());
+    LONGS_EQUAL(40, orders[0].count); // As for both before.
+    CHECK_TRUE(
+        planner.step(now, services, servers, {{"s", 240}}, {"a", "b"}).empty());
+    // The servers that return may be cold: the others are kept for a while.
+    planner.on_answer(now, orders[0], order_outcome::accepted);
+    add(10, "b", server_kind::reclaimable);
+    CHECK_TRUE(step(240, order_outcome::accepted).empty());
+    now += 20s;
+    const auto later = step(240, order_outcome::accepted);
+    LONGS_EQUAL(2, later.size());
+    LONGS_EQUAL(20, later[0].count);
+    LONGS_EQUAL(20, later[1].count);
+}
+
 TEST(capacity_planner_tests, orders_pause_after_none_available)
 {
     CHECK_FALSE(step(0, order_outcome::none_available).empty());
--- a/tests/operators_api_test.cpp
+++ b/tests/operators_api_test.cpp
@@ -130,3 +130,34 @@
     check_refused("GET", "/api/rollouts/%FF");
     check_refused("GET", "/api/rollouts/no-such-service");
 }
+
+// Guards against refusals of resent orders, and against orders for domains that
+// do not exist.
+TEST(operators_api_tests, evacuations_are_ordered_and_resent)
+{
+    const auto status = [&](const char* method, const char* target) {
+        return status_of(ask(method, target));
+    };
+    LONGS_EQUAL(503, status("POST", "/api/evacuation/d0"));
+    cluster.replicas.at(0)->set_known_domains({"d0"});
+    for (int sent = 0; sent < 2; ++sent)
+    {
+        LONGS_EQUAL(200, status("POST", "/api/evacuation/d0"));
+    }
+    // Known as evacuated, though the settings no longer name it.
+    cluster.replicas.at(0)->set_known_domains({"d1"});
+    LONGS_EQUAL(200, status("POST", "/api/evacuation/d0"));
+    LONGS_EQUAL(200, status("DELETE", "/api/evacuation/d0"));
+    LONGS_EQUAL(404, status("POST", "/api/evacuation/d0"));
+    LONGS_EQUAL(200, status("DELETE", "/api/evacuation/d1"));
+    check_refused("POST", "/api/evacuation/%FF");
+    for (const auto* target : {"/api/evacuation", "/api/evacuation/",
+                               "/api/evacuation/d1/", "/api/evacuation/d1/x"})
+    {
+        LONGS_EQUAL(404, status("POST", target));
+    }
+    for (const auto* method : {"GET", "PUT"})
+    {
+        LONGS_EQUAL(405, status(method, "/api/evacuation/d1"));
+    }
+}
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -246,6 +246,12 @@
     };
     STRCMP_CONTAINS("node_name", error("node_name: n", "other: n").c_str());
     STRCMP_CONTAINS("limits.max_fds", error("4100", "many").c_str());
+    CHECK_TRUE(settings->known_domains.empty());
+    const std::set<std::string> zones{"a", "b"};
+    CHECK_TRUE(
+        read_settings(good + "zones: {a: {x: 1}, b: }\n")->known_domains ==
+        zones);
+    STRCMP_CONTAINS("zones", error("new_field", "zones: 5\nnew_field").c_str());
     STRCMP_CONTAINS("internal_ports", error("[7600, 7615]", "[a, b]").c_str());
     CHECK_FALSE(read_settings("{").has_value());
     CHECK_FALSE(read_settings("").has_value());
