--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -1272,6 +1272,14 @@
         return caller;
     }
 
+    void evacuate(const std::string& domain)
+    {
+        protocol::entry_orders orders;
+        orders.evacuation_revision = 1;
+        orders.evacuated = {domain};
+        core->apply_orders(clock.monotonic_now(), orders);
+    }
+
     bool wait_for_text(const std::shared_ptr<tests::raw_connection>& caller,
                        const char* text)
     {
@@ -1408,6 +1416,41 @@
                     received_requests.back().c_str());
 }
 
+// Guards against moves to an evacuated domain, ordered before or during one.
+TEST(stream_move_tests, stream_does_not_move_to_an_evacuated_domain)
+{
+    add_source([this](tests::raw_connection& connection) {
+        evacuate("far");
+        stop_and_respond("200 OK")(connection);
+    });
+    add_target();
+    listed_servers[1].failure_domain = "far";
+    const auto caller = run_until_second_event("/stream/", 800ms);
+    CHECK_TRUE(
+        tests::run_until(loop, [&] { return received_requests.size() == 3; }));
+    STRCMP_CONTAINS(("Hyssopdeal-Server: " + listed_servers[0].id).c_str(),
+                    received_requests.back().c_str());
+    stream_connection->send("id: 3\ndata: c\n\n");
+    CHECK_TRUE(wait_for_text(caller, "data: c"));
+    LONGS_EQUAL(1, move_requests.size());
+    LONGS_EQUAL(3, received_requests.size());
+}
+
+// Guards against a request to a domain that was evacuated during the move.
+TEST(stream_move_tests, stream_does_not_resume_in_an_evacuated_domain)
+{
+    add_source([this](tests::raw_connection& connection) {
+        evacuate(listed_servers[0].failure_domain);
+        stop_and_respond("503 Service Unavailable")(connection);
+    });
+    add_target();
+    listed_servers[1].failure_domain = "far";
+    const auto caller = run_until_second_event("/stream/", 800ms);
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return caller->closed; }, 1s));
+    LONGS_EQUAL(2, received_requests.size());
+}
+
 // The request must not run twice: after its first attempt it is sent only with
 // the handle of the stopped run.
 TEST(stream_move_tests, moved_stream_refused_by_the_target_is_never_restarted)
