Cold servers: permits from the leader, draws, presumptions

Cause: a cold server got 29 requests in one second, because an empty server looks best to every entry; above 1.5 x cold_per_s + 5 it crashes. Change: coordination/cold_start decides which servers are cold; every sender takes a permit of the leader, paced so that the bound holds for any timing of use, or one drawn at random without a leader.

--- a/include/hyssopdeal/coordination/cluster/permit_allocator.hpp
+++ b/include/hyssopdeal/coordination/cluster/permit_allocator.hpp
@@ -7,7 +7,7 @@
 /// with hundreds of entries, for which equal shares would be far below one
 /// request. Does no I/O.
 ///
-/// Index: [permit_allocator]
+/// Index: [permit_pacing] [permit_allocator]
 ///
 /// Each server has a token bucket that is refilled at its limit. Entries that
 /// want more permits than there are get them in turn: the next token is left to
@@ -18,6 +18,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -29,6 +30,19 @@
 namespace hyssopdeal::coordination
 {
 
+// [permit_pacing] ------------------------------------------------------------
+
+/// How long permits last and how many may be granted at once.
+struct permit_pacing
+{
+    /// From when the entry sent its report; nothing: as long as entries need
+    /// to use a permit at their report interval.
+    std::optional<std::chrono::milliseconds> lifetime;
+    /// A bucket holds one permit and what the limit allows in this time, so
+    /// that it goes on filling between two reports.
+    std::chrono::milliseconds bucket_time{250};
+};
+
 // [permit_allocator] ---------------------------------------------------------
 
 /// Runs on the leader; constructed anew for each leadership. A new one learns
@@ -36,6 +50,13 @@
 class permit_allocator
 {
 public:
+    explicit permit_allocator(permit_pacing pacing = {});
+
+    /// Sets a server's limit, which does not depend on reports then. Keeps what
+    /// is in its bucket; the bucket of another start of the server is empty.
+    void set_limit(transport::monotonic_time now, const std::string& id,
+                   std::uint64_t born, double per_s);
+
     /// Merges what an entry reports of limits, and grants it permits.
     ///
     /// @param report_interval Time until the entry's next report.
@@ -75,7 +96,7 @@
                const protocol::stated_rate_limits& stated);
     void sweep(transport::monotonic_time now,
                std::chrono::milliseconds report_interval);
-    static void refill(transport::monotonic_time now, bucket& server);
+    void refill(transport::monotonic_time now, bucket& server) const;
     /// @param valid How long permits are valid.
     /// @return Permits for the entry.
     [[nodiscard]] static std::uint32_t grant(transport::monotonic_time now,
@@ -84,6 +105,7 @@
                                              std::uint32_t wanted,
                                              std::chrono::milliseconds valid);
 
+    permit_pacing pacing_;
     std::map<std::string, bucket> servers_; ///< By id.
     transport::monotonic_time next_sweep_{};
 };
--- a/include/hyssopdeal/coordination/gateway/dialect.hpp
+++ b/include/hyssopdeal/coordination/gateway/dialect.hpp
@@ -87,6 +87,9 @@
     /// Text that names the requests per second that the server can reject for
     /// want of room without falling over; empty if it is not brittle.
     std::string withstood_rejections;
+    /// Text that names the milliseconds that the server stays cold; empty if it
+    /// does not say.
+    std::string cold_time;
 };
 
 /// A server's response to a liveness check.
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -103,6 +103,7 @@
     transport::counter rate_limited_first_attempts;
     transport::counter rate_limited_retries;
     transport::counter rate_limited_refusals; ///< No server had a permit left.
+    transport::counter cold_refusals;    ///< No permit left for cold servers.
     transport::counter brittle_refusals; ///< No slot left on brittle servers.
     transport::counter leader_silent_refusals; ///< No answer on a quota.
     transport::counter relayed_attempts; ///< Sent through another gateway.
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -22,6 +22,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <hyssopdeal/coordination/cold_start/cold_servers.hpp>
 #include <hyssopdeal/coordination/gateway/brittle_servers.hpp>
 #include <hyssopdeal/coordination/gateway/server_permits.hpp>
 #include <hyssopdeal/coordination/gateway/version_split.hpp>
@@ -231,6 +232,12 @@
                                     const std::string& service,
                                     const std::set<std::string>& tried);
 
+    /// @return Whether a server could be chosen, apart from those already
+    ///     tried, if it was not cold.
+    [[nodiscard]] bool lacks_cold_permit(transport::monotonic_time now,
+                                         const std::string& service,
+                                         const std::set<std::string>& tried);
+
     /// @return Whether a server could be chosen, apart from those already
     ///     tried, if it was not brittle.
     [[nodiscard]] bool lacks_brittle_slot(transport::monotonic_time now,
@@ -260,6 +267,17 @@
         return permits_;
     }
 
+    /// @return The cold servers. choose() skips those without a permit; who
+    ///     sends a request takes it.
+    [[nodiscard]] cold_servers& cold() noexcept
+    {
+        return cold_;
+    }
+    [[nodiscard]] const cold_servers& cold() const noexcept
+    {
+        return cold_;
+    }
+
     /// @return The servers that fall over if they reject many requests. choose()
     ///     places no more on them than this gateway's share of their slots.
     [[nodiscard]] brittle_servers& brittle() noexcept
@@ -295,9 +313,11 @@
                                                  const prompt_size& prompt,
                                                  std::uint64_t uncached) const;
     /// Reduces the candidates to this gateway's subset of servers, the affinity
-    /// server and a few random ones.
+    /// server, cold servers, for which permits would be lost, and a few random
+    /// ones.
     void
-    sample_candidates(std::vector<std::shared_ptr<known_server>>& candidates,
+    sample_candidates(transport::monotonic_time now,
+                      std::vector<std::shared_ptr<known_server>>& candidates,
                       const std::shared_ptr<known_server>& affinity_server);
 
     placement_settings settings_;
@@ -305,6 +325,7 @@
     std::mt19937_64 random_;
     std::uint64_t subset_seed_; ///< Ranks servers for this gateway's subset.
     server_permits permits_;
+    cold_servers cold_;
     brittle_servers brittle_;
     std::size_t gateway_count_ = 0; ///< With the same load reports; 0: unknown.
     struct prefill_speed
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -361,6 +361,7 @@
     select_service();
     core_.repeats.on_request(core_.clock.monotonic_now(), service_);
     core_.servers.permits().on_request(core_.clock.monotonic_now(), service_);
+    core_.servers.cold().on_request(core_.clock.monotonic_now(), service_);
     if (route_->needs_key && !authenticate())
     {
         return false;
@@ -564,6 +565,12 @@
             return refuse(503, "servers_rate_limited",
                           core_.servers.permits().reserve_turn(now, service_));
         }
+        if (core_.servers.lacks_cold_permit(now, service_, tried_servers_))
+        {
+            core_.counters.cold_refusals.add();
+            return refuse(503, "servers_cold",
+                          core_.servers.cold().reserve_turn(now, service_));
+        }
         if (core_.servers.lacks_brittle_slot(now, service_, tried_servers_))
         {
             core_.counters.brittle_refusals.add();
@@ -665,6 +672,7 @@
     {
         core_.counters.repeats.add();
     }
+    core_.servers.cold().take(now, choice.server->listed);
     if (moved_run_.empty() &&
         core_.servers.permits().take(now, choice.server->listed))
     {
@@ -910,6 +918,8 @@
     const auto now = core_.clock.monotonic_now();
     core_.servers.permits().on_response(now, server.listed, response.rate_limit,
                                         sent_at);
+    core_.servers.cold().on_response(now, server.listed, response.cold_time,
+                                     sent_at);
     core_.servers.brittle().on_response(now, server.listed,
                                         response.withstood_rejections, sent_at);
 }
@@ -1087,6 +1097,11 @@
     {
         // A prompt that crashes its server leaves no port that answers.
         record_survived_start();
+        core_.servers.cold().on_response(
+            core_.clock.monotonic_now(), listed,
+            Dialect::parse_response(response->status, response->headers)
+                .cold_time,
+            std::nullopt);
     }
     transport::log_event("attempt.end_checked",
                          {{"request", terms_.attempt_id},
@@ -1286,6 +1301,12 @@
     {
         unreachable ? core_.servers.on_unreachable(now, server)
                     : core_.servers.on_failure(now, server);
+        // Servers close connections that were idle; that is no restart.
+        if ((opened_connection_ || head_received_) &&
+            (not_run || error.code == transport::reason::connection_lost))
+        {
+            core_.servers.cold().on_unreachable(now, server.listed);
+        }
     }
     if (not_run)
     {
@@ -1477,6 +1498,8 @@
     // Another version would continue with different model weights.
     if (!choice ||
         choice->server->listed.version != choice_.server->listed.version ||
+        // Its permit could expire before the run is resumed.
+        core_.servers.cold().is_cold(now, choice->server->listed) ||
         !core_.repeats.take(now, service_))
     {
         return;
@@ -1573,6 +1596,11 @@
 {
     release_server();
     move_state_ = move_state::none;
+    if (!core_.servers.cold().may_send(core_.clock.monotonic_now(),
+                                       server->listed))
+    {
+        return on_move_refused();
+    }
     placement_choice choice;
     choice.server = server;
     choice.prompt_tokens = terms_.size.prompt_tokens;
--- a/include/hyssopdeal/coordination/gateway/server_permits.hpp
+++ b/include/hyssopdeal/coordination/gateway/server_permits.hpp
@@ -60,6 +60,10 @@
                      std::string_view text,
                      std::optional<transport::monotonic_time> sent_at);
 
+    /// Sets the limit of a listed server, for limits that do not come from
+    /// responses. 0 ends it, and its permits.
+    void set_limit(const std::string& id, std::uint64_t born, double per_s);
+
     /// @return Whether a request may be sent to the server now.
     [[nodiscard]] bool may_send(transport::monotonic_time now,
                                 const protocol::listed_server& server);
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -5,8 +5,8 @@
 /// What entries and control replicas of a cluster tell each other several
 /// times a second, and how a replica joins.
 ///
-/// Index: [versions] [crashes] [rate_limits] [brittle_services] [relays]
-///     [report] [orders] [tokens] [joining] [encoding]
+/// Index: [versions] [crashes] [rate_limits] [cold_servers] [brittle_services]
+///     [relays] [report] [orders] [tokens] [joining] [encoding]
 
 #include <chrono>
 #include <cstdint>
@@ -130,6 +130,36 @@
     std::int64_t permits_valid_ms = 0; ///< Since the entry sent its report.
 };
 
+// [cold_servers] -------------------------------------------------------------
+
+/// A server's response said that the server is cold.
+struct cold_statement
+{
+    std::uint64_t born = 0;        ///< The server's start.
+    std::int64_t remaining_ms = 0; ///< Until it is no longer cold.
+    std::int64_t age_ms = 0;       ///< Since the response.
+};
+
+using cold_statements = std::map<std::string, cold_statement>; ///< By id.
+
+/// What an entry tells of cold servers.
+struct cold_report
+{
+    cold_statements stated; ///< By responses to this entry.
+    /// Requests that it expects to send before its next reports, beyond the
+    /// permits that it holds, by server.
+    std::map<std::string, std::uint32_t> wanted;
+};
+
+/// What the leader tells an entry of them.
+struct cold_orders
+{
+    cold_statements stated; ///< By responses to any entry.
+    /// Requests that the entry may send, by server.
+    std::map<std::string, std::uint32_t> permits;
+    std::int64_t permits_valid_ms = 0; ///< Since the entry sent its report.
+};
+
 // [brittle_services] ---------------------------------------------------------
 
 /// How long it counts for other entries that a server has said that it is
@@ -201,6 +231,7 @@
     leaving_servers leaving; ///< By their answers; the list shows them later.
     crash_report crashes;
     rate_limit_report rate_limits;
+    cold_report cold;
     brittle_services brittle; ///< By responses to this entry.
     relay_report relay;
 };
@@ -251,6 +282,7 @@
     leaving_servers leaving;                    ///< By answers to any entry.
     crash_orders crashes;                       ///< Of the leader.
     rate_limit_orders rate_limits;              ///< Of the leader.
+    cold_orders cold;                           ///< Of the leader.
     brittle_services brittle;                   ///< By responses to any entry.
     /// Of the asking one, below `entries`; sent along with `brittle`.
     std::uint32_t entry_number = 0;
--- a/include/hyssopdeal/protocol/service_document.hpp
+++ b/include/hyssopdeal/protocol/service_document.hpp
@@ -82,6 +82,10 @@
     std::uint32_t max_connections = 0; ///< To one server, from all entries.
     std::optional<engine_terms> engine;
     std::optional<scaling_terms> scaling;
+    /// How long a server is cold after it starts during traffic; 0: never.
+    std::chrono::milliseconds cold_start{0};
+    /// Requests per second that a cold server tolerates; 0: not known.
+    double cold_per_s = 0;
 };
 
 // [limits] -------------------------------------------------------------------
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -331,7 +331,8 @@
         leading_term = current.leads.term;
         leader_since = now;
         allocator.emplace(now, settings.shares);
-        permits = {};
+        permits = permit_allocator{};
+        cold = cold_permits{};
         shared_quota.emplace(settings.quotas);
         shared_quota_version = 0;
         usage_accepted.clear();
@@ -346,7 +347,8 @@
     {
         leading_term = 0;
         allocator.reset();
-        permits = {};
+        permits = permit_allocator{};
+        cold = cold_permits{};
         shared_quota.reset();
     }
     for (const auto& member : current.replicas.members)
@@ -522,6 +524,9 @@
     gauge("hyssopdeal_rate_limited_servers",
           static_cast<double>(impl_->permits.limited()),
           "Servers that named a rate limit; 0 on followers");
+    out.family("hyssopdeal_cold_permits_total", "counter",
+               "Permits for cold servers that this leader has granted");
+    out.sample(static_cast<double>(impl_->cold.granted()));
     gauge("hyssopdeal_reporting_entries",
           static_cast<double>(impl_->loads.entries()), "Entries that report");
     return out.text();
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -29,6 +29,7 @@
 #include <hyssopdeal/coordination/cluster/relay_directory.hpp>
 #include <hyssopdeal/coordination/cluster/report_pacing.hpp>
 #include <hyssopdeal/coordination/cluster/version_rollout.hpp>
+#include <hyssopdeal/coordination/cold_start/cold_servers.hpp>
 #include <hyssopdeal/protocol/follow_messages.hpp>
 #include <hyssopdeal/protocol/peer_hub.hpp>
 #include <hyssopdeal/transport/digest.hpp>
@@ -195,6 +196,7 @@
     relay_directory relays{load_report_lifetime, transport::random_seed()};
     std::optional<share_allocator> allocator; ///< Leader only.
     permit_allocator permits;                 ///< Used on the leader only.
+    cold_permits cold;                        ///< Used on the leader only.
     bool entries_proposed = false;
     /// The part of the quotas that entries request per use; leader only.
     std::optional<token_quota> shared_quota;
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -448,6 +448,9 @@
     orders.crashes = crash_orders();
     orders.rate_limits = permits.on_report(
         now, report.entry, report.rate_limits, report_interval());
+    orders.cold = cold.on_report(
+        now, report.entry, report.cold,
+        {services, listing.servers, replicated.entries(), report_interval()});
     orders.brittle = brittle.services(now);
     if (!orders.brittle.empty())
     {
--- a/src/coordination/cluster/permit_allocator.cpp
+++ b/src/coordination/cluster/permit_allocator.cpp
@@ -25,6 +25,10 @@
 
 } // namespace
 
+permit_allocator::permit_allocator(permit_pacing pacing)
+    : pacing_(pacing)
+{}
+
 protocol::rate_limit_orders
 permit_allocator::on_report(monotonic_time now, const std::string& entry,
                             const protocol::rate_limit_report& report,
@@ -35,7 +39,8 @@
     constexpr milliseconds report_delay{250};
     merge(now, entry, report.stated);
     sweep(now, report_interval);
-    const auto valid = std::max(min_lifetime, report_interval + report_delay);
+    const auto valid = pacing_.lifetime.value_or(
+        std::max(min_lifetime, report_interval + report_delay));
     protocol::rate_limit_orders orders;
     orders.permits_valid_ms = valid.count();
     for (const auto& [id, server] : servers_)
@@ -97,11 +102,24 @@
     }
 }
 
-void permit_allocator::refill(monotonic_time now, bucket& server)
+void permit_allocator::set_limit(monotonic_time now, const std::string& id,
+                                 std::uint64_t born, double per_s)
+{
+    auto& server = servers_[id];
+    if (server.born != born || server.refilled_at == monotonic_time{})
+    {
+        server = {};
+        server.born = born;
+        server.refilled_at = now;
+    }
+    refill(now, server);
+    server.per_s = per_s;
+    server.said_at = now;
+}
+
+void permit_allocator::refill(monotonic_time now, bucket& server) const
 {
-    // Between two reports a bucket goes on filling beyond a whole permit.
-    constexpr milliseconds report_gap{250};
-    const double capacity = 1 + server.per_s * seconds(report_gap);
+    const double capacity = 1 + server.per_s * seconds(pacing_.bucket_time);
     server.level = std::min(
         capacity,
         server.level + server.per_s * seconds(now - server.refilled_at));
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -204,6 +204,7 @@
     result.leaving = servers.seen_leaving();
     result.crashes = crashes.report(now);
     result.rate_limits = servers.permits().report(now);
+    result.cold = servers.cold().report(now);
     result.brittle = servers.brittle().report(now);
     result.relay = {relay_address, reach.partitioned(now), reach.helpers()};
     if (purpose == report_purpose::inform_leader)
@@ -312,6 +313,7 @@
                                     {"routes", document->routes.size()}});
     quota.set_organisations(clock.monotonic_now(), document->organisations);
     table_ = std::make_shared<const route_table>(std::move(*document));
+    servers.cold().set_services(table_->document().services);
     if (document_handler_)
     {
         document_handler_();
@@ -335,6 +337,7 @@
     if (!orders.listing)
     {
         server_list_read_at_ = read_at;
+        servers.cold().on_list_read(read_at);
         return;
     }
     server_list_read_at_ = read_at;
@@ -348,6 +351,9 @@
                              wall_clock_offset_}
             : read_at;
     reach.set_servers(orders.listing->servers);
+    servers.cold().set_servers(clock.monotonic_now(), orders.listing->servers,
+                               state_at);
+    servers.cold().on_list_read(read_at);
     for (const auto& removed :
          servers.set_servers(orders.listing->servers, state_at))
     {
@@ -371,6 +377,7 @@
     crashes.set_orders(now, orders.crashes);
     servers.permits().set_orders(sent_at, now, orders.rate_limits,
                                  orders.entries);
+    servers.cold().set_orders(sent_at, now, orders.cold, orders.entries);
     servers.brittle().set_orders(now, orders.brittle, orders.entries,
                                  orders.entry_number);
     for (const auto& dropped : reach.set_helpers(orders.helpers))
@@ -443,6 +450,13 @@
     total("hyssopdeal_rate_limit_refusals_total",
           counters.rate_limited_refusals,
           "Requests refused because no server took one more at that time");
+    out.family("hyssopdeal_cold_servers", "gauge",
+               "Servers that are cold, or presumed to be");
+    out.sample(
+        static_cast<double>(servers.cold().count(clock.monotonic_now())));
+    total("hyssopdeal_cold_refusals_total", counters.cold_refusals,
+          "Requests refused because only cold servers without a permit were "
+          "left");
     out.family("hyssopdeal_brittle_servers", "gauge",
                "Rejections per second after which a server of the service "
                "falls over");
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -90,6 +90,7 @@
       random_(seed),
       subset_seed_(random_()),
       permits_(random_()),
+      cold_(random_()),
       brittle_(random_())
 {}
 
@@ -217,7 +218,7 @@
 /// would all choose the same server until the next report. Random servers let a
 /// gateway find free slots when the servers of its subset are full.
 void placement::sample_candidates(
-    std::vector<std::shared_ptr<known_server>>& candidates,
+    monotonic_time now, std::vector<std::shared_ptr<known_server>>& candidates,
     const std::shared_ptr<known_server>& affinity_server)
 {
     // Each server is in the subsets of about this many gateways.
@@ -234,7 +235,7 @@
         return;
     }
     const auto rank = [&](const auto& item) {
-        return item == affinity_server
+        return item == affinity_server || cold_.is_cold(now, item->listed)
                    ? std::numeric_limits<std::uint64_t>::max()
                    : keyed_hash(item->listed.id, subset_seed_);
     };
@@ -264,7 +265,7 @@
         return is_candidate(now, server, service) &&
                versions.admits(server.listed.version) &&
                permits_.may_send(now, server.listed) &&
-               has_brittle_slot(server);
+               cold_.may_send(now, server.listed) && has_brittle_slot(server);
     };
     const auto prefix_id = shared_prefix_id(prompt);
     std::shared_ptr<known_server> affinity_server;
@@ -296,7 +297,7 @@
             candidates.push_back(item);
         }
     }
-    sample_candidates(candidates, affinity_server);
+    sample_candidates(now, candidates, affinity_server);
     placement_choice best;
     double lowest_cost = std::numeric_limits<double>::infinity();
     std::uniform_real_distribution<double> noise{0, 1};
@@ -537,6 +538,18 @@
     });
 }
 
+bool placement::lacks_cold_permit(monotonic_time now,
+                                  const std::string& service,
+                                  const std::set<std::string>& tried)
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
+        const auto& server = *item.second;
+        return is_candidate(now, server, service) &&
+               !tried.contains(item.first) &&
+               !cold_.may_send(now, server.listed);
+    });
+}
+
 bool placement::lacks_brittle_slot(monotonic_time now,
                                    const std::string& service,
                                    const std::set<std::string>& tried)
--- a/src/coordination/gateway/server_permits.cpp
+++ b/src/coordination/gateway/server_permits.cpp
@@ -228,6 +228,23 @@
     }
 }
 
+void server_permits::set_limit(const std::string& id, std::uint64_t born,
+                               double per_s)
+{
+    if (per_s == 0)
+    {
+        limited_.erase(id);
+        return;
+    }
+    auto& limited = limited_[id];
+    if (limited.born != born || per_s < limited.per_s)
+    {
+        limited = {};
+    }
+    limited.born = born;
+    limited.per_s = per_s;
+}
+
 void server_permits::set_orders(monotonic_time sent_at, monotonic_time now,
                                 const protocol::rate_limit_orders& orders,
                                 std::uint32_t gateways)
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -45,6 +45,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rate_limit_report, stated, wanted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rate_limit_orders, stated, permits,
                                    permits_valid_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cold_statement, born, remaining_ms, age_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cold_report, stated, wanted)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cold_orders, stated, permits,
+                                   permits_valid_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(brittle_service, rejections_per_s, age_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(relay_report, address, partitioned, helpers)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_server, id, born, service, address,
@@ -119,6 +123,10 @@
     {
         out["rate_limits"] = limits;
     }
+    if (!value.cold.stated.empty() || !value.cold.wanted.empty())
+    {
+        out["cold"] = value.cold;
+    }
     if (!value.brittle.empty())
     {
         out["brittle"] = value.brittle;
@@ -153,6 +161,10 @@
     {
         from.at("rate_limits").get_to(value.rate_limits);
     }
+    if (from.contains("cold"))
+    {
+        from.at("cold").get_to(value.cold);
+    }
     if (from.contains("brittle"))
     {
         from.at("brittle").get_to(value.brittle);
@@ -185,6 +197,10 @@
     {
         out["rate_limits"] = value.rate_limits;
     }
+    if (!value.cold.stated.empty() || !value.cold.permits.empty())
+    {
+        out["cold"] = value.cold;
+    }
     if (!value.brittle.empty())
     {
         out["brittle"] = value.brittle;
@@ -231,6 +247,10 @@
     {
         from.at("rate_limits").get_to(value.rate_limits);
     }
+    if (from.contains("cold"))
+    {
+        from.at("cold").get_to(value.cold);
+    }
     if (from.contains("brittle"))
     {
         from.at("brittle").get_to(value.brittle);
