Cold servers: skip the look-up when no service has terms

Cause: services without cold_start_s were looked up for each candidate. Change: placement does not look servers up while no service has terms. Result: cold_servers_test passes.

--- a/src/coordination/cold_start/cold_servers.cpp
+++ b/src/coordination/cold_start/cold_servers.cpp
@@ -270,7 +270,7 @@
 bool cold_servers::may_send(monotonic_time now,
                             const protocol::listed_server& listed)
 {
-    auto* const server = find(listed);
+    auto* const server = terms_.empty() ? nullptr : find(listed);
     if (server == nullptr)
     {
         return true;
