Quotas: reserves for the time in which no leader answers

Requests of organisations within their quota were refused with quota_leader_silent while the leader was lost, as an entry's share covers a third of its use and the leader lends the rest per request.

Entries now hold tokens that the leader has already taken from its bucket. Reports to the leader are numbered and only the answer to the latest counts, so the leader knows the most that each entry can use; the bucket's capacity is lowered by that sum. A new leader assumes the largest reserves until all eligible entries have reported theirs.

--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include <hyssopdeal/coordination/admission/token_reserve.hpp>
 #include <hyssopdeal/coordination/gateway/crash_evidence.hpp>
 #include <hyssopdeal/coordination/gateway/placement.hpp>
 #include <hyssopdeal/coordination/gateway/rollout_evidence.hpp>
@@ -105,6 +106,7 @@
     transport::counter rate_limited_refusals; ///< No server had a permit left.
     transport::counter brittle_refusals; ///< No slot left on brittle servers.
     transport::counter leader_silent_refusals; ///< No answer on a quota.
+    transport::counter reserve_tokens_used;
     transport::counter relayed_attempts; ///< Sent through another gateway.
     transport::duration_histogram first_event;
     transport::duration_histogram whole_answer;
@@ -231,7 +233,7 @@
     void set_token_fetcher(token_fetcher fetcher);
 
     /// Takes tokens for a request from the local share, or else from the
-    /// leader.
+    /// leader, or while it is silent from the local reserve.
     ///
     /// @param on_end Called once, possibly before this function returns.
     void take_tokens(const std::string& organisation, double tokens,
@@ -284,6 +286,7 @@
     const gateway_settings settings;
     transport::http1_client client;
     token_quota quota;
+    token_reserve reserve; ///< Of quotas, while the leader is silent.
     service_retry_budgets repeats;
     placement servers;
     server_reach reach;
@@ -303,6 +306,7 @@
     void apply_leader_orders(transport::monotonic_time sent_at,
                              const protocol::entry_orders& orders);
     void finish_start_waits();
+    bool use_reserve(const std::string& organisation, double tokens);
 
     document_parser parse_document_;
     token_fetcher fetch_tokens_;
@@ -328,6 +332,7 @@
     std::size_t buffered_bytes_ = 0; ///< Of all requests.
     std::uint64_t incarnation_;
     std::uint64_t leader_term_ = 0;
+    transport::monotonic_time reserve_logged_at_{};
     transport::monotonic_time started_at_;
     transport::monotonic_time keys_valid_until_{};
     std::uint64_t server_list_digest_ = 0;
--- a/include/hyssopdeal/coordination/gateway/token_quota.hpp
+++ b/include/hyssopdeal/coordination/gateway/token_quota.hpp
@@ -81,6 +81,24 @@
     [[nodiscard]] std::chrono::milliseconds
     take(transport::monotonic_time now, const std::string& name, double tokens);
 
+    /// Lowers a bucket's capacity by tokens that are held elsewhere.
+    void withhold(transport::monotonic_time now, const std::string& name,
+                  double tokens);
+
+    /// Lowers the capacity of every bucket by a part of it.
+    void withhold_fraction(transport::monotonic_time now, double fraction);
+
+    /// @return A bucket's capacity without what is withheld from it; 0 without
+    ///     a limit.
+    [[nodiscard]] double whole_capacity(const std::string& name) const;
+
+    /// Takes tokens as far as a level is left. They do not count as demand.
+    ///
+    /// @return Tokens taken.
+    [[nodiscard]] double take_above(transport::monotonic_time now,
+                                    const std::string& name, double tokens,
+                                    double min_level);
+
     /// Returns the tokens of a request that did not run.
     void refund(const std::string& name, double tokens);
 
@@ -105,6 +123,7 @@
         double rate = 0; ///< Tokens/s of the organisation; 0: no limit.
         double burst = 0;
         double share = 0;
+        double withheld = 0; ///< Of the capacity.
         double level = 0;
         double demand = 0;   ///< Tokens/s, smoothed.
         double asked = 0;    ///< Tokens requested since demand was sampled.
@@ -112,6 +131,7 @@
     };
 
     void refill(transport::monotonic_time now);
+    [[nodiscard]] static double capacity(const bucket& item);
 
     quota_settings settings_;
     std::map<std::string, bucket> buckets_;
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -6,7 +6,7 @@
 /// times a second, and how a replica joins.
 ///
 /// Index: [versions] [crashes] [rate_limits] [brittle_services] [relays]
-///     [report] [orders] [tokens] [joining] [encoding]
+///     [reserves] [report] [orders] [tokens] [joining] [encoding]
 
 #include <chrono>
 #include <cstdint>
@@ -155,6 +155,31 @@
     std::vector<std::string> helpers; ///< Relays that it was told of.
 };
 
+// [reserves] -----------------------------------------------------------------
+
+/// Tokens of an organisation that an entry holds for the time in which no
+/// leader answers.
+struct organisation_reserve
+{
+    double held = 0;     ///< After `returned` was taken out.
+    double wanted = 0;   ///< In all.
+    double returned = 0; ///< With this report.
+};
+
+/// The reserves of an entry; only in reports to the leader.
+struct reserve_report
+{
+    std::uint64_t number = 0; ///< Of the report; 0: it has no reserves.
+    std::map<std::string, organisation_reserve> by_organisation;
+};
+
+/// What an entry holds after the leader's answer, by organisation.
+struct reserve_orders
+{
+    std::uint64_t number = 0; ///< Of the report that is answered.
+    std::map<std::string, double> tokens;
+};
+
 // [report] -------------------------------------------------------------------
 
 /// Requests that began to run in a window of true time.
@@ -203,6 +228,7 @@
     rate_limit_report rate_limits;
     brittle_services brittle; ///< By responses to this entry.
     relay_report relay;
+    reserve_report reserves;
 };
 
 // [orders] -------------------------------------------------------------------
@@ -256,6 +282,7 @@
     std::uint32_t entry_number = 0;
     /// Relays through which the entry reaches servers when it cannot itself.
     std::vector<std::string> helpers;
+    reserve_orders reserves; ///< Of the leader.
 };
 
 // [tokens] -------------------------------------------------------------------
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -333,6 +333,7 @@
         allocator.emplace(now, settings.shares);
         permits = {};
         shared_quota.emplace(settings.quotas);
+        reserves.emplace(now);
         shared_quota_version = 0;
         usage_accepted.clear();
         usage_in_flight.clear();
@@ -348,6 +349,7 @@
         allocator.reset();
         permits = {};
         shared_quota.reset();
+        reserves.reset();
     }
     for (const auto& member : current.replicas.members)
     {
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -21,6 +21,7 @@
 #include <set>
 #include <string>
 
+#include <hyssopdeal/coordination/admission/reserve_ledger.hpp>
 #include <hyssopdeal/coordination/cluster/brittle_directory.hpp>
 #include <hyssopdeal/coordination/cluster/cluster_process.hpp>
 #include <hyssopdeal/coordination/cluster/crash_attribution.hpp>
@@ -133,6 +134,7 @@
     void plan_servers();
     void send_order(const capacity_order& order, double running);
     void cache_document();
+    void update_shared_quota(transport::monotonic_time now);
     [[nodiscard]] bool may_send_orders() const;
 
     // cluster_process_moves.cpp
@@ -198,6 +200,7 @@
     bool entries_proposed = false;
     /// The part of the quotas that entries request per use; leader only.
     std::optional<token_quota> shared_quota;
+    std::optional<reserve_ledger> reserves; ///< Of it; leader only.
     // From the document in force, cached by cache_document().
     std::vector<std::string> organisations;
     std::vector<protocol::organisation_terms> quota_terms;
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -297,14 +297,33 @@
     }
 }
 
+/// Sets the leader's part of the quotas as in the document in force.
+void cluster_process::impl::update_shared_quota(transport::monotonic_time now)
+{
+    // Longer than any leadership lasts; a leader drops its shared quota when it
+    // steps down.
+    constexpr std::chrono::hours shared_quota_lifetime{24 * 365};
+    cache_document();
+    if (shared_quota_version == cached_document_version)
+    {
+        return;
+    }
+    shared_quota_version = cached_document_version;
+    std::map<std::string, double> parts;
+    for (const auto& name : organisations)
+    {
+        parts[name] = 1 - settings.shares.allocated_fraction;
+    }
+    shared_quota->set_organisations(now, quota_terms);
+    shared_quota->set_shares(now, parts, now + shared_quota_lifetime);
+    reserves->on_quota_changed(now, *shared_quota);
+}
+
 /// Grants tokens of the shared quota for one request. If the answer is lost,
 /// the tokens are not returned.
 void cluster_process::impl::on_token_request(
     const std::string& payload, const protocol::peer_hub::reply_function& reply)
 {
-    // Longer than any leadership lasts; a leader drops its shared quota when it
-    // steps down.
-    constexpr std::chrono::hours shared_quota_lifetime{24 * 365};
     const auto request = protocol::decode_token_request(payload);
     if (!request)
     {
@@ -315,18 +334,7 @@
         return;
     }
     const auto now = clock.monotonic_now();
-    cache_document();
-    if (shared_quota_version != cached_document_version)
-    {
-        shared_quota_version = cached_document_version;
-        std::map<std::string, double> parts;
-        for (const auto& name : organisations)
-        {
-            parts[name] = 1 - settings.shares.allocated_fraction;
-        }
-        shared_quota->set_organisations(now, quota_terms);
-        shared_quota->set_shares(now, parts, now + shared_quota_lifetime);
-    }
+    update_shared_quota(now);
     const auto wait =
         shared_quota->take(now, request->organisation, request->tokens);
     reply(protocol::encode(
@@ -440,6 +448,9 @@
     cache_document();
     allocator->set_eligible_entries(replicated.entries());
     orders.shares = allocator->on_report(now, report, organisations);
+    update_shared_quota(now);
+    orders.reserves =
+        reserves->on_report(now, report, replicated.entries(), *shared_quota);
     const bool refreshed = refresh_packed_load(now);
     orders.packed_load = packed_load;
     orders.entries = static_cast<std::uint32_t>(loads.entries());
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -209,6 +209,7 @@
     if (purpose == report_purpose::inform_leader)
     {
         crashes.mark_reported(now);
+        result.reserves = reserve.report(now);
         for (const auto& seen :
              rollouts.reports_for(now, leader_term_, versions.counts()))
         {
@@ -259,18 +260,53 @@
     {
         return on_end({quota_refusal::exceeded, wait});
     }
-    fetch_tokens_(organisation, tokens, [this, on_end](const auto& answer) {
-        if (!answer)
-        {
-            counters.leader_silent_refusals.add();
-            return on_end({quota_refusal::leader_silent, leader_retry_after});
-        }
-        answer->granted
-            ? on_end({})
-            : on_end(
-                  {quota_refusal::exceeded,
-                   milliseconds{std::max<std::int64_t>(1, answer->wait_ms)}});
-    });
+    if (reserve.leader_silent(clock.monotonic_now()) &&
+        use_reserve(organisation, tokens))
+    {
+        return on_end({});
+    }
+    fetch_tokens_(
+        organisation, tokens,
+        [this, organisation, tokens, on_end](const auto& answer) {
+            if (!answer)
+            {
+                if (use_reserve(organisation, tokens))
+                {
+                    return on_end({});
+                }
+                counters.leader_silent_refusals.add();
+                return on_end(
+                    {quota_refusal::leader_silent, leader_retry_after});
+            }
+            if (answer->granted)
+            {
+                reserve.on_granted(clock.monotonic_now(), organisation, tokens);
+            }
+            answer->granted ? on_end({})
+                            : on_end({quota_refusal::exceeded,
+                                      milliseconds{std::max<std::int64_t>(
+                                          1, answer->wait_ms)}});
+        });
+}
+
+/// Takes tokens from the reserve, which the leader has already counted as used.
+bool gateway_core::use_reserve(const std::string& organisation, double tokens)
+{
+    constexpr milliseconds log_interval{1'000};
+    const auto now = clock.monotonic_now();
+    if (!reserve.take(now, organisation, tokens))
+    {
+        return false;
+    }
+    counters.reserve_tokens_used.add(static_cast<std::uint64_t>(tokens));
+    if (now - reserve_logged_at_ >= log_interval)
+    {
+        reserve_logged_at_ = now;
+        log_event("quota.reserve_used",
+                  {{"organisation", organisation},
+                   {"left", reserve.held(now, organisation)}});
+    }
+    return true;
 }
 
 // [orders] -------------------------------------------------------------------
@@ -365,6 +401,7 @@
     keys_valid_until_ =
         std::max(keys_valid_until_, sent_at + settings.keys_valid_for);
     quota.set_shares(now, orders.shares, sent_at + settings.keys_valid_for);
+    reserve.set_orders(now, orders.reserves);
     servers.set_peer_loads(orders.others_load);
     servers.set_gateway_count(orders.entries);
     versions.set_orders(sent_at, orders.moves);
@@ -456,6 +493,8 @@
     total("hyssopdeal_leader_silent_refusals_total",
           counters.leader_silent_refusals,
           "Requests refused because the leader did not answer on their quota");
+    total("hyssopdeal_reserve_tokens_used_total", counters.reserve_tokens_used,
+          "Tokens of quotas used from the reserve while the leader was silent");
     total("hyssopdeal_relayed_attempts_total", counters.relayed_attempts,
           "Attempts sent through another gateway");
     out.family("hyssopdeal_unreached_servers", "gauge",
--- a/src/coordination/gateway/token_quota.cpp
+++ b/src/coordination/gateway/token_quota.cpp
@@ -28,6 +28,11 @@
     : settings_(settings)
 {}
 
+double token_quota::capacity(const bucket& item)
+{
+    return std::max(0.0, item.share * item.burst - item.withheld);
+}
+
 void token_quota::refill(monotonic_time now)
 {
     const seconds elapsed =
@@ -40,7 +45,7 @@
     for (auto& [name, item] : buckets_)
     {
         item.level =
-            std::min(item.share * item.burst,
+            std::min(capacity(item),
                      item.level + item.share * item.rate * elapsed.count());
         item.deferred = std::max(0.0, item.deferred - item.share * item.rate *
                                                           elapsed.count());
@@ -76,7 +81,7 @@
                                   settings_.rate_fraction * tolerated / window
                             : 0;
         item.burst = terms.burst_tokens + settings_.burst_fraction * tolerated;
-        item.level = std::min(item.level, item.share * item.burst);
+        item.level = std::min(item.level, capacity(item));
     }
     buckets_ = std::move(next);
 }
@@ -119,7 +124,7 @@
     const bool shares_valid = now < shares_expire_at_;
     const double needed = settings_.debt == bucket_debt::none
                               ? tokens
-                              : std::min(tokens, item.share * item.burst);
+                              : std::min(tokens, capacity(item));
     if (shares_valid && item.share > 0 && item.level >= needed)
     {
         item.level -= tokens;
@@ -133,13 +138,60 @@
         static_cast<std::int64_t>(std::ceil(1'000 * shortfall / rate))};
 }
 
+void token_quota::withhold(monotonic_time now, const std::string& name,
+                           double tokens)
+{
+    const auto found = buckets_.find(name);
+    if (found != buckets_.end())
+    {
+        refill(now);
+        found->second.withheld = tokens;
+        found->second.level =
+            std::min(found->second.level, capacity(found->second));
+    }
+}
+
+void token_quota::withhold_fraction(monotonic_time now, double fraction)
+{
+    refill(now);
+    for (auto& [name, item] : buckets_)
+    {
+        item.withheld = fraction * item.share * item.burst;
+        item.level = std::min(item.level, capacity(item));
+    }
+}
+
+double token_quota::whole_capacity(const std::string& name) const
+{
+    const auto found = buckets_.find(name);
+    return found == buckets_.end() || found->second.rate <= 0
+               ? 0
+               : found->second.share * found->second.burst;
+}
+
+double token_quota::take_above(monotonic_time now, const std::string& name,
+                               double tokens, double min_level)
+{
+    const auto found = buckets_.find(name);
+    if (found == buckets_.end())
+    {
+        return 0;
+    }
+    refill(now);
+    auto& item = found->second;
+    const double taken =
+        std::max(0.0, std::min(tokens, item.level - min_level));
+    item.level -= taken;
+    return taken;
+}
+
 void token_quota::refund(const std::string& name, double tokens)
 {
     const auto found = buckets_.find(name);
     if (found != buckets_.end())
     {
         auto& item = found->second;
-        item.level = std::min(item.share * item.burst, item.level + tokens);
+        item.level = std::min(capacity(item), item.level + tokens);
     }
 }
 
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -47,6 +47,9 @@
                                    permits_valid_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(brittle_service, rejections_per_s, age_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(relay_report, address, partitioned, helpers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(organisation_reserve, held, wanted, returned)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(reserve_report, number, by_organisation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(reserve_orders, number, tokens)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_server, id, born, service, address,
                                    failure_domain, version, slots, state,
                                    reclaimable, cold_remaining_ms, leaves_ms)
@@ -127,6 +130,10 @@
     {
         out["relay"] = value.relay;
     }
+    if (value.reserves.number != 0)
+    {
+        out["reserves"] = value.reserves;
+    }
 }
 
 void from_json(const json& from, entry_report& value)
@@ -161,6 +168,10 @@
     {
         from.at("relay").get_to(value.relay);
     }
+    if (from.contains("reserves"))
+    {
+        from.at("reserves").get_to(value.reserves);
+    }
 }
 
 void to_json(json& out, const entry_orders& value)
@@ -194,6 +205,10 @@
     {
         out["helpers"] = value.helpers;
     }
+    if (value.reserves.number != 0)
+    {
+        out["reserves"] = value.reserves;
+    }
     if (value.packed_document)
     {
         out["packed_document"] = *value.packed_document;
@@ -240,6 +255,10 @@
     {
         from.at("helpers").get_to(value.helpers);
     }
+    if (from.contains("reserves"))
+    {
+        from.at("reserves").get_to(value.reserves);
+    }
     if (from.contains("packed_document"))
     {
         value.packed_document = from.at("packed_document").get<std::string>();
