Admission: less urgent requests yield while a service lacks room

With three of four domains lost, entries refused 201 requests of rank 1 and 119 of rank 0 as overloaded, and 1 of 1,213 of rank 2: each request is compared with its own latency target, so the queue grows to what the least urgent tolerate.

Entries count first attempts and those refused for lack of room by service and rank; the leader orders shares of the less urgent ranks that entries refuse with 503 yields_to_urgent. Only for services whose servers report their load; until on_server_load_seen() is wired to responses, nothing is counted or refused.

--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include <hyssopdeal/coordination/admission/rank_admission.hpp>
 #include <hyssopdeal/coordination/admission/token_reserve.hpp>
 #include <hyssopdeal/coordination/gateway/crash_evidence.hpp>
 #include <hyssopdeal/coordination/gateway/placement.hpp>
@@ -286,6 +287,7 @@
     const gateway_settings settings;
     transport::http1_client client;
     token_quota quota;
+    rank_admission ranks;  ///< Under overload.
     token_reserve reserve; ///< Of quotas, while the leader is silent.
     service_retry_budgets repeats;
     placement servers;
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -74,6 +74,7 @@
     void on_quota_result(const quota_result& result);
     void select_service();
     bool refuse_quarantined();
+    bool yield_to_urgent();
 
     // [attempts]
     [[nodiscard]] transport::http1_call_settings make_call_settings() const;
@@ -162,6 +163,7 @@
 
     // [completion]
     void refuse(int status, std::string_view reason, milliseconds retry_after);
+    void refuse_for_room(std::string_view reason, milliseconds retry_after);
     void fail(int status, std::string_view reason);
     void on_deadline();
     void end_unanswered(std::string_view reason, milliseconds retry_after);
@@ -387,6 +389,26 @@
     return true;
 }
 
+/// Ends the request if the leader has ordered that requests of its rank make
+/// room for more urgent ones. Nothing was sent yet.
+///
+/// @return Whether it was ended.
+template <caller_dialect Dialect>
+bool request_flow<Dialect>::yield_to_urgent()
+{
+    if (delivered_attempts_ > 0 || failed_connects_ > 0)
+    {
+        return false;
+    }
+    const auto wait = core_.ranks.on_request(
+        core_.clock.monotonic_now(), service_, rank_, terms_.attempt_id);
+    if (wait)
+    {
+        refuse(503, "yields_to_urgent", *wait);
+    }
+    return wait.has_value();
+}
+
 template <caller_dialect Dialect>
 bool request_flow<Dialect>::authenticate()
 {
@@ -546,7 +568,7 @@
                    ? fail(502, "shutdown")
                    : refuse(503, "shutdown", shutdown_retry_after);
     }
-    if (refuse_quarantined())
+    if (refuse_quarantined() || yield_to_urgent())
     {
         return;
     }
@@ -561,13 +583,14 @@
         if (core_.servers.lacks_permit(now, service_, tried_servers_))
         {
             core_.counters.rate_limited_refusals.add();
-            return refuse(503, "servers_rate_limited",
-                          core_.servers.permits().reserve_turn(now, service_));
+            return refuse_for_room(
+                "servers_rate_limited",
+                core_.servers.permits().reserve_turn(now, service_));
         }
         if (core_.servers.lacks_brittle_slot(now, service_, tried_servers_))
         {
             core_.counters.brittle_refusals.add();
-            return refuse(503, "servers_full", servers_full_retry_after);
+            return refuse_for_room("servers_full", servers_full_retry_after);
         }
         const auto pause = core_.servers.remaining_pause(now, service_);
         return refuse(503, pause ? "servers_paused" : "no_server",
@@ -579,7 +602,7 @@
     {
         const auto target =
             std::max(route_->target_latency, choice->predicted_unloaded);
-        return refuse(503, "overloaded", choice->predicted - target);
+        return refuse_for_room("overloaded", choice->predicted - target);
     }
     moved_run_.clear();
     start_attempt(*choice);
@@ -1256,8 +1279,9 @@
     {
         return start_next_attempt();
     }
-    possible_runs_ > 0 ? fail(502, "servers_full")
-                       : refuse(503, "servers_full", servers_full_retry_after);
+    possible_runs_ > 0
+        ? fail(502, "servers_full")
+        : refuse_for_room("servers_full", servers_full_retry_after);
 }
 
 /// Handles an attempt that ended without a complete response.
@@ -1774,6 +1798,15 @@
     finish(reason, status);
 }
 
+/// Ends a request that was not run because the service's servers lack room.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::refuse_for_room(std::string_view reason,
+                                            milliseconds retry_after)
+{
+    core_.ranks.on_late(core_.clock.monotonic_now(), service_, rank_);
+    refuse(503, reason, retry_after);
+}
+
 /// Ends a request that may have run.
 template <caller_dialect Dialect>
 void request_flow<Dialect>::fail(int status, std::string_view reason)
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -6,7 +6,7 @@
 /// times a second, and how a replica joins.
 ///
 /// Index: [versions] [crashes] [rate_limits] [brittle_services] [relays]
-///     [reserves] [report] [orders] [tokens] [joining] [encoding]
+///     [reserves] [pressure] [report] [orders] [tokens] [joining] [encoding]
 
 #include <chrono>
 #include <cstdint>
@@ -180,6 +180,22 @@
     std::map<std::string, double> tokens;
 };
 
+// [pressure] -----------------------------------------------------------------
+
+/// What an entry counted of a service's first attempts since its last report.
+struct rank_pressure
+{
+    std::uint64_t asked = 0; ///< Not refused by an ordered share.
+    std::uint64_t late = 0;  ///< Of these, refused for lack of room.
+    double turn = 0;         ///< Share that the entry refuses.
+};
+
+/// By service, then by rank.
+using service_pressures =
+    std::map<std::string, std::map<std::uint32_t, rank_pressure>>;
+/// Shares of requests to refuse, by service, then by rank.
+using service_turns = std::map<std::string, std::map<std::uint32_t, double>>;
+
 // [report] -------------------------------------------------------------------
 
 /// Requests that began to run in a window of true time.
@@ -229,6 +245,7 @@
     brittle_services brittle; ///< By responses to this entry.
     relay_report relay;
     reserve_report reserves;
+    service_pressures pressure; ///< Only in reports to the leader.
 };
 
 // [orders] -------------------------------------------------------------------
@@ -283,6 +300,7 @@
     /// Relays through which the entry reaches servers when it cannot itself.
     std::vector<std::string> helpers;
     reserve_orders reserves; ///< Of the leader.
+    service_turns turns;     ///< Of the leader.
 };
 
 // [tokens] -------------------------------------------------------------------
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -334,6 +334,7 @@
         permits = {};
         shared_quota.emplace(settings.quotas);
         reserves.emplace(now);
+        shortage.emplace(now);
         shared_quota_version = 0;
         usage_accepted.clear();
         usage_in_flight.clear();
@@ -350,6 +351,7 @@
         permits = {};
         shared_quota.reset();
         reserves.reset();
+        shortage.reset();
     }
     for (const auto& member : current.replicas.members)
     {
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -22,6 +22,7 @@
 #include <string>
 
 #include <hyssopdeal/coordination/admission/reserve_ledger.hpp>
+#include <hyssopdeal/coordination/admission/shortage_controller.hpp>
 #include <hyssopdeal/coordination/cluster/brittle_directory.hpp>
 #include <hyssopdeal/coordination/cluster/cluster_process.hpp>
 #include <hyssopdeal/coordination/cluster/crash_attribution.hpp>
@@ -200,7 +201,8 @@
     bool entries_proposed = false;
     /// The part of the quotas that entries request per use; leader only.
     std::optional<token_quota> shared_quota;
-    std::optional<reserve_ledger> reserves; ///< Of it; leader only.
+    std::optional<reserve_ledger> reserves;      ///< Of it; leader only.
+    std::optional<shortage_controller> shortage; ///< Leader only.
     // From the document in force, cached by cache_document().
     std::vector<std::string> organisations;
     std::vector<protocol::organisation_terms> quota_terms;
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -451,6 +451,8 @@
     update_shared_quota(now);
     orders.reserves =
         reserves->on_report(now, report, replicated.entries(), *shared_quota);
+    shortage->on_report(now, report.pressure);
+    orders.turns = shortage->turns();
     const bool refreshed = refresh_packed_load(now);
     orders.packed_load = packed_load;
     orders.entries = static_cast<std::uint32_t>(loads.entries());
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -210,6 +210,7 @@
     {
         crashes.mark_reported(now);
         result.reserves = reserve.report(now);
+        result.pressure = ranks.report(now);
         for (const auto& seen :
              rollouts.reports_for(now, leader_term_, versions.counts()))
         {
@@ -402,6 +403,7 @@
         std::max(keys_valid_until_, sent_at + settings.keys_valid_for);
     quota.set_shares(now, orders.shares, sent_at + settings.keys_valid_for);
     reserve.set_orders(now, orders.reserves);
+    ranks.set_orders(now, orders.turns);
     servers.set_peer_loads(orders.others_load);
     servers.set_gateway_count(orders.entries);
     versions.set_orders(sent_at, orders.moves);
@@ -493,6 +495,13 @@
     total("hyssopdeal_leader_silent_refusals_total",
           counters.leader_silent_refusals,
           "Requests refused because the leader did not answer on their quota");
+    out.family("hyssopdeal_yielded_total", "counter",
+               "Requests refused so that more urgent ones are served");
+    for (const auto& [rank, count] : ranks.yielded())
+    {
+        out.sample(static_cast<double>(count),
+                   {{"rank", std::to_string(rank)}});
+    }
     total("hyssopdeal_reserve_tokens_used_total", counters.reserve_tokens_used,
           "Tokens of quotas used from the reserve while the leader was silent");
     total("hyssopdeal_relayed_attempts_total", counters.relayed_attempts,
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -50,6 +50,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(organisation_reserve, held, wanted, returned)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(reserve_report, number, by_organisation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(reserve_orders, number, tokens)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rank_pressure, asked, late, turn)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_server, id, born, service, address,
                                    failure_domain, version, slots, state,
                                    reclaimable, cold_remaining_ms, leaves_ms)
@@ -134,6 +135,10 @@
     {
         out["reserves"] = value.reserves;
     }
+    if (!value.pressure.empty())
+    {
+        out["pressure"] = value.pressure;
+    }
 }
 
 void from_json(const json& from, entry_report& value)
@@ -172,6 +177,10 @@
     {
         from.at("reserves").get_to(value.reserves);
     }
+    if (from.contains("pressure"))
+    {
+        from.at("pressure").get_to(value.pressure);
+    }
 }
 
 void to_json(json& out, const entry_orders& value)
@@ -209,6 +218,10 @@
     {
         out["reserves"] = value.reserves;
     }
+    if (!value.turns.empty())
+    {
+        out["turns"] = value.turns;
+    }
     if (value.packed_document)
     {
         out["packed_document"] = *value.packed_document;
@@ -259,6 +272,10 @@
     {
         from.at("reserves").get_to(value.reserves);
     }
+    if (from.contains("turns"))
+    {
+        from.at("turns").get_to(value.turns);
+    }
     if (from.contains("packed_document"))
     {
         value.packed_document = from.at("packed_document").get<std::string>();
