--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -6,7 +6,8 @@
 /// times a second, and how a replica joins.
 ///
 /// Index: [versions] [crashes] [rate_limits] [cold_servers] [brittle_services]
-///     [relays] [report] [orders] [tokens] [joining] [encoding]
+///     [relays] [reserves] [pressure] [report] [orders] [tokens] [joining]
+///     [encoding]
 
 #include <chrono>
 #include <cstdint>
@@ -185,6 +186,47 @@
     std::vector<std::string> helpers; ///< Relays that it was told of.
 };
 
+// [reserves] -----------------------------------------------------------------
+
+/// Tokens of an organisation that an entry holds for the time in which no
+/// leader answers.
+struct organisation_reserve
+{
+    double held = 0;     ///< After `returned` was taken out.
+    double wanted = 0;   ///< In all.
+    double returned = 0; ///< With this report.
+};
+
+/// The reserves of an entry; only in reports to the leader.
+struct reserve_report
+{
+    std::uint64_t number = 0; ///< Of the report; 0: it has no reserves.
+    std::map<std::string, organisation_reserve> by_organisation;
+};
+
+/// What an entry holds after the leader's answer, by organisation.
+struct reserve_orders
+{
+    std::uint64_t number = 0; ///< Of the report that is answered.
+    std::map<std::string, double> tokens;
+};
+
+// [pressure] -----------------------------------------------------------------
+
+/// What an entry counted of a service's first attempts since its last report.
+struct rank_pressure
+{
+    std::uint64_t asked = 0; ///< Not refused by an ordered share.
+    std::uint64_t late = 0;  ///< Of these, refused for lack of room.
+    double turn = 0;         ///< Share that the entry refuses.
+};
+
+/// By service, then by rank.
+using service_pressures =
+    std::map<std::string, std::map<std::uint32_t, rank_pressure>>;
+/// Shares of requests to refuse, by service, then by rank.
+using service_turns = std::map<std::string, std::map<std::uint32_t, double>>;
+
 // [report] -------------------------------------------------------------------
 
 /// Requests that began to run in a window of true time.
@@ -235,6 +277,8 @@
     brittle_services brittle; ///< By responses to this entry.
     relay_report relay;
     std::uint64_t evacuation_revision = 0; ///< In force here; 0: none.
+    reserve_report reserves;
+    service_pressures pressure; ///< Only in reports to the leader.
 };
 
 // [orders] -------------------------------------------------------------------
@@ -293,6 +337,8 @@
     /// whichever replica answers.
     std::uint64_t evacuation_revision = 0;
     std::set<std::string> evacuated; ///< Their servers get no requests.
+    reserve_orders reserves; ///< Of the leader.
+    service_turns turns;     ///< Of the leader.
 };
 
 // [tokens] -------------------------------------------------------------------
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -335,6 +335,8 @@
         permits = permit_allocator{};
         cold = cold_permits{};
         shared_quota.emplace(settings.quotas);
+        reserves.emplace(now);
+        shortage.emplace(now);
         shared_quota_version = 0;
         usage_accepted.clear();
         usage_in_flight.clear();
@@ -351,6 +353,8 @@
         permits = permit_allocator{};
         cold = cold_permits{};
         shared_quota.reset();
+        reserves.reset();
+        shortage.reset();
     }
     for (const auto& member : current.replicas.members)
     {
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -24,6 +24,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <hyssopdeal/coordination/admission/reserve_ledger.hpp>
+#include <hyssopdeal/coordination/admission/shortage_controller.hpp>
 #include <hyssopdeal/coordination/cluster/brittle_directory.hpp>
 #include <hyssopdeal/coordination/cluster/cluster_process.hpp>
 #include <hyssopdeal/coordination/cluster/crash_attribution.hpp>
@@ -139,6 +141,7 @@
     void plan_servers();
     void send_order(const capacity_order& order, double running);
     void cache_document();
+    void update_shared_quota(transport::monotonic_time now);
     [[nodiscard]] bool may_send_orders() const;
 
     // cluster_process_moves.cpp
@@ -213,6 +216,8 @@
     bool entries_proposed = false;
     /// The part of the quotas that entries request per use; leader only.
     std::optional<token_quota> shared_quota;
+    std::optional<reserve_ledger> reserves;      ///< Of it; leader only.
+    std::optional<shortage_controller> shortage; ///< Leader only.
     // From the document in force, cached by cache_document().
     std::vector<std::string> organisations;
     std::vector<protocol::organisation_terms> quota_terms;
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -51,6 +51,10 @@
                                    permits_valid_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(brittle_service, rejections_per_s, age_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(relay_report, address, partitioned, helpers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(organisation_reserve, held, wanted, returned)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(reserve_report, number, by_organisation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(reserve_orders, number, tokens)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rank_pressure, asked, late, turn)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_server, id, born, service, address,
                                    failure_domain, version, slots, state,
                                    reclaimable, cold_remaining_ms, leaves_ms)
@@ -139,6 +143,14 @@
     {
         out["evacuation_revision"] = value.evacuation_revision;
     }
+    if (value.reserves.number != 0)
+    {
+        out["reserves"] = value.reserves;
+    }
+    if (!value.pressure.empty())
+    {
+        out["pressure"] = value.pressure;
+    }
 }
 
 void from_json(const json& from, entry_report& value)
@@ -179,6 +191,14 @@
     }
     value.evacuation_revision =
         from.value("evacuation_revision", std::uint64_t{0});
+    if (from.contains("reserves"))
+    {
+        from.at("reserves").get_to(value.reserves);
+    }
+    if (from.contains("pressure"))
+    {
+        from.at("pressure").get_to(value.pressure);
+    }
 }
 
 void to_json(json& out, const entry_orders& value)
@@ -221,6 +241,14 @@
         out["evacuation_revision"] = value.evacuation_revision;
         out["evacuated"] = value.evacuated;
     }
+    if (value.reserves.number != 0)
+    {
+        out["reserves"] = value.reserves;
+    }
+    if (!value.turns.empty())
+    {
+        out["turns"] = value.turns;
+    }
     if (value.packed_document)
     {
         out["packed_document"] = *value.packed_document;
@@ -276,6 +304,14 @@
         from.at("evacuation_revision").get_to(value.evacuation_revision);
         from.at("evacuated").get_to(value.evacuated);
     }
+    if (from.contains("reserves"))
+    {
+        from.at("reserves").get_to(value.reserves);
+    }
+    if (from.contains("turns"))
+    {
+        from.at("turns").get_to(value.turns);
+    }
     if (from.contains("packed_document"))
     {
         value.packed_document = from.at("packed_document").get<std::string>();
