Placement: predict from the work left at a server and its speed

Cause: requests that look alike differ in their work, and servers in speed; the formula in use knows neither output lengths nor stated loads. Change: coordination/cost estimates a request's cost, a server's speed and its backlog; placement uses them for services whose servers state their load. Histograms by route and a gauge of speed by server.

--- a/include/hyssopdeal/coordination/gateway/dialect.hpp
+++ b/include/hyssopdeal/coordination/gateway/dialect.hpp
@@ -87,6 +87,8 @@
     /// Text that names the requests per second that the server can reject for
     /// want of room without falling over; empty if it is not brittle.
     std::string withstood_rejections;
+    /// Text that states the server's load; empty if it states none.
+    std::string server_load;
 };
 
 /// A server's response to a liveness check.
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -8,6 +8,9 @@
 /// of their requests, and prompts that share a prefix. Performs no I/O.
 ///
 /// Index: [prompt] [settings] [server_load] [choice] [placement]
+///
+/// For services whose servers state their load, the prediction is made from the
+/// work left at a server and its speed (coordination/cost).
 
 #include <chrono>
 #include <cstdint>
@@ -22,6 +25,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include <hyssopdeal/coordination/cost/request_cost.hpp>
+#include <hyssopdeal/coordination/cost/route_timings.hpp>
+#include <hyssopdeal/coordination/cost/server_backlog.hpp>
+#include <hyssopdeal/coordination/cost/server_speed.hpp>
 #include <hyssopdeal/coordination/gateway/brittle_servers.hpp>
 #include <hyssopdeal/coordination/gateway/server_permits.hpp>
 #include <hyssopdeal/coordination/gateway/version_split.hpp>
@@ -48,6 +55,7 @@
     std::uint32_t max_output_tokens = 0;
     std::vector<prompt_part> parts; ///< In order. The last one is not
                                     ///< shared with other requests.
+    request_kind kind{};
 };
 
 /// Parses parts as `ID:TOKENS`, the id in hexadecimal, separated by commas.
@@ -83,6 +91,12 @@
     /// held meanwhile.
     double connection_setup_penalty_ms = 10;
     double failure_penalty_ms = 400; ///< Multiplied by the failure rate.
+    /// Of a stream whose expected time between events is the target. Grows with
+    /// the square of their ratio, since the largest gap is several times the
+    /// mean one.
+    double gap_penalty_ms = 200;
+    /// Random part of a cost predicted from figures that all gateways share.
+    double shared_figures_noise = 0.1;
     /// How long a stream keeps its slot, until measured.
     double initial_slot_hold_ms = 500;
     /// Pause after a refusal that names no retry time. If streams run for one
@@ -108,7 +122,8 @@
     /// Uncached prompt tokens of this gateway's requests that have not had
     /// their first event.
     std::uint64_t waiting_tokens = 0;
-    protocol::sent_load peer_load;      ///< Sum over all other gateways.
+    double writing = 0;            ///< Events left of this gateway's streams.
+    protocol::sent_load peer_load; ///< Sum over all other gateways.
     std::uint32_t reported_waiting = 0; ///< As counted by the server.
     transport::monotonic_time reported_at{};
     double latency_ratio = 1; ///< Observed to predicted latency, smoothed.
@@ -125,6 +140,29 @@
 
 // [choice] -------------------------------------------------------------------
 
+/// A prediction from the work left at a server, and what is learned from.
+struct work_prediction
+{
+    double first_event_ms = 0;
+    double unloaded_ms = 0;
+    double wait_ms = 0;     ///< Part of it before the request runs.
+    double gap_cost_ms = 0; ///< Of the streams that run beside it, and its own.
+    double noise_ms = 0;    ///< Largest random part.
+    /// The time on a server of mean speed; 0 if it had to wait.
+    double usual_ms = 0;
+    double by_reports_ms = 0;
+    double by_statement_ms = 0; ///< 0: no recent statement.
+};
+
+/// Progress of a stream on its server.
+struct run_progress
+{
+    double events_expected = 0;
+    double events_left = 0;
+    std::uint32_t events = 0;
+    transport::monotonic_time last_event{}; ///< Before it: when chosen.
+};
+
 /// The server selected for a request, with the predictions made for it.
 struct placement_choice
 {
@@ -133,8 +171,10 @@
     /// To the first event if the server had no other requests.
     std::chrono::milliseconds predicted_unloaded{0};
     std::uint64_t uncached_tokens = 0;
-    std::uint64_t waiting_tokens = 0; ///< Known to be queued ahead.
-    std::uint32_t prompt_tokens = 0;  ///< 0: no prompt.
+    std::uint64_t waiting_tokens = 0;      ///< Known to be queued ahead.
+    std::uint32_t prompt_tokens = 0;       ///< 0: no prompt.
+    std::optional<work_prediction> work{}; ///< If its service states its load.
+    run_progress progress{};
 };
 
 // [placement] ----------------------------------------------------------------
@@ -187,6 +227,21 @@
     void on_first_event(const placement_choice& choice,
                         std::chrono::milliseconds latency);
 
+    /// Records what a response states of its server's load. Malformed text is
+    /// ignored and logged.
+    void on_load(transport::monotonic_time now, const known_server& server,
+                 std::string_view text);
+
+    /// Records an event of a stream.
+    void on_event(transport::monotonic_time now, placement_choice& choice);
+
+    /// Records a complete response.
+    ///
+    /// @param timing What the caller got.
+    /// @param one_attempt Whether this attempt sent the whole response.
+    void on_served(const placement_choice& choice, const prompt_size& prompt,
+                   const answer_timing& timing, bool one_attempt);
+
     /// Records that a request no longer runs on the server.
     ///
     /// @param first_event_seen Whether on_first_event was called.
@@ -249,6 +304,17 @@
         return servers_;
     }
 
+    /// @return Learned speeds of servers.
+    [[nodiscard]] const server_speed& speeds() const noexcept
+    {
+        return speeds_;
+    }
+    /// @return Histograms of complete responses by route.
+    [[nodiscard]] const route_timings& timings() const noexcept
+    {
+        return timings_;
+    }
+
     /// @return The permits for servers with a rate limit. choose() skips servers
     ///     without one; who sends a request takes it.
     [[nodiscard]] server_permits& permits() noexcept
@@ -294,6 +360,22 @@
     [[nodiscard]] double unloaded_first_event_ms(const known_server& server,
                                                  const prompt_size& prompt,
                                                  std::uint64_t uncached) const;
+    /// @return Nothing if the service states no load.
+    [[nodiscard]] std::optional<work_prediction>
+    predict_by_work(transport::monotonic_time now, const known_server& server,
+                    const prompt_size& prompt, std::uint64_t uncached) const;
+    [[nodiscard]] double wait_ms(transport::monotonic_time now,
+                                 const known_server& server,
+                                 const prompt_size& prompt,
+                                 const work_left& work) const;
+    [[nodiscard]] double gap_cost_ms(transport::monotonic_time now,
+                                     const known_server& server,
+                                     const prompt_size& prompt,
+                                     double concurrent) const;
+    [[nodiscard]] output_estimate
+    expected_output(const prompt_size& prompt) const;
+    void learn_first_event(transport::monotonic_time now,
+                           const placement_choice& choice, double latency_ms);
     /// Reduces the candidates to this gateway's subset of servers, the affinity
     /// server and a few random ones.
     void
@@ -306,6 +388,12 @@
     std::uint64_t subset_seed_; ///< Ranks servers for this gateway's subset.
     server_permits permits_;
     brittle_servers brittle_;
+    request_cost costs_;
+    server_speed speeds_;
+    server_backlog backlog_;
+    route_timings timings_;
+    unreadable_text_log unreadable_loads_{"server_load.unreadable"};
+    std::set<std::string> stating_services_; ///< That stated their load.
     std::size_t gateway_count_ = 0; ///< With the same load reports; 0: unknown.
     struct prefill_speed
     {
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -365,6 +365,12 @@
     {
         return false;
     }
+    terms_.size.kind.route =
+        route_->rule == protocol::repeat_rule::stream
+            ? route_->name
+            : fmt::format("{} {}", route_->name, exchange_.request().method);
+    terms_.size.kind.organisation = organisation_;
+    terms_.size.kind.target_gap = route_->target_gap;
     content_.emplace(exchange_.request(), organisation_, terms_.size);
     return !refuse_quarantined();
 }
@@ -912,6 +918,7 @@
                                         sent_at);
     core_.servers.brittle().on_response(now, server.listed,
                                         response.withstood_rejections, sent_at);
+    core_.servers.on_load(now, server, response.server_load);
 }
 
 template <caller_dialect Dialect>
@@ -1611,6 +1618,7 @@
         last_activity_ = core_.clock.monotonic_now();
         choice_.server->last_heard = last_activity_;
         on_first_event();
+        core_.servers.on_event(last_activity_, choice_);
         if (response_started_)
         {
             max_event_gap_ = std::max(max_event_gap_,
@@ -1738,6 +1746,13 @@
     (success ? core_.counters.served : core_.counters.forwarded_errors).add();
     core_.counters.whole_answer.add(core_.clock.monotonic_now() -
                                     exchange_.received_at());
+    if (success)
+    {
+        core_.servers.on_served(
+            choice_, terms_.size,
+            {time_to_first_event_, max_event_gap_, elapsed_time()},
+            delivered_attempts_ == 1);
+    }
     finish(success ? "served" : "passed_failure", response_status_);
 }
 
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -169,6 +169,8 @@
 {
     std::uint32_t running = 0;        ///< Not answered to the end.
     std::uint64_t waiting_tokens = 0; ///< Of prompts without a first event.
+    std::uint64_t writing =
+        0; ///< Events that streams are expected to have yet.
 };
 
 /// Servers that have told that they leave: when each was born, by id, as a
--- a/include/hyssopdeal/transport/metrics.hpp
+++ b/include/hyssopdeal/transport/metrics.hpp
@@ -95,7 +95,8 @@
     void sample(double value, const std::vector<metric_label>& labels = {});
 
     /// Adds the samples of a histogram.
-    void samples(const duration_histogram::totals& values);
+    void samples(const duration_histogram::totals& values,
+                 const std::vector<metric_label>& labels = {});
 
     /// @return The text so far.
     [[nodiscard]] const std::string& text() const noexcept;
--- a/src/coordination/cluster/load_table.cpp
+++ b/src/coordination/cluster/load_table.cpp
@@ -42,6 +42,7 @@
             auto& total = sum_[server];
             total.running += load.running;
             total.waiting_tokens += load.waiting_tokens;
+            total.writing += load.writing;
         }
     }
 }
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -488,6 +488,14 @@
               "From the request to the whole answer");
     histogram("hyssopdeal_prediction_error_seconds", counters.prediction_error,
               "Between predicted and actual time from sending to first event");
+    servers.timings().write(out);
+    out.family("hyssopdeal_server_duration_ratio", "gauge",
+               "Duration of work at a server to the mean of its service");
+    for (const auto& ratio : servers.speeds().learned())
+    {
+        out.sample(ratio.work, {{"server", ratio.server}, {"work", "start"}});
+        out.sample(ratio.event, {{"server", ratio.server}, {"work", "event"}});
+    }
     out.family("hyssopdeal_dropped_log_lines_total", "counter",
                "Log lines that were not written");
     out.sample(static_cast<double>(transport::dropped_events()));
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -315,8 +315,10 @@
             shared_uncached *= 1 - settings_.affinity_cache_probability;
         }
         const auto uncached_tokens = static_cast<std::uint64_t>(uncached);
+        const auto work = predict_by_work(now, *item, prompt, uncached_tokens);
         const double predicted =
-            predict_first_event_ms(*item, prompt, uncached_tokens);
+            work ? work->first_event_ms
+                 : predict_first_event_ms(*item, prompt, uncached_tokens);
         const double concurrent = item->running + item->peer_load.running;
         const double cost =
             predicted +
@@ -329,20 +331,29 @@
             (connected && !connected(item->listed.address)
                  ? settings_.connection_setup_penalty_ms
                  : 0) +
-            item->failure_rate * settings_.failure_penalty_ms + noise(random_);
+            item->failure_rate * settings_.failure_penalty_ms + noise(random_) +
+            (work ? work->gap_cost_ms + work->noise_ms * noise(random_) : 0);
         if (cost < lowest_cost)
         {
             lowest_cost = cost;
-            best = {
-                item,
-                milliseconds{static_cast<std::int64_t>(predicted)},
-                milliseconds{static_cast<std::int64_t>(
-                    unloaded_first_event_ms(*item, prompt, uncached_tokens))},
-                uncached_tokens,
-                item->waiting_tokens + item->peer_load.waiting_tokens,
-                prompt.prompt_tokens};
+            best = {item,
+                    milliseconds{static_cast<std::int64_t>(predicted)},
+                    milliseconds{static_cast<std::int64_t>(
+                        work ? work->unloaded_ms
+                             : unloaded_first_event_ms(*item, prompt,
+                                                       uncached_tokens))},
+                    uncached_tokens,
+                    item->waiting_tokens + item->peer_load.waiting_tokens,
+                    prompt.prompt_tokens,
+                    work,
+                    {0, 0, 0, now}};
         }
     }
+    if (best.work && prompt.prompt_tokens > 0)
+    {
+        auto& run = best.progress;
+        run.events_expected = run.events_left = expected_output(prompt).mean;
+    }
     return best.server ? std::optional{best} : std::nullopt;
 }
 
@@ -354,6 +365,11 @@
     auto& server = *choice.server;
     ++server.running;
     server.waiting_tokens += choice.uncached_tokens;
+    server.writing += choice.progress.events_left;
+    if (choice.work)
+    {
+        backlog_.on_sent(server.listed);
+    }
     if (cache_.size() > max_cache_entries)
     {
         std::erase_if(cache_, [&](const auto& item) {
@@ -372,13 +388,22 @@
     auto& server = *choice.server;
     server.waiting_tokens -=
         std::min(server.waiting_tokens, choice.uncached_tokens);
-    const double expected =
-        std::max<double>(1, static_cast<double>(choice.predicted.count()));
-    const double ratio = std::clamp(
-        server.latency_ratio * static_cast<double>(latency.count()) / expected,
-        0.3, 20.0);
-    server.latency_ratio +=
-        latency_ewma_weight * (ratio - server.latency_ratio);
+    if (choice.work)
+    {
+        learn_first_event(choice.progress.last_event + latency, choice,
+                          static_cast<double>(latency.count()));
+    }
+    else
+    {
+        const double expected =
+            std::max<double>(1, static_cast<double>(choice.predicted.count()));
+        const double ratio =
+            std::clamp(server.latency_ratio *
+                           static_cast<double>(latency.count()) / expected,
+                       0.3, 20.0);
+        server.latency_ratio +=
+            latency_ewma_weight * (ratio - server.latency_ratio);
+    }
     update_prefill_speed(choice, static_cast<double>(latency.count()) -
                                      first_event_overhead_ms);
 }
@@ -429,6 +454,8 @@
                  (static_cast<double>(slot_hold.count()) - known);
     }
     server.running -= server.running > 0 ? 1 : 0;
+    server.writing =
+        std::max(0.0, server.writing - choice.progress.events_left);
     if (!first_event_seen)
     {
         server.waiting_tokens -=
@@ -563,7 +590,8 @@
     {
         if (item->running > 0)
         {
-            load[id] = {item->running, item->waiting_tokens};
+            load[id] = {item->running, item->waiting_tokens,
+                        static_cast<std::uint64_t>(item->writing)};
         }
     }
     return load;
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -19,16 +19,17 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(usage_count, window, counts)
 
-// Two numbers without names: most of what entries and replicas tell is loads.
+// Numbers without names: most of what entries and replicas tell is loads.
 void to_json(json& out, const sent_load& value)
 {
-    out = json::array({value.running, value.waiting_tokens});
+    out = json::array({value.running, value.waiting_tokens, value.writing});
 }
 
 void from_json(const json& from, sent_load& value)
 {
     from.at(0).get_to(value.running);
     from.at(1).get_to(value.waiting_tokens);
+    value.writing = from.size() > 2 ? from.at(2).get<std::uint64_t>() : 0;
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(version_order, target, started_ms, running,
@@ -269,6 +270,7 @@
         auto& sum = found->second;
         sum.running -= std::min(sum.running, load.running);
         sum.waiting_tokens -= std::min(sum.waiting_tokens, load.waiting_tokens);
+        sum.writing -= std::min(sum.writing, load.writing);
         if (sum.running == 0 && sum.waiting_tokens == 0)
         {
             from.erase(found);
--- a/src/transport/metrics.cpp
+++ b/src/transport/metrics.cpp
@@ -78,7 +78,8 @@
     line("", value, labels);
 }
 
-void prometheus_text::samples(const duration_histogram::totals& values)
+void prometheus_text::samples(const duration_histogram::totals& values,
+                              const std::vector<metric_label>& labels)
 {
     std::uint64_t running = 0;
     for (std::size_t at = 0; at < values.counts.size(); ++at)
@@ -87,10 +88,12 @@
         const auto bound = at < values.bounds_s.size()
                                ? fmt::format("{:.4g}", values.bounds_s[at])
                                : std::string{"+Inf"};
-        line("_bucket", static_cast<double>(running), {{"le", bound}});
+        auto bucket = labels;
+        bucket.push_back({"le", bound});
+        line("_bucket", static_cast<double>(running), bucket);
     }
-    line("_sum", values.sum_s, {});
-    line("_count", static_cast<double>(running), {});
+    line("_sum", values.sum_s, labels);
+    line("_count", static_cast<double>(running), labels);
 }
 
 const std::string& prometheus_text::text() const noexcept
