--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -96,7 +96,7 @@
     /// late in the play of cost_placement_test.
     double gap_penalty_ms = 400;
     /// Random part of a cost predicted from figures that all gateways share.
-    double shared_figures_noise = 0.1;
+    double shared_figures_noise = 0.03;
     /// Share of requests placed without regard to stated loads, so that false
     /// ones are noticed although the servers that state them are avoided.
     double unheeded_statements = 0.1;
@@ -398,7 +398,7 @@
     server_speed speeds_;
     server_backlog backlog_;
     route_timings timings_;
-    unreadable_text_log unreadable_loads_{"server_load.unreadable"};
+    unreadable_text_log unreadable_loads_{"server.unreadable_load"};
     std::set<std::string> stating_services_; ///< That stated their load.
     std::size_t gateway_count_ = 0; ///< With the same load reports; 0: unknown.
     struct prefill_speed
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -493,6 +493,10 @@
                "Duration of work at a server to the mean of its service");
     for (const auto& ratio : servers.speeds().learned())
     {
+        if (!servers.servers().contains(ratio.server))
+        {
+            continue;
+        }
         out.sample(ratio.work, {{"server", ratio.server}, {"work", "start"}});
         out.sample(ratio.event, {{"server", ratio.server}, {"work", "event"}});
     }
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -132,6 +132,7 @@
         }
     }
     servers_ = std::move(next);
+    unreadable_loads_.keep(servers_);
     return removed;
 }
 
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -18,6 +18,7 @@
 #include <random>
 
 #include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
 
 using namespace hyssopdeal;
 using namespace hyssopdeal::coordination;
@@ -771,6 +772,23 @@
     LONGS_EQUAL(1, table.entries());
 }
 
+// Entries and replicas of earlier versions send two figures by server.
+TEST(load_table_tests, expected_events_are_summed_and_may_be_missing)
+{
+    const monotonic_time now{100s};
+    table.on_report(now, "e1", {{"s1", {1, 0, 30}}});
+    table.on_report(now, "e2", {{"s1", {1, 0, 50}}});
+    LONGS_EQUAL(50, others("e1").at("s1").writing);
+    protocol::entry_orders orders;
+    const auto packed = nlohmann::json::to_msgpack(
+        nlohmann::json{{"s1", nlohmann::json::array({2, 100})}});
+    orders.packed_load.assign(packed.begin(), packed.end());
+    const auto old =
+        protocol::decode_entry_orders(protocol::encode(orders))->others_load;
+    LONGS_EQUAL(2, old.at("s1").running);
+    LONGS_EQUAL(0, old.at("s1").writing);
+}
+
 // [capacity] -----------------------------------------------------------------
 
 TEST_GROUP(capacity_planner_tests)
--- a/tests/cost_placement_test.cpp
+++ b/tests/cost_placement_test.cpp
@@ -415,7 +415,7 @@
 TEST_GROUP(cost_placement_tests)
 {
     /// Allowed above the formula without the model: the noise of three plays.
-    static constexpr double tolerance = 0.01;
+    static constexpr double tolerance = 0.003;
 
     static void check_false_figures(bool plain)
     {
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -334,6 +334,22 @@
     }
 }
 
+TEST(platform_codec_tests, stated_loads_and_length_hints_are_read)
+{
+    const auto hint = [](const char* text) {
+        return platform_dialect::parse_request(
+                   {"GET", "/", {{"X-Length-Hint", text}}, ""})
+            .size.kind.length_hint;
+    };
+    LONGS_EQUAL(80, hint("80").value_or(0));
+    CHECK_FALSE(hint("-1").has_value());
+    CHECK_FALSE(hint("80 tokens").has_value());
+    CHECK_FALSE(hint("").has_value());
+    STRCMP_EQUAL("3,1,8,250", platform_dialect::parse_response(
+                                  200, {{"X-Server-Load", "3,1,8,250"}})
+                                  .server_load.c_str());
+}
+
 TEST(platform_codec_tests, brittle_servers_are_told_from_others)
 {
     using platform::platform_dialect;
