--- a/include/hyssopdeal/coordination/gateway/dialect.hpp
+++ b/include/hyssopdeal/coordination/gateway/dialect.hpp
@@ -90,6 +90,8 @@
     /// Text that names the milliseconds that the server stays cold; empty if it
     /// does not say.
     std::string cold_time;
+    /// Text that states the server's load; empty if it states none.
+    std::string server_load;
 };
 
 /// A server's response to a liveness check.
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -133,6 +133,7 @@
         }
     }
     servers_ = std::move(next);
+    unreadable_loads_.keep(servers_);
     return removed;
 }
 
@@ -315,6 +316,8 @@
     placement_choice best;
     double lowest_cost = std::numeric_limits<double>::infinity();
     std::uniform_real_distribution<double> noise{0, 1};
+    const bool heed = stating_services_.contains(service) &&
+                      noise(random_) >= settings_.unheeded_statements;
     for (const auto& item : candidates)
     {
         const auto cached = cached_tokens(now, *item, prompt);
@@ -330,13 +333,16 @@
             shared_uncached *= 1 - settings_.affinity_cache_probability;
         }
         const auto uncached_tokens = static_cast<std::uint64_t>(uncached);
+        const auto work =
+            predict_by_work(now, *item, prompt, uncached_tokens, heed);
         const double predicted =
-            predict_first_event_ms(*item, prompt, uncached_tokens);
+            work ? work->first_event_ms
+                 : predict_first_event_ms(*item, prompt, uncached_tokens);
         const double concurrent = item->running + item->peer_load.running;
         const double cost =
             predicted +
             settings_.interference_factor * concurrent * uncached /
-                prefill_speed_of(*item) +
+                prefill_speed_of(*item) * (work ? work->interference : 1) +
             settings_.cache_miss_ms_per_token * shared_uncached +
             (item->listed.failure_domain == failure_domain_
                  ? 0
@@ -344,20 +350,29 @@
             (connected && !connected(item->listed.address)
                  ? settings_.connection_setup_penalty_ms
                  : 0) +
-            item->failure_rate * settings_.failure_penalty_ms + noise(random_);
+            item->failure_rate * settings_.failure_penalty_ms + noise(random_) +
+            (work ? work->gap_cost_ms + work->noise_ms * noise(random_) : 0);
         if (cost < lowest_cost)
         {
             lowest_cost = cost;
-            best = {
-                item,
-                milliseconds{static_cast<std::int64_t>(predicted)},
-                milliseconds{static_cast<std::int64_t>(
-                    unloaded_first_event_ms(*item, prompt, uncached_tokens))},
-                uncached_tokens,
-                item->waiting_tokens + item->peer_load.waiting_tokens,
-                prompt.prompt_tokens};
+            best = {item,
+                    milliseconds{static_cast<std::int64_t>(predicted)},
+                    milliseconds{static_cast<std::int64_t>(
+                        work ? work->unloaded_ms
+                             : unloaded_first_event_ms(*item, prompt,
+                                                       uncached_tokens))},
+                    uncached_tokens,
+                    item->waiting_tokens + item->peer_load.waiting_tokens,
+                    prompt.prompt_tokens,
+                    work,
+                    {0, 0, 0, now}};
         }
     }
+    if (best.work && prompt.prompt_tokens > 0)
+    {
+        auto& run = best.progress;
+        run.events_expected = run.events_left = expected_output(prompt).mean;
+    }
     return best.server ? std::optional{best} : std::nullopt;
 }
 
@@ -369,6 +384,11 @@
     auto& server = *choice.server;
     ++server.running;
     server.waiting_tokens += choice.uncached_tokens;
+    server.writing += choice.progress.events_left;
+    if (choice.work)
+    {
+        backlog_.on_sent(server.listed);
+    }
     if (cache_.size() > max_cache_entries)
     {
         std::erase_if(cache_, [&](const auto& item) {
@@ -387,8 +407,14 @@
     auto& server = *choice.server;
     server.waiting_tokens -=
         std::min(server.waiting_tokens, choice.uncached_tokens);
-    const double expected =
-        std::max<double>(1, static_cast<double>(choice.predicted.count()));
+    if (choice.work)
+    {
+        learn_first_event(choice.progress.last_event + latency, choice,
+                          static_cast<double>(latency.count()));
+    }
+    const double expected = std::max<double>(
+        1, choice.work ? choice.work->by_reports_ms
+                       : static_cast<double>(choice.predicted.count()));
     const double ratio = std::clamp(
         server.latency_ratio * static_cast<double>(latency.count()) / expected,
         0.3, 20.0);
@@ -444,6 +470,8 @@
                  (static_cast<double>(slot_hold.count()) - known);
     }
     server.running -= server.running > 0 ? 1 : 0;
+    server.writing =
+        std::max(0.0, server.writing - choice.progress.events_left);
     if (!first_event_seen)
     {
         server.waiting_tokens -=
@@ -590,7 +618,8 @@
     {
         if (item->running > 0)
         {
-            load[id] = {item->running, item->waiting_tokens};
+            load[id] = {item->running, item->waiting_tokens,
+                        static_cast<std::uint64_t>(item->writing)};
         }
     }
     return load;
