Tests: clients that hold many bytes, against the real programs

Cause: clients outside our control ended a process, which ran out of memory. No test starts the real programs with such clients.

Change: hostile_callers_test starts each program on loopback, lets a small crowd send bodies, chunks and heads without an end, and checks that the process lives, that memory and descriptors stay under what its settings state, and that an ordinary request is answered.

--- /dev/null
+++ b/tests/hostile_callers_test.cpp
@@ -0,0 +1,506 @@
+/// @file
+/// Guards against clients that make a process hold bytes until its memory runs
+/// out. Starts the real programs on loopback, each for one kind of client at
+/// one listener, and checks that the process lives, that its memory and its
+/// open descriptors stay under the bounds, and that an ordinary request is
+/// answered while the clients still hold their connections.
+///
+/// Index: [crowd] [process under test] [cases] [tests]
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <thread>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+#include <hyssopdeal/transport/digest.hpp>
+
+#include "platform/counterpart.hpp"
+#include "platform/settings.hpp"
+#include "process_group.hpp"
+#include "standins/free_ports.hpp"
+
+using namespace hyssopdeal;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+
+// The bounds are the memory and the descriptors that the settings state for
+// the instance. The native programs have no such setting; theirs is that of
+// the smallest instance of the platform.
+constexpr std::size_t platform_memory_mb = 64;
+constexpr std::size_t native_memory_mb = 120;
+constexpr std::size_t max_descriptors = 512;
+constexpr std::size_t idle_count = 600;
+constexpr std::chrono::seconds backstop{30};
+
+// [crowd] --------------------------------------------------------------------
+
+struct target
+{
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+int connect_to(const target& to)
+{
+    const int file = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(to.port);
+    ::inet_pton(AF_INET, to.address.c_str(), &name.sin_addr);
+    if (::connect(file, reinterpret_cast<const sockaddr*>(&name),
+                  sizeof(name)) != 0)
+    {
+        ::close(file);
+        return -1;
+    }
+    return file;
+}
+
+// What each client sends: a head, a unit so many times, and no end.
+struct script
+{
+    std::string name;
+    std::size_t clients = 0;
+    std::string head;
+    std::string unit;
+    std::size_t repeats = 0;
+    std::size_t piece = 1'048'576; // Most bytes in one write.
+    bool reads = true;
+};
+
+// Clients that send their script and then keep their connections open.
+class crowd
+{
+public:
+    crowd(const target& to, const script& plan)
+        : plan_(plan)
+    {
+        bytes_ = plan.head;
+        for (std::size_t at = 0; at < plan.repeats; ++at)
+        {
+            bytes_ += plan.unit;
+        }
+        for (std::size_t at = 0; at < plan.clients; ++at)
+        {
+            const int file = connect_to(to);
+            if (file >= 0)
+            {
+                ::fcntl(file, F_SETFL, O_NONBLOCK);
+                clients_.push_back({file, 0});
+            }
+        }
+    }
+
+    crowd(const crowd&) = delete;
+    crowd& operator=(const crowd&) = delete;
+
+    ~crowd()
+    {
+        for (const auto& one : clients_)
+        {
+            ::close(one.file);
+        }
+    }
+
+    // Sends until nobody gets on any more.
+    void run()
+    {
+        constexpr auto rest = 500ms;
+        const auto end = steady::now() + backstop;
+        auto latest = steady::now();
+        while (steady::now() < std::min(end, latest + rest))
+        {
+            bool moved = false;
+            for (auto& one : clients_)
+            {
+                moved = step(one) || moved;
+            }
+            if (moved)
+            {
+                latest = steady::now();
+            }
+            else
+            {
+                std::this_thread::sleep_for(1ms);
+            }
+        }
+    }
+
+private:
+    struct client
+    {
+        int file;
+        std::size_t sent;
+    };
+
+    bool step(client& one)
+    {
+        bool moved = false;
+        char in[4'096];
+        if (plan_.reads)
+        {
+            moved = ::recv(one.file, in, sizeof(in), 0) > 0;
+        }
+        const auto length = std::min(plan_.piece, bytes_.size() - one.sent);
+        const auto sent = length == 0
+                              ? 0
+                              : ::send(one.file, bytes_.data() + one.sent,
+                                       length, MSG_NOSIGNAL);
+        one.sent += sent > 0 ? static_cast<std::size_t>(sent) : 0;
+        return moved || sent > 0;
+    }
+
+    script plan_;
+    std::string bytes_;
+    std::vector<client> clients_;
+};
+
+// Sends one request on a connection of its own.
+std::string answer_to(const target& to, const std::string& path)
+{
+    const auto end = steady::now() + backstop;
+    std::string answer;
+    while (answer.empty() && steady::now() < end)
+    {
+        const int file = connect_to(to);
+        const auto request =
+            fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\n"
+                        "Connection: close\r\n\r\n",
+                        path);
+        (void)::send(file, request.data(), request.size(), MSG_NOSIGNAL);
+        pollfd wait{file, POLLIN, 0};
+        char in[4'096];
+        if (file >= 0 && ::poll(&wait, 1, 5'000) == 1)
+        {
+            const auto length = ::recv(file, in, sizeof(in), 0);
+            answer.assign(in,
+                          length > 0 ? static_cast<std::size_t>(length) : 0);
+        }
+        ::close(file);
+        std::this_thread::sleep_for(20ms);
+    }
+    return answer;
+}
+
+// [process under test] -------------------------------------------------------
+
+// A process, the port that clients attack and one that must still answer.
+struct subject
+{
+    std::string program;
+    std::size_t memory_mb = 0;
+    std::size_t most_descriptors = max_descriptors;
+    target attacked;
+    target asked;
+    std::string path = "/";
+    std::function<void(tests::process_group&)> start;
+};
+
+std::size_t peak_memory_mb(int id)
+{
+    std::ifstream file{fmt::format("/proc/{}/status", id)};
+    std::string word;
+    std::size_t kb = 0;
+    while (file >> word)
+    {
+        if (word == "VmHWM:")
+        {
+            file >> kb;
+        }
+    }
+    return kb / 1'024;
+}
+
+std::size_t descriptors_of(int id)
+{
+    std::error_code error;
+    std::size_t count = 0;
+    for (std::filesystem::directory_iterator
+             at{fmt::format("/proc/{}/fd", id), error},
+         end;
+         !error && at != end; at.increment(error))
+    {
+        ++count;
+    }
+    return count;
+}
+
+// Says what was measured, and notes in `faults` what is out of bounds.
+void run_case(const subject& on, const script& plan, std::string& faults)
+{
+    tests::process_group group;
+    on.start(group);
+    const bool ready = !answer_to(on.asked, on.path).empty();
+    const int id = group.id("it");
+    const auto before = peak_memory_mb(id);
+    crowd clients{on.attacked, plan};
+    clients.run();
+    const auto descriptors = descriptors_of(id);
+    const auto answer = answer_to(on.asked, on.path);
+    const auto memory = peak_memory_mb(id);
+    const int code = group.wait("it", 0s);
+    const bool good = ready && code == -1 && memory < on.memory_mb &&
+                      descriptors < on.most_descriptors &&
+                      answer.starts_with("HTTP/1.1 ");
+    const auto line = fmt::format(
+        "{:4} {}:{} {}: {} to {} MB of {}, {} descriptors of {}, exit {}, "
+        "answer \"{}\"\n",
+        good ? "ok" : "BAD", on.program, on.attacked.port, plan.name, before,
+        memory, on.memory_mb, descriptors, on.most_descriptors, code,
+        answer.substr(0, answer.find('\r')));
+    fmt::print("{}", line);
+    faults += good ? "" : line;
+}
+
+void run_cases(const subject& on, const std::vector<script>& plans)
+{
+    std::string faults;
+    fmt::print("\n");
+    for (const auto& plan : plans)
+    {
+        run_case(on, plan, faults);
+    }
+    CHECK_TEXT(faults.empty(), faults.c_str());
+}
+
+// [cases] --------------------------------------------------------------------
+
+std::string post(const std::string& framing)
+{
+    return "POST /v1/x HTTP/1.1\r\nHost: a.example\r\n" + framing + "\r\n\r\n";
+}
+
+const std::string chunked = "Transfer-Encoding: chunked";
+
+std::vector<script> body_cases(std::size_t clients, std::size_t limit)
+{
+    constexpr std::size_t piece = 65'536;
+    constexpr std::size_t small_chunks = 300'000;
+    const auto announced = [](std::size_t bytes) {
+        return post(fmt::format("Content-Length: {}", bytes));
+    };
+    const auto large =
+        fmt::format("{:x}\r\n{}\r\n", piece, std::string(piece, 'x'));
+    const auto legal = std::string(limit - 1, 'x');
+    return {
+        {"whole bodies", clients, announced(limit), legal, 1},
+        {"bodies in pieces", clients, announced(limit), legal, 1, 4'096},
+        {"large chunks", clients, post(chunked), large, limit / piece},
+        {"one-byte chunks", clients, post(chunked), "1\r\nx\r\n", small_chunks},
+        {"over the limit, announced", clients, announced(16 * limit), legal, 2},
+        {"over the limit, sent", clients, post(chunked), large,
+         2 * limit / piece}};
+}
+
+std::vector<script> head_cases()
+{
+    constexpr std::size_t clients = 200;
+    constexpr std::size_t short_lines = 5'000;
+    constexpr std::size_t many = 2'000;
+    const std::string get = "GET / HTTP/1.1\r\nHost: a\r\n";
+    return {{"heads without an end", clients, get, "a:b\r\n", short_lines},
+            {"pipelined requests", clients / 4, "", get + "\r\n", many},
+            {"answers that nobody reads", clients / 4, "", get + "\r\n", many,
+             65'536, false},
+            {"idle connections", idle_count, "", "", 0}};
+}
+
+std::vector<script> all_cases(std::size_t clients, std::size_t limit)
+{
+    auto all = body_cases(clients, limit);
+    const auto heads = head_cases();
+    all.insert(all.end(), heads.begin(), heads.end());
+    return all;
+}
+
+constexpr std::size_t platform_clients = 24;
+constexpr std::size_t platform_body = 4'194'304;
+constexpr std::size_t native_clients = 160;
+constexpr std::size_t native_body = 1'048'576;
+constexpr std::uint16_t callers_port = 8'080;
+constexpr std::uint16_t readiness_port = 8'081;
+constexpr std::uint16_t link_port = 7'600;
+
+std::string own_address()
+{
+    return fmt::format("127.93.{}.{}", ::getpid() / 250 % 250,
+                       1 + ::getpid() % 250);
+}
+
+subject platform_subject(bool entry, std::uint16_t attacked)
+{
+    platform::process_settings own;
+    own.instance = entry ? "e0" : "c0";
+    own.address = own_address();
+    own.failure_domain = "d0";
+    own.first_internal_port = link_port;
+    own.seeds = {fmt::format("{}:1", own.address)};
+    own.max_descriptors = max_descriptors;
+    own.memory_mb = platform_memory_mb;
+    own.platform_address = fmt::format("{}:1", own.address);
+    const auto callers = fmt::format("{}:{}", own.address, callers_port);
+    if (entry)
+    {
+        own.relay_port = link_port + 1;
+        own.callers = callers;
+        own.readiness = fmt::format("{}:{}", own.address, readiness_port);
+    }
+    else
+    {
+        own.operators = callers;
+        own.seeds = {callers};
+        own.first_start = true;
+    }
+    subject made;
+    made.program =
+        entry ? "hyssop-platform-entryd" : "hyssop-platform-controld";
+    made.memory_mb = platform_memory_mb;
+    made.attacked = {own.address, attacked};
+    made.asked = {own.address, callers_port};
+    made.start = [own, program = made.program,
+                  entry](tests::process_group& group) {
+        auto settings = own;
+        settings.data_folder = entry ? "" : group.path("data");
+        group.write("it.yaml", platform::encode_settings(settings));
+        group.start("it", program, {},
+                    {{platform::settings_variable, group.path("it.yaml")}});
+    };
+    return made;
+}
+
+subject native_subject(const std::string& program, std::uint16_t port,
+                       std::function<void(tests::process_group&)> start)
+{
+    // These accept 256 connections past their limit, to refuse them.
+    constexpr std::size_t native_descriptors = 1'024;
+    return {program,
+            native_memory_mb,
+            native_descriptors,
+            {"127.0.0.1", port},
+            {"127.0.0.1", port},
+            "/",
+            std::move(start)};
+}
+
+const std::string no_replica =
+    R"({"id":1,"name":"c1","failure_domain":"d0","address":"127.0.0.1:1",)"
+    R"("gossip_address":"127.0.0.1:1")";
+
+} // namespace
+
+// [tests] --------------------------------------------------------------------
+
+TEST_GROUP(hostile_callers){};
+
+TEST(hostile_callers, entry_on_the_platform_holds_no_more_than_its_memory)
+{
+    run_cases(platform_subject(true, callers_port),
+              all_cases(platform_clients, platform_body));
+}
+
+TEST(hostile_callers, replica_on_the_platform_holds_no_more_than_its_memory)
+{
+    run_cases(platform_subject(false, callers_port),
+              all_cases(platform_clients, platform_body));
+}
+
+TEST(hostile_callers, readiness_is_told_while_strangers_hold_connections)
+{
+    auto on = platform_subject(true, readiness_port);
+    on.asked = on.attacked;
+    on.path = "/ready";
+    run_cases(on, all_cases(platform_clients, platform_body));
+}
+
+TEST(hostile_callers, metrics_are_told_while_strangers_hold_connections)
+{
+    for (const bool entry : {true, false})
+    {
+        auto on = platform_subject(entry, platform::metrics_port);
+        on.asked = on.attacked;
+        on.path = "/metrics";
+        run_cases(on, all_cases(platform_clients, platform_body));
+    }
+}
+
+TEST(hostile_callers, strangers_at_ports_of_links_and_relays_are_bounded)
+{
+    const std::vector<script> plans{
+        {"idle connections", idle_count, "", "", 0},
+        {"frames without an end", idle_count, "\xff\xff\xff", "x", 65'536},
+        {"small frames without an end",
+         idle_count,
+         {"\0\0\x3f\xff", 4},
+         "x",
+         16'000},
+        {"heads without an end", idle_count, "CONNECT a HTTP/1.1\r\n",
+         "a:b\r\n", 200}};
+    run_cases(platform_subject(true, link_port), plans);
+    run_cases(platform_subject(true, link_port + 1), plans);
+    run_cases(platform_subject(false, link_port), plans);
+}
+
+TEST(hostile_callers, native_entry_holds_no_more_than_its_memory)
+{
+    const auto ports = *standins::free_ports(3);
+    run_cases(native_subject(
+                  "hyssop-entryd", ports[0],
+                  [&](tests::process_group& group) {
+                      group.write("shared.key", std::string(32, 'k'));
+                      group.write(
+                          "it.json",
+                          fmt::format(
+                              R"({{"name":"e1","failure_domain":"d0",)"
+                              R"("port":{},"peer_port":{},)"
+                              R"("gossip_port":{},"max_connections":256,)"
+                              R"("shared_key_file":"{}",)"
+                              R"("control_replicas":[{}}}]}})",
+                              ports[0], ports[1], ports[2],
+                              group.path("shared.key"),
+                              no_replica.substr(0, 1) + no_replica.substr(8)));
+                      group.start("it", "hyssop-entryd",
+                                  {"--settings", group.path("it.json")});
+                  }),
+              all_cases(native_clients, native_body));
+}
+
+TEST(hostile_callers, native_replica_holds_no_more_than_its_memory)
+{
+    const auto ports = *standins::free_ports(3);
+    const auto start = [&](tests::process_group& group) {
+        group.write("shared.key", std::string(32, 'k'));
+        std::filesystem::create_directory(group.path("data"));
+        group.write(
+            "it.json",
+            fmt::format(R"({{"id":1,"name":"c1","failure_domain":"d0",)"
+                        R"("data_folder":"{}","peer_port":{},"gossip_port":{},)"
+                        R"("operators_port":{},"shared_key_file":"{}",)"
+                        R"("tokens":[{{"sha256":"{}","role":"write"}}],)"
+                        R"("replicas":[{},"operators":"127.0.0.1:{}"}}]}})",
+                        group.path("data"), ports[0], ports[1], ports[2],
+                        group.path("shared.key"),
+                        transport::sha256_hex("token"), no_replica, ports[2]));
+        (void)group.run("init", "hyssop-controld",
+                        {"--settings", group.path("it.json"), "--init"},
+                        backstop);
+        group.start("it", "hyssop-controld",
+                    {"--settings", group.path("it.json")});
+    };
+    run_cases(native_subject("hyssop-controld", ports[2], start),
+              all_cases(native_clients, native_body));
+}
--- a/tests/process_group.hpp
+++ b/tests/process_group.hpp
@@ -33,6 +33,12 @@
                const std::vector<std::string>& arguments,
                const std::map<std::string, std::string>& variables = {});
 
+    /// @return The id of a process that this group has started.
+    [[nodiscard]] int id(const std::string& name) const
+    {
+        return running_.at(name);
+    }
+
     /// Sends a signal to a process that this group has started.
     void signal(const std::string& name, int number);
 
