Transport: a budget for the bytes that are held for callers

Cause: each connection held its body up to the limit, so the limit of connections times 4 MiB was held; short header lines cost 32 times their bytes; pipelined requests queued answers without being read; unproved links and relayed connections had no bound below 4,096 and none.

Change: byte_budget, one for each process, counts requests that are read (before growing), twice the bodies of those handed on, and answers that wait for their reader. When it is reached, the share with the largest product of bytes and time without progress is refused with 503 or closed; requests that run are left alone. Announced bodies over the limit get 413 unread. Buffers are released. Readiness and metrics take small bodies and replace the longest unfinished connection. Requests on one connection are read in a loop, not in nested calls, and not while 64 KiB of answers wait. RESTinio's sockets count in the same budget. Relays pause when no descriptor is left.

--- a/include/hyssopdeal/coordination/control_settings.hpp
+++ b/include/hyssopdeal/coordination/control_settings.hpp
@@ -57,14 +57,15 @@
 /// Everything that one control process is told at its start.
 struct control_settings
 {
-    std::uint64_t id = 0;                  ///< Of this replica and its disk.
-    std::string name;                      ///< Unique among all processes.
-    std::string failure_domain;            ///< Where it runs.
-    std::string data_folder;               ///< On the disk that is synced.
-    std::string address = "127.0.0.1";     ///< IP number of all its ports.
-    std::uint16_t peer_port = 0;           ///< TCP; 0: picked.
-    std::uint16_t gossip_port = 0;         ///< UDP; 0: picked.
-    std::uint16_t operators_port = 0;      ///< HTTP; 0: picked.
+    std::uint64_t id = 0;              ///< Of this replica and its disk.
+    std::string name;                  ///< Unique among all processes.
+    std::string failure_domain;        ///< Where it runs.
+    std::string data_folder;           ///< On the disk that is synced.
+    std::string address = "127.0.0.1"; ///< IP number of all its ports.
+    std::uint16_t peer_port = 0;       ///< TCP; 0: picked.
+    std::uint16_t gossip_port = 0;     ///< UDP; 0: picked.
+    std::uint16_t operators_port = 0;  ///< HTTP; 0: picked.
+    std::size_t max_held_caller_bytes = 50'331'648; ///< Of all operators.
     std::string shared_key_file;           ///< Of peer links and datagrams.
     std::vector<operator_token> tokens;    ///< Of operators.
     std::vector<replica_address> replicas; ///< The first ones, this included.
--- a/include/hyssopdeal/coordination/entry_settings.hpp
+++ b/include/hyssopdeal/coordination/entry_settings.hpp
@@ -54,6 +54,7 @@
     std::size_t max_connections = 10'000;              ///< Open callers.
     std::size_t max_header_bytes = 16'384;             ///< Of one request.
     std::size_t max_body_bytes = 1'048'576;            ///< Of one request.
+    std::size_t max_held_caller_bytes = 50'331'648;    ///< Of all callers.
     std::size_t max_answer_bytes = 16'777'216;         ///< Of a backend server.
     std::chrono::milliseconds read_time_limit{10'000}; ///< Head and body.
     std::chrono::milliseconds write_time_limit{10'000};   ///< One write.
--- a/include/hyssopdeal/transport/http1_server.hpp
+++ b/include/hyssopdeal/transport/http1_server.hpp
@@ -3,7 +3,8 @@
 
 /// @file
 /// HTTP/1.1 server that goes on reading while an answer is open, so that a
-/// caller who leaves is seen at once, without writing to it.
+/// caller who leaves is seen at once, without writing to it. The bytes that it
+/// holds count in its loop's byte_budget.
 ///
 /// Index: [settings] [http1_exchange] [http1_server]
 
@@ -35,12 +36,21 @@
     std::chrono::milliseconds idle_time_limit{15'000}; ///< Between requests.
 };
 
+/// Which connection is closed for a new one when as many are open as allowed.
+/// Requests that were handed on are never cut.
+enum class replaced_connection : std::uint8_t
+{
+    idle,    ///< The longest idle one.
+    unhanded ///< If none is idle, the one that takes longest to send a request.
+};
+
 /// Address and caps of a server.
 struct http1_server_settings
 {
     std::string address = "127.0.0.1"; ///< IP number to listen on.
     std::uint16_t port = 0;            ///< 0: the kernel picks one.
     std::size_t max_connections = 2'000;
+    replaced_connection replaced = replaced_connection::idle;
     std::size_t max_unsent_bytes = 4'194'304; ///< An answer that its caller
                                               ///< does not read is ended.
     http1_caller_limits limits;
--- a/src/coordination/control_process.cpp
+++ b/src/coordination/control_process.cpp
@@ -10,6 +10,7 @@
 
 #include <hyssopdeal/coordination/instance_watch.hpp>
 #include <hyssopdeal/protocol/settings_reader.hpp>
+#include <hyssopdeal/transport/byte_budget.hpp>
 #include <hyssopdeal/transport/logging.hpp>
 
 namespace hyssopdeal::coordination
@@ -106,6 +107,8 @@
     transport::http_server_settings server;
     server.address = settings.address;
     server.port = settings.operators_port;
+    transport::set_byte_budget(loop, std::make_shared<transport::byte_budget>(
+                                         settings.max_held_caller_bytes));
     http = std::make_unique<transport::http_server>(
         loop, server, [this](auto request, auto responder) {
             api->handle(request, std::move(responder));
--- a/src/coordination/control_settings.cpp
+++ b/src/coordination/control_settings.cpp
@@ -17,6 +17,8 @@
 {
 
 constexpr std::int64_t highest_port = 65'535;
+constexpr std::int64_t lowest_held_bytes = 65'536;
+constexpr std::int64_t highest_held_bytes = 1'073'741'824;
 constexpr std::int64_t highest_id = 1'000'000'000;
 constexpr std::size_t most_peers = 4'096;
 constexpr std::size_t most_tokens = 1'024;
@@ -85,6 +87,8 @@
     fields.integer("peer_port", value.peer_port, 0, highest_port);
     fields.integer("gossip_port", value.gossip_port, 0, highest_port);
     fields.integer("operators_port", value.operators_port, 0, highest_port);
+    fields.integer("max_held_caller_bytes", value.max_held_caller_bytes,
+                   lowest_held_bytes, highest_held_bytes);
     fields.text("shared_key_file", value.shared_key_file, text_rule::file_path,
                 presence::required);
     fields.list("tokens", value.tokens, most_tokens);
--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -12,6 +12,7 @@
 #include <hyssopdeal/coordination/drain_entry.hpp>
 #include <hyssopdeal/coordination/learner_runner.hpp>
 #include <hyssopdeal/protocol/contract_json.hpp>
+#include <hyssopdeal/transport/byte_budget.hpp>
 #include <hyssopdeal/transport/file_limit.hpp>
 #include <hyssopdeal/transport/http_server.hpp>
 #include <hyssopdeal/transport/logging.hpp>
@@ -75,14 +76,17 @@
 struct running_shard
 {
     running_shard(entry_shared& shared, std::uint16_t port,
-                  std::size_t max_server_connections)
+                  std::size_t max_server_connections,
+                  std::shared_ptr<transport::byte_budget> budget)
         : shard(shared, max_server_connections),
           service(shard),
           server(shard.loop, with_port(shared.settings, port),
                  [this](http_request request, http_responder responder) {
                      service.handle(std::move(request), std::move(responder));
                  })
-    {}
+    {
+        transport::set_byte_budget(shard.loop, std::move(budget));
+    }
 
     running_shard(const running_shard&) = delete;
     running_shard& operator=(const running_shard&) = delete;
@@ -367,11 +371,13 @@
         return tl::unexpected(server_connections.error());
     }
     auto port = impl_->shared.settings.port;
+    const auto budget = std::make_shared<transport::byte_budget>(
+        impl_->shared.settings.max_held_caller_bytes);
     for (std::uint32_t count = 0; count < impl_->shared.settings.shards;
          ++count)
     {
-        auto running = std::make_unique<running_shard>(impl_->shared, port,
-                                                       *server_connections);
+        auto running = std::make_unique<running_shard>(
+            impl_->shared, port, *server_connections, budget);
         auto bound = running->server.start();
         if (!bound)
         {
--- a/src/coordination/entry_settings.cpp
+++ b/src/coordination/entry_settings.cpp
@@ -15,6 +15,7 @@
 constexpr std::int64_t highest_shards = 64;
 constexpr std::int64_t highest_connections = 1'000'000;
 constexpr std::int64_t highest_bytes = 1'073'741'824;
+constexpr std::int64_t lowest_held_bytes = 65'536;
 constexpr milliseconds shortest_limit{10};
 constexpr milliseconds longest_limit{3'600'000};
 constexpr std::size_t most_peers = 4'096;
@@ -30,6 +31,8 @@
     fields.integer("max_header_bytes", value.max_header_bytes, 1'024, 65'536);
     fields.integer("max_body_bytes", value.max_body_bytes, 1'024,
                    highest_bytes);
+    fields.integer("max_held_caller_bytes", value.max_held_caller_bytes,
+                   lowest_held_bytes, highest_bytes);
     fields.integer("max_answer_bytes", value.max_answer_bytes, 1'024,
                    highest_bytes);
     fields.integer("max_unsent_bytes", value.max_unsent_bytes, 4'096,
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -12,6 +12,7 @@
 #include <fmt/format.h>
 
 #include <hyssopdeal/protocol/peer_hub.hpp>
+#include <hyssopdeal/transport/byte_budget.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
 #include <hyssopdeal/transport/tcp_relay.hpp>
 
@@ -52,6 +53,7 @@
 constexpr milliseconds leader_answer_margin{250};
 // Connection limit of the readiness listener and of the metrics listener.
 constexpr std::size_t internal_max_connections = 64;
+constexpr std::size_t internal_max_body_bytes = 16'384;
 
 } // namespace
 
@@ -152,6 +154,12 @@
     settings.address = core.settings.address;
     settings.port = port;
     settings.max_connections = max_connections;
+    if (max_connections == internal_max_connections)
+    {
+        // Probes must get through whoever else is connected.
+        settings.replaced = transport::replaced_connection::unhanded;
+        settings.limits.max_body_bytes = internal_max_body_bytes;
+    }
     return std::make_unique<transport::http1_server>(loop, clock, settings,
                                                      std::move(handler));
 }
@@ -182,12 +190,14 @@
     {
         return {};
     }
-    metrics = make_server(core.settings.metrics_port, internal_max_connections,
-                          [this](http1_exchange exchange) {
-                              exchange.send({200,
-                                             {{"Content-Type", "text/plain"}},
-                                             core.metrics()});
-                          });
+    metrics =
+        make_server(core.settings.metrics_port, internal_max_connections,
+                    [this, budget = transport::byte_budget_of(loop)](
+                        http1_exchange exchange) {
+                        exchange.send({200,
+                                       {{"Content-Type", "text/plain"}},
+                                       core.metrics() + budget->metrics()});
+                    });
     const auto port = metrics->start();
     return port ? transport::result<void>{} : tl::make_unexpected(port.error());
 }
--- a/src/protocol/peer_hub.cpp
+++ b/src/protocol/peer_hub.cpp
@@ -1,6 +1,7 @@
 #include <hyssopdeal/protocol/peer_hub.hpp>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -31,6 +32,9 @@
 {
 
 constexpr std::size_t max_accepted_links = 4'096;
+// Accepted links that have not proved the key. The oldest is closed for a new
+// one, as a handshake takes much less than its time limit.
+constexpr std::size_t max_unproved_links = 256;
 constexpr std::chrono::milliseconds accept_retry_pause{100};
 
 /// A peer and the link that carries messages to it.
@@ -66,12 +70,14 @@
     std::map<std::string, peer_entry, std::less<>> peers;
     std::map<peer_channel, message_handler> channels;
     std::set<std::shared_ptr<peer_link>> accepted;
+    std::deque<std::weak_ptr<peer_link>> unproved; // oldest first
     std::unordered_map<std::uint64_t, waiting_call> calls;
     std::uint64_t last_correlation = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     void close_all();
     void accept_next();
+    void limit_unproved();
     void take_connection(tcp::socket socket);
     std::shared_ptr<peer_link> link_to(std::string_view name);
     std::shared_ptr<peer_link> dial(std::string_view name, peer_entry& entry);
@@ -130,8 +136,23 @@
         });
 }
 
+void peer_hub::impl::limit_unproved()
+{
+    std::erase_if(unproved, [this](const auto& item) {
+        const auto link = item.lock();
+        return !link || link->proved() || accepted.count(link) == 0;
+    });
+    if (unproved.size() >= max_unproved_links)
+    {
+        const auto oldest = unproved.front().lock();
+        unproved.pop_front();
+        oldest->close();
+    }
+}
+
 void peer_hub::impl::take_connection(tcp::socket socket)
 {
+    limit_unproved();
     if (accepted.size() >= max_accepted_links)
     {
         log_warning(log_part::peer, "Too many links are open. links={}",
@@ -141,6 +162,7 @@
     auto link = std::make_shared<peer_link>(
         std::move(socket), settings, link_side::listener, "", link_handlers());
     accepted.insert(link);
+    unproved.push_back(link);
     link->accept();
 }
 
--- a/src/protocol/peer_link.hpp
+++ b/src/protocol/peer_link.hpp
@@ -72,6 +72,12 @@
     /// Closes the link; on_closed is called.
     void close();
 
+    /// @return Whether both sides have proved the key.
+    [[nodiscard]] bool proved() const noexcept
+    {
+        return stage_ == stage::open;
+    }
+
     /// @return The other side's name, empty before its greeting.
     [[nodiscard]] const std::string& peer() const noexcept;
 
--- /dev/null
+++ b/src/transport/byte_budget.cpp
@@ -0,0 +1,218 @@
+/// @file
+/// Bound for the bytes that are held for callers.
+
+#include <hyssopdeal/transport/byte_budget.hpp>
+
+#include <algorithm>
+#include <mutex>
+#include <unordered_set>
+#include <utility>
+
+#include <hyssopdeal/transport/metrics.hpp>
+
+#include "transport/byte_budget_service.hpp"
+
+namespace hyssopdeal::transport
+{
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr std::size_t least_bytes_per_s = 65'536;
+constexpr std::uint64_t logged_per_s = 10;
+
+} // namespace
+
+// [byte_budget] --------------------------------------------------------------
+
+struct byte_budget::impl
+{
+    mutable std::mutex lock; // shares are of several threads
+    std::size_t limit = 0;
+    std::size_t held = 0;
+    std::uint64_t refusals = 0;
+    std::uint64_t logged = 0;
+    monotonic_time logged_since{};
+    std::unordered_set<byte_share*> shares;
+
+    byte_share* choose(monotonic_time now, const void* loop) const;
+};
+
+byte_share* byte_budget::impl::choose(monotonic_time now,
+                                      const void* loop) const
+{
+    byte_share* worst = nullptr;
+    double most = 0;
+    for (auto* const share : shares)
+    {
+        const auto stalled = now - share->progressed_;
+        if (share->loop_ != loop || !share->allowed_ || share->bytes_ == 0 ||
+            stalled < share->stalled_for_)
+        {
+            continue;
+        }
+        const std::chrono::duration<double> time = stalled + milliseconds{1};
+        const auto weight = static_cast<double>(share->bytes_) * time.count();
+        if (worst == nullptr || weight > most)
+        {
+            worst = share;
+            most = weight;
+        }
+    }
+    return worst;
+}
+
+byte_budget::byte_budget(std::size_t limit)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->limit = limit;
+}
+
+byte_budget::~byte_budget() = default;
+
+std::size_t byte_budget::limit() const noexcept
+{
+    return impl_->limit;
+}
+
+std::size_t byte_budget::held() const
+{
+    const std::lock_guard guard{impl_->lock};
+    return impl_->held;
+}
+
+bool byte_budget::may_fit(std::size_t bytes) const
+{
+    const std::lock_guard guard{impl_->lock};
+    auto fixed = bytes;
+    for (const auto* share : impl_->shares)
+    {
+        fixed += share->allowed_ ? 0 : share->bytes_;
+    }
+    return fixed <= impl_->limit;
+}
+
+bool byte_budget::count_refusal(monotonic_time now)
+{
+    const std::lock_guard guard{impl_->lock};
+    ++impl_->refusals;
+    if (now - impl_->logged_since >= std::chrono::seconds{1})
+    {
+        impl_->logged_since = now;
+        impl_->logged = 0;
+    }
+    return ++impl_->logged <= logged_per_s;
+}
+
+std::string byte_budget::metrics() const
+{
+    const std::lock_guard guard{impl_->lock};
+    prometheus_text out;
+    out.family("hyssopdeal_caller_budget_refusals_total", "counter",
+               "Requests refused and connections closed as too many bytes were "
+               "held for callers");
+    out.sample(static_cast<double>(impl_->refusals));
+    out.family("hyssopdeal_held_caller_bytes", "gauge",
+               "Bytes held for callers");
+    out.sample(static_cast<double>(impl_->held));
+    return out.text();
+}
+
+// [byte_share] ---------------------------------------------------------------
+
+byte_share::byte_share(std::shared_ptr<byte_budget> budget, const void* loop,
+                       monotonic_time now, std::function<void()> take_back)
+    : budget_(std::move(budget)),
+      loop_(loop),
+      take_back_(std::move(take_back)),
+      progressed_(now)
+{
+    const std::lock_guard guard{budget_->impl_->lock};
+    budget_->impl_->shares.insert(this);
+}
+
+byte_share::~byte_share()
+{
+    const std::lock_guard guard{budget_->impl_->lock};
+    budget_->impl_->held -= bytes_;
+    budget_->impl_->shares.erase(this);
+}
+
+bool byte_share::resize(monotonic_time now, std::size_t bytes)
+{
+    auto& all = *budget_->impl_;
+    while (true)
+    {
+        std::function<void()> take_back;
+        {
+            const std::lock_guard guard{all.lock};
+            if (bytes <= bytes_ || all.held - bytes_ + bytes <= all.limit)
+            {
+                all.held = all.held - bytes_ + bytes;
+                bytes_ = bytes;
+                return true;
+            }
+            auto* const chosen = all.choose(now, loop_);
+            if (chosen == nullptr || chosen == this)
+            {
+                return false;
+            }
+            all.held -= std::exchange(chosen->bytes_, 0);
+            chosen->allowed_ = false;
+            take_back = std::exchange(chosen->take_back_, nullptr);
+        }
+        if (take_back)
+        {
+            take_back();
+        }
+    }
+}
+
+void byte_share::force(std::size_t bytes)
+{
+    const std::lock_guard guard{budget_->impl_->lock};
+    budget_->impl_->held += bytes;
+    budget_->impl_->held -= std::exchange(bytes_, bytes);
+}
+
+void byte_share::progress(monotonic_time now, std::size_t bytes)
+{
+    const std::lock_guard guard{budget_->impl_->lock};
+    progressed_ = std::min(
+        now, progressed_ + std::chrono::duration_cast<monotonic_time::duration>(
+                               std::chrono::duration<double>{
+                                   static_cast<double>(bytes) /
+                                   static_cast<double>(least_bytes_per_s)}));
+}
+
+void byte_share::allow_taking_back(bool allowed, milliseconds stalled_for)
+{
+    const std::lock_guard guard{budget_->impl_->lock};
+    allowed_ = allowed && take_back_ != nullptr;
+    stalled_for_ = stalled_for;
+}
+
+std::size_t byte_share::bytes() const
+{
+    const std::lock_guard guard{budget_->impl_->lock};
+    return bytes_;
+}
+
+// [of a loop] ----------------------------------------------------------------
+
+asio::execution_context::id byte_budget_service::id;
+
+void set_byte_budget(event_loop& loop, std::shared_ptr<byte_budget> budget)
+{
+    asio::use_service<byte_budget_service>(loop.context()).budget =
+        std::move(budget);
+}
+
+std::shared_ptr<byte_budget> byte_budget_of(event_loop& loop)
+{
+    return asio::use_service<byte_budget_service>(loop.context()).budget;
+}
+
+} // namespace hyssopdeal::transport
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -357,6 +357,8 @@
                 {
                     return;
                 }
+                // An idle connection would keep the room of a large body.
+                std::string{}.swap(self->out_);
                 // What the server sent before it closed is read first.
                 if (!error && self->done_)
                 {
--- a/src/transport/http1_reader.cpp
+++ b/src/transport/http1_reader.cpp
@@ -3,9 +3,19 @@
 
 #include "transport/http1_reader.hpp"
 
+#include <algorithm>
+
 namespace hyssopdeal::transport
 {
 
+namespace
+{
+
+constexpr std::size_t kept_capacity = 4'096;
+constexpr auto no_length = ~std::uint64_t{0}; // http_parser's
+
+} // namespace
+
 http1_reader::http1_reader(message_kind kind, std::size_t max_head_bytes)
     : kind_(kind),
       max_head_bytes_(max_head_bytes)
@@ -26,7 +36,43 @@
     method_.clear();
     target_.clear();
     headers_.clear();
+    if (headers_.capacity() * sizeof(http_header) > kept_capacity)
+    {
+        std::vector<http_header>{}.swap(headers_);
+    }
     body_.clear();
+    if (body_.capacity() > kept_capacity)
+    {
+        std::string{}.swap(body_);
+    }
+}
+
+std::uint64_t http1_reader::announced_bytes() const noexcept
+{
+    const bool known = state_ == read_state::body &&
+                       (parser_.flags & F_CHUNKED) == 0 &&
+                       parser_.content_length != no_length;
+    return known ? parser_.content_length + body_.size() : 0;
+}
+
+std::size_t http1_reader::held_bytes() const noexcept
+{
+    return body_.capacity() + target_.capacity() + head_bytes_ +
+           headers_.capacity() * sizeof(http_header);
+}
+
+std::size_t http1_reader::capacity_for(std::size_t incoming,
+                                       std::size_t most) const noexcept
+{
+    const auto needed = body_.size() + incoming;
+    if (needed <= body_.capacity())
+    {
+        return body_.capacity();
+    }
+    const auto announced = announced_bytes();
+    const auto end = announced > 0 ? announced : most;
+    return std::max<std::size_t>(
+        needed, std::min<std::uint64_t>(2 * body_.capacity(), end));
 }
 
 http1_reader& http1_reader::self(http_parser* parser)
--- a/src/transport/http1_reader.hpp
+++ b/src/transport/http1_reader.hpp
@@ -49,7 +49,7 @@
     http1_reader(const http1_reader&) = delete;
     http1_reader& operator=(const http1_reader&) = delete;
 
-    /// Begins the next message.
+    /// Begins the next message; frees large buffers of the last.
     void reset();
 
     /// Takes bytes until the message is complete.
@@ -129,6 +129,24 @@
         return body_;
     }
 
+    /// @return Length of the body, if the head that was read states one;
+    ///     otherwise 0.
+    [[nodiscard]] std::uint64_t announced_bytes() const noexcept;
+
+    /// @return Memory that the message takes here.
+    [[nodiscard]] std::size_t held_bytes() const noexcept;
+
+    /// @param most Of the bodies that are accepted.
+    /// @return Capacity of the body for so many bytes more. Grows twofold, but
+    ///     not beyond what was announced.
+    [[nodiscard]] std::size_t capacity_for(std::size_t incoming,
+                                           std::size_t most) const noexcept;
+
+    void reserve_body(std::size_t capacity)
+    {
+        body_.reserve(capacity);
+    }
+
 private:
     static http1_reader& self(http_parser* parser);
     static const http_parser_settings& callbacks();
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -11,10 +11,11 @@
 
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
-#include <asio/write.hpp>
 #include <fmt/format.h>
 
+#include <hyssopdeal/transport/byte_budget.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
 
 #include "transport/http1_reader.hpp"
@@ -34,6 +35,14 @@
 constexpr std::size_t read_bytes = 8'192;
 // Bytes of later requests that are kept while an answer is open.
 constexpr std::size_t max_early_bytes = 65'536;
+// The next request is read only when less than this waits to be sent, so that
+// a caller who sends many and reads nothing queues few answers.
+constexpr std::size_t max_backlog_bytes = 65'536;
+// The body of a request that was handed on is held here and as the bytes that
+// are sent to a server.
+constexpr std::size_t copies_handed_on = 2;
+// An answer's caller who reads is not cut when the budget is short.
+constexpr milliseconds unread_time{500};
 // How long a refused caller may go on sending, so that it reads the refusal
 // before the reset that closing with unread bytes would send.
 constexpr milliseconds linger_time{500};
@@ -53,6 +62,7 @@
     monotonic_time received_at{};
     std::shared_ptr<server_connection> connection; ///< Null once over.
     std::function<void()> left;
+    std::unique_ptr<byte_share> share; ///< Of the request.
     /// Held back until it is whole, for a caller that reads no chunks: the end
     /// of its connection would not tell a whole response from a cut one.
     std::optional<http_response> held;
@@ -72,6 +82,7 @@
           time(own_time),
           settings(std::move(own_settings)),
           on_request(std::move(handle)),
+          budget(byte_budget_of(own_loop)),
           acceptor(loop.context()),
           accept_pause(loop.context())
     {}
@@ -80,6 +91,7 @@
     const clock& time;
     http1_server_settings settings;
     handler on_request;
+    std::shared_ptr<byte_budget> budget;
     tcp::acceptor acceptor;
     asio::steady_timer accept_pause;
     std::set<std::shared_ptr<server_connection>> connections;
@@ -110,6 +122,12 @@
     {
         asio::error_code ignored;
         socket_.set_option(tcp::no_delay{true}, ignored);
+        out_share_ = make_share([](auto& self) {
+            // Not at once: whoever the caller is an exchange of may be what
+            // asks for room.
+            asio::post(self.socket_.get_executor(),
+                       [kept = self.shared_from_this()] { kept->close(); });
+        });
         wait_for_request();
         read();
     }
@@ -120,6 +138,11 @@
         {
             return;
         }
+        if (next_out_.empty() && !writing_)
+        {
+            out_share_->progress(now(), unlimited);
+        }
+        hold_unsent(bytes.size());
         next_out_.append(bytes);
         if (next_out_.size() > server_->settings.max_unsent_bytes)
         {
@@ -128,18 +151,32 @@
         flush();
     }
 
+    /// Counts what waits to be sent. It has bounds of its own, so it is held
+    /// also when the budget is short and nothing can be taken back for it.
+    void hold_unsent(std::size_t more)
+    {
+        const auto bytes = out_.capacity() + std::max(next_out_.capacity(),
+                                                      next_out_.size() + more);
+        out_share_->allow_taking_back(bytes > max_backlog_bytes, unread_time);
+        if (!out_share_->resize(now(), bytes))
+        {
+            out_share_->force(bytes);
+        }
+    }
+
     /// The answer is complete.
     void answered(bool keep)
     {
         open_.reset();
         --server_->open_requests;
+        reader_.reset();
+        wait_for_request();
         if (!keep || server_->stopped)
         {
             closing_ = true;
+            std::string{}.swap(early_);
             return flush();
         }
-        reader_.reset();
-        wait_for_request();
         parse();
         if (!closed_)
         {
@@ -187,6 +224,19 @@
                !reader_.started();
     }
 
+    /// @return Whether the connection may be closed for another.
+    [[nodiscard]] bool replaceable(replaced_connection by) const noexcept
+    {
+        return idle() || (by == replaced_connection::unhanded &&
+                          open_.expired() && !closing_);
+    }
+
+    /// @return Since when it has waited for a whole request.
+    [[nodiscard]] monotonic_time waits_since() const noexcept
+    {
+        return waits_since_;
+    }
+
     [[nodiscard]] bool takes_chunks() const noexcept
     {
         return reader_.takes_chunks();
@@ -203,8 +253,52 @@
     }
 
 private:
+    static constexpr std::size_t unlimited = 1'073'741'824;
+
+    [[nodiscard]] monotonic_time now() const
+    {
+        return server_->time.monotonic_now();
+    }
+
+    template <class TakeBack>
+    std::unique_ptr<byte_share> make_share(TakeBack take_back)
+    {
+        return std::make_unique<byte_share>(
+            server_->budget, &server_->loop, now(),
+            [weak = weak_from_this(), take_back] {
+                const auto self = weak.lock();
+                if (self && !self->closed_)
+                {
+                    take_back(*self);
+                }
+            });
+    }
+
+    /// Counts what the request that is being read takes, with more to come.
+    ///
+    /// @return Whether there is room.
+    bool hold_request(std::size_t more)
+    {
+        if (!in_share_)
+        {
+            in_share_ = make_share([](auto& self) { self.refuse_for_room(); });
+        }
+        // Bytes of a later request, while one is open, cannot be refused yet.
+        in_share_->allow_taking_back(open_.expired());
+        const auto early =
+            early_.capacity() > read_bytes ? early_.capacity() : early_.size();
+        return in_share_->resize(now(), early + reader_.held_bytes() + more);
+    }
+
+    void refuse_for_room()
+    {
+        refuse(503, "Too many bytes are held for callers.",
+               server_->budget->count_refusal(now()));
+    }
+
     void wait_for_request()
     {
+        waits_since_ = now();
         wait(server_->settings.limits.idle_time_limit);
     }
 
@@ -240,7 +334,7 @@
     /// gets here from within the read's own handler.
     void read()
     {
-        if (reading_)
+        if (reading_ || (early_.size() >= max_early_bytes && !closing_))
         {
             return;
         }
@@ -257,30 +351,67 @@
                 {
                     return self->close();
                 }
-                if (self->lingering_)
+                if (!self->closing_)
                 {
-                    return self->read();
+                    self->take(length);
                 }
-                self->early_.append(self->in_.data(), length);
-                if (self->open_.expired() && !self->closing_)
-                {
-                    self->parse();
-                }
-                if (!self->closed_ && self->early_.size() < max_early_bytes)
+                if (!self->closed_)
                 {
                     self->read();
                 }
             });
     }
 
+    void take(std::size_t length)
+    {
+        early_.append(in_.data(), length);
+        if (!hold_request(0))
+        {
+            return open_.expired() ? refuse_for_room() : void();
+        }
+        in_share_->progress(now(), length);
+        parse();
+    }
+
+    /// Reads requests until one is open. An answer that is given at once gets
+    /// here from within, and the loop goes on with the next request.
     void parse()
     {
-        if (early_.empty())
+        if (parsing_)
         {
             return;
         }
+        parsing_ = true;
+        while (!closed_ && !closing_ && open_.expired() && !early_.empty() &&
+               next_out_.size() < max_backlog_bytes)
+        {
+            parse_some();
+        }
+        parsing_ = false;
+        if (early_.empty() && early_.capacity() > read_bytes)
+        {
+            std::string{}.swap(early_);
+        }
+        if (!closed_ && in_share_)
+        {
+            (void)hold_request(0);
+        }
+    }
+
+    void parse_some()
+    {
         const bool fresh = !reader_.started();
         const auto before = reader_.state();
+        if (before == read_state::body)
+        {
+            const auto capacity = reader_.capacity_for(
+                early_.size(), server_->settings.limits.max_body_bytes);
+            if (!hold_request(capacity - reader_.body().capacity()))
+            {
+                return refuse_for_room();
+            }
+            reader_.reserve_body(capacity);
+        }
         const auto used = reader_.feed(early_);
         early_.erase(0, used);
         if (reader_.state() == read_state::bad)
@@ -289,12 +420,18 @@
                        ? refuse(431, "The request's head is too large.")
                        : refuse(400, "The request is not valid HTTP.");
         }
-        if (reader_.body().size() > server_->settings.limits.max_body_bytes)
+        const auto announced = reader_.announced_bytes();
+        if (std::max<std::uint64_t>(announced, reader_.body().size()) >
+            server_->settings.limits.max_body_bytes)
         {
             return refuse(413, "The request's body is too large.");
         }
-        if (before == read_state::head && reader_.state() == read_state::body)
+        if (before == read_state::head && reader_.state() != read_state::head)
         {
+            if (!hold_request(0) || !server_->budget->may_fit(announced))
+            {
+                return refuse_for_room();
+            }
             expect_body();
         }
         if (reader_.state() == read_state::complete)
@@ -309,7 +446,8 @@
 
     void expect_body()
     {
-        if (find_header(reader_.headers(), "Expect").starts_with("100"))
+        if (reader_.state() == read_state::body &&
+            find_header(reader_.headers(), "Expect").starts_with("100"))
         {
             send("HTTP/1.1 100 Continue\r\n\r\n");
         }
@@ -317,8 +455,15 @@
 
     void hand_on()
     {
+        const auto body = reader_.body().capacity();
+        if (!hold_request(body * (copies_handed_on - 1)))
+        {
+            return refuse_for_room();
+        }
         timer_.cancel();
         auto state = std::make_shared<http1_exchange::impl>();
+        state->share = std::exchange(in_share_, nullptr);
+        state->share->allow_taking_back(false);
         state->request.method = reader_.method();
         state->request.target = reader_.target();
         state->request.headers = std::move(reader_.headers());
@@ -330,16 +475,27 @@
         server_->on_request(http1_exchange{std::move(state)});
     }
 
-    void refuse(int status, std::string_view text)
+    void refuse(int status, std::string_view text, bool logs = true)
     {
-        log_event("caller.refused", {{"status", status},
-                                     {"why", text},
-                                     {"parser", reader_.error()},
-                                     {"target_bytes", reader_.target().size()},
-                                     {"body_bytes", reader_.body().size()}});
+        if (logs)
+        {
+            log_event("caller.refused",
+                      {{"status", status},
+                       {"why", text},
+                       {"parser", reader_.error()},
+                       {"target_bytes", reader_.target().size()},
+                       {"body_bytes", reader_.body().size()}});
+        }
+        reader_.reset();
+        std::string{}.swap(early_);
+        in_share_.reset();
         http_response answer;
         answer.status = status;
         answer.headers = {{"Content-Type", "text/plain"}};
+        if (status == 503)
+        {
+            answer.headers.push_back({"Retry-After", "1"});
+        }
         answer.body = std::string{text} + "\n";
         send(write_response(answer, connection_use::close));
         closing_ = true;
@@ -363,10 +519,15 @@
         writing_ = true;
         out_.clear();
         out_.swap(next_out_);
-        asio::async_write(
-            socket_, asio::buffer(out_),
-            [self = shared_from_this()](const auto& error, std::size_t) {
-                self->writing_ = false;
+        sent_ = 0;
+        write_some();
+    }
+
+    void write_some()
+    {
+        socket_.async_write_some(
+            asio::buffer(out_) + sent_,
+            [self = shared_from_this()](const auto& error, std::size_t length) {
                 if (self->closed_)
                 {
                     return;
@@ -375,10 +536,42 @@
                 {
                     return self->close();
                 }
-                self->flush();
+                self->on_some_sent(length);
             });
     }
 
+    /// A caller who reads slowly is given time while it reads.
+    void on_some_sent(std::size_t length)
+    {
+        sent_ += length;
+        out_share_->progress(now(), unlimited);
+        if (open_.expired() && !reader_.started())
+        {
+            wait(server_->settings.limits.idle_time_limit);
+        }
+        if (sent_ < out_.size())
+        {
+            return write_some();
+        }
+        writing_ = false;
+        out_.clear();
+        if (out_.capacity() > read_bytes)
+        {
+            std::string{}.swap(out_);
+        }
+        hold_unsent(0);
+        flush();
+        // Requests may have waited for their predecessors' answers.
+        if (!closing_ && open_.expired())
+        {
+            parse();
+            if (!closed_)
+            {
+                read();
+            }
+        }
+    }
+
     /// Ends sending and reads on for a moment: closing a socket with unread
     /// bytes would reset it and could destroy the answer on its way.
     void finish_closing()
@@ -388,6 +581,7 @@
             return;
         }
         lingering_ = true;
+        in_share_.reset();
         asio::error_code ignored;
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
         wait(linger_time);
@@ -399,10 +593,15 @@
     asio::steady_timer timer_;
     http1_reader reader_;
     std::array<char, read_bytes> in_{};
-    std::string early_; ///< Read and not yet parsed.
-    std::string out_;   ///< Being written.
+    std::string early_;    ///< Read and not yet parsed.
+    std::string out_;      ///< Being written.
+    std::size_t sent_ = 0; ///< Of these.
     std::string next_out_;
+    std::unique_ptr<byte_share> in_share_;
+    std::unique_ptr<byte_share> out_share_;
+    monotonic_time waits_since_{};
     std::weak_ptr<http1_exchange::impl> open_;
+    bool parsing_ = false;
     bool reading_ = false;
     bool writing_ = false;
     bool closing_ = false;
@@ -410,6 +609,27 @@
     bool closed_ = false;
 };
 
+/// Closes the connection that has waited longest for a whole request, if there
+/// is one that may be closed for another.
+void make_room(server_impl& server)
+{
+    std::shared_ptr<server_connection> longest;
+    for (const auto& one : server.connections)
+    {
+        if (one->replaceable(server.settings.replaced) &&
+            (!longest ||
+             std::pair{!one->idle(), one->waits_since()} <
+                 std::pair{!longest->idle(), longest->waits_since()}))
+        {
+            longest = one;
+        }
+    }
+    if (longest)
+    {
+        longest->close();
+    }
+}
+
 /// Accepts until the server stops.
 void accept_next(const std::shared_ptr<server_impl>& server)
 {
@@ -421,6 +641,10 @@
         }
         if (!error)
         {
+            if (server->connections.size() >= server->settings.max_connections)
+            {
+                make_room(*server);
+            }
             if (server->connections.size() < server->settings.max_connections)
             {
                 auto made = std::make_shared<server_connection>(
@@ -528,6 +752,7 @@
     {
         return connection->send(write_chunk(piece));
     }
+    connection->hold_unsent(state_->held->body.size() + piece.size());
     state_->held->body += piece;
     if (state_->held->body.size() > connection->max_unsent_bytes())
     {
--- a/src/transport/http_refusal.cpp
+++ b/src/transport/http_refusal.cpp
@@ -10,6 +10,8 @@
 
 #include <hyssopdeal/transport/logging.hpp>
 
+#include "transport/byte_budget_service.hpp"
+
 namespace hyssopdeal::transport
 {
 
@@ -19,6 +21,12 @@
 constexpr std::chrono::seconds linger_time_limit{1};
 constexpr std::size_t linger_buffer_bytes = 16'384;
 
+// RESTinio's body grows twofold, and the request that is handed on is a copy.
+constexpr std::size_t copies_of_request = 2;
+
+constexpr refusal no_room_refusal{503, reason::overloaded,
+                                  "Too many bytes are held for callers."};
+
 constexpr refusal timed_out_refusal{408, reason::timed_out,
                                     "The request was not sent whole in time."};
 
@@ -105,6 +113,8 @@
         return "URI Too Long";
     case 431:
         return "Request Header Fields Too Large";
+    case 503:
+        return "Service Unavailable";
     default:
         return "Bad Request";
     }
@@ -142,9 +152,11 @@
 
 void refusing_socket::shutdown(shutdown_type what, asio::error_code& error)
 {
+    const auto logged = std::exchange(pending_refusal, std::nullopt);
     const auto cause =
-        std::exchange(pending_refusal, std::nullopt)
-            .value_or(ended_ ? cut_off_refusal : timed_out_refusal);
+        taken_back_
+            ? no_room_refusal
+            : logged.value_or(ended_ ? cut_off_refusal : timed_out_refusal);
     if (received_ > 0 && is_open())
     {
         refuse(cause);
@@ -166,22 +178,75 @@
     std::make_shared<lingerer>(std::move(static_cast<base&>(*this)))->start();
 }
 
+/// A share is made here, as a socket is moved before its first read.
+void refusing_socket::begin_reading()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (!share_)
+    {
+        share_ = std::make_unique<byte_share>(
+            asio::use_service<byte_budget_service>(*context_).budget, context_,
+            now, [this] { take_back(); });
+    }
+    share_->allow_taking_back(true);
+}
+
+/// Counts bytes that were read.
+///
+/// @return Whether they may be handed on.
+bool refusing_socket::has_room(std::size_t length)
+{
+    received_ += length;
+    if (taken_back_ || !share_)
+    {
+        return !taken_back_;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    share_->allow_taking_back(false);
+    share_->progress(now, length);
+    if (!share_->resize(now, received_ * copies_of_request))
+    {
+        taken_back_ = true;
+    }
+    return !taken_back_;
+}
+
+/// The pending read ends with an error.
+void refusing_socket::take_back()
+{
+    taken_back_ = true;
+    asio::error_code ignored;
+    cancel(ignored);
+}
+
 void refusing_socket::refuse(const refusal& cause)
 {
     received_ = 0;
+    bool logs = true;
+    if (taken_back_ && share_)
+    {
+        logs = asio::use_service<byte_budget_service>(*context_)
+                   .budget->count_refusal(std::chrono::steady_clock::now());
+    }
+    share_.reset();
     const auto body = error_body(cause.code, cause.text, verdict::not_run);
     const auto answer = fmt::format(
-        "HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Type: "
+        "HTTP/1.1 {} {}\r\nConnection: close\r\n{}Content-Type: "
         "application/json\r\nHyssopdeal-Verdict: not_run\r\nContent-Length: "
         "{}\r\n\r\n{}",
-        cause.status, status_text(cause.status), body.size(), body);
+        cause.status, status_text(cause.status),
+        taken_back_ ? "Retry-After: 1\r\n" : "", body.size(), body);
     asio::error_code error;
     non_blocking(true, error);
     write_some(asio::buffer(answer), error);
     base::shutdown(shutdown_send, error);
     lingers_ = !error;
-    log_info(log_part::http, "Refused an unread request. status={} reason={}",
-             cause.status, to_string(cause.code));
+    if (logs)
+    {
+        log_info(log_part::http,
+                 "Refused an unread request. status={} reason={}", cause.status,
+                 to_string(cause.code));
+    }
 }
 
 } // namespace hyssopdeal::transport
--- a/src/transport/http_refusal.hpp
+++ b/src/transport/http_refusal.hpp
@@ -9,6 +9,7 @@
 /// Index: [refusal] [parser_logger] [refusing_socket]
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,6 +19,7 @@
 #include <asio/error.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <hyssopdeal/transport/byte_budget.hpp>
 #include <hyssopdeal/transport/failure.hpp>
 
 namespace hyssopdeal::transport
@@ -73,14 +75,16 @@
 
 // [refusing_socket] ----------------------------------------------------------
 
-/// TCP socket that answers a partly read request when it is closed.
+/// TCP socket that answers a partly read request when it is closed, and that
+/// closes when the byte_budget of its context has no room for what it reads.
 class refusing_socket : public asio::ip::tcp::socket
 {
     using base = asio::ip::tcp::socket;
 
 public:
     explicit refusing_socket(asio::io_context& context)
-        : base(context)
+        : base(context),
+          context_(&context)
     {}
 
     template <class Buffers, class Handler>
@@ -88,14 +92,18 @@
     {
         const auto executor =
             asio::get_associated_executor(handler, get_executor());
+        begin_reading();
         base::async_read_some(
             buffers, asio::bind_executor(
                          executor, [this, run = std::forward<Handler>(handler)](
                                        const asio::error_code& error,
                                        std::size_t length) mutable {
-                             received_ += length;
                              ended_ = error == asio::error::eof;
-                             run(error, length);
+                             // An error of another kind would leave the
+                             // connection open.
+                             has_room(length)
+                                 ? run(error, length)
+                                 : run(asio::error::no_buffer_space, 0);
                          }));
     }
 
@@ -103,6 +111,7 @@
     void async_write_some(const Buffers& buffers, Handler&& handler)
     {
         received_ = 0;
+        share_.reset();
         base::async_write_some(buffers, std::forward<Handler>(handler));
     }
 
@@ -111,7 +120,13 @@
 
 private:
     void refuse(const refusal& cause);
+    void begin_reading();
+    [[nodiscard]] bool has_room(std::size_t length);
+    void take_back();
 
+    asio::io_context* context_;
+    std::unique_ptr<byte_share> share_; ///< Of a request until it is answered.
+    bool taken_back_ = false;
     std::size_t received_ = 0; // bytes of a request that is not answered
     bool ended_ = false;       // the caller has closed its sending side
     bool lingers_ = false;
--- a/src/transport/tcp_relay.cpp
+++ b/src/transport/tcp_relay.cpp
@@ -3,7 +3,9 @@
 
 #include <hyssopdeal/transport/tcp_relay.hpp>
 
+#include <algorithm>
 #include <array>
+#include <deque>
 #include <set>
 #include <utility>
 
@@ -30,6 +32,10 @@
 
 constexpr std::size_t max_head_bytes = 1'024;
 constexpr std::size_t start_bytes = 8;
+// Connections that have not proved the key. The oldest is closed for a new one,
+// as a proof takes much less than its time limit.
+constexpr std::size_t max_unproved = 128;
+constexpr milliseconds accept_retry_pause{100};
 
 class relayed_connection;
 
@@ -49,6 +55,7 @@
     {}
 
     void accept();
+    void take(tcp::socket socket);
 
     event_loop& loop;
     tcp_relay_settings settings;
@@ -57,6 +64,8 @@
     tcp::acceptor acceptor;
     const std::string start = to_hex(random_bytes(start_bytes));
     std::set<std::shared_ptr<relayed_connection>> connections;
+    std::deque<std::weak_ptr<relayed_connection>> unproved; ///< Oldest first.
+    timer_handle accept_pause;
     std::size_t open = 0; ///< Of these, connected to a server.
     std::uint64_t relayed = 0;
     bool draining = false;
@@ -112,6 +121,12 @@
         leave();
     }
 
+    /// @return Whether it has closed or proved the key.
+    [[nodiscard]] bool settled() const noexcept
+    {
+        return proved_ || !client_.is_open();
+    }
+
 private:
     /// One direction of the relayed bytes.
     struct flow
@@ -159,6 +174,7 @@
         {
             return refuse(407, "proof");
         }
+        proved_ = true;
         const auto endpoint = parse_endpoint<tcp::endpoint>(target);
         if (!endpoint || !relay_->admits(target))
         {
@@ -308,6 +324,7 @@
     std::string head_;
     timer_handle timer_;
     bool open_ = false;
+    bool proved_ = false;
 };
 
 } // namespace
@@ -327,18 +344,40 @@
         if (error)
         {
             log_event("relay.accept_failed", {{"error", error.message()}});
+            // No descriptor is left, for example; trying again at once would
+            // keep the loop busy.
+            self->accept_pause = self->loop.after(accept_retry_pause, [weak] {
+                if (const auto still = weak.lock())
+                {
+                    still->accept();
+                }
+            });
+            return;
         }
-        else
-        {
-            const auto made =
-                std::make_shared<relayed_connection>(self, std::move(socket));
-            self->connections.insert(made);
-            made->start();
-        }
+        self->take(std::move(socket));
         self->accept();
     });
 }
 
+void tcp_relay::impl::take(tcp::socket socket)
+{
+    std::erase_if(unproved, [](const auto& item) {
+        const auto one = item.lock();
+        return !one || one->settled();
+    });
+    if (unproved.size() >= max_unproved)
+    {
+        const auto oldest = unproved.front().lock();
+        unproved.pop_front();
+        oldest->reset_both();
+    }
+    const auto made = std::make_shared<relayed_connection>(shared_from_this(),
+                                                           std::move(socket));
+    connections.insert(made);
+    unproved.push_back(made);
+    made->start();
+}
+
 tcp_relay::tcp_relay(event_loop& loop, tcp_relay_settings settings,
                      target_filter admits, connect_handler on_connect)
     : impl_(std::make_shared<impl>(loop, std::move(settings), std::move(admits),
--- /dev/null
+++ b/tests/byte_budget_test.cpp
@@ -0,0 +1,93 @@
+/// @file
+/// Guards against a budget that is exceeded, that cuts requests that were
+/// handed on, or that refuses ordinary callers for stalled ones.
+
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+#include <hyssopdeal/transport/byte_budget.hpp>
+
+using namespace hyssopdeal::transport;
+using namespace std::chrono_literals;
+
+TEST_GROUP(byte_budget_tests)
+{
+    std::shared_ptr<byte_budget> budget = std::make_shared<byte_budget>(1'000);
+    monotonic_time now{1h};
+    int loop = 0;
+    int taken = 0;
+
+    std::unique_ptr<byte_share> share(int which = 1)
+    {
+        return std::make_unique<byte_share>(budget, &loop, now,
+                                            [this, which] { taken = which; });
+    }
+};
+
+TEST(byte_budget_tests, largest_that_is_stalled_longest_is_taken_back)
+{
+    const auto old_one = share(1);
+    CHECK_TRUE(old_one->resize(now, 400));
+    now += 1s;
+    const auto larger = share(2);
+    CHECK_TRUE(larger->resize(now, 600));
+    now += 100ms;
+    const auto asking = share(3);
+    CHECK_TRUE(asking->resize(now, 10));
+    CHECK_EQUAL(1, taken);
+    CHECK_EQUAL(610U, budget->held());
+}
+
+TEST(byte_budget_tests, one_byte_now_and_then_is_no_progress)
+{
+    const auto dripping = share(1);
+    CHECK_TRUE(dripping->resize(now, 500));
+    const auto steady = share(2);
+    CHECK_TRUE(steady->resize(now, 500));
+    for (int second = 0; second < 10; ++second)
+    {
+        now += 1s;
+        dripping->progress(now, 1);
+        steady->progress(now, 100'000);
+    }
+    const auto asking = share(3);
+    CHECK_TRUE(asking->resize(now, 10));
+    CHECK_EQUAL(1, taken);
+}
+
+TEST(byte_budget_tests, request_that_was_handed_on_is_never_taken_back)
+{
+    const auto handed_on = share();
+    CHECK_TRUE(handed_on->resize(now, 900));
+    handed_on->allow_taking_back(false);
+    now += 1min;
+    CHECK_FALSE(budget->may_fit(200));
+    const auto asking = share();
+    CHECK_FALSE(asking->resize(now, 200));
+    CHECK_TRUE(asking->resize(now, 100));
+    CHECK_EQUAL(0, taken);
+    CHECK_EQUAL(1'000U, budget->held());
+}
+
+TEST(byte_budget_tests, share_of_another_thread_is_left_alone)
+{
+    const auto other = std::make_unique<byte_share>(budget, nullptr, now,
+                                                    [this] { taken = 1; });
+    CHECK_TRUE(other->resize(now, 1'000));
+    now += 1s;
+    CHECK_FALSE(share()->resize(now, 1));
+    CHECK_EQUAL(0, taken);
+}
+
+TEST(byte_budget_tests, ten_refusals_a_second_are_logged)
+{
+    int logged = 0;
+    for (int count = 0; count < 50; ++count)
+    {
+        logged += budget->count_refusal(now) ? 1 : 0;
+    }
+    CHECK_EQUAL(10, logged);
+    CHECK_TRUE(budget->count_refusal(now + 1s));
+    STRCMP_CONTAINS("refusals_total 51", budget->metrics().c_str());
+}
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -2,6 +2,7 @@
 /// HTTP/1.1 over sockets that do what they should not:
 /// transport/http1_server.hpp, transport/http1_client.hpp.
 
+#include <hyssopdeal/transport/byte_budget.hpp>
 #include <hyssopdeal/transport/http1_client.hpp>
 #include <hyssopdeal/transport/http1_server.hpp>
 #include <hyssopdeal/transport/tcp_relay.hpp>
@@ -211,6 +212,65 @@
     CHECK_TRUE(received > beyond_socket_buffers);
 }
 
+// Each answer from within the read's handler once began the next request in a
+// deeper call: many small requests used up the stack.
+TEST(http1_server_tests, many_small_requests_at_once_are_all_answered)
+{
+    constexpr std::size_t count = 3'000;
+    const auto caller = tests::raw_call(loop, port);
+    std::string requests;
+    for (std::size_t at = 0; at < count; ++at)
+    {
+        requests += "GET / HTTP/1.1\r\n\r\n";
+    }
+    caller->send(requests);
+    CHECK_TRUE(
+        tests::run_until(loop, [&] { return answers(*caller) == count; }));
+}
+
+// The body was read up to the limit before.
+TEST(http1_server_tests, announced_body_over_the_limit_is_refused_unread)
+{
+    const auto caller = tests::raw_call(loop, port);
+    caller->send("POST / HTTP/1.1\r\nContent-Length: 100001\r\n\r\n");
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return caller->received.starts_with("HTTP/1.1 413"); }));
+}
+
+// Guards against bodies that stop short of their end and keep others out, and
+// against a cut of a request that may have run.
+TEST(http1_server_tests, stalled_body_makes_room_and_open_requests_stay)
+{
+    transport::set_byte_budget(
+        loop, std::make_shared<transport::byte_budget>(200'000));
+    setup();
+    answer_at_once = false;
+    const auto post = [this](std::size_t announced, std::size_t sent) {
+        auto caller = tests::raw_call(loop, port);
+        caller->send(fmt::format("POST / HTTP/1.1\r\nContent-Length: {}\r\n"
+                                 "\r\n{}",
+                                 announced, std::string(sent, 'b')));
+        return caller;
+    };
+    const auto open = post(30'000, 30'000);
+    CHECK_TRUE(tests::run_until(loop, [&] { return held.size() == 1; }));
+    const auto stalled = post(90'000, 89'999);
+    loop.run_for(30ms);
+    const auto other = post(50'000, 50'000);
+    CHECK_TRUE(tests::run_until(loop, [&] { return held.size() == 2; }));
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return stalled->received.starts_with("HTTP/1.1 503"); }));
+    STRCMP_CONTAINS("Retry-After", stalled->received.c_str());
+    for (auto& exchange : held)
+    {
+        exchange.send({200, {}, "done"});
+    }
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return answers(*open) + answers(*other) == 2; }));
+    held.clear();
+    CHECK_TRUE(transport::byte_budget_of(loop)->held() < 60'000);
+}
+
 TEST(http1_server_tests, bad_and_oversized_input_gets_a_clear_error)
 {
     const auto refused = [&](const std::string& bytes,
