RESTinio sockets: count what a chunk costs

Cause: RESTinio notes 16 bytes for each chunk in a growing vector, so bodies in one-byte chunks took several times their bytes beside the budget.

Change: a line end read counts 32 bytes. /metrics of hyssop-entryd shows the budget's counters.

--- a/src/coordination/entry_inspection.cpp
+++ b/src/coordination/entry_inspection.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <hyssopdeal/transport/byte_budget.hpp>
 #include <hyssopdeal/transport/json_text.hpp>
 
 #include "entry_answers.hpp"
@@ -267,7 +268,12 @@
     text.sample(shared.catalog.read([](const auto& catalog) {
         return static_cast<double>(catalog.view().applied_index);
     }));
-    return text.text();
+    if (shared.shards.empty())
+    {
+        return text.text();
+    }
+    const auto budget = transport::byte_budget_of(shared.shards.front()->loop);
+    return text.text() + budget->metrics();
 }
 
 void answer_debug(entry_shard& shard, std::string_view page,
--- a/src/transport/http_refusal.cpp
+++ b/src/transport/http_refusal.cpp
@@ -1,5 +1,6 @@
 #include "http_refusal.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <memory>
@@ -24,6 +25,10 @@
 // RESTinio's body grows twofold, and the request that is handed on is a copy.
 constexpr std::size_t copies_of_request = 2;
 
+// RESTinio notes 16 bytes for each chunk, in a vector that grows twofold and is
+// copied then. A chunk has two line ends.
+constexpr std::size_t bytes_for_line_end = 32;
+
 constexpr refusal no_room_refusal{503, reason::overloaded,
                                   "Too many bytes are held for callers."};
 
@@ -194,17 +199,20 @@
 /// Counts bytes that were read.
 ///
 /// @return Whether they may be handed on.
-bool refusing_socket::has_room(std::size_t length)
+bool refusing_socket::has_room(std::string_view bytes)
 {
-    received_ += length;
+    received_ += bytes.size();
+    line_ends_ +=
+        static_cast<std::size_t>(std::count(bytes.begin(), bytes.end(), '\r'));
     if (taken_back_ || !share_)
     {
         return !taken_back_;
     }
     const auto now = std::chrono::steady_clock::now();
     share_->allow_taking_back(false);
-    share_->progress(now, length);
-    if (!share_->resize(now, received_ * copies_of_request))
+    share_->progress(now, bytes.size());
+    if (!share_->resize(now, received_ * copies_of_request +
+                                 line_ends_ * bytes_for_line_end))
     {
         taken_back_ = true;
     }
@@ -222,6 +230,7 @@
 void refusing_socket::refuse(const refusal& cause)
 {
     received_ = 0;
+    line_ends_ = 0;
     bool logs = true;
     if (taken_back_ && share_)
     {
--- a/src/transport/http_refusal.hpp
+++ b/src/transport/http_refusal.hpp
@@ -16,6 +16,7 @@
 #include <utility>
 
 #include <asio/bind_executor.hpp>
+#include <asio/buffer.hpp>
 #include <asio/error.hpp>
 #include <asio/ip/tcp.hpp>
 
@@ -93,24 +94,28 @@
         const auto executor =
             asio::get_associated_executor(handler, get_executor());
         begin_reading();
+        const auto* const read = static_cast<const char*>(
+            asio::mutable_buffer(*asio::buffer_sequence_begin(buffers)).data());
         base::async_read_some(
-            buffers, asio::bind_executor(
-                         executor, [this, run = std::forward<Handler>(handler)](
-                                       const asio::error_code& error,
-                                       std::size_t length) mutable {
-                             ended_ = error == asio::error::eof;
-                             // An error of another kind would leave the
-                             // connection open.
-                             has_room(length)
-                                 ? run(error, length)
-                                 : run(asio::error::no_buffer_space, 0);
-                         }));
+            buffers,
+            asio::bind_executor(
+                executor,
+                [this, read, run = std::forward<Handler>(handler)](
+                    const asio::error_code& error, std::size_t length) mutable {
+                    ended_ = error == asio::error::eof;
+                    // An error of another kind would leave the
+                    // connection open.
+                    has_room({read, length})
+                        ? run(error, length)
+                        : run(asio::error::no_buffer_space, 0);
+                }));
     }
 
     template <class Buffers, class Handler>
     void async_write_some(const Buffers& buffers, Handler&& handler)
     {
         received_ = 0;
+        line_ends_ = 0;
         share_.reset();
         base::async_write_some(buffers, std::forward<Handler>(handler));
     }
@@ -121,14 +126,15 @@
 private:
     void refuse(const refusal& cause);
     void begin_reading();
-    [[nodiscard]] bool has_room(std::size_t length);
+    [[nodiscard]] bool has_room(std::string_view bytes);
     void take_back();
 
     asio::io_context* context_;
     std::unique_ptr<byte_share> share_; ///< Of a request until it is answered.
     bool taken_back_ = false;
-    std::size_t received_ = 0; // bytes of a request that is not answered
-    bool ended_ = false;       // the caller has closed its sending side
+    std::size_t line_ends_ = 0; ///< Of the bytes received.
+    std::size_t received_ = 0;  // bytes of a request that is not answered
+    bool ended_ = false;        // the caller has closed its sending side
     bool lingers_ = false;
 };
 
