--- a/src/transport/http_refusal.hpp
+++ b/src/transport/http_refusal.hpp
@@ -9,15 +9,18 @@
 /// Index: [refusal] [parser_logger] [refusing_socket]
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
 #include <asio/bind_executor.hpp>
+#include <asio/buffer.hpp>
 #include <asio/error.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <hyssopdeal/transport/byte_budget.hpp>
 #include <hyssopdeal/transport/failure.hpp>
 
 namespace hyssopdeal::transport
@@ -73,14 +76,16 @@
 
 // [refusing_socket] ----------------------------------------------------------
 
-/// TCP socket that answers a partly read request when it is closed.
+/// TCP socket that answers a partly read request when it is closed, and that
+/// closes when the byte_budget of its context has no room for what it reads.
 class refusing_socket : public asio::ip::tcp::socket
 {
     using base = asio::ip::tcp::socket;
 
 public:
     explicit refusing_socket(asio::io_context& context)
-        : base(context)
+        : base(context),
+          context_(&context)
     {}
 
     template <class Buffers, class Handler>
@@ -88,21 +93,30 @@
     {
         const auto executor =
             asio::get_associated_executor(handler, get_executor());
+        begin_reading();
+        const auto* const read = static_cast<const char*>(
+            asio::mutable_buffer(*asio::buffer_sequence_begin(buffers)).data());
         base::async_read_some(
-            buffers, asio::bind_executor(
-                         executor, [this, run = std::forward<Handler>(handler)](
-                                       const asio::error_code& error,
-                                       std::size_t length) mutable {
-                             received_ += length;
-                             ended_ = error == asio::error::eof;
-                             run(error, length);
-                         }));
+            buffers,
+            asio::bind_executor(
+                executor,
+                [this, read, run = std::forward<Handler>(handler)](
+                    const asio::error_code& error, std::size_t length) mutable {
+                    ended_ = error == asio::error::eof;
+                    // An error of another kind would leave the
+                    // connection open.
+                    has_room({read, length})
+                        ? run(error, length)
+                        : run(asio::error::no_buffer_space, 0);
+                }));
     }
 
     template <class Buffers, class Handler>
     void async_write_some(const Buffers& buffers, Handler&& handler)
     {
         received_ = 0;
+        line_ends_ = 0;
+        share_.reset();
         base::async_write_some(buffers, std::forward<Handler>(handler));
     }
 
@@ -111,9 +125,16 @@
 
 private:
     void refuse(const refusal& cause);
-
-    std::size_t received_ = 0; // bytes of a request that is not answered
-    bool ended_ = false;       // the caller has closed its sending side
+    void begin_reading();
+    [[nodiscard]] bool has_room(std::string_view bytes);
+    void take_back();
+
+    asio::io_context* context_;
+    std::unique_ptr<byte_share> share_; ///< Of a request until it is answered.
+    bool taken_back_ = false;
+    std::size_t line_ends_ = 0; ///< Of the bytes received.
+    std::size_t received_ = 0;  // bytes of a request that is not answered
+    bool ended_ = false;        // the caller has closed its sending side
     bool lingers_ = false;
 };
 
