Placement by work: keep the latency ratio out of prompts, test the wiring

Cause: predictions by work for prompts do not contain the latency ratio, so it drifted to its bound; nothing tested that loads reach placement. Change: the ratio is learned only where it is used; a request_flow test sends two requests to a server that states its load. Result: cost_modules, cost_placement, gateway_decisions and request_flow tests pass.

--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -400,11 +400,16 @@
     const double expected = std::max<double>(
         1, choice.work ? choice.work->by_reports_ms
                        : static_cast<double>(choice.predicted.count()));
-    const double ratio = std::clamp(
-        server.latency_ratio * static_cast<double>(latency.count()) / expected,
-        0.3, 20.0);
-    server.latency_ratio +=
-        latency_ewma_weight * (ratio - server.latency_ratio);
+    // Predictions by work for prompts do not contain this ratio.
+    if (!choice.work || choice.prompt_tokens == 0)
+    {
+        const double ratio =
+            std::clamp(server.latency_ratio *
+                           static_cast<double>(latency.count()) / expected,
+                       0.3, 20.0);
+        server.latency_ratio +=
+            latency_ewma_weight * (ratio - server.latency_ratio);
+    }
     update_prefill_speed(choice, static_cast<double>(latency.count()) -
                                      first_event_overhead_ms);
 }
--- a/tests/cost_modules_test.cpp
+++ b/tests/cost_modules_test.cpp
@@ -5,6 +5,7 @@
 /// and tables that grow without bound.
 
 #include <hyssopdeal/coordination/cost/request_cost.hpp>
+#include <hyssopdeal/coordination/cost/route_timings.hpp>
 #include <hyssopdeal/coordination/cost/server_backlog.hpp>
 #include <hyssopdeal/coordination/cost/server_speed.hpp>
 
@@ -159,3 +160,22 @@
     }
     CHECK_FALSE(backlog.trusted(server));
 }
+
+TEST(cost_module_tests, timings_are_kept_for_a_bounded_number_of_routes)
+{
+    route_timings timings;
+    for (int count = 0; count < 100; ++count)
+    {
+        timings.add(fmt::format("r{}", count), 300ms, {200ms, 50ms, 900ms});
+    }
+    transport::prometheus_text out;
+    timings.write(out);
+    const auto has = [&](const char* line) {
+        return out.text().find(line) != std::string::npos;
+    };
+    CHECK_TRUE(
+        has("hyssopdeal_route_first_event_seconds_sum{route=\"r9\"} 0.2"));
+    CHECK_TRUE(
+        has("hyssopdeal_route_answer_seconds_count{route=\"other\"} 36"));
+    CHECK_FALSE(has("route=\"r64\""));
+}
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -81,6 +81,19 @@
     }
 };
 
+/// The native dialect with servers that state their load.
+struct stating_dialect : native_dialect
+{
+    static response_metadata
+    parse_response(int status,
+                   const std::vector<transport::http_header>& headers)
+    {
+        auto result = native_dialect::parse_response(status, headers);
+        result.server_load = "1,0,8,100";
+        return result;
+    }
+};
+
 } // namespace
 
 TEST_GROUP(request_flow_tests)
@@ -516,6 +529,30 @@
     CHECK_TRUE(is_whole());
 }
 
+// Without the load or the durations, placement would learn nothing of servers.
+TEST(request_flow_tests, loads_and_durations_reach_placement_and_metrics)
+{
+    add_server(respond_with("done"));
+    apply_configuration();
+    transport::http1_server gateway{
+        loop, clock, transport::http1_server_settings{},
+        [this](transport::http1_exchange exchange) {
+            std::make_shared<request_flow<stating_dialect>>(*core,
+                                                            std::move(exchange))
+                ->start();
+        }};
+    gateway_port = gateway.start().value();
+    STRCMP_CONTAINS("200 OK", fetch("/safe/").c_str());
+    STRCMP_CONTAINS("200 OK", fetch("/safe/").c_str());
+    const auto metrics = core->metrics();
+    STRCMP_CONTAINS("hyssopdeal_route_first_event_seconds_count"
+                    "{route=\"/safe/ POST\"} 2",
+                    metrics.c_str());
+    STRCMP_CONTAINS("hyssopdeal_server_duration_ratio"
+                    "{server=\"w0\",work=\"start\"}",
+                    metrics.c_str());
+}
+
 // Regression: the end of a killed relay's connection was taken for the end of
 // the stream.
 TEST(request_flow_tests, stream_through_a_killed_relay_does_not_look_complete)
