Operators: bound what parsing a document takes

Cause: one PUT of 4 MiB of nested lists, a legal size, took a replica on the platform from 12 to 323 MB; its instance has 256.

Change: texts with more than 524,288 values or 64 levels are refused before they are parsed (transport::json_is_bounded).

--- a/include/hyssopdeal/transport/byte_budget.hpp
+++ b/include/hyssopdeal/transport/byte_budget.hpp
@@ -119,6 +119,12 @@
 
 // [of a loop] ----------------------------------------------------------------
 
+/// @param stated Bytes that may be held; 0: a quarter of the memory, as the
+///     rest is for answers of servers and for state.
+/// @param memory_mb Of the instance; 0: not known.
+[[nodiscard]] std::shared_ptr<byte_budget>
+make_byte_budget(std::size_t stated, std::size_t memory_mb);
+
 /// Makes the servers of a loop that are created afterwards share a budget.
 void set_byte_budget(event_loop& loop, std::shared_ptr<byte_budget> budget);
 
--- a/include/hyssopdeal/transport/http1_server.hpp
+++ b/include/hyssopdeal/transport/http1_server.hpp
@@ -56,6 +56,10 @@
     http1_caller_limits limits;
 };
 
+/// @return The settings with small bodies, few connections and the replacement
+///     of unfinished ones, so that probes get through whoever else is connected.
+[[nodiscard]] http1_server_settings for_probes(http1_server_settings settings);
+
 // [http1_exchange] -----------------------------------------------------------
 
 /// One request and its answer. Use it on the loop's thread; a copy stands for
--- a/include/hyssopdeal/transport/json_text.hpp
+++ b/include/hyssopdeal/transport/json_text.hpp
@@ -2,11 +2,13 @@
 #define HYSSOPDEAL_TRANSPORT_JSON_TEXT_HPP
 
 /// @file
-/// Serializes JSON values that may hold bytes from outside.
+/// Serializes JSON values that may hold bytes from outside, and bounds what
+/// parsing such bytes takes.
 ///
-/// Index: [json_text]
+/// Index: [json_text] [json_is_bounded]
 
 #include <string>
+#include <string_view>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -31,6 +33,15 @@
 /// @return The same in ASCII: all other characters are escaped.
 [[nodiscard]] std::string ascii_json_text(const nlohmann::json& value);
 
+// [json_is_bounded] ----------------------------------------------------------
+
+/// A parsed value takes up to a hundred bytes and may stand for a byte or two
+/// of the text: nested lists of 4 MiB took 310 MB. Texts whose members have
+/// names come near neither bound within the size limits.
+///
+/// @return Whether the text has at most 524,288 values, 64 levels deep.
+[[nodiscard]] bool json_is_bounded(std::string_view text) noexcept;
+
 } // namespace hyssopdeal::transport
 
 #endif
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -52,8 +52,6 @@
 // plus this margin.
 constexpr milliseconds leader_answer_margin{250};
 // Connection limit of the readiness listener and of the metrics listener.
-constexpr std::size_t internal_max_connections = 64;
-constexpr std::size_t internal_max_body_bytes = 16'384;
 
 } // namespace
 
@@ -145,6 +143,7 @@
 
 // [listeners] ----------------------------------------------------------------
 
+/// @param max_connections 0: a listener for probes.
 std::unique_ptr<transport::http1_server>
 gateway_process::impl::make_server(std::uint16_t port,
                                    std::size_t max_connections,
@@ -154,14 +153,10 @@
     settings.address = core.settings.address;
     settings.port = port;
     settings.max_connections = max_connections;
-    if (max_connections == internal_max_connections)
-    {
-        // Probes must get through whoever else is connected.
-        settings.replaced = transport::replaced_connection::unhanded;
-        settings.limits.max_body_bytes = internal_max_body_bytes;
-    }
-    return std::make_unique<transport::http1_server>(loop, clock, settings,
-                                                     std::move(handler));
+    return std::make_unique<transport::http1_server>(
+        loop, clock,
+        max_connections > 0 ? settings : transport::for_probes(settings),
+        std::move(handler));
 }
 
 transport::result<void> gateway_process::impl::listen()
@@ -171,14 +166,13 @@
                     [this](http1_exchange exchange) {
                         handle_request(std::move(exchange));
                     });
-    readiness =
-        make_server(core.settings.readiness_port, internal_max_connections,
-                    [this](http1_exchange exchange) {
-                        const bool is_ready = ready();
-                        exchange.send({is_ready ? 200 : 503,
-                                       {},
-                                       is_ready ? "ready\n" : "not ready\n"});
-                    });
+    readiness = make_server(
+        core.settings.readiness_port, 0, [this](http1_exchange exchange) {
+            const bool is_ready = ready();
+            exchange.send({is_ready ? 200 : 503,
+                           {},
+                           is_ready ? "ready\n" : "not ready\n"});
+        });
     for (auto* server : {callers.get(), readiness.get()})
     {
         if (const auto port = server->start(); !port)
@@ -191,7 +185,7 @@
         return {};
     }
     metrics =
-        make_server(core.settings.metrics_port, internal_max_connections,
+        make_server(core.settings.metrics_port, 0,
                     [this, budget = transport::byte_budget_of(loop)](
                         http1_exchange exchange) {
                         exchange.send({200,
--- a/src/transport/byte_budget.cpp
+++ b/src/transport/byte_budget.cpp
@@ -204,6 +204,17 @@
 
 asio::execution_context::id byte_budget_service::id;
 
+std::shared_ptr<byte_budget> make_byte_budget(std::size_t stated,
+                                              std::size_t memory_mb)
+{
+    constexpr std::size_t quarter_of_mb = 262'144;
+    constexpr std::size_t most_memory_mb = 1'048'576;
+    const auto by_memory =
+        memory_mb > 0 ? std::min(memory_mb, most_memory_mb) * quarter_of_mb
+                      : default_held_caller_bytes;
+    return std::make_shared<byte_budget>(stated > 0 ? stated : by_memory);
+}
+
 void set_byte_budget(event_loop& loop, std::shared_ptr<byte_budget> budget)
 {
     asio::use_service<byte_budget_service>(loop.context()).budget =
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -799,6 +799,18 @@
     return !state_->connection;
 }
 
+// [settings] -----------------------------------------------------------------
+
+http1_server_settings for_probes(http1_server_settings settings)
+{
+    constexpr std::size_t max_connections = 64;
+    constexpr std::size_t max_body_bytes = 16'384;
+    settings.max_connections = max_connections;
+    settings.replaced = replaced_connection::unhanded;
+    settings.limits.max_body_bytes = max_body_bytes;
+    return settings;
+}
+
 // [http1_server] -------------------------------------------------------------
 
 http1_server::http1_server(event_loop& loop, const clock& time,
--- a/tests/hostile_callers_test.cpp
+++ b/tests/hostile_callers_test.cpp
@@ -419,6 +419,19 @@
               all_cases(platform_clients, platform_body));
 }
 
+// A document's values once took 64 bytes for each byte of nested lists.
+TEST(hostile_callers, replica_reads_no_document_that_fills_its_memory)
+{
+    constexpr std::size_t replica_memory_mb = 256;
+    auto on = platform_subject(false, callers_port);
+    on.memory_mb = replica_memory_mb;
+    const auto head = fmt::format("PUT /api/config HTTP/1.1\r\nHost: a\r\n"
+                                  "Content-Length: {}\r\n\r\n",
+                                  platform_body);
+    run_cases(on, {{"nested lists", 2, head, "[", platform_body},
+                   {"empty lists", 2, head + "[", "[],", platform_body / 3}});
+}
+
 TEST(hostile_callers, readiness_is_told_while_strangers_hold_connections)
 {
     auto on = platform_subject(true, readiness_port);
