--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -1340,8 +1340,12 @@
     {
         unreachable ? core_.servers.on_unreachable(now, server)
                     : core_.servers.on_failure(now, server);
-        // Servers close connections that were idle; that is no restart.
-        if ((opened_connection_ || head_received_) &&
+        // A server that closes an idle connection has not restarted. Its close
+        // arrives within a round trip of the request that it crosses.
+        constexpr milliseconds idle_close_window{50};
+        const bool idle_close = !opened_connection_ && !head_received_ &&
+                                now - sent_at_ <= idle_close_window;
+        if (!idle_close &&
             (not_run || error.code == transport::reason::connection_lost))
         {
             core_.servers.cold().on_unreachable(now, server.listed);
--- a/src/coordination/cluster/cluster_process_evacuation.cpp
+++ b/src/coordination/cluster/cluster_process_evacuation.cpp
@@ -46,8 +46,9 @@
 {
     const auto finish = [domain, evacuated,
                          on_done](const transport::result<void>& done) {
+        constexpr std::size_t max_logged_bytes = 64;
         log_event("evacuation.ordered",
-                  {{"domain", domain},
+                  {{"domain", domain.substr(0, max_logged_bytes)},
                    {"order", evacuated ? "begin" : "end"},
                    {"outcome", done ? "accepted" : done.error().text}});
         on_done(done);
--- a/src/coordination/cold_start/cold_servers.cpp
+++ b/src/coordination/cold_start/cold_servers.cpp
@@ -86,7 +86,10 @@
                                 server_state& server, monotonic_time read_at)
 {
     const auto until = read_at + clamp_cold_time(listed.cold_remaining_ms);
-    if (read_at > server.said_at)
+    // The list lags: what it says soon after a presumption may be older.
+    const auto outdated_until =
+        server.said_at + (is_presumed(server) ? list_lag : milliseconds{0});
+    if (read_at > outdated_until)
     {
         if (server.listed_cold)
         {
@@ -107,7 +110,7 @@
 {
     for (auto& [id, server] : servers_)
     {
-        if (!server.listed_cold && is_presumed(server) &&
+        if (!server.listed_cold && is_presumed(server) && !server.unreachable &&
             read_at > server.said_at + list_lag)
         {
             server.until = {};
@@ -245,7 +248,10 @@
 double cold_servers::limit_of(monotonic_time now,
                               const server_state& server) const
 {
-    const auto* const terms = server.until > now ? terms_of(server) : nullptr;
+    // How long a server that cannot be reached will be cold after its return is
+    // not known before it responds.
+    const bool cold = server.until > now || server.unreachable;
+    const auto* const terms = cold ? terms_of(server) : nullptr;
     return terms == nullptr ? 0 : terms->per_s;
 }
 
@@ -270,11 +276,17 @@
 bool cold_servers::may_send(monotonic_time now,
                             const protocol::listed_server& listed)
 {
-    auto* const server = terms_.empty() ? nullptr : find(listed);
-    if (server == nullptr)
+    if (terms_.empty())
     {
         return true;
     }
+    auto* const server = find(listed);
+    if (server == nullptr)
+    {
+        // Another incarnation is listed under the id, or none: no permit can be
+        // for this one.
+        return !terms_.contains(listed.service);
+    }
     update_limit(now, listed.id, *server);
     return permits_.may_send(now, listed);
 }
--- a/src/coordination/gateway/placement_work.cpp
+++ b/src/coordination/gateway/placement_work.cpp
@@ -52,9 +52,10 @@
     const double measured_hold = hold == slot_hold_ms_.end()
                                      ? settings_.initial_slot_hold_ms
                                      : hold->second;
-    const double left_ms = event_ms > 0 && work.events > work.requests
-                               ? work.events / work.requests * event_ms
-                               : measured_hold;
+    const double left_ms =
+        event_ms > 0 && work.requests > 0 && work.events > work.requests
+            ? work.events / work.requests * event_ms
+            : measured_hold;
     return work.prompt_tokens / prefill_speed_of(server) +
            queued * left_ms / slots;
 }
@@ -213,6 +214,11 @@
     }
     if (choice.prompt_tokens > 0)
     {
+        // Events are counted only for requests that were placed by work.
+        if (!choice.work || choice.progress.events == 0)
+        {
+            return;
+        }
         costs_.on_stream(prompt.kind, prefix_of(prompt),
                          choice.progress.events);
         speeds_.on_largest_gap(choice.progress.last_event,
--- a/src/transport/byte_budget.cpp
+++ b/src/transport/byte_budget.cpp
@@ -22,6 +22,15 @@
 
 constexpr std::size_t least_bytes_per_s = 65'536;
 constexpr std::uint64_t logged_per_s = 10;
+// A part of the budget is kept for small shares, so that a few large requests
+// that are being run do not shut out all other callers.
+constexpr std::size_t small_share_bytes = 65'536;
+
+/// @return What all shares together may hold for a share of this size to grow.
+std::size_t limit_for(std::size_t limit, std::size_t bytes)
+{
+    return bytes > small_share_bytes ? limit / 4 * 3 : limit;
+}
 
 } // namespace
 
@@ -86,12 +95,17 @@
 bool byte_budget::may_fit(std::size_t bytes) const
 {
     const std::lock_guard guard{impl_->lock};
+    const auto limit = limit_for(impl_->limit, bytes);
+    if (impl_->held + bytes <= limit)
+    {
+        return true;
+    }
     auto fixed = bytes;
     for (const auto* share : impl_->shares)
     {
         fixed += share->allowed_ ? 0 : share->bytes_;
     }
-    return fixed <= impl_->limit;
+    return fixed <= limit;
 }
 
 bool byte_budget::count_refusal(monotonic_time now)
@@ -148,7 +162,8 @@
         std::function<void()> take_back;
         {
             const std::lock_guard guard{all.lock};
-            if (bytes <= bytes_ || all.held - bytes_ + bytes <= all.limit)
+            if (bytes <= bytes_ ||
+                all.held - bytes_ + bytes <= limit_for(all.limit, bytes))
             {
                 all.held = all.held - bytes_ + bytes;
                 bytes_ = bytes;
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -158,7 +158,9 @@
         const auto bytes = out_.capacity() + std::max(next_out_.capacity(),
                                                       next_out_.size() + more);
         out_share_->allow_taking_back(bytes > max_backlog_bytes, unread_time);
-        if (!out_share_->resize(now(), bytes))
+        // A refusal must not take bytes back from others: it may itself be
+        // sent from within a resize() of another connection.
+        if (closing_ || !out_share_->resize(now(), bytes))
         {
             out_share_->force(bytes);
         }
@@ -168,6 +170,7 @@
     void answered(bool keep)
     {
         open_.reset();
+        paused_ = false;
         --server_->open_requests;
         reader_.reset();
         wait_for_request();
@@ -334,7 +337,8 @@
     /// gets here from within the read's own handler.
     void read()
     {
-        if (reading_ || (early_.size() >= max_early_bytes && !closing_))
+        const bool waits = paused_ || early_.size() >= max_early_bytes;
+        if (reading_ || (waits && !closing_))
         {
             return;
         }
@@ -367,7 +371,10 @@
         early_.append(in_.data(), length);
         if (!hold_request(0))
         {
-            return open_.expired() ? refuse_for_room() : void();
+            // Early bytes of a caller whose request is open wait until it has
+            // been answered; no more are read meanwhile.
+            paused_ = !open_.expired();
+            return paused_ ? void() : refuse_for_room();
         }
         in_share_->progress(now(), length);
         parse();
@@ -497,9 +504,8 @@
             answer.headers.push_back({"Retry-After", "1"});
         }
         answer.body = std::string{text} + "\n";
-        send(write_response(answer, connection_use::close));
         closing_ = true;
-        flush();
+        send(write_response(answer, connection_use::close));
     }
 
     void flush()
@@ -603,6 +609,7 @@
     std::weak_ptr<http1_exchange::impl> open_;
     bool parsing_ = false;
     bool reading_ = false;
+    bool paused_ = false; ///< Nothing is read until the answer has ended.
     bool writing_ = false;
     bool closing_ = false;
     bool lingering_ = false;
--- a/tests/byte_budget_test.cpp
+++ b/tests/byte_budget_test.cpp
@@ -70,6 +70,19 @@
     CHECK_EQUAL(1'000U, budget->held());
 }
 
+// Guards against callers that get no answer while a few large requests run.
+TEST(byte_budget_tests, part_of_the_budget_is_kept_for_small_shares)
+{
+    budget = std::make_shared<byte_budget>(1'000'000);
+    const auto handed_on = share();
+    CHECK_TRUE(handed_on->resize(now, 700'000));
+    handed_on->allow_taking_back(false);
+    CHECK_FALSE(budget->may_fit(100'000));
+    CHECK_FALSE(share()->resize(now, 100'000));
+    CHECK_TRUE(budget->may_fit(60'000));
+    CHECK_TRUE(share()->resize(now, 60'000));
+}
+
 TEST(byte_budget_tests, share_of_another_thread_is_left_alone)
 {
     const auto other = std::make_unique<byte_share>(budget, nullptr, now,
