Service document: list every fault, not only the first

Cause: check() ends at the first fault, so operators correct one at a time. Change: find_faults() lists all of them; check() reports the first of its list, with the texts and the order of routes and organisations as before. Measured: gateway_decisions_test and platform_codec_test pass.

--- a/include/hyssopdeal/protocol/service_document.hpp
+++ b/include/hyssopdeal/protocol/service_document.hpp
@@ -127,6 +127,17 @@
 
 // [checks] -------------------------------------------------------------------
 
+/// One reason why a document is invalid.
+struct document_fault
+{
+    std::string place; ///< `Route NAME` or `Organisation NAME`.
+    std::string text;
+};
+
+/// @return All that makes a document invalid as a whole.
+[[nodiscard]] std::vector<document_fault>
+find_faults(const service_document& document);
+
 /// Checks what makes a document invalid as a whole.
 ///
 /// @return Nothing, or `bad_request` naming the first fault: a route of an
--- a/src/protocol/service_document.cpp
+++ b/src/protocol/service_document.cpp
@@ -4,91 +4,98 @@
 #include <hyssopdeal/protocol/service_document.hpp>
 
 #include <set>
-#include <utility>
 
 #include <fmt/format.h>
 
-#include <hyssopdeal/transport/http_message.hpp>
-
 namespace hyssopdeal::protocol
 {
 
 namespace
 {
 
-using transport::fail;
-using transport::reason;
-
-transport::result<void> check_route(const document_route& route,
-                                    const std::set<std::string>& services)
+void find_route_faults(const document_route& route,
+                       const std::set<std::string>& services,
+                       std::vector<document_fault>& faults)
 {
+    const auto place = fmt::format("Route {}", route.name);
     std::uint64_t weights = 0;
     for (const auto& share : route.shares)
     {
         if (!services.contains(share.service))
         {
-            return fail(reason::bad_request,
-                        fmt::format("Route {}: service {} is not declared.",
-                                    route.name, share.service));
+            faults.push_back({place, fmt::format("service {} is not declared.",
+                                                 share.service)});
         }
         weights += share.weight;
     }
     if (weights == 0)
     {
-        return fail(
-            reason::bad_request,
-            fmt::format("Route {}: its weights add up to 0.", route.name));
+        faults.push_back({place, "its weights add up to 0."});
     }
     if (route.time_limit.count() <= 0)
     {
-        return fail(reason::bad_request,
-                    fmt::format("Route {}: its time limit must be above 0 ms.",
-                                route.name));
+        faults.push_back({place, "its time limit must be above 0 ms."});
+    }
+}
+
+void find_key_faults(const std::vector<organisation_terms>& organisations,
+                     std::vector<document_fault>& faults)
+{
+    std::set<std::string> keys;
+    for (const auto& organisation : organisations)
+    {
+        const std::set<std::string> own(organisation.keys.begin(),
+                                        organisation.keys.end());
+        bool shared = false;
+        for (const auto& key : own)
+        {
+            shared = !keys.insert(key).second || shared;
+        }
+        if (shared)
+        {
+            faults.push_back(
+                {fmt::format("Organisation {}", organisation.name),
+                 "one of its keys belongs to another organisation too."});
+        }
     }
-    return {};
 }
 
 } // namespace
 
-transport::result<void> check(const service_document& document)
+std::vector<document_fault> find_faults(const service_document& document)
 {
     std::set<std::string> services;
     for (const auto& service : document.services)
     {
         services.insert(service.name);
     }
+    std::vector<document_fault> faults;
     std::set<std::string> places;
     for (const auto& route : document.routes)
     {
-        if (auto checked = check_route(route, services); !checked)
-        {
-            return checked;
-        }
+        find_route_faults(route, services, faults);
         if (!places.insert(route.host + ' ' + route.path_prefix).second)
         {
-            return fail(reason::bad_request,
-                        fmt::format("Route {}: another route has host {} and "
-                                    "prefix {}.",
-                                    route.name, route.host, route.path_prefix));
+            faults.push_back(
+                {fmt::format("Route {}", route.name),
+                 fmt::format("another route has host {} and prefix {}.",
+                             route.host, route.path_prefix)});
         }
     }
-    std::set<std::string> keys;
-    for (const auto& organisation : document.organisations)
+    find_key_faults(document.organisations, faults);
+    return faults;
+}
+
+transport::result<void> check(const service_document& document)
+{
+    const auto faults = find_faults(document);
+    if (faults.empty())
     {
-        const std::set<std::string> own(organisation.keys.begin(),
-                                        organisation.keys.end());
-        for (const auto& key : own)
-        {
-            if (!keys.insert(key).second)
-            {
-                return fail(reason::bad_request,
-                            fmt::format("Organisation {}: one of its keys "
-                                        "belongs to another organisation too.",
-                                        organisation.name));
-            }
-        }
+        return {};
     }
-    return {};
+    return transport::fail(
+        transport::reason::bad_request,
+        fmt::format("{}: {}", faults.front().place, faults.front().text));
 }
 
 } // namespace hyssopdeal::protocol
