--- a/include/hyssopdeal/transport/event_loop.hpp
+++ b/include/hyssopdeal/transport/event_loop.hpp
@@ -93,6 +93,13 @@
     std::unique_ptr<impl> impl_;
 };
 
+/// Blocks or unblocks the signals that on_signal() handles, SIGTERM, SIGINT and
+/// SIGHUP, for the calling thread: a signal that comes before the handler is set
+/// must not end the process.
+///
+/// @param how SIG_BLOCK or SIG_UNBLOCK.
+void mask_stop_signals(int how);
+
 } // namespace hyssopdeal::transport
 
 #endif
--- a/include/hyssopdeal/transport/http_message.hpp
+++ b/include/hyssopdeal/transport/http_message.hpp
@@ -29,6 +29,11 @@
 [[nodiscard]] bool same_header_name(std::string_view left,
                                     std::string_view right) noexcept;
 
+/// @return Whether the Connection header names a header, which then concerns
+///     only this connection.
+[[nodiscard]] bool named_by_connection(const std::vector<http_header>& headers,
+                                       std::string_view name);
+
 /// Finds the first header of a name, without regard to case.
 ///
 /// @return Its value, or an empty view when there is none.
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -146,4 +146,15 @@
     return impl_->context;
 }
 
+void mask_stop_signals(int how)
+{
+    sigset_t handled;
+    sigemptyset(&handled);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP})
+    {
+        sigaddset(&handled, number);
+    }
+    pthread_sigmask(how, &handled, nullptr);
+}
+
 } // namespace hyssopdeal::transport
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -41,6 +41,31 @@
     return {};
 }
 
+bool named_by_connection(const std::vector<http_header>& headers,
+                         std::string_view name)
+{
+    auto names = find_header(headers, "Connection");
+    while (!names.empty())
+    {
+        const auto end = std::min(names.find(','), names.size());
+        auto one = names.substr(0, end);
+        names.remove_prefix(std::min(end + 1, names.size()));
+        while (one.starts_with(' '))
+        {
+            one.remove_prefix(1);
+        }
+        while (one.ends_with(' '))
+        {
+            one.remove_suffix(1);
+        }
+        if (same_header_name(one, name))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::chrono::milliseconds read_seconds(std::string_view text) noexcept
 {
     // Longer than a server of a fleet lives; guards sums with a clock.
