--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -76,6 +76,9 @@
     retry_budget_settings repeats;
     quota_settings quotas;
     placement_settings placement_options;
+    /// Lets less urgent requests yield while a service lacks room; only for
+    /// services whose servers state their load.
+    bool priority_admission = false;
     server_reach_settings reach;
     transport::http1_client_settings client;
 };
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -26,11 +26,11 @@
 #include <vector>
 
 #include <hyssopdeal/coordination/cold_start/cold_servers.hpp>
-#include <hyssopdeal/coordination/evacuation/evacuated_domains.hpp>
 #include <hyssopdeal/coordination/cost/request_cost.hpp>
 #include <hyssopdeal/coordination/cost/route_timings.hpp>
 #include <hyssopdeal/coordination/cost/server_backlog.hpp>
 #include <hyssopdeal/coordination/cost/server_speed.hpp>
+#include <hyssopdeal/coordination/evacuation/evacuated_domains.hpp>
 #include <hyssopdeal/coordination/gateway/brittle_servers.hpp>
 #include <hyssopdeal/coordination/gateway/server_permits.hpp>
 #include <hyssopdeal/coordination/gateway/version_split.hpp>
@@ -93,6 +93,9 @@
     /// held meanwhile.
     double connection_setup_penalty_ms = 10;
     double failure_penalty_ms = 400; ///< Multiplied by the failure rate.
+    /// Predicts from the work left at servers that state their load. Off by
+    /// default: it serves large deployments worse (docs/design/0064).
+    bool predict_by_work = false;
     /// Of a stream whose expected largest gap is the target; grows with the
     /// square of their ratio. With half of it, 1.2 times as many streams are
     /// late in the play of cost_placement_test.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -956,7 +956,7 @@
     core_.servers.brittle().on_response(now, server.listed,
                                         response.withstood_rejections, sent_at);
     core_.servers.on_load(now, server, response.server_load);
-    if (!response.server_load.empty())
+    if (core_.settings.priority_admission && !response.server_load.empty())
     {
         core_.ranks.on_server_load_seen(now, service_);
     }
--- a/src/coordination/gateway/placement_work.cpp
+++ b/src/coordination/gateway/placement_work.cpp
@@ -146,7 +146,7 @@
 void placement::on_load(monotonic_time now, const known_server& server,
                         std::string_view text)
 {
-    if (text.empty())
+    if (text.empty() || !settings_.predict_by_work)
     {
         return;
     }
--- a/tests/cost_placement_test.cpp
+++ b/tests/cost_placement_test.cpp
@@ -97,8 +97,10 @@
         }
         for (int at = 0; at < gateways; ++at)
         {
+            placement_settings settings;
+            settings.predict_by_work = true;
             gateways_.push_back(std::make_unique<placement>(
-                placement_settings{}, "d", seed * gateways + at));
+                settings, "d", seed * gateways + at));
             gateways_.back()->set_servers(listed);
             gateways_.back()->set_gateway_count(gateways);
         }
--- a/tests/gateway_decisions_test.cpp
+++ b/tests/gateway_decisions_test.cpp
@@ -5,6 +5,7 @@
 
 #include <hyssopdeal/coordination/gateway/event_splitter.hpp>
 #include <hyssopdeal/coordination/gateway/gateway_core.hpp>
+#include <hyssopdeal/coordination/gateway/gateway_features.hpp>
 #include <hyssopdeal/coordination/gateway/placement.hpp>
 #include <hyssopdeal/coordination/gateway/route_table.hpp>
 #include <hyssopdeal/coordination/gateway/service_retry_budgets.hpp>
@@ -796,3 +797,20 @@
     CHECK_TRUE(event_splitter::event_id("id:8\r\n\r\n") == "8");
     CHECK_TRUE(event_splitter::event_id("data: x\n\n").empty());
 }
+
+// Guards against a misspelt feature that is silently left off.
+TEST_GROUP(gateway_feature_tests){};
+
+TEST(gateway_feature_tests,
+     features_are_off_until_named_and_unknown_is_an_error)
+{
+    gateway_settings settings;
+    CHECK_TRUE(enable_features(settings, nullptr).has_value());
+    CHECK_FALSE(settings.placement_options.predict_by_work);
+    CHECK_FALSE(settings.priority_admission);
+    CHECK_TRUE(enable_features(settings, "work_placement,priority_admission")
+                   .has_value());
+    CHECK_TRUE(settings.placement_options.predict_by_work);
+    CHECK_TRUE(settings.priority_admission);
+    CHECK_FALSE(enable_features(settings, "work-placement").has_value());
+}
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -532,6 +532,9 @@
 // Without the load or the durations, placement would learn nothing of servers.
 TEST(request_flow_tests, loads_and_durations_reach_placement_and_metrics)
 {
+    gateway_settings settings;
+    settings.placement_options.predict_by_work = true;
+    start_gateway(settings);
     add_server(respond_with("done"));
     apply_configuration();
     transport::http1_server gateway{
