Soak: draw evacuations, cold servers and server loads

The soak did not exercise evacuations, cold servers or X-Server-Load (docs/design/0063). It draws evacuations from a generator of its own, lets servers be cold after a start during traffic and after an evacuation, and lets them state loads that are at times missing, malformed or false. It checks that an acknowledged evacuation is in force within 5 s and stays, and that a cold server gets at most 1.5 times its rate plus 5 requests in any second. Findings tell the time since the start.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -202,7 +202,8 @@
 };
 
 soak_operator::soak_operator(soak_world& world)
-    : world_(world)
+    : world_(world),
+      evacuations_random_(world.settings.seed)
 {}
 
 soak_operator::~soak_operator() = default;
@@ -246,6 +247,11 @@
     scaling.domain_prices = {{"d0", 1.0}, {"d1", 0.9}, {"d2", 1.1}};
     const protocol::engine_terms engine{16, 1'000'000, false};
     document.services = {{"llm", 64, engine, scaling}, {"app", 64, {}, {}}};
+    for (auto& service : document.services)
+    {
+        service.cold_start = cold_time;
+        service.cold_per_s = cold_per_s;
+    }
     document.organisations = {{"o", {key}, {}, 0, 0, 1, false}};
     return document;
 }
@@ -255,8 +261,15 @@
                         const answer_handler& on_answer)
 {
     const auto& replicas = world_.replicas();
-    const auto address = world_.operators_address(
-        replicas.at(world_.drawn_below(replicas.size())));
+    ask_replica(replicas.at(world_.drawn_below(replicas.size())),
+                std::move(request), on_answer);
+}
+
+void soak_operator::ask_replica(std::size_t replica,
+                                transport::http_request request,
+                                const answer_handler& on_answer)
+{
+    const auto address = world_.operators_address(replica);
     request.headers.push_back({"Host", address});
     calls_.push_back(world_.client.fetch(address, request,
                                          {.time_limit = patience}, on_answer));
@@ -351,6 +364,57 @@
     return open_ == 0 && read_back_;
 }
 
+// [evacuations] --------------------------------------------------------------
+
+struct soak_operator::evacuation_order
+{
+    std::string domain;
+    bool evacuated = false;
+    bool acknowledged = false;
+    std::function<void()> on_acknowledged;
+};
+
+void soak_operator::evacuate(const std::string& domain, bool evacuated,
+                             std::function<void()> on_acknowledged)
+{
+    send_evacuation(std::make_shared<evacuation_order>(evacuation_order{
+        domain, evacuated, false, std::move(on_acknowledged)}));
+}
+
+void soak_operator::send_evacuation(
+    const std::shared_ptr<evacuation_order>& one)
+{
+    constexpr std::uint64_t most_at_once = 8;
+    if (one->acknowledged)
+    {
+        return;
+    }
+    const auto count = 1 + evacuations_random_() % most_at_once;
+    const auto& replicas = world_.replicas();
+    for (std::uint64_t at = 0; at < count; ++at)
+    {
+        ask_replica(replicas.at(evacuations_random_() % replicas.size()),
+                    platform::evacuation_request(one->domain, one->evacuated),
+                    [this, one](const auto& answer) {
+                        if (answer && answer->status < 500 &&
+                            answer->status != good)
+                        {
+                            world_.ledger.broken(
+                                "evacuations of known domains are acknowledged",
+                                fmt::format("{} was refused with {}",
+                                            one->domain, answer->status));
+                        }
+                        if (answer && answer->status == good &&
+                            !std::exchange(one->acknowledged, true))
+                        {
+                            one->on_acknowledged();
+                        }
+                    });
+    }
+    timers_.push_back(world_.loop.after(patience + pause,
+                                        [=, this] { send_evacuation(one); }));
+}
+
 // [moves] --------------------------------------------------------------------
 
 void soak_operator::move(const std::string& target, bool bad,
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -12,6 +12,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 #include <hyssopdeal/protocol/service_document.hpp>
@@ -78,6 +79,11 @@
               std::chrono::milliseconds duration,
               std::function<void(bool completed)> on_end);
 
+    /// Orders or withdraws the evacuation of a failure domain, at up to eight
+    /// replicas at once, until it is acknowledged.
+    void evacuate(const std::string& domain, bool evacuated,
+                  std::function<void()> on_acknowledged);
+
     /// @return Whether every order was accepted and the newest accepted
     ///     version has been read back since steady().
     [[nodiscard]] bool settled() const noexcept;
@@ -90,6 +96,10 @@
     using answer_handler =
         std::function<void(const transport::result<transport::http_response>&)>;
     void ask(transport::http_request request, const answer_handler& on_answer);
+    void ask_replica(std::size_t replica, transport::http_request request,
+                     const answer_handler& on_answer);
+    struct evacuation_order;
+    void send_evacuation(const std::shared_ptr<evacuation_order>& one);
     void put(const std::shared_ptr<order>& one);
     void follow_move(std::chrono::milliseconds left);
     void order_move(const transport::http_request& request,
@@ -98,6 +108,9 @@
     soak_world& world_;
     std::uint64_t last_version_ = 0;
     std::size_t open_ = 0;
+    /// Apart from the world's, so that the other orders of a seed stay as they
+    /// were.
+    std::mt19937_64 evacuations_random_;
     bool steady_ = false;
     bool read_back_ = false;
     std::vector<transport::http1_call> calls_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -32,7 +32,8 @@
       rates_random_(world.settings.seed),
       refusals_random_(world.settings.seed),
       ends_random_(world.settings.seed),
-      brittle_random_(world.settings.seed)
+      brittle_random_(world.settings.seed),
+      evacuations_random_(world.settings.seed)
 {}
 
 void soak_faults::start(std::chrono::seconds duration)
@@ -41,6 +42,8 @@
     drawing_ = true;
     next();
     limit_rates();
+    world_.servers->begin_traffic();
+    draw_evacuation();
     if (!world_.settings.planned_only)
     {
         repeat_refusals();
@@ -598,6 +601,54 @@
     });
 }
 
+/// Evacuates one failure domain after the other; two may overlap. Servers have
+/// become cold at the end of those that were in force at all entries.
+void soak_faults::draw_evacuation()
+{
+    constexpr std::size_t domains = 3;
+    constexpr std::size_t most_at_once = 2;
+    if (world_.clock.monotonic_now() >= until_)
+    {
+        return;
+    }
+    const auto domain = fmt::format("d{}", evacuations_random_() % domains);
+    const bool cold = evacuations_random_() % 4 > 0;
+    const milliseconds time{cold ? 6'000 + evacuations_random_() % 5'000
+                                 : evacuations_random_() % 2'000};
+    after(milliseconds{500 + evacuations_random_() % 2'500},
+          [this] { draw_evacuation(); });
+    if (evacuations_ >= most_at_once || !evacuated_.insert(domain).second)
+    {
+        return;
+    }
+    ++evacuations_;
+    ++open_;
+    changes_.evacuate(domain, true, [=, this] {
+        world_.ledger.evacuated(domain);
+        hold_evacuation(domain, time, cold);
+    });
+}
+
+/// Withdraws an evacuation after some time.
+void soak_faults::hold_evacuation(const std::string& domain, milliseconds time,
+                                  bool cold)
+{
+    // A resent order may still be under way to the log.
+    constexpr milliseconds before_next{10'000};
+    after(time, [=, this] {
+        world_.ledger.withdrawing(domain);
+        if (cold)
+        {
+            world_.servers->make_cold(domain);
+        }
+        changes_.evacuate(domain, false, [=, this] {
+            --evacuations_;
+            --open_;
+            after(before_next, [=, this] { evacuated_.erase(domain); });
+        });
+    });
+}
+
 /// One server of a service, or all of them, name a rate for some seconds.
 void soak_faults::limit_rates()
 {
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -80,6 +80,9 @@
     void repeat_refusals();
     void end_servers();
     void make_brittle();
+    void draw_evacuation();
+    void hold_evacuation(const std::string& domain,
+                         std::chrono::milliseconds time, bool cold);
 
     bool free(fault_place place, std::size_t which) const;
 
@@ -98,6 +101,10 @@
     std::mt19937_64 refusals_random_;
     std::mt19937_64 ends_random_;
     std::mt19937_64 brittle_random_;
+    std::mt19937_64 evacuations_random_;
+    /// Failure domains, also those withdrawn shortly before.
+    std::set<std::string> evacuated_;
+    std::size_t evacuations_ = 0; ///< Not withdrawn yet.
     std::list<transport::timer_handle> timers_;
 };
 
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -31,16 +31,19 @@
 
 soak_ledger::soak_ledger(const transport::clock& clock, soak_bounds bounds)
     : clock_(clock),
-      bounds_(bounds)
+      bounds_(bounds),
+      started_(clock.monotonic_now())
 {}
 
 void soak_ledger::broken(const std::string& promise, const std::string& how)
 {
     auto text = fmt::format("{}: {}", promise, how);
-    if (findings_.size() < most_findings &&
-        std::find(findings_.begin(), findings_.end(), text) == findings_.end())
+    if (findings_.size() < most_findings && known_findings_.insert(text).second)
     {
-        findings_.push_back(std::move(text));
+        const auto after = std::chrono::duration_cast<milliseconds>(
+            clock_.monotonic_now() - started_);
+        findings_.push_back(
+            fmt::format("{} (after {} ms)", text, after.count()));
     }
 }
 
@@ -274,6 +277,107 @@
     draining_since_[server] = clock_.monotonic_now();
 }
 
+// [cold_servers] -------------------------------------------------------------
+
+void soak_ledger::became_cold(std::size_t server, double per_s,
+                              monotonic_time until)
+{
+    cold_[server] = {per_s, until, {}};
+}
+
+void soak_ledger::arrived_cold(std::size_t server)
+{
+    const auto now = clock_.monotonic_now();
+    const auto found = cold_.find(server);
+    if (found == cold_.end() || now >= found->second.until)
+    {
+        return;
+    }
+    auto& [per_s, until, arrivals] = found->second;
+    arrivals.push_back(now);
+    while (now - arrivals.front() >= std::chrono::seconds{1})
+    {
+        arrivals.pop_front();
+    }
+    most_to_cold_ = std::max(most_to_cold_, arrivals.size());
+    const double allowed = bounds_.cold_ratio * per_s + bounds_.cold_slack;
+    if (static_cast<double>(arrivals.size()) > allowed)
+    {
+        broken("a cold server gets no more than it tolerates",
+               fmt::format("server {} got more than {} requests in a second",
+                           server, allowed));
+    }
+}
+
+// [evacuations] --------------------------------------------------------------
+
+void soak_ledger::evacuated(const std::string& domain)
+{
+    evacuations_[domain] = {clock_.monotonic_now(), {}};
+}
+
+void soak_ledger::withdrawing(const std::string& domain)
+{
+    evacuations_.erase(domain);
+}
+
+bool soak_ledger::hit_within(fault_place place, std::size_t which,
+                             monotonic_time from, monotonic_time to,
+                             std::string_view what) const
+{
+    return std::any_of(faults_.begin(), faults_.end(), [&](const auto& fault) {
+        return fault.place == place && fault.which == which &&
+               (what.empty() || fault.what == what) && fault.from <= to &&
+               fault.to >= from;
+    });
+}
+
+/// @return Whether an entry must apply an evacuation: nothing has hit it
+///     lately, or it was to apply it before and has not been restarted since.
+bool soak_ledger::knows_evacuation(std::size_t entry,
+                                   monotonic_time acknowledged) const
+{
+    constexpr auto place = fault_place::entry;
+    const auto now = clock_.monotonic_now();
+    const auto in_force = acknowledged + bounds_.evacuation;
+    const auto untouched_at = [&](monotonic_time when) {
+        return !hit_within(place, entry, when - bounds_.contact, when);
+    };
+    return untouched_at(now) ||
+           (untouched_at(in_force) &&
+            !hit_within(place, entry, in_force, now, "stop") &&
+            !hit_within(place, entry, in_force, now, "kill"));
+}
+
+void soak_ledger::arrived_evacuated(const std::string& id, std::size_t server,
+                                    const std::string& domain)
+{
+    const auto now = clock_.monotonic_now();
+    const auto found = evacuations_.find(domain);
+    const auto seen = requests_.find(id);
+    if (found == evacuations_.end() || seen == requests_.end() ||
+        now - found->second.acknowledged <= bounds_.evacuation)
+    {
+        return;
+    }
+    auto& [acknowledged, reported] = found->second;
+    // A harmed link may deliver what was sent long before.
+    const bool held = hit_within(fault_place::server, server,
+                                 now - bounds_.contact, now, "server");
+    const auto entry = seen->second.entry;
+    if (!held && knows_evacuation(entry, acknowledged) &&
+        reported.insert(entry).second)
+    {
+        broken("an acknowledged evacuation is in force in time and stays",
+               fmt::format(
+                   "{} from entry {} reached server {} of {} {} ms after the "
+                   "acknowledgement",
+                   id, entry, server, domain,
+                   std::chrono::duration_cast<milliseconds>(now - acknowledged)
+                       .count()));
+    }
+}
+
 // [operators] ----------------------------------------------------------------
 
 void soak_ledger::accepted(std::uint64_t version)
@@ -549,8 +653,9 @@
                      ? "probe_" + std::string{outcome}
                      : std::string{outcome}];
     }
-    std::string text =
-        fmt::format("{} faults, {} repeats", faults_.size(), repeats_.size());
+    std::string text = fmt::format(
+        "{} faults, {} repeats, at most {} a second to a cold server",
+        faults_.size(), repeats_.size(), most_to_cold_);
     for (const auto& [name, count] : counts)
     {
         text += fmt::format(", {} {}", name, count);
--- a/tests/soak/soak_ledger.hpp
+++ b/tests/soak/soak_ledger.hpp
@@ -10,7 +10,9 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -92,7 +94,10 @@
     std::chrono::milliseconds told_slack{500}; ///< From the answer that told.
     double rate_tolerance = 1.5;
     double rate_slack = 5;
-    double falls = 2; ///< In one brittle time.
+    double cold_ratio = 1.5; ///< Of the rate that a cold server tolerates.
+    double cold_slack = 5;
+    std::chrono::milliseconds evacuation{5'000}; ///< Acknowledged to in force.
+    double falls = 2;                            ///< In one brittle time.
     double falls_of_servers = 0.1;
     double bad_version_share = 0.1;
     std::uint64_t bad_version_requests = 50;
@@ -124,6 +129,18 @@
     void run_ended(const std::string& id);
     void arrived(const std::string& id, std::size_t server, bool target);
     void draining(std::size_t server);
+    void arrived_cold(std::size_t server);
+    void arrived_evacuated(const std::string& id, std::size_t server,
+                           const std::string& domain);
+
+    /// A server is cold from now on until a time.
+    void became_cold(std::size_t server, double per_s, monotonic_time until);
+
+    /// An evacuation was acknowledged.
+    void evacuated(const std::string& domain);
+
+    /// An operator begins to withdraw an evacuation.
+    void withdrawing(const std::string& domain);
 
     /// A server names a rate from now on, or none any more (0).
     void named_rate(std::size_t server, double per_s);
@@ -147,7 +164,8 @@
     void ordered(const std::string& holder, std::uint64_t token, bool usage,
                  std::uint64_t window, const std::string& counts);
 
-    /// A promise is broken; each text is kept once.
+    /// A promise is broken; each text is kept once, with the time since the
+    /// start.
     void broken(const std::string& promise, const std::string& how);
 
     /// Judges what can be judged only at the end.
@@ -181,6 +199,28 @@
     [[nodiscard]] bool hit_since(std::size_t entry, monotonic_time since) const;
     void judge_rate(const request_record& seen, std::size_t server);
 
+    /// @return Whether a fault or planned act hit a place within a time.
+    ///
+    /// @param what Only records with this text; empty: all.
+    [[nodiscard]] bool hit_within(fault_place place, std::size_t which,
+                                  monotonic_time from, monotonic_time to,
+                                  std::string_view what = {}) const;
+    [[nodiscard]] bool knows_evacuation(std::size_t entry,
+                                        monotonic_time acknowledged) const;
+
+    struct cold_record
+    {
+        double per_s = 0;
+        monotonic_time until{};
+        std::deque<monotonic_time> arrivals;
+    };
+
+    struct evacuation_record
+    {
+        monotonic_time acknowledged{};
+        std::set<std::size_t> reported; ///< Entries that broke the promise.
+    };
+
     /// What a server named, which entries it has told, and what these sent.
     struct named_limit
     {
@@ -192,12 +232,15 @@
 
     const transport::clock& clock_;
     soak_bounds bounds_;
+    monotonic_time started_;
     std::vector<fault_record> faults_;
     std::unordered_map<std::string, request_record> requests_;
     std::map<std::uint64_t, monotonic_time> accepted_at_;
     std::uint64_t newest_accepted_ = 0;
     std::map<std::size_t, monotonic_time> draining_since_;
-    std::map<std::size_t, named_limit> limits_; ///< By server.
+    std::map<std::size_t, cold_record> cold_;              ///< By server.
+    std::map<std::string, evacuation_record> evacuations_; ///< Acknowledged.
+    std::map<std::size_t, named_limit> limits_;            ///< By server.
     std::map<std::pair<std::size_t, std::uint32_t>,
              std::map<std::uint64_t, monotonic_time>>
         shown_; ///< First time, by entry's life and version.
@@ -205,6 +248,7 @@
     std::map<std::uint64_t, std::string> holders_;
     std::uint64_t highest_token_ = 0;
     std::vector<monotonic_time> repeats_;
+    std::size_t most_to_cold_ = 0; ///< Requests in a second.
     std::size_t brittle_servers_ = 0;
     monotonic_time brittle_since_{};
     std::size_t falls_ = 0;
@@ -212,6 +256,7 @@
     bool move_bad_ = false;
     std::uint64_t move_all_ = 0;
     std::uint64_t move_target_ = 0;
+    std::set<std::string> known_findings_;
     std::vector<std::string> findings_;
 };
 
--- a/tests/soak/soak_servers.cpp
+++ b/tests/soak/soak_servers.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_servers.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <deque>
 #include <list>
@@ -28,6 +29,9 @@
 /// A server tells its state as of this time ago.
 constexpr std::chrono::milliseconds report_lag{400};
 
+/// The instance list shows a server as cold after at most this time.
+constexpr std::uint64_t list_lag_ms = 800;
+
 /// Some responses end with their connection.
 const tests::link_fault usual_link{.without_length = 0.3};
 
@@ -68,6 +72,8 @@
         double rate = 0;                   ///< Named in each answer; 0: none.
         std::uint32_t withstood_per_s = 0; ///< Said in each answer; 0: all.
         std::deque<transport::monotonic_time> rejections;
+        transport::monotonic_time cold_shown{}; ///< From then on the list.
+        transport::monotonic_time cold_until{};
         bool on_list = true;
         bool runs = true;
         std::uint32_t running = 0;
@@ -102,6 +108,7 @@
           clock(own_clock),
           ledger(own_ledger),
           random(seed),
+          load_random(seed),
           address(std::move(own_address)),
           port(own_port)
     {}
@@ -115,6 +122,8 @@
                                                address_answer answer);
     void add_limits(std::size_t at, const std::string& id,
                     std::vector<transport::http_header>& headers);
+    std::string load_text(std::size_t at);
+    void make_cold(std::size_t at, std::chrono::milliseconds lag);
     void reject(std::size_t at);
     void step(const std::shared_ptr<work>& one);
     void end(const std::shared_ptr<work>& one);
@@ -129,6 +138,10 @@
     const transport::clock& clock;
     soak_ledger& ledger;
     std::mt19937_64 random;
+    /// For loads and cold times, apart from `random`, so that the other answers
+    /// of a seed stay as they were.
+    std::mt19937_64 load_random;
+    bool traffic = false;
     address_of address;
     std::uint16_t port;
     std::vector<std::unique_ptr<server>> servers;
@@ -182,6 +195,8 @@
     {
         return refuse(misdirected);
     }
+    ledger.arrived_cold(at);
+    ledger.arrived_evacuated(call.attempt_id, at, self.listed.failure_domain);
     ledger.arrived(call.attempt_id, at,
                    !target.empty() && self.listed.version == target);
     const auto room =
@@ -296,12 +311,60 @@
         headers.push_back(platform::rate_limit_header(rate));
         ledger.told_rate(id, at);
     }
+    if (const auto load = load_text(at); !load.empty())
+    {
+        headers.push_back(platform::load_header(load));
+    }
     if (const auto withstood = servers.at(at)->withstood_per_s; withstood > 0)
     {
         headers.push_back(platform::brittle_header(withstood));
     }
 }
 
+/// @return The load as a server states it: at times malformed, false or missing.
+std::string soak_servers::impl::load_text(std::size_t at)
+{
+    static constexpr std::array malformed = {"1,2",
+                                             "a,b,c",
+                                             "-1,0,16",
+                                             ",,,",
+                                             "99999999999999999999,0,16",
+                                             "1,0,16,nan",
+                                             "1,0,16,0",
+                                             "1,0,16,100,7"};
+    constexpr std::uint64_t kinds = 10;
+    constexpr std::uint64_t most = 100;
+    const auto& self = *servers.at(at);
+    const auto kind = load_random() % kinds;
+    const auto drawn = load_random();
+    if (kind == 0)
+    {
+        return {};
+    }
+    if (kind == 1)
+    {
+        return malformed.at(drawn % malformed.size());
+    }
+    const auto running = kind == 2 ? drawn % most : self.running;
+    auto text = fmt::format("{},0,{}", running, slots);
+    if (self.listed.service == "llm")
+    {
+        text += fmt::format(",{}", 100 + drawn % (2 * most));
+    }
+    return text;
+}
+
+/// @param lag Time until the instance list shows it.
+void soak_servers::impl::make_cold(std::size_t at,
+                                   std::chrono::milliseconds lag)
+{
+    auto& self = *servers.at(at);
+    const auto now = clock.monotonic_now();
+    self.cold_shown = now + lag;
+    self.cold_until = now + cold_time;
+    ledger.became_cold(at, cold_per_s, self.cold_until);
+}
+
 /// Counts a rejection for want of room. A server that falls over loses its
 /// connections and is back at once.
 void soak_servers::impl::reject(std::size_t at)
@@ -385,6 +448,13 @@
         {
             if (one->on_list)
             {
+                const auto now = clock.monotonic_now();
+                const auto left = now < one->cold_shown
+                                      ? std::chrono::nanoseconds{0}
+                                      : one->cold_until - now;
+                one->listed.cold_remaining_ms = std::max<std::int64_t>(
+                    0,
+                    std::chrono::ceil<std::chrono::milliseconds>(left).count());
                 list.push_back(one->listed);
             }
         }
@@ -440,9 +510,31 @@
         tests::relay_end{impl_->address(at, false), impl_->port});
     impl_->servers.push_back(std::move(made));
     impl_->servers.back()->relay->set(usual_link);
+    if (impl_->traffic)
+    {
+        impl_->make_cold(at, std::chrono::milliseconds{0});
+    }
     return at;
 }
 
+void soak_servers::begin_traffic()
+{
+    impl_->traffic = true;
+}
+
+void soak_servers::make_cold(const std::string& domain)
+{
+    for (std::size_t at = 0; at < impl_->servers.size(); ++at)
+    {
+        const auto& one = *impl_->servers[at];
+        if (one.runs && one.on_list && one.listed.failure_domain == domain)
+        {
+            impl_->make_cold(at, std::chrono::milliseconds{
+                                     impl_->load_random() % list_lag_ms});
+        }
+    }
+}
+
 void soak_servers::drain(std::size_t server)
 {
     impl_->servers.at(server)->listed.state = protocol::server_state::draining;
--- a/tests/soak/soak_servers.hpp
+++ b/tests/soak/soak_servers.hpp
@@ -5,7 +5,7 @@
 /// Backend servers and the platform's API for a soak, in its own process. Each
 /// server is reached through a relay.
 ///
-/// Index: [answers] [server_manner] [soak_servers]
+/// Index: [answers] [server_manner] [cold_servers] [soak_servers]
 
 #include <chrono>
 #include <cstdint>
@@ -74,6 +74,14 @@
     silent        ///< Connections are accepted, nothing is answered.
 };
 
+// [cold_servers] -------------------------------------------------------------
+
+/// How long a server is cold after it starts during traffic.
+inline constexpr std::chrono::milliseconds cold_time{3'000};
+
+/// Requests per second that a cold server tolerates.
+inline constexpr double cold_per_s = 4;
+
 // [soak_servers] -------------------------------------------------------------
 
 /// All servers that ever were, by number.
@@ -95,6 +103,12 @@
     std::size_t add(const std::string& service, const std::string& domain,
                     const std::string& version, server_manner manner = {});
 
+    /// Servers that start from now on are cold at first.
+    void begin_traffic();
+
+    /// Makes all servers of a failure domain cold. The list shows it later.
+    void make_cold(const std::string& domain);
+
     /// Shows it as leaving.
     void drain(std::size_t server);
 
