Cold servers: starts after an evacuation, cold times of lists

Change: an entry that starts after an evacuation presumes all servers cold until a list says otherwise; cold times of lists last 500 ms longer. A test expected the exact end by the list; it expects the exact end with this margin now.

--- a/include/hyssopdeal/coordination/cold_start/cold_servers.hpp
+++ b/include/hyssopdeal/coordination/cold_start/cold_servers.hpp
@@ -83,6 +83,11 @@
                      const std::vector<protocol::listed_server>& servers,
                      transport::monotonic_time read_at);
 
+    /// Presumes all servers cold, also those of a first list that is still to
+    /// come. For an entry that starts after an evacuation: it does not know when
+    /// that ended, and the list lags.
+    void presume_all(transport::monotonic_time now);
+
     /// Records that the current list was still valid at a time. Ends
     /// presumptions that the list contradicts.
     void on_list_read(transport::monotonic_time read_at);
@@ -207,6 +212,7 @@
     std::map<std::string, server_state> servers_; ///< By id.
     std::map<std::string, cold_terms> terms_;     ///< By service.
     bool has_list_ = false;
+    bool presumes_first_list_ = false;
     server_permits permits_;
     unreadable_text_log unreadable_{"server.unreadable_cold_time"};
 };
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -339,8 +339,8 @@
     /// whichever replica answers.
     std::uint64_t evacuation_revision = 0;
     std::set<std::string> evacuated; ///< Their servers get no requests.
-    reserve_orders reserves; ///< Of the leader.
-    service_turns turns;     ///< Of the leader.
+    reserve_orders reserves;         ///< Of the leader.
+    service_turns turns;             ///< Of the leader.
 };
 
 // [tokens] -------------------------------------------------------------------
--- a/src/coordination/cold_start/cold_servers.cpp
+++ b/src/coordination/cold_start/cold_servers.cpp
@@ -23,6 +23,10 @@
 
 // The list lags by up to 800 ms, and its reading by several hundred more.
 constexpr milliseconds list_lag{2'000};
+// A list counts from when it was asked for, but its cold times from when the
+// platform wrote it; a process may stand still in between.
+constexpr milliseconds list_delay{500};
+constexpr milliseconds unknown_cold_time{10'000};
 // Bounds sums with a clock.
 constexpr milliseconds max_cold_time{600'000};
 // Longer than several report intervals.
@@ -70,7 +74,7 @@
         server.service = listed.service;
         server.failure_domain = listed.failure_domain;
         server.listed_cold = listed.cold_remaining_ms > 0;
-        if (known == nullptr && has_list_)
+        if (known == nullptr && (has_list_ || presumes_first_list_))
         {
             presume(now, listed.id, server, source::start);
         }
@@ -85,7 +89,8 @@
                                 const protocol::listed_server& listed,
                                 server_state& server, monotonic_time read_at)
 {
-    const auto until = read_at + clamp_cold_time(listed.cold_remaining_ms);
+    const auto until =
+        read_at + clamp_cold_time(listed.cold_remaining_ms) + list_delay;
     // The list lags: what it says soon after a presumption may be older.
     const auto outdated_until =
         server.said_at + (is_presumed(server) ? list_lag : milliseconds{0});
@@ -147,9 +152,13 @@
                            server_state& server, source told_by)
 {
     const auto* const terms = terms_of(server);
-    if (terms != nullptr && now + terms->cold_time > server.until)
+    // The first list may arrive before the services' terms.
+    const auto cold_time = terms != nullptr ? terms->cold_time
+                           : terms_.empty() ? unknown_cold_time
+                                            : milliseconds{0};
+    if (now + cold_time > std::max(now, server.until))
     {
-        record(now, id, server, now + terms->cold_time, now, told_by);
+        record(now, id, server, now + cold_time, now, told_by);
     }
 }
 
@@ -206,6 +215,15 @@
     }
 }
 
+void cold_servers::presume_all(monotonic_time now)
+{
+    presumes_first_list_ = true;
+    for (auto& [id, server] : servers_)
+    {
+        presume(now, id, server, source::evacuation);
+    }
+}
+
 void cold_servers::on_evacuation_ended(monotonic_time now,
                                        std::string_view failure_domain)
 {
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -404,8 +404,16 @@
 
 void gateway_core::apply_evacuations(const protocol::entry_orders& orders)
 {
+    // Longer than an entry needs to hear of evacuations after its start.
+    constexpr std::chrono::seconds start_period{5};
+    const auto now = clock.monotonic_now();
+    if (servers.evacuated().revision() == 0 && orders.evacuation_revision > 0 &&
+        now - started_at_ < start_period)
+    {
+        servers.cold().presume_all(now);
+    }
     const auto changes = servers.evacuated().apply(
-        clock.monotonic_now(), orders.evacuation_revision, orders.evacuated);
+        now, orders.evacuation_revision, orders.evacuated);
     for (const auto& [domain, evacuated] : changes)
     {
         log_event("evacuation.in_force",
@@ -414,7 +422,7 @@
                    {"revision", orders.evacuation_revision}});
         if (!evacuated)
         {
-            servers.cold().on_evacuation_ended(clock.monotonic_now(), domain);
+            servers.cold().on_evacuation_ended(now, domain);
         }
     }
 }
--- a/tests/cold_servers_test.cpp
+++ b/tests/cold_servers_test.cpp
@@ -418,8 +418,8 @@
     auto cold = listed("a");
     cold.cold_remaining_ms = 3'000;
     entry.set_servers(now, {cold}, now - 1s);
-    CHECK_TRUE(entry.is_cold(now + 1'999ms, cold));
-    CHECK_FALSE(entry.is_cold(now + 2s, cold));
+    CHECK_TRUE(entry.is_cold(now + 2'499ms, cold));
+    CHECK_FALSE(entry.is_cold(now + 2'500ms, cold));
     entry.on_response(now + 3s, cold, "500", now + 2s);
     CHECK_TRUE(entry.is_cold(now + 3'499ms, cold));
     entry.on_response(now + 3'100ms, cold, "0", now + 2'900ms);
@@ -500,3 +500,45 @@
     CHECK_TRUE(first > 0ms);
     CHECK_TRUE(run.entries[0]->reserve_turn(run.now, "s") > first);
 }
+
+// Found by the soak, seed 6008: an entry that started after the end of an
+// evacuation took the servers for warm, as the list did not show them as cold.
+TEST(cold_servers_tests,
+     entry_that_starts_after_an_evacuation_presumes_all_cold)
+{
+    const monotonic_time now{1h};
+    for (const bool list_first : {false, true})
+    {
+        coordination::cold_servers entry{7};
+        if (list_first)
+        {
+            entry.set_servers(now, {listed("a")}, now);
+        }
+        entry.presume_all(now);
+        if (!list_first)
+        {
+            entry.set_servers(now, {listed("a")}, now);
+        }
+        entry.set_services(services());
+        CHECK_FALSE(entry.may_send(now, listed("a")));
+        entry.on_list_read(now + 3s);
+        CHECK_TRUE(entry.may_send(now + 3s, listed("a")));
+    }
+}
+
+// Found by the review: a list that still showed a server as warm ended the
+// presumption while the server could not be reached.
+TEST(cold_servers_tests, unreachable_server_is_cold_until_it_responds)
+{
+    const monotonic_time now{1h};
+    coordination::cold_servers entry{7};
+    entry.set_services(services());
+    entry.set_servers(now, {listed("a")}, now);
+    entry.on_unreachable(now, listed("a"));
+    entry.on_list_read(now + 1min);
+    CHECK_TRUE(entry.is_cold(now + 1min, listed("a")));
+    entry.on_response(now + 1min, listed("a"), "", now + 1min);
+    CHECK_TRUE(entry.is_cold(now + 1min + 1s, listed("a")));
+    entry.on_list_read(now + 1min + 3s);
+    CHECK_FALSE(entry.is_cold(now + 1min + 3s, listed("a")));
+}
