Hostile callers: no bound of memory in builds of the address sanitizer

Its shadow and quarantine hold more than the instance's memory whatever the program does. The plain build of the same run checks the bound; process, descriptors and the ordinary request are checked in both.

--- a/tests/hostile_callers_test.cpp
+++ b/tests/hostile_callers_test.cpp
@@ -240,6 +240,14 @@
     return count;
 }
 
+// The address sanitizer keeps freed memory back and adds to what is in use, so
+// the resident set of its builds says nothing of the product's.
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool memory_is_measured = false;
+#else
+constexpr bool memory_is_measured = true;
+#endif
+
 // Says what was measured, and notes in `faults` what is out of bounds.
 void run_case(const subject& on, const script& plan, std::string& faults)
 {
@@ -254,9 +262,9 @@
     const auto answer = answer_to(on.asked, on.path);
     const auto memory = peak_memory_mb(id);
     const int code = group.wait("it", 0s);
-    const bool good = ready && code == -1 && memory < on.memory_mb &&
-                      descriptors < on.most_descriptors &&
-                      answer.starts_with("HTTP/1.1 ");
+    const bool good =
+        ready && code == -1 && (!memory_is_measured || memory < on.memory_mb) &&
+        descriptors < on.most_descriptors && answer.starts_with("HTTP/1.1 ");
     const auto line = fmt::format(
         "{:4} {}:{} {}: {} to {} MB of {}, {} descriptors of {}, exit {}, "
         "answer \"{}\"\n",
