--- a/tests/cold_servers_test.cpp
+++ b/tests/cold_servers_test.cpp
@@ -255,7 +255,7 @@
     run.play(7s, 500);
     CHECK_TRUE(run.most_in_second() <= bound);
     // Half of what the two servers tolerate.
-    CHECK_TRUE(run.total() >= 7 * 14);
+    CHECK_TRUE(run.total() >= 7UL * 14);
 }
 
 // Guards against permits that entries save and use at the same moment.
@@ -313,7 +313,7 @@
     run.make_cold();
     run.play(7s, 2'000);
     CHECK_TRUE(run.most_in_second() <= bound);
-    CHECK_TRUE(run.total() > 5 * 7 * 3);
+    CHECK_TRUE(run.total() > 5UL * 7 * 3);
 }
 
 // Guards against a full rate of the leader on top of the draws of entries that
@@ -366,7 +366,7 @@
     run.make_cold();
     run.play(7s, 1'500);
     CHECK_TRUE(run.most_in_second() <= bound);
-    CHECK_TRUE(run.total() >= 23 * 7 * 7);
+    CHECK_TRUE(run.total() >= 23UL * 7 * 7);
     CHECK_TRUE(run.refused > 0);
 }
 
