Placement, messages: one search and one read of optional members

lacks_permit, lacks_cold_permit and lacks_brittle_slot were one search with three conditions, and 13 optional members of messages were read by the same four lines. No behaviour changes.

--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -395,6 +395,11 @@
     {
         return is_usable(server, service) && server.paused_until <= now;
     }
+    /// @return Whether the condition holds for a candidate that was not tried.
+    [[nodiscard]] bool any_untried_candidate(
+        transport::monotonic_time now, const std::string& service,
+        const std::set<std::string>& tried,
+        const std::function<bool(const known_server&)>& condition) const;
     [[nodiscard]] bool has_brittle_slot(const known_server& server) const;
     /// @return Tokens of the prompt's prefix that the server probably has
     ///     cached, judging by the requests of this gateway.
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -574,40 +574,46 @@
     return least;
 }
 
-bool placement::lacks_permit(monotonic_time now, const std::string& service,
-                             const std::set<std::string>& tried)
+bool placement::any_untried_candidate(
+    monotonic_time now, const std::string& service,
+    const std::set<std::string>& tried,
+    const std::function<bool(const known_server&)>& condition) const
 {
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
         const auto& server = *item.second;
         return is_candidate(now, server, service) &&
-               !tried.contains(item.first) &&
-               !permits_.may_send(now, server.listed);
+               !tried.contains(item.first) && condition(server);
     });
 }
 
+bool placement::lacks_permit(monotonic_time now, const std::string& service,
+                             const std::set<std::string>& tried)
+{
+    return any_untried_candidate(
+        now, service, tried, [&](const known_server& server) {
+            return !permits_.may_send(now, server.listed);
+        });
+}
+
 bool placement::lacks_cold_permit(monotonic_time now,
                                   const std::string& service,
                                   const std::set<std::string>& tried)
 {
-    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
-        const auto& server = *item.second;
-        return is_candidate(now, server, service) &&
-               !tried.contains(item.first) &&
-               !cold_.may_send(now, server.listed);
-    });
+    return any_untried_candidate(now, service, tried,
+                                 [&](const known_server& server) {
+                                     return !cold_.may_send(now, server.listed);
+                                 });
 }
 
 bool placement::lacks_brittle_slot(monotonic_time now,
                                    const std::string& service,
                                    const std::set<std::string>& tried)
 {
-    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
-        const auto& server = *item.second;
-        return is_candidate(now, server, service) &&
-               !tried.contains(item.first) &&
-               permits_.may_send(now, server.listed) &&
-               !has_brittle_slot(server);
-    });
+    return any_untried_candidate(
+        now, service, tried, [&](const known_server& server) {
+            return permits_.may_send(now, server.listed) &&
+                   !has_brittle_slot(server);
+        });
 }
 
 bool placement::has_brittle_slot(const known_server& server) const
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -73,6 +73,17 @@
 namespace
 {
 
+/// Reads a member that messages leave out when it is empty, and that earlier
+/// versions do not have.
+template <class Value>
+void read_if_present(const json& from, const char* name, Value& value)
+{
+    if (from.contains(name))
+    {
+        from.at(name).get_to(value);
+    }
+}
+
 constexpr std::size_t length_bytes = 8;
 constexpr unsigned bits_in_byte = 8;
 // More than operators may send.
@@ -173,36 +184,15 @@
     from.at("moves").get_to(value.moves);
     from.at("evidence").get_to(value.evidence);
     from.at("leaving").get_to(value.leaving);
-    if (from.contains("crashes"))
-    {
-        from.at("crashes").get_to(value.crashes);
-    }
-    if (from.contains("rate_limits"))
-    {
-        from.at("rate_limits").get_to(value.rate_limits);
-    }
-    if (from.contains("cold"))
-    {
-        from.at("cold").get_to(value.cold);
-    }
-    if (from.contains("brittle"))
-    {
-        from.at("brittle").get_to(value.brittle);
-    }
-    if (from.contains("relay"))
-    {
-        from.at("relay").get_to(value.relay);
-    }
+    read_if_present(from, "crashes", value.crashes);
+    read_if_present(from, "rate_limits", value.rate_limits);
+    read_if_present(from, "cold", value.cold);
+    read_if_present(from, "brittle", value.brittle);
+    read_if_present(from, "relay", value.relay);
     value.evacuation_revision =
         from.value("evacuation_revision", std::uint64_t{0});
-    if (from.contains("reserves"))
-    {
-        from.at("reserves").get_to(value.reserves);
-    }
-    if (from.contains("pressure"))
-    {
-        from.at("pressure").get_to(value.pressure);
-    }
+    read_if_present(from, "reserves", value.reserves);
+    read_if_present(from, "pressure", value.pressure);
 }
 
 void to_json(json& out, const entry_orders& value)
@@ -282,40 +272,22 @@
     from.at("next_report_ms").get_to(value.next_report_ms);
     from.at("moves").get_to(value.moves);
     from.at("leaving").get_to(value.leaving);
-    if (from.contains("crashes"))
-    {
-        from.at("crashes").get_to(value.crashes);
-    }
-    if (from.contains("rate_limits"))
-    {
-        from.at("rate_limits").get_to(value.rate_limits);
-    }
-    if (from.contains("cold"))
-    {
-        from.at("cold").get_to(value.cold);
-    }
+    read_if_present(from, "crashes", value.crashes);
+    read_if_present(from, "rate_limits", value.rate_limits);
+    read_if_present(from, "cold", value.cold);
     if (from.contains("brittle"))
     {
         from.at("brittle").get_to(value.brittle);
         from.at("entry_number").get_to(value.entry_number);
     }
-    if (from.contains("helpers"))
-    {
-        from.at("helpers").get_to(value.helpers);
-    }
+    read_if_present(from, "helpers", value.helpers);
     if (from.contains("evacuated"))
     {
         from.at("evacuation_revision").get_to(value.evacuation_revision);
         from.at("evacuated").get_to(value.evacuated);
     }
-    if (from.contains("reserves"))
-    {
-        from.at("reserves").get_to(value.reserves);
-    }
-    if (from.contains("turns"))
-    {
-        from.at("turns").get_to(value.turns);
-    }
+    read_if_present(from, "reserves", value.reserves);
+    read_if_present(from, "turns", value.turns);
     if (from.contains("packed_document"))
     {
         value.packed_document = from.at("packed_document").get<std::string>();
