Name the listeners for probes; remove what nobody uses

make_server took 0 connections for a listener of probes; it takes the kind of listener. byte_budget::limit() and byte_share::choice had no use. The soak's processes block stop signals by the function that the program uses. The leader does not search the instance list when no permit is wanted.

--- a/include/hyssopdeal/transport/byte_budget.hpp
+++ b/include/hyssopdeal/transport/byte_budget.hpp
@@ -45,8 +45,6 @@
     byte_budget& operator=(const byte_budget&) = delete;
     ~byte_budget();
 
-    [[nodiscard]] std::size_t limit() const noexcept;
-
     /// @return Bytes of all shares.
     [[nodiscard]] std::size_t held() const;
 
@@ -106,7 +104,6 @@
 
 private:
     friend class byte_budget;
-    struct choice;
 
     std::shared_ptr<byte_budget> budget_;
     const void* loop_;
--- a/src/coordination/cold_start/cold_permits.cpp
+++ b/src/coordination/cold_start/cold_permits.cpp
@@ -77,6 +77,10 @@
                            const cold_permit_context& context)
 {
     std::map<std::string, std::uint32_t> limited;
+    if (wanted.empty())
+    {
+        return limited;
+    }
     for (const auto& listed : context.servers)
     {
         const auto found = wanted.find(listed.id);
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -58,6 +58,13 @@
 namespace
 {
 
+/// Who connects to a listener.
+enum class listener_kind : std::uint8_t
+{
+    callers,
+    probes ///< Of readiness and metrics.
+};
+
 /// A control replica that receives reports.
 struct known_replica
 {
@@ -92,7 +99,7 @@
                                         bool connected);
     void probe_servers();
     std::unique_ptr<transport::http1_server>
-    make_server(std::uint16_t port, std::size_t max_connections,
+    make_server(listener_kind kind, std::uint16_t port,
                 std::function<void(http1_exchange)> handler);
     void handle_request(http1_exchange exchange);
     [[nodiscard]] milliseconds
@@ -143,36 +150,35 @@
 
 // [listeners] ----------------------------------------------------------------
 
-/// @param max_connections 0: a listener for probes.
 std::unique_ptr<transport::http1_server>
-gateway_process::impl::make_server(std::uint16_t port,
-                                   std::size_t max_connections,
+gateway_process::impl::make_server(listener_kind kind, std::uint16_t port,
                                    std::function<void(http1_exchange)> handler)
 {
     transport::http1_server_settings settings;
     settings.address = core.settings.address;
     settings.port = port;
-    settings.max_connections = max_connections;
+    settings.max_connections = core.settings.max_connections;
     return std::make_unique<transport::http1_server>(
         loop, clock,
-        max_connections > 0 ? settings : transport::for_probes(settings),
+        kind == listener_kind::callers ? settings
+                                       : transport::for_probes(settings),
         std::move(handler));
 }
 
 transport::result<void> gateway_process::impl::listen()
 {
-    callers =
-        make_server(core.settings.callers_port, core.settings.max_connections,
+    callers = make_server(listener_kind::callers, core.settings.callers_port,
+                          [this](http1_exchange exchange) {
+                              handle_request(std::move(exchange));
+                          });
+    readiness =
+        make_server(listener_kind::probes, core.settings.readiness_port,
                     [this](http1_exchange exchange) {
-                        handle_request(std::move(exchange));
+                        const bool is_ready = ready();
+                        exchange.send({is_ready ? 200 : 503,
+                                       {},
+                                       is_ready ? "ready\n" : "not ready\n"});
                     });
-    readiness = make_server(
-        core.settings.readiness_port, 0, [this](http1_exchange exchange) {
-            const bool is_ready = ready();
-            exchange.send({is_ready ? 200 : 503,
-                           {},
-                           is_ready ? "ready\n" : "not ready\n"});
-        });
     for (auto* server : {callers.get(), readiness.get()})
     {
         if (const auto port = server->start(); !port)
@@ -185,7 +191,7 @@
         return {};
     }
     metrics =
-        make_server(core.settings.metrics_port, 0,
+        make_server(listener_kind::probes, core.settings.metrics_port,
                     [this, budget = transport::byte_budget_of(loop)](
                         http1_exchange exchange) {
                         exchange.send({200,
--- a/src/transport/byte_budget.cpp
+++ b/src/transport/byte_budget.cpp
@@ -81,11 +81,6 @@
 
 byte_budget::~byte_budget() = default;
 
-std::size_t byte_budget::limit() const noexcept
-{
-    return impl_->limit;
-}
-
 std::size_t byte_budget::held() const
 {
     const std::lock_guard guard{impl_->lock};
--- a/tests/process_group.cpp
+++ b/tests/process_group.cpp
@@ -13,6 +13,8 @@
 
 #include <fmt/format.h>
 
+#include <hyssopdeal/transport/event_loop.hpp>
+
 namespace hyssopdeal::tests
 {
 
@@ -42,21 +44,6 @@
     ::_exit(not_started);
 }
 
-/// @return The signals that tell a program to stop or to read its settings.
-const sigset_t& stop_signals()
-{
-    static const sigset_t signals = [] {
-        sigset_t set;
-        sigemptyset(&set);
-        for (const int number : {SIGTERM, SIGINT, SIGHUP})
-        {
-            sigaddset(&set, number);
-        }
-        return set;
-    }();
-    return signals;
-}
-
 } // namespace
 
 process_group::process_group()
@@ -111,8 +98,11 @@
     }
     environment.push_back(nullptr);
     sigset_t before;
-    pthread_sigmask(SIG_BLOCK, hold_signals_ ? &stop_signals() : nullptr,
-                    &before);
+    pthread_sigmask(SIG_SETMASK, nullptr, &before);
+    if (hold_signals_)
+    {
+        transport::mask_stop_signals(SIG_BLOCK);
+    }
     const int id = ::fork();
     if (id == 0)
     {
