Cold servers, evacuations: faults found by the review

- An entry that was partitioned while an evacuation began and ended, or whose first orders came from a lagging replica, saw no end of it and took servers for warm that had become cold.
The revision counts begins and ends: if it rises by more than the set shows, all servers are presumed cold.
- A cold time that began within the former one did not reach entries, as the list they hold shows the server as cold already.
The leader states such servers.
- document.refused logged what the JSON library quotes, which may be a key.

--- a/include/hyssopdeal/coordination/cluster/cluster_state.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_state.hpp
@@ -180,6 +180,13 @@
         return evacuations_;
     }
 
+    /// @return Whether an order to evacuate the domain, or to end that, was
+    ///     ever accepted.
+    [[nodiscard]] bool knows_domain(const std::string& domain) const
+    {
+        return ordered_domains_.contains(domain);
+    }
+
     /// @return Number of changes of the set of evacuated domains.
     [[nodiscard]] std::uint64_t evacuation_revision() const noexcept
     {
@@ -210,6 +217,7 @@
     std::map<protocol::part_ids, quarantine_record> quarantines_;
     std::map<std::string, std::int64_t> evacuations_; ///< By domain.
     std::uint64_t evacuation_revision_ = 0;
+    std::set<std::string> ordered_domains_; ///< Of all evacuation orders.
 };
 
 } // namespace hyssopdeal::coordination
--- a/include/hyssopdeal/coordination/cold_start/cold_servers.hpp
+++ b/include/hyssopdeal/coordination/cold_start/cold_servers.hpp
@@ -7,7 +7,7 @@
 /// domain at once, while many entries, to which an empty server looks best,
 /// could send to them. Performs no I/O.
 ///
-/// Index: [pacing] [cold_servers] [cold_permits]
+/// Index: [pacing] [cold_servers] [listed_cold_times] [cold_permits]
 ///
 /// A server is cold if the instance list or one of its responses says so, or by
 /// presumption: if it is new, was unreachable, or its failure domain was
@@ -84,8 +84,8 @@
                      transport::monotonic_time read_at);
 
     /// Presumes all servers cold, also those of a first list that is still to
-    /// come. For an entry that starts after an evacuation: it does not know when
-    /// that ended, and the list lags.
+    /// come. For an entry that has missed an evacuation: it does not know of
+    /// which domain and when that ended, and the list lags.
     void presume_all(transport::monotonic_time now);
 
     /// Records that the current list was still valid at a time. Ends
@@ -217,6 +217,34 @@
     unreadable_text_log unreadable_{"server.unreadable_cold_time"};
 };
 
+// [listed_cold_times] --------------------------------------------------------
+
+/// Finds cold times that begin anew before the former one is over. Entries do
+/// not learn of them from the list, which they get only when it shows other
+/// servers as cold. Runs on every replica.
+class listed_cold_times
+{
+public:
+    /// @param read_at When the list was read.
+    void on_listing(transport::monotonic_time read_at,
+                    const std::vector<protocol::listed_server>& servers);
+
+    /// @return Servers that have become cold anew.
+    [[nodiscard]] protocol::cold_statements
+    extended(transport::monotonic_time now) const;
+
+private:
+    struct cold_time
+    {
+        std::uint64_t born = 0;
+        transport::monotonic_time until{};
+        /// When the list showed that it began anew.
+        std::optional<transport::monotonic_time> extended_at;
+    };
+
+    std::map<std::string, cold_time> servers_; ///< By id.
+};
+
 // [cold_permits] -------------------------------------------------------------
 
 /// What the leader knows of the cluster when it grants permits.
@@ -226,6 +254,7 @@
     const std::vector<protocol::listed_server>& servers;
     const std::set<std::string>& entries; ///< That may be running.
     std::chrono::milliseconds report_interval{0};
+    protocol::cold_statements extended{}; ///< By the list.
 };
 
 /// Grants permits for cold servers and forwards what responses said of them.
--- a/include/hyssopdeal/coordination/evacuation/evacuated_domains.hpp
+++ b/include/hyssopdeal/coordination/evacuation/evacuated_domains.hpp
@@ -39,13 +39,19 @@
         bool evacuated = false;
     };
 
+    /// What applying a set did.
+    struct changes
+    {
+        std::vector<change> seen;
+        /// Evacuations have begun and ended that no set showed, for example
+        /// before this process started or while it was partitioned.
+        bool missed = false;
+    };
+
     /// Replaces the set if its revision is higher than the one held; any
     /// replica may have sent it.
-    ///
-    /// @return What has changed.
-    std::vector<change> apply(transport::monotonic_time now,
-                              std::uint64_t revision,
-                              const std::set<std::string>& domains);
+    changes apply(transport::monotonic_time now, std::uint64_t revision,
+                  const std::set<std::string>& domains);
 
     /// @return Whether the servers of a domain get no new requests.
     [[nodiscard]] bool contains(const std::string& domain) const
--- a/include/hyssopdeal/transport/json_text.hpp
+++ b/include/hyssopdeal/transport/json_text.hpp
@@ -42,6 +42,10 @@
 /// @return Whether the text has at most 524,288 values, 64 levels deep.
 [[nodiscard]] bool json_is_bounded(std::string_view text) noexcept;
 
+/// Shortens the library's description of why text could not be read as JSON by
+/// the text that it quotes: a document may hold keys of organisations.
+[[nodiscard]] std::string json_problem(std::string_view what);
+
 } // namespace hyssopdeal::transport
 
 #endif
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -119,6 +119,7 @@
     {
         return;
     }
+    listed_cold.on_listing(read, latest.servers);
     latest.digest = protocol::digest_of(latest.servers);
     if (latest.digest != listing.digest)
     {
--- a/src/coordination/cluster/cluster_process_evacuation.cpp
+++ b/src/coordination/cluster/cluster_process_evacuation.cpp
@@ -19,21 +19,21 @@
 using transport::log_event;
 using transport::reason;
 
-/// @return Whether an order may name the domain. One that is evacuated remains
-/// known when its last server is gone from the list.
+/// @return Whether an order may name the domain. One that was named before
+/// remains known when its last server is gone from the list, so that an accepted
+/// order is never refused when it is sent again.
 transport::result<void>
 cluster_process::impl::check_domain(const std::string& domain) const
 {
     const auto& configured = settings.known_domains;
-    if (configured.empty() && listed_domains.empty())
+    const bool ordered = machine && machine->state().knows_domain(domain);
+    if (configured.empty() && listed_domains.empty() && !ordered)
     {
         return fail(reason::no_quorum,
                     "The failure domains are not known yet.");
     }
-    const bool evacuated =
-        machine && machine->state().evacuations().contains(domain);
     if (!configured.contains(domain) && !listed_domains.contains(domain) &&
-        !evacuated)
+        !ordered)
     {
         return fail(reason::not_found,
                     fmt::format("No failure domain is named \"{}\".", domain));
@@ -53,10 +53,6 @@
                    {"outcome", done ? "accepted" : done.error().text}});
         on_done(done);
     };
-    if (const auto known = impl_->check_domain(domain); !known)
-    {
-        return finish(known);
-    }
     impl_->submit(request_kind::put_evacuation,
                   protocol::pack_message(nlohmann::json{
                       {"domain", domain}, {"evacuated", evacuated}}),
@@ -74,6 +70,11 @@
     put_evacuation_command command;
     order.at("domain").get_to(command.domain);
     order.at("evacuated").get_to(command.evacuated);
+    // Only here: a follower may not have seen a server of the domain yet.
+    if (const auto known = check_domain(command.domain); !known)
+    {
+        return on_done(known);
+    }
     command.at_ms = quorum_time().time_since_epoch().count();
     propose(command, [this, on_done](const transport::result<void>& done) {
         // The other domains need servers before this one is lost.
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -212,7 +212,8 @@
     relay_directory relays{load_report_lifetime, transport::random_seed()};
     std::optional<share_allocator> allocator; ///< Leader only.
     permit_allocator permits;                 ///< Used on the leader only.
-    cold_permits cold;                        ///< Used on the leader only.
+    listed_cold_times listed_cold;
+    cold_permits cold; ///< Used on the leader only.
     bool entries_proposed = false;
     /// The part of the quotas that entries request per use; leader only.
     std::optional<token_quota> shared_quota;
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -467,9 +467,10 @@
     orders.crashes = crash_orders();
     orders.rate_limits = permits.on_report(
         now, report.entry, report.rate_limits, report_interval());
-    orders.cold = cold.on_report(
-        now, report.entry, report.cold,
-        {services, listing.servers, replicated.entries(), report_interval()});
+    orders.cold =
+        cold.on_report(now, report.entry, report.cold,
+                       {services, listing.servers, replicated.entries(),
+                        report_interval(), listed_cold.extended(now)});
     orders.brittle = brittle.services(now);
     if (!orders.brittle.empty())
     {
--- a/src/coordination/cluster/cluster_state.cpp
+++ b/src/coordination/cluster/cluster_state.cpp
@@ -176,6 +176,7 @@
             ? evacuations_.emplace(command.domain, command.at_ms).second
             : evacuations_.erase(command.domain) > 0;
     evacuation_revision_ += changed ? 1 : 0;
+    ordered_domains_.insert(command.domain);
 }
 
 // [snapshots] ----------------------------------------------------------------
@@ -190,7 +191,8 @@
              {"entries", entries_},
              {"quarantines", quarantines_},
              {"evacuations", evacuations_},
-             {"evacuation_revision", evacuation_revision_}});
+             {"evacuation_revision", evacuation_revision_},
+             {"ordered_domains", ordered_domains_}});
 }
 
 transport::result<void> cluster_state::restore_snapshot(std::string_view bytes)
@@ -214,6 +216,10 @@
             decoded.at("evacuations").get_to(next.evacuations_);
             decoded.at("evacuation_revision").get_to(next.evacuation_revision_);
         }
+        if (decoded.contains("ordered_domains"))
+        {
+            decoded.at("ordered_domains").get_to(next.ordered_domains_);
+        }
         *this = std::move(next);
         return {};
     }
--- a/src/coordination/cold_start/cold_permits.cpp
+++ b/src/coordination/cold_start/cold_permits.cpp
@@ -35,6 +35,58 @@
     return std::min(tolerated_per_s, (bound - drawn - 1) / time);
 }
 
+// [listed_cold_times] --------------------------------------------------------
+
+void listed_cold_times::on_listing(
+    monotonic_time read_at, const std::vector<protocol::listed_server>& servers)
+{
+    // The remaining time is as of some hundred milliseconds before the reading.
+    constexpr milliseconds list_jitter{1'000};
+    std::map<std::string, cold_time> next;
+    for (const auto& listed : servers)
+    {
+        if (listed.cold_remaining_ms <= 0)
+        {
+            continue;
+        }
+        const auto until =
+            read_at + milliseconds{std::min(listed.cold_remaining_ms, max_ms)};
+        const auto found = servers_.find(listed.id);
+        auto& server = next[listed.id];
+        if (found == servers_.end() || found->second.born != listed.born)
+        {
+            server = {listed.born, until, std::nullopt};
+            continue;
+        }
+        server = found->second;
+        if (until > server.until + list_jitter)
+        {
+            server.until = until;
+            server.extended_at = read_at;
+        }
+    }
+    servers_ = std::move(next);
+}
+
+protocol::cold_statements listed_cold_times::extended(monotonic_time now) const
+{
+    protocol::cold_statements statements;
+    for (const auto& [id, server] : servers_)
+    {
+        if (server.extended_at && server.until > now)
+        {
+            const auto ms = [](auto time) {
+                return std::chrono::ceil<milliseconds>(time).count();
+            };
+            statements[id] = {server.born, ms(server.until - now),
+                              ms(now - *server.extended_at)};
+        }
+    }
+    return statements;
+}
+
+// [cold_permits] -------------------------------------------------------------
+
 cold_permits::cold_permits()
     : allocator_({cold_permit_lifetime, bucket_time})
 {}
@@ -47,6 +99,7 @@
     entries_[entry] = now;
     sweep(now, context);
     merge(now, report.stated);
+    merge(now, context.extended);
     protocol::cold_orders orders;
     for (const auto& [id, said] : statements_)
     {
--- a/src/coordination/evacuation/evacuated_domains.cpp
+++ b/src/coordination/evacuation/evacuated_domains.cpp
@@ -10,21 +10,21 @@
 
 // [evacuated_domains] --------------------------------------------------------
 
-std::vector<evacuated_domains::change>
+evacuated_domains::changes
 evacuated_domains::apply(monotonic_time now, std::uint64_t revision,
                          const std::set<std::string>& domains)
 {
-    std::vector<change> changes;
+    changes result;
     if (revision <= revision_)
     {
-        return changes;
+        return result;
     }
     for (const auto& domain : domains_)
     {
         if (!domains.contains(domain))
         {
             ended_[domain] = now;
-            changes.push_back({domain, false});
+            result.seen.push_back({domain, false});
         }
     }
     for (const auto& domain : domains)
@@ -32,12 +32,14 @@
         if (!domains_.contains(domain))
         {
             ended_.erase(domain);
-            changes.push_back({domain, true});
+            result.seen.push_back({domain, true});
         }
     }
+    // Each begin and each end raises the revision by one.
+    result.missed = revision - revision_ > result.seen.size();
     revision_ = revision;
     domains_ = domains;
-    return changes;
+    return result;
 }
 
 std::optional<monotonic_time>
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -404,17 +404,16 @@
 
 void gateway_core::apply_evacuations(const protocol::entry_orders& orders)
 {
-    // Longer than an entry needs to hear of evacuations after its start.
-    constexpr std::chrono::seconds start_period{5};
     const auto now = clock.monotonic_now();
-    if (servers.evacuated().revision() == 0 && orders.evacuation_revision > 0 &&
-        now - started_at_ < start_period)
+    const auto changes = servers.evacuated().apply(
+        now, orders.evacuation_revision, orders.evacuated);
+    if (changes.missed)
     {
+        log_event("evacuation.missed",
+                  {{"revision", orders.evacuation_revision}});
         servers.cold().presume_all(now);
     }
-    const auto changes = servers.evacuated().apply(
-        now, orders.evacuation_revision, orders.evacuated);
-    for (const auto& [domain, evacuated] : changes)
+    for (const auto& [domain, evacuated] : changes.seen)
     {
         log_event("evacuation.in_force",
                   {{"domain", domain},
--- a/src/transport/json_text.cpp
+++ b/src/transport/json_text.cpp
@@ -54,4 +54,9 @@
     return true;
 }
 
+std::string json_problem(std::string_view what)
+{
+    return std::string{what.substr(0, what.find("; last read"))};
+}
+
 } // namespace hyssopdeal::transport
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -204,6 +204,20 @@
     LONGS_EQUAL(1, other.evacuations().size());
 }
 
+// Guards against an order that was accepted and is refused as unknown when it is
+// sent again, to a replica that never saw a server of the domain.
+TEST(cluster_state_tests, ordered_domains_remain_known)
+{
+    CHECK_FALSE(cluster.knows_domain("a"));
+    cluster.apply(put_evacuation_command{"a", true, 5});
+    cluster.apply(put_evacuation_command{"a", false, 6});
+    cluster_state restored;
+    CHECK_TRUE(
+        restored.restore_snapshot(cluster.encode_snapshot()).has_value());
+    CHECK_TRUE(restored.knows_domain("a"));
+    CHECK_FALSE(restored.knows_domain("b"));
+}
+
 // Guards against a replica that cannot start on the disk of an earlier version.
 TEST(cluster_state_tests, snapshot_of_an_earlier_version_is_read)
 {
--- a/tests/cold_servers_test.cpp
+++ b/tests/cold_servers_test.cpp
@@ -458,6 +458,31 @@
     CHECK_FALSE(run.entries[1]->is_cold(run.now + 6s, run.servers[0]));
 }
 
+// Guards against a server that becomes cold again before its first cold time is
+// over: entries do not get the list anew, as it still shows the server as cold.
+TEST(cold_servers_tests, cold_time_that_begins_anew_is_told)
+{
+    coordination::listed_cold_times times;
+    const transport::monotonic_time start{100s};
+    auto server = listed("a");
+    server.cold_remaining_ms = 3'000;
+    times.on_listing(start, {server});
+    server.cold_remaining_ms = 2'300; // As of a while before the reading.
+    times.on_listing(start + 1s, {server});
+    CHECK_TRUE(times.extended(start + 1s).empty());
+    server.cold_remaining_ms = 3'000;
+    times.on_listing(start + 2s, {server});
+    const auto extended = times.extended(start + 2'500ms);
+    LONGS_EQUAL(1, extended.size());
+    LONGS_EQUAL(2'500, extended.at("a").remaining_ms);
+    LONGS_EQUAL(500, extended.at("a").age_ms);
+    CHECK_TRUE(times.extended(start + 5s).empty());
+    // A restart under the same id is told by the list.
+    server.born += 1;
+    times.on_listing(start + 3s, {server});
+    CHECK_TRUE(times.extended(start + 3s).empty());
+}
+
 // Guards against a presumption of one entry, whose own fault it may be, that
 // slows all.
 TEST(cold_servers_tests, presumption_of_one_entry_concerns_no_other)
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -401,3 +401,14 @@
         "",
         platform_dialect::parse_response(503, {}).withstood_rejections.c_str());
 }
+
+// Guards against a key of an organisation in the log line of a document that
+// was refused.
+TEST(platform_codec_tests, problem_of_a_document_quotes_none_of_it)
+{
+    const auto read = platform::decode_document(
+        R"({"version":1,"tenants":[{"name":"a","api_keys":["secret-key)");
+    CHECK_FALSE(read.has_value());
+    CHECK_TRUE(read.error().text.find("line 1") != std::string::npos);
+    CHECK_TRUE(read.error().text.find("secret") == std::string::npos);
+}
