Capacity: plan servers by the work that callers ask for

Cause: capacity_planner followed the number of concurrent requests, which is low while there are many servers.

Change: entries count the predicted prefill time of each stream once, replicas sum it, and work_plan derives the number of servers from it (docs/design/0065). Servers are given back in small steps; a domain that can have none passes its share on to the others. Predictions of prefill time are learned with a square term (prefill_model), as one mean speed is wrong for short and for long prompts.

--- a/include/hyssopdeal/coordination/cluster/capacity_planner.hpp
+++ b/include/hyssopdeal/coordination/cluster/capacity_planner.hpp
@@ -9,6 +9,9 @@
 ///
 /// Index: [settings] [orders] [capacity_planner]
 ///
+/// For a service whose entries report prefill work, `work_plan` tells how many
+/// servers its load needs; for others, the number of concurrent requests does.
+///
 /// Reclaimable servers carry the load. They are spread evenly over the domains,
 /// so that the loss of one domain leaves most of them. On-demand servers are
 /// kept until reclaimable ones have started, and are ordered only when the
@@ -17,10 +20,12 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include <hyssopdeal/coordination/capacity/work_plan.hpp>
 #include <hyssopdeal/protocol/service_document.hpp>
 #include <hyssopdeal/transport/clock.hpp>
 
@@ -63,6 +68,13 @@
 
 // [orders] -------------------------------------------------------------------
 
+/// The load of all services, by name.
+struct service_loads
+{
+    std::map<std::string, double> running; ///< Concurrent requests.
+    protocol::service_works work{};        ///< Counted since the last step.
+};
+
 enum class server_kind : std::uint8_t
 {
     on_demand,  ///< Not reclaimed by the platform.
@@ -98,7 +110,6 @@
     /// Plans all services that have scaling terms. Called by the leader.
     ///
     /// @param servers The platform's instance list.
-    /// @param running Concurrent requests at all servers, by service.
     /// @param evacuated Domains without orders, whose servers do not count; the
     ///     others are to carry all load.
     /// @return Orders to send now; pass the outcome of each to on_answer().
@@ -106,9 +117,17 @@
     step(transport::monotonic_time now,
          const std::vector<protocol::document_service>& services,
          const std::vector<protocol::listed_server>& servers,
-         const std::map<std::string, double>& running,
+         const service_loads& loads,
          const std::set<std::string>& evacuated = {});
 
+    /// @return What the load needed in the latest step, by service; without
+    ///     services for which no work is reported.
+    [[nodiscard]] const std::map<std::string, capacity_need>&
+    needs() const noexcept
+    {
+        return needs_;
+    }
+
     void on_answer(transport::monotonic_time now, const capacity_order& order,
                    order_outcome outcome);
 
@@ -117,7 +136,7 @@
     void watch(transport::monotonic_time now,
                const std::vector<protocol::document_service>& services,
                const std::vector<protocol::listed_server>& servers,
-               const std::map<std::string, double>& running,
+               const service_loads& loads,
                const std::set<std::string>& evacuated = {});
 
 private:
@@ -144,11 +163,25 @@
 
     using counts_by_domain = std::map<std::string, server_counts>;
 
+    /// Reclaimable servers of a service in one domain.
+    struct domain_state
+    {
+        std::string name;
+        server_counts ready;
+        std::uint32_t starting = 0;
+        bool none_available = false;
+    };
+
     void plan(transport::monotonic_time now,
               const protocol::document_service& service,
               const counts_by_domain& ready, double running,
+              const protocol::service_work& work,
               const std::set<std::string>& evacuated,
               std::vector<capacity_order>& orders);
+    [[nodiscard]] std::vector<std::uint32_t>
+    split_over_domains(const protocol::document_service& service,
+                       const std::vector<domain_state>& domains,
+                       std::uint32_t servers, bool move_missing) const;
     [[nodiscard]] std::uint32_t
     initial_server_floor(transport::monotonic_time now,
                          const std::string& service,
@@ -182,6 +215,8 @@
     std::map<std::string, order_state> order_states_; ///< By service, domain,
                                                       ///< kind.
     std::map<std::string, load_history> load_histories_; ///< By service.
+    work_plan work_plan_;
+    std::map<std::string, capacity_need> needs_; ///< Of the latest step.
     /// No numbers are lowered until then: servers of a domain whose evacuation
     /// has ended may still be cold.
     transport::monotonic_time keep_until_{};
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -19,6 +19,7 @@
 
 #include <hyssopdeal/coordination/admission/rank_admission.hpp>
 #include <hyssopdeal/coordination/admission/token_reserve.hpp>
+#include <hyssopdeal/coordination/capacity/work_meter.hpp>
 #include <hyssopdeal/coordination/gateway/crash_evidence.hpp>
 #include <hyssopdeal/coordination/gateway/placement.hpp>
 #include <hyssopdeal/coordination/gateway/rollout_evidence.hpp>
@@ -292,7 +293,8 @@
     const gateway_settings settings;
     transport::http1_client client;
     token_quota quota;
-    rank_admission ranks;  ///< Under overload.
+    rank_admission ranks; ///< Under overload.
+    work_meter work;
     token_reserve reserve; ///< Of quotas, while the leader is silent.
     service_retry_budgets repeats;
     placement servers;
--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -26,6 +26,7 @@
 #include <vector>
 
 #include <hyssopdeal/coordination/cold_start/cold_servers.hpp>
+#include <hyssopdeal/coordination/cost/prefill_model.hpp>
 #include <hyssopdeal/coordination/cost/request_cost.hpp>
 #include <hyssopdeal/coordination/cost/route_timings.hpp>
 #include <hyssopdeal/coordination/cost/server_backlog.hpp>
@@ -76,8 +77,6 @@
 /// the first event.
 struct placement_settings
 {
-    /// Prefill speed until it has been measured.
-    double initial_prefill_tokens_per_ms = 100;
     /// For a request without a prompt; scaled by the server's latency ratio.
     double base_request_ms = 60;
     double cross_domain_penalty_ms = 4;
@@ -180,6 +179,8 @@
     std::chrono::milliseconds predicted{0}; ///< To the first event.
     /// To the first event if the server had no other requests.
     std::chrono::milliseconds predicted_unloaded{0};
+    /// Of the uncached tokens on a server of mean speed.
+    std::chrono::duration<double, std::milli> prefill{0};
     std::uint64_t uncached_tokens = 0;
     std::uint64_t waiting_tokens = 0;      ///< Known to be queued ahead.
     std::uint32_t prompt_tokens = 0;       ///< 0: no prompt.
@@ -453,17 +454,10 @@
     unreadable_text_log unreadable_loads_{"server.unreadable_load"};
     std::set<std::string> stating_services_; ///< That stated their load.
     std::size_t gateway_count_ = 0; ///< With the same load reports; 0: unknown.
-    struct prefill_speed
-    {
-        double tokens_per_ms = 0;
-        std::uint32_t samples = 0;
-    };
-
     [[nodiscard]] double prefill_speed_of(const known_server& server) const;
-    void update_prefill_speed(const placement_choice& choice,
-                              double prefill_ms);
+    void learn_prefill(const placement_choice& choice, double latency_ms);
 
-    std::map<std::string, prefill_speed> prefill_speeds_; ///< By service.
+    prefill_model prefill_times_;
     /// How long a stream keeps its slot, smoothed, by service.
     std::map<std::string, double> slot_hold_ms_;
     std::map<std::string, std::shared_ptr<known_server>> servers_; ///< By id.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -126,6 +126,17 @@
     [[nodiscard]] milliseconds remaining_time() const;
     [[nodiscard]] milliseconds elapsed_time() const;
     [[nodiscard]] std::string_view latency_outcome() const;
+    [[nodiscard]] bool is_stream() const
+    {
+        return route_->rule == protocol::repeat_rule::stream;
+    }
+    /// @return The wait that makes a stream late at its start or midway.
+    [[nodiscard]] milliseconds lateness_limit() const
+    {
+        return route_->target_gap.count() > 0
+                   ? std::min(route_->target_latency, route_->target_gap)
+                   : route_->target_latency;
+    }
 
     // [stream_moves]
     [[nodiscard]] bool should_move() const;
@@ -638,8 +649,7 @@
     const auto target = route_->target_latency;
     const auto latest =
         std::max(target, choice.predicted_unloaded) + target / 2;
-    return route_->rule == protocol::repeat_rule::stream &&
-           choice.predicted > latest;
+    return is_stream() && choice.predicted > latest;
 }
 
 template <caller_dialect Dialect>
@@ -673,6 +683,10 @@
 {
     const auto now = core_.clock.monotonic_now();
     choice_ = choice;
+    if (is_stream() && delivered_attempts_ == 0 && failed_connects_ == 0)
+    {
+        core_.work.on_placed(service_, choice.prefill, lateness_limit());
+    }
     tried_servers_.insert(choice.server->listed.id);
     core_.servers.on_sent(now, choice, terms_.size);
     core_.versions.on_sent(service_, choice.server->listed.version);
@@ -956,6 +970,10 @@
     core_.servers.brittle().on_response(now, server.listed,
                                         response.withstood_rejections, sent_at);
     core_.servers.on_load(now, server, response.server_load);
+    if (!response.server_load.empty())
+    {
+        core_.work.on_load_stated(service_);
+    }
     if (core_.settings.priority_admission && !response.server_load.empty())
     {
         core_.ranks.on_server_load_seen(now, service_);
@@ -966,9 +984,7 @@
 void request_flow<Dialect>::on_response_data(std::string_view data)
 {
     constexpr int first_error_status = 300;
-    const bool is_stream = route_->rule == protocol::repeat_rule::stream &&
-                           response_status_ < first_error_status;
-    if (!is_stream)
+    if (!is_stream() || response_status_ >= first_error_status)
     {
         last_activity_ = core_.clock.monotonic_now();
         response_body_ += data;
@@ -1090,8 +1106,7 @@
     if (!request)
     {
         // The end of a stream can wait, a whole response should not.
-        const bool is_stream = route_->rule == protocol::repeat_rule::stream;
-        return is_stream && asked_after < min_confirmation_age
+        return is_stream() && asked_after < min_confirmation_age
                    ? check_again(path)
                    : on_complete_response();
     }
@@ -1268,14 +1283,13 @@
     const transport::http1_call_end& result) const
 {
     constexpr int first_error_status = 300;
-    const bool is_stream = route_->rule == protocol::repeat_rule::stream &&
-                           response_status_ < first_error_status;
+    const bool streamed = is_stream() && response_status_ < first_error_status;
     const bool inside_event = event_splitter_.remainder().find_first_not_of(
                                   "\r\n") != std::string::npos;
     const bool resumed =
         !last_event_id_.empty() || !terms_.resume_after.empty();
-    return is_stream && (inside_event || (result.ended_by_close &&
-                                          !event_received_ && !resumed));
+    return streamed && (inside_event || (result.ended_by_close &&
+                                         !event_received_ && !resumed));
 }
 
 /// Handles a response by which the server reports that it did not run the
@@ -1775,8 +1789,7 @@
     }
     if (!std::exchange(usage_counted_, true))
     {
-        const bool is_stream = route_->rule == protocol::repeat_rule::stream;
-        core_.count_usage(organisation_, is_stream ? now : sent_at_);
+        core_.count_usage(organisation_, is_stream() ? now : sent_at_);
         core_.counters.first_event.add(now - exchange_.received_at());
     }
 }
@@ -1786,9 +1799,8 @@
 void request_flow<Dialect>::finish_response()
 {
     constexpr int first_error_status = 300;
-    const bool is_stream = route_->rule == protocol::repeat_rule::stream &&
-                           response_status_ < first_error_status;
-    if (is_stream)
+    const bool streamed = is_stream() && response_status_ < first_error_status;
+    if (streamed)
     {
         if (!response_started_)
         {
@@ -1819,6 +1831,10 @@
             choice_, terms_.size,
             {time_to_first_event_, max_event_gap_, elapsed_time()},
             delivered_attempts_ == 1);
+        if (is_stream())
+        {
+            core_.work.on_ended(service_, latency_outcome() != "in_time");
+        }
     }
     finish(success ? "served" : "passed_failure", response_status_);
 }
@@ -1862,6 +1878,7 @@
                                             milliseconds retry_after)
 {
     core_.ranks.on_late(core_.clock.monotonic_now(), service_, rank_);
+    core_.work.on_ended(service_, true);
     refuse(503, reason, retry_after);
 }
 
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -227,6 +227,25 @@
 /// Shares of requests to refuse, by service, then by rank.
 using service_turns = std::map<std::string, std::map<std::uint32_t, double>>;
 
+// [work] ---------------------------------------------------------------------
+
+/// What an entry counted of a service's streams since it started.
+struct service_work
+{
+    std::uint64_t requests = 0;    ///< Placed for the first time.
+    std::uint64_t prefill_ms = 0;  ///< Predicted for these, summed.
+    std::uint64_t prefill_ms2 = 0; ///< Squares, summed.
+    std::uint64_t target_ms = 0;   ///< Targets of these, summed.
+    std::uint64_t ended = 0;       ///< Served, or refused for lack of capacity.
+    std::uint64_t late = 0;        ///< Of those that ended.
+
+    service_work& operator+=(const service_work& other);
+    service_work& operator-=(const service_work& other);
+};
+
+/// By service.
+using service_works = std::map<std::string, service_work>;
+
 // [report] -------------------------------------------------------------------
 
 /// Requests that began to run in a window of true time.
@@ -281,6 +300,7 @@
     std::uint64_t evacuation_revision = 0; ///< In force here; 0: none.
     reserve_report reserves;
     service_pressures pressure; ///< Only in reports to the leader.
+    service_works work;
 };
 
 // [orders] -------------------------------------------------------------------
--- a/src/coordination/cluster/capacity_planner.cpp
+++ b/src/coordination/cluster/capacity_planner.cpp
@@ -25,12 +25,10 @@
                                      static_cast<int>(order.kind))];
 }
 
-std::vector<capacity_order>
-capacity_planner::step(monotonic_time now,
-                       const std::vector<protocol::document_service>& services,
-                       const std::vector<protocol::listed_server>& servers,
-                       const std::map<std::string, double>& running,
-                       const std::set<std::string>& evacuated)
+std::vector<capacity_order> capacity_planner::step(
+    monotonic_time now, const std::vector<protocol::document_service>& services,
+    const std::vector<protocol::listed_server>& servers,
+    const service_loads& loads, const std::set<std::string>& evacuated)
 {
     std::vector<capacity_order> orders;
     keep_until_ = evacuated.empty() ? keep_until_ : now + settings_.peak_window;
@@ -53,8 +51,11 @@
                 ++(server.reclaimable ? count.reclaimable : count.on_demand);
             }
         }
-        const auto load = running.find(service.name);
-        plan(now, service, ready, load == running.end() ? 0 : load->second,
+        const auto load = loads.running.find(service.name);
+        const auto work = loads.work.find(service.name);
+        plan(now, service, ready,
+             load == loads.running.end() ? 0 : load->second,
+             work == loads.work.end() ? protocol::service_work{} : work->second,
              evacuated, orders);
     }
     return orders;
@@ -124,6 +125,7 @@
 void capacity_planner::plan(monotonic_time now,
                             const protocol::document_service& service,
                             const counts_by_domain& ready, double running,
+                            const protocol::service_work& work,
                             const std::set<std::string>& evacuated,
                             std::vector<capacity_order>& orders)
 {
@@ -158,9 +160,28 @@
     const auto min_wanted =
         settings_.min_servers_per_domain *
         static_cast<std::uint32_t>(scaling.domain_prices.size());
+    server_counts all;
+    for (const auto& [domain, count] : ready)
+    {
+        all.on_demand += count.on_demand;
+        all.reclaimable += count.reclaimable;
+    }
+    const auto initial = initial_server_floor(now, service.name, ready);
+    // A replica that starts under load keeps what it finds.
+    const auto found = std::max({initial, all.on_demand, all.reclaimable});
+    const auto need =
+        work_plan_.step(now, service.name, work,
+                        all.on_demand + all.reclaimable, found, domain_count);
+    if (need)
+    {
+        needs_[service.name] = *need;
+    }
     const auto servers_wanted = std::max(
-        {min_wanted, servers_for_load(settings_.target_running_per_server),
-         initial_server_floor(now, service.name, ready)});
+        min_wanted,
+        need ? need->wanted
+             : std::max(servers_for_load(settings_.target_running_per_server),
+                        initial));
+    std::vector<domain_state> states;
     std::uint32_t reclaimable_ready = 0;
     std::uint32_t reclaimable_starting = 0;
     std::uint32_t max_reclaimable_in_domain = 0;
@@ -174,8 +195,11 @@
         reclaimable_ready += counts.reclaimable;
         max_reclaimable_in_domain =
             std::max(max_reclaimable_in_domain, counts.reclaimable);
-        reclaimable_starting += servers_starting(now, state, counts.reclaimable,
-                                                 scaling.start_time);
+        states.push_back({domain, counts,
+                          servers_starting(now, state, counts.reclaimable,
+                                           scaling.start_time),
+                          state.unavailable});
+        reclaimable_starting += states.back().starting;
         none_available = none_available || state.unavailable;
         on_demand_held.push_back(
             counts.on_demand +
@@ -214,7 +238,8 @@
                  std::min(fraction_of_plan(settings_.max_on_demand_fraction),
                           servers_for_mean_load));
     const auto min_servers =
-        std::clamp(servers_for_load(settings_.max_running_per_server),
+        std::clamp(need ? need->needed
+                        : servers_for_load(settings_.max_running_per_server),
                    domain_count, std::max(domain_count, max_on_demand));
     // On-demand servers bridge the time in which no reclaimable ones are
     // available. The domain with the most may be reclaimed next, so its servers
@@ -254,22 +279,21 @@
         on_demand[at] -= removed;
         on_demand_total -= removed;
     }
-    std::uint32_t unassigned = servers_wanted;
+    const auto split =
+        split_over_domains(service, states, servers_wanted, need.has_value());
+    // Servers that stand in for those of another domain are needed until the
+    // latter have started.
+    const bool keeps = now < keep_until_ || (need && reclaimable_starting > 0);
     for (std::size_t at = 0; at < domains.size(); ++at)
     {
         const auto& domain = domains[at].second;
         const auto counts = ready_in(domain);
-        // The cheapest domains take the remainder of an uneven split.
-        const auto domains_left =
-            static_cast<std::uint32_t>(domains.size() - at);
-        const auto planned = std::min(
-            (unassigned + domains_left - 1) / domains_left, scaling.most);
-        unassigned -= std::min(unassigned, planned);
+        const auto planned = split[at];
         const auto& current =
             order_state_of(make_order(domain, server_kind::reclaimable, 0));
         const auto ordered =
             current.accepted ? current.count : counts.reclaimable;
-        const auto kept = now < keep_until_ ? ordered : 0;
+        const auto kept = keeps ? ordered : 0;
         const auto room = scaling.most - std::min(scaling.most, on_demand[at]);
         place_order(now,
                     make_order(domain, server_kind::reclaimable,
@@ -281,6 +305,44 @@
     }
 }
 
+/// @param move_missing Whether other domains get the servers that a domain
+///     cannot have.
+std::vector<std::uint32_t>
+capacity_planner::split_over_domains(const protocol::document_service& service,
+                                     const std::vector<domain_state>& domains,
+                                     std::uint32_t servers,
+                                     bool move_missing) const
+{
+    const auto most = service.scaling->most;
+    std::vector<std::uint32_t> split;
+    std::uint32_t missing = 0;
+    std::uint32_t with_servers = 0;
+    for (std::size_t at = 0; at < domains.size(); ++at)
+    {
+        const auto& domain = domains[at];
+        // The cheapest domains take the remainder of an uneven split.
+        const auto left = static_cast<std::uint32_t>(domains.size() - at);
+        const auto planned = std::min((servers + left - 1) / left, most);
+        servers -= std::min(servers, planned);
+        split.push_back(planned);
+        const auto present = domain.ready.reclaimable + domain.starting;
+        const bool lacks = domain.none_available && present < planned;
+        missing += lacks ? planned - present : 0;
+        with_servers += domain.none_available ? 0 : 1;
+    }
+    for (std::size_t at = 0; move_missing && at < domains.size(); ++at)
+    {
+        if (!domains[at].none_available)
+        {
+            const auto extra = (missing + with_servers - 1) / with_servers;
+            split[at] = std::min(split[at] + extra, most);
+            missing -= std::min(missing, extra);
+            --with_servers;
+        }
+    }
+    return split;
+}
+
 void capacity_planner::place_order(monotonic_time now, capacity_order order,
                                    std::uint32_t ready,
                                    std::vector<capacity_order>& orders)
@@ -309,10 +371,9 @@
 void capacity_planner::watch(
     monotonic_time now, const std::vector<protocol::document_service>& services,
     const std::vector<protocol::listed_server>& servers,
-    const std::map<std::string, double>& running,
-    const std::set<std::string>& evacuated)
+    const service_loads& loads, const std::set<std::string>& evacuated)
 {
-    (void)step(now, services, servers, running, evacuated);
+    (void)step(now, services, servers, loads, evacuated);
     order_states_.clear();
 }
 
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -531,6 +531,18 @@
                                impl_->machine->state().quarantines().size())
                          : 0,
           "Prompts that crashed servers, some of them released again");
+    out.family("hyssopdeal_capacity_work", "gauge",
+               "Servers that the prefill of prompts keeps busy");
+    for (const auto& [service, need] : impl_->capacity.needs())
+    {
+        out.sample(need.work, {{"service", service}});
+    }
+    out.family("hyssopdeal_capacity_needed", "gauge",
+               "Servers that the load needs without reserve");
+    for (const auto& [service, need] : impl_->capacity.needs())
+    {
+        out.sample(static_cast<double>(need.needed), {{"service", service}});
+    }
     gauge("hyssopdeal_evacuated_domains",
           impl_->machine ? static_cast<double>(
                                impl_->machine->state().evacuations().size())
--- a/src/coordination/cluster/cluster_process_duties.cpp
+++ b/src/coordination/cluster/cluster_process_duties.cpp
@@ -226,7 +226,15 @@
         return found != moved.end() &&
                found->second.state == rollout_state::running;
     });
-    std::map<std::string, double> running;
+    service_loads current;
+    for (const auto& service : stable_services)
+    {
+        if (service.scaling)
+        {
+            current.work[service.name] = work.take(service.name);
+        }
+    }
+    auto& running = current.running;
     for (const auto& server : listing.servers)
     {
         if (server.state != protocol::server_state::ready)
@@ -239,11 +247,11 @@
     }
     if (!may_send_orders())
     {
-        return capacity.watch(now, stable_services, listing.servers, running,
+        return capacity.watch(now, stable_services, listing.servers, current,
                               evacuated());
     }
     for (const auto& order : capacity.step(
-             now, stable_services, listing.servers, running, evacuated()))
+             now, stable_services, listing.servers, current, evacuated()))
     {
         send_order(order, running[order.service]);
     }
@@ -252,12 +260,18 @@
 void cluster_process::impl::send_order(const capacity_order& order,
                                        double running)
 {
+    const auto known = capacity.needs().find(order.service);
+    const auto need =
+        known == capacity.needs().end() ? capacity_need{} : known->second;
     log_event("servers.order",
               {{"service", order.service},
                {"domain", order.domain},
                {"reclaimable", order.kind == server_kind::reclaimable},
                {"count", order.count},
-               {"running", running}});
+               {"running", running},
+               {"work", need.work},
+               {"needed", need.needed},
+               {"late_share", need.late_share}});
     platform.order_servers(
         {settings.name, leading_term}, order,
         [this, order, term = leading_term](order_outcome outcome) {
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -230,6 +230,7 @@
     transport::monotonic_time load_packed_at{};
     std::string packed_listing;
     std::uint64_t packed_listing_digest = 0;
+    work_demand work;
     capacity_planner capacity; ///< Sends no orders on followers.
     transport::monotonic_time next_capacity_plan{};
     usage_collector usage;
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -245,6 +245,8 @@
     usage.on_report(quorum_time(), *report);
     const auto load_before = loads.of(report->entry);
     loads.on_report(clock.monotonic_now(), report->entry, report->load);
+    work.on_report(clock.monotonic_now(), report->entry, report->incarnation,
+                   report->work);
     brittle.on_report(clock.monotonic_now(), report->brittle);
     relays.on_report(clock.monotonic_now(), *report);
     evacuation_reports.on_report(clock.monotonic_now(), report->entry,
--- a/src/coordination/gateway/placement.cpp
+++ b/src/coordination/gateway/placement.cpp
@@ -24,8 +24,6 @@
 constexpr double failure_ewma_weight = 0.1;
 constexpr std::uint32_t failures_before_backoff = 3;
 constexpr std::size_t max_cache_entries = 20'000;
-// Time to the first event of a prompt in addition to its prefill.
-constexpr double first_event_overhead_ms = 60;
 
 std::uint64_t keyed_hash(const std::string& server, std::uint64_t key)
 {
@@ -224,9 +222,11 @@
     {
         return settings_.base_request_ms * server.latency_ratio;
     }
-    const double prefill =
-        static_cast<double>(uncached) / prefill_speed_of(server);
-    return (first_event_overhead_ms + prefill) * server.latency_ratio;
+    const auto& service = server.listed.service;
+    return (prefill_times_.overhead_ms(service) +
+            prefill_times_.prefill_ms(service, static_cast<double>(uncached),
+                                      prompt.prompt_tokens)) *
+           server.latency_ratio;
 }
 
 /// If many gateways with the same load reports considered all servers, they
@@ -339,10 +339,12 @@
             work ? work->first_event_ms
                  : predict_first_event_ms(*item, prompt, uncached_tokens);
         const double concurrent = item->running + item->peer_load.running;
+        const double prefill_ms =
+            prefill_times_.prefill_ms(service, uncached, prompt.prompt_tokens);
         const double cost =
             predicted +
-            settings_.interference_factor * concurrent * uncached /
-                prefill_speed_of(*item) * (work ? work->interference : 1) +
+            settings_.interference_factor * concurrent * prefill_ms *
+                (work ? work->interference : 1) +
             settings_.cache_miss_ms_per_token * shared_uncached +
             (item->listed.failure_domain == failure_domain_
                  ? 0
@@ -361,6 +363,7 @@
                         work ? work->unloaded_ms
                              : unloaded_first_event_ms(*item, prompt,
                                                        uncached_tokens))},
+                    std::chrono::duration<double, std::milli>{prefill_ms},
                     uncached_tokens,
                     item->waiting_tokens + item->peer_load.waiting_tokens,
                     prompt.prompt_tokens,
@@ -425,40 +428,24 @@
         server.latency_ratio +=
             latency_ewma_weight * (ratio - server.latency_ratio);
     }
-    update_prefill_speed(choice, static_cast<double>(latency.count()) -
-                                     first_event_overhead_ms);
+    learn_prefill(choice, static_cast<double>(latency.count()));
 }
 
 /// Ignores prompts that had others queued ahead, as their latency includes the
 /// time in the queue.
-void placement::update_prefill_speed(const placement_choice& choice,
-                                     double prefill_ms)
-{
-    // For shorter prompts the fixed overhead dominates the measured time.
-    constexpr std::uint64_t min_tokens = 1'000;
-    constexpr double min_tokens_per_ms = 5;
-    constexpr double max_tokens_per_ms = 1'000;
-    if (choice.uncached_tokens < min_tokens || choice.waiting_tokens > 0 ||
-        prefill_ms < 1)
+void placement::learn_prefill(const placement_choice& choice, double latency_ms)
+{
+    if (choice.prompt_tokens > 0 && choice.waiting_tokens == 0)
     {
-        return;
+        prefill_times_.learn(choice.server->listed.service,
+                             static_cast<double>(choice.uncached_tokens),
+                             choice.prompt_tokens, latency_ms);
     }
-    auto& known = prefill_speeds_[choice.server->listed.service];
-    const double measured =
-        std::clamp(static_cast<double>(choice.uncached_tokens) / prefill_ms,
-                   min_tokens_per_ms, max_tokens_per_ms);
-    ++known.samples;
-    // The mean of the first samples, then a moving average over about twenty.
-    const double weight = std::max(service_ewma_weight, 1.0 / known.samples);
-    known.tokens_per_ms += weight * (measured - known.tokens_per_ms);
 }
 
 double placement::prefill_speed_of(const known_server& server) const
 {
-    const auto known = prefill_speeds_.find(server.listed.service);
-    return known == prefill_speeds_.end()
-               ? settings_.initial_prefill_tokens_per_ms
-               : known->second.tokens_per_ms;
+    return prefill_times_.mean_speed(server.listed.service);
 }
 
 void placement::on_ended(const placement_choice& choice, bool first_event_seen,
--- a/src/coordination/gateway/placement_work.cpp
+++ b/src/coordination/gateway/placement_work.cpp
@@ -16,9 +16,6 @@
 
 using milliseconds_f = std::chrono::duration<double, std::milli>;
 
-// Time to the first event of a prompt in addition to its prefill.
-constexpr double first_event_overhead_ms = 60;
-
 std::uint64_t prefix_of(const prompt_size& prompt)
 {
     const auto parts = prompt.parts.size();
@@ -92,8 +89,10 @@
     {
         return std::nullopt;
     }
-    double own_ms = first_event_overhead_ms +
-                    static_cast<double>(uncached) / prefill_speed_of(server);
+    double own_ms =
+        prefill_times_.overhead_ms(listed.service) +
+        prefill_times_.prefill_ms(listed.service, static_cast<double>(uncached),
+                                  prompt.prompt_tokens);
     if (prompt.prompt_tokens == 0)
     {
         const auto known = costs_.plain_ms(listed.service, prompt.kind);
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -32,6 +32,44 @@
     value.writing = from.size() > 2 ? from.at(2).get<std::uint64_t>() : 0;
 }
 
+service_work& service_work::operator+=(const service_work& other)
+{
+    requests += other.requests;
+    prefill_ms += other.prefill_ms;
+    prefill_ms2 += other.prefill_ms2;
+    target_ms += other.target_ms;
+    ended += other.ended;
+    late += other.late;
+    return *this;
+}
+
+service_work& service_work::operator-=(const service_work& other)
+{
+    requests -= other.requests;
+    prefill_ms -= other.prefill_ms;
+    prefill_ms2 -= other.prefill_ms2;
+    target_ms -= other.target_ms;
+    ended -= other.ended;
+    late -= other.late;
+    return *this;
+}
+
+void to_json(json& out, const service_work& value)
+{
+    out = json::array({value.requests, value.prefill_ms, value.prefill_ms2,
+                       value.target_ms, value.ended, value.late});
+}
+
+void from_json(const json& from, service_work& value)
+{
+    from.at(0).get_to(value.requests);
+    from.at(1).get_to(value.prefill_ms);
+    from.at(2).get_to(value.prefill_ms2);
+    from.at(3).get_to(value.target_ms);
+    from.at(4).get_to(value.ended);
+    from.at(5).get_to(value.late);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(version_order, target, started_ms, running,
                                    target_share, target_most, retired)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(version_counts, started_ms, sent,
@@ -166,6 +204,10 @@
     {
         out["pressure"] = value.pressure;
     }
+    if (!value.work.empty())
+    {
+        out["work"] = value.work;
+    }
 }
 
 void from_json(const json& from, entry_report& value)
@@ -193,6 +235,7 @@
         from.value("evacuation_revision", std::uint64_t{0});
     read_if_present(from, "reserves", value.reserves);
     read_if_present(from, "pressure", value.pressure);
+    read_if_present(from, "work", value.work);
 }
 
 void to_json(json& out, const entry_orders& value)
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -880,7 +880,8 @@
     std::vector<capacity_order> step(double running, order_outcome outcome)
     {
         now += 1s;
-        auto orders = planner.step(now, services, servers, {{"s", running}});
+        auto orders =
+            planner.step(now, services, servers, {.running = {{"s", running}}});
         for (const auto& order : orders)
         {
             planner.on_answer(now, order, outcome);
@@ -990,7 +991,7 @@
     {
         now += 500ms;
         for (const auto& order :
-             planner.step(now, services, servers, {{"s", 60}}))
+             planner.step(now, services, servers, {.running = {{"s", 60}}}))
         {
             const bool is_on_demand = order.kind == server_kind::on_demand;
             on_demand += is_on_demand ? 1 : 0;
@@ -1069,7 +1070,7 @@
     start_with_sixty_servers();
     const auto watch = [&](double running) {
         now += 1s;
-        planner.watch(now, services, servers, {{"s", running}});
+        planner.watch(now, services, servers, {.running = {{"s", running}}});
     };
     for (int second = 0; second < 30; ++second)
     {
@@ -1095,12 +1096,14 @@
     (void)step(240, order_outcome::accepted);
     now += 1s;
     const auto orders =
-        planner.step(now, services, servers, {{"s", 240}}, {"a"});
+        planner.step(now, services, servers, {.running = {{"s", 240}}}, {"a"});
     LONGS_EQUAL(1, orders.size());
     STRCMP_EQUAL("b", orders[0].domain.c_str());
     LONGS_EQUAL(40, orders[0].count); // As for both before.
     CHECK_TRUE(
-        planner.step(now, services, servers, {{"s", 240}}, {"a", "b"}).empty());
+        planner
+            .step(now, services, servers, {.running = {{"s", 240}}}, {"a", "b"})
+            .empty());
     // The servers that return may be cold: the others are kept for a while.
     planner.on_answer(now, orders[0], order_outcome::accepted);
     add(10, "b", server_kind::reclaimable);
