--- a/idl/state.thrift
+++ b/idl/state.thrift
@@ -106,6 +106,14 @@
     6: i64 changed
 }
 
+/// ended_ms is 0 while the evacuation is in force.
+struct evacuation_record {
+    1: string failure_domain,
+    2: i64 since_ms,
+    3: i64 ended_ms,
+    4: i64 changed
+}
+
 struct limit_grant {
     1: string entry,
     2: double requests_per_second,
@@ -187,6 +195,8 @@
     4: i64 gone_at_ms
 }
 struct clear_leaving { 1: string instance, 2: i64 expected }
+struct order_evacuation { 1: string failure_domain, 2: i64 expected }
+struct withdraw_evacuation { 1: string failure_domain, 2: i64 expected }
 struct set_grants {
     1: string organisation,
     2: list<limit_grant> grants,
@@ -226,7 +236,9 @@
     14: set_grants set_grants_value,
     15: claim_key claim_key_value,
     16: release_claim release_claim_value,
-    17: record_outcome record_outcome_value
+    17: record_outcome record_outcome_value,
+    18: order_evacuation order_evacuation_value,
+    19: withdraw_evacuation withdraw_evacuation_value
 }
 
 struct command {
@@ -262,7 +274,8 @@
     6: list<leaving_record> leaving,
     7: list<removal> removals,
     8: i64 removals_from,
-    9: bool whole
+    9: bool whole,
+    10: list<evacuation_record> evacuations
 }
 
 struct order_answer {
@@ -287,5 +300,6 @@
     13: binary claims,
     14: list<order_answer> order_answers,
     15: list<removal> removals,
-    16: i64 removals_from
+    16: i64 removals_from,
+    17: list<evacuation_record> evacuations
 }
--- a/include/hyssopdeal/protocol/contract.hpp
+++ b/include/hyssopdeal/protocol/contract.hpp
@@ -13,6 +13,8 @@
 #include <string>
 #include <vector>
 
+#include <hyssopdeal/transport/clock.hpp>
+
 namespace hyssopdeal::protocol
 {
 
@@ -127,6 +129,13 @@
 
 // [control_view] -------------------------------------------------------------
 
+/// A failure domain whose servers get no new requests.
+struct evacuated_domain
+{
+    std::string failure_domain;
+    transport::wall_time since{}; ///< Time of the order.
+};
+
 /// The accepted configuration at one log index, as an entry uses it. Built by
 /// the learner, published through read-copy-update, never changed afterwards.
 struct control_view
@@ -135,6 +144,7 @@
     std::vector<organisation_contract> contracts; ///< By name.
     std::vector<service> services;                ///< By name.
     std::vector<std::string> leaving_instances;   ///< Ordered to drain.
+    std::vector<evacuated_domain> evacuations;    ///< In force, by name.
 };
 
 } // namespace hyssopdeal::protocol
--- a/include/hyssopdeal/state/commands.hpp
+++ b/include/hyssopdeal/state/commands.hpp
@@ -5,8 +5,8 @@
 /// The commands of the replicated control state, their results, and their
 /// encoding as log records.
 ///
-/// Index: [declarations] [moves] [fleet] [grants] [ledger] [command]
-///        [results] [encoding]
+/// Index: [declarations] [moves] [fleet] [evacuations] [grants] [ledger]
+///        [command] [results] [encoding]
 
 #include <cstdint>
 #include <optional>
@@ -128,6 +128,28 @@
     revision expected = 0;
 };
 
+// [evacuations] --------------------------------------------------------------
+
+/// Expected revision of an order that replaces any.
+inline constexpr revision any_revision = ~revision{0};
+
+/// Evacuates a failure domain. Result: write_result, `unchanged` when it is
+/// evacuated already, whatever revision is expected: an accepted order is
+/// acknowledged again.
+struct order_evacuation
+{
+    std::string failure_domain;
+    revision expected = any_revision;
+};
+
+/// Ends an evacuation. Result: write_result, `unchanged` when the domain is not
+/// evacuated.
+struct withdraw_evacuation
+{
+    std::string failure_domain;
+    revision expected = any_revision;
+};
+
 // [grants] -------------------------------------------------------------------
 
 /// Replaces all grants of an organisation. Result: write_result.
@@ -177,7 +199,7 @@
                  order_move, update_move, set_shares, cancel_move,
                  allocate_fence, order_purchase, update_purchase, set_leaving,
                  clear_leaving, set_grants, claim_key, release_claim,
-                 record_outcome>;
+                 record_outcome, order_evacuation, withdraw_evacuation>;
 
 /// A command as it is proposed.
 struct command
--- a/include/hyssopdeal/state/declarations.hpp
+++ b/include/hyssopdeal/state/declarations.hpp
@@ -57,11 +57,12 @@
 /// What entries follow.
 struct declarations
 {
-    log_index applied = 0;                   ///< Log index it reflects.
-    record_table<contract_record> contracts; ///< By organisation.
-    record_table<service_record> services;   ///< By name.
-    record_table<leaving_record> leaving;    ///< By instance.
-    std::vector<removal> removals;           ///< Oldest first.
+    log_index applied = 0;                       ///< Log index it reflects.
+    record_table<contract_record> contracts;     ///< By organisation.
+    record_table<service_record> services;       ///< By name.
+    record_table<leaving_record> leaving;        ///< By instance.
+    record_table<evacuation_record> evacuations; ///< By failure domain.
+    std::vector<removal> removals;               ///< Oldest first.
     log_index removals_from = 0; ///< All removals after it are remembered.
 
     bool operator==(const declarations&) const = default;
@@ -88,6 +89,7 @@
     std::vector<contract_record> contracts;
     std::vector<service_record> services;
     std::vector<leaving_record> leaving;
+    std::vector<evacuation_record> evacuations;
     std::vector<removal> removals;
     log_index removals_from = 0;
 
--- a/include/hyssopdeal/state/records.hpp
+++ b/include/hyssopdeal/state/records.hpp
@@ -4,8 +4,8 @@
 /// @file
 /// What the replicated control state holds, one struct for each kind of record.
 ///
-/// Index: [numbers] [declarations] [moves] [purchases] [leaving] [grants]
-///        [ledger] [replicas]
+/// Index: [numbers] [declarations] [moves] [purchases] [leaving] [evacuations]
+///        [grants] [ledger] [replicas]
 ///
 /// A revision is the log index of a record's last change: it is never used a
 /// second time, not even when a record is deleted and made again.
@@ -169,6 +169,27 @@
     bool operator==(const leaving_record&) const = default;
 };
 
+// [evacuations] --------------------------------------------------------------
+
+/// A failure domain whose servers get no new requests, or did once. The record
+/// stays when the order is withdrawn, so that followers of earlier versions,
+/// which know no removals of this kind, can still read all others.
+struct evacuation_record
+{
+    std::string failure_domain;      ///< Where.
+    transport::wall_time since{};    ///< Time of the order's record.
+    transport::wall_time ended_at{}; ///< When withdrawn; epoch: in force.
+    revision changed = 0;            ///< For compare-and-set.
+
+    bool operator==(const evacuation_record&) const = default;
+
+    /// @return Whether the order is in force.
+    [[nodiscard]] bool in_force() const noexcept
+    {
+        return ended_at == transport::wall_time{};
+    }
+};
+
 // [grants] -------------------------------------------------------------------
 
 /// A part of an organisation's limits, held by one entry for a while.
--- a/src/coordination/learner.cpp
+++ b/src/coordination/learner.cpp
@@ -41,7 +41,8 @@
     const log_index removed =
         own.removals.empty() ? 0 : own.removals.back().changed;
     return std::max({latest_in(own.contracts), latest_in(own.services),
-                     latest_in(own.leaving), removed});
+                     latest_in(own.leaving), latest_in(own.evacuations),
+                     removed});
 }
 
 } // namespace
--- a/src/protocol/gen/state_types.cpp
+++ b/src/protocol/gen/state_types.cpp
@@ -2833,6 +2833,173 @@
 }
 
 
+evacuation_record::~evacuation_record() noexcept {
+}
+
+
+void evacuation_record::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+
+void evacuation_record::__set_since_ms(const int64_t val) {
+  this->since_ms = val;
+}
+
+void evacuation_record::__set_ended_ms(const int64_t val) {
+  this->ended_ms = val;
+}
+
+void evacuation_record::__set_changed(const int64_t val) {
+  this->changed = val;
+}
+std::ostream& operator<<(std::ostream& out, const evacuation_record& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t evacuation_record::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          this->__isset.failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->since_ms);
+          this->__isset.since_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ended_ms);
+          this->__isset.ended_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changed);
+          this->__isset.changed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t evacuation_record::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("evacuation_record");
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("since_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->since_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ended_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->changed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(evacuation_record &a, evacuation_record &b) {
+  using ::std::swap;
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.since_ms, b.since_ms);
+  swap(a.ended_ms, b.ended_ms);
+  swap(a.changed, b.changed);
+  swap(a.__isset, b.__isset);
+}
+
+evacuation_record::evacuation_record(const evacuation_record& other400) {
+  failure_domain = other400.failure_domain;
+  since_ms = other400.since_ms;
+  ended_ms = other400.ended_ms;
+  changed = other400.changed;
+  __isset = other400.__isset;
+}
+evacuation_record::evacuation_record(evacuation_record&& other401) noexcept {
+  failure_domain = std::move(other401.failure_domain);
+  since_ms = other401.since_ms;
+  ended_ms = other401.ended_ms;
+  changed = other401.changed;
+  __isset = other401.__isset;
+}
+evacuation_record& evacuation_record::operator=(const evacuation_record& other402) {
+  failure_domain = other402.failure_domain;
+  since_ms = other402.since_ms;
+  ended_ms = other402.ended_ms;
+  changed = other402.changed;
+  __isset = other402.__isset;
+  return *this;
+}
+evacuation_record& evacuation_record::operator=(evacuation_record&& other403) noexcept {
+  failure_domain = std::move(other403.failure_domain);
+  since_ms = other403.since_ms;
+  ended_ms = other403.ended_ms;
+  changed = other403.changed;
+  __isset = other403.__isset;
+  return *this;
+}
+void evacuation_record::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "evacuation_record(";
+  out << "failure_domain=" << to_string(failure_domain);
+  out << ", " << "since_ms=" << to_string(since_ms);
+  out << ", " << "ended_ms=" << to_string(ended_ms);
+  out << ", " << "changed=" << to_string(changed);
+  out << ")";
+}
+
+
 limit_grant::~limit_grant() noexcept {
 }
 
@@ -5917,6 +6084,252 @@
 }
 
 
+order_evacuation::~order_evacuation() noexcept {
+}
+
+
+void order_evacuation::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+
+void order_evacuation::__set_expected(const int64_t val) {
+  this->expected = val;
+}
+std::ostream& operator<<(std::ostream& out, const order_evacuation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t order_evacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          this->__isset.failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expected);
+          this->__isset.expected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t order_evacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("order_evacuation");
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expected", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->expected);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(order_evacuation &a, order_evacuation &b) {
+  using ::std::swap;
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.expected, b.expected);
+  swap(a.__isset, b.__isset);
+}
+
+order_evacuation::order_evacuation(const order_evacuation& other404) {
+  failure_domain = other404.failure_domain;
+  expected = other404.expected;
+  __isset = other404.__isset;
+}
+order_evacuation::order_evacuation(order_evacuation&& other405) noexcept {
+  failure_domain = std::move(other405.failure_domain);
+  expected = other405.expected;
+  __isset = other405.__isset;
+}
+order_evacuation& order_evacuation::operator=(const order_evacuation& other406) {
+  failure_domain = other406.failure_domain;
+  expected = other406.expected;
+  __isset = other406.__isset;
+  return *this;
+}
+order_evacuation& order_evacuation::operator=(order_evacuation&& other407) noexcept {
+  failure_domain = std::move(other407.failure_domain);
+  expected = other407.expected;
+  __isset = other407.__isset;
+  return *this;
+}
+void order_evacuation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "order_evacuation(";
+  out << "failure_domain=" << to_string(failure_domain);
+  out << ", " << "expected=" << to_string(expected);
+  out << ")";
+}
+
+
+withdraw_evacuation::~withdraw_evacuation() noexcept {
+}
+
+
+void withdraw_evacuation::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+
+void withdraw_evacuation::__set_expected(const int64_t val) {
+  this->expected = val;
+}
+std::ostream& operator<<(std::ostream& out, const withdraw_evacuation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t withdraw_evacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          this->__isset.failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expected);
+          this->__isset.expected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t withdraw_evacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("withdraw_evacuation");
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expected", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->expected);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(withdraw_evacuation &a, withdraw_evacuation &b) {
+  using ::std::swap;
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.expected, b.expected);
+  swap(a.__isset, b.__isset);
+}
+
+withdraw_evacuation::withdraw_evacuation(const withdraw_evacuation& other408) {
+  failure_domain = other408.failure_domain;
+  expected = other408.expected;
+  __isset = other408.__isset;
+}
+withdraw_evacuation::withdraw_evacuation(withdraw_evacuation&& other409) noexcept {
+  failure_domain = std::move(other409.failure_domain);
+  expected = other409.expected;
+  __isset = other409.__isset;
+}
+withdraw_evacuation& withdraw_evacuation::operator=(const withdraw_evacuation& other410) {
+  failure_domain = other410.failure_domain;
+  expected = other410.expected;
+  __isset = other410.__isset;
+  return *this;
+}
+withdraw_evacuation& withdraw_evacuation::operator=(withdraw_evacuation&& other411) noexcept {
+  failure_domain = std::move(other411.failure_domain);
+  expected = other411.expected;
+  __isset = other411.__isset;
+  return *this;
+}
+void withdraw_evacuation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "withdraw_evacuation(";
+  out << "failure_domain=" << to_string(failure_domain);
+  out << ", " << "expected=" << to_string(expected);
+  out << ")";
+}
+
+
 set_grants::~set_grants() noexcept {
 }
 
@@ -6715,6 +7128,16 @@
   this->record_outcome_value = val;
 __isset.record_outcome_value = true;
 }
+
+void command_body::__set_order_evacuation_value(const order_evacuation& val) {
+  this->order_evacuation_value = val;
+__isset.order_evacuation_value = true;
+}
+
+void command_body::__set_withdraw_evacuation_value(const withdraw_evacuation& val) {
+  this->withdraw_evacuation_value = val;
+__isset.withdraw_evacuation_value = true;
+}
 std::ostream& operator<<(std::ostream& out, const command_body& obj)
 {
   obj.printTo(out);
@@ -6879,6 +7302,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->order_evacuation_value.read(iprot);
+          this->__isset.order_evacuation_value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->withdraw_evacuation_value.read(iprot);
+          this->__isset.withdraw_evacuation_value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6981,6 +7420,16 @@
     xfer += this->record_outcome_value.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.order_evacuation_value) {
+    xfer += oprot->writeFieldBegin("order_evacuation_value", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->order_evacuation_value.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.withdraw_evacuation_value) {
+    xfer += oprot->writeFieldBegin("withdraw_evacuation_value", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->withdraw_evacuation_value.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7005,6 +7454,8 @@
   swap(a.claim_key_value, b.claim_key_value);
   swap(a.release_claim_value, b.release_claim_value);
   swap(a.record_outcome_value, b.record_outcome_value);
+  swap(a.order_evacuation_value, b.order_evacuation_value);
+  swap(a.withdraw_evacuation_value, b.withdraw_evacuation_value);
   swap(a.__isset, b.__isset);
 }
 
@@ -7026,6 +7477,8 @@
   claim_key_value = other220.claim_key_value;
   release_claim_value = other220.release_claim_value;
   record_outcome_value = other220.record_outcome_value;
+  order_evacuation_value = other220.order_evacuation_value;
+  withdraw_evacuation_value = other220.withdraw_evacuation_value;
   __isset = other220.__isset;
 }
 command_body::command_body(command_body&& other221) noexcept {
@@ -7046,6 +7499,8 @@
   claim_key_value = std::move(other221.claim_key_value);
   release_claim_value = std::move(other221.release_claim_value);
   record_outcome_value = std::move(other221.record_outcome_value);
+  order_evacuation_value = std::move(other221.order_evacuation_value);
+  withdraw_evacuation_value = std::move(other221.withdraw_evacuation_value);
   __isset = other221.__isset;
 }
 command_body& command_body::operator=(const command_body& other222) {
@@ -7066,6 +7521,8 @@
   claim_key_value = other222.claim_key_value;
   release_claim_value = other222.release_claim_value;
   record_outcome_value = other222.record_outcome_value;
+  order_evacuation_value = other222.order_evacuation_value;
+  withdraw_evacuation_value = other222.withdraw_evacuation_value;
   __isset = other222.__isset;
   return *this;
 }
@@ -7087,6 +7544,8 @@
   claim_key_value = std::move(other223.claim_key_value);
   release_claim_value = std::move(other223.release_claim_value);
   record_outcome_value = std::move(other223.record_outcome_value);
+  order_evacuation_value = std::move(other223.order_evacuation_value);
+  withdraw_evacuation_value = std::move(other223.withdraw_evacuation_value);
   __isset = other223.__isset;
   return *this;
 }
@@ -7110,6 +7569,8 @@
   out << ", " << "claim_key_value="; (__isset.claim_key_value ? (out << to_string(claim_key_value)) : (out << "<null>"));
   out << ", " << "release_claim_value="; (__isset.release_claim_value ? (out << to_string(release_claim_value)) : (out << "<null>"));
   out << ", " << "record_outcome_value="; (__isset.record_outcome_value ? (out << to_string(record_outcome_value)) : (out << "<null>"));
+  out << ", " << "order_evacuation_value="; (__isset.order_evacuation_value ? (out << to_string(order_evacuation_value)) : (out << "<null>"));
+  out << ", " << "withdraw_evacuation_value="; (__isset.withdraw_evacuation_value ? (out << to_string(withdraw_evacuation_value)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8263,6 +8724,10 @@
 void declaration_delta::__set_whole(const bool val) {
   this->whole = val;
 }
+
+void declaration_delta::__set_evacuations(const std::vector<evacuation_record> & val) {
+  this->evacuations = val;
+}
 std::ostream& operator<<(std::ostream& out, const declaration_delta& obj)
 {
   obj.printTo(out);
@@ -8414,6 +8879,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuations.clear();
+            uint32_t _size412;
+            ::apache::thrift::protocol::TType _etype415;
+            xfer += iprot->readListBegin(_etype415, _size412);
+            this->evacuations.resize(_size412);
+            uint32_t _i416;
+            for (_i416 = 0; _i416 < _size412; ++_i416)
+            {
+              xfer += this->evacuations[_i416].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8505,6 +8990,18 @@
   xfer += oprot->writeBool(this->whole);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
+    std::vector<evacuation_record> ::const_iterator _iter417;
+    for (_iter417 = this->evacuations.begin(); _iter417 != this->evacuations.end(); ++_iter417)
+    {
+      xfer += (*_iter417).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8521,6 +9018,7 @@
   swap(a.removals, b.removals);
   swap(a.removals_from, b.removals_from);
   swap(a.whole, b.whole);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
@@ -8534,6 +9032,7 @@
   removals = other280.removals;
   removals_from = other280.removals_from;
   whole = other280.whole;
+  evacuations = other280.evacuations;
   __isset = other280.__isset;
 }
 declaration_delta::declaration_delta(declaration_delta&& other281) noexcept {
@@ -8546,6 +9045,7 @@
   removals = std::move(other281.removals);
   removals_from = other281.removals_from;
   whole = other281.whole;
+  evacuations = std::move(other281.evacuations);
   __isset = other281.__isset;
 }
 declaration_delta& declaration_delta::operator=(const declaration_delta& other282) {
@@ -8558,6 +9058,7 @@
   removals = other282.removals;
   removals_from = other282.removals_from;
   whole = other282.whole;
+  evacuations = other282.evacuations;
   __isset = other282.__isset;
   return *this;
 }
@@ -8571,6 +9072,7 @@
   removals = std::move(other283.removals);
   removals_from = other283.removals_from;
   whole = other283.whole;
+  evacuations = std::move(other283.evacuations);
   __isset = other283.__isset;
   return *this;
 }
@@ -8586,6 +9088,7 @@
   out << ", " << "removals=" << to_string(removals);
   out << ", " << "removals_from=" << to_string(removals_from);
   out << ", " << "whole=" << to_string(whole);
+  out << ", " << "evacuations=" << to_string(evacuations);
   out << ")";
 }
 
@@ -8802,6 +9305,10 @@
 void snapshot::__set_removals_from(const int64_t val) {
   this->removals_from = val;
 }
+
+void snapshot::__set_evacuations(const std::vector<evacuation_record> & val) {
+  this->evacuations = val;
+}
 std::ostream& operator<<(std::ostream& out, const snapshot& obj)
 {
   obj.printTo(out);
@@ -9058,6 +9565,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuations.clear();
+            uint32_t _size418;
+            ::apache::thrift::protocol::TType _etype421;
+            xfer += iprot->readListBegin(_etype421, _size418);
+            this->evacuations.resize(_size418);
+            uint32_t _i422;
+            for (_i422 = 0; _i422 < _size418; ++_i422)
+            {
+              xfer += this->evacuations[_i422].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9211,6 +9738,18 @@
   xfer += oprot->writeI64(this->removals_from);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
+    std::vector<evacuation_record> ::const_iterator _iter423;
+    for (_iter423 = this->evacuations.begin(); _iter423 != this->evacuations.end(); ++_iter423)
+    {
+      xfer += (*_iter423).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9234,6 +9773,7 @@
   swap(a.order_answers, b.order_answers);
   swap(a.removals, b.removals);
   swap(a.removals_from, b.removals_from);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
@@ -9254,6 +9794,7 @@
   order_answers = other336.order_answers;
   removals = other336.removals;
   removals_from = other336.removals_from;
+  evacuations = other336.evacuations;
   __isset = other336.__isset;
 }
 snapshot::snapshot(snapshot&& other337) noexcept {
@@ -9273,6 +9814,7 @@
   order_answers = std::move(other337.order_answers);
   removals = std::move(other337.removals);
   removals_from = other337.removals_from;
+  evacuations = std::move(other337.evacuations);
   __isset = other337.__isset;
 }
 snapshot& snapshot::operator=(const snapshot& other338) {
@@ -9292,6 +9834,7 @@
   order_answers = other338.order_answers;
   removals = other338.removals;
   removals_from = other338.removals_from;
+  evacuations = other338.evacuations;
   __isset = other338.__isset;
   return *this;
 }
@@ -9312,6 +9855,7 @@
   order_answers = std::move(other339.order_answers);
   removals = std::move(other339.removals);
   removals_from = other339.removals_from;
+  evacuations = std::move(other339.evacuations);
   __isset = other339.__isset;
   return *this;
 }
@@ -9334,6 +9878,7 @@
   out << ", " << "order_answers=" << to_string(order_answers);
   out << ", " << "removals=" << to_string(removals);
   out << ", " << "removals_from=" << to_string(removals_from);
+  out << ", " << "evacuations=" << to_string(evacuations);
   out << ")";
 }
 
--- a/src/protocol/gen/state_types.h
+++ b/src/protocol/gen/state_types.h
@@ -47,6 +47,8 @@
 
 class leaving_record;
 
+class evacuation_record;
+
 class limit_grant;
 
 class grant_record;
@@ -87,6 +89,10 @@
 
 class clear_leaving;
 
+class order_evacuation;
+
+class withdraw_evacuation;
+
 class set_grants;
 
 class claim_key;
@@ -1135,6 +1141,72 @@
 
 std::ostream& operator<<(std::ostream& out, const leaving_record& obj);
 
+typedef struct _evacuation_record__isset {
+  _evacuation_record__isset() : failure_domain(false), since_ms(false), ended_ms(false), changed(false) {}
+  bool failure_domain :1;
+  bool since_ms :1;
+  bool ended_ms :1;
+  bool changed :1;
+} _evacuation_record__isset;
+
+class evacuation_record : public virtual ::apache::thrift::TBase {
+ public:
+
+  evacuation_record(const evacuation_record&);
+  evacuation_record(evacuation_record&&) noexcept;
+  evacuation_record& operator=(const evacuation_record&);
+  evacuation_record& operator=(evacuation_record&&) noexcept;
+  evacuation_record() noexcept
+                    : failure_domain(),
+                      since_ms(0),
+                      ended_ms(0),
+                      changed(0) {
+  }
+
+  virtual ~evacuation_record() noexcept;
+  std::string failure_domain;
+  int64_t since_ms;
+  int64_t ended_ms;
+  int64_t changed;
+
+  _evacuation_record__isset __isset;
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_since_ms(const int64_t val);
+
+  void __set_ended_ms(const int64_t val);
+
+  void __set_changed(const int64_t val);
+
+  bool operator == (const evacuation_record & rhs) const
+  {
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(since_ms == rhs.since_ms))
+      return false;
+    if (!(ended_ms == rhs.ended_ms))
+      return false;
+    if (!(changed == rhs.changed))
+      return false;
+    return true;
+  }
+  bool operator != (const evacuation_record &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const evacuation_record & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(evacuation_record &a, evacuation_record &b);
+
+std::ostream& operator<<(std::ostream& out, const evacuation_record& obj);
+
 typedef struct _limit_grant__isset {
   _limit_grant__isset() : entry(false), requests_per_second(false), tokens_per_second(false), concurrent_streams(false), expires_at_ms(false) {}
   bool entry :1;
@@ -2327,6 +2399,110 @@
 
 std::ostream& operator<<(std::ostream& out, const clear_leaving& obj);
 
+typedef struct _order_evacuation__isset {
+  _order_evacuation__isset() : failure_domain(false), expected(false) {}
+  bool failure_domain :1;
+  bool expected :1;
+} _order_evacuation__isset;
+
+class order_evacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  order_evacuation(const order_evacuation&);
+  order_evacuation(order_evacuation&&) noexcept;
+  order_evacuation& operator=(const order_evacuation&);
+  order_evacuation& operator=(order_evacuation&&) noexcept;
+  order_evacuation() noexcept
+                   : failure_domain(),
+                     expected(0) {
+  }
+
+  virtual ~order_evacuation() noexcept;
+  std::string failure_domain;
+  int64_t expected;
+
+  _order_evacuation__isset __isset;
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_expected(const int64_t val);
+
+  bool operator == (const order_evacuation & rhs) const
+  {
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(expected == rhs.expected))
+      return false;
+    return true;
+  }
+  bool operator != (const order_evacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const order_evacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(order_evacuation &a, order_evacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const order_evacuation& obj);
+
+typedef struct _withdraw_evacuation__isset {
+  _withdraw_evacuation__isset() : failure_domain(false), expected(false) {}
+  bool failure_domain :1;
+  bool expected :1;
+} _withdraw_evacuation__isset;
+
+class withdraw_evacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  withdraw_evacuation(const withdraw_evacuation&);
+  withdraw_evacuation(withdraw_evacuation&&) noexcept;
+  withdraw_evacuation& operator=(const withdraw_evacuation&);
+  withdraw_evacuation& operator=(withdraw_evacuation&&) noexcept;
+  withdraw_evacuation() noexcept
+                      : failure_domain(),
+                        expected(0) {
+  }
+
+  virtual ~withdraw_evacuation() noexcept;
+  std::string failure_domain;
+  int64_t expected;
+
+  _withdraw_evacuation__isset __isset;
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_expected(const int64_t val);
+
+  bool operator == (const withdraw_evacuation & rhs) const
+  {
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(expected == rhs.expected))
+      return false;
+    return true;
+  }
+  bool operator != (const withdraw_evacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const withdraw_evacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(withdraw_evacuation &a, withdraw_evacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const withdraw_evacuation& obj);
+
 typedef struct _set_grants__isset {
   _set_grants__isset() : organisation(false), grants(false), expected(false) {}
   bool organisation :1;
@@ -2597,7 +2773,7 @@
 std::ostream& operator<<(std::ostream& out, const record_outcome& obj);
 
 typedef struct _command_body__isset {
-  _command_body__isset() : put_contract_value(false), delete_contract_value(false), put_service_value(false), delete_service_value(false), order_move_value(false), update_move_value(false), set_shares_value(false), cancel_move_value(false), allocate_fence_value(false), order_purchase_value(false), update_purchase_value(false), set_leaving_value(false), clear_leaving_value(false), set_grants_value(false), claim_key_value(false), release_claim_value(false), record_outcome_value(false) {}
+  _command_body__isset() : put_contract_value(false), delete_contract_value(false), put_service_value(false), delete_service_value(false), order_move_value(false), update_move_value(false), set_shares_value(false), cancel_move_value(false), allocate_fence_value(false), order_purchase_value(false), update_purchase_value(false), set_leaving_value(false), clear_leaving_value(false), set_grants_value(false), claim_key_value(false), release_claim_value(false), record_outcome_value(false), order_evacuation_value(false), withdraw_evacuation_value(false) {}
   bool put_contract_value :1;
   bool delete_contract_value :1;
   bool put_service_value :1;
@@ -2615,6 +2791,8 @@
   bool claim_key_value :1;
   bool release_claim_value :1;
   bool record_outcome_value :1;
+  bool order_evacuation_value :1;
+  bool withdraw_evacuation_value :1;
 } _command_body__isset;
 
 class command_body : public virtual ::apache::thrift::TBase {
@@ -2645,6 +2823,8 @@
   claim_key claim_key_value;
   release_claim release_claim_value;
   record_outcome record_outcome_value;
+  order_evacuation order_evacuation_value;
+  withdraw_evacuation withdraw_evacuation_value;
 
   _command_body__isset __isset;
 
@@ -2682,6 +2862,10 @@
 
   void __set_record_outcome_value(const record_outcome& val);
 
+  void __set_order_evacuation_value(const order_evacuation& val);
+
+  void __set_withdraw_evacuation_value(const withdraw_evacuation& val);
+
   bool operator == (const command_body & rhs) const
   {
     if (__isset.put_contract_value != rhs.__isset.put_contract_value)
@@ -2752,6 +2936,14 @@
       return false;
     else if (__isset.record_outcome_value && !(record_outcome_value == rhs.record_outcome_value))
       return false;
+    if (__isset.order_evacuation_value != rhs.__isset.order_evacuation_value)
+      return false;
+    else if (__isset.order_evacuation_value && !(order_evacuation_value == rhs.order_evacuation_value))
+      return false;
+    if (__isset.withdraw_evacuation_value != rhs.__isset.withdraw_evacuation_value)
+      return false;
+    else if (__isset.withdraw_evacuation_value && !(withdraw_evacuation_value == rhs.withdraw_evacuation_value))
+      return false;
     return true;
   }
   bool operator != (const command_body &rhs) const {
@@ -3205,13 +3397,14 @@
 std::ostream& operator<<(std::ostream& out, const removal& obj);
 
 typedef struct _declaration_delta__isset {
-  _declaration_delta__isset() : contracts(false), services(false), leaving(false), removals(false), removals_from(false), whole(false) {}
+  _declaration_delta__isset() : contracts(false), services(false), leaving(false), removals(false), removals_from(false), whole(false), evacuations(false) {}
   bool contracts :1;
   bool services :1;
   bool leaving :1;
   bool removals :1;
   bool removals_from :1;
   bool whole :1;
+  bool evacuations :1;
 } _declaration_delta__isset;
 
 class declaration_delta : public virtual ::apache::thrift::TBase {
@@ -3239,6 +3432,7 @@
   std::vector<removal>  removals;
   int64_t removals_from;
   bool whole;
+  std::vector<evacuation_record>  evacuations;
 
   _declaration_delta__isset __isset;
 
@@ -3260,6 +3454,8 @@
 
   void __set_whole(const bool val);
 
+  void __set_evacuations(const std::vector<evacuation_record> & val);
+
   bool operator == (const declaration_delta & rhs) const
   {
     if (!(schema_version == rhs.schema_version))
@@ -3280,6 +3476,8 @@
       return false;
     if (!(whole == rhs.whole))
       return false;
+    if (!(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const declaration_delta &rhs) const {
@@ -3357,7 +3555,7 @@
 std::ostream& operator<<(std::ostream& out, const order_answer& obj);
 
 typedef struct _snapshot__isset {
-  _snapshot__isset() : contracts(false), services(false), moves(false), purchases(false), leaving(false), grants(false), replicas(false), fence_counter(false), claims(false), order_answers(false), removals(false), removals_from(false) {}
+  _snapshot__isset() : contracts(false), services(false), moves(false), purchases(false), leaving(false), grants(false), replicas(false), fence_counter(false), claims(false), order_answers(false), removals(false), removals_from(false), evacuations(false) {}
   bool contracts :1;
   bool services :1;
   bool moves :1;
@@ -3370,6 +3568,7 @@
   bool order_answers :1;
   bool removals :1;
   bool removals_from :1;
+  bool evacuations :1;
 } _snapshot__isset;
 
 class snapshot : public virtual ::apache::thrift::TBase {
@@ -3406,6 +3605,7 @@
   std::vector<order_answer>  order_answers;
   std::vector<removal>  removals;
   int64_t removals_from;
+  std::vector<evacuation_record>  evacuations;
 
   _snapshot__isset __isset;
 
@@ -3441,6 +3641,8 @@
 
   void __set_removals_from(const int64_t val);
 
+  void __set_evacuations(const std::vector<evacuation_record> & val);
+
   bool operator == (const snapshot & rhs) const
   {
     if (!(schema_version == rhs.schema_version))
@@ -3475,6 +3677,8 @@
       return false;
     if (!(removals_from == rhs.removals_from))
       return false;
+    if (!(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const snapshot &rhs) const {
--- a/src/state/commands.cpp
+++ b/src/state/commands.cpp
@@ -91,6 +91,14 @@
     {
         wire.__set_record_outcome_value(to_wire(v));
     }
+    void operator()(const order_evacuation& v) const
+    {
+        wire.__set_order_evacuation_value(to_wire(v));
+    }
+    void operator()(const withdraw_evacuation& v) const
+    {
+        wire.__set_withdraw_evacuation_value(to_wire(v));
+    }
 };
 
 command_body body_from_wire(const gen::command_body& wire)
@@ -164,6 +172,14 @@
     {
         return from_wire<record_outcome>(wire.record_outcome_value);
     }
+    if (set.order_evacuation_value)
+    {
+        return from_wire<order_evacuation>(wire.order_evacuation_value);
+    }
+    if (set.withdraw_evacuation_value)
+    {
+        return from_wire<withdraw_evacuation>(wire.withdraw_evacuation_value);
+    }
     throw unknown_value{};
 }
 
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -176,6 +176,7 @@
     copy(values_of(tables.moves), wire.moves);
     copy(values_of(tables.purchases), wire.purchases);
     copy(values_of(tables.leaving), wire.leaving);
+    copy(values_of(tables.evacuations), wire.evacuations);
     copy(values_of(tables.grants), wire.grants);
     copy(tables.replicas, wire.replicas);
     copy(tables.fence_counter, wire.fence_counter);
@@ -224,6 +225,8 @@
                   [](const auto& record) { return record.order_id; });
     restore_table(tables.leaving, wire.leaving,
                   [](const auto& record) { return record.instance; });
+    restore_table(tables.evacuations, wire.evacuations,
+                  [](const auto& record) { return record.failure_domain; });
     restore_table(tables.grants, wire.grants,
                   [](const auto& record) { return record.organisation; });
     copy(tables.replicas, wire.replicas);
--- a/src/state/control_state_fleet.cpp
+++ b/src/state/control_state_fleet.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// What the commands of fleet, grants and ledger do to the tables.
+/// What the commands of fleet, evacuations, grants and ledger do to the tables.
 
 #include <utility>
 
@@ -112,6 +112,49 @@
     return {write_status::applied, 0, {}};
 }
 
+// [evacuations] --------------------------------------------------------------
+
+write_result control_state::impl::run(const order_evacuation& command)
+{
+    if (command.failure_domain.empty())
+    {
+        return refused(0, "The failure domain has no name.");
+    }
+    const revision now =
+        revision_of(tables.evacuations, command.failure_domain);
+    if (now != 0 && tables.evacuations.at(command.failure_domain).in_force())
+    {
+        return {write_status::unchanged, now, {}};
+    }
+    if (command.expected != any_revision && command.expected != now)
+    {
+        return conflict(now);
+    }
+    tables.evacuations.insert_or_assign(
+        command.failure_domain,
+        evacuation_record{command.failure_domain, time, {}, at.index});
+    return {write_status::applied, at.index, {}};
+}
+
+write_result control_state::impl::run(const withdraw_evacuation& command)
+{
+    const auto found = tables.evacuations.find(command.failure_domain);
+    if (found == tables.evacuations.end() || !found->second.in_force())
+    {
+        return {write_status::unchanged,
+                revision_of(tables.evacuations, command.failure_domain),
+                {}};
+    }
+    auto& record = found->second;
+    if (command.expected != any_revision && command.expected != record.changed)
+    {
+        return conflict(record.changed);
+    }
+    record.ended_at = time;
+    record.changed = at.index;
+    return {write_status::applied, at.index, {}};
+}
+
 // [grants] -------------------------------------------------------------------
 
 write_result control_state::impl::run(const set_grants& command)
--- a/src/state/control_state_impl.hpp
+++ b/src/state/control_state_impl.hpp
@@ -62,6 +62,8 @@
     write_result run(const update_purchase& command);
     write_result run(const set_leaving& command);
     write_result run(const clear_leaving& command);
+    write_result run(const order_evacuation& command);
+    write_result run(const withdraw_evacuation& command);
     write_result run(const set_grants& command);
     claim_result run(const claim_key& command);
     write_result run(const release_claim& command);
--- a/src/state/declarations.cpp
+++ b/src/state/declarations.cpp
@@ -48,6 +48,11 @@
     return record.instance;
 }
 
+const std::string& name_of(const evacuation_record& record)
+{
+    return record.failure_domain;
+}
+
 template <class Record>
 void take_in(record_table<Record>& table, const std::vector<Record>& records)
 {
@@ -107,6 +112,7 @@
     delta.contracts = changed_after(source.contracts, delta.from);
     delta.services = changed_after(source.services, delta.from);
     delta.leaving = changed_after(source.leaving, delta.from);
+    delta.evacuations = changed_after(source.evacuations, delta.from);
     delta.removals_from = whole ? source.removals_from : follower;
     for (const auto& gone : source.removals)
     {
@@ -137,6 +143,7 @@
     take_in(target.contracts, delta.contracts);
     take_in(target.services, delta.services);
     take_in(target.leaving, delta.leaving);
+    take_in(target.evacuations, delta.evacuations);
     for (const auto& gone : delta.removals)
     {
         take_out(target, gone);
@@ -160,6 +167,7 @@
     copy(value.contracts, wire.contracts);
     copy(value.services, wire.services);
     copy(value.leaving, wire.leaving);
+    copy(value.evacuations, wire.evacuations);
     copy(value.removals, wire.removals);
     copy(value.removals_from, wire.removals_from);
     return protocol::to_bytes(wire);
@@ -182,6 +190,7 @@
         copy(value.contracts, wire->contracts);
         copy(value.services, wire->services);
         copy(value.leaving, wire->leaving);
+        copy(value.evacuations, wire->evacuations);
         copy(value.removals, wire->removals);
         copy(value.removals_from, wire->removals_from);
         return value;
@@ -211,6 +220,13 @@
     {
         view.leaving_instances.push_back(name);
     }
+    for (const auto& [name, record] : source.evacuations)
+    {
+        if (record.in_force())
+        {
+            view.evacuations.push_back({name, record.since});
+        }
+    }
     return view;
 }
 
--- a/src/state/wire_fields.hpp
+++ b/src/state/wire_fields.hpp
@@ -311,6 +311,21 @@
     }
 };
 
+template <>
+struct wire_fields<evacuation_record>
+{
+    using wire = gen::evacuation_record;
+
+    template <class Direction, class Record, class Wire>
+    static void map(const Direction& copy, Record& a, Wire& b)
+    {
+        copy(a.failure_domain, b.failure_domain);
+        copy(a.since, b.since_ms);
+        copy(a.ended_at, b.ended_ms);
+        copy(a.changed, b.changed);
+    }
+};
+
 template <>
 struct wire_fields<limit_grant>
 {
@@ -594,6 +609,32 @@
     }
 };
 
+template <>
+struct wire_fields<order_evacuation>
+{
+    using wire = gen::order_evacuation;
+
+    template <class Direction, class Record, class Wire>
+    static void map(const Direction& copy, Record& a, Wire& b)
+    {
+        copy(a.failure_domain, b.failure_domain);
+        copy(a.expected, b.expected);
+    }
+};
+
+template <>
+struct wire_fields<withdraw_evacuation>
+{
+    using wire = gen::withdraw_evacuation;
+
+    template <class Direction, class Record, class Wire>
+    static void map(const Direction& copy, Record& a, Wire& b)
+    {
+        copy(a.failure_domain, b.failure_domain);
+        copy(a.expected, b.expected);
+    }
+};
+
 template <>
 struct wire_fields<set_grants>
 {
--- a/tests/control_state_test.cpp
+++ b/tests/control_state_test.cpp
@@ -211,6 +211,79 @@
     CHECK(m.state.tables().leaving.at("i-1").gone_at == start + 3s);
 }
 
+// [evacuations] --------------------------------------------------------------
+
+// Guards against an order that is refused, or takes effect twice, because an
+// operator who got no answer gives it again.
+TEST(control_state_tests, repeated_evacuations_are_acknowledged)
+{
+    machine m;
+    const auto first = m.write(order_evacuation{"sul-a"}, "o-1");
+    CHECK(first.status == write_status::applied);
+    const auto since = m.state.tables().evacuations.at("sul-a").since;
+    CHECK(since == start);
+    m.now += 5s;
+    CHECK(m.write(order_evacuation{"sul-a"}, "o-1") == first);
+    const auto again = m.write(order_evacuation{"sul-a"}, "o-2");
+    CHECK(again.status == write_status::unchanged);
+    CHECK(again.now == first.now);
+    CHECK(m.write(order_evacuation{"sul-a", 0}, "o-3").status ==
+          write_status::unchanged);
+    CHECK(m.state.tables().evacuations.at("sul-a").since == since);
+    CHECK(m.write(withdraw_evacuation{"sul-b"}).status ==
+          write_status::unchanged);
+    const auto ended = m.write(withdraw_evacuation{"sul-a", first.now}, "o-4");
+    CHECK(ended.status == write_status::applied);
+    CHECK_FALSE(m.state.tables().evacuations.at("sul-a").in_force());
+    CHECK(m.write(withdraw_evacuation{"sul-a"}, "o-5").status ==
+          write_status::unchanged);
+    CHECK(m.write(order_evacuation{""}).status == write_status::refused);
+}
+
+// Guards against a late order that replaces a newer one that it has not seen.
+TEST(control_state_tests, evacuation_with_an_old_revision_conflicts)
+{
+    machine m;
+    const auto first = m.write(order_evacuation{"sul-a", 0});
+    CHECK(m.write(withdraw_evacuation{"sul-a", first.now + 1}).status ==
+          write_status::conflict);
+    const auto ended = m.write(withdraw_evacuation{"sul-a", first.now});
+    CHECK(m.write(order_evacuation{"sul-a", first.now}).status ==
+          write_status::conflict);
+    CHECK(m.write(order_evacuation{"sul-a", ended.now}).status ==
+          write_status::applied);
+}
+
+// Guards against followers that miss the begin or the end of an evacuation.
+TEST(control_state_tests, evacuations_reach_followers)
+{
+    machine m;
+    m.write(service_of("llm", 0));
+    declarations follower;
+    const auto follow = [&] {
+        const auto delta = decode_delta(
+            encode(delta_since(m.state.tables(), follower.applied)));
+        CHECK(delta.has_value());
+        CHECK(apply_delta(follower, *delta) == delta_outcome::applied);
+        return make_view(follower).evacuations;
+    };
+    CHECK_TRUE(follow().empty());
+    m.write(order_evacuation{"sul-a"});
+    m.write(order_evacuation{"sul-b"});
+    const auto begun = follow();
+    LONGS_EQUAL(2, begun.size());
+    STRCMP_EQUAL("sul-a", begun.front().failure_domain.c_str());
+    CHECK(begun.front().since == start);
+    m.write(withdraw_evacuation{"sul-a"});
+    LONGS_EQUAL(1, follow().size());
+    m.write(withdraw_evacuation{"sul-b"});
+    CHECK_TRUE(follow().empty());
+    const auto late = delta_since(m.state.tables(), 0);
+    declarations fresh;
+    CHECK(apply_delta(fresh, late) == delta_outcome::applied);
+    CHECK_TRUE(make_view(fresh).evacuations.empty());
+}
+
 // [ledger] -------------------------------------------------------------------
 
 TEST(control_state_tests, key_is_granted_once)
@@ -312,6 +385,9 @@
     purchase.purchase.order_id = "p-1";
     m.run(purchase);
     m.write(set_leaving{"i-1", leaving_source::scale_in, 1, {}});
+    m.write(order_evacuation{"sul-b"}, "o-4");
+    m.write(order_evacuation{"sul-c"});
+    m.write(withdraw_evacuation{"sul-c"});
     const auto claim = m.claim("k", 1);
     m.write(record_outcome{
         "pomar", "k", claim.claim.number, {200, {{"A", "b"}}, "x", false}});
