Entries send nothing new to evacuated domains

The router keeps servers of evacuated domains with their counts, but chooses none of them, and fills its subset from the other domains. When no server is left, queued requests are refused at once with those that come. /debug/routes shows the servers as evacuated; /debug/evacuations lists the domains. A version move counts on servers of other domains only and does not unload a version under requests that still run.

--- a/include/hyssopdeal/coordination/evacuation/evacuated_domains.hpp
+++ b/include/hyssopdeal/coordination/evacuation/evacuated_domains.hpp
@@ -9,8 +9,8 @@
 ///
 /// Index: [evacuated_domains] [evacuation_progress]
 ///
-/// The orders are in the replicated log (`cluster_state`), which numbers each
-/// change. Every replica sends the set and its number to entries, and an entry
+/// The orders are in the replicated log (`cluster_state`, `control_state`), which
+/// numbers each change. Every replica sends the set and its number to entries, and an entry
 /// reports the number that it applies.
 
 #include <chrono>
@@ -26,6 +26,9 @@
 namespace hyssopdeal::coordination
 {
 
+/// Names of failure domains.
+using domain_names = std::set<std::string>;
+
 // [evacuated_domains] --------------------------------------------------------
 
 /// The evacuated domains as known to one process.
@@ -45,7 +48,7 @@
     /// @return What has changed.
     std::vector<change> apply(transport::monotonic_time now,
                               std::uint64_t revision,
-                              const std::set<std::string>& domains);
+                              const domain_names& domains);
 
     /// @return Whether the servers of a domain get no new requests.
     [[nodiscard]] bool contains(const std::string& domain) const
@@ -59,7 +62,7 @@
     [[nodiscard]] std::optional<transport::monotonic_time>
     ended_at(const std::string& domain) const;
 
-    [[nodiscard]] const std::set<std::string>& domains() const noexcept
+    [[nodiscard]] const domain_names& domains() const noexcept
     {
         return domains_;
     }
@@ -72,7 +75,7 @@
 
 private:
     std::uint64_t revision_ = 0;
-    std::set<std::string> domains_;
+    domain_names domains_;
     std::map<std::string, transport::monotonic_time> ended_;
 };
 
--- a/include/hyssopdeal/coordination/load_balancer.hpp
+++ b/include/hyssopdeal/coordination/load_balancer.hpp
@@ -39,7 +39,8 @@
     available,
     ejected,     ///< Excluded for a time by the outlier detector.
     unreachable, ///< No connection from this node.
-    leaving      ///< Being removed from the fleet; excluded for good.
+    leaving,     ///< Being removed from the fleet; excluded for good.
+    evacuated    ///< Excluded until the order for its domain is withdrawn.
 };
 
 /// Location of a backend server relative to this node.
--- a/include/hyssopdeal/coordination/load_balancer_router.hpp
+++ b/include/hyssopdeal/coordination/load_balancer_router.hpp
@@ -18,6 +18,7 @@
 
 #include <hyssopdeal/coordination/admission_queue.hpp>
 #include <hyssopdeal/coordination/concurrency_limit.hpp>
+#include <hyssopdeal/coordination/evacuation/evacuated_domains.hpp>
 #include <hyssopdeal/coordination/load_balancer.hpp>
 #include <hyssopdeal/coordination/load_estimate.hpp>
 #include <hyssopdeal/coordination/outlier_detector.hpp>
@@ -108,8 +109,12 @@
     /// servers that remain in the subset at the same address is kept.
     ///
     /// @param leaving Names of servers that must not get new requests.
+    /// @param evacuated Failure domains whose servers get no new requests. The
+    ///     subset is chosen from the servers of the others; evacuated servers
+    ///     already in use keep their state.
     void set_service(const protocol::service& declared,
-                     const std::vector<std::string>& leaving);
+                     const std::vector<std::string>& leaving,
+                     const domain_names& evacuated = {});
 
     /// Stops new requests to a server. Later declarations that still list the
     /// server with the same address do not undo this.
@@ -163,6 +168,9 @@
     /// @return For each priority class, whether has_room() holds.
     [[nodiscard]] class_states rooms(transport::monotonic_time now) const;
 
+    /// @return Whether some server is available, however busy.
+    [[nodiscard]] bool has_server(transport::monotonic_time now) const;
+
     /// @return Whether some server can accept a request of a class now.
     [[nodiscard]] bool
     has_room(transport::monotonic_time now,
--- a/include/hyssopdeal/coordination/move_controller.hpp
+++ b/include/hyssopdeal/coordination/move_controller.hpp
@@ -61,7 +61,8 @@
     std::string failure_domain;
     std::uint32_t slots = 0; ///< Requests at once at full speed.
     version_state state = version_state::absent;
-    bool leaving = false; ///< Gets no new work.
+    bool leaving = false;   ///< Gets no new work.
+    bool evacuated = false; ///< Gets none until its domain may be used again.
 };
 
 /// What the controller looks at on a tick.
--- a/src/coordination/entry_inspection.cpp
+++ b/src/coordination/entry_inspection.cpp
@@ -150,6 +150,8 @@
         return "unreachable";
     case server_availability::leaving:
         return "leaving";
+    case server_availability::evacuated:
+        return "evacuated";
     }
     return "unreachable";
 }
@@ -217,6 +219,20 @@
     return rows;
 }
 
+ordered_json evacuation_rows(const entry_shared& shared)
+{
+    auto rows = ordered_json::array();
+    shared.catalog.read([&rows](const entry_catalog& catalog) {
+        for (const auto& order : catalog.view().evacuations)
+        {
+            rows.push_back(
+                {{"failure_domain", order.failure_domain},
+                 {"since_ms", order.since.time_since_epoch().count()}});
+        }
+    });
+    return rows;
+}
+
 void gather(entry_shard& shard, std::string_view page, row_maker make,
             http_responder responder)
 {
@@ -268,6 +284,11 @@
     text.sample(shared.catalog.read([](const auto& catalog) {
         return static_cast<double>(catalog.view().applied_index);
     }));
+    text.family("hyssopdeal_evacuated_domains", "gauge",
+                "Failure domains whose servers get no new requests.");
+    text.sample(shared.catalog.read([](const auto& catalog) {
+        return static_cast<double>(catalog.view().evacuations.size());
+    }));
     if (shared.shards.empty())
     {
         return text.text();
@@ -298,11 +319,19 @@
                         {{"Content-Type", "application/json"}},
                         transport::json_text(body)});
     }
+    else if (page == "evacuations")
+    {
+        const ordered_json body = {
+            {"evacuations", evacuation_rows(shard.shared)}};
+        responder.send({200,
+                        {{"Content-Type", "application/json"}},
+                        transport::json_text(body)});
+    }
     else
     {
-        responder.send(
-            failure_answer({transport::verdict::not_run, reason::not_found,
-                            "Pages are members, routes, streams and grants."}));
+        responder.send(failure_answer(
+            {transport::verdict::not_run, reason::not_found,
+             "Pages are members, routes, streams, grants and evacuations."}));
     }
 }
 
--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -10,6 +10,8 @@
 #include <fmt/format.h>
 
 #include <hyssopdeal/coordination/drain_entry.hpp>
+#include <hyssopdeal/coordination/evacuation/evacuated_domains.hpp>
+#include <hyssopdeal/coordination/evacuation/evacuation_orders.hpp>
 #include <hyssopdeal/coordination/learner_runner.hpp>
 #include <hyssopdeal/protocol/contract_json.hpp>
 #include <hyssopdeal/transport/byte_budget.hpp>
@@ -188,6 +190,7 @@
     drain_entry drain;
     transport::timer_handle drain_timer;
     std::uint64_t published_index = 0;
+    evacuated_domains evacuations; ///< As published.
     bool published = false;
 };
 
@@ -287,6 +290,15 @@
     published_index = view.applied_index;
     log_info(log_part::process, "Configuration is in force. index={}",
              view.applied_index);
+    for (const auto& change :
+         evacuations.apply(shared.clock.monotonic_now(), view.applied_index,
+                           evacuated_in(view)))
+    {
+        log_info(log_part::process,
+                 "An evacuation is in force. domain={} order={} index={}",
+                 change.domain, change.evacuated ? "begin" : "end",
+                 view.applied_index);
+    }
     shared.catalog.publish(entry_catalog{std::move(view)});
     on_each_shard([](entry_shard& shard) { shard.refresh(); });
     auto expected = entry_readiness::starting;
--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <hyssopdeal/coordination/evacuation/evacuation_orders.hpp>
+
 #include "entry_links.hpp"
 #include "stream_exchange.hpp"
 #include "stream_session.hpp"
@@ -83,6 +85,7 @@
         limits.set_contracts(now(), view.contracts,
                              restarted ? bucket_start::empty
                                        : bucket_start::full);
+        const auto evacuated = evacuated_in(view);
         for (const auto& service : view.services)
         {
             auto& lane = lanes[service.name];
@@ -96,7 +99,7 @@
             auto used = service;
             used.shares = versions.effective_shares(now(), service);
             applied_shares_[service.name] = used.shares;
-            lane->set_service(used, view.leaving_instances);
+            lane->set_service(used, view.leaving_instances, evacuated);
         }
     });
 }
@@ -162,6 +165,7 @@
         {
             return; // refresh() applies both.
         }
+        const auto evacuated = evacuated_in(view);
         for (const auto& service : view.services)
         {
             const auto shares = versions.effective_shares(now(), service);
@@ -174,7 +178,7 @@
             applied = shares;
             auto used = service;
             used.shares = shares;
-            lane->set_service(used, view.leaving_instances);
+            lane->set_service(used, view.leaving_instances, evacuated);
         }
     });
 }
--- a/src/coordination/evacuation/evacuated_domains.cpp
+++ b/src/coordination/evacuation/evacuated_domains.cpp
@@ -12,7 +12,7 @@
 
 std::vector<evacuated_domains::change>
 evacuated_domains::apply(monotonic_time now, std::uint64_t revision,
-                         const std::set<std::string>& domains)
+                         const domain_names& domains)
 {
     std::vector<change> changes;
     if (revision <= revision_)
--- a/src/coordination/load_balancer_router.cpp
+++ b/src/coordination/load_balancer_router.cpp
@@ -18,30 +18,46 @@
 service_router::~service_router() = default;
 
 void service_router::set_service(const protocol::service& declared,
-                                 const std::vector<std::string>& leaving)
+                                 const std::vector<std::string>& leaving,
+                                 const domain_names& evacuated)
 {
     std::vector<subset_member> members;
+    std::vector<const protocol::backend_server*> candidates;
+    std::vector<const protocol::backend_server*> used;
     for (const auto& server : declared.servers)
     {
-        members.push_back({server.name, server.failure_domain});
+        if (!evacuated.contains(server.failure_domain))
+        {
+            members.push_back({server.name, server.failure_domain});
+            candidates.push_back(&server);
+        }
+        else if (impl_->position_of(server.name) != no_server)
+        {
+            used.push_back(&server);
+        }
+    }
+    for (const auto position : deterministic_subset(
+             impl_->settings.entry, impl_->settings.failure_domain, members,
+             impl_->settings.subset))
+    {
+        used.push_back(candidates[position]);
     }
-    const auto selected = deterministic_subset(impl_->settings.entry,
-                                               impl_->settings.failure_domain,
-                                               members, impl_->settings.subset);
     for (auto& server : impl_->servers)
     {
-        const bool is_selected = std::any_of(
-            selected.begin(), selected.end(), [&](std::uint32_t position) {
-                return declared.servers[position].name == server.name;
+        const bool is_used =
+            std::any_of(used.begin(), used.end(), [&](const auto* item) {
+                return item->name == server.name;
             });
-        if (!is_selected)
+        if (!is_used)
         {
             server.name.clear();
         }
     }
-    for (const auto position : selected)
+    for (const auto* server : used)
     {
-        impl_->add_or_update_server(declared.servers[position]);
+        impl_->add_or_update_server(*server);
+        impl_->servers[impl_->position_of(server->name)].evacuated =
+            evacuated.contains(server->failure_domain);
     }
     impl_->declared_shares = declared.shares;
     for (const auto& name : leaving)
@@ -225,6 +241,12 @@
     return rooms;
 }
 
+bool service_router::has_server(transport::monotonic_time now) const
+{
+    impl_->refresh(now);
+    return impl_->usable_servers > 0;
+}
+
 bool service_router::has_room(transport::monotonic_time now,
                               protocol::priority_class priority) const
 {
--- a/src/coordination/load_balancer_router_state.hpp
+++ b/src/coordination/load_balancer_router_state.hpp
@@ -56,6 +56,7 @@
     std::string address;
     std::string version;
     bool leaving = false;
+    bool evacuated = false;                      ///< Its failure domain is.
     std::uint32_t non_interactive_in_flight = 0; ///< Sent by this entry.
     server_availability reachability = server_availability::available;
     concurrency_limit concurrency{concurrency_settings{}};
@@ -221,6 +222,10 @@
         {
             return server_availability::leaving;
         }
+        if (servers[position].evacuated)
+        {
+            return server_availability::evacuated;
+        }
         if (servers[position].reachability != server_availability::available)
         {
             return servers[position].reachability;
--- a/src/coordination/move_runner.cpp
+++ b/src/coordination/move_runner.cpp
@@ -139,7 +139,11 @@
                                               const placed_server& server)
 {
     version_server view{server.name, server.failure_domain, server.slots};
-    view.leaving = node.state().tables().leaving.contains(server.name);
+    const auto& tables = node.state().tables();
+    view.leaving = tables.leaving.contains(server.name);
+    const auto order = tables.evacuations.find(server.failure_domain);
+    view.evacuated =
+        order != tables.evacuations.end() && order->second.in_force();
     if (service.kind == service_kind::plain)
     {
         view.state = version_state::ready;
--- a/src/coordination/move_servers.cpp
+++ b/src/coordination/move_servers.cpp
@@ -12,7 +12,7 @@
 
 bool serves(const version_server& server)
 {
-    return server.state == version_state::ready && !server.leaving;
+    return server.state == version_state::ready && may_serve(server);
 }
 
 double ready_slots(const move_view& view)
@@ -29,7 +29,8 @@
 
 bool may_serve(const version_server& server)
 {
-    return server.state != version_state::failed && !server.leaving;
+    return server.state != version_state::failed && !server.leaving &&
+           !server.evacuated;
 }
 
 double carried_share(const move_view& view)
@@ -70,6 +71,13 @@
     {
         if (!may_serve(server))
         {
+            // Requests that run in an evacuated domain need what is loaded.
+            if (server.evacuated && !server.leaving &&
+                (server.state == version_state::ready ||
+                 server.state == version_state::loading))
+            {
+                held.push_back(server.name);
+            }
             continue;
         }
         ++candidates;
--- a/src/coordination/service_lane.cpp
+++ b/src/coordination/service_lane.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <hyssopdeal/coordination/evacuation/evacuation_orders.hpp>
+
 namespace hyssopdeal::coordination
 {
 
@@ -21,10 +23,16 @@
 service_lane::~service_lane() = default;
 
 void service_lane::set_service(const protocol::service& declared,
-                               const std::vector<std::string>& leaving)
+                               const std::vector<std::string>& leaving,
+                               const domain_names& evacuated)
 {
-    router_.set_service(declared, leaving);
+    router_.set_service(declared, leaving, evacuated);
     feed_.set_service(declared);
+    if (has_evacuated_server(declared, evacuated) &&
+        !router_.has_server(clock_.monotonic_now()))
+    {
+        refuse_all(reason::no_backend_server);
+    }
     serve_queue();
 }
 
--- a/src/coordination/service_lane.hpp
+++ b/src/coordination/service_lane.hpp
@@ -60,11 +60,14 @@
     service_lane& operator=(const service_lane&) = delete;
     ~service_lane();
 
-    /// Applies a new service declaration.
+    /// Applies a new service declaration. If evacuations leave no server, the
+    /// queued requests are refused at once instead of at their deadline.
     ///
     /// @param leaving Names of the servers that get no new requests.
+    /// @param evacuated Failure domains whose servers get no new requests.
     void set_service(const protocol::service& declared,
-                     const std::vector<std::string>& leaving);
+                     const std::vector<std::string>& leaving,
+                     const domain_names& evacuated);
 
     /// Chooses a server at once or queues the request. May call on_outcome
     /// before it returns.
--- a/tests/entry_harness.cpp
+++ b/tests/entry_harness.cpp
@@ -154,6 +154,14 @@
     entry->publish(std::move(view));
 }
 
+void entry_harness::evacuate()
+{
+    auto view = view_for(backend_port);
+    view.applied_index = 2;
+    view.evacuations = {{"sul-a", transport::wall_time{1'234ms}}};
+    entry->publish(std::move(view));
+}
+
 http_request entry_harness::chat(std::string_view body)
 {
     return {"POST",
--- a/tests/entry_harness.hpp
+++ b/tests/entry_harness.hpp
@@ -51,6 +51,9 @@
     /// Declares that the services are at another port.
     void use_backend(std::uint16_t other_port);
 
+    /// Declares that the servers' failure domain, `sul-a`, is evacuated.
+    void evacuate();
+
     /// A POST of a chat with a key.
     static transport::http_request
     chat(std::string_view body = R"({"stream":true,"messages":[)"
--- a/tests/entry_service_test.cpp
+++ b/tests/entry_service_test.cpp
@@ -442,6 +442,37 @@
     expect(entry.fetch(get("/debug/other")), 404, "not_found", "not_run");
 }
 
+// Guards against requests to an evacuated domain, and against callers who wait
+// or do not learn that nothing has run.
+TEST(entry_service_tests, evacuated_servers_get_nothing_and_callers_are_told)
+{
+    STRCMP_EQUAL("{\"evacuations\":[]}",
+                 entry.fetch(get("/debug/evacuations"))->body.c_str());
+    entry.evacuate();
+    // Each shard takes the configuration in on its own thread.
+    bool applied = false;
+    for (int round = 0; round < 500 && !applied; ++round)
+    {
+        const auto routes = entry.fetch(get("/debug/routes"));
+        applied = routes->body.find("\"available\"") == std::string::npos;
+    }
+    CHECK(applied);
+    STRCMP_CONTAINS("\"state\":\"evacuated\"",
+                    entry.fetch(get("/debug/routes"))->body.c_str());
+    for (const auto& request :
+         {entry_harness::chat(), get("/v1/books/status/7")})
+    {
+        const auto answer = entry.fetch(request);
+        expect(answer, 503, "no_backend_server", "not_run");
+        CHECK_FALSE(find_header(answer->headers, "Retry-After").empty());
+    }
+    LONGS_EQUAL(0, entry.backend_requests.size());
+    STRCMP_CONTAINS("{\"failure_domain\":\"sul-a\",\"since_ms\":1234}",
+                    entry.fetch(get("/debug/evacuations"))->body.c_str());
+    STRCMP_CONTAINS("hyssopdeal_evacuated_domains 1\n",
+                    entry.fetch(get("/metrics"))->body.c_str());
+}
+
 TEST(entry_service_tests, spans_of_a_stream_are_written)
 {
     auto request = entry_harness::chat();
