Control API and hyssopctl: evacuation begin, end, list

PUT, DELETE and GET of /v1/evacuations with the order ids and revisions of the other writes; If-Match may be missing, so that a repeated order is not refused for a revision. An unknown domain gets 404 with the known ones. hyssopctl inspect evacuations works at any replica.

--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -10,6 +10,7 @@
 
 #include "ctl/analyze.hpp"
 #include "ctl/declaration_commands.hpp"
+#include "ctl/evacuation_commands.hpp"
 #include "ctl/explain.hpp"
 #include "ctl/move_commands.hpp"
 #include "ctl/session.hpp"
@@ -39,8 +40,9 @@
 
 exit_code inspect(session& run)
 {
-    constexpr std::array<std::string_view, 6> pages = {
-        "members", "grants", "streams", "moves", "log", "routes"};
+    constexpr std::array<std::string_view, 7> pages = {
+        "members", "grants", "streams",    "moves",
+        "log",     "routes", "evacuations"};
     const auto& words = run.options().words;
     const std::string page = words.size() > 1 ? words[1] : "";
     if (std::find(pages.begin(), pages.end(), page) == pages.end())
@@ -203,13 +205,17 @@
     {
         return drain(run);
     }
+    if (command == "evacuation")
+    {
+        return run_evacuation_command(run);
+    }
     if (command == "inspect")
     {
         return inspect(run);
     }
     return run.refuse(fmt::format("found \"{}\", allowed contract, service, "
-                                  "move, instance, inspect, trace, explain, "
-                                  "analyze",
+                                  "move, instance, evacuation, inspect, "
+                                  "trace, explain, analyze",
                                   command));
 }
 
--- a/programs/ctl/options.cpp
+++ b/programs/ctl/options.cpp
@@ -36,7 +36,10 @@
   move status [SERVICE]      with --wait: until the move has ended
   move cancel SERVICE
   instance drain NAME
-  inspect members|grants|streams|moves|log|routes
+  evacuation begin DOMAIN    send nothing new to the servers of a failure domain
+  evacuation end DOMAIN      withdraw that order
+  evacuation list            domains evacuated now, and since when
+  inspect members|grants|streams|moves|log|routes|evacuations
   trace FILE [TRACE_ID]      draw a request's spans (OTLP JSON lines)
   explain ID FILE...         what was decided on a request, from the logs of
                              instances (JSON lines), in order of time
--- a/programs/ctl/session.cpp
+++ b/programs/ctl/session.cpp
@@ -78,10 +78,9 @@
     return client_.send(order);
 }
 
-transport::result<control_answer> session::write(std::string method,
-                                                 std::string target,
-                                                 std::string body,
-                                                 std::uint64_t expected)
+transport::result<control_answer>
+session::write(std::string method, std::string target, std::string body,
+               std::optional<std::uint64_t> expected)
 {
     control_order order;
     order.method = std::move(method);
@@ -91,7 +90,7 @@
     order.order_id =
         writes_ == 0 ? order_id_ : fmt::format("{}-{}", order_id_, writes_);
     ++writes_;
-    order.expected = options_.expected.value_or(expected);
+    order.expected = options_.expected ? options_.expected : expected;
     return client_.send(order);
 }
 
--- a/programs/ctl/session.hpp
+++ b/programs/ctl/session.hpp
@@ -8,6 +8,7 @@
 /// Index: [session]
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,11 +35,11 @@
 
     /// Sends a write with this run's order id.
     ///
-    /// @param expected Revision that the record must have; `--revision` goes
-    ///     before it.
+    /// @param expected Revision that the record must have, none for any;
+    ///     `--revision` goes before it.
     [[nodiscard]] transport::result<control_answer>
     write(std::string method, std::string target, std::string body,
-          std::uint64_t expected);
+          std::optional<std::uint64_t> expected);
 
     /// Prints the end of a write, and with `--wait` waits for it.
     ///
--- a/scripts/hyssopctl-completion.bash
+++ b/scripts/hyssopctl-completion.bash
@@ -14,8 +14,9 @@
     contract | service) words="apply get list diff delete" ;;
     move) words="start status cancel" ;;
     instance) words="drain" ;;
-    inspect) words="members grants streams moves log routes" ;;
-    *) words="contract service move instance inspect trace explain analyze
+    evacuation) words="begin end list" ;;
+    inspect) words="members grants streams moves log routes evacuations" ;;
+    *) words="contract service move instance evacuation inspect trace explain analyze
         $options" ;;
     esac
     mapfile -t COMPREPLY < <(compgen -W "$words" -- "$word")
--- a/src/coordination/control_api.hpp
+++ b/src/coordination/control_api.hpp
@@ -61,6 +61,7 @@
     void write_service(const call& asked);
     void write_move(const call& asked);
     void drain_instance(const call& asked);
+    void write_evacuation(const call& asked);
     void change_replicas(const call& asked);
     void propose(const call& asked, state::command_body body);
     void answer_write(const call& asked, const state::command_result& result,
--- a/src/coordination/control_api_reads.cpp
+++ b/src/coordination/control_api_reads.cpp
@@ -20,8 +20,8 @@
     {
         return read_applied(asked);
     }
-    const bool known =
-        kind == "contracts" || kind == "services" || kind == "moves";
+    const bool known = kind == "contracts" || kind == "services" ||
+                       kind == "moves" || kind == "evacuations";
     if (known && asked.parts.size() == 2)
     {
         return read_list(asked);
@@ -58,6 +58,20 @@
     return to_json(found->second);
 }
 
+/// An evacuation that was withdrawn is not listed.
+json evacuations_in_force(const state::control_tables& tables)
+{
+    auto list = json::array();
+    for (const auto& [domain, record] : tables.evacuations)
+    {
+        if (record.in_force())
+        {
+            list.push_back(to_json(record));
+        }
+    }
+    return list;
+}
+
 std::optional<json> record_of(const state::control_tables& tables,
                               const std::string& kind, const std::string& name)
 {
@@ -73,6 +87,10 @@
     {
         return record_of(tables.moves, name);
     }
+    if (kind == "evacuations")
+    {
+        return record_of(tables.evacuations, name);
+    }
     return std::nullopt;
 }
 
@@ -137,7 +155,8 @@
     const auto kind = asked.part(1);
     auto list = kind == "contracts"  ? list_of(tables.contracts)
                 : kind == "services" ? list_of(tables.services)
-                                     : list_of(tables.moves);
+                : kind == "moves"    ? list_of(tables.moves)
+                                     : evacuations_in_force(tables);
     asked.answer(200, {{kind, std::move(list)}}, state.applied_index());
 }
 
@@ -212,6 +231,10 @@
     {
         list = list_of(tables.moves);
     }
+    else if (what == "evacuations")
+    {
+        list = evacuations_in_force(tables);
+    }
     else if (what == "log")
     {
         list = log_json_of(access_.status());
--- a/src/coordination/control_api_writes.cpp
+++ b/src/coordination/control_api_writes.cpp
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <hyssopdeal/coordination/evacuation/evacuation_orders.hpp>
 #include <hyssopdeal/protocol/contract_json.hpp>
 
 #include "coordination/control_api.hpp"
@@ -91,6 +92,10 @@
     {
         return drain_instance(asked);
     }
+    if (kind == "evacuations" && named)
+    {
+        return write_evacuation(asked);
+    }
     if (kind == "replicas" && named)
     {
         return change_replicas(asked);
@@ -208,6 +213,43 @@
                 asked.part(2), state::leaving_source::operator_order, 0, {}});
 }
 
+/// If-Match may be missing: an order that is repeated, or given while another
+/// operator gives the same one, must not be refused for a revision.
+void control_api::write_evacuation(const call& asked)
+{
+    const auto& method = asked.request.method;
+    if (method != "PUT" && method != "DELETE")
+    {
+        return asked.refuse(not_found());
+    }
+    auto expected = state::any_revision;
+    const auto text = find_header(asked.request.headers, "If-Match");
+    if (!text.empty())
+    {
+        const auto number = call::number(text);
+        if (!number)
+        {
+            return asked.refuse({verdict::not_run, reason::bad_request,
+                                 "If-Match: REVISION, or none, is allowed."});
+        }
+        expected = *number;
+    }
+    const auto& domain = asked.parts[2];
+    const auto known =
+        check_domain(known_domains(access_.state().tables(),
+                                   access_.members().table().entries()),
+                     domain);
+    if (!known)
+    {
+        return asked.refuse(known.error());
+    }
+    if (method == "PUT")
+    {
+        return propose(asked, state::order_evacuation{domain, expected});
+    }
+    propose(asked, state::withdraw_evacuation{domain, expected});
+}
+
 void control_api::change_replicas(const call& asked)
 {
     const auto id = call::number(asked.part(2));
--- a/src/coordination/control_json.cpp
+++ b/src/coordination/control_json.cpp
@@ -114,6 +114,18 @@
             {"revision", record.changed}};
 }
 
+json to_json(const state::evacuation_record& record)
+{
+    json shown = {{"failure_domain", record.failure_domain},
+                  {"since_ms", ms(record.since)},
+                  {"revision", record.changed}};
+    if (!record.in_force())
+    {
+        shown["ended_at_ms"] = ms(record.ended_at);
+    }
+    return shown;
+}
+
 json to_json(const state::purchase_record& record)
 {
     return {{"order_id", record.order_id},
@@ -228,6 +240,7 @@
             {"moves", table_json(tables.moves)},
             {"purchases", table_json(tables.purchases)},
             {"leaving", table_json(tables.leaving)},
+            {"evacuations", table_json(tables.evacuations)},
             {"grants", grants_json(tables)},
             {"replicas", std::move(replicas)},
             {"fence_counter", tables.fence_counter},
--- a/src/coordination/control_json.hpp
+++ b/src/coordination/control_json.hpp
@@ -18,6 +18,7 @@
 [[nodiscard]] json to_json(const state::service_record& record);
 [[nodiscard]] json to_json(const state::move_record& record);
 [[nodiscard]] json to_json(const state::leaving_record& record);
+[[nodiscard]] json to_json(const state::evacuation_record& record);
 [[nodiscard]] json to_json(const state::purchase_record& record);
 [[nodiscard]] json to_json(const state::replica_member& member);
 
--- a/src/coordination/control_process.cpp
+++ b/src/coordination/control_process.cpp
@@ -5,6 +5,7 @@
 
 #include <random>
 #include <utility>
+#include <variant>
 
 #include <fmt/format.h>
 
@@ -21,6 +22,30 @@
 using transport::log_part;
 using transport::reason;
 
+namespace
+{
+
+/// An order that changed nothing is not logged.
+void log_evacuation(const state::command& command,
+                    const state::command_result& result)
+{
+    const auto* begin = std::get_if<state::order_evacuation>(&command.body);
+    const auto* end = std::get_if<state::withdraw_evacuation>(&command.body);
+    const auto* written = std::get_if<state::write_result>(&result.body);
+    if ((begin == nullptr && end == nullptr) || written == nullptr ||
+        written->status != state::write_status::applied)
+    {
+        return;
+    }
+    transport::log_info(log_part::fleet,
+                        "An evacuation is ordered. domain={} order={} index={}",
+                        begin != nullptr ? begin->failure_domain
+                                         : end->failure_domain,
+                        begin != nullptr ? "begin" : "end", result.index);
+}
+
+} // namespace
+
 // [start] --------------------------------------------------------------------
 
 transport::result<void> control_process::impl::open_folder()
@@ -176,13 +201,14 @@
 /// What only the leader decides; runs on every replica and acts on one.
 void control_process::impl::start_controllers()
 {
-    on_committed([this](auto, const auto& command, const auto&) {
+    on_committed([this](auto, const auto& command, const auto& result) {
         const auto* order = std::get_if<state::set_leaving>(&command.body);
         if (order != nullptr)
         {
             members->report(
                 leaving_update(members->state().table(), order->instance, {}));
         }
+        log_evacuation(command, result);
     });
     moves = std::make_unique<move_runner>(loop, clock, *this, settings.moves);
     moves->start(*hub);
--- a/tests/hyssopctl_test.cpp
+++ b/tests/hyssopctl_test.cpp
@@ -90,6 +90,27 @@
     LONGS_EQUAL(1, control.writes());
 }
 
+// Guards against an order that needs the record's revision, and against one
+// that is reported as in force although an entry has not applied it.
+TEST(hyssopctl, orders_and_withdraws_an_evacuation)
+{
+    CHECK(run({"evacuation", "begin", "sul-a"}) == exit_code::done);
+    STRCMP_CONTAINS("evacuation of sul-a: accepted", output.text.c_str());
+    CHECK(run({"evacuation", "begin", "sul-a"}) == exit_code::done);
+    auto with = options({"evacuation", "end", "sul-a"});
+    with.wait = 1s;
+    control.set_applied(0);
+    CHECK(run(with) == exit_code::not_everywhere);
+    STRCMP_CONTAINS("entry-1", output.errors.c_str());
+    control.overwrite("/v1/evacuations", R"({"evacuations":[)"
+                                         R"({"failure_domain":"sul-b",)"
+                                         R"("since_ms":5}]})");
+    CHECK(run({"evacuation", "list"}) == exit_code::done);
+    STRCMP_CONTAINS("sul-b", output.text.c_str());
+    CHECK(run({"evacuation", "begin"}) == exit_code::bad_usage);
+    CHECK(run({"evacuation", "stop", "sul-a"}) == exit_code::bad_usage);
+}
+
 TEST(hyssopctl, loses_the_race_and_prints_the_winner)
 {
     write_contract(10);
