Fleet planner: no orders in evacuated domains

Offers of an evacuated domain are left out, so that its instances do not count and the missing ones are ordered elsewhere.

--- a/include/hyssopdeal/coordination/fleet_planner.hpp
+++ b/include/hyssopdeal/coordination/fleet_planner.hpp
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include <hyssopdeal/coordination/capacity_model.hpp>
+#include <hyssopdeal/coordination/evacuation/evacuated_domains.hpp>
 #include <hyssopdeal/coordination/fleet_plan.hpp>
 #include <hyssopdeal/protocol/contract.hpp>
 #include <hyssopdeal/state/commands.hpp>
@@ -76,6 +77,8 @@
     std::vector<state::purchase_record> purchases; ///< As committed.
     std::vector<state::leaving_record> leaving;    ///< As committed.
     std::vector<std::string> drained; ///< Leaving ones without work.
+    /// Domains in which nothing is ordered and whose instances do not count.
+    domain_names evacuated;
 };
 
 // [fleet_actions] ------------------------------------------------------------
--- a/src/coordination/fleet_demands.cpp
+++ b/src/coordination/fleet_demands.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include <hyssopdeal/coordination/evacuation/evacuation_orders.hpp>
+
 namespace hyssopdeal::coordination
 {
 
@@ -78,6 +80,7 @@
                  const state::control_tables& tables,
                  std::vector<fleet_demand>& to)
 {
+    const auto evacuated = evacuated_in(tables);
     for (const auto& share : service.shares)
     {
         fleet_demand demand;
@@ -90,7 +93,8 @@
             demand.slots_per_instance = std::max(server.slots, 1U);
             if (server.version == share.version &&
                 !is_bought(tables, server.name) &&
-                !tables.leaving.contains(server.name))
+                !tables.leaving.contains(server.name) &&
+                !evacuated.contains(server.failure_domain))
             {
                 demand.declared_slots += server.slots;
             }
--- a/src/coordination/fleet_planner.cpp
+++ b/src/coordination/fleet_planner.cpp
@@ -118,9 +118,16 @@
         last_tick = view.now;
     }
 
-    /// Proposals that are committed now are known from the view.
-    void forget_committed(const fleet_view& view)
+    /// Proposals that are committed now are known from the view; those for an
+    /// evacuated domain are not made again.
+    void forget_proposals(const fleet_view& view)
     {
+        std::erase_if(proposed, [&](const auto& item) {
+            return view.evacuated.contains(item.second.failure_domain);
+        });
+        std::erase_if(proposed_at, [&](const auto& item) {
+            return !proposed.contains(item.first);
+        });
         for (const auto& purchase : view.purchases)
         {
             proposed.erase(purchase.order_id);
@@ -143,6 +150,10 @@
         std::vector<instance_offer> result;
         for (const auto& price : view.prices)
         {
+            if (view.evacuated.contains(price.failure_domain))
+            {
+                continue;
+            }
             auto& memory = offers[{price.failure_domain, price.price_class}];
             instance_offer offer;
             offer.failure_domain = price.failure_domain;
@@ -383,7 +394,9 @@
         };
         for (const auto& purchase : view.purchases)
         {
+            // One that was recorded before an evacuation waits for its end.
             if (purchase.phase == purchase_phase::ordered &&
+                !view.evacuated.contains(purchase.failure_domain) &&
                 due(called_at, purchase.order_id))
             {
                 actions.starts.push_back(purchase);
@@ -430,7 +443,7 @@
     auto& state = *impl_;
     state.enter_term(view);
     state.observe_running(view);
-    state.forget_committed(view);
+    state.forget_proposals(view);
     state.repeat_proposals(view, actions);
     for (const auto& demand : view.demands)
     {
--- a/src/coordination/fleet_runner.cpp
+++ b/src/coordination/fleet_runner.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <utility>
 
+#include <hyssopdeal/coordination/evacuation/evacuation_orders.hpp>
 #include <hyssopdeal/protocol/engine_orders.hpp>
 #include <hyssopdeal/protocol/platform_api.hpp>
 #include <hyssopdeal/transport/logging.hpp>
@@ -249,6 +250,7 @@
     result.now = clock.wall_now();
     result.term = node.leads().term;
     result.prices = prices;
+    result.evacuated = evacuated_in(tables);
     const auto wanted = moves.wanted_slots();
     for (const auto& name : settings.services)
     {
--- a/standins/fleet_session.cpp
+++ b/standins/fleet_session.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <hyssopdeal/coordination/evacuation/evacuation_orders.hpp>
+
 namespace hyssopdeal::standins
 {
 
@@ -46,6 +48,7 @@
     result.term = term_;
     result.demands = settings_.demands;
     result.prices = settings_.cloud.prices;
+    result.evacuated = coordination::evacuated_in(state_.tables());
     for (const auto& [id, purchase] : state_.tables().purchases)
     {
         if (purchase.phase == purchase_phase::ordered ||
--- a/standins/fleet_session.hpp
+++ b/standins/fleet_session.hpp
@@ -48,6 +48,12 @@
     /// Runs one tick.
     void step();
 
+    /// Commits an operator's order.
+    void order(state::command_body body)
+    {
+        apply(std::move(body));
+    }
+
     /// The leader is lost and another one elected, which knows the committed
     /// records only. Proposals on their way are lost, or still committed.
     enum class proposals
--- a/tests/fleet_planner_test.cpp
+++ b/tests/fleet_planner_test.cpp
@@ -289,6 +289,73 @@
     }
 }
 
+namespace
+{
+
+std::size_t instances_in(fleet_session& session, const std::string& domain)
+{
+    const auto& purchases = session.state().tables().purchases;
+    return static_cast<std::size_t>(
+        std::ranges::count_if(purchases, [&](const auto& item) {
+            return item.second.failure_domain == domain &&
+                   (item.second.phase == purchase_phase::ordered ||
+                    item.second.phase == purchase_phase::started);
+        }));
+}
+
+} // namespace
+
+// Guards against orders in a domain that is to be lost, and against counting
+// its instances, which get nothing new, as capacity.
+TEST(fleet_planner_tests, orders_nothing_in_an_evacuated_domain)
+{
+    for (const char* domain : {"a", "b", "c", "d"})
+    {
+        fleet_session session{small_fleet(), 7};
+        run_for(session, 120s);
+        session.order(state::order_evacuation{domain});
+        const auto before = instances_in(session, domain);
+        run_for(session, 120s);
+        CHECK(instances_in(session, domain) <= before);
+        session.cloud().reclaim_domain(session.now(), domain, 2s, 1'200s);
+        for (int i = 0; i < 300; ++i)
+        {
+            session.step();
+            CHECK(carries_interactive(session));
+        }
+        LONGS_EQUAL(0, instances_in(session, domain));
+        check_books(session);
+    }
+}
+
+// Guards against an order to the cloud that was recorded just before the
+// evacuation and is sent after it.
+TEST(fleet_planner_tests, recorded_orders_wait_for_the_end_of_an_evacuation)
+{
+    auto settings = small_fleet();
+    fleet_session session{settings, 8};
+    for (const char* domain : {"a", "b", "c", "d"})
+    {
+        session.order(state::order_evacuation{domain});
+    }
+    state::order_purchase recorded;
+    recorded.purchase.order_id = "fleet-0-1";
+    recorded.purchase.failure_domain = "a";
+    recorded.purchase.service = "chat";
+    recorded.purchase.version = "v1";
+    session.order(recorded);
+    run_for(session, 120s);
+    LONGS_EQUAL(0, session.cloud().started());
+    LONGS_EQUAL(1, session.state().tables().purchases.size());
+    for (const char* domain : {"a", "b", "c", "d"})
+    {
+        session.order(state::withdraw_evacuation{domain});
+    }
+    run_for(session, 120s);
+    CHECK(carries_interactive(session));
+    check_books(session);
+}
+
 TEST(fleet_planner_tests, gives_back_by_drain_what_is_no_longer_needed)
 {
     fleet_session session{small_fleet(), 6};
