--- a/src/coordination/control_api_writes.cpp
+++ b/src/coordination/control_api_writes.cpp
@@ -319,11 +319,18 @@
         shown =
             found == leaving.end() ? json::object() : to_json(found->second);
     }
+    // A repeated evacuation is in force where the first one is. Entries hear of
+    // the repeat's own index only when they ask next, seconds later.
+    const bool evacuation =
+        std::holds_alternative<state::order_evacuation>(body) ||
+        std::holds_alternative<state::withdraw_evacuation>(body);
+    const bool repeated = evacuation && written.now != 0 &&
+                          written.status == state::write_status::unchanged;
     switch (written.status)
     {
     case state::write_status::applied:
     case state::write_status::unchanged:
-        return asked.answer(200, shown, result.index);
+        return asked.answer(200, shown, repeated ? written.now : result.index);
     case state::write_status::conflict:
         return asked.answer(409, shown, result.index);
     case state::write_status::missing:
--- a/tests/control_process_test.cpp
+++ b/tests/control_process_test.cpp
@@ -188,6 +188,8 @@
         const auto again = ask_leader(cluster, "PUT", path, order);
         LONGS_EQUAL(200, again.status);
         STRCMP_EQUAL(first.body.c_str(), again.body.c_str());
+        CHECK(transport::find_header(again.headers, "Hyssopdeal-Index") ==
+              transport::find_header(first.headers, "Hyssopdeal-Index"));
     }
     for (std::size_t at = 0; at < 3; ++at)
     {
