--- a/src/protocol/gen/state_types.cpp
+++ b/src/protocol/gen/state_types.cpp
@@ -2959,34 +2959,34 @@
   swap(a.__isset, b.__isset);
 }
 
-evacuation_record::evacuation_record(const evacuation_record& other400) {
-  failure_domain = other400.failure_domain;
-  since_ms = other400.since_ms;
-  ended_ms = other400.ended_ms;
-  changed = other400.changed;
-  __isset = other400.__isset;
-}
-evacuation_record::evacuation_record(evacuation_record&& other401) noexcept {
-  failure_domain = std::move(other401.failure_domain);
-  since_ms = other401.since_ms;
-  ended_ms = other401.ended_ms;
-  changed = other401.changed;
-  __isset = other401.__isset;
-}
-evacuation_record& evacuation_record::operator=(const evacuation_record& other402) {
-  failure_domain = other402.failure_domain;
-  since_ms = other402.since_ms;
-  ended_ms = other402.ended_ms;
-  changed = other402.changed;
-  __isset = other402.__isset;
+evacuation_record::evacuation_record(const evacuation_record& other88) {
+  failure_domain = other88.failure_domain;
+  since_ms = other88.since_ms;
+  ended_ms = other88.ended_ms;
+  changed = other88.changed;
+  __isset = other88.__isset;
+}
+evacuation_record::evacuation_record(evacuation_record&& other89) noexcept {
+  failure_domain = std::move(other89.failure_domain);
+  since_ms = other89.since_ms;
+  ended_ms = other89.ended_ms;
+  changed = other89.changed;
+  __isset = other89.__isset;
+}
+evacuation_record& evacuation_record::operator=(const evacuation_record& other90) {
+  failure_domain = other90.failure_domain;
+  since_ms = other90.since_ms;
+  ended_ms = other90.ended_ms;
+  changed = other90.changed;
+  __isset = other90.__isset;
   return *this;
 }
-evacuation_record& evacuation_record::operator=(evacuation_record&& other403) noexcept {
-  failure_domain = std::move(other403.failure_domain);
-  since_ms = other403.since_ms;
-  ended_ms = other403.ended_ms;
-  changed = other403.changed;
-  __isset = other403.__isset;
+evacuation_record& evacuation_record::operator=(evacuation_record&& other91) noexcept {
+  failure_domain = std::move(other91.failure_domain);
+  since_ms = other91.since_ms;
+  ended_ms = other91.ended_ms;
+  changed = other91.changed;
+  __isset = other91.__isset;
   return *this;
 }
 void evacuation_record::printTo(std::ostream& out) const {
@@ -3143,38 +3143,38 @@
   swap(a.__isset, b.__isset);
 }
 
-limit_grant::limit_grant(const limit_grant& other88) {
-  entry = other88.entry;
-  requests_per_second = other88.requests_per_second;
-  tokens_per_second = other88.tokens_per_second;
-  concurrent_streams = other88.concurrent_streams;
-  expires_at_ms = other88.expires_at_ms;
-  __isset = other88.__isset;
-}
-limit_grant::limit_grant(limit_grant&& other89) noexcept {
-  entry = std::move(other89.entry);
-  requests_per_second = other89.requests_per_second;
-  tokens_per_second = other89.tokens_per_second;
-  concurrent_streams = other89.concurrent_streams;
-  expires_at_ms = other89.expires_at_ms;
-  __isset = other89.__isset;
-}
-limit_grant& limit_grant::operator=(const limit_grant& other90) {
-  entry = other90.entry;
-  requests_per_second = other90.requests_per_second;
-  tokens_per_second = other90.tokens_per_second;
-  concurrent_streams = other90.concurrent_streams;
-  expires_at_ms = other90.expires_at_ms;
-  __isset = other90.__isset;
+limit_grant::limit_grant(const limit_grant& other92) {
+  entry = other92.entry;
+  requests_per_second = other92.requests_per_second;
+  tokens_per_second = other92.tokens_per_second;
+  concurrent_streams = other92.concurrent_streams;
+  expires_at_ms = other92.expires_at_ms;
+  __isset = other92.__isset;
+}
+limit_grant::limit_grant(limit_grant&& other93) noexcept {
+  entry = std::move(other93.entry);
+  requests_per_second = other93.requests_per_second;
+  tokens_per_second = other93.tokens_per_second;
+  concurrent_streams = other93.concurrent_streams;
+  expires_at_ms = other93.expires_at_ms;
+  __isset = other93.__isset;
+}
+limit_grant& limit_grant::operator=(const limit_grant& other94) {
+  entry = other94.entry;
+  requests_per_second = other94.requests_per_second;
+  tokens_per_second = other94.tokens_per_second;
+  concurrent_streams = other94.concurrent_streams;
+  expires_at_ms = other94.expires_at_ms;
+  __isset = other94.__isset;
   return *this;
 }
-limit_grant& limit_grant::operator=(limit_grant&& other91) noexcept {
-  entry = std::move(other91.entry);
-  requests_per_second = other91.requests_per_second;
-  tokens_per_second = other91.tokens_per_second;
-  concurrent_streams = other91.concurrent_streams;
-  expires_at_ms = other91.expires_at_ms;
-  __isset = other91.__isset;
+limit_grant& limit_grant::operator=(limit_grant&& other95) noexcept {
+  entry = std::move(other95.entry);
+  requests_per_second = other95.requests_per_second;
+  tokens_per_second = other95.tokens_per_second;
+  concurrent_streams = other95.concurrent_streams;
+  expires_at_ms = other95.expires_at_ms;
+  __isset = other95.__isset;
   return *this;
 }
 void limit_grant::printTo(std::ostream& out) const {
@@ -3244,14 +3244,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->grants.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->grants.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += this->grants[_i96].read(iprot);
+              xfer += this->grants[_i100].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3292,10 +3292,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<limit_grant> ::const_iterator _iter97;
-    for (_iter97 = this->grants.begin(); _iter97 != this->grants.end(); ++_iter97)
+    std::vector<limit_grant> ::const_iterator _iter101;
+    for (_iter101 = this->grants.begin(); _iter101 != this->grants.end(); ++_iter101)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3318,30 +3318,30 @@
   swap(a.__isset, b.__isset);
 }
 
-grant_record::grant_record(const grant_record& other98) {
-  organisation = other98.organisation;
-  grants = other98.grants;
-  changed = other98.changed;
-  __isset = other98.__isset;
+grant_record::grant_record(const grant_record& other102) {
+  organisation = other102.organisation;
+  grants = other102.grants;
+  changed = other102.changed;
+  __isset = other102.__isset;
 }
-grant_record::grant_record(grant_record&& other99) noexcept {
-  organisation = std::move(other99.organisation);
-  grants = std::move(other99.grants);
-  changed = other99.changed;
-  __isset = other99.__isset;
+grant_record::grant_record(grant_record&& other103) noexcept {
+  organisation = std::move(other103.organisation);
+  grants = std::move(other103.grants);
+  changed = other103.changed;
+  __isset = other103.__isset;
 }
-grant_record& grant_record::operator=(const grant_record& other100) {
-  organisation = other100.organisation;
-  grants = other100.grants;
-  changed = other100.changed;
-  __isset = other100.__isset;
+grant_record& grant_record::operator=(const grant_record& other104) {
+  organisation = other104.organisation;
+  grants = other104.grants;
+  changed = other104.changed;
+  __isset = other104.__isset;
   return *this;
 }
-grant_record& grant_record::operator=(grant_record&& other101) noexcept {
-  organisation = std::move(other101.organisation);
-  grants = std::move(other101.grants);
-  changed = other101.changed;
-  __isset = other101.__isset;
+grant_record& grant_record::operator=(grant_record&& other105) noexcept {
+  organisation = std::move(other105.organisation);
+  grants = std::move(other105.grants);
+  changed = other105.changed;
+  __isset = other105.__isset;
   return *this;
 }
 void grant_record::printTo(std::ostream& out) const {
@@ -3446,26 +3446,26 @@
   swap(a.__isset, b.__isset);
 }
 
-outcome_header::outcome_header(const outcome_header& other102) {
-  name = other102.name;
-  value = other102.value;
-  __isset = other102.__isset;
+outcome_header::outcome_header(const outcome_header& other106) {
+  name = other106.name;
+  value = other106.value;
+  __isset = other106.__isset;
 }
-outcome_header::outcome_header(outcome_header&& other103) noexcept {
-  name = std::move(other103.name);
-  value = std::move(other103.value);
-  __isset = other103.__isset;
+outcome_header::outcome_header(outcome_header&& other107) noexcept {
+  name = std::move(other107.name);
+  value = std::move(other107.value);
+  __isset = other107.__isset;
 }
-outcome_header& outcome_header::operator=(const outcome_header& other104) {
-  name = other104.name;
-  value = other104.value;
-  __isset = other104.__isset;
+outcome_header& outcome_header::operator=(const outcome_header& other108) {
+  name = other108.name;
+  value = other108.value;
+  __isset = other108.__isset;
   return *this;
 }
-outcome_header& outcome_header::operator=(outcome_header&& other105) noexcept {
-  name = std::move(other105.name);
-  value = std::move(other105.value);
-  __isset = other105.__isset;
+outcome_header& outcome_header::operator=(outcome_header&& other109) noexcept {
+  name = std::move(other109.name);
+  value = std::move(other109.value);
+  __isset = other109.__isset;
   return *this;
 }
 void outcome_header::printTo(std::ostream& out) const {
@@ -3536,14 +3536,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->headers.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->headers.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->headers[_i110].read(iprot);
+              xfer += this->headers[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3592,10 +3592,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<outcome_header> ::const_iterator _iter111;
-    for (_iter111 = this->headers.begin(); _iter111 != this->headers.end(); ++_iter111)
+    std::vector<outcome_header> ::const_iterator _iter115;
+    for (_iter115 = this->headers.begin(); _iter115 != this->headers.end(); ++_iter115)
     {
-      xfer += (*_iter111).write(oprot);
+      xfer += (*_iter115).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3623,34 +3623,34 @@
   swap(a.__isset, b.__isset);
 }
 
-call_outcome::call_outcome(const call_outcome& other112) {
-  status = other112.status;
-  headers = other112.headers;
-  body = other112.body;
-  body_cut = other112.body_cut;
-  __isset = other112.__isset;
-}
-call_outcome::call_outcome(call_outcome&& other113) noexcept {
-  status = other113.status;
-  headers = std::move(other113.headers);
-  body = std::move(other113.body);
-  body_cut = other113.body_cut;
-  __isset = other113.__isset;
-}
-call_outcome& call_outcome::operator=(const call_outcome& other114) {
-  status = other114.status;
-  headers = other114.headers;
-  body = other114.body;
-  body_cut = other114.body_cut;
-  __isset = other114.__isset;
+call_outcome::call_outcome(const call_outcome& other116) {
+  status = other116.status;
+  headers = other116.headers;
+  body = other116.body;
+  body_cut = other116.body_cut;
+  __isset = other116.__isset;
+}
+call_outcome::call_outcome(call_outcome&& other117) noexcept {
+  status = other117.status;
+  headers = std::move(other117.headers);
+  body = std::move(other117.body);
+  body_cut = other117.body_cut;
+  __isset = other117.__isset;
+}
+call_outcome& call_outcome::operator=(const call_outcome& other118) {
+  status = other118.status;
+  headers = other118.headers;
+  body = other118.body;
+  body_cut = other118.body_cut;
+  __isset = other118.__isset;
   return *this;
 }
-call_outcome& call_outcome::operator=(call_outcome&& other115) noexcept {
-  status = other115.status;
-  headers = std::move(other115.headers);
-  body = std::move(other115.body);
-  body_cut = other115.body_cut;
-  __isset = other115.__isset;
+call_outcome& call_outcome::operator=(call_outcome&& other119) noexcept {
+  status = other119.status;
+  headers = std::move(other119.headers);
+  body = std::move(other119.body);
+  body_cut = other119.body_cut;
+  __isset = other119.__isset;
   return *this;
 }
 void call_outcome::printTo(std::ostream& out) const {
@@ -3909,62 +3909,62 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_record::claim_record(const claim_record& other116) {
-  organisation = other116.organisation;
-  key = other116.key;
-  request_digest = other116.request_digest;
-  claimant = other116.claimant;
-  number = other116.number;
-  phase = other116.phase;
-  claimed_at_ms = other116.claimed_at_ms;
-  dispatch_by_ms = other116.dispatch_by_ms;
-  expires_at_ms = other116.expires_at_ms;
-  outcome = other116.outcome;
-  nonce = other116.nonce;
-  __isset = other116.__isset;
+claim_record::claim_record(const claim_record& other120) {
+  organisation = other120.organisation;
+  key = other120.key;
+  request_digest = other120.request_digest;
+  claimant = other120.claimant;
+  number = other120.number;
+  phase = other120.phase;
+  claimed_at_ms = other120.claimed_at_ms;
+  dispatch_by_ms = other120.dispatch_by_ms;
+  expires_at_ms = other120.expires_at_ms;
+  outcome = other120.outcome;
+  nonce = other120.nonce;
+  __isset = other120.__isset;
 }
-claim_record::claim_record(claim_record&& other117) noexcept {
-  organisation = std::move(other117.organisation);
-  key = std::move(other117.key);
-  request_digest = std::move(other117.request_digest);
-  claimant = std::move(other117.claimant);
-  number = other117.number;
-  phase = other117.phase;
-  claimed_at_ms = other117.claimed_at_ms;
-  dispatch_by_ms = other117.dispatch_by_ms;
-  expires_at_ms = other117.expires_at_ms;
-  outcome = std::move(other117.outcome);
-  nonce = other117.nonce;
-  __isset = other117.__isset;
+claim_record::claim_record(claim_record&& other121) noexcept {
+  organisation = std::move(other121.organisation);
+  key = std::move(other121.key);
+  request_digest = std::move(other121.request_digest);
+  claimant = std::move(other121.claimant);
+  number = other121.number;
+  phase = other121.phase;
+  claimed_at_ms = other121.claimed_at_ms;
+  dispatch_by_ms = other121.dispatch_by_ms;
+  expires_at_ms = other121.expires_at_ms;
+  outcome = std::move(other121.outcome);
+  nonce = other121.nonce;
+  __isset = other121.__isset;
 }
-claim_record& claim_record::operator=(const claim_record& other118) {
-  organisation = other118.organisation;
-  key = other118.key;
-  request_digest = other118.request_digest;
-  claimant = other118.claimant;
-  number = other118.number;
-  phase = other118.phase;
-  claimed_at_ms = other118.claimed_at_ms;
-  dispatch_by_ms = other118.dispatch_by_ms;
-  expires_at_ms = other118.expires_at_ms;
-  outcome = other118.outcome;
-  nonce = other118.nonce;
-  __isset = other118.__isset;
+claim_record& claim_record::operator=(const claim_record& other122) {
+  organisation = other122.organisation;
+  key = other122.key;
+  request_digest = other122.request_digest;
+  claimant = other122.claimant;
+  number = other122.number;
+  phase = other122.phase;
+  claimed_at_ms = other122.claimed_at_ms;
+  dispatch_by_ms = other122.dispatch_by_ms;
+  expires_at_ms = other122.expires_at_ms;
+  outcome = other122.outcome;
+  nonce = other122.nonce;
+  __isset = other122.__isset;
   return *this;
 }
-claim_record& claim_record::operator=(claim_record&& other119) noexcept {
-  organisation = std::move(other119.organisation);
-  key = std::move(other119.key);
-  request_digest = std::move(other119.request_digest);
-  claimant = std::move(other119.claimant);
-  number = other119.number;
-  phase = other119.phase;
-  claimed_at_ms = other119.claimed_at_ms;
-  dispatch_by_ms = other119.dispatch_by_ms;
-  expires_at_ms = other119.expires_at_ms;
-  outcome = std::move(other119.outcome);
-  nonce = other119.nonce;
-  __isset = other119.__isset;
+claim_record& claim_record::operator=(claim_record&& other123) noexcept {
+  organisation = std::move(other123.organisation);
+  key = std::move(other123.key);
+  request_digest = std::move(other123.request_digest);
+  claimant = std::move(other123.claimant);
+  number = other123.number;
+  phase = other123.phase;
+  claimed_at_ms = other123.claimed_at_ms;
+  dispatch_by_ms = other123.dispatch_by_ms;
+  expires_at_ms = other123.expires_at_ms;
+  outcome = std::move(other123.outcome);
+  nonce = other123.nonce;
+  __isset = other123.__isset;
   return *this;
 }
 void claim_record::printTo(std::ostream& out) const {
@@ -4145,42 +4145,42 @@
   swap(a.__isset, b.__isset);
 }
 
-replica_member::replica_member(const replica_member& other120) {
-  id = other120.id;
-  name = other120.name;
-  address = other120.address;
-  operators = other120.operators;
-  failure_domain = other120.failure_domain;
-  role = other120.role;
-  __isset = other120.__isset;
-}
-replica_member::replica_member(replica_member&& other121) noexcept {
-  id = other121.id;
-  name = std::move(other121.name);
-  address = std::move(other121.address);
-  operators = std::move(other121.operators);
-  failure_domain = std::move(other121.failure_domain);
-  role = other121.role;
-  __isset = other121.__isset;
-}
-replica_member& replica_member::operator=(const replica_member& other122) {
-  id = other122.id;
-  name = other122.name;
-  address = other122.address;
-  operators = other122.operators;
-  failure_domain = other122.failure_domain;
-  role = other122.role;
-  __isset = other122.__isset;
+replica_member::replica_member(const replica_member& other124) {
+  id = other124.id;
+  name = other124.name;
+  address = other124.address;
+  operators = other124.operators;
+  failure_domain = other124.failure_domain;
+  role = other124.role;
+  __isset = other124.__isset;
+}
+replica_member::replica_member(replica_member&& other125) noexcept {
+  id = other125.id;
+  name = std::move(other125.name);
+  address = std::move(other125.address);
+  operators = std::move(other125.operators);
+  failure_domain = std::move(other125.failure_domain);
+  role = other125.role;
+  __isset = other125.__isset;
+}
+replica_member& replica_member::operator=(const replica_member& other126) {
+  id = other126.id;
+  name = other126.name;
+  address = other126.address;
+  operators = other126.operators;
+  failure_domain = other126.failure_domain;
+  role = other126.role;
+  __isset = other126.__isset;
   return *this;
 }
-replica_member& replica_member::operator=(replica_member&& other123) noexcept {
-  id = other123.id;
-  name = std::move(other123.name);
-  address = std::move(other123.address);
-  operators = std::move(other123.operators);
-  failure_domain = std::move(other123.failure_domain);
-  role = other123.role;
-  __isset = other123.__isset;
+replica_member& replica_member::operator=(replica_member&& other127) noexcept {
+  id = other127.id;
+  name = std::move(other127.name);
+  address = std::move(other127.address);
+  operators = std::move(other127.operators);
+  failure_domain = std::move(other127.failure_domain);
+  role = other127.role;
+  __isset = other127.__isset;
   return *this;
 }
 void replica_member::printTo(std::ostream& out) const {
@@ -4239,14 +4239,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->members.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->members.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->members[_i128].read(iprot);
+              xfer += this->members[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4283,10 +4283,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<replica_member> ::const_iterator _iter129;
-    for (_iter129 = this->members.begin(); _iter129 != this->members.end(); ++_iter129)
+    std::vector<replica_member> ::const_iterator _iter133;
+    for (_iter133 = this->members.begin(); _iter133 != this->members.end(); ++_iter133)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4308,26 +4308,26 @@
   swap(a.__isset, b.__isset);
 }
 
-replica_set::replica_set(const replica_set& other130) {
-  members = other130.members;
-  next_id = other130.next_id;
-  __isset = other130.__isset;
+replica_set::replica_set(const replica_set& other134) {
+  members = other134.members;
+  next_id = other134.next_id;
+  __isset = other134.__isset;
 }
-replica_set::replica_set(replica_set&& other131) noexcept {
-  members = std::move(other131.members);
-  next_id = other131.next_id;
-  __isset = other131.__isset;
+replica_set::replica_set(replica_set&& other135) noexcept {
+  members = std::move(other135.members);
+  next_id = other135.next_id;
+  __isset = other135.__isset;
 }
-replica_set& replica_set::operator=(const replica_set& other132) {
-  members = other132.members;
-  next_id = other132.next_id;
-  __isset = other132.__isset;
+replica_set& replica_set::operator=(const replica_set& other136) {
+  members = other136.members;
+  next_id = other136.next_id;
+  __isset = other136.__isset;
   return *this;
 }
-replica_set& replica_set::operator=(replica_set&& other133) noexcept {
-  members = std::move(other133.members);
-  next_id = other133.next_id;
-  __isset = other133.__isset;
+replica_set& replica_set::operator=(replica_set&& other137) noexcept {
+  members = std::move(other137.members);
+  next_id = other137.next_id;
+  __isset = other137.__isset;
   return *this;
 }
 void replica_set::printTo(std::ostream& out) const {
@@ -4431,26 +4431,26 @@
   swap(a.__isset, b.__isset);
 }
 
-put_contract::put_contract(const put_contract& other134) {
-  contract = other134.contract;
-  expected = other134.expected;
-  __isset = other134.__isset;
+put_contract::put_contract(const put_contract& other138) {
+  contract = other138.contract;
+  expected = other138.expected;
+  __isset = other138.__isset;
 }
-put_contract::put_contract(put_contract&& other135) noexcept {
-  contract = std::move(other135.contract);
-  expected = other135.expected;
-  __isset = other135.__isset;
+put_contract::put_contract(put_contract&& other139) noexcept {
+  contract = std::move(other139.contract);
+  expected = other139.expected;
+  __isset = other139.__isset;
 }
-put_contract& put_contract::operator=(const put_contract& other136) {
-  contract = other136.contract;
-  expected = other136.expected;
-  __isset = other136.__isset;
+put_contract& put_contract::operator=(const put_contract& other140) {
+  contract = other140.contract;
+  expected = other140.expected;
+  __isset = other140.__isset;
   return *this;
 }
-put_contract& put_contract::operator=(put_contract&& other137) noexcept {
-  contract = std::move(other137.contract);
-  expected = other137.expected;
-  __isset = other137.__isset;
+put_contract& put_contract::operator=(put_contract&& other141) noexcept {
+  contract = std::move(other141.contract);
+  expected = other141.expected;
+  __isset = other141.__isset;
   return *this;
 }
 void put_contract::printTo(std::ostream& out) const {
@@ -4554,26 +4554,26 @@
   swap(a.__isset, b.__isset);
 }
 
-delete_contract::delete_contract(const delete_contract& other138) {
-  organisation = other138.organisation;
-  expected = other138.expected;
-  __isset = other138.__isset;
+delete_contract::delete_contract(const delete_contract& other142) {
+  organisation = other142.organisation;
+  expected = other142.expected;
+  __isset = other142.__isset;
 }
-delete_contract::delete_contract(delete_contract&& other139) noexcept {
-  organisation = std::move(other139.organisation);
-  expected = other139.expected;
-  __isset = other139.__isset;
+delete_contract::delete_contract(delete_contract&& other143) noexcept {
+  organisation = std::move(other143.organisation);
+  expected = other143.expected;
+  __isset = other143.__isset;
 }
-delete_contract& delete_contract::operator=(const delete_contract& other140) {
-  organisation = other140.organisation;
-  expected = other140.expected;
-  __isset = other140.__isset;
+delete_contract& delete_contract::operator=(const delete_contract& other144) {
+  organisation = other144.organisation;
+  expected = other144.expected;
+  __isset = other144.__isset;
   return *this;
 }
-delete_contract& delete_contract::operator=(delete_contract&& other141) noexcept {
-  organisation = std::move(other141.organisation);
-  expected = other141.expected;
-  __isset = other141.__isset;
+delete_contract& delete_contract::operator=(delete_contract&& other145) noexcept {
+  organisation = std::move(other145.organisation);
+  expected = other145.expected;
+  __isset = other145.__isset;
   return *this;
 }
 void delete_contract::printTo(std::ostream& out) const {
@@ -4677,26 +4677,26 @@
   swap(a.__isset, b.__isset);
 }
 
-put_service::put_service(const put_service& other142) {
-  declaration = other142.declaration;
-  expected = other142.expected;
-  __isset = other142.__isset;
+put_service::put_service(const put_service& other146) {
+  declaration = other146.declaration;
+  expected = other146.expected;
+  __isset = other146.__isset;
 }
-put_service::put_service(put_service&& other143) noexcept {
-  declaration = std::move(other143.declaration);
-  expected = other143.expected;
-  __isset = other143.__isset;
+put_service::put_service(put_service&& other147) noexcept {
+  declaration = std::move(other147.declaration);
+  expected = other147.expected;
+  __isset = other147.__isset;
 }
-put_service& put_service::operator=(const put_service& other144) {
-  declaration = other144.declaration;
-  expected = other144.expected;
-  __isset = other144.__isset;
+put_service& put_service::operator=(const put_service& other148) {
+  declaration = other148.declaration;
+  expected = other148.expected;
+  __isset = other148.__isset;
   return *this;
 }
-put_service& put_service::operator=(put_service&& other145) noexcept {
-  declaration = std::move(other145.declaration);
-  expected = other145.expected;
-  __isset = other145.__isset;
+put_service& put_service::operator=(put_service&& other149) noexcept {
+  declaration = std::move(other149.declaration);
+  expected = other149.expected;
+  __isset = other149.__isset;
   return *this;
 }
 void put_service::printTo(std::ostream& out) const {
@@ -4800,26 +4800,26 @@
   swap(a.__isset, b.__isset);
 }
 
-delete_service::delete_service(const delete_service& other146) {
-  service_name = other146.service_name;
-  expected = other146.expected;
-  __isset = other146.__isset;
+delete_service::delete_service(const delete_service& other150) {
+  service_name = other150.service_name;
+  expected = other150.expected;
+  __isset = other150.__isset;
 }
-delete_service::delete_service(delete_service&& other147) noexcept {
-  service_name = std::move(other147.service_name);
-  expected = other147.expected;
-  __isset = other147.__isset;
+delete_service::delete_service(delete_service&& other151) noexcept {
+  service_name = std::move(other151.service_name);
+  expected = other151.expected;
+  __isset = other151.__isset;
 }
-delete_service& delete_service::operator=(const delete_service& other148) {
-  service_name = other148.service_name;
-  expected = other148.expected;
-  __isset = other148.__isset;
+delete_service& delete_service::operator=(const delete_service& other152) {
+  service_name = other152.service_name;
+  expected = other152.expected;
+  __isset = other152.__isset;
   return *this;
 }
-delete_service& delete_service::operator=(delete_service&& other149) noexcept {
-  service_name = std::move(other149.service_name);
-  expected = other149.expected;
-  __isset = other149.__isset;
+delete_service& delete_service::operator=(delete_service&& other153) noexcept {
+  service_name = std::move(other153.service_name);
+  expected = other153.expected;
+  __isset = other153.__isset;
   return *this;
 }
 void delete_service::printTo(std::ostream& out) const {
@@ -4923,26 +4923,26 @@
   swap(a.__isset, b.__isset);
 }
 
-order_move::order_move(const order_move& other150) {
-  order = other150.order;
-  expected = other150.expected;
-  __isset = other150.__isset;
+order_move::order_move(const order_move& other154) {
+  order = other154.order;
+  expected = other154.expected;
+  __isset = other154.__isset;
 }
-order_move::order_move(order_move&& other151) noexcept {
-  order = std::move(other151.order);
-  expected = other151.expected;
-  __isset = other151.__isset;
+order_move::order_move(order_move&& other155) noexcept {
+  order = std::move(other155.order);
+  expected = other155.expected;
+  __isset = other155.__isset;
 }
-order_move& order_move::operator=(const order_move& other152) {
-  order = other152.order;
-  expected = other152.expected;
-  __isset = other152.__isset;
+order_move& order_move::operator=(const order_move& other156) {
+  order = other156.order;
+  expected = other156.expected;
+  __isset = other156.__isset;
   return *this;
 }
-order_move& order_move::operator=(order_move&& other153) noexcept {
-  order = std::move(other153.order);
-  expected = other153.expected;
-  __isset = other153.__isset;
+order_move& order_move::operator=(order_move&& other157) noexcept {
+  order = std::move(other157.order);
+  expected = other157.expected;
+  __isset = other157.__isset;
   return *this;
 }
 void order_move::printTo(std::ostream& out) const {
@@ -5021,14 +5021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->shares.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->shares.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->shares[_i158].read(iprot);
+              xfer += this->shares[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5073,10 +5073,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<version_share> ::const_iterator _iter159;
-    for (_iter159 = this->shares.begin(); _iter159 != this->shares.end(); ++_iter159)
+    std::vector<version_share> ::const_iterator _iter163;
+    for (_iter163 = this->shares.begin(); _iter163 != this->shares.end(); ++_iter163)
     {
-      xfer += (*_iter159).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5100,34 +5100,34 @@
   swap(a.__isset, b.__isset);
 }
 
-update_move::update_move(const update_move& other160) {
-  service_name = other160.service_name;
-  status = other160.status;
-  shares = other160.shares;
-  expected = other160.expected;
-  __isset = other160.__isset;
-}
-update_move::update_move(update_move&& other161) noexcept {
-  service_name = std::move(other161.service_name);
-  status = std::move(other161.status);
-  shares = std::move(other161.shares);
-  expected = other161.expected;
-  __isset = other161.__isset;
-}
-update_move& update_move::operator=(const update_move& other162) {
-  service_name = other162.service_name;
-  status = other162.status;
-  shares = other162.shares;
-  expected = other162.expected;
-  __isset = other162.__isset;
+update_move::update_move(const update_move& other164) {
+  service_name = other164.service_name;
+  status = other164.status;
+  shares = other164.shares;
+  expected = other164.expected;
+  __isset = other164.__isset;
+}
+update_move::update_move(update_move&& other165) noexcept {
+  service_name = std::move(other165.service_name);
+  status = std::move(other165.status);
+  shares = std::move(other165.shares);
+  expected = other165.expected;
+  __isset = other165.__isset;
+}
+update_move& update_move::operator=(const update_move& other166) {
+  service_name = other166.service_name;
+  status = other166.status;
+  shares = other166.shares;
+  expected = other166.expected;
+  __isset = other166.__isset;
   return *this;
 }
-update_move& update_move::operator=(update_move&& other163) noexcept {
-  service_name = std::move(other163.service_name);
-  status = std::move(other163.status);
-  shares = std::move(other163.shares);
-  expected = other163.expected;
-  __isset = other163.__isset;
+update_move& update_move::operator=(update_move&& other167) noexcept {
+  service_name = std::move(other167.service_name);
+  status = std::move(other167.status);
+  shares = std::move(other167.shares);
+  expected = other167.expected;
+  __isset = other167.__isset;
   return *this;
 }
 void update_move::printTo(std::ostream& out) const {
@@ -5196,14 +5196,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->shares.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->shares.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->shares[_i168].read(iprot);
+              xfer += this->shares[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5244,10 +5244,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<version_share> ::const_iterator _iter169;
-    for (_iter169 = this->shares.begin(); _iter169 != this->shares.end(); ++_iter169)
+    std::vector<version_share> ::const_iterator _iter173;
+    for (_iter173 = this->shares.begin(); _iter173 != this->shares.end(); ++_iter173)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5270,30 +5270,30 @@
   swap(a.__isset, b.__isset);
 }
 
-set_shares::set_shares(const set_shares& other170) {
-  service_name = other170.service_name;
-  shares = other170.shares;
-  expected = other170.expected;
-  __isset = other170.__isset;
+set_shares::set_shares(const set_shares& other174) {
+  service_name = other174.service_name;
+  shares = other174.shares;
+  expected = other174.expected;
+  __isset = other174.__isset;
 }
-set_shares::set_shares(set_shares&& other171) noexcept {
-  service_name = std::move(other171.service_name);
-  shares = std::move(other171.shares);
-  expected = other171.expected;
-  __isset = other171.__isset;
+set_shares::set_shares(set_shares&& other175) noexcept {
+  service_name = std::move(other175.service_name);
+  shares = std::move(other175.shares);
+  expected = other175.expected;
+  __isset = other175.__isset;
 }
-set_shares& set_shares::operator=(const set_shares& other172) {
-  service_name = other172.service_name;
-  shares = other172.shares;
-  expected = other172.expected;
-  __isset = other172.__isset;
+set_shares& set_shares::operator=(const set_shares& other176) {
+  service_name = other176.service_name;
+  shares = other176.shares;
+  expected = other176.expected;
+  __isset = other176.__isset;
   return *this;
 }
-set_shares& set_shares::operator=(set_shares&& other173) noexcept {
-  service_name = std::move(other173.service_name);
-  shares = std::move(other173.shares);
-  expected = other173.expected;
-  __isset = other173.__isset;
+set_shares& set_shares::operator=(set_shares&& other177) noexcept {
+  service_name = std::move(other177.service_name);
+  shares = std::move(other177.shares);
+  expected = other177.expected;
+  __isset = other177.__isset;
   return *this;
 }
 void set_shares::printTo(std::ostream& out) const {
@@ -5398,26 +5398,26 @@
   swap(a.__isset, b.__isset);
 }
 
-cancel_move::cancel_move(const cancel_move& other174) {
-  service_name = other174.service_name;
-  expected = other174.expected;
-  __isset = other174.__isset;
+cancel_move::cancel_move(const cancel_move& other178) {
+  service_name = other178.service_name;
+  expected = other178.expected;
+  __isset = other178.__isset;
 }
-cancel_move::cancel_move(cancel_move&& other175) noexcept {
-  service_name = std::move(other175.service_name);
-  expected = other175.expected;
-  __isset = other175.__isset;
+cancel_move::cancel_move(cancel_move&& other179) noexcept {
+  service_name = std::move(other179.service_name);
+  expected = other179.expected;
+  __isset = other179.__isset;
 }
-cancel_move& cancel_move::operator=(const cancel_move& other176) {
-  service_name = other176.service_name;
-  expected = other176.expected;
-  __isset = other176.__isset;
+cancel_move& cancel_move::operator=(const cancel_move& other180) {
+  service_name = other180.service_name;
+  expected = other180.expected;
+  __isset = other180.__isset;
   return *this;
 }
-cancel_move& cancel_move::operator=(cancel_move&& other177) noexcept {
-  service_name = std::move(other177.service_name);
-  expected = other177.expected;
-  __isset = other177.__isset;
+cancel_move& cancel_move::operator=(cancel_move&& other181) noexcept {
+  service_name = std::move(other181.service_name);
+  expected = other181.expected;
+  __isset = other181.__isset;
   return *this;
 }
 void cancel_move::printTo(std::ostream& out) const {
@@ -5483,18 +5483,18 @@
   (void) b;
 }
 
-allocate_fence::allocate_fence(const allocate_fence& other178) noexcept {
-  (void) other178;
+allocate_fence::allocate_fence(const allocate_fence& other182) noexcept {
+  (void) other182;
 }
-allocate_fence::allocate_fence(allocate_fence&& other179) noexcept {
-  (void) other179;
+allocate_fence::allocate_fence(allocate_fence&& other183) noexcept {
+  (void) other183;
 }
-allocate_fence& allocate_fence::operator=(const allocate_fence& other180) noexcept {
-  (void) other180;
+allocate_fence& allocate_fence::operator=(const allocate_fence& other184) noexcept {
+  (void) other184;
   return *this;
 }
-allocate_fence& allocate_fence::operator=(allocate_fence&& other181) noexcept {
-  (void) other181;
+allocate_fence& allocate_fence::operator=(allocate_fence&& other185) noexcept {
+  (void) other185;
   return *this;
 }
 void allocate_fence::printTo(std::ostream& out) const {
@@ -5579,22 +5579,22 @@
   swap(a.__isset, b.__isset);
 }
 
-order_purchase::order_purchase(const order_purchase& other182) {
-  purchase = other182.purchase;
-  __isset = other182.__isset;
+order_purchase::order_purchase(const order_purchase& other186) {
+  purchase = other186.purchase;
+  __isset = other186.__isset;
 }
-order_purchase::order_purchase(order_purchase&& other183) noexcept {
-  purchase = std::move(other183.purchase);
-  __isset = other183.__isset;
+order_purchase::order_purchase(order_purchase&& other187) noexcept {
+  purchase = std::move(other187.purchase);
+  __isset = other187.__isset;
 }
-order_purchase& order_purchase::operator=(const order_purchase& other184) {
-  purchase = other184.purchase;
-  __isset = other184.__isset;
+order_purchase& order_purchase::operator=(const order_purchase& other188) {
+  purchase = other188.purchase;
+  __isset = other188.__isset;
   return *this;
 }
-order_purchase& order_purchase::operator=(order_purchase&& other185) noexcept {
-  purchase = std::move(other185.purchase);
-  __isset = other185.__isset;
+order_purchase& order_purchase::operator=(order_purchase&& other189) noexcept {
+  purchase = std::move(other189.purchase);
+  __isset = other189.__isset;
   return *this;
 }
 void order_purchase::printTo(std::ostream& out) const {
@@ -5748,38 +5748,38 @@
   swap(a.__isset, b.__isset);
 }
 
-update_purchase::update_purchase(const update_purchase& other186) {
-  order_id = other186.order_id;
-  phase = other186.phase;
-  instance = other186.instance;
-  address = other186.address;
-  expected = other186.expected;
-  __isset = other186.__isset;
+update_purchase::update_purchase(const update_purchase& other190) {
+  order_id = other190.order_id;
+  phase = other190.phase;
+  instance = other190.instance;
+  address = other190.address;
+  expected = other190.expected;
+  __isset = other190.__isset;
 }
-update_purchase::update_purchase(update_purchase&& other187) noexcept {
-  order_id = std::move(other187.order_id);
-  phase = other187.phase;
-  instance = std::move(other187.instance);
-  address = std::move(other187.address);
-  expected = other187.expected;
-  __isset = other187.__isset;
+update_purchase::update_purchase(update_purchase&& other191) noexcept {
+  order_id = std::move(other191.order_id);
+  phase = other191.phase;
+  instance = std::move(other191.instance);
+  address = std::move(other191.address);
+  expected = other191.expected;
+  __isset = other191.__isset;
 }
-update_purchase& update_purchase::operator=(const update_purchase& other188) {
-  order_id = other188.order_id;
-  phase = other188.phase;
-  instance = other188.instance;
-  address = other188.address;
-  expected = other188.expected;
-  __isset = other188.__isset;
+update_purchase& update_purchase::operator=(const update_purchase& other192) {
+  order_id = other192.order_id;
+  phase = other192.phase;
+  instance = other192.instance;
+  address = other192.address;
+  expected = other192.expected;
+  __isset = other192.__isset;
   return *this;
 }
-update_purchase& update_purchase::operator=(update_purchase&& other189) noexcept {
-  order_id = std::move(other189.order_id);
-  phase = other189.phase;
-  instance = std::move(other189.instance);
-  address = std::move(other189.address);
-  expected = other189.expected;
-  __isset = other189.__isset;
+update_purchase& update_purchase::operator=(update_purchase&& other193) noexcept {
+  order_id = std::move(other193.order_id);
+  phase = other193.phase;
+  instance = std::move(other193.instance);
+  address = std::move(other193.address);
+  expected = other193.expected;
+  __isset = other193.__isset;
   return *this;
 }
 void update_purchase::printTo(std::ostream& out) const {
@@ -5920,34 +5920,34 @@
   swap(a.__isset, b.__isset);
 }
 
-set_leaving::set_leaving(const set_leaving& other190) {
-  instance = other190.instance;
-  source = other190.source;
-  incarnation = other190.incarnation;
-  gone_at_ms = other190.gone_at_ms;
-  __isset = other190.__isset;
+set_leaving::set_leaving(const set_leaving& other194) {
+  instance = other194.instance;
+  source = other194.source;
+  incarnation = other194.incarnation;
+  gone_at_ms = other194.gone_at_ms;
+  __isset = other194.__isset;
 }
-set_leaving::set_leaving(set_leaving&& other191) noexcept {
-  instance = std::move(other191.instance);
-  source = other191.source;
-  incarnation = other191.incarnation;
-  gone_at_ms = other191.gone_at_ms;
-  __isset = other191.__isset;
+set_leaving::set_leaving(set_leaving&& other195) noexcept {
+  instance = std::move(other195.instance);
+  source = other195.source;
+  incarnation = other195.incarnation;
+  gone_at_ms = other195.gone_at_ms;
+  __isset = other195.__isset;
 }
-set_leaving& set_leaving::operator=(const set_leaving& other192) {
-  instance = other192.instance;
-  source = other192.source;
-  incarnation = other192.incarnation;
-  gone_at_ms = other192.gone_at_ms;
-  __isset = other192.__isset;
+set_leaving& set_leaving::operator=(const set_leaving& other196) {
+  instance = other196.instance;
+  source = other196.source;
+  incarnation = other196.incarnation;
+  gone_at_ms = other196.gone_at_ms;
+  __isset = other196.__isset;
   return *this;
 }
-set_leaving& set_leaving::operator=(set_leaving&& other193) noexcept {
-  instance = std::move(other193.instance);
-  source = other193.source;
-  incarnation = other193.incarnation;
-  gone_at_ms = other193.gone_at_ms;
-  __isset = other193.__isset;
+set_leaving& set_leaving::operator=(set_leaving&& other197) noexcept {
+  instance = std::move(other197.instance);
+  source = other197.source;
+  incarnation = other197.incarnation;
+  gone_at_ms = other197.gone_at_ms;
+  __isset = other197.__isset;
   return *this;
 }
 void set_leaving::printTo(std::ostream& out) const {
@@ -6053,26 +6053,26 @@
   swap(a.__isset, b.__isset);
 }
 
-clear_leaving::clear_leaving(const clear_leaving& other194) {
-  instance = other194.instance;
-  expected = other194.expected;
-  __isset = other194.__isset;
+clear_leaving::clear_leaving(const clear_leaving& other198) {
+  instance = other198.instance;
+  expected = other198.expected;
+  __isset = other198.__isset;
 }
-clear_leaving::clear_leaving(clear_leaving&& other195) noexcept {
-  instance = std::move(other195.instance);
-  expected = other195.expected;
-  __isset = other195.__isset;
+clear_leaving::clear_leaving(clear_leaving&& other199) noexcept {
+  instance = std::move(other199.instance);
+  expected = other199.expected;
+  __isset = other199.__isset;
 }
-clear_leaving& clear_leaving::operator=(const clear_leaving& other196) {
-  instance = other196.instance;
-  expected = other196.expected;
-  __isset = other196.__isset;
+clear_leaving& clear_leaving::operator=(const clear_leaving& other200) {
+  instance = other200.instance;
+  expected = other200.expected;
+  __isset = other200.__isset;
   return *this;
 }
-clear_leaving& clear_leaving::operator=(clear_leaving&& other197) noexcept {
-  instance = std::move(other197.instance);
-  expected = other197.expected;
-  __isset = other197.__isset;
+clear_leaving& clear_leaving::operator=(clear_leaving&& other201) noexcept {
+  instance = std::move(other201.instance);
+  expected = other201.expected;
+  __isset = other201.__isset;
   return *this;
 }
 void clear_leaving::printTo(std::ostream& out) const {
@@ -6176,26 +6176,26 @@
   swap(a.__isset, b.__isset);
 }
 
-order_evacuation::order_evacuation(const order_evacuation& other404) {
-  failure_domain = other404.failure_domain;
-  expected = other404.expected;
-  __isset = other404.__isset;
+order_evacuation::order_evacuation(const order_evacuation& other202) {
+  failure_domain = other202.failure_domain;
+  expected = other202.expected;
+  __isset = other202.__isset;
 }
-order_evacuation::order_evacuation(order_evacuation&& other405) noexcept {
-  failure_domain = std::move(other405.failure_domain);
-  expected = other405.expected;
-  __isset = other405.__isset;
+order_evacuation::order_evacuation(order_evacuation&& other203) noexcept {
+  failure_domain = std::move(other203.failure_domain);
+  expected = other203.expected;
+  __isset = other203.__isset;
 }
-order_evacuation& order_evacuation::operator=(const order_evacuation& other406) {
-  failure_domain = other406.failure_domain;
-  expected = other406.expected;
-  __isset = other406.__isset;
+order_evacuation& order_evacuation::operator=(const order_evacuation& other204) {
+  failure_domain = other204.failure_domain;
+  expected = other204.expected;
+  __isset = other204.__isset;
   return *this;
 }
-order_evacuation& order_evacuation::operator=(order_evacuation&& other407) noexcept {
-  failure_domain = std::move(other407.failure_domain);
-  expected = other407.expected;
-  __isset = other407.__isset;
+order_evacuation& order_evacuation::operator=(order_evacuation&& other205) noexcept {
+  failure_domain = std::move(other205.failure_domain);
+  expected = other205.expected;
+  __isset = other205.__isset;
   return *this;
 }
 void order_evacuation::printTo(std::ostream& out) const {
@@ -6299,26 +6299,26 @@
   swap(a.__isset, b.__isset);
 }
 
-withdraw_evacuation::withdraw_evacuation(const withdraw_evacuation& other408) {
-  failure_domain = other408.failure_domain;
-  expected = other408.expected;
-  __isset = other408.__isset;
+withdraw_evacuation::withdraw_evacuation(const withdraw_evacuation& other206) {
+  failure_domain = other206.failure_domain;
+  expected = other206.expected;
+  __isset = other206.__isset;
 }
-withdraw_evacuation::withdraw_evacuation(withdraw_evacuation&& other409) noexcept {
-  failure_domain = std::move(other409.failure_domain);
-  expected = other409.expected;
-  __isset = other409.__isset;
+withdraw_evacuation::withdraw_evacuation(withdraw_evacuation&& other207) noexcept {
+  failure_domain = std::move(other207.failure_domain);
+  expected = other207.expected;
+  __isset = other207.__isset;
 }
-withdraw_evacuation& withdraw_evacuation::operator=(const withdraw_evacuation& other410) {
-  failure_domain = other410.failure_domain;
-  expected = other410.expected;
-  __isset = other410.__isset;
+withdraw_evacuation& withdraw_evacuation::operator=(const withdraw_evacuation& other208) {
+  failure_domain = other208.failure_domain;
+  expected = other208.expected;
+  __isset = other208.__isset;
   return *this;
 }
-withdraw_evacuation& withdraw_evacuation::operator=(withdraw_evacuation&& other411) noexcept {
-  failure_domain = std::move(other411.failure_domain);
-  expected = other411.expected;
-  __isset = other411.__isset;
+withdraw_evacuation& withdraw_evacuation::operator=(withdraw_evacuation&& other209) noexcept {
+  failure_domain = std::move(other209.failure_domain);
+  expected = other209.expected;
+  __isset = other209.__isset;
   return *this;
 }
 void withdraw_evacuation::printTo(std::ostream& out) const {
@@ -6385,14 +6385,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->grants.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size210;
+            ::apache::thrift::protocol::TType _etype213;
+            xfer += iprot->readListBegin(_etype213, _size210);
+            this->grants.resize(_size210);
+            uint32_t _i214;
+            for (_i214 = 0; _i214 < _size210; ++_i214)
             {
-              xfer += this->grants[_i202].read(iprot);
+              xfer += this->grants[_i214].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6433,10 +6433,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<limit_grant> ::const_iterator _iter203;
-    for (_iter203 = this->grants.begin(); _iter203 != this->grants.end(); ++_iter203)
+    std::vector<limit_grant> ::const_iterator _iter215;
+    for (_iter215 = this->grants.begin(); _iter215 != this->grants.end(); ++_iter215)
     {
-      xfer += (*_iter203).write(oprot);
+      xfer += (*_iter215).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6459,30 +6459,30 @@
   swap(a.__isset, b.__isset);
 }
 
-set_grants::set_grants(const set_grants& other204) {
-  organisation = other204.organisation;
-  grants = other204.grants;
-  expected = other204.expected;
-  __isset = other204.__isset;
+set_grants::set_grants(const set_grants& other216) {
+  organisation = other216.organisation;
+  grants = other216.grants;
+  expected = other216.expected;
+  __isset = other216.__isset;
 }
-set_grants::set_grants(set_grants&& other205) noexcept {
-  organisation = std::move(other205.organisation);
-  grants = std::move(other205.grants);
-  expected = other205.expected;
-  __isset = other205.__isset;
+set_grants::set_grants(set_grants&& other217) noexcept {
+  organisation = std::move(other217.organisation);
+  grants = std::move(other217.grants);
+  expected = other217.expected;
+  __isset = other217.__isset;
 }
-set_grants& set_grants::operator=(const set_grants& other206) {
-  organisation = other206.organisation;
-  grants = other206.grants;
-  expected = other206.expected;
-  __isset = other206.__isset;
+set_grants& set_grants::operator=(const set_grants& other218) {
+  organisation = other218.organisation;
+  grants = other218.grants;
+  expected = other218.expected;
+  __isset = other218.__isset;
   return *this;
 }
-set_grants& set_grants::operator=(set_grants&& other207) noexcept {
-  organisation = std::move(other207.organisation);
-  grants = std::move(other207.grants);
-  expected = other207.expected;
-  __isset = other207.__isset;
+set_grants& set_grants::operator=(set_grants&& other219) noexcept {
+  organisation = std::move(other219.organisation);
+  grants = std::move(other219.grants);
+  expected = other219.expected;
+  __isset = other219.__isset;
   return *this;
 }
 void set_grants::printTo(std::ostream& out) const {
@@ -6672,46 +6672,46 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_key::claim_key(const claim_key& other208) {
-  organisation = other208.organisation;
-  key = other208.key;
-  request_digest = other208.request_digest;
-  claimant = other208.claimant;
-  nonce = other208.nonce;
-  dispatch_limit_ms = other208.dispatch_limit_ms;
-  retention_ms = other208.retention_ms;
-  __isset = other208.__isset;
+claim_key::claim_key(const claim_key& other220) {
+  organisation = other220.organisation;
+  key = other220.key;
+  request_digest = other220.request_digest;
+  claimant = other220.claimant;
+  nonce = other220.nonce;
+  dispatch_limit_ms = other220.dispatch_limit_ms;
+  retention_ms = other220.retention_ms;
+  __isset = other220.__isset;
 }
-claim_key::claim_key(claim_key&& other209) noexcept {
-  organisation = std::move(other209.organisation);
-  key = std::move(other209.key);
-  request_digest = std::move(other209.request_digest);
-  claimant = std::move(other209.claimant);
-  nonce = other209.nonce;
-  dispatch_limit_ms = other209.dispatch_limit_ms;
-  retention_ms = other209.retention_ms;
-  __isset = other209.__isset;
+claim_key::claim_key(claim_key&& other221) noexcept {
+  organisation = std::move(other221.organisation);
+  key = std::move(other221.key);
+  request_digest = std::move(other221.request_digest);
+  claimant = std::move(other221.claimant);
+  nonce = other221.nonce;
+  dispatch_limit_ms = other221.dispatch_limit_ms;
+  retention_ms = other221.retention_ms;
+  __isset = other221.__isset;
 }
-claim_key& claim_key::operator=(const claim_key& other210) {
-  organisation = other210.organisation;
-  key = other210.key;
-  request_digest = other210.request_digest;
-  claimant = other210.claimant;
-  nonce = other210.nonce;
-  dispatch_limit_ms = other210.dispatch_limit_ms;
-  retention_ms = other210.retention_ms;
-  __isset = other210.__isset;
+claim_key& claim_key::operator=(const claim_key& other222) {
+  organisation = other222.organisation;
+  key = other222.key;
+  request_digest = other222.request_digest;
+  claimant = other222.claimant;
+  nonce = other222.nonce;
+  dispatch_limit_ms = other222.dispatch_limit_ms;
+  retention_ms = other222.retention_ms;
+  __isset = other222.__isset;
   return *this;
 }
-claim_key& claim_key::operator=(claim_key&& other211) noexcept {
-  organisation = std::move(other211.organisation);
-  key = std::move(other211.key);
-  request_digest = std::move(other211.request_digest);
-  claimant = std::move(other211.claimant);
-  nonce = other211.nonce;
-  dispatch_limit_ms = other211.dispatch_limit_ms;
-  retention_ms = other211.retention_ms;
-  __isset = other211.__isset;
+claim_key& claim_key::operator=(claim_key&& other223) noexcept {
+  organisation = std::move(other223.organisation);
+  key = std::move(other223.key);
+  request_digest = std::move(other223.request_digest);
+  claimant = std::move(other223.claimant);
+  nonce = other223.nonce;
+  dispatch_limit_ms = other223.dispatch_limit_ms;
+  retention_ms = other223.retention_ms;
+  __isset = other223.__isset;
   return *this;
 }
 void claim_key::printTo(std::ostream& out) const {
@@ -6837,30 +6837,30 @@
   swap(a.__isset, b.__isset);
 }
 
-release_claim::release_claim(const release_claim& other212) {
-  organisation = other212.organisation;
-  key = other212.key;
-  number = other212.number;
-  __isset = other212.__isset;
+release_claim::release_claim(const release_claim& other224) {
+  organisation = other224.organisation;
+  key = other224.key;
+  number = other224.number;
+  __isset = other224.__isset;
 }
-release_claim::release_claim(release_claim&& other213) noexcept {
-  organisation = std::move(other213.organisation);
-  key = std::move(other213.key);
-  number = other213.number;
-  __isset = other213.__isset;
+release_claim::release_claim(release_claim&& other225) noexcept {
+  organisation = std::move(other225.organisation);
+  key = std::move(other225.key);
+  number = other225.number;
+  __isset = other225.__isset;
 }
-release_claim& release_claim::operator=(const release_claim& other214) {
-  organisation = other214.organisation;
-  key = other214.key;
-  number = other214.number;
-  __isset = other214.__isset;
+release_claim& release_claim::operator=(const release_claim& other226) {
+  organisation = other226.organisation;
+  key = other226.key;
+  number = other226.number;
+  __isset = other226.__isset;
   return *this;
 }
-release_claim& release_claim::operator=(release_claim&& other215) noexcept {
-  organisation = std::move(other215.organisation);
-  key = std::move(other215.key);
-  number = other215.number;
-  __isset = other215.__isset;
+release_claim& release_claim::operator=(release_claim&& other227) noexcept {
+  organisation = std::move(other227.organisation);
+  key = std::move(other227.key);
+  number = other227.number;
+  __isset = other227.__isset;
   return *this;
 }
 void release_claim::printTo(std::ostream& out) const {
@@ -6999,34 +6999,34 @@
   swap(a.__isset, b.__isset);
 }
 
-record_outcome::record_outcome(const record_outcome& other216) {
-  organisation = other216.organisation;
-  key = other216.key;
-  number = other216.number;
-  outcome = other216.outcome;
-  __isset = other216.__isset;
+record_outcome::record_outcome(const record_outcome& other228) {
+  organisation = other228.organisation;
+  key = other228.key;
+  number = other228.number;
+  outcome = other228.outcome;
+  __isset = other228.__isset;
 }
-record_outcome::record_outcome(record_outcome&& other217) noexcept {
-  organisation = std::move(other217.organisation);
-  key = std::move(other217.key);
-  number = other217.number;
-  outcome = std::move(other217.outcome);
-  __isset = other217.__isset;
+record_outcome::record_outcome(record_outcome&& other229) noexcept {
+  organisation = std::move(other229.organisation);
+  key = std::move(other229.key);
+  number = other229.number;
+  outcome = std::move(other229.outcome);
+  __isset = other229.__isset;
 }
-record_outcome& record_outcome::operator=(const record_outcome& other218) {
-  organisation = other218.organisation;
-  key = other218.key;
-  number = other218.number;
-  outcome = other218.outcome;
-  __isset = other218.__isset;
+record_outcome& record_outcome::operator=(const record_outcome& other230) {
+  organisation = other230.organisation;
+  key = other230.key;
+  number = other230.number;
+  outcome = other230.outcome;
+  __isset = other230.__isset;
   return *this;
 }
-record_outcome& record_outcome::operator=(record_outcome&& other219) noexcept {
-  organisation = std::move(other219.organisation);
-  key = std::move(other219.key);
-  number = other219.number;
-  outcome = std::move(other219.outcome);
-  __isset = other219.__isset;
+record_outcome& record_outcome::operator=(record_outcome&& other231) noexcept {
+  organisation = std::move(other231.organisation);
+  key = std::move(other231.key);
+  number = other231.number;
+  outcome = std::move(other231.outcome);
+  __isset = other231.__isset;
   return *this;
 }
 void record_outcome::printTo(std::ostream& out) const {
@@ -7459,94 +7459,94 @@
   swap(a.__isset, b.__isset);
 }
 
-command_body::command_body(const command_body& other220) {
-  put_contract_value = other220.put_contract_value;
-  delete_contract_value = other220.delete_contract_value;
-  put_service_value = other220.put_service_value;
-  delete_service_value = other220.delete_service_value;
-  order_move_value = other220.order_move_value;
-  update_move_value = other220.update_move_value;
-  set_shares_value = other220.set_shares_value;
-  cancel_move_value = other220.cancel_move_value;
-  allocate_fence_value = other220.allocate_fence_value;
-  order_purchase_value = other220.order_purchase_value;
-  update_purchase_value = other220.update_purchase_value;
-  set_leaving_value = other220.set_leaving_value;
-  clear_leaving_value = other220.clear_leaving_value;
-  set_grants_value = other220.set_grants_value;
-  claim_key_value = other220.claim_key_value;
-  release_claim_value = other220.release_claim_value;
-  record_outcome_value = other220.record_outcome_value;
-  order_evacuation_value = other220.order_evacuation_value;
-  withdraw_evacuation_value = other220.withdraw_evacuation_value;
-  __isset = other220.__isset;
+command_body::command_body(const command_body& other232) {
+  put_contract_value = other232.put_contract_value;
+  delete_contract_value = other232.delete_contract_value;
+  put_service_value = other232.put_service_value;
+  delete_service_value = other232.delete_service_value;
+  order_move_value = other232.order_move_value;
+  update_move_value = other232.update_move_value;
+  set_shares_value = other232.set_shares_value;
+  cancel_move_value = other232.cancel_move_value;
+  allocate_fence_value = other232.allocate_fence_value;
+  order_purchase_value = other232.order_purchase_value;
+  update_purchase_value = other232.update_purchase_value;
+  set_leaving_value = other232.set_leaving_value;
+  clear_leaving_value = other232.clear_leaving_value;
+  set_grants_value = other232.set_grants_value;
+  claim_key_value = other232.claim_key_value;
+  release_claim_value = other232.release_claim_value;
+  record_outcome_value = other232.record_outcome_value;
+  order_evacuation_value = other232.order_evacuation_value;
+  withdraw_evacuation_value = other232.withdraw_evacuation_value;
+  __isset = other232.__isset;
 }
-command_body::command_body(command_body&& other221) noexcept {
-  put_contract_value = std::move(other221.put_contract_value);
-  delete_contract_value = std::move(other221.delete_contract_value);
-  put_service_value = std::move(other221.put_service_value);
-  delete_service_value = std::move(other221.delete_service_value);
-  order_move_value = std::move(other221.order_move_value);
-  update_move_value = std::move(other221.update_move_value);
-  set_shares_value = std::move(other221.set_shares_value);
-  cancel_move_value = std::move(other221.cancel_move_value);
-  allocate_fence_value = std::move(other221.allocate_fence_value);
-  order_purchase_value = std::move(other221.order_purchase_value);
-  update_purchase_value = std::move(other221.update_purchase_value);
-  set_leaving_value = std::move(other221.set_leaving_value);
-  clear_leaving_value = std::move(other221.clear_leaving_value);
-  set_grants_value = std::move(other221.set_grants_value);
-  claim_key_value = std::move(other221.claim_key_value);
-  release_claim_value = std::move(other221.release_claim_value);
-  record_outcome_value = std::move(other221.record_outcome_value);
-  order_evacuation_value = std::move(other221.order_evacuation_value);
-  withdraw_evacuation_value = std::move(other221.withdraw_evacuation_value);
-  __isset = other221.__isset;
+command_body::command_body(command_body&& other233) noexcept {
+  put_contract_value = std::move(other233.put_contract_value);
+  delete_contract_value = std::move(other233.delete_contract_value);
+  put_service_value = std::move(other233.put_service_value);
+  delete_service_value = std::move(other233.delete_service_value);
+  order_move_value = std::move(other233.order_move_value);
+  update_move_value = std::move(other233.update_move_value);
+  set_shares_value = std::move(other233.set_shares_value);
+  cancel_move_value = std::move(other233.cancel_move_value);
+  allocate_fence_value = std::move(other233.allocate_fence_value);
+  order_purchase_value = std::move(other233.order_purchase_value);
+  update_purchase_value = std::move(other233.update_purchase_value);
+  set_leaving_value = std::move(other233.set_leaving_value);
+  clear_leaving_value = std::move(other233.clear_leaving_value);
+  set_grants_value = std::move(other233.set_grants_value);
+  claim_key_value = std::move(other233.claim_key_value);
+  release_claim_value = std::move(other233.release_claim_value);
+  record_outcome_value = std::move(other233.record_outcome_value);
+  order_evacuation_value = std::move(other233.order_evacuation_value);
+  withdraw_evacuation_value = std::move(other233.withdraw_evacuation_value);
+  __isset = other233.__isset;
 }
-command_body& command_body::operator=(const command_body& other222) {
-  put_contract_value = other222.put_contract_value;
-  delete_contract_value = other222.delete_contract_value;
-  put_service_value = other222.put_service_value;
-  delete_service_value = other222.delete_service_value;
-  order_move_value = other222.order_move_value;
-  update_move_value = other222.update_move_value;
-  set_shares_value = other222.set_shares_value;
-  cancel_move_value = other222.cancel_move_value;
-  allocate_fence_value = other222.allocate_fence_value;
-  order_purchase_value = other222.order_purchase_value;
-  update_purchase_value = other222.update_purchase_value;
-  set_leaving_value = other222.set_leaving_value;
-  clear_leaving_value = other222.clear_leaving_value;
-  set_grants_value = other222.set_grants_value;
-  claim_key_value = other222.claim_key_value;
-  release_claim_value = other222.release_claim_value;
-  record_outcome_value = other222.record_outcome_value;
-  order_evacuation_value = other222.order_evacuation_value;
-  withdraw_evacuation_value = other222.withdraw_evacuation_value;
-  __isset = other222.__isset;
+command_body& command_body::operator=(const command_body& other234) {
+  put_contract_value = other234.put_contract_value;
+  delete_contract_value = other234.delete_contract_value;
+  put_service_value = other234.put_service_value;
+  delete_service_value = other234.delete_service_value;
+  order_move_value = other234.order_move_value;
+  update_move_value = other234.update_move_value;
+  set_shares_value = other234.set_shares_value;
+  cancel_move_value = other234.cancel_move_value;
+  allocate_fence_value = other234.allocate_fence_value;
+  order_purchase_value = other234.order_purchase_value;
+  update_purchase_value = other234.update_purchase_value;
+  set_leaving_value = other234.set_leaving_value;
+  clear_leaving_value = other234.clear_leaving_value;
+  set_grants_value = other234.set_grants_value;
+  claim_key_value = other234.claim_key_value;
+  release_claim_value = other234.release_claim_value;
+  record_outcome_value = other234.record_outcome_value;
+  order_evacuation_value = other234.order_evacuation_value;
+  withdraw_evacuation_value = other234.withdraw_evacuation_value;
+  __isset = other234.__isset;
   return *this;
 }
-command_body& command_body::operator=(command_body&& other223) noexcept {
-  put_contract_value = std::move(other223.put_contract_value);
-  delete_contract_value = std::move(other223.delete_contract_value);
-  put_service_value = std::move(other223.put_service_value);
-  delete_service_value = std::move(other223.delete_service_value);
-  order_move_value = std::move(other223.order_move_value);
-  update_move_value = std::move(other223.update_move_value);
-  set_shares_value = std::move(other223.set_shares_value);
-  cancel_move_value = std::move(other223.cancel_move_value);
-  allocate_fence_value = std::move(other223.allocate_fence_value);
-  order_purchase_value = std::move(other223.order_purchase_value);
-  update_purchase_value = std::move(other223.update_purchase_value);
-  set_leaving_value = std::move(other223.set_leaving_value);
-  clear_leaving_value = std::move(other223.clear_leaving_value);
-  set_grants_value = std::move(other223.set_grants_value);
-  claim_key_value = std::move(other223.claim_key_value);
-  release_claim_value = std::move(other223.release_claim_value);
-  record_outcome_value = std::move(other223.record_outcome_value);
-  order_evacuation_value = std::move(other223.order_evacuation_value);
-  withdraw_evacuation_value = std::move(other223.withdraw_evacuation_value);
-  __isset = other223.__isset;
+command_body& command_body::operator=(command_body&& other235) noexcept {
+  put_contract_value = std::move(other235.put_contract_value);
+  delete_contract_value = std::move(other235.delete_contract_value);
+  put_service_value = std::move(other235.put_service_value);
+  delete_service_value = std::move(other235.delete_service_value);
+  order_move_value = std::move(other235.order_move_value);
+  update_move_value = std::move(other235.update_move_value);
+  set_shares_value = std::move(other235.set_shares_value);
+  cancel_move_value = std::move(other235.cancel_move_value);
+  allocate_fence_value = std::move(other235.allocate_fence_value);
+  order_purchase_value = std::move(other235.order_purchase_value);
+  update_purchase_value = std::move(other235.update_purchase_value);
+  set_leaving_value = std::move(other235.set_leaving_value);
+  clear_leaving_value = std::move(other235.clear_leaving_value);
+  set_grants_value = std::move(other235.set_grants_value);
+  claim_key_value = std::move(other235.claim_key_value);
+  release_claim_value = std::move(other235.release_claim_value);
+  record_outcome_value = std::move(other235.record_outcome_value);
+  order_evacuation_value = std::move(other235.order_evacuation_value);
+  withdraw_evacuation_value = std::move(other235.withdraw_evacuation_value);
+  __isset = other235.__isset;
   return *this;
 }
 void command_body::printTo(std::ostream& out) const {
@@ -7712,30 +7712,30 @@
   swap(a.body, b.body);
 }
 
-command::command(const command& other224) {
-  schema_version = other224.schema_version;
-  at_ms = other224.at_ms;
-  order_id = other224.order_id;
-  body = other224.body;
+command::command(const command& other236) {
+  schema_version = other236.schema_version;
+  at_ms = other236.at_ms;
+  order_id = other236.order_id;
+  body = other236.body;
 }
-command::command(command&& other225) noexcept {
-  schema_version = other225.schema_version;
-  at_ms = other225.at_ms;
-  order_id = std::move(other225.order_id);
-  body = std::move(other225.body);
+command::command(command&& other237) noexcept {
+  schema_version = other237.schema_version;
+  at_ms = other237.at_ms;
+  order_id = std::move(other237.order_id);
+  body = std::move(other237.body);
 }
-command& command::operator=(const command& other226) {
-  schema_version = other226.schema_version;
-  at_ms = other226.at_ms;
-  order_id = other226.order_id;
-  body = other226.body;
+command& command::operator=(const command& other238) {
+  schema_version = other238.schema_version;
+  at_ms = other238.at_ms;
+  order_id = other238.order_id;
+  body = other238.body;
   return *this;
 }
-command& command::operator=(command&& other227) noexcept {
-  schema_version = other227.schema_version;
-  at_ms = other227.at_ms;
-  order_id = std::move(other227.order_id);
-  body = std::move(other227.body);
+command& command::operator=(command&& other239) noexcept {
+  schema_version = other239.schema_version;
+  at_ms = other239.at_ms;
+  order_id = std::move(other239.order_id);
+  body = std::move(other239.body);
   return *this;
 }
 void command::printTo(std::ostream& out) const {
@@ -7858,30 +7858,30 @@
   swap(a.__isset, b.__isset);
 }
 
-write_result::write_result(const write_result& other228) {
-  status = other228.status;
-  now = other228.now;
-  text = other228.text;
-  __isset = other228.__isset;
+write_result::write_result(const write_result& other240) {
+  status = other240.status;
+  now = other240.now;
+  text = other240.text;
+  __isset = other240.__isset;
 }
-write_result::write_result(write_result&& other229) noexcept {
-  status = other229.status;
-  now = other229.now;
-  text = std::move(other229.text);
-  __isset = other229.__isset;
+write_result::write_result(write_result&& other241) noexcept {
+  status = other241.status;
+  now = other241.now;
+  text = std::move(other241.text);
+  __isset = other241.__isset;
 }
-write_result& write_result::operator=(const write_result& other230) {
-  status = other230.status;
-  now = other230.now;
-  text = other230.text;
-  __isset = other230.__isset;
+write_result& write_result::operator=(const write_result& other242) {
+  status = other242.status;
+  now = other242.now;
+  text = other242.text;
+  __isset = other242.__isset;
   return *this;
 }
-write_result& write_result::operator=(write_result&& other231) noexcept {
-  status = other231.status;
-  now = other231.now;
-  text = std::move(other231.text);
-  __isset = other231.__isset;
+write_result& write_result::operator=(write_result&& other243) noexcept {
+  status = other243.status;
+  now = other243.now;
+  text = std::move(other243.text);
+  __isset = other243.__isset;
   return *this;
 }
 void write_result::printTo(std::ostream& out) const {
@@ -7969,22 +7969,22 @@
   swap(a.__isset, b.__isset);
 }
 
-fence_result::fence_result(const fence_result& other232) noexcept {
-  token = other232.token;
-  __isset = other232.__isset;
+fence_result::fence_result(const fence_result& other244) noexcept {
+  token = other244.token;
+  __isset = other244.__isset;
 }
-fence_result::fence_result(fence_result&& other233) noexcept {
-  token = std::move(other233.token);
-  __isset = other233.__isset;
+fence_result::fence_result(fence_result&& other245) noexcept {
+  token = std::move(other245.token);
+  __isset = other245.__isset;
 }
-fence_result& fence_result::operator=(const fence_result& other234) noexcept {
-  token = other234.token;
-  __isset = other234.__isset;
+fence_result& fence_result::operator=(const fence_result& other246) noexcept {
+  token = other246.token;
+  __isset = other246.__isset;
   return *this;
 }
-fence_result& fence_result::operator=(fence_result&& other235) noexcept {
-  token = std::move(other235.token);
-  __isset = other235.__isset;
+fence_result& fence_result::operator=(fence_result&& other247) noexcept {
+  token = std::move(other247.token);
+  __isset = other247.__isset;
   return *this;
 }
 void fence_result::printTo(std::ostream& out) const {
@@ -8087,26 +8087,26 @@
   swap(a.__isset, b.__isset);
 }
 
-purchase_result::purchase_result(const purchase_result& other236) {
-  status = other236.status;
-  purchase = other236.purchase;
-  __isset = other236.__isset;
+purchase_result::purchase_result(const purchase_result& other248) {
+  status = other248.status;
+  purchase = other248.purchase;
+  __isset = other248.__isset;
 }
-purchase_result::purchase_result(purchase_result&& other237) noexcept {
-  status = other237.status;
-  purchase = std::move(other237.purchase);
-  __isset = other237.__isset;
+purchase_result::purchase_result(purchase_result&& other249) noexcept {
+  status = other249.status;
+  purchase = std::move(other249.purchase);
+  __isset = other249.__isset;
 }
-purchase_result& purchase_result::operator=(const purchase_result& other238) {
-  status = other238.status;
-  purchase = other238.purchase;
-  __isset = other238.__isset;
+purchase_result& purchase_result::operator=(const purchase_result& other250) {
+  status = other250.status;
+  purchase = other250.purchase;
+  __isset = other250.__isset;
   return *this;
 }
-purchase_result& purchase_result::operator=(purchase_result&& other239) noexcept {
-  status = other239.status;
-  purchase = std::move(other239.purchase);
-  __isset = other239.__isset;
+purchase_result& purchase_result::operator=(purchase_result&& other251) noexcept {
+  status = other251.status;
+  purchase = std::move(other251.purchase);
+  __isset = other251.__isset;
   return *this;
 }
 void purchase_result::printTo(std::ostream& out) const {
@@ -8210,26 +8210,26 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_result::claim_result(const claim_result& other240) {
-  status = other240.status;
-  claim = other240.claim;
-  __isset = other240.__isset;
+claim_result::claim_result(const claim_result& other252) {
+  status = other252.status;
+  claim = other252.claim;
+  __isset = other252.__isset;
 }
-claim_result::claim_result(claim_result&& other241) noexcept {
-  status = other241.status;
-  claim = std::move(other241.claim);
-  __isset = other241.__isset;
+claim_result::claim_result(claim_result&& other253) noexcept {
+  status = other253.status;
+  claim = std::move(other253.claim);
+  __isset = other253.__isset;
 }
-claim_result& claim_result::operator=(const claim_result& other242) {
-  status = other242.status;
-  claim = other242.claim;
-  __isset = other242.__isset;
+claim_result& claim_result::operator=(const claim_result& other254) {
+  status = other254.status;
+  claim = other254.claim;
+  __isset = other254.__isset;
   return *this;
 }
-claim_result& claim_result::operator=(claim_result&& other243) noexcept {
-  status = other243.status;
-  claim = std::move(other243.claim);
-  __isset = other243.__isset;
+claim_result& claim_result::operator=(claim_result&& other255) noexcept {
+  status = other255.status;
+  claim = std::move(other255.claim);
+  __isset = other255.__isset;
   return *this;
 }
 void claim_result::printTo(std::ostream& out) const {
@@ -8375,34 +8375,34 @@
   swap(a.__isset, b.__isset);
 }
 
-result_body::result_body(const result_body& other244) {
-  write_value = other244.write_value;
-  fence_value = other244.fence_value;
-  purchase_value = other244.purchase_value;
-  claim_value = other244.claim_value;
-  __isset = other244.__isset;
-}
-result_body::result_body(result_body&& other245) noexcept {
-  write_value = std::move(other245.write_value);
-  fence_value = std::move(other245.fence_value);
-  purchase_value = std::move(other245.purchase_value);
-  claim_value = std::move(other245.claim_value);
-  __isset = other245.__isset;
-}
-result_body& result_body::operator=(const result_body& other246) {
-  write_value = other246.write_value;
-  fence_value = other246.fence_value;
-  purchase_value = other246.purchase_value;
-  claim_value = other246.claim_value;
-  __isset = other246.__isset;
+result_body::result_body(const result_body& other256) {
+  write_value = other256.write_value;
+  fence_value = other256.fence_value;
+  purchase_value = other256.purchase_value;
+  claim_value = other256.claim_value;
+  __isset = other256.__isset;
+}
+result_body::result_body(result_body&& other257) noexcept {
+  write_value = std::move(other257.write_value);
+  fence_value = std::move(other257.fence_value);
+  purchase_value = std::move(other257.purchase_value);
+  claim_value = std::move(other257.claim_value);
+  __isset = other257.__isset;
+}
+result_body& result_body::operator=(const result_body& other258) {
+  write_value = other258.write_value;
+  fence_value = other258.fence_value;
+  purchase_value = other258.purchase_value;
+  claim_value = other258.claim_value;
+  __isset = other258.__isset;
   return *this;
 }
-result_body& result_body::operator=(result_body&& other247) noexcept {
-  write_value = std::move(other247.write_value);
-  fence_value = std::move(other247.fence_value);
-  purchase_value = std::move(other247.purchase_value);
-  claim_value = std::move(other247.claim_value);
-  __isset = other247.__isset;
+result_body& result_body::operator=(result_body&& other259) noexcept {
+  write_value = std::move(other259.write_value);
+  fence_value = std::move(other259.fence_value);
+  purchase_value = std::move(other259.purchase_value);
+  claim_value = std::move(other259.claim_value);
+  __isset = other259.__isset;
   return *this;
 }
 void result_body::printTo(std::ostream& out) const {
@@ -8513,22 +8513,22 @@
   swap(a.body, b.body);
 }
 
-command_result::command_result(const command_result& other248) {
-  index = other248.index;
-  body = other248.body;
+command_result::command_result(const command_result& other260) {
+  index = other260.index;
+  body = other260.body;
 }
-command_result::command_result(command_result&& other249) noexcept {
-  index = other249.index;
-  body = std::move(other249.body);
+command_result::command_result(command_result&& other261) noexcept {
+  index = other261.index;
+  body = std::move(other261.body);
 }
-command_result& command_result::operator=(const command_result& other250) {
-  index = other250.index;
-  body = other250.body;
+command_result& command_result::operator=(const command_result& other262) {
+  index = other262.index;
+  body = other262.body;
   return *this;
 }
-command_result& command_result::operator=(command_result&& other251) noexcept {
-  index = other251.index;
-  body = std::move(other251.body);
+command_result& command_result::operator=(command_result&& other263) noexcept {
+  index = other263.index;
+  body = std::move(other263.body);
   return *this;
 }
 void command_result::printTo(std::ostream& out) const {
@@ -8649,30 +8649,30 @@
   swap(a.__isset, b.__isset);
 }
 
-removal::removal(const removal& other252) {
-  kind = other252.kind;
-  name = other252.name;
-  changed = other252.changed;
-  __isset = other252.__isset;
+removal::removal(const removal& other264) {
+  kind = other264.kind;
+  name = other264.name;
+  changed = other264.changed;
+  __isset = other264.__isset;
 }
-removal::removal(removal&& other253) noexcept {
-  kind = other253.kind;
-  name = std::move(other253.name);
-  changed = other253.changed;
-  __isset = other253.__isset;
+removal::removal(removal&& other265) noexcept {
+  kind = other265.kind;
+  name = std::move(other265.name);
+  changed = other265.changed;
+  __isset = other265.__isset;
 }
-removal& removal::operator=(const removal& other254) {
-  kind = other254.kind;
-  name = other254.name;
-  changed = other254.changed;
-  __isset = other254.__isset;
+removal& removal::operator=(const removal& other266) {
+  kind = other266.kind;
+  name = other266.name;
+  changed = other266.changed;
+  __isset = other266.__isset;
   return *this;
 }
-removal& removal::operator=(removal&& other255) noexcept {
-  kind = other255.kind;
-  name = std::move(other255.name);
-  changed = other255.changed;
-  __isset = other255.__isset;
+removal& removal::operator=(removal&& other267) noexcept {
+  kind = other267.kind;
+  name = std::move(other267.name);
+  changed = other267.changed;
+  __isset = other267.__isset;
   return *this;
 }
 void removal::printTo(std::ostream& out) const {
@@ -8787,14 +8787,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->contracts.clear();
-            uint32_t _size256;
-            ::apache::thrift::protocol::TType _etype259;
-            xfer += iprot->readListBegin(_etype259, _size256);
-            this->contracts.resize(_size256);
-            uint32_t _i260;
-            for (_i260 = 0; _i260 < _size256; ++_i260)
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->contracts.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
             {
-              xfer += this->contracts[_i260].read(iprot);
+              xfer += this->contracts[_i272].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8807,14 +8807,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size261;
-            ::apache::thrift::protocol::TType _etype264;
-            xfer += iprot->readListBegin(_etype264, _size261);
-            this->services.resize(_size261);
-            uint32_t _i265;
-            for (_i265 = 0; _i265 < _size261; ++_i265)
+            uint32_t _size273;
+            ::apache::thrift::protocol::TType _etype276;
+            xfer += iprot->readListBegin(_etype276, _size273);
+            this->services.resize(_size273);
+            uint32_t _i277;
+            for (_i277 = 0; _i277 < _size273; ++_i277)
             {
-              xfer += this->services[_i265].read(iprot);
+              xfer += this->services[_i277].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8827,14 +8827,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size266;
-            ::apache::thrift::protocol::TType _etype269;
-            xfer += iprot->readListBegin(_etype269, _size266);
-            this->leaving.resize(_size266);
-            uint32_t _i270;
-            for (_i270 = 0; _i270 < _size266; ++_i270)
+            uint32_t _size278;
+            ::apache::thrift::protocol::TType _etype281;
+            xfer += iprot->readListBegin(_etype281, _size278);
+            this->leaving.resize(_size278);
+            uint32_t _i282;
+            for (_i282 = 0; _i282 < _size278; ++_i282)
             {
-              xfer += this->leaving[_i270].read(iprot);
+              xfer += this->leaving[_i282].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8847,14 +8847,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size271;
-            ::apache::thrift::protocol::TType _etype274;
-            xfer += iprot->readListBegin(_etype274, _size271);
-            this->removals.resize(_size271);
-            uint32_t _i275;
-            for (_i275 = 0; _i275 < _size271; ++_i275)
+            uint32_t _size283;
+            ::apache::thrift::protocol::TType _etype286;
+            xfer += iprot->readListBegin(_etype286, _size283);
+            this->removals.resize(_size283);
+            uint32_t _i287;
+            for (_i287 = 0; _i287 < _size283; ++_i287)
             {
-              xfer += this->removals[_i275].read(iprot);
+              xfer += this->removals[_i287].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8883,14 +8883,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size412;
-            ::apache::thrift::protocol::TType _etype415;
-            xfer += iprot->readListBegin(_etype415, _size412);
-            this->evacuations.resize(_size412);
-            uint32_t _i416;
-            for (_i416 = 0; _i416 < _size412; ++_i416)
+            uint32_t _size288;
+            ::apache::thrift::protocol::TType _etype291;
+            xfer += iprot->readListBegin(_etype291, _size288);
+            this->evacuations.resize(_size288);
+            uint32_t _i292;
+            for (_i292 = 0; _i292 < _size288; ++_i292)
             {
-              xfer += this->evacuations[_i416].read(iprot);
+              xfer += this->evacuations[_i292].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8937,10 +8937,10 @@
   xfer += oprot->writeFieldBegin("contracts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contracts.size()));
-    std::vector<contract_record> ::const_iterator _iter276;
-    for (_iter276 = this->contracts.begin(); _iter276 != this->contracts.end(); ++_iter276)
+    std::vector<contract_record> ::const_iterator _iter293;
+    for (_iter293 = this->contracts.begin(); _iter293 != this->contracts.end(); ++_iter293)
     {
-      xfer += (*_iter276).write(oprot);
+      xfer += (*_iter293).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8949,10 +8949,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<service_record> ::const_iterator _iter277;
-    for (_iter277 = this->services.begin(); _iter277 != this->services.end(); ++_iter277)
+    std::vector<service_record> ::const_iterator _iter294;
+    for (_iter294 = this->services.begin(); _iter294 != this->services.end(); ++_iter294)
     {
-      xfer += (*_iter277).write(oprot);
+      xfer += (*_iter294).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8961,10 +8961,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<leaving_record> ::const_iterator _iter278;
-    for (_iter278 = this->leaving.begin(); _iter278 != this->leaving.end(); ++_iter278)
+    std::vector<leaving_record> ::const_iterator _iter295;
+    for (_iter295 = this->leaving.begin(); _iter295 != this->leaving.end(); ++_iter295)
     {
-      xfer += (*_iter278).write(oprot);
+      xfer += (*_iter295).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8973,10 +8973,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<removal> ::const_iterator _iter279;
-    for (_iter279 = this->removals.begin(); _iter279 != this->removals.end(); ++_iter279)
+    std::vector<removal> ::const_iterator _iter296;
+    for (_iter296 = this->removals.begin(); _iter296 != this->removals.end(); ++_iter296)
     {
-      xfer += (*_iter279).write(oprot);
+      xfer += (*_iter296).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8993,10 +8993,10 @@
   xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-    std::vector<evacuation_record> ::const_iterator _iter417;
-    for (_iter417 = this->evacuations.begin(); _iter417 != this->evacuations.end(); ++_iter417)
+    std::vector<evacuation_record> ::const_iterator _iter297;
+    for (_iter297 = this->evacuations.begin(); _iter297 != this->evacuations.end(); ++_iter297)
     {
-      xfer += (*_iter417).write(oprot);
+      xfer += (*_iter297).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9022,58 +9022,58 @@
   swap(a.__isset, b.__isset);
 }
 
-declaration_delta::declaration_delta(const declaration_delta& other280) {
-  schema_version = other280.schema_version;
-  from_index = other280.from_index;
-  to_index = other280.to_index;
-  contracts = other280.contracts;
-  services = other280.services;
-  leaving = other280.leaving;
-  removals = other280.removals;
-  removals_from = other280.removals_from;
-  whole = other280.whole;
-  evacuations = other280.evacuations;
-  __isset = other280.__isset;
-}
-declaration_delta::declaration_delta(declaration_delta&& other281) noexcept {
-  schema_version = other281.schema_version;
-  from_index = other281.from_index;
-  to_index = other281.to_index;
-  contracts = std::move(other281.contracts);
-  services = std::move(other281.services);
-  leaving = std::move(other281.leaving);
-  removals = std::move(other281.removals);
-  removals_from = other281.removals_from;
-  whole = other281.whole;
-  evacuations = std::move(other281.evacuations);
-  __isset = other281.__isset;
-}
-declaration_delta& declaration_delta::operator=(const declaration_delta& other282) {
-  schema_version = other282.schema_version;
-  from_index = other282.from_index;
-  to_index = other282.to_index;
-  contracts = other282.contracts;
-  services = other282.services;
-  leaving = other282.leaving;
-  removals = other282.removals;
-  removals_from = other282.removals_from;
-  whole = other282.whole;
-  evacuations = other282.evacuations;
-  __isset = other282.__isset;
+declaration_delta::declaration_delta(const declaration_delta& other298) {
+  schema_version = other298.schema_version;
+  from_index = other298.from_index;
+  to_index = other298.to_index;
+  contracts = other298.contracts;
+  services = other298.services;
+  leaving = other298.leaving;
+  removals = other298.removals;
+  removals_from = other298.removals_from;
+  whole = other298.whole;
+  evacuations = other298.evacuations;
+  __isset = other298.__isset;
+}
+declaration_delta::declaration_delta(declaration_delta&& other299) noexcept {
+  schema_version = other299.schema_version;
+  from_index = other299.from_index;
+  to_index = other299.to_index;
+  contracts = std::move(other299.contracts);
+  services = std::move(other299.services);
+  leaving = std::move(other299.leaving);
+  removals = std::move(other299.removals);
+  removals_from = other299.removals_from;
+  whole = other299.whole;
+  evacuations = std::move(other299.evacuations);
+  __isset = other299.__isset;
+}
+declaration_delta& declaration_delta::operator=(const declaration_delta& other300) {
+  schema_version = other300.schema_version;
+  from_index = other300.from_index;
+  to_index = other300.to_index;
+  contracts = other300.contracts;
+  services = other300.services;
+  leaving = other300.leaving;
+  removals = other300.removals;
+  removals_from = other300.removals_from;
+  whole = other300.whole;
+  evacuations = other300.evacuations;
+  __isset = other300.__isset;
   return *this;
 }
-declaration_delta& declaration_delta::operator=(declaration_delta&& other283) noexcept {
-  schema_version = other283.schema_version;
-  from_index = other283.from_index;
-  to_index = other283.to_index;
-  contracts = std::move(other283.contracts);
-  services = std::move(other283.services);
-  leaving = std::move(other283.leaving);
-  removals = std::move(other283.removals);
-  removals_from = other283.removals_from;
-  whole = other283.whole;
-  evacuations = std::move(other283.evacuations);
-  __isset = other283.__isset;
+declaration_delta& declaration_delta::operator=(declaration_delta&& other301) noexcept {
+  schema_version = other301.schema_version;
+  from_index = other301.from_index;
+  to_index = other301.to_index;
+  contracts = std::move(other301.contracts);
+  services = std::move(other301.services);
+  leaving = std::move(other301.leaving);
+  removals = std::move(other301.removals);
+  removals_from = other301.removals_from;
+  whole = other301.whole;
+  evacuations = std::move(other301.evacuations);
+  __isset = other301.__isset;
   return *this;
 }
 void declaration_delta::printTo(std::ostream& out) const {
@@ -9202,30 +9202,30 @@
   swap(a.__isset, b.__isset);
 }
 
-order_answer::order_answer(const order_answer& other284) {
-  order_id = other284.order_id;
-  command_digest = other284.command_digest;
-  answer = other284.answer;
-  __isset = other284.__isset;
+order_answer::order_answer(const order_answer& other302) {
+  order_id = other302.order_id;
+  command_digest = other302.command_digest;
+  answer = other302.answer;
+  __isset = other302.__isset;
 }
-order_answer::order_answer(order_answer&& other285) noexcept {
-  order_id = std::move(other285.order_id);
-  command_digest = other285.command_digest;
-  answer = std::move(other285.answer);
-  __isset = other285.__isset;
+order_answer::order_answer(order_answer&& other303) noexcept {
+  order_id = std::move(other303.order_id);
+  command_digest = other303.command_digest;
+  answer = std::move(other303.answer);
+  __isset = other303.__isset;
 }
-order_answer& order_answer::operator=(const order_answer& other286) {
-  order_id = other286.order_id;
-  command_digest = other286.command_digest;
-  answer = other286.answer;
-  __isset = other286.__isset;
+order_answer& order_answer::operator=(const order_answer& other304) {
+  order_id = other304.order_id;
+  command_digest = other304.command_digest;
+  answer = other304.answer;
+  __isset = other304.__isset;
   return *this;
 }
-order_answer& order_answer::operator=(order_answer&& other287) noexcept {
-  order_id = std::move(other287.order_id);
-  command_digest = other287.command_digest;
-  answer = std::move(other287.answer);
-  __isset = other287.__isset;
+order_answer& order_answer::operator=(order_answer&& other305) noexcept {
+  order_id = std::move(other305.order_id);
+  command_digest = other305.command_digest;
+  answer = std::move(other305.answer);
+  __isset = other305.__isset;
   return *this;
 }
 void order_answer::printTo(std::ostream& out) const {
@@ -9377,14 +9377,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->contracts.clear();
-            uint32_t _size288;
-            ::apache::thrift::protocol::TType _etype291;
-            xfer += iprot->readListBegin(_etype291, _size288);
-            this->contracts.resize(_size288);
-            uint32_t _i292;
-            for (_i292 = 0; _i292 < _size288; ++_i292)
+            uint32_t _size306;
+            ::apache::thrift::protocol::TType _etype309;
+            xfer += iprot->readListBegin(_etype309, _size306);
+            this->contracts.resize(_size306);
+            uint32_t _i310;
+            for (_i310 = 0; _i310 < _size306; ++_i310)
             {
-              xfer += this->contracts[_i292].read(iprot);
+              xfer += this->contracts[_i310].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9397,14 +9397,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size293;
-            ::apache::thrift::protocol::TType _etype296;
-            xfer += iprot->readListBegin(_etype296, _size293);
-            this->services.resize(_size293);
-            uint32_t _i297;
-            for (_i297 = 0; _i297 < _size293; ++_i297)
+            uint32_t _size311;
+            ::apache::thrift::protocol::TType _etype314;
+            xfer += iprot->readListBegin(_etype314, _size311);
+            this->services.resize(_size311);
+            uint32_t _i315;
+            for (_i315 = 0; _i315 < _size311; ++_i315)
             {
-              xfer += this->services[_i297].read(iprot);
+              xfer += this->services[_i315].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9417,14 +9417,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size298;
-            ::apache::thrift::protocol::TType _etype301;
-            xfer += iprot->readListBegin(_etype301, _size298);
-            this->moves.resize(_size298);
-            uint32_t _i302;
-            for (_i302 = 0; _i302 < _size298; ++_i302)
+            uint32_t _size316;
+            ::apache::thrift::protocol::TType _etype319;
+            xfer += iprot->readListBegin(_etype319, _size316);
+            this->moves.resize(_size316);
+            uint32_t _i320;
+            for (_i320 = 0; _i320 < _size316; ++_i320)
             {
-              xfer += this->moves[_i302].read(iprot);
+              xfer += this->moves[_i320].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9437,14 +9437,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->purchases.clear();
-            uint32_t _size303;
-            ::apache::thrift::protocol::TType _etype306;
-            xfer += iprot->readListBegin(_etype306, _size303);
-            this->purchases.resize(_size303);
-            uint32_t _i307;
-            for (_i307 = 0; _i307 < _size303; ++_i307)
+            uint32_t _size321;
+            ::apache::thrift::protocol::TType _etype324;
+            xfer += iprot->readListBegin(_etype324, _size321);
+            this->purchases.resize(_size321);
+            uint32_t _i325;
+            for (_i325 = 0; _i325 < _size321; ++_i325)
             {
-              xfer += this->purchases[_i307].read(iprot);
+              xfer += this->purchases[_i325].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9457,14 +9457,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size308;
-            ::apache::thrift::protocol::TType _etype311;
-            xfer += iprot->readListBegin(_etype311, _size308);
-            this->leaving.resize(_size308);
-            uint32_t _i312;
-            for (_i312 = 0; _i312 < _size308; ++_i312)
+            uint32_t _size326;
+            ::apache::thrift::protocol::TType _etype329;
+            xfer += iprot->readListBegin(_etype329, _size326);
+            this->leaving.resize(_size326);
+            uint32_t _i330;
+            for (_i330 = 0; _i330 < _size326; ++_i330)
             {
-              xfer += this->leaving[_i312].read(iprot);
+              xfer += this->leaving[_i330].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9477,14 +9477,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size313;
-            ::apache::thrift::protocol::TType _etype316;
-            xfer += iprot->readListBegin(_etype316, _size313);
-            this->grants.resize(_size313);
-            uint32_t _i317;
-            for (_i317 = 0; _i317 < _size313; ++_i317)
+            uint32_t _size331;
+            ::apache::thrift::protocol::TType _etype334;
+            xfer += iprot->readListBegin(_etype334, _size331);
+            this->grants.resize(_size331);
+            uint32_t _i335;
+            for (_i335 = 0; _i335 < _size331; ++_i335)
             {
-              xfer += this->grants[_i317].read(iprot);
+              xfer += this->grants[_i335].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9521,14 +9521,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->order_answers.clear();
-            uint32_t _size318;
-            ::apache::thrift::protocol::TType _etype321;
-            xfer += iprot->readListBegin(_etype321, _size318);
-            this->order_answers.resize(_size318);
-            uint32_t _i322;
-            for (_i322 = 0; _i322 < _size318; ++_i322)
+            uint32_t _size336;
+            ::apache::thrift::protocol::TType _etype339;
+            xfer += iprot->readListBegin(_etype339, _size336);
+            this->order_answers.resize(_size336);
+            uint32_t _i340;
+            for (_i340 = 0; _i340 < _size336; ++_i340)
             {
-              xfer += this->order_answers[_i322].read(iprot);
+              xfer += this->order_answers[_i340].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9541,14 +9541,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size323;
-            ::apache::thrift::protocol::TType _etype326;
-            xfer += iprot->readListBegin(_etype326, _size323);
-            this->removals.resize(_size323);
-            uint32_t _i327;
-            for (_i327 = 0; _i327 < _size323; ++_i327)
+            uint32_t _size341;
+            ::apache::thrift::protocol::TType _etype344;
+            xfer += iprot->readListBegin(_etype344, _size341);
+            this->removals.resize(_size341);
+            uint32_t _i345;
+            for (_i345 = 0; _i345 < _size341; ++_i345)
             {
-              xfer += this->removals[_i327].read(iprot);
+              xfer += this->removals[_i345].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9569,14 +9569,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size418;
-            ::apache::thrift::protocol::TType _etype421;
-            xfer += iprot->readListBegin(_etype421, _size418);
-            this->evacuations.resize(_size418);
-            uint32_t _i422;
-            for (_i422 = 0; _i422 < _size418; ++_i422)
+            uint32_t _size346;
+            ::apache::thrift::protocol::TType _etype349;
+            xfer += iprot->readListBegin(_etype349, _size346);
+            this->evacuations.resize(_size346);
+            uint32_t _i350;
+            for (_i350 = 0; _i350 < _size346; ++_i350)
             {
-              xfer += this->evacuations[_i422].read(iprot);
+              xfer += this->evacuations[_i350].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9629,10 +9629,10 @@
   xfer += oprot->writeFieldBegin("contracts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contracts.size()));
-    std::vector<contract_record> ::const_iterator _iter328;
-    for (_iter328 = this->contracts.begin(); _iter328 != this->contracts.end(); ++_iter328)
+    std::vector<contract_record> ::const_iterator _iter351;
+    for (_iter351 = this->contracts.begin(); _iter351 != this->contracts.end(); ++_iter351)
     {
-      xfer += (*_iter328).write(oprot);
+      xfer += (*_iter351).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9641,10 +9641,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<service_record> ::const_iterator _iter329;
-    for (_iter329 = this->services.begin(); _iter329 != this->services.end(); ++_iter329)
+    std::vector<service_record> ::const_iterator _iter352;
+    for (_iter352 = this->services.begin(); _iter352 != this->services.end(); ++_iter352)
     {
-      xfer += (*_iter329).write(oprot);
+      xfer += (*_iter352).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9653,10 +9653,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<move_record> ::const_iterator _iter330;
-    for (_iter330 = this->moves.begin(); _iter330 != this->moves.end(); ++_iter330)
+    std::vector<move_record> ::const_iterator _iter353;
+    for (_iter353 = this->moves.begin(); _iter353 != this->moves.end(); ++_iter353)
     {
-      xfer += (*_iter330).write(oprot);
+      xfer += (*_iter353).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9665,10 +9665,10 @@
   xfer += oprot->writeFieldBegin("purchases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->purchases.size()));
-    std::vector<purchase_record> ::const_iterator _iter331;
-    for (_iter331 = this->purchases.begin(); _iter331 != this->purchases.end(); ++_iter331)
+    std::vector<purchase_record> ::const_iterator _iter354;
+    for (_iter354 = this->purchases.begin(); _iter354 != this->purchases.end(); ++_iter354)
     {
-      xfer += (*_iter331).write(oprot);
+      xfer += (*_iter354).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9677,10 +9677,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<leaving_record> ::const_iterator _iter332;
-    for (_iter332 = this->leaving.begin(); _iter332 != this->leaving.end(); ++_iter332)
+    std::vector<leaving_record> ::const_iterator _iter355;
+    for (_iter355 = this->leaving.begin(); _iter355 != this->leaving.end(); ++_iter355)
     {
-      xfer += (*_iter332).write(oprot);
+      xfer += (*_iter355).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9689,10 +9689,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<grant_record> ::const_iterator _iter333;
-    for (_iter333 = this->grants.begin(); _iter333 != this->grants.end(); ++_iter333)
+    std::vector<grant_record> ::const_iterator _iter356;
+    for (_iter356 = this->grants.begin(); _iter356 != this->grants.end(); ++_iter356)
     {
-      xfer += (*_iter333).write(oprot);
+      xfer += (*_iter356).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9713,10 +9713,10 @@
   xfer += oprot->writeFieldBegin("order_answers", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->order_answers.size()));
-    std::vector<order_answer> ::const_iterator _iter334;
-    for (_iter334 = this->order_answers.begin(); _iter334 != this->order_answers.end(); ++_iter334)
+    std::vector<order_answer> ::const_iterator _iter357;
+    for (_iter357 = this->order_answers.begin(); _iter357 != this->order_answers.end(); ++_iter357)
     {
-      xfer += (*_iter334).write(oprot);
+      xfer += (*_iter357).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9725,10 +9725,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<removal> ::const_iterator _iter335;
-    for (_iter335 = this->removals.begin(); _iter335 != this->removals.end(); ++_iter335)
+    std::vector<removal> ::const_iterator _iter358;
+    for (_iter358 = this->removals.begin(); _iter358 != this->removals.end(); ++_iter358)
     {
-      xfer += (*_iter335).write(oprot);
+      xfer += (*_iter358).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9741,10 +9741,10 @@
   xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-    std::vector<evacuation_record> ::const_iterator _iter423;
-    for (_iter423 = this->evacuations.begin(); _iter423 != this->evacuations.end(); ++_iter423)
+    std::vector<evacuation_record> ::const_iterator _iter359;
+    for (_iter359 = this->evacuations.begin(); _iter359 != this->evacuations.end(); ++_iter359)
     {
-      xfer += (*_iter423).write(oprot);
+      xfer += (*_iter359).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9777,86 +9777,86 @@
   swap(a.__isset, b.__isset);
 }
 
-snapshot::snapshot(const snapshot& other336) {
-  schema_version = other336.schema_version;
-  applied_index = other336.applied_index;
-  applied_term = other336.applied_term;
-  time_ms = other336.time_ms;
-  contracts = other336.contracts;
-  services = other336.services;
-  moves = other336.moves;
-  purchases = other336.purchases;
-  leaving = other336.leaving;
-  grants = other336.grants;
-  replicas = other336.replicas;
-  fence_counter = other336.fence_counter;
-  claims = other336.claims;
-  order_answers = other336.order_answers;
-  removals = other336.removals;
-  removals_from = other336.removals_from;
-  evacuations = other336.evacuations;
-  __isset = other336.__isset;
-}
-snapshot::snapshot(snapshot&& other337) noexcept {
-  schema_version = other337.schema_version;
-  applied_index = other337.applied_index;
-  applied_term = other337.applied_term;
-  time_ms = other337.time_ms;
-  contracts = std::move(other337.contracts);
-  services = std::move(other337.services);
-  moves = std::move(other337.moves);
-  purchases = std::move(other337.purchases);
-  leaving = std::move(other337.leaving);
-  grants = std::move(other337.grants);
-  replicas = std::move(other337.replicas);
-  fence_counter = other337.fence_counter;
-  claims = std::move(other337.claims);
-  order_answers = std::move(other337.order_answers);
-  removals = std::move(other337.removals);
-  removals_from = other337.removals_from;
-  evacuations = std::move(other337.evacuations);
-  __isset = other337.__isset;
-}
-snapshot& snapshot::operator=(const snapshot& other338) {
-  schema_version = other338.schema_version;
-  applied_index = other338.applied_index;
-  applied_term = other338.applied_term;
-  time_ms = other338.time_ms;
-  contracts = other338.contracts;
-  services = other338.services;
-  moves = other338.moves;
-  purchases = other338.purchases;
-  leaving = other338.leaving;
-  grants = other338.grants;
-  replicas = other338.replicas;
-  fence_counter = other338.fence_counter;
-  claims = other338.claims;
-  order_answers = other338.order_answers;
-  removals = other338.removals;
-  removals_from = other338.removals_from;
-  evacuations = other338.evacuations;
-  __isset = other338.__isset;
+snapshot::snapshot(const snapshot& other360) {
+  schema_version = other360.schema_version;
+  applied_index = other360.applied_index;
+  applied_term = other360.applied_term;
+  time_ms = other360.time_ms;
+  contracts = other360.contracts;
+  services = other360.services;
+  moves = other360.moves;
+  purchases = other360.purchases;
+  leaving = other360.leaving;
+  grants = other360.grants;
+  replicas = other360.replicas;
+  fence_counter = other360.fence_counter;
+  claims = other360.claims;
+  order_answers = other360.order_answers;
+  removals = other360.removals;
+  removals_from = other360.removals_from;
+  evacuations = other360.evacuations;
+  __isset = other360.__isset;
+}
+snapshot::snapshot(snapshot&& other361) noexcept {
+  schema_version = other361.schema_version;
+  applied_index = other361.applied_index;
+  applied_term = other361.applied_term;
+  time_ms = other361.time_ms;
+  contracts = std::move(other361.contracts);
+  services = std::move(other361.services);
+  moves = std::move(other361.moves);
+  purchases = std::move(other361.purchases);
+  leaving = std::move(other361.leaving);
+  grants = std::move(other361.grants);
+  replicas = std::move(other361.replicas);
+  fence_counter = other361.fence_counter;
+  claims = std::move(other361.claims);
+  order_answers = std::move(other361.order_answers);
+  removals = std::move(other361.removals);
+  removals_from = other361.removals_from;
+  evacuations = std::move(other361.evacuations);
+  __isset = other361.__isset;
+}
+snapshot& snapshot::operator=(const snapshot& other362) {
+  schema_version = other362.schema_version;
+  applied_index = other362.applied_index;
+  applied_term = other362.applied_term;
+  time_ms = other362.time_ms;
+  contracts = other362.contracts;
+  services = other362.services;
+  moves = other362.moves;
+  purchases = other362.purchases;
+  leaving = other362.leaving;
+  grants = other362.grants;
+  replicas = other362.replicas;
+  fence_counter = other362.fence_counter;
+  claims = other362.claims;
+  order_answers = other362.order_answers;
+  removals = other362.removals;
+  removals_from = other362.removals_from;
+  evacuations = other362.evacuations;
+  __isset = other362.__isset;
   return *this;
 }
-snapshot& snapshot::operator=(snapshot&& other339) noexcept {
-  schema_version = other339.schema_version;
-  applied_index = other339.applied_index;
-  applied_term = other339.applied_term;
-  time_ms = other339.time_ms;
-  contracts = std::move(other339.contracts);
-  services = std::move(other339.services);
-  moves = std::move(other339.moves);
-  purchases = std::move(other339.purchases);
-  leaving = std::move(other339.leaving);
-  grants = std::move(other339.grants);
-  replicas = std::move(other339.replicas);
-  fence_counter = other339.fence_counter;
-  claims = std::move(other339.claims);
-  order_answers = std::move(other339.order_answers);
-  removals = std::move(other339.removals);
-  removals_from = other339.removals_from;
-  evacuations = std::move(other339.evacuations);
-  __isset = other339.__isset;
+snapshot& snapshot::operator=(snapshot&& other363) noexcept {
+  schema_version = other363.schema_version;
+  applied_index = other363.applied_index;
+  applied_term = other363.applied_term;
+  time_ms = other363.time_ms;
+  contracts = std::move(other363.contracts);
+  services = std::move(other363.services);
+  moves = std::move(other363.moves);
+  purchases = std::move(other363.purchases);
+  leaving = std::move(other363.leaving);
+  grants = std::move(other363.grants);
+  replicas = std::move(other363.replicas);
+  fence_counter = other363.fence_counter;
+  claims = std::move(other363.claims);
+  order_answers = std::move(other363.order_answers);
+  removals = std::move(other363.removals);
+  removals_from = other363.removals_from;
+  evacuations = std::move(other363.evacuations);
+  __isset = other363.__isset;
   return *this;
 }
 void snapshot::printTo(std::ostream& out) const {
