--- a/include/hyssopdeal/coordination/evacuation/evacuated_domains.hpp
+++ b/include/hyssopdeal/coordination/evacuation/evacuated_domains.hpp
@@ -9,9 +9,9 @@
 ///
 /// Index: [evacuated_domains] [evacuation_progress]
 ///
-/// The orders are in the replicated log (`cluster_state`), which numbers each
-/// change. Every replica sends the set and its number to entries, and an entry
-/// reports the number that it applies.
+/// The orders are in the replicated log (`cluster_state`, `control_state`), which
+/// numbers each change. Every replica sends the set and its number to entries,
+/// and an entry reports the number that it applies.
 
 #include <chrono>
 #include <cstdint>
@@ -26,6 +26,9 @@
 namespace hyssopdeal::coordination
 {
 
+/// Names of failure domains.
+using domain_names = std::set<std::string>;
+
 // [evacuated_domains] --------------------------------------------------------
 
 /// The evacuated domains as known to one process.
@@ -44,14 +47,15 @@
     {
         std::vector<change> seen;
         /// Evacuations have begun and ended that no set showed, for example
-        /// before this process started or while it was partitioned.
+        /// before this process started or while it was partitioned. Only where
+        /// each begin and each end raises the revision by one.
         bool missed = false;
     };
 
     /// Replaces the set if its revision is higher than the one held; any
     /// replica may have sent it.
     changes apply(transport::monotonic_time now, std::uint64_t revision,
-                  const std::set<std::string>& domains);
+                  const domain_names& domains);
 
     /// @return Whether the servers of a domain get no new requests.
     [[nodiscard]] bool contains(const std::string& domain) const
@@ -65,7 +69,7 @@
     [[nodiscard]] std::optional<transport::monotonic_time>
     ended_at(const std::string& domain) const;
 
-    [[nodiscard]] const std::set<std::string>& domains() const noexcept
+    [[nodiscard]] const domain_names& domains() const noexcept
     {
         return domains_;
     }
@@ -78,7 +82,7 @@
 
 private:
     std::uint64_t revision_ = 0;
-    std::set<std::string> domains_;
+    domain_names domains_;
     std::map<std::string, transport::monotonic_time> ended_;
 };
 
--- a/src/coordination/control_api_writes.cpp
+++ b/src/coordination/control_api_writes.cpp
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <hyssopdeal/coordination/evacuation/evacuation_orders.hpp>
 #include <hyssopdeal/protocol/contract_json.hpp>
 
 #include "coordination/control_api.hpp"
@@ -91,6 +92,10 @@
     {
         return drain_instance(asked);
     }
+    if (kind == "evacuations" && named)
+    {
+        return write_evacuation(asked);
+    }
     if (kind == "replicas" && named)
     {
         return change_replicas(asked);
@@ -208,6 +213,43 @@
                 asked.part(2), state::leaving_source::operator_order, 0, {}});
 }
 
+/// If-Match may be missing: an order that is repeated, or given while another
+/// operator gives the same one, must not be refused for a revision.
+void control_api::write_evacuation(const call& asked)
+{
+    const auto& method = asked.request.method;
+    if (method != "PUT" && method != "DELETE")
+    {
+        return asked.refuse(not_found());
+    }
+    auto expected = state::any_revision;
+    const auto text = find_header(asked.request.headers, "If-Match");
+    if (!text.empty())
+    {
+        const auto number = call::number(text);
+        if (!number)
+        {
+            return asked.refuse({verdict::not_run, reason::bad_request,
+                                 "If-Match: REVISION, or none, is allowed."});
+        }
+        expected = *number;
+    }
+    const auto& domain = asked.parts[2];
+    const auto known =
+        check_domain(known_domains(access_.state().tables(),
+                                   access_.members().table().entries()),
+                     domain);
+    if (!known)
+    {
+        return asked.refuse(known.error());
+    }
+    if (method == "PUT")
+    {
+        return propose(asked, state::order_evacuation{domain, expected});
+    }
+    propose(asked, state::withdraw_evacuation{domain, expected});
+}
+
 void control_api::change_replicas(const call& asked)
 {
     const auto id = call::number(asked.part(2));
@@ -277,11 +319,18 @@
         shown =
             found == leaving.end() ? json::object() : to_json(found->second);
     }
+    // A repeated evacuation is in force where the first one is. Entries hear of
+    // the repeat's own index only when they ask next, seconds later.
+    const bool evacuation =
+        std::holds_alternative<state::order_evacuation>(body) ||
+        std::holds_alternative<state::withdraw_evacuation>(body);
+    const bool repeated = evacuation && written.now != 0 &&
+                          written.status == state::write_status::unchanged;
     switch (written.status)
     {
     case state::write_status::applied:
     case state::write_status::unchanged:
-        return asked.answer(200, shown, result.index);
+        return asked.answer(200, shown, repeated ? written.now : result.index);
     case state::write_status::conflict:
         return asked.answer(409, shown, result.index);
     case state::write_status::missing:
--- a/src/coordination/evacuation/evacuated_domains.cpp
+++ b/src/coordination/evacuation/evacuated_domains.cpp
@@ -12,7 +12,7 @@
 
 evacuated_domains::changes
 evacuated_domains::apply(monotonic_time now, std::uint64_t revision,
-                         const std::set<std::string>& domains)
+                         const domain_names& domains)
 {
     changes result;
     if (revision <= revision_)
