--- a/tests/hostile_callers_test.cpp
+++ b/tests/hostile_callers_test.cpp
@@ -5,19 +5,11 @@
 /// open descriptors stay under the bounds, and that an ordinary request is
 /// answered while the clients still hold their connections.
 ///
-/// Index: [crowd] [process under test] [cases] [tests]
-
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
+/// Index: [process under test] [cases] [tests]
 
 #include <chrono>
 #include <filesystem>
-#include <fstream>
 #include <functional>
-#include <thread>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -25,6 +17,7 @@
 
 #include <hyssopdeal/transport/digest.hpp>
 
+#include "caller_crowd.hpp"
 #include "platform/counterpart.hpp"
 #include "platform/settings.hpp"
 #include "process_group.hpp"
@@ -32,12 +25,18 @@
 
 using namespace hyssopdeal;
 using namespace std::chrono_literals;
+using tests::answer_to;
+using tests::crowd;
+using tests::descriptors_of;
+using tests::memory_is_measured;
+using tests::own_address;
+using tests::peak_memory_mb;
+using tests::script;
+using tests::target;
 
 namespace
 {
 
-using steady = std::chrono::steady_clock;
-
 // The bounds are the memory and the descriptors that the settings state for
 // the instance. The native programs have no such setting; theirs is that of
 // the smallest instance of the platform.
@@ -45,157 +44,7 @@
 constexpr std::size_t native_memory_mb = 120;
 constexpr std::size_t max_descriptors = 512;
 constexpr std::size_t idle_count = 600;
-constexpr std::chrono::seconds backstop{30};
-
-// [crowd] --------------------------------------------------------------------
-
-struct target
-{
-    std::string address;
-    std::uint16_t port = 0;
-};
-
-int connect_to(const target& to)
-{
-    const int file = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    name.sin_port = htons(to.port);
-    ::inet_pton(AF_INET, to.address.c_str(), &name.sin_addr);
-    if (::connect(file, reinterpret_cast<const sockaddr*>(&name),
-                  sizeof(name)) != 0)
-    {
-        ::close(file);
-        return -1;
-    }
-    return file;
-}
-
-// What each client sends: a head, a unit so many times, and no end.
-struct script
-{
-    std::string name;
-    std::size_t clients = 0;
-    std::string head;
-    std::string unit;
-    std::size_t repeats = 0;
-    std::size_t piece = 1'048'576; // Most bytes in one write.
-    bool reads = true;
-};
-
-// Clients that send their script and then keep their connections open.
-class crowd
-{
-public:
-    crowd(const target& to, const script& plan)
-        : plan_(plan)
-    {
-        bytes_ = plan.head;
-        for (std::size_t at = 0; at < plan.repeats; ++at)
-        {
-            bytes_ += plan.unit;
-        }
-        for (std::size_t at = 0; at < plan.clients; ++at)
-        {
-            const int file = connect_to(to);
-            if (file >= 0)
-            {
-                ::fcntl(file, F_SETFL, O_NONBLOCK);
-                clients_.push_back({file, 0});
-            }
-        }
-    }
-
-    crowd(const crowd&) = delete;
-    crowd& operator=(const crowd&) = delete;
-
-    ~crowd()
-    {
-        for (const auto& one : clients_)
-        {
-            ::close(one.file);
-        }
-    }
-
-    // Sends until nobody gets on any more.
-    void run()
-    {
-        constexpr auto rest = 500ms;
-        const auto end = steady::now() + backstop;
-        auto latest = steady::now();
-        while (steady::now() < std::min(end, latest + rest))
-        {
-            bool moved = false;
-            for (auto& one : clients_)
-            {
-                moved = step(one) || moved;
-            }
-            if (moved)
-            {
-                latest = steady::now();
-            }
-            else
-            {
-                std::this_thread::sleep_for(1ms);
-            }
-        }
-    }
-
-private:
-    struct client
-    {
-        int file;
-        std::size_t sent;
-    };
-
-    bool step(client& one)
-    {
-        bool moved = false;
-        char in[4'096];
-        if (plan_.reads)
-        {
-            moved = ::recv(one.file, in, sizeof(in), 0) > 0;
-        }
-        const auto length = std::min(plan_.piece, bytes_.size() - one.sent);
-        const auto sent = length == 0
-                              ? 0
-                              : ::send(one.file, bytes_.data() + one.sent,
-                                       length, MSG_NOSIGNAL);
-        one.sent += sent > 0 ? static_cast<std::size_t>(sent) : 0;
-        return moved || sent > 0;
-    }
-
-    script plan_;
-    std::string bytes_;
-    std::vector<client> clients_;
-};
-
-// Sends one request on a connection of its own.
-std::string answer_to(const target& to, const std::string& path)
-{
-    const auto end = steady::now() + backstop;
-    std::string answer;
-    while (answer.empty() && steady::now() < end)
-    {
-        const int file = connect_to(to);
-        const auto request =
-            fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\n"
-                        "Connection: close\r\n\r\n",
-                        path);
-        (void)::send(file, request.data(), request.size(), MSG_NOSIGNAL);
-        pollfd wait{file, POLLIN, 0};
-        char in[4'096];
-        if (file >= 0 && ::poll(&wait, 1, 5'000) == 1)
-        {
-            const auto length = ::recv(file, in, sizeof(in), 0);
-            answer.assign(in,
-                          length > 0 ? static_cast<std::size_t>(length) : 0);
-        }
-        ::close(file);
-        std::this_thread::sleep_for(20ms);
-    }
-    return answer;
-}
+constexpr auto backstop = tests::crowd_time_limit;
 
 // [process under test] -------------------------------------------------------
 
@@ -211,43 +60,6 @@
     std::function<void(tests::process_group&)> start;
 };
 
-std::size_t peak_memory_mb(int id)
-{
-    std::ifstream file{fmt::format("/proc/{}/status", id)};
-    std::string word;
-    std::size_t kb = 0;
-    while (file >> word)
-    {
-        if (word == "VmHWM:")
-        {
-            file >> kb;
-        }
-    }
-    return kb / 1'024;
-}
-
-std::size_t descriptors_of(int id)
-{
-    std::error_code error;
-    std::size_t count = 0;
-    for (std::filesystem::directory_iterator
-             at{fmt::format("/proc/{}/fd", id), error},
-         end;
-         !error && at != end; at.increment(error))
-    {
-        ++count;
-    }
-    return count;
-}
-
-// The address sanitizer keeps freed memory back and adds to what is in use, so
-// the resident set of its builds says nothing of the product's.
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool memory_is_measured = false;
-#else
-constexpr bool memory_is_measured = true;
-#endif
-
 // Says what was measured, and notes in `faults` what is out of bounds.
 void run_case(const subject& on, const script& plan, std::string& faults)
 {
@@ -344,12 +156,6 @@
 constexpr std::uint16_t readiness_port = 8'081;
 constexpr std::uint16_t link_port = 7'600;
 
-std::string own_address()
-{
-    return fmt::format("127.93.{}.{}", ::getpid() / 250 % 250,
-                       1 + ::getpid() % 250);
-}
-
 subject platform_subject(bool entry, std::uint16_t attacked)
 {
     platform::process_settings own;
