--- a/tests/caller_crowd.cpp
+++ b/tests/caller_crowd.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <filesystem>
 #include <fstream>
 #include <thread>
@@ -60,7 +61,8 @@
 }
 
 crowd::crowd(const target& to, const script& plan)
-    : plan_(plan)
+    : to_(to),
+      plan_(plan)
 {
     bytes_ = plan.head;
     for (std::size_t at = 0; at < plan.repeats; ++at)
@@ -89,14 +91,20 @@
 void crowd::run()
 {
     constexpr auto rest = 500ms;
-    const auto end = steady::now() + crowd_time_limit;
+    constexpr auto returning_time = 3s;
+    const auto end =
+        steady::now() + (plan_.returns ? returning_time : crowd_time_limit);
     auto latest = steady::now();
-    while (steady::now() < std::min(end, latest + rest))
+    while (steady::now() < (plan_.returns ? end : std::min(end, latest + rest)))
     {
         bool moved = false;
         for (auto& one : clients_)
         {
             moved = step(one) || moved;
+            if (plan_.returns)
+            {
+                return_if_closed(one);
+            }
         }
         if (moved)
         {
@@ -109,6 +117,20 @@
     }
 }
 
+void crowd::return_if_closed(client& one)
+{
+    char in[1];
+    const auto length =
+        ::recv(one.file, in, sizeof(in), MSG_PEEK | MSG_DONTWAIT);
+    if (length > 0 || (length < 0 && errno == EAGAIN))
+    {
+        return;
+    }
+    ::close(one.file);
+    one = {connect_to(to_), 0};
+    ::fcntl(one.file, F_SETFL, O_NONBLOCK);
+}
+
 bool crowd::step(client& one)
 {
     bool moved = false;
--- a/tests/caller_crowd.hpp
+++ b/tests/caller_crowd.hpp
@@ -44,6 +44,7 @@
     std::size_t repeats = 0;
     std::size_t piece = 1'048'576; ///< Most bytes in one write.
     bool reads = true;
+    bool returns = false; ///< Connects again when it is closed.
 };
 
 /// Clients that send their script and then keep their connections open.
@@ -55,7 +56,8 @@
     crowd& operator=(const crowd&) = delete;
     ~crowd();
 
-    /// Sends until nobody gets on any more.
+    /// Sends until nobody gets on any more; clients that return do so for a
+    /// while.
     void run();
 
 private:
@@ -66,7 +68,9 @@
     };
 
     bool step(client& one);
+    void return_if_closed(client& one);
 
+    target to_;
     script plan_;
     std::string bytes_;
     std::vector<client> clients_;
--- a/tests/held_bytes_test.cpp
+++ b/tests/held_bytes_test.cpp
@@ -14,8 +14,11 @@
 #include <algorithm>
 #include <atomic>
 #include <charconv>
+#include <functional>
+#include <memory>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
@@ -327,7 +330,7 @@
     return all;
 }
 
-std::string exchange(const target& with, const std::string& request)
+std::string response_to(const target& with, const std::string& request)
 {
     const int file = tests::connect_to(with);
     if (file < 0)
@@ -378,8 +381,8 @@
         run("e0", "hyssop-platform-entryd", own);
         const auto order = platform::put_document_request(one_route());
         CHECK_TRUE(wait_for([&] {
-            return exchange(replica, request_text(order.method, order.target,
-                                                  order.body))
+            return response_to(replica, request_text(order.method, order.target,
+                                                     order.body))
                 .starts_with("HTTP/1.1 2");
         }));
         CHECK_TRUE(wait_for([&] { return is_served(); }));
@@ -396,7 +399,7 @@
 
     bool is_served() const
     {
-        return exchange(entry, request_text("POST", "/x/small", "x"))
+        return response_to(entry, request_text("POST", "/x/small", "x"))
             .starts_with("HTTP/1.1 200");
     }
 
@@ -420,16 +423,17 @@
     start(memory_mb);
     std::string answer;
     std::thread caller{[&] {
-        answer = exchange(entry, request_text("POST", "/x/a",
-                                              std::string(largest_body, 'x')));
+        answer =
+            response_to(entry, request_text("POST", "/x/a",
+                                            std::string(largest_body, 'x')));
     }};
     std::string metrics;
     const bool begun = wait_for([&] { return server.begun() > 0; });
     const bool others_served = is_served();
-    metrics = exchange({entry.address, platform::metrics_port},
-                       request_text("GET", "/metrics", ""));
+    metrics = response_to({entry.address, platform::metrics_port},
+                          request_text("GET", "/metrics", ""));
     caller.join();
-    CHECK_TRUE(begun);
+    CHECK_TRUE_TEXT(begun, answer.substr(0, 400).c_str());
     CHECK_TRUE(others_served);
     STRCMP_EQUAL("HTTP/1.1 200", answer.substr(0, 12).c_str());
     LONGS_EQUAL(1, server.whole());
--- a/tests/hostile_callers_test.cpp
+++ b/tests/hostile_callers_test.cpp
@@ -7,9 +7,13 @@
 ///
 /// Index: [process under test] [cases] [tests]
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <filesystem>
 #include <functional>
+#include <memory>
+#include <thread>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -58,6 +62,7 @@
     target asked;
     std::string path = "/";
     std::function<void(tests::process_group&)> start;
+    std::vector<std::uint16_t> others{}; // Ports attacked at the same time.
 };
 
 // Says what was measured, and notes in `faults` what is out of bounds.
@@ -68,9 +73,34 @@
     const bool ready = !answer_to(on.asked, on.path).empty();
     const int id = group.id("it");
     const auto before = peak_memory_mb(id);
-    crowd clients{on.attacked, plan};
-    clients.run();
-    const auto descriptors = descriptors_of(id);
+    std::vector<std::unique_ptr<crowd>> crowds;
+    crowds.push_back(std::make_unique<crowd>(on.attacked, plan));
+    for (const auto port : on.others)
+    {
+        crowds.push_back(
+            std::make_unique<crowd>(target{on.attacked.address, port}, plan));
+    }
+    std::vector<std::thread> running;
+    std::atomic<std::size_t> left = crowds.size();
+    running.reserve(crowds.size());
+    for (const auto& clients : crowds)
+    {
+        running.emplace_back([&] {
+            clients->run();
+            --left;
+        });
+    }
+    std::size_t descriptors = 0;
+    while (left > 0)
+    {
+        descriptors = std::max(descriptors, descriptors_of(id));
+        std::this_thread::sleep_for(10ms);
+    }
+    for (auto& one : running)
+    {
+        one.join();
+    }
+    descriptors = std::max(descriptors, descriptors_of(id));
     const auto answer = answer_to(on.asked, on.path);
     const auto memory = peak_memory_mb(id);
     const int code = group.wait("it", 0s);
@@ -148,6 +178,20 @@
     return all;
 }
 
+// Of strangers at the ports of peers and relays.
+std::vector<script> stranger_cases()
+{
+    return {{"idle connections", idle_count, "", "", 0},
+            {"frames without an end", idle_count, "\xff\xff\xff", "x", 65'536},
+            {"small frames without an end",
+             idle_count,
+             {"\0\0\x3f\xff", 4},
+             "x",
+             16'000},
+            {"heads without an end", idle_count, "CONNECT a HTTP/1.1\r\n",
+             "a:b\r\n", 200}};
+}
+
 constexpr std::size_t platform_clients = 24;
 constexpr std::size_t platform_body = 4'194'304;
 constexpr std::size_t native_clients = 160;
@@ -215,6 +259,49 @@
     R"({"id":1,"name":"c1","failure_domain":"d0","address":"127.0.0.1:1",)"
     R"("gossip_address":"127.0.0.1:1")";
 
+subject native_entry(const std::vector<std::uint16_t>& ports)
+{
+    const auto start = [ports](tests::process_group& group) {
+        group.write("shared.key", std::string(32, 'k'));
+        group.write(
+            "it.json",
+            fmt::format(R"({{"name":"e1","failure_domain":"d0",)"
+                        R"("port":{},"peer_port":{},)"
+                        R"("gossip_port":{},"max_connections":256,)"
+                        R"("shared_key_file":"{}",)"
+                        R"("control_replicas":[{}}}]}})",
+                        ports[0], ports[1], ports[2], group.path("shared.key"),
+                        no_replica.substr(0, 1) + no_replica.substr(8)));
+        group.start("it", "hyssop-entryd",
+                    {"--settings", group.path("it.json")});
+    };
+    return native_subject("hyssop-entryd", ports[0], start);
+}
+
+subject native_replica(const std::vector<std::uint16_t>& ports)
+{
+    const auto start = [ports](tests::process_group& group) {
+        group.write("shared.key", std::string(32, 'k'));
+        std::filesystem::create_directory(group.path("data"));
+        group.write(
+            "it.json",
+            fmt::format(R"({{"id":1,"name":"c1","failure_domain":"d0",)"
+                        R"("data_folder":"{}","peer_port":{},"gossip_port":{},)"
+                        R"("operators_port":{},"shared_key_file":"{}",)"
+                        R"("tokens":[{{"sha256":"{}","role":"write"}}],)"
+                        R"("replicas":[{},"operators":"127.0.0.1:{}"}}]}})",
+                        group.path("data"), ports[0], ports[1], ports[2],
+                        group.path("shared.key"),
+                        transport::sha256_hex("token"), no_replica, ports[2]));
+        (void)group.run("init", "hyssop-controld",
+                        {"--settings", group.path("it.json"), "--init"},
+                        backstop);
+        group.start("it", "hyssop-controld",
+                    {"--settings", group.path("it.json")});
+    };
+    return native_subject("hyssop-controld", ports[2], start);
+}
+
 } // namespace
 
 // [tests] --------------------------------------------------------------------
@@ -267,67 +354,47 @@
 
 TEST(hostile_callers, strangers_at_ports_of_links_and_relays_are_bounded)
 {
-    const std::vector<script> plans{
-        {"idle connections", idle_count, "", "", 0},
-        {"frames without an end", idle_count, "\xff\xff\xff", "x", 65'536},
-        {"small frames without an end",
-         idle_count,
-         {"\0\0\x3f\xff", 4},
-         "x",
-         16'000},
-        {"heads without an end", idle_count, "CONNECT a HTTP/1.1\r\n",
-         "a:b\r\n", 200}};
-    run_cases(platform_subject(true, link_port), plans);
-    run_cases(platform_subject(true, link_port + 1), plans);
-    run_cases(platform_subject(false, link_port), plans);
+    run_cases(platform_subject(true, link_port), stranger_cases());
+    run_cases(platform_subject(true, link_port + 1), stranger_cases());
+    run_cases(platform_subject(false, link_port), stranger_cases());
+}
+
+// Guards against bounds that hold for each port but together exceed the
+// descriptors of the instance.
+TEST(hostile_callers, strangers_at_all_ports_leave_descriptors)
+{
+    constexpr std::size_t clients = 300; // At each port.
+    script plan{"idle connections at all ports", clients, "", "", 0};
+    plan.returns = true;
+    const std::vector<script> plans{plan};
+    auto entry = platform_subject(true, callers_port);
+    entry.others = {readiness_port, platform::metrics_port, link_port,
+                    link_port + 1};
+    run_cases(entry, plans);
+    auto replica = platform_subject(false, callers_port);
+    replica.others = {platform::metrics_port, link_port};
+    run_cases(replica, plans);
 }
 
 TEST(hostile_callers, native_entry_holds_no_more_than_its_memory)
 {
-    const auto ports = *standins::free_ports(3);
-    run_cases(native_subject(
-                  "hyssop-entryd", ports[0],
-                  [&](tests::process_group& group) {
-                      group.write("shared.key", std::string(32, 'k'));
-                      group.write(
-                          "it.json",
-                          fmt::format(
-                              R"({{"name":"e1","failure_domain":"d0",)"
-                              R"("port":{},"peer_port":{},)"
-                              R"("gossip_port":{},"max_connections":256,)"
-                              R"("shared_key_file":"{}",)"
-                              R"("control_replicas":[{}}}]}})",
-                              ports[0], ports[1], ports[2],
-                              group.path("shared.key"),
-                              no_replica.substr(0, 1) + no_replica.substr(8)));
-                      group.start("it", "hyssop-entryd",
-                                  {"--settings", group.path("it.json")});
-                  }),
+    run_cases(native_entry(*standins::free_ports(3)),
               all_cases(native_clients, native_body));
 }
 
 TEST(hostile_callers, native_replica_holds_no_more_than_its_memory)
 {
-    const auto ports = *standins::free_ports(3);
-    const auto start = [&](tests::process_group& group) {
-        group.write("shared.key", std::string(32, 'k'));
-        std::filesystem::create_directory(group.path("data"));
-        group.write(
-            "it.json",
-            fmt::format(R"({{"id":1,"name":"c1","failure_domain":"d0",)"
-                        R"("data_folder":"{}","peer_port":{},"gossip_port":{},)"
-                        R"("operators_port":{},"shared_key_file":"{}",)"
-                        R"("tokens":[{{"sha256":"{}","role":"write"}}],)"
-                        R"("replicas":[{},"operators":"127.0.0.1:{}"}}]}})",
-                        group.path("data"), ports[0], ports[1], ports[2],
-                        group.path("shared.key"),
-                        transport::sha256_hex("token"), no_replica, ports[2]));
-        (void)group.run("init", "hyssop-controld",
-                        {"--settings", group.path("it.json"), "--init"},
-                        backstop);
-        group.start("it", "hyssop-controld",
-                    {"--settings", group.path("it.json")});
-    };
-    run_cases(native_subject("hyssop-controld", ports[2], start),
+    run_cases(native_replica(*standins::free_ports(3)),
               all_cases(native_clients, native_body));
 }
+
+TEST(hostile_callers, strangers_at_ports_of_native_peers_are_bounded)
+{
+    const auto ports = *standins::free_ports(3);
+    auto entry = native_entry(ports);
+    entry.attacked.port = ports[1];
+    run_cases(entry, stranger_cases());
+    auto replica = native_replica(ports);
+    replica.attacked.port = ports[0];
+    run_cases(replica, stranger_cases());
+}
