Transport: hold a body that is handed on once

An attempt copied the caller's body into its bytes for the server, and the budget counted both. A body's capacity also doubled past its announced length, as std::string does when it grows. Replicas still count twice, as their handlers copy.

--- a/include/hyssopdeal/coordination/gateway/dialect.hpp
+++ b/include/hyssopdeal/coordination/gateway/dialect.hpp
@@ -114,6 +114,7 @@
     {
         Dialect::parse_request(request)
         } -> std::same_as<request_metadata>;
+    // Without the body, which the client sends without a copy.
     {
         Dialect::make_request(original, metadata)
         } -> std::same_as<transport::http_request>;
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -733,6 +733,7 @@
     handlers.on_end = [self](const transport::http1_call_end& result) {
         self->on_attempt_end(result);
     };
+    call_settings_.body = exchange_.shared_body();
     attempt_call_ =
         core_.client.start(choice.server->listed.address,
                            Dialect::make_request(exchange_.request(), terms),
--- a/include/hyssopdeal/transport/http1_client.hpp
+++ b/include/hyssopdeal/transport/http1_client.hpp
@@ -67,6 +67,8 @@
     /// For check_path(): the start of the relay's process that has to run
     /// still; nothing: that of any.
     std::optional<std::string> relay_start{};
+    /// Sent in place of the request's own body, without a copy; null: that one.
+    std::shared_ptr<const std::string> body{};
     /// Whether another call may use the connection afterwards. Not if that call
     /// could take a second, late answer to this one for its own.
     bool keep_connection = true;
--- a/include/hyssopdeal/transport/http1_server.hpp
+++ b/include/hyssopdeal/transport/http1_server.hpp
@@ -53,6 +53,9 @@
     replaced_connection replaced = replaced_connection::idle;
     std::size_t max_unsent_bytes = 4'194'304; ///< An answer that its caller
                                               ///< does not read is ended.
+    /// Copies of a body that exist while its request runs; 1 for a handler that
+    /// sends http1_exchange::shared_body() on.
+    std::size_t copies_of_body = 2;
     http1_caller_limits limits;
 };
 
@@ -74,6 +77,10 @@
 
     [[nodiscard]] const http_request& request() const noexcept;
 
+    /// @return The request's body, for a client that sends it on. It is counted
+    ///     as held for its caller while any such pointer exists.
+    [[nodiscard]] std::shared_ptr<const std::string> shared_body() const;
+
     /// @return When the request had been read whole.
     [[nodiscard]] monotonic_time received_at() const noexcept;
 
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -158,6 +158,7 @@
     settings.address = core.settings.address;
     settings.port = port;
     settings.max_connections = core.settings.max_connections;
+    settings.copies_of_body = 1; // Attempts send the shared one.
     return std::make_unique<transport::http1_server>(
         loop, clock,
         kind == listener_kind::callers ? settings
--- a/src/coordination/gateway/native_dialect.cpp
+++ b/src/coordination/gateway/native_dialect.cpp
@@ -82,7 +82,6 @@
     http_request request;
     request.method = original.method;
     request.target = original.target;
-    request.body = original.body;
     const bool resumes = !metadata.resume_after.empty();
     for (const auto& header : original.headers)
     {
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -213,6 +213,7 @@
         body_bytes_ = 0;
         skipped_bytes_ = 0;
         out_ = std::move(bytes);
+        body_ = settings.body;
         sent_ = false;
         unanswered_ = true;
         reader_.reset();
@@ -349,8 +350,11 @@
     {
         writing_ = true;
         sent_ = true;
+        const std::array<asio::const_buffer, 2> buffers{
+            asio::buffer(out_),
+            body_ ? asio::buffer(*body_) : asio::const_buffer{}};
         asio::async_write(
-            socket_, asio::buffer(out_),
+            socket_, buffers,
             [self = shared_from_this()](const auto& error, std::size_t) {
                 self->writing_ = false;
                 if (self->closed_)
@@ -359,6 +363,7 @@
                 }
                 // An idle connection would keep the room of a large body.
                 std::string{}.swap(self->out_);
+                self->body_.reset();
                 // What the server sent before it closed is read first.
                 if (!error && self->done_)
                 {
@@ -605,6 +610,7 @@
     http1_reader reader_;
     std::array<char, read_bytes> in_{};
     std::string out_;
+    std::shared_ptr<const std::string> body_; ///< Follows these; may be null.
     std::weak_ptr<call_state> call_;
     timer_handle connect_timer_;
     monotonic_time idle_since_{};
@@ -790,7 +796,9 @@
 {
     auto call = std::make_shared<http1_call::impl>();
     call->handlers = std::make_shared<http1_call_handlers>(std::move(handlers));
-    auto bytes = write_request(request);
+    auto bytes = settings.body
+                     ? write_request_head(request, settings.body->size())
+                     : write_request(request);
     const impl::path path{std::string{address}, settings.relay};
     if (auto kept = take_idle(*impl_, path, settings.max_idle))
     {
--- a/src/transport/http1_reader.hpp
+++ b/src/transport/http1_reader.hpp
@@ -142,9 +142,17 @@
     [[nodiscard]] std::size_t capacity_for(std::size_t incoming,
                                            std::size_t most) const noexcept;
 
+    /// Makes the body's capacity this, if it is smaller. A string that grows by
+    /// itself at least doubles its capacity.
     void reserve_body(std::size_t capacity)
     {
-        body_.reserve(capacity);
+        if (capacity > body_.capacity())
+        {
+            std::string grown;
+            grown.reserve(capacity);
+            grown += body_;
+            body_.swap(grown);
+        }
     }
 
 private:
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -38,9 +38,6 @@
 // The next request is read only when less than this waits to be sent, so that
 // a caller who sends many and reads nothing queues few answers.
 constexpr std::size_t max_backlog_bytes = 65'536;
-// The body of a request that was handed on is held here and as the bytes that
-// are sent to a server.
-constexpr std::size_t copies_handed_on = 2;
 // An answer's caller who reads is not cut when the budget is short.
 constexpr milliseconds unread_time{500};
 // How long a refused caller may go on sending, so that it reads the refusal
@@ -50,6 +47,13 @@
 
 class server_connection;
 
+/// A request that was handed on, and the bytes counted for it.
+struct held_request
+{
+    http_request request;
+    std::unique_ptr<byte_share> share;
+};
+
 } // namespace
 
 // [exchange state] -----------------------------------------------------------
@@ -58,11 +62,10 @@
 {
     ~impl();
 
-    http_request request;
+    std::shared_ptr<const held_request> asked;
     monotonic_time received_at{};
     std::shared_ptr<server_connection> connection; ///< Null once over.
     std::function<void()> left;
-    std::unique_ptr<byte_share> share; ///< Of the request.
     /// Held back until it is whole, for a caller that reads no chunks: the end
     /// of its connection would not tell a whole response from a cut one.
     std::optional<http_response> held;
@@ -463,18 +466,20 @@
     void hand_on()
     {
         const auto body = reader_.body().capacity();
-        if (!hold_request(body * (copies_handed_on - 1)))
+        if (!hold_request(body * (server_->settings.copies_of_body - 1)))
         {
             return refuse_for_room();
         }
         timer_.cancel();
+        auto asked = std::make_shared<held_request>();
+        asked->share = std::exchange(in_share_, nullptr);
+        asked->share->allow_taking_back(false);
+        asked->request.method = reader_.method();
+        asked->request.target = reader_.target();
+        asked->request.headers = std::move(reader_.headers());
+        asked->request.body = std::move(reader_.body());
         auto state = std::make_shared<http1_exchange::impl>();
-        state->share = std::exchange(in_share_, nullptr);
-        state->share->allow_taking_back(false);
-        state->request.method = reader_.method();
-        state->request.target = reader_.target();
-        state->request.headers = std::move(reader_.headers());
-        state->request.body = std::move(reader_.body());
+        state->asked = std::move(asked);
         state->received_at = server_->time.monotonic_now();
         state->connection = shared_from_this();
         open_ = state;
@@ -697,7 +702,12 @@
 
 const http_request& http1_exchange::request() const noexcept
 {
-    return state_->request;
+    return state_->asked->request;
+}
+
+std::shared_ptr<const std::string> http1_exchange::shared_body() const
+{
+    return {state_->asked, &state_->asked->request.body};
 }
 
 monotonic_time http1_exchange::received_at() const noexcept
--- a/src/transport/http1_writer.cpp
+++ b/src/transport/http1_writer.cpp
@@ -77,20 +77,27 @@
     return out;
 }
 
-std::string write_request(const http_request& request)
+std::string write_request_head(const http_request& request,
+                               std::size_t body_bytes)
 {
     auto out =
         fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
     append_headers(out, request.headers);
-    const bool bodyless = request.body.empty() && (request.method == "GET" ||
-                                                   request.method == "HEAD" ||
-                                                   request.method == "DELETE");
+    const bool bodyless = body_bytes == 0 && (request.method == "GET" ||
+                                              request.method == "HEAD" ||
+                                              request.method == "DELETE");
     if (!bodyless)
     {
         fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n",
-                       request.body.size());
+                       body_bytes);
     }
     out += "\r\n";
+    return out;
+}
+
+std::string write_request(const http_request& request)
+{
+    auto out = write_request_head(request, request.body.size());
     out += request.body;
     return out;
 }
--- a/src/transport/http1_writer.hpp
+++ b/src/transport/http1_writer.hpp
@@ -54,6 +54,11 @@
 /// @return A whole request; its headers must hold no framing of their own.
 [[nodiscard]] std::string write_request(const http_request& request);
 
+/// @param body_bytes Of the body that follows, in place of the request's own.
+/// @return A request's head.
+[[nodiscard]] std::string write_request_head(const http_request& request,
+                                             std::size_t body_bytes);
+
 } // namespace hyssopdeal::transport
 
 #endif
