Byte budget: keep responses whose callers read slowly

The kernel takes a response in steps of up to a megabyte, so a slow reader looked stalled between two of them and lost to callers that read nothing but came later. The budget now asks the kernel what callers have acknowledged, ten times a second at most; a caller of 16,384 bytes a second counts as reading and is taken back only where nobody else holds a response, or a quarter over the budget.

--- a/include/hyssopdeal/transport/byte_budget.hpp
+++ b/include/hyssopdeal/transport/byte_budget.hpp
@@ -14,7 +14,9 @@
 /// hold and how long they have made no progress; the largest is taken back,
 /// which refuses its request or closes its connection. A caller slower than
 /// `least_bytes_per_s` counts as making no progress for part of that time, so
-/// that one byte now and then protects nobody.
+/// that one byte now and then protects nobody. A response whose caller reads
+/// at least `least_read_per_s` is kept while there are others to take back
+/// whose callers do not.
 
 #include <chrono>
 #include <cstddef>
@@ -94,6 +96,16 @@
     /// The caller has sent or read bytes.
     void progress(monotonic_time now, std::size_t bytes);
 
+    /// For a response. The kernel takes bytes long before the caller reads
+    /// them, in steps of up to a megabyte, so how far it has read is asked for.
+    ///
+    /// @param total_read Gives the bytes that the caller has acknowledged since
+    ///     it connected. Called on the loop's thread; must not use the budget.
+    void watch_reader(std::function<std::uint64_t()> total_read);
+
+    /// A new response begins to wait; what was read before counts no longer.
+    void forget_reading();
+
     /// Sets whether the share may be taken back.
     ///
     /// @param stalled_for Only after so long without progress.
@@ -105,11 +117,17 @@
 private:
     friend class byte_budget;
 
+    void sample_reader(monotonic_time now);
+
     std::shared_ptr<byte_budget> budget_;
     const void* loop_;
     std::function<void()> take_back_;
     monotonic_time progressed_; ///< As if all bytes came at the least rate.
     std::chrono::milliseconds stalled_for_{0};
+    std::function<std::uint64_t()> total_read_; ///< Null for requests.
+    std::uint64_t sampled_ = 0;                 ///< Of these, when last asked.
+    monotonic_time watched_since_{};            ///< 0: not asked yet.
+    monotonic_time reads_until_{}; ///< Counts as reading till then.
     std::size_t bytes_ = 0;
     bool allowed_ = true;
 };
--- a/src/transport/byte_budget.cpp
+++ b/src/transport/byte_budget.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <mutex>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
@@ -22,6 +23,14 @@
 
 constexpr std::size_t least_bytes_per_s = 65'536;
 constexpr std::uint64_t logged_per_s = 10;
+// Readers below it count as reading nothing. A quarter of the least rate of
+// requests, as a refused request can be sent again and a cut response cannot.
+constexpr std::size_t least_read_per_s = 16'384;
+// A window of 64 KiB, the largest step on loopback, is read at that rate.
+constexpr milliseconds longest_reading{4'000};
+constexpr milliseconds sample_interval{100};
+// The kernel of a caller that reads nothing fills its buffer in this time.
+constexpr milliseconds buffer_fill_time{300};
 // A part of the budget is kept for small shares, so that a few large requests
 // that are being run do not shut out all other callers.
 constexpr std::size_t small_share_bytes = 65'536;
@@ -45,15 +54,46 @@
     std::uint64_t logged = 0;
     monotonic_time logged_since{};
     std::unordered_set<byte_share*> shares;
+    std::unordered_map<const void*, monotonic_time> sampled; // by loop
 
+    void sample_readers(monotonic_time now, const void* loop);
     byte_share* choose(monotonic_time now, const void* loop) const;
+    bool has_unread(monotonic_time now, const void* loop) const;
 };
 
+void byte_budget::impl::sample_readers(monotonic_time now, const void* loop)
+{
+    auto& latest = sampled[loop];
+    if (now - latest < sample_interval)
+    {
+        return;
+    }
+    latest = now;
+    for (auto* const share : shares)
+    {
+        if (share->loop_ == loop && share->allowed_ && share->total_read_)
+        {
+            share->sample_reader(now);
+        }
+    }
+}
+
+/// @return Whether a response waits whose caller does not count as reading.
+bool byte_budget::impl::has_unread(monotonic_time now, const void* loop) const
+{
+    return std::any_of(shares.begin(), shares.end(), [&](const auto* share) {
+        return share->loop_ == loop && share->allowed_ && share->bytes_ > 0 &&
+               share->total_read_ && share->reads_until_ <= now;
+    });
+}
+
 byte_share* byte_budget::impl::choose(monotonic_time now,
                                       const void* loop) const
 {
     byte_share* worst = nullptr;
+    byte_share* unread = nullptr; // of responses
     double most = 0;
+    double most_unread = 0;
     for (auto* const share : shares)
     {
         const auto stalled = now - share->progressed_;
@@ -69,8 +109,25 @@
             worst = share;
             most = weight;
         }
+        const bool reads = !share->total_read_ || now < share->reads_until_;
+        if (!reads && (unread == nullptr || weight > most_unread))
+        {
+            unread = share;
+            most_unread = weight;
+        }
+    }
+    if (worst == nullptr || now >= worst->reads_until_)
+    {
+        return worst;
     }
-    return worst;
+    if (unread != nullptr)
+    {
+        return unread;
+    }
+    // One whose caller does not read may be too new to be taken back. It is
+    // waited for up to a quarter over the budget.
+    const bool waits = held <= limit / 4 * 5 && has_unread(now, loop);
+    return waits ? nullptr : worst;
 }
 
 byte_budget::byte_budget(std::size_t limit)
@@ -157,6 +214,7 @@
         std::function<void()> take_back;
         {
             const std::lock_guard guard{all.lock};
+            all.sample_readers(now, loop_);
             if (bytes <= bytes_ ||
                 all.held - bytes_ + bytes <= limit_for(all.limit, bytes))
             {
@@ -197,6 +255,39 @@
                                    static_cast<double>(least_bytes_per_s)}));
 }
 
+void byte_share::watch_reader(std::function<std::uint64_t()> total_read)
+{
+    const std::lock_guard guard{budget_->impl_->lock};
+    total_read_ = std::move(total_read);
+}
+
+void byte_share::forget_reading()
+{
+    const std::lock_guard guard{budget_->impl_->lock};
+    watched_since_ = {};
+    reads_until_ = {};
+}
+
+/// Called with the budget's lock held.
+void byte_share::sample_reader(monotonic_time now)
+{
+    const auto total = total_read_();
+    const auto read = total - std::exchange(sampled_, total);
+    if (watched_since_ == monotonic_time{})
+    {
+        watched_since_ = now;
+    }
+    if (read == 0 || now - watched_since_ < buffer_fill_time)
+    {
+        return;
+    }
+    constexpr std::uint64_t ms_in_s = 1'000;
+    const milliseconds time{read * ms_in_s / least_read_per_s};
+    reads_until_ =
+        std::max(reads_until_, now + std::min(time, longest_reading));
+    progressed_ = std::min(now, progressed_ + time);
+}
+
 void byte_share::allow_taking_back(bool allowed, milliseconds stalled_for)
 {
     const std::lock_guard guard{budget_->impl_->lock};
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -131,6 +131,10 @@
             asio::post(self.socket_.get_executor(),
                        [kept = self.shared_from_this()] { kept->close(); });
         });
+        out_share_->watch_reader([this] {
+            return taken_ - std::min<std::uint64_t>(
+                                taken_, unacknowledged_bytes(socket_));
+        });
         wait_for_request();
         read();
     }
@@ -144,6 +148,7 @@
         if (next_out_.empty() && !writing_)
         {
             out_share_->progress(now(), unlimited);
+            out_share_->forget_reading();
         }
         hold_unsent(bytes.size());
         next_out_.append(bytes);
@@ -555,6 +560,7 @@
     void on_some_sent(std::size_t length)
     {
         sent_ += length;
+        taken_ += length;
         out_share_->progress(now(), unlimited);
         if (open_.expired() && !reader_.started())
         {
@@ -604,9 +610,10 @@
     asio::steady_timer timer_;
     http1_reader reader_;
     std::array<char, read_bytes> in_{};
-    std::string early_;    ///< Read and not yet parsed.
-    std::string out_;      ///< Being written.
-    std::size_t sent_ = 0; ///< Of these.
+    std::string early_;       ///< Read and not yet parsed.
+    std::string out_;         ///< Being written.
+    std::size_t sent_ = 0;    ///< Of these.
+    std::uint64_t taken_ = 0; ///< By the kernel, since the start.
     std::string next_out_;
     std::unique_ptr<byte_share> in_share_;
     std::unique_ptr<byte_share> out_share_;
--- a/src/transport/socket_options.hpp
+++ b/src/transport/socket_options.hpp
@@ -4,15 +4,17 @@
 /// @file
 /// Internal: socket options that Asio has no names for.
 ///
-/// Index: [silence] [source_address] [listening]
+/// Index: [silence] [source_address] [listening] [unread]
 
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <asio/ip/address.hpp>
@@ -97,6 +99,17 @@
     }
 }
 
+// [unread] -------------------------------------------------------------------
+
+/// @return Bytes that were sent and that the other side has not acknowledged.
+inline std::size_t unacknowledged_bytes(asio::ip::tcp::socket& socket)
+{
+    int bytes = 0;
+    const bool known =
+        ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    return known ? static_cast<std::size_t>(bytes) : 0;
+}
+
 } // namespace hyssopdeal::transport
 
 #endif
--- a/tests/byte_budget_test.cpp
+++ b/tests/byte_budget_test.cpp
@@ -93,6 +93,77 @@
     CHECK_EQUAL(0, taken);
 }
 
+// Guards against a response that is cut although its caller reads, slowly, while
+// those of callers that read nothing are kept for being younger.
+TEST(byte_budget_tests, slow_reader_does_not_lose_to_callers_that_read_nothing)
+{
+    std::uint64_t read = 0;
+    const auto slow = share(1);
+    slow->watch_reader([&] { return read; });
+    slow->allow_taking_back(true, 500ms);
+    CHECK_TRUE(slow->resize(now, 600));
+    const auto unread = share(2);
+    unread->watch_reader([] { return 70'000; });
+    unread->allow_taking_back(true, 500ms);
+    CHECK_TRUE(unread->resize(now, 300));
+    const auto asking = share(3);
+    for (int second = 0; second < 9; ++second)
+    {
+        now += 1s;
+        read += 30'000;
+        CHECK_TRUE(asking->resize(now, static_cast<std::size_t>(second)));
+    }
+    // The kernel takes a step of the response that nobody reads.
+    unread->progress(now, 1'000'000);
+    now += 900ms;
+    CHECK_TRUE(asking->resize(now, 200));
+    LONGS_EQUAL(2, taken);
+}
+
+// Guards against readers of a byte now and then that hold the budget for good.
+TEST(byte_budget_tests, reader_of_a_few_bytes_counts_as_reading_nothing)
+{
+    std::uint64_t read = 0;
+    const auto dripping = share(1);
+    dripping->watch_reader([&] { return read; });
+    dripping->allow_taking_back(true, 500ms);
+    CHECK_TRUE(dripping->resize(now, 600));
+    const auto unread = share(2);
+    unread->watch_reader([] { return 0; });
+    unread->allow_taking_back(true, 500ms);
+    CHECK_TRUE(unread->resize(now, 300));
+    const auto asking = share(3);
+    for (int second = 0; second < 10; ++second)
+    {
+        now += 1s;
+        read += 100;
+        CHECK_TRUE(asking->resize(now, static_cast<std::size_t>(second)));
+    }
+    now += 600ms;
+    CHECK_TRUE(asking->resize(now, 200));
+    LONGS_EQUAL(1, taken);
+}
+
+// Guards against a budget that readers alone exceed without a bound.
+TEST(byte_budget_tests, readers_are_taken_back_where_nobody_else_holds_bytes)
+{
+    std::uint64_t read = 0;
+    const auto slow = share(1);
+    slow->watch_reader([&] { return read; });
+    slow->allow_taking_back(true, 500ms);
+    CHECK_TRUE(slow->resize(now, 900));
+    const auto asking = share(3);
+    for (int second = 0; second < 10; ++second)
+    {
+        now += 1s;
+        read += 30'000;
+        CHECK_TRUE(asking->resize(now, static_cast<std::size_t>(second)));
+    }
+    now += 600ms;
+    CHECK_TRUE(asking->resize(now, 200));
+    LONGS_EQUAL(1, taken);
+}
+
 TEST(byte_budget_tests, ten_refusals_a_second_are_logged)
 {
     int logged = 0;
