--- a/include/hyssopdeal/coordination/cluster/cluster_process.hpp
+++ b/include/hyssopdeal/coordination/cluster/cluster_process.hpp
@@ -48,11 +48,12 @@
     /// Failure domains of the deployment; those of the instance list are known
     /// besides.
     std::set<std::string> known_domains;
-    std::string address;             ///< IP address.
-    std::string link_listen_address; ///< Replica links; empty: `address`.
-    std::uint16_t hub_port = 0;      ///< The same on all instances.
-    std::string operators;           ///< `IP:port` of the operators' API.
-    std::vector<std::string> seeds;  ///< Hub addresses.
+    std::string address;                  ///< IP address.
+    std::string link_listen_address;      ///< Replica links; empty: `address`.
+    std::uint16_t hub_port = 0;           ///< The same on all instances.
+    std::size_t max_unproved_links = 256; ///< As peer_hub_settings.
+    std::string operators;                ///< `IP:port` of the operators' API.
+    std::vector<std::string> seeds;       ///< Hub addresses.
     cluster_start start = cluster_start::later;
     std::string data_folder;
     std::string shared_key; ///< Authenticates links between processes.
--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -54,6 +54,8 @@
     std::vector<std::string> seeds;      ///< Hub addresses of control replicas.
     std::string shared_key;              ///< Authenticates peer connections.
     std::size_t max_connections = 1'500; ///< Limit for caller connections.
+    std::size_t max_unproved_links = 256;           ///< As peer_hub_settings.
+    std::size_t max_unproved_relayed = 128;         ///< As tcp_relay_settings.
     std::chrono::milliseconds report_interval{100}; ///< Per control replica.
     /// Report interval while keys are not valid, and period of the timer that
     /// sends due reports.
--- a/include/hyssopdeal/protocol/peer_hub.hpp
+++ b/include/hyssopdeal/protocol/peer_hub.hpp
@@ -53,6 +53,9 @@
     std::string shared_key;            ///< Same on every process.
     std::size_t max_message_bytes = 8'388'608; ///< Larger closes the link.
     std::size_t max_queued_bytes = 33'554'432; ///< For each link.
+    /// Accepted links that have not proved the key; the oldest is closed for a
+    /// new one. At least 1.
+    std::size_t max_unproved = 256;
     std::chrono::milliseconds connect_time_limit{500}; ///< TCP and handshake.
     /// Without an answer another connection is tried beside the first: above
     /// a round trip, below the second after which the kernel tries again.
--- a/include/hyssopdeal/transport/tcp_relay.hpp
+++ b/include/hyssopdeal/transport/tcp_relay.hpp
@@ -33,6 +33,9 @@
     /// kernel.
     std::string source_address;
     std::size_t max_connections = 512;
+    /// Connections that have not proved the key; the oldest is closed for a new
+    /// one. At least 1.
+    std::size_t max_unproved = 128;
     std::chrono::milliseconds connect_time_limit{250}; ///< To the server.
     /// For the request that opens a relayed connection.
     std::chrono::milliseconds head_time_limit{500};
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -155,6 +155,7 @@
                         : settings.link_listen_address;
     links.port = settings.hub_port;
     links.shared_key = settings.shared_key;
+    links.max_unproved = settings.max_unproved_links;
     hub = std::make_unique<protocol::peer_hub>(loop, links);
     hub->on_message(peer_channel::replication,
                     [this](auto from, auto payload, auto) {
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -212,6 +212,7 @@
                         : core.settings.link_listen_address;
     links.port = core.settings.hub_port;
     links.shared_key = core.settings.shared_key;
+    links.max_unproved = core.settings.max_unproved_links;
     hub = std::make_unique<protocol::peer_hub>(loop, links);
     const auto port = hub->start();
     return port ? transport::result<void>{} : tl::make_unexpected(port.error());
@@ -248,6 +249,7 @@
                            : core.settings.link_listen_address;
     settings.port = core.settings.relay_port;
     settings.shared_key = core.settings.shared_key;
+    settings.max_unproved = core.settings.max_unproved_relayed;
     settings.source_address = core.settings.client.source_address;
     relay = std::make_unique<transport::tcp_relay>(
         loop, settings,
--- a/src/protocol/peer_hub.cpp
+++ b/src/protocol/peer_hub.cpp
@@ -1,7 +1,6 @@
 #include <hyssopdeal/protocol/peer_hub.hpp>
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -12,6 +11,7 @@
 #include <fmt/format.h>
 
 #include <hyssopdeal/transport/logging.hpp>
+#include <hyssopdeal/transport/unproved_connections.hpp>
 
 #include "peer_link.hpp"
 #include "transport/ip_endpoint.hpp"
@@ -32,9 +32,6 @@
 {
 
 constexpr std::size_t max_accepted_links = 4'096;
-// Accepted links that have not proved the key. The oldest is closed for a new
-// one, as a handshake takes much less than its time limit.
-constexpr std::size_t max_unproved_links = 256;
 constexpr std::chrono::milliseconds accept_retry_pause{100};
 
 /// A peer and the link that carries messages to it.
@@ -70,14 +67,13 @@
     std::map<std::string, peer_entry, std::less<>> peers;
     std::map<peer_channel, message_handler> channels;
     std::set<std::shared_ptr<peer_link>> accepted;
-    std::deque<std::weak_ptr<peer_link>> unproved; // oldest first
+    transport::unproved_connections<peer_link> unproved;
     std::unordered_map<std::uint64_t, waiting_call> calls;
     std::uint64_t last_correlation = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     void close_all();
     void accept_next();
-    void limit_unproved();
     void take_connection(tcp::socket socket);
     std::shared_ptr<peer_link> link_to(std::string_view name);
     std::shared_ptr<peer_link> dial(std::string_view name, peer_entry& entry);
@@ -136,23 +132,15 @@
         });
 }
 
-void peer_hub::impl::limit_unproved()
-{
-    std::erase_if(unproved, [this](const auto& item) {
-        const auto link = item.lock();
-        return !link || link->proved() || accepted.count(link) == 0;
-    });
-    if (unproved.size() >= max_unproved_links)
-    {
-        const auto oldest = unproved.front().lock();
-        unproved.pop_front();
-        oldest->close();
-    }
-}
-
 void peer_hub::impl::take_connection(tcp::socket socket)
 {
-    limit_unproved();
+    transport::make_room_for_unproved(
+        unproved, settings.max_unproved,
+        [this](auto& link) {
+            return link.proved() ||
+                   accepted.count(link.shared_from_this()) == 0;
+        },
+        [](auto& link) { link.close(); });
     if (accepted.size() >= max_accepted_links)
     {
         log_warning(log_part::peer, "Too many links are open. links={}",
--- a/src/transport/tcp_relay.cpp
+++ b/src/transport/tcp_relay.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <deque>
 #include <set>
 #include <utility>
 
@@ -16,6 +15,7 @@
 
 #include <hyssopdeal/transport/digest.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
+#include <hyssopdeal/transport/unproved_connections.hpp>
 
 #include "transport/http1_reader.hpp"
 #include "transport/ip_endpoint.hpp"
@@ -32,9 +32,6 @@
 
 constexpr std::size_t max_head_bytes = 1'024;
 constexpr std::size_t start_bytes = 8;
-// Connections that have not proved the key. The oldest is closed for a new one,
-// as a proof takes much less than its time limit.
-constexpr std::size_t max_unproved = 128;
 constexpr milliseconds accept_retry_pause{100};
 
 class relayed_connection;
@@ -64,7 +61,7 @@
     tcp::acceptor acceptor;
     const std::string start = to_hex(random_bytes(start_bytes));
     std::set<std::shared_ptr<relayed_connection>> connections;
-    std::deque<std::weak_ptr<relayed_connection>> unproved; ///< Oldest first.
+    unproved_connections<relayed_connection> unproved;
     timer_handle accept_pause;
     std::size_t open = 0; ///< Of these, connected to a server.
     std::uint64_t relayed = 0;
@@ -361,16 +358,10 @@
 
 void tcp_relay::impl::take(tcp::socket socket)
 {
-    std::erase_if(unproved, [](const auto& item) {
-        const auto one = item.lock();
-        return !one || one->settled();
-    });
-    if (unproved.size() >= max_unproved)
-    {
-        const auto oldest = unproved.front().lock();
-        unproved.pop_front();
-        oldest->reset_both();
-    }
+    make_room_for_unproved(
+        unproved, settings.max_unproved,
+        [](const auto& one) { return one.settled(); },
+        [](auto& one) { one.reset_both(); });
     const auto made = std::make_shared<relayed_connection>(shared_from_this(),
                                                            std::move(socket));
     connections.insert(made);
