--- a/tests/held_bytes_test.cpp
+++ b/tests/held_bytes_test.cpp
@@ -299,7 +299,7 @@
 std::string request_text(const std::string& method, const std::string& path,
                          const std::string& body)
 {
-    static int sent = 0;
+    static std::atomic<int> sent = 0; // Several threads ask.
     return fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\n"
                        "Authorization: Bearer k\r\nX-Attempt-Id: a{}\r\n"
                        "X-Deadline-Ms: 60000\r\nContent-Length: {}\r\n"
