--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -158,6 +158,7 @@
     settings.address = core.settings.address;
     settings.port = port;
     settings.max_connections = core.settings.max_connections;
+    settings.copies_of_body = 1; // Attempts send the shared one.
     return std::make_unique<transport::http1_server>(
         loop, clock,
         kind == listener_kind::callers ? settings
@@ -211,6 +212,7 @@
                         : core.settings.link_listen_address;
     links.port = core.settings.hub_port;
     links.shared_key = core.settings.shared_key;
+    links.max_unproved = core.settings.max_unproved_links;
     hub = std::make_unique<protocol::peer_hub>(loop, links);
     const auto port = hub->start();
     return port ? transport::result<void>{} : tl::make_unexpected(port.error());
@@ -247,6 +249,7 @@
                            : core.settings.link_listen_address;
     settings.port = core.settings.relay_port;
     settings.shared_key = core.settings.shared_key;
+    settings.max_unproved = core.settings.max_unproved_relayed;
     settings.source_address = core.settings.client.source_address;
     relay = std::make_unique<transport::tcp_relay>(
         loop, settings,
--- a/tests/hostile_callers_test.cpp
+++ b/tests/hostile_callers_test.cpp
@@ -5,18 +5,14 @@
 /// open descriptors stay under the bounds, and that an ordinary request is
 /// answered while the clients still hold their connections.
 ///
-/// Index: [crowd] [process under test] [cases] [tests]
-
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
+/// Index: [process under test] [cases] [tests]
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <filesystem>
-#include <fstream>
 #include <functional>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -25,6 +21,7 @@
 
 #include <hyssopdeal/transport/digest.hpp>
 
+#include "caller_crowd.hpp"
 #include "platform/counterpart.hpp"
 #include "platform/settings.hpp"
 #include "process_group.hpp"
@@ -32,12 +29,18 @@
 
 using namespace hyssopdeal;
 using namespace std::chrono_literals;
+using tests::answer_to;
+using tests::crowd;
+using tests::descriptors_of;
+using tests::memory_is_measured;
+using tests::own_address;
+using tests::peak_memory_mb;
+using tests::script;
+using tests::target;
 
 namespace
 {
 
-using steady = std::chrono::steady_clock;
-
 // The bounds are the memory and the descriptors that the settings state for
 // the instance. The native programs have no such setting; theirs is that of
 // the smallest instance of the platform.
@@ -45,157 +48,7 @@
 constexpr std::size_t native_memory_mb = 120;
 constexpr std::size_t max_descriptors = 512;
 constexpr std::size_t idle_count = 600;
-constexpr std::chrono::seconds backstop{30};
-
-// [crowd] --------------------------------------------------------------------
-
-struct target
-{
-    std::string address;
-    std::uint16_t port = 0;
-};
-
-int connect_to(const target& to)
-{
-    const int file = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    name.sin_port = htons(to.port);
-    ::inet_pton(AF_INET, to.address.c_str(), &name.sin_addr);
-    if (::connect(file, reinterpret_cast<const sockaddr*>(&name),
-                  sizeof(name)) != 0)
-    {
-        ::close(file);
-        return -1;
-    }
-    return file;
-}
-
-// What each client sends: a head, a unit so many times, and no end.
-struct script
-{
-    std::string name;
-    std::size_t clients = 0;
-    std::string head;
-    std::string unit;
-    std::size_t repeats = 0;
-    std::size_t piece = 1'048'576; // Most bytes in one write.
-    bool reads = true;
-};
-
-// Clients that send their script and then keep their connections open.
-class crowd
-{
-public:
-    crowd(const target& to, const script& plan)
-        : plan_(plan)
-    {
-        bytes_ = plan.head;
-        for (std::size_t at = 0; at < plan.repeats; ++at)
-        {
-            bytes_ += plan.unit;
-        }
-        for (std::size_t at = 0; at < plan.clients; ++at)
-        {
-            const int file = connect_to(to);
-            if (file >= 0)
-            {
-                ::fcntl(file, F_SETFL, O_NONBLOCK);
-                clients_.push_back({file, 0});
-            }
-        }
-    }
-
-    crowd(const crowd&) = delete;
-    crowd& operator=(const crowd&) = delete;
-
-    ~crowd()
-    {
-        for (const auto& one : clients_)
-        {
-            ::close(one.file);
-        }
-    }
-
-    // Sends until nobody gets on any more.
-    void run()
-    {
-        constexpr auto rest = 500ms;
-        const auto end = steady::now() + backstop;
-        auto latest = steady::now();
-        while (steady::now() < std::min(end, latest + rest))
-        {
-            bool moved = false;
-            for (auto& one : clients_)
-            {
-                moved = step(one) || moved;
-            }
-            if (moved)
-            {
-                latest = steady::now();
-            }
-            else
-            {
-                std::this_thread::sleep_for(1ms);
-            }
-        }
-    }
-
-private:
-    struct client
-    {
-        int file;
-        std::size_t sent;
-    };
-
-    bool step(client& one)
-    {
-        bool moved = false;
-        char in[4'096];
-        if (plan_.reads)
-        {
-            moved = ::recv(one.file, in, sizeof(in), 0) > 0;
-        }
-        const auto length = std::min(plan_.piece, bytes_.size() - one.sent);
-        const auto sent = length == 0
-                              ? 0
-                              : ::send(one.file, bytes_.data() + one.sent,
-                                       length, MSG_NOSIGNAL);
-        one.sent += sent > 0 ? static_cast<std::size_t>(sent) : 0;
-        return moved || sent > 0;
-    }
-
-    script plan_;
-    std::string bytes_;
-    std::vector<client> clients_;
-};
-
-// Sends one request on a connection of its own.
-std::string answer_to(const target& to, const std::string& path)
-{
-    const auto end = steady::now() + backstop;
-    std::string answer;
-    while (answer.empty() && steady::now() < end)
-    {
-        const int file = connect_to(to);
-        const auto request =
-            fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\n"
-                        "Connection: close\r\n\r\n",
-                        path);
-        (void)::send(file, request.data(), request.size(), MSG_NOSIGNAL);
-        pollfd wait{file, POLLIN, 0};
-        char in[4'096];
-        if (file >= 0 && ::poll(&wait, 1, 5'000) == 1)
-        {
-            const auto length = ::recv(file, in, sizeof(in), 0);
-            answer.assign(in,
-                          length > 0 ? static_cast<std::size_t>(length) : 0);
-        }
-        ::close(file);
-        std::this_thread::sleep_for(20ms);
-    }
-    return answer;
-}
+constexpr auto backstop = tests::crowd_time_limit;
 
 // [process under test] -------------------------------------------------------
 
@@ -209,45 +62,9 @@
     target asked;
     std::string path = "/";
     std::function<void(tests::process_group&)> start;
+    std::vector<std::uint16_t> others{}; // Ports attacked at the same time.
 };
 
-std::size_t peak_memory_mb(int id)
-{
-    std::ifstream file{fmt::format("/proc/{}/status", id)};
-    std::string word;
-    std::size_t kb = 0;
-    while (file >> word)
-    {
-        if (word == "VmHWM:")
-        {
-            file >> kb;
-        }
-    }
-    return kb / 1'024;
-}
-
-std::size_t descriptors_of(int id)
-{
-    std::error_code error;
-    std::size_t count = 0;
-    for (std::filesystem::directory_iterator
-             at{fmt::format("/proc/{}/fd", id), error},
-         end;
-         !error && at != end; at.increment(error))
-    {
-        ++count;
-    }
-    return count;
-}
-
-// The address sanitizer keeps freed memory back and adds to what is in use, so
-// the resident set of its builds says nothing of the product's.
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool memory_is_measured = false;
-#else
-constexpr bool memory_is_measured = true;
-#endif
-
 // Says what was measured, and notes in `faults` what is out of bounds.
 void run_case(const subject& on, const script& plan, std::string& faults)
 {
@@ -256,9 +73,34 @@
     const bool ready = !answer_to(on.asked, on.path).empty();
     const int id = group.id("it");
     const auto before = peak_memory_mb(id);
-    crowd clients{on.attacked, plan};
-    clients.run();
-    const auto descriptors = descriptors_of(id);
+    std::vector<std::unique_ptr<crowd>> crowds;
+    crowds.push_back(std::make_unique<crowd>(on.attacked, plan));
+    for (const auto port : on.others)
+    {
+        crowds.push_back(
+            std::make_unique<crowd>(target{on.attacked.address, port}, plan));
+    }
+    std::vector<std::thread> running;
+    std::atomic<std::size_t> left = crowds.size();
+    running.reserve(crowds.size());
+    for (const auto& clients : crowds)
+    {
+        running.emplace_back([&] {
+            clients->run();
+            --left;
+        });
+    }
+    std::size_t descriptors = 0;
+    while (left > 0)
+    {
+        descriptors = std::max(descriptors, descriptors_of(id));
+        std::this_thread::sleep_for(10ms);
+    }
+    for (auto& one : running)
+    {
+        one.join();
+    }
+    descriptors = std::max(descriptors, descriptors_of(id));
     const auto answer = answer_to(on.asked, on.path);
     const auto memory = peak_memory_mb(id);
     const int code = group.wait("it", 0s);
@@ -336,6 +178,20 @@
     return all;
 }
 
+// Of strangers at the ports of peers and relays.
+std::vector<script> stranger_cases()
+{
+    return {{"idle connections", idle_count, "", "", 0},
+            {"frames without an end", idle_count, "\xff\xff\xff", "x", 65'536},
+            {"small frames without an end",
+             idle_count,
+             {"\0\0\x3f\xff", 4},
+             "x",
+             16'000},
+            {"heads without an end", idle_count, "CONNECT a HTTP/1.1\r\n",
+             "a:b\r\n", 200}};
+}
+
 constexpr std::size_t platform_clients = 24;
 constexpr std::size_t platform_body = 4'194'304;
 constexpr std::size_t native_clients = 160;
@@ -344,12 +200,6 @@
 constexpr std::uint16_t readiness_port = 8'081;
 constexpr std::uint16_t link_port = 7'600;
 
-std::string own_address()
-{
-    return fmt::format("127.93.{}.{}", ::getpid() / 250 % 250,
-                       1 + ::getpid() % 250);
-}
-
 subject platform_subject(bool entry, std::uint16_t attacked)
 {
     platform::process_settings own;
@@ -409,6 +259,49 @@
     R"({"id":1,"name":"c1","failure_domain":"d0","address":"127.0.0.1:1",)"
     R"("gossip_address":"127.0.0.1:1")";
 
+subject native_entry(const std::vector<std::uint16_t>& ports)
+{
+    const auto start = [ports](tests::process_group& group) {
+        group.write("shared.key", std::string(32, 'k'));
+        group.write(
+            "it.json",
+            fmt::format(R"({{"name":"e1","failure_domain":"d0",)"
+                        R"("port":{},"peer_port":{},)"
+                        R"("gossip_port":{},"max_connections":256,)"
+                        R"("shared_key_file":"{}",)"
+                        R"("control_replicas":[{}}}]}})",
+                        ports[0], ports[1], ports[2], group.path("shared.key"),
+                        no_replica.substr(0, 1) + no_replica.substr(8)));
+        group.start("it", "hyssop-entryd",
+                    {"--settings", group.path("it.json")});
+    };
+    return native_subject("hyssop-entryd", ports[0], start);
+}
+
+subject native_replica(const std::vector<std::uint16_t>& ports)
+{
+    const auto start = [ports](tests::process_group& group) {
+        group.write("shared.key", std::string(32, 'k'));
+        std::filesystem::create_directory(group.path("data"));
+        group.write(
+            "it.json",
+            fmt::format(R"({{"id":1,"name":"c1","failure_domain":"d0",)"
+                        R"("data_folder":"{}","peer_port":{},"gossip_port":{},)"
+                        R"("operators_port":{},"shared_key_file":"{}",)"
+                        R"("tokens":[{{"sha256":"{}","role":"write"}}],)"
+                        R"("replicas":[{},"operators":"127.0.0.1:{}"}}]}})",
+                        group.path("data"), ports[0], ports[1], ports[2],
+                        group.path("shared.key"),
+                        transport::sha256_hex("token"), no_replica, ports[2]));
+        (void)group.run("init", "hyssop-controld",
+                        {"--settings", group.path("it.json"), "--init"},
+                        backstop);
+        group.start("it", "hyssop-controld",
+                    {"--settings", group.path("it.json")});
+    };
+    return native_subject("hyssop-controld", ports[2], start);
+}
+
 } // namespace
 
 // [tests] --------------------------------------------------------------------
@@ -461,67 +354,47 @@
 
 TEST(hostile_callers, strangers_at_ports_of_links_and_relays_are_bounded)
 {
-    const std::vector<script> plans{
-        {"idle connections", idle_count, "", "", 0},
-        {"frames without an end", idle_count, "\xff\xff\xff", "x", 65'536},
-        {"small frames without an end",
-         idle_count,
-         {"\0\0\x3f\xff", 4},
-         "x",
-         16'000},
-        {"heads without an end", idle_count, "CONNECT a HTTP/1.1\r\n",
-         "a:b\r\n", 200}};
-    run_cases(platform_subject(true, link_port), plans);
-    run_cases(platform_subject(true, link_port + 1), plans);
-    run_cases(platform_subject(false, link_port), plans);
+    run_cases(platform_subject(true, link_port), stranger_cases());
+    run_cases(platform_subject(true, link_port + 1), stranger_cases());
+    run_cases(platform_subject(false, link_port), stranger_cases());
+}
+
+// Guards against bounds that hold for each port but together exceed the
+// descriptors of the instance.
+TEST(hostile_callers, strangers_at_all_ports_leave_descriptors)
+{
+    constexpr std::size_t clients = 300; // At each port.
+    script plan{"idle connections at all ports", clients, "", "", 0};
+    plan.returns = true;
+    const std::vector<script> plans{plan};
+    auto entry = platform_subject(true, callers_port);
+    entry.others = {readiness_port, platform::metrics_port, link_port,
+                    link_port + 1};
+    run_cases(entry, plans);
+    auto replica = platform_subject(false, callers_port);
+    replica.others = {platform::metrics_port, link_port};
+    run_cases(replica, plans);
 }
 
 TEST(hostile_callers, native_entry_holds_no_more_than_its_memory)
 {
-    const auto ports = *standins::free_ports(3);
-    run_cases(native_subject(
-                  "hyssop-entryd", ports[0],
-                  [&](tests::process_group& group) {
-                      group.write("shared.key", std::string(32, 'k'));
-                      group.write(
-                          "it.json",
-                          fmt::format(
-                              R"({{"name":"e1","failure_domain":"d0",)"
-                              R"("port":{},"peer_port":{},)"
-                              R"("gossip_port":{},"max_connections":256,)"
-                              R"("shared_key_file":"{}",)"
-                              R"("control_replicas":[{}}}]}})",
-                              ports[0], ports[1], ports[2],
-                              group.path("shared.key"),
-                              no_replica.substr(0, 1) + no_replica.substr(8)));
-                      group.start("it", "hyssop-entryd",
-                                  {"--settings", group.path("it.json")});
-                  }),
+    run_cases(native_entry(*standins::free_ports(3)),
               all_cases(native_clients, native_body));
 }
 
 TEST(hostile_callers, native_replica_holds_no_more_than_its_memory)
 {
-    const auto ports = *standins::free_ports(3);
-    const auto start = [&](tests::process_group& group) {
-        group.write("shared.key", std::string(32, 'k'));
-        std::filesystem::create_directory(group.path("data"));
-        group.write(
-            "it.json",
-            fmt::format(R"({{"id":1,"name":"c1","failure_domain":"d0",)"
-                        R"("data_folder":"{}","peer_port":{},"gossip_port":{},)"
-                        R"("operators_port":{},"shared_key_file":"{}",)"
-                        R"("tokens":[{{"sha256":"{}","role":"write"}}],)"
-                        R"("replicas":[{},"operators":"127.0.0.1:{}"}}]}})",
-                        group.path("data"), ports[0], ports[1], ports[2],
-                        group.path("shared.key"),
-                        transport::sha256_hex("token"), no_replica, ports[2]));
-        (void)group.run("init", "hyssop-controld",
-                        {"--settings", group.path("it.json"), "--init"},
-                        backstop);
-        group.start("it", "hyssop-controld",
-                    {"--settings", group.path("it.json")});
-    };
-    run_cases(native_subject("hyssop-controld", ports[2], start),
+    run_cases(native_replica(*standins::free_ports(3)),
               all_cases(native_clients, native_body));
 }
+
+TEST(hostile_callers, strangers_at_ports_of_native_peers_are_bounded)
+{
+    const auto ports = *standins::free_ports(3);
+    auto entry = native_entry(ports);
+    entry.attacked.port = ports[1];
+    run_cases(entry, stranger_cases());
+    auto replica = native_replica(ports);
+    replica.attacked.port = ports[0];
+    run_cases(replica, stranger_cases());
+}
