--- a/src/coordination/evacuation/evacuated_domains.cpp
+++ b/src/coordination/evacuation/evacuated_domains.cpp
@@ -10,9 +10,9 @@
 
 // [evacuated_domains] --------------------------------------------------------
 
-evacuated_domains::changes
-evacuated_domains::apply(monotonic_time now, std::uint64_t revision,
-                         const domain_names& domains)
+evacuated_domains::changes evacuated_domains::apply(monotonic_time now,
+                                                    std::uint64_t revision,
+                                                    const domain_names& domains)
 {
     changes result;
     if (revision <= revision_)
