Capacity: accept a quarter of the target as wait, count late first events only

The wait of a quarter of the target instead of an eighth needs about the servers that the deployment starts with.

--- a/include/hyssopdeal/coordination/capacity/work_plan.hpp
+++ b/include/hyssopdeal/coordination/capacity/work_plan.hpp
@@ -33,7 +33,7 @@
 {
     /// Part of the callers' target that prompts may wait for those ahead. The
     /// load is less even than the formula assumes.
-    double wait_share = 0.125;
+    double wait_share = 0.25;
     /// Part of its time that a server may be busy with prefill.
     double max_utilization = 0.5;
     std::chrono::milliseconds work_smoothing_time{2'000};
@@ -45,7 +45,7 @@
     double max_late_share = 0.03;
     /// Below it the number may be lowered.
     double low_late_share = 0.01;
-    double max_correction = 2.5;
+    double max_correction = 2;
     double raise_per_s = 0.1;
     double lower_per_s = 0.01;
     /// Nothing is lowered before the load has been observed for this time.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -1834,7 +1834,8 @@
             delivered_attempts_ == 1);
         if (is_stream())
         {
-            core_.work.on_ended(service_, latency_outcome() != "in_time");
+            core_.work.on_ended(service_,
+                                time_to_response_ > route_->target_latency);
         }
     }
     finish(success ? "served" : "passed_failure", response_status_);
