--- a/include/hyssopdeal/coordination/capacity/work_meter.hpp
+++ b/include/hyssopdeal/coordination/capacity/work_meter.hpp
@@ -42,9 +42,7 @@
 
     /// Records a stream that was served, or refused for lack of capacity.
     ///
-    /// @param late Whether it was refused, or its first event missed the target.
-    ///     Late gaps have other causes than too few servers, such as long
-    ///     prompts beside a stream.
+    /// @param late Whether it was refused or missed one of its targets.
     void on_ended(const std::string& service, bool late);
 
     [[nodiscard]] protocol::service_works totals() const;
--- a/include/hyssopdeal/coordination/capacity/work_plan.hpp
+++ b/include/hyssopdeal/coordination/capacity/work_plan.hpp
@@ -42,10 +42,10 @@
     /// A peak older than this no longer counts.
     std::chrono::milliseconds peak_window{20'000};
     /// Of streams. Above it the number of servers is raised.
-    double max_late_share = 0.03;
+    double max_late_share = 0.05;
     /// Below it the number may be lowered.
-    double low_late_share = 0.01;
-    double max_correction = 2;
+    double low_late_share = 0.02;
+    double max_correction = 1.5;
     double raise_per_s = 0.1;
     double lower_per_s = 0.01;
     /// Nothing is lowered before the load has been observed for this time.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -1834,8 +1834,7 @@
             delivered_attempts_ == 1);
         if (is_stream())
         {
-            core_.work.on_ended(service_,
-                                time_to_response_ > route_->target_latency);
+            core_.work.on_ended(service_, latency_outcome() != "in_time");
         }
     }
     finish(success ? "served" : "passed_failure", response_status_);
