--- a/include/hyssopdeal/coordination/capacity/work_plan.hpp
+++ b/include/hyssopdeal/coordination/capacity/work_plan.hpp
@@ -41,9 +41,9 @@
     std::chrono::milliseconds squares_smoothing_time{10'000};
     /// A peak older than this no longer counts.
     std::chrono::milliseconds peak_window{20'000};
-    /// Of streams. Above it the number of servers is raised.
+    /// Of streams. Above it the correction rises.
     double max_late_share = 0.05;
-    /// Below it the number may be lowered.
+    /// Below it the correction falls.
     double low_late_share = 0.02;
     double max_correction = 1.5;
     double raise_per_s = 0.1;
