Capacity: no more servers wanted than the platform's limits allow

Cause: after an overload the number by concurrent requests could exceed what all domains may hold. Those servers counted as missing from then on, so none was ever given back. Change: the number is cut at the limits. Test: servers_are_given_ back_after_an_overload failed before; capacity_by_work_test, cluster_decisions_test and evacuation_test pass.

--- a/src/coordination/cluster/capacity_planner.cpp
+++ b/src/coordination/cluster/capacity_planner.cpp
@@ -165,9 +165,12 @@
     {
         all_ready += count.on_demand + count.reclaimable;
     }
-    const auto by_concurrency = std::max(
-        {min_wanted, servers_for_load(settings_.target_running_per_server),
-         initial_server_floor(now, service.name, ready)});
+    // More can never be ready, and none are given back while some are missing.
+    const auto by_concurrency = std::min(
+        scaling.most * domain_count,
+        std::max({min_wanted,
+                  servers_for_load(settings_.target_running_per_server),
+                  initial_server_floor(now, service.name, ready)}));
     const auto need = work_plan_.step(now, service.name, work, all_ready,
                                       by_concurrency, domain_count);
     if (need)
--- a/tests/capacity_by_work_test.cpp
+++ b/tests/capacity_by_work_test.cpp
@@ -414,6 +414,18 @@
     CHECK_TRUE(service.play(20s, 120) < 0.01);
 }
 
+// Guards against a number that the platform's limits do not allow: servers would
+// count as missing from then on, and none would be given back.
+TEST(planned_service_tests, servers_are_given_back_after_an_overload)
+{
+    planned_service service;
+    (void)service.play(10s, 120);
+    (void)service.play(10s, 2'400);
+    LONGS_EQUAL(120, service.servers.size());
+    (void)service.play(120s, 120);
+    CHECK_TRUE(service.servers.size() < 100);
+}
+
 // Guards against a domain without servers whose share no other domain takes.
 TEST(planned_service_tests, other_domains_take_the_share_that_one_lacks)
 {
