Byte budget: judge a response's reader only after it can have shown that it reads

A response was judged at the first shortage: a caller not yet seen reading counted as reading nothing. An acknowledgement covers up to 64 KiB, 200 ms for this reader, and the first sample was skipped when another had been taken within 100 ms, so responses that arrive every 140 ms cut it before any acknowledgement was seen.

Change: what a caller does is yes, no or not known; "no" needs a second, counted from the first sample after the kernel's buffers have filled, in which it read less than the least rate. Responses that are not known are kept up to a quarter over the budget, and taken back before those that are read.

--- a/include/hyssopdeal/transport/byte_budget.hpp
+++ b/include/hyssopdeal/transport/byte_budget.hpp
@@ -16,7 +16,9 @@
 /// `least_bytes_per_s` counts as making no progress for part of that time, so
 /// that one byte now and then protects nobody. A response whose caller reads
 /// at least `least_read_per_s` is kept while there are others to take back
-/// whose callers do not.
+/// whose callers do not. It takes a second or so to know whether a caller
+/// reads; until then a response is kept as well, up to a quarter over the
+/// budget.
 
 #include <chrono>
 #include <cstddef>
@@ -117,7 +119,15 @@
 private:
     friend class byte_budget;
 
+    enum class reading
+    {
+        yes,
+        no,
+        not_known,
+    };
+
     void sample_reader(monotonic_time now);
+    [[nodiscard]] reading reading_at(monotonic_time now) const;
 
     std::shared_ptr<byte_budget> budget_;
     const void* loop_;
@@ -127,7 +137,8 @@
     std::function<std::uint64_t()> total_read_; ///< Null for requests.
     std::uint64_t sampled_ = 0;                 ///< Of these, when last asked.
     monotonic_time watched_since_{};            ///< 0: not asked yet.
-    monotonic_time reads_until_{}; ///< Counts as reading till then.
+    monotonic_time unread_since_{}; ///< 0: may be the kernel's buffer so far.
+    monotonic_time reads_until_{};  ///< Counts as reading till then.
     std::size_t bytes_ = 0;
     bool allowed_ = true;
 };
--- a/src/transport/byte_budget.cpp
+++ b/src/transport/byte_budget.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds sample_interval{100};
 // The kernel of a caller that reads nothing fills its buffer in this time.
 constexpr milliseconds buffer_fill_time{300};
+// A caller that reads at the least rate of requests acknowledges a window of
+// 64 KiB in this time.
+constexpr milliseconds unread_proof_time{1'000};
 // A part of the budget is kept for small shares, so that a few large requests
 // that are being run do not shut out all other callers.
 constexpr std::size_t small_share_bytes = 65'536;
@@ -58,7 +61,7 @@
 
     void sample_readers(monotonic_time now, const void* loop);
     byte_share* choose(monotonic_time now, const void* loop) const;
-    bool has_unread(monotonic_time now, const void* loop) const;
+    bool has_response_not_read(monotonic_time now, const void* loop) const;
 };
 
 void byte_budget::impl::sample_readers(monotonic_time now, const void* loop)
@@ -78,45 +81,60 @@
     }
 }
 
-/// @return Whether a response waits whose caller does not count as reading.
-bool byte_budget::impl::has_unread(monotonic_time now, const void* loop) const
+/// @return Whether a response waits whose caller is not known to read.
+bool byte_budget::impl::has_response_not_read(monotonic_time now,
+                                              const void* loop) const
 {
     return std::any_of(shares.begin(), shares.end(), [&](const auto* share) {
         return share->loop_ == loop && share->allowed_ && share->bytes_ > 0 &&
-               share->total_read_ && share->reads_until_ <= now;
+               share->total_read_ &&
+               share->reading_at(now) != byte_share::reading::yes;
     });
 }
 
 byte_share* byte_budget::impl::choose(monotonic_time now,
                                       const void* loop) const
 {
+    using reading = byte_share::reading;
     byte_share* worst = nullptr;
-    byte_share* unread = nullptr; // of responses
-    double most = 0;
-    double most_unread = 0;
+    byte_share* unread = nullptr;  // of responses
+    byte_share* unknown = nullptr; // of responses
+    const auto weight = [now](const byte_share& share) {
+        const std::chrono::duration<double> time =
+            now - share.progressed_ + milliseconds{1};
+        return static_cast<double>(share.bytes_) * time.count();
+    };
+    const auto keep_heavier = [&](byte_share*& kept, byte_share* share) {
+        if (kept == nullptr || weight(*share) > weight(*kept))
+        {
+            kept = share;
+        }
+    };
     for (auto* const share : shares)
     {
-        const auto stalled = now - share->progressed_;
         if (share->loop_ != loop || !share->allowed_ || share->bytes_ == 0 ||
-            stalled < share->stalled_for_)
+            now - share->progressed_ < share->stalled_for_)
         {
             continue;
         }
-        const std::chrono::duration<double> time = stalled + milliseconds{1};
-        const auto weight = static_cast<double>(share->bytes_) * time.count();
-        if (worst == nullptr || weight > most)
+        keep_heavier(worst, share);
+        if (share->total_read_)
         {
-            worst = share;
-            most = weight;
-        }
-        const bool reads = !share->total_read_ || now < share->reads_until_;
-        if (!reads && (unread == nullptr || weight > most_unread))
-        {
-            unread = share;
-            most_unread = weight;
+            switch (share->reading_at(now))
+            {
+            case reading::no:
+                keep_heavier(unread, share);
+                break;
+            case reading::not_known:
+                keep_heavier(unknown, share);
+                break;
+            case reading::yes:
+                break;
+            }
         }
     }
-    if (worst == nullptr || now >= worst->reads_until_)
+    if (worst == nullptr || !worst->total_read_ ||
+        worst->reading_at(now) == reading::no)
     {
         return worst;
     }
@@ -126,8 +144,11 @@
     }
     // One whose caller does not read may be too new to be taken back. It is
     // waited for up to a quarter over the budget.
-    const bool waits = held <= limit / 4 * 5 && has_unread(now, loop);
-    return waits ? nullptr : worst;
+    if (held <= limit / 4 * 5 && has_response_not_read(now, loop))
+    {
+        return nullptr;
+    }
+    return unknown != nullptr ? unknown : worst;
 }
 
 byte_budget::byte_budget(std::size_t limit)
@@ -265,6 +286,7 @@
 {
     const std::lock_guard guard{budget_->impl_->lock};
     watched_since_ = {};
+    unread_since_ = {};
     reads_until_ = {};
 }
 
@@ -279,7 +301,16 @@
     {
         watched_since_ = now;
     }
-    if (read == 0 || now - watched_since_ < buffer_fill_time)
+    if (now - watched_since_ < buffer_fill_time)
+    {
+        return;
+    }
+    if (unread_since_ == monotonic_time{})
+    {
+        unread_since_ = now;
+        return;
+    }
+    if (read == 0)
     {
         return;
     }
@@ -288,6 +319,19 @@
     reads_until_ =
         std::max(reads_until_, now + std::min(time, longest_reading));
     progressed_ = std::min(now, progressed_ + time);
+    unread_since_ = std::min(now, unread_since_ + time);
+}
+
+/// Called with the budget's lock held, on a share of a response.
+byte_share::reading byte_share::reading_at(monotonic_time now) const
+{
+    if (now < reads_until_)
+    {
+        return reading::yes;
+    }
+    const bool proved = unread_since_ != monotonic_time{} &&
+                        now - unread_since_ >= unread_proof_time;
+    return proved ? reading::no : reading::not_known;
 }
 
 void byte_share::allow_taking_back(bool allowed, milliseconds stalled_for)
--- a/tests/byte_budget_test.cpp
+++ b/tests/byte_budget_test.cpp
@@ -2,7 +2,11 @@
 /// Guards against a budget that is exceeded, that cuts requests that were
 /// handed on, or that refuses ordinary callers for stalled ones.
 
+#include <algorithm>
+#include <functional>
 #include <memory>
+#include <utility>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,6 +27,46 @@
         return std::make_unique<byte_share>(budget, &loop, now,
                                             [this, which] { taken = which; });
     }
+
+    std::unique_ptr<byte_share> response(int which,
+                                         std::function<std::uint64_t()> read)
+    {
+        auto one = share(which);
+        one->watch_reader(std::move(read));
+        one->allow_taking_back(true, 500ms);
+        if (!one->resize(now, 240))
+        {
+            one->force(240);
+        }
+        return one;
+    }
+
+    // A caller reads 320 kB/s; others ask at intervals and read nothing.
+    void play_slow_reader_beside_unread_responses(
+        std::chrono::milliseconds interval)
+    {
+        constexpr std::uint64_t acknowledged_at_once = 65'536;
+        constexpr int crowd_size = 16;
+        budget = std::make_shared<byte_budget>(1'000);
+        // Readers were sampled shortly before, so not at the response's start.
+        CHECK_TRUE(share()->resize(now, 1));
+        now += 90ms;
+        const auto started = now;
+        const auto slow = response(1, [&] {
+            return static_cast<std::uint64_t>((now - started) / 200ms) *
+                   acknowledged_at_once;
+        });
+        std::vector<std::unique_ptr<byte_share>> crowd;
+        for (int at = 0; at < crowd_size; ++at)
+        {
+            now += interval;
+            crowd.push_back(response(2, [] { return acknowledged_at_once; }));
+            CHECK_TRUE_TEXT(taken != 1, "the reader was cut");
+            most_held = std::max(most_held, budget->held());
+        }
+    }
+
+    std::size_t most_held = 0;
 };
 
 TEST(byte_budget_tests, largest_that_is_stalled_longest_is_taken_back)
@@ -120,6 +164,19 @@
     LONGS_EQUAL(2, taken);
 }
 
+// Guards against a response that is cut because the budget is reached before
+// anything can be known about its caller: an acknowledgement covers up to
+// 64 KiB, which a reader of 320 kB/s needs 200 ms for.
+TEST(byte_budget_tests, reader_is_not_cut_before_it_can_show_that_it_reads)
+{
+    for (auto interval = 100ms; interval <= 200ms; interval += 10ms)
+    {
+        play_slow_reader_beside_unread_responses(interval);
+        LONGS_EQUAL(2, taken);
+        CHECK_TRUE(most_held <= 1'500);
+    }
+}
+
 // Guards against an overflow where less is acknowledged than when last asked, as
 // the kernel has taken bytes that are not counted as taken yet.
 TEST(byte_budget_tests, acknowledged_bytes_that_fall_count_as_reading_nothing)
