--- a/include/hyssopdeal/coordination/admission/token_reserve.hpp
+++ b/include/hyssopdeal/coordination/admission/token_reserve.hpp
@@ -105,7 +105,7 @@
 
     token_reserve_settings settings_;
     std::map<std::string, reserve> reserves_; ///< By organisation.
-    std::set<std::string> exhausted_; ///< As the leader last said.
+    std::set<std::string> exhausted_;         ///< As the leader last said.
     std::uint64_t number_ = 0;                ///< Of the latest report.
     transport::monotonic_time reported_at_{};
     transport::monotonic_time expires_at_{};
