Gateway: the reason why no server was selected is a module of its own

Cause: request_flow chose among five refusals in the middle of start_next_attempt(), where only tests with a network could reach them.

Change: selection_failure determines the reason and the Retry-After from placement; request_flow counts and sends it. Order and values are the same: an evacuation and a pause exclude each other, as the pause counts only for servers outside evacuated domains.

--- a/include/hyssopdeal/coordination/gateway/gateway_core.hpp
+++ b/include/hyssopdeal/coordination/gateway/gateway_core.hpp
@@ -24,6 +24,7 @@
 #include <hyssopdeal/coordination/gateway/placement.hpp>
 #include <hyssopdeal/coordination/gateway/rollout_evidence.hpp>
 #include <hyssopdeal/coordination/gateway/route_table.hpp>
+#include <hyssopdeal/coordination/gateway/selection_failure.hpp>
 #include <hyssopdeal/coordination/gateway/server_reach.hpp>
 #include <hyssopdeal/coordination/gateway/service_retry_budgets.hpp>
 #include <hyssopdeal/coordination/gateway/token_quota.hpp>
@@ -121,6 +122,9 @@
     transport::duration_histogram whole_answer;
     /// Difference between predicted and actual time to the first event.
     transport::duration_histogram prediction_error;
+
+    /// Counts a request for which no server was selected.
+    void count(selection_failure_reason reason);
 };
 
 /// Why tokens of a quota were not taken.
--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -28,6 +28,7 @@
 #include <hyssopdeal/coordination/gateway/dialect.hpp>
 #include <hyssopdeal/coordination/gateway/event_splitter.hpp>
 #include <hyssopdeal/coordination/gateway/gateway_core.hpp>
+#include <hyssopdeal/coordination/gateway/selection_failure.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
 #include <hyssopdeal/transport/http1_server.hpp>
 
@@ -57,8 +58,6 @@
 
     /// The load balancer sends the retry to another gateway.
     static constexpr milliseconds shutdown_retry_after{100};
-    /// Some slots of a service become free in this time.
-    static constexpr milliseconds servers_full_retry_after{400};
     /// Servers report what was some hundred milliseconds ago. A process that
     /// ends may close its streams that much before its port.
     static constexpr milliseconds min_confirmation_age{500};
@@ -79,6 +78,7 @@
     // [attempts]
     [[nodiscard]] transport::http1_call_settings make_call_settings() const;
     void start_next_attempt();
+    void refuse_without_server();
     [[nodiscard]] std::optional<placement_choice> select_server();
     void start_attempt(const placement_choice& choice);
     void record_attempt_outcome(answer_kind outcome);
@@ -569,9 +569,6 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::start_next_attempt()
 {
-    // With no usable server, new ones are still starting: an earlier retry
-    // would be refused again.
-    constexpr milliseconds no_server_retry_after{1'000};
     // A server cannot complete a request in less time.
     constexpr milliseconds min_attempt_time{20};
     if (remaining_time() < min_attempt_time)
@@ -591,39 +588,10 @@
         return;
     }
     const auto choice = select_server();
-    if (!choice && possible_runs_ > 0)
-    {
-        return fail(502, "no_other_server");
-    }
     if (!choice)
     {
-        const auto now = core_.clock.monotonic_now();
-        if (core_.servers.lacks_permit(now, service_, tried_servers_))
-        {
-            core_.counters.rate_limited_refusals.add();
-            return refuse_for_room(
-                "servers_rate_limited",
-                core_.servers.permits().reserve_turn(now, service_));
-        }
-        if (core_.servers.lacks_cold_permit(now, service_, tried_servers_))
-        {
-            core_.counters.cold_refusals.add();
-            return refuse(503, "servers_cold",
-                          core_.servers.cold().reserve_turn(now, service_));
-        }
-        if (core_.servers.lacks_brittle_slot(now, service_, tried_servers_))
-        {
-            core_.counters.brittle_refusals.add();
-            return refuse_for_room("servers_full", servers_full_retry_after);
-        }
-        if (core_.servers.all_evacuated(service_))
-        {
-            core_.counters.evacuation_refusals.add();
-        }
-        const auto pause = core_.servers.remaining_pause(now, service_);
-        return refuse(503, pause ? "servers_paused" : "no_server",
-                      std::min(no_server_retry_after,
-                               pause.value_or(no_server_retry_after)));
+        return possible_runs_ > 0 ? fail(502, "no_other_server")
+                                  : refuse_without_server();
     }
     if (delivered_attempts_ == 0 && failed_connects_ == 0 &&
         predicted_late(*choice))
@@ -636,6 +604,17 @@
     start_attempt(*choice);
 }
 
+template <caller_dialect Dialect>
+void request_flow<Dialect>::refuse_without_server()
+{
+    const auto failure = explain_selection_failure(
+        core_.clock.monotonic_now(), service_, tried_servers_, core_.servers);
+    core_.counters.count(failure.reason);
+    const auto reason = to_string(failure.reason);
+    failure.lacks_room() ? refuse_for_room(reason, failure.retry_after)
+                         : refuse(503, reason, failure.retry_after);
+}
+
 /// A stream that starts too late only delays the streams queued behind it, and
 /// its caller does better to retry later. A prompt whose own prefill takes
 /// longer than the target latency is compared with the prefill time, because no
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -27,6 +27,29 @@
 
 } // namespace
 
+// [counters] -----------------------------------------------------------------
+
+void gateway_counters::count(selection_failure_reason reason)
+{
+    using enum selection_failure_reason;
+    switch (reason)
+    {
+    case rate_limited:
+        return rate_limited_refusals.add();
+    case cold:
+        return cold_refusals.add();
+    case full:
+        return brittle_refusals.add();
+    case evacuated:
+        return evacuation_refusals.add();
+    case paused:
+    case no_server:
+        return; // They are counted among `refused` only.
+    }
+}
+
+// [gateway_core] -------------------------------------------------------------
+
 gateway_core::gateway_core(transport::event_loop& loop_ref,
                            const transport::clock& clock_ref,
                            gateway_settings initial_settings,
