Gateway: the state of a stream's move is one struct with one reset

Cause: nine members of request_flow held the state of a move, and each place that ended a move reset some of them.

Change: stream_migration holds them. end() ends a move together with its attempt and keeps the stopped run for the next one; reset() also forgets the run, before an attempt that starts anew and at the end of the request.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -29,6 +29,7 @@
 #include <hyssopdeal/coordination/gateway/event_splitter.hpp>
 #include <hyssopdeal/coordination/gateway/gateway_core.hpp>
 #include <hyssopdeal/coordination/gateway/selection_failure.hpp>
+#include <hyssopdeal/coordination/gateway/stream_migration.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
 #include <hyssopdeal/transport/http1_server.hpp>
 
@@ -144,7 +145,7 @@
     void on_move_response(
         const transport::result<transport::http_response>& response);
     void on_moved_stream_closed(const transport::http1_call_end& result);
-    void resume_on(const std::shared_ptr<known_server>& server);
+    void resume_on(std::shared_ptr<known_server> server);
     void on_move_refused();
 
     /// @return The server's state as known to this gateway, for the log.
@@ -239,26 +240,7 @@
     monotonic_time last_activity_{};
     monotonic_time ended_at_{}; ///< Its connection closed in good order.
 
-    // Move of the running stream to another server, which continues the same
-    // run.
-    enum class move_state : std::uint8_t
-    {
-        none,
-        requested, ///< The source was asked to stop and hand over the stream.
-        stopped    ///< The source stopped; last events may be in transit.
-    };
-    move_state move_state_ = move_state::none;
-    std::uint32_t move_attempts_ = 0;
-    transport::http1_call move_call_;
-    std::shared_ptr<known_server> move_source_;
-    std::shared_ptr<known_server> move_target_;
-    bool state_copied_ = false; ///< Whether `move_target_` has the run's state.
-    /// An earlier request to stop the current attempt was not clearly declined.
-    bool may_be_stopped_ = false;
-    /// Handle of the stopped run that the current attempt resumes; empty: none.
-    std::string moved_run_;
-    /// How the source's response ended during the move.
-    std::optional<transport::http1_call_end> ended_during_move_;
+    stream_migration migration_;
 
     // Response to the caller.
     bool response_started_ = false; ///< The head was sent.
@@ -600,7 +582,7 @@
             std::max(route_->target_latency, choice->predicted_unloaded);
         return refuse_for_room("overloaded", choice->predicted - target);
     }
-    moved_run_.clear();
+    migration_.reset();
     start_attempt(*choice);
 }
 
@@ -699,7 +681,7 @@
         core_.counters.repeats.add();
     }
     core_.servers.cold().take(now, choice.server->listed);
-    if (moved_run_.empty() &&
+    if (migration_.run.empty() &&
         core_.servers.permits().take(now, choice.server->listed))
     {
         (delivered_attempts_ > 1 ? core_.counters.rate_limited_retries
@@ -712,8 +694,7 @@
     terms.time_limit = remaining_time();
     terms.rank = rank_;
     terms.resume_after = last_event_id_;
-    terms.moved_run = moved_run_;
-    may_be_stopped_ = false;
+    terms.moved_run = migration_.run;
     call_settings_ = choose_path();
     transport::http1_call_handlers handlers;
     const auto self = this->shared_from_this();
@@ -855,7 +836,7 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_idle_timeout()
 {
-    if (move_state_ != move_state::none)
+    if (migration_.in_progress())
     {
         return arm_idle_timer();
     }
@@ -1006,8 +987,7 @@
     const transport::http1_call_end& result)
 {
     idle_timer_.cancel();
-    if (move_state_ != move_state::none &&
-        (!result.complete || result.ended_by_close))
+    if (migration_.in_progress() && (!result.complete || result.ended_by_close))
     {
         return on_moved_stream_closed(result);
     }
@@ -1040,7 +1020,7 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::confirm_end(const transport::http1_call_end& result)
 {
-    if (may_be_stopped_)
+    if (migration_.may_be_stopped)
     {
         return on_attempt_error(
             {transport::verdict::may_have_run,
@@ -1288,7 +1268,7 @@
         core_.servers.on_full(now, server);
     }
     release_server();
-    if (!moved_run_.empty())
+    if (!migration_.run.empty())
     {
         return on_move_refused();
     }
@@ -1319,8 +1299,7 @@
     constexpr milliseconds no_connection_retry_after{300};
     idle_timer_.cancel();
     // The move ends with the attempt that it was to continue.
-    move_state_ = move_state::none;
-    move_call_.cancel();
+    migration_.end();
     const auto now = core_.clock.monotonic_now();
     auto& server = *choice_.server;
     const bool not_run = error.ran == transport::verdict::not_run;
@@ -1359,13 +1338,14 @@
         record_attempt_outcome(answer_kind::broken);
     }
     if (!not_run && !survived_start() && !start_recorded_ &&
-        moved_run_.empty() && error.code == transport::reason::connection_lost)
+        migration_.run.empty() &&
+        error.code == transport::reason::connection_lost)
     {
         core_.crashes.on_broken(now, sent_at_, choice_.server, *content_);
     }
     const auto running_before = server.running;
     release_server();
-    if (not_run && !moved_run_.empty())
+    if (not_run && !migration_.run.empty())
     {
         return on_move_refused();
     }
@@ -1510,8 +1490,8 @@
     constexpr milliseconds move_window{1'000};
     constexpr std::uint32_t max_move_attempts = 3; ///< Including failed ones.
     const auto& ends_at = choice_.server->ends_at;
-    if (!ends_at || move_state_ != move_state::none ||
-        move_attempts_ >= max_move_attempts || last_event_id_.empty() ||
+    if (!ends_at || migration_.in_progress() ||
+        migration_.attempts >= max_move_attempts || last_event_id_.empty() ||
         numbers_went_back_ || !resume_point_known_)
     {
         return false;
@@ -1543,16 +1523,13 @@
     }
     // The resumed run is one more request to the target.
     core_.servers.permits().take(now, choice->server->listed);
-    ++move_attempts_;
-    move_state_ = move_state::requested;
-    move_source_ = choice_.server;
-    move_target_ = choice->server;
-    ended_during_move_.reset();
+    migration_.begin(choice_.server, choice->server);
+    const auto& source = *migration_.source;
     const auto remaining =
-        std::chrono::duration_cast<milliseconds>(*move_source_->ends_at - now);
-    move_call_ = core_.client.fetch(
-        move_source_->listed.address,
-        Dialect::make_move(terms_.attempt_id, move_target_->listed.address),
+        std::chrono::duration_cast<milliseconds>(*source.ends_at - now);
+    migration_.call = core_.client.fetch(
+        source.listed.address,
+        Dialect::make_move(terms_.attempt_id, choice->server->listed.address),
         {.time_limit = remaining,
          .on_head = own_head_filter(),
          .keep_connection = false},
@@ -1570,7 +1547,7 @@
 void request_flow<Dialect>::on_move_response(
     const transport::result<transport::http_response>& response)
 {
-    const auto& source = move_source_->listed;
+    const auto& source = migration_.source->listed;
     const auto move =
         response ? Dialect::parse_move_result(source.address, response->status,
                                               response->body)
@@ -1578,7 +1555,7 @@
     transport::log_event("stream.move",
                          {{"request", terms_.attempt_id},
                           {"from", source.id},
-                          {"to", move_target_->listed.id},
+                          {"to", migration_.target->listed.id},
                           {"status", response ? response->status : 0},
                           {"error", response ? "" : response.error().text},
                           {"stopped", !move.moved_run.empty()},
@@ -1588,28 +1565,23 @@
     {
         // The stream stays on its server, unless its response ended during the
         // request.
-        move_state_ = move_state::none;
-        may_be_stopped_ = may_be_stopped_ || !move.not_stopped;
-        const auto ended = std::exchange(ended_during_move_, std::nullopt);
+        const auto ended = migration_.on_declined(move);
         return ended ? on_attempt_end(*ended) : void();
     }
     // The last events may still be in transit; they arrive within a round trip.
     constexpr milliseconds last_events_delay{50};
-    move_state_ = move_state::stopped;
-    moved_run_ = move.moved_run;
-    state_copied_ = move.copied;
+    migration_.on_stopped(move);
     core_.counters.moved.add();
-    if (ended_during_move_)
+    if (migration_.source_end)
     {
-        return resume_on(state_copied_ ? move_target_ : move_source_);
+        return resume_on(migration_.resuming_server());
     }
     idle_timer_ =
         core_.loop.after(last_events_delay, [self = this->shared_from_this()] {
             if (!self->finished_)
             {
                 self->attempt_call_.cancel();
-                self->resume_on(self->state_copied_ ? self->move_target_
-                                                    : self->move_source_);
+                self->resume_on(self->migration_.resuming_server());
             }
         });
 }
@@ -1620,29 +1592,28 @@
 void request_flow<Dialect>::on_moved_stream_closed(
     const transport::http1_call_end& result)
 {
-    ended_during_move_ = result;
-    if (move_state_ == move_state::stopped)
+    migration_.source_end = result;
+    if (migration_.state == stream_migration::stage::stopped)
     {
-        resume_on(state_copied_ ? move_target_ : move_source_);
+        resume_on(migration_.resuming_server());
     }
 }
 
 template <caller_dialect Dialect>
-void request_flow<Dialect>::resume_on(
-    const std::shared_ptr<known_server>& server)
+void request_flow<Dialect>::resume_on(std::shared_ptr<known_server> server)
 {
     release_server();
-    move_state_ = move_state::none;
+    migration_.end();
     if (core_.servers.evacuated().contains(server->listed.failure_domain) ||
         !core_.servers.cold().may_send(core_.clock.monotonic_now(),
                                        server->listed))
     {
         // The domain was evacuated, or the server became cold, during the move.
-        choice_.server = server;
+        choice_.server = std::move(server);
         return on_move_refused();
     }
     placement_choice choice;
-    choice.server = server;
+    choice.server = std::move(server);
     choice.prompt_tokens = terms_.size.prompt_tokens;
     start_attempt(choice);
 }
@@ -1652,9 +1623,9 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_move_refused()
 {
-    if (std::exchange(state_copied_, false) && choice_.server != move_source_)
+    if (auto source = migration_.on_not_resumed(choice_.server))
     {
-        return resume_on(move_source_);
+        return resume_on(std::move(source));
     }
     if (retryable() && try_reserve_retry())
     {
@@ -1761,7 +1732,7 @@
     first_event_at_ = now;
     time_to_first_event_ =
         std::chrono::duration_cast<milliseconds>(now - sent_at_);
-    if (moved_run_.empty() && occupies_slot_)
+    if (migration_.run.empty() && occupies_slot_)
     {
         core_.servers.on_first_event(choice_, time_to_first_event_);
         core_.counters.prediction_error.add(
@@ -1929,7 +1900,7 @@
     core_.remove_request(registration_);
     deadline_timer_.cancel();
     idle_timer_.cancel();
-    move_call_.cancel();
+    migration_.reset();
     liveness_call_.cancel();
     transport::log_event(
         "request.ended",
@@ -1948,7 +1919,7 @@
          {"timing", latency_outcome()},
          {"orders_age_ms", core_.control_age()},
          {"arrivals", delivered_attempts_},
-         {"moves", move_attempts_},
+         {"moves", migration_.attempts},
          {"took_ms", elapsed_time()}});
 }
 
