Gateway: the position in a stream is a module of its own

Cause: the ids and numbers by which a stream is resumed were five members of request_flow, judged in five places.

Change: stream_position accepts events and says whether another attempt can continue the stream and whether its numbers show that events are missing.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -14,7 +14,6 @@
 /// it.
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <memory>
 #include <set>
@@ -30,6 +29,7 @@
 #include <hyssopdeal/coordination/gateway/gateway_core.hpp>
 #include <hyssopdeal/coordination/gateway/selection_failure.hpp>
 #include <hyssopdeal/coordination/gateway/stream_migration.hpp>
+#include <hyssopdeal/coordination/gateway/stream_position.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
 #include <hyssopdeal/transport/http1_server.hpp>
 
@@ -169,7 +169,6 @@
     // [responses]
     void give_up_response();
     void relay_events();
-    bool accept_event(const std::string& event);
     void on_first_event();
     void finish_response();
 
@@ -229,11 +228,6 @@
     /// Whether this attempt had its first event or its complete response.
     bool event_received_ = false;
     std::uint32_t attempt_events_ = 0; ///< Relayed from this attempt.
-    /// Of the last numbered event of this attempt, relayed or not.
-    std::uint64_t received_number_ = 0;
-    /// The attempt sent an event with a smaller number than one before: events
-    /// are missing, and the place to resume after is not known.
-    bool numbers_went_back_ = false;
     bool runs_on_ = false; ///< Its server still works on it after its end.
     bool gap_recorded_ = false;
     bool start_recorded_ = false; ///< The prompt did not crash the server.
@@ -245,10 +239,7 @@
     // Response to the caller.
     bool response_started_ = false; ///< The head was sent.
     bool usage_counted_ = false;
-    std::string last_event_id_;
-    /// No event without an id follows the last one that had an id.
-    bool resume_point_known_ = true;
-    std::uint64_t last_event_number_ = 0;
+    stream_position position_;
     bool finished_ = false;
     std::uint64_t registration_ = 0; ///< As a request under way.
     transport::timer_handle deadline_timer_;
@@ -666,8 +657,7 @@
     head_received_ = false;
     event_received_ = false;
     attempt_events_ = 0;
-    received_number_ = last_event_number_;
-    numbers_went_back_ = false;
+    position_.on_attempt();
     runs_on_ = false;
     gap_recorded_ = false;
     start_recorded_ = false;
@@ -693,7 +683,7 @@
     terms.server_id = choice.server->listed.id;
     terms.time_limit = remaining_time();
     terms.rank = rank_;
-    terms.resume_after = last_event_id_;
+    terms.resume_after = position_.last_id();
     terms.moved_run = migration_.run;
     call_settings_ = choose_path();
     transport::http1_call_handlers handlers;
@@ -840,7 +830,7 @@
     {
         return arm_idle_timer();
     }
-    if (resume_point_known_ && !numbers_went_back_ && core_.may_attempt() &&
+    if (position_.can_resume() && core_.may_attempt() &&
         possible_runs_ + 1 < route_->max_attempts &&
         core_.servers.has_untried(service_, tried_servers_) &&
         should_fail_over())
@@ -1005,7 +995,7 @@
                                  transport::reason::connection_lost,
                                  "The stream ended inside an event."});
     }
-    if (numbers_went_back_ || received_number_ < last_event_number_)
+    if (position_.misses_events())
     {
         return on_attempt_error({transport::verdict::may_have_run,
                                  transport::reason::broken_answer,
@@ -1247,7 +1237,7 @@
     const bool inside_event = event_splitter_.remainder().find_first_not_of(
                                   "\r\n") != std::string::npos;
     const bool resumed =
-        !last_event_id_.empty() || !terms_.resume_after.empty();
+        !position_.last_id().empty() || !terms_.resume_after.empty();
     return streamed && (inside_event || (result.ended_by_close &&
                                          !event_received_ && !resumed));
 }
@@ -1349,15 +1339,16 @@
     {
         return on_move_refused();
     }
-    const bool retry = not_run ? failed_connects_ < max_connect_failures
-                               : retryable() && !numbers_went_back_ &&
-                                     !runs_on_ && try_reserve_retry();
+    const bool retry = not_run
+                           ? failed_connects_ < max_connect_failures
+                           : retryable() && !position_.numbers_went_back() &&
+                                 !runs_on_ && try_reserve_retry();
     transport::log_event("attempt.broken",
                          {{"request", terms_.attempt_id},
                           {"server", server.listed.id},
                           {"verdict", transport::to_string(error.ran)},
                           {"error", error.text},
-                          {"after_event", last_event_id_},
+                          {"after_event", position_.last_id()},
                           {"had_event", event_received_},
                           {"prompt_parts", format_parts(terms_.size)},
                           {"digest", fmt::format("{:x}", content_->digest)},
@@ -1382,7 +1373,7 @@
 template <caller_dialect Dialect>
 bool request_flow<Dialect>::try_reserve_retry()
 {
-    return resume_point_known_ && core_.may_attempt() &&
+    return position_.is_known() && core_.may_attempt() &&
            possible_runs_ < route_->max_attempts &&
            core_.servers.has_untried(service_, tried_servers_) &&
            core_.repeats.take(core_.clock.monotonic_now(), service_);
@@ -1491,8 +1482,8 @@
     constexpr std::uint32_t max_move_attempts = 3; ///< Including failed ones.
     const auto& ends_at = choice_.server->ends_at;
     if (!ends_at || migration_.in_progress() ||
-        migration_.attempts >= max_move_attempts || last_event_id_.empty() ||
-        numbers_went_back_ || !resume_point_known_)
+        migration_.attempts >= max_move_attempts ||
+        position_.last_id().empty() || !position_.can_resume())
     {
         return false;
     }
@@ -1560,7 +1551,7 @@
                           {"error", response ? "" : response.error().text},
                           {"stopped", !move.moved_run.empty()},
                           {"copied", move.copied},
-                          {"after_event", last_event_id_}});
+                          {"after_event", position_.last_id()}});
     if (move.moved_run.empty())
     {
         // The stream stays on its server, unless its response ended during the
@@ -1641,7 +1632,7 @@
 {
     while (auto event = event_splitter_.next_event())
     {
-        if (!accept_event(*event))
+        if (!position_.accept(*event))
         {
             continue;
         }
@@ -1686,39 +1677,6 @@
     }
 }
 
-/// Remembers the id of an event, from which another server can resume.
-///
-/// @return Whether the event is to be relayed; false if its number shows that
-///     the caller already has it.
-template <caller_dialect Dialect>
-bool request_flow<Dialect>::accept_event(const std::string& event)
-{
-    const auto id = event_splitter::event_id(event);
-    if (id.empty())
-    {
-        resume_point_known_ =
-            resume_point_known_ && !event_splitter::has_fields(event);
-        return true;
-    }
-    std::uint64_t number = 0;
-    const auto parsed =
-        std::from_chars(id.data(), id.data() + id.size(), number);
-    const bool has_number =
-        parsed.ec == std::errc{} && parsed.ptr == id.data() + id.size();
-    received_number_ = has_number ? number : received_number_;
-    numbers_went_back_ =
-        numbers_went_back_ ||
-        (has_number && attempt_events_ > 0 && number < last_event_number_);
-    if (has_number && !last_event_id_.empty() && number <= last_event_number_)
-    {
-        return false;
-    }
-    last_event_number_ = has_number ? number : last_event_number_;
-    last_event_id_ = id;
-    resume_point_known_ = true;
-    return true;
-}
-
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_first_event()
 {
