Gateway: the judgement of a response's end is a module of its own

Cause: whether a response that has ended is whole was decided over four functions of request_flow, between the calls that ask its server.

Change: response_end judges the end by what the attempt received, and the server's answer after an end by its connection; request_flow acts on both.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -27,6 +27,7 @@
 #include <hyssopdeal/coordination/gateway/dialect.hpp>
 #include <hyssopdeal/coordination/gateway/event_splitter.hpp>
 #include <hyssopdeal/coordination/gateway/gateway_core.hpp>
+#include <hyssopdeal/coordination/gateway/response_end.hpp>
 #include <hyssopdeal/coordination/gateway/selection_failure.hpp>
 #include <hyssopdeal/coordination/gateway/stream_migration.hpp>
 #include <hyssopdeal/coordination/gateway/stream_position.hpp>
@@ -59,9 +60,6 @@
 
     /// The load balancer sends the retry to another gateway.
     static constexpr milliseconds shutdown_retry_after{100};
-    /// Servers report what was some hundred milliseconds ago. A process that
-    /// ends may close its streams that much before its port.
-    static constexpr milliseconds min_confirmation_age{500};
     /// The time limit of the relay for its own connection, and a round trip.
     static constexpr milliseconds relayed_connect_time_limit{400};
 
@@ -96,6 +94,7 @@
                                             const headers& response_headers);
     void on_response_data(std::string_view data);
     void on_attempt_end(const transport::http1_call_end& result);
+    [[nodiscard]] received_response summarize_response() const;
     void confirm_end(const transport::http1_call_end& result);
     void check_path(const transport::http1_call_settings& path);
     void check_server(const transport::http1_call_settings& path);
@@ -112,8 +111,6 @@
     }
     [[nodiscard]] static transport::head_filter own_head_filter();
     void on_complete_response();
-    [[nodiscard]] bool
-    stream_broken_off(const transport::http1_call_end& result) const;
     void on_attempt_refused();
     [[nodiscard]] transport::http1_call_settings choose_path();
     [[nodiscard]] bool record_connect_failure(bool relay_failed);
@@ -981,42 +978,48 @@
     {
         return on_moved_stream_closed(result);
     }
-    if (!result.complete)
+    constexpr auto may_have_run = transport::verdict::may_have_run;
+    constexpr auto connection_lost = transport::reason::connection_lost;
+    switch (judge_end(result, summarize_response()))
     {
+    case response_end::whole:
+        return on_complete_response();
+    case response_end::unconfirmed:
+        return confirm_end(result);
+    case response_end::failed:
         return on_attempt_error(result.error, result.relay_failed);
-    }
-    if (response_terms_.not_executed || response_terms_.other_server)
-    {
+    case response_end::not_run:
         return on_attempt_refused();
-    }
-    if (stream_broken_off(result))
-    {
-        return on_attempt_error({transport::verdict::may_have_run,
-                                 transport::reason::connection_lost,
+    case response_end::broken_off:
+        return on_attempt_error({may_have_run, connection_lost,
                                  "The stream ended inside an event."});
-    }
-    if (position_.misses_events())
-    {
-        return on_attempt_error({transport::verdict::may_have_run,
-                                 transport::reason::broken_answer,
+    case response_end::events_missing:
+        return on_attempt_error({may_have_run, transport::reason::broken_answer,
                                  "The numbers of the events went back."});
+    case response_end::maybe_stopped:
+        return on_attempt_error(
+            {may_have_run, connection_lost,
+             "The connection closed after the stream was to be moved."});
     }
-    result.ended_by_close ? confirm_end(result) : on_complete_response();
 }
 
-/// Decides whether a response that ended with its connection is complete. The
-/// connection closes in the same way when the server finished, when it or the
-/// relay was killed, and when the server stopped the stream to move it.
+template <caller_dialect Dialect>
+received_response request_flow<Dialect>::summarize_response() const
+{
+    constexpr int first_error_status = 300;
+    return {response_terms_,
+            is_stream() && response_status_ < first_error_status,
+            event_splitter_.remainder(),
+            event_received_,
+            !position_.last_id().empty() || !terms_.resume_after.empty(),
+            position_.misses_events(),
+            migration_.may_be_stopped};
+}
+
+/// Decides whether a response that ended with its connection is complete.
 template <caller_dialect Dialect>
 void request_flow<Dialect>::confirm_end(const transport::http1_call_end& result)
 {
-    if (migration_.may_be_stopped)
-    {
-        return on_attempt_error(
-            {transport::verdict::may_have_run,
-             transport::reason::connection_lost,
-             "The connection closed after the stream was to be moved."});
-    }
     ended_at_ = core_.clock.monotonic_now();
     release_slot();
     call_settings_.relay_start = result.relay_start;
@@ -1085,7 +1088,6 @@
     const transport::http1_call_settings& path, milliseconds asked_after,
     const transport::result<transport::http_response>& response)
 {
-    constexpr milliseconds max_confirmation_age{1'000};
     const auto& listed = choice_.server->listed;
     const auto parsed =
         response ? Dialect::parse_liveness(response->status, response->body,
@@ -1116,14 +1118,16 @@
                           {"listed_start", listed.born},
                           {"runs_attempt", runs_on},
                           {"asked_after_ms", asked_after}});
-    const auto limit = runs_on ? max_confirmation_age : min_confirmation_age;
-    if (restarted || (asked_after >= limit && (!reported || runs_on)))
+    switch (judge_check({asked_after, reported, restarted, runs_on}))
     {
+    case end_check_verdict::whole:
+        return on_complete_response();
+    case end_check_verdict::check_again:
+        return check_again(path);
+    case end_check_verdict::lost:
         runs_on_ = runs_on && !restarted;
         return on_path_failed(path);
     }
-    asked_after < min_confirmation_age || runs_on ? check_again(path)
-                                                  : on_complete_response();
 }
 
 template <caller_dialect Dialect>
@@ -1224,24 +1228,6 @@
     finish_response();
 }
 
-/// @return Whether a stream that its framing reports as complete has lost its
-///     end: no event may be cut off, and one without a length that ends before
-///     its first event was ended by the loss of the server. One that was resumed
-///     may have had its last event before.
-template <caller_dialect Dialect>
-bool request_flow<Dialect>::stream_broken_off(
-    const transport::http1_call_end& result) const
-{
-    constexpr int first_error_status = 300;
-    const bool streamed = is_stream() && response_status_ < first_error_status;
-    const bool inside_event = event_splitter_.remainder().find_first_not_of(
-                                  "\r\n") != std::string::npos;
-    const bool resumed =
-        !position_.last_id().empty() || !terms_.resume_after.empty();
-    return streamed && (inside_event || (result.ended_by_close &&
-                                         !event_received_ && !resumed));
-}
-
 /// Handles a response by which the server reports that it did not run the
 /// request.
 template <caller_dialect Dialect>
