--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -14,7 +14,6 @@
 /// it.
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <memory>
 #include <set>
@@ -28,6 +27,10 @@
 #include <hyssopdeal/coordination/gateway/dialect.hpp>
 #include <hyssopdeal/coordination/gateway/event_splitter.hpp>
 #include <hyssopdeal/coordination/gateway/gateway_core.hpp>
+#include <hyssopdeal/coordination/gateway/response_end.hpp>
+#include <hyssopdeal/coordination/gateway/selection_failure.hpp>
+#include <hyssopdeal/coordination/gateway/stream_migration.hpp>
+#include <hyssopdeal/coordination/gateway/stream_position.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
 #include <hyssopdeal/transport/http1_server.hpp>
 
@@ -57,11 +60,6 @@
 
     /// The load balancer sends the retry to another gateway.
     static constexpr milliseconds shutdown_retry_after{100};
-    /// Some slots of a service become free in this time.
-    static constexpr milliseconds servers_full_retry_after{400};
-    /// Servers report what was some hundred milliseconds ago. A process that
-    /// ends may close its streams that much before its port.
-    static constexpr milliseconds min_confirmation_age{500};
     /// The time limit of the relay for its own connection, and a round trip.
     static constexpr milliseconds relayed_connect_time_limit{400};
 
@@ -79,6 +77,7 @@
     // [attempts]
     [[nodiscard]] transport::http1_call_settings make_call_settings() const;
     void start_next_attempt();
+    void refuse_without_server();
     [[nodiscard]] std::optional<placement_choice> select_server();
     void start_attempt(const placement_choice& choice);
     void record_attempt_outcome(answer_kind outcome);
@@ -95,6 +94,7 @@
                                             const headers& response_headers);
     void on_response_data(std::string_view data);
     void on_attempt_end(const transport::http1_call_end& result);
+    [[nodiscard]] received_response summarize_response() const;
     void confirm_end(const transport::http1_call_end& result);
     void check_path(const transport::http1_call_settings& path);
     void check_server(const transport::http1_call_settings& path);
@@ -111,8 +111,6 @@
     }
     [[nodiscard]] static transport::head_filter own_head_filter();
     void on_complete_response();
-    [[nodiscard]] bool
-    stream_broken_off(const transport::http1_call_end& result) const;
     void on_attempt_refused();
     [[nodiscard]] transport::http1_call_settings choose_path();
     [[nodiscard]] bool record_connect_failure(bool relay_failed);
@@ -144,7 +142,7 @@
     void on_move_response(
         const transport::result<transport::http_response>& response);
     void on_moved_stream_closed(const transport::http1_call_end& result);
-    void resume_on(const std::shared_ptr<known_server>& server);
+    void resume_on(std::shared_ptr<known_server> server);
     void on_move_refused();
 
     /// @return The server's state as known to this gateway, for the log.
@@ -168,7 +166,6 @@
     // [responses]
     void give_up_response();
     void relay_events();
-    bool accept_event(const std::string& event);
     void on_first_event();
     void finish_response();
 
@@ -228,45 +225,18 @@
     /// Whether this attempt had its first event or its complete response.
     bool event_received_ = false;
     std::uint32_t attempt_events_ = 0; ///< Relayed from this attempt.
-    /// Of the last numbered event of this attempt, relayed or not.
-    std::uint64_t received_number_ = 0;
-    /// The attempt sent an event with a smaller number than one before: events
-    /// are missing, and the place to resume after is not known.
-    bool numbers_went_back_ = false;
     bool runs_on_ = false; ///< Its server still works on it after its end.
     bool gap_recorded_ = false;
     bool start_recorded_ = false; ///< The prompt did not crash the server.
     monotonic_time last_activity_{};
     monotonic_time ended_at_{}; ///< Its connection closed in good order.
 
-    // Move of the running stream to another server, which continues the same
-    // run.
-    enum class move_state : std::uint8_t
-    {
-        none,
-        requested, ///< The source was asked to stop and hand over the stream.
-        stopped    ///< The source stopped; last events may be in transit.
-    };
-    move_state move_state_ = move_state::none;
-    std::uint32_t move_attempts_ = 0;
-    transport::http1_call move_call_;
-    std::shared_ptr<known_server> move_source_;
-    std::shared_ptr<known_server> move_target_;
-    bool state_copied_ = false; ///< Whether `move_target_` has the run's state.
-    /// An earlier request to stop the current attempt was not clearly declined.
-    bool may_be_stopped_ = false;
-    /// Handle of the stopped run that the current attempt resumes; empty: none.
-    std::string moved_run_;
-    /// How the source's response ended during the move.
-    std::optional<transport::http1_call_end> ended_during_move_;
+    stream_migration migration_;
 
     // Response to the caller.
     bool response_started_ = false; ///< The head was sent.
     bool usage_counted_ = false;
-    std::string last_event_id_;
-    /// No event without an id follows the last one that had an id.
-    bool resume_point_known_ = true;
-    std::uint64_t last_event_number_ = 0;
+    stream_position position_;
     bool finished_ = false;
     std::uint64_t registration_ = 0; ///< As a request under way.
     transport::timer_handle deadline_timer_;
@@ -569,9 +539,6 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::start_next_attempt()
 {
-    // With no usable server, new ones are still starting: an earlier retry
-    // would be refused again.
-    constexpr milliseconds no_server_retry_after{1'000};
     // A server cannot complete a request in less time.
     constexpr milliseconds min_attempt_time{20};
     if (remaining_time() < min_attempt_time)
@@ -591,39 +558,10 @@
         return;
     }
     const auto choice = select_server();
-    if (!choice && possible_runs_ > 0)
-    {
-        return fail(502, "no_other_server");
-    }
     if (!choice)
     {
-        const auto now = core_.clock.monotonic_now();
-        if (core_.servers.lacks_permit(now, service_, tried_servers_))
-        {
-            core_.counters.rate_limited_refusals.add();
-            return refuse_for_room(
-                "servers_rate_limited",
-                core_.servers.permits().reserve_turn(now, service_));
-        }
-        if (core_.servers.lacks_cold_permit(now, service_, tried_servers_))
-        {
-            core_.counters.cold_refusals.add();
-            return refuse(503, "servers_cold",
-                          core_.servers.cold().reserve_turn(now, service_));
-        }
-        if (core_.servers.lacks_brittle_slot(now, service_, tried_servers_))
-        {
-            core_.counters.brittle_refusals.add();
-            return refuse_for_room("servers_full", servers_full_retry_after);
-        }
-        if (core_.servers.all_evacuated(service_))
-        {
-            core_.counters.evacuation_refusals.add();
-        }
-        const auto pause = core_.servers.remaining_pause(now, service_);
-        return refuse(503, pause ? "servers_paused" : "no_server",
-                      std::min(no_server_retry_after,
-                               pause.value_or(no_server_retry_after)));
+        return possible_runs_ > 0 ? fail(502, "no_other_server")
+                                  : refuse_without_server();
     }
     if (delivered_attempts_ == 0 && failed_connects_ == 0 &&
         predicted_late(*choice))
@@ -632,10 +570,21 @@
             std::max(route_->target_latency, choice->predicted_unloaded);
         return refuse_for_room("overloaded", choice->predicted - target);
     }
-    moved_run_.clear();
+    migration_.reset();
     start_attempt(*choice);
 }
 
+template <caller_dialect Dialect>
+void request_flow<Dialect>::refuse_without_server()
+{
+    const auto failure = explain_selection_failure(
+        core_.clock.monotonic_now(), service_, tried_servers_, core_.servers);
+    core_.counters.count(failure.reason);
+    const auto reason = to_string(failure.reason);
+    failure.lacks_room() ? refuse_for_room(reason, failure.retry_after)
+                         : refuse(503, reason, failure.retry_after);
+}
+
 /// A stream that starts too late only delays the streams queued behind it, and
 /// its caller does better to retry later. A prompt whose own prefill takes
 /// longer than the target latency is compared with the prefill time, because no
@@ -705,8 +654,7 @@
     head_received_ = false;
     event_received_ = false;
     attempt_events_ = 0;
-    received_number_ = last_event_number_;
-    numbers_went_back_ = false;
+    position_.on_attempt();
     runs_on_ = false;
     gap_recorded_ = false;
     start_recorded_ = false;
@@ -720,7 +668,7 @@
         core_.counters.repeats.add();
     }
     core_.servers.cold().take(now, choice.server->listed);
-    if (moved_run_.empty() &&
+    if (migration_.run.empty() &&
         core_.servers.permits().take(now, choice.server->listed))
     {
         (delivered_attempts_ > 1 ? core_.counters.rate_limited_retries
@@ -732,9 +680,8 @@
     terms.server_id = choice.server->listed.id;
     terms.time_limit = remaining_time();
     terms.rank = rank_;
-    terms.resume_after = last_event_id_;
-    terms.moved_run = moved_run_;
-    may_be_stopped_ = false;
+    terms.resume_after = position_.last_id();
+    terms.moved_run = migration_.run;
     call_settings_ = choose_path();
     transport::http1_call_handlers handlers;
     const auto self = this->shared_from_this();
@@ -876,11 +823,11 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_idle_timeout()
 {
-    if (move_state_ != move_state::none)
+    if (migration_.in_progress())
     {
         return arm_idle_timer();
     }
-    if (resume_point_known_ && !numbers_went_back_ && core_.may_attempt() &&
+    if (position_.can_resume() && core_.may_attempt() &&
         possible_runs_ + 1 < route_->max_attempts &&
         core_.servers.has_untried(service_, tried_servers_) &&
         should_fail_over())
@@ -1027,47 +974,52 @@
     const transport::http1_call_end& result)
 {
     idle_timer_.cancel();
-    if (move_state_ != move_state::none &&
-        (!result.complete || result.ended_by_close))
+    if (migration_.in_progress() && (!result.complete || result.ended_by_close))
     {
         return on_moved_stream_closed(result);
     }
-    if (!result.complete)
+    constexpr auto may_have_run = transport::verdict::may_have_run;
+    constexpr auto connection_lost = transport::reason::connection_lost;
+    switch (judge_end(result, summarize_response()))
     {
+    case response_end::whole:
+        return on_complete_response();
+    case response_end::unconfirmed:
+        return confirm_end(result);
+    case response_end::failed:
         return on_attempt_error(result.error, result.relay_failed);
-    }
-    if (response_terms_.not_executed || response_terms_.other_server)
-    {
+    case response_end::not_run:
         return on_attempt_refused();
-    }
-    if (stream_broken_off(result))
-    {
-        return on_attempt_error({transport::verdict::may_have_run,
-                                 transport::reason::connection_lost,
+    case response_end::broken_off:
+        return on_attempt_error({may_have_run, connection_lost,
                                  "The stream ended inside an event."});
-    }
-    if (numbers_went_back_ || received_number_ < last_event_number_)
-    {
-        return on_attempt_error({transport::verdict::may_have_run,
-                                 transport::reason::broken_answer,
+    case response_end::events_missing:
+        return on_attempt_error({may_have_run, transport::reason::broken_answer,
                                  "The numbers of the events went back."});
+    case response_end::maybe_stopped:
+        return on_attempt_error(
+            {may_have_run, connection_lost,
+             "The connection closed after the stream was to be moved."});
     }
-    result.ended_by_close ? confirm_end(result) : on_complete_response();
 }
 
-/// Decides whether a response that ended with its connection is complete. The
-/// connection closes in the same way when the server finished, when it or the
-/// relay was killed, and when the server stopped the stream to move it.
+template <caller_dialect Dialect>
+received_response request_flow<Dialect>::summarize_response() const
+{
+    constexpr int first_error_status = 300;
+    return {response_terms_,
+            is_stream() && response_status_ < first_error_status,
+            event_splitter_.remainder(),
+            event_received_,
+            !position_.last_id().empty() || !terms_.resume_after.empty(),
+            position_.misses_events(),
+            migration_.may_be_stopped};
+}
+
+/// Decides whether a response that ended with its connection is complete.
 template <caller_dialect Dialect>
 void request_flow<Dialect>::confirm_end(const transport::http1_call_end& result)
 {
-    if (may_be_stopped_)
-    {
-        return on_attempt_error(
-            {transport::verdict::may_have_run,
-             transport::reason::connection_lost,
-             "The connection closed after the stream was to be moved."});
-    }
     ended_at_ = core_.clock.monotonic_now();
     release_slot();
     call_settings_.relay_start = result.relay_start;
@@ -1136,7 +1088,6 @@
     const transport::http1_call_settings& path, milliseconds asked_after,
     const transport::result<transport::http_response>& response)
 {
-    constexpr milliseconds max_confirmation_age{1'000};
     const auto& listed = choice_.server->listed;
     const auto parsed =
         response ? Dialect::parse_liveness(response->status, response->body,
@@ -1167,14 +1118,16 @@
                           {"listed_start", listed.born},
                           {"runs_attempt", runs_on},
                           {"asked_after_ms", asked_after}});
-    const auto limit = runs_on ? max_confirmation_age : min_confirmation_age;
-    if (restarted || (asked_after >= limit && (!reported || runs_on)))
+    switch (judge_check({asked_after, reported, restarted, runs_on}))
     {
+    case end_check_verdict::whole:
+        return on_complete_response();
+    case end_check_verdict::check_again:
+        return check_again(path);
+    case end_check_verdict::lost:
         runs_on_ = runs_on && !restarted;
         return on_path_failed(path);
     }
-    asked_after < min_confirmation_age || runs_on ? check_again(path)
-                                                  : on_complete_response();
 }
 
 template <caller_dialect Dialect>
@@ -1275,24 +1228,6 @@
     finish_response();
 }
 
-/// @return Whether a stream that its framing reports as complete has lost its
-///     end: no event may be cut off, and one without a length that ends before
-///     its first event was ended by the loss of the server. One that was resumed
-///     may have had its last event before.
-template <caller_dialect Dialect>
-bool request_flow<Dialect>::stream_broken_off(
-    const transport::http1_call_end& result) const
-{
-    constexpr int first_error_status = 300;
-    const bool streamed = is_stream() && response_status_ < first_error_status;
-    const bool inside_event = event_splitter_.remainder().find_first_not_of(
-                                  "\r\n") != std::string::npos;
-    const bool resumed =
-        !last_event_id_.empty() || !terms_.resume_after.empty();
-    return streamed && (inside_event || (result.ended_by_close &&
-                                         !event_received_ && !resumed));
-}
-
 /// Handles a response by which the server reports that it did not run the
 /// request.
 template <caller_dialect Dialect>
@@ -1309,7 +1244,7 @@
         core_.servers.on_full(now, server);
     }
     release_server();
-    if (!moved_run_.empty())
+    if (!migration_.run.empty())
     {
         return on_move_refused();
     }
@@ -1340,8 +1275,7 @@
     constexpr milliseconds no_connection_retry_after{300};
     idle_timer_.cancel();
     // The move ends with the attempt that it was to continue.
-    move_state_ = move_state::none;
-    move_call_.cancel();
+    migration_.end();
     const auto now = core_.clock.monotonic_now();
     auto& server = *choice_.server;
     const bool not_run = error.ran == transport::verdict::not_run;
@@ -1380,25 +1314,27 @@
         record_attempt_outcome(answer_kind::broken);
     }
     if (!not_run && !survived_start() && !start_recorded_ &&
-        moved_run_.empty() && error.code == transport::reason::connection_lost)
+        migration_.run.empty() &&
+        error.code == transport::reason::connection_lost)
     {
         core_.crashes.on_broken(now, sent_at_, choice_.server, *content_);
     }
     const auto running_before = server.running;
     release_server();
-    if (not_run && !moved_run_.empty())
+    if (not_run && !migration_.run.empty())
     {
         return on_move_refused();
     }
-    const bool retry = not_run ? failed_connects_ < max_connect_failures
-                               : retryable() && !numbers_went_back_ &&
-                                     !runs_on_ && try_reserve_retry();
+    const bool retry = not_run
+                           ? failed_connects_ < max_connect_failures
+                           : retryable() && !position_.numbers_went_back() &&
+                                 !runs_on_ && try_reserve_retry();
     transport::log_event("attempt.broken",
                          {{"request", terms_.attempt_id},
                           {"server", server.listed.id},
                           {"verdict", transport::to_string(error.ran)},
                           {"error", error.text},
-                          {"after_event", last_event_id_},
+                          {"after_event", position_.last_id()},
                           {"had_event", event_received_},
                           {"prompt_parts", format_parts(terms_.size)},
                           {"digest", fmt::format("{:x}", content_->digest)},
@@ -1423,7 +1359,7 @@
 template <caller_dialect Dialect>
 bool request_flow<Dialect>::try_reserve_retry()
 {
-    return resume_point_known_ && core_.may_attempt() &&
+    return position_.is_known() && core_.may_attempt() &&
            possible_runs_ < route_->max_attempts &&
            core_.servers.has_untried(service_, tried_servers_) &&
            core_.repeats.take(core_.clock.monotonic_now(), service_);
@@ -1531,9 +1467,9 @@
     constexpr milliseconds move_window{1'000};
     constexpr std::uint32_t max_move_attempts = 3; ///< Including failed ones.
     const auto& ends_at = choice_.server->ends_at;
-    if (!ends_at || move_state_ != move_state::none ||
-        move_attempts_ >= max_move_attempts || last_event_id_.empty() ||
-        numbers_went_back_ || !resume_point_known_)
+    if (!ends_at || migration_.in_progress() ||
+        migration_.attempts >= max_move_attempts ||
+        position_.last_id().empty() || !position_.can_resume())
     {
         return false;
     }
@@ -1564,16 +1500,13 @@
     }
     // The resumed run is one more request to the target.
     core_.servers.permits().take(now, choice->server->listed);
-    ++move_attempts_;
-    move_state_ = move_state::requested;
-    move_source_ = choice_.server;
-    move_target_ = choice->server;
-    ended_during_move_.reset();
+    migration_.begin(choice_.server, choice->server);
+    const auto& source = *migration_.source;
     const auto remaining =
-        std::chrono::duration_cast<milliseconds>(*move_source_->ends_at - now);
-    move_call_ = core_.client.fetch(
-        move_source_->listed.address,
-        Dialect::make_move(terms_.attempt_id, move_target_->listed.address),
+        std::chrono::duration_cast<milliseconds>(*source.ends_at - now);
+    migration_.call = core_.client.fetch(
+        source.listed.address,
+        Dialect::make_move(terms_.attempt_id, choice->server->listed.address),
         {.time_limit = remaining,
          .on_head = own_head_filter(),
          .keep_connection = false},
@@ -1591,7 +1524,7 @@
 void request_flow<Dialect>::on_move_response(
     const transport::result<transport::http_response>& response)
 {
-    const auto& source = move_source_->listed;
+    const auto& source = migration_.source->listed;
     const auto move =
         response ? Dialect::parse_move_result(source.address, response->status,
                                               response->body)
@@ -1599,38 +1532,33 @@
     transport::log_event("stream.move",
                          {{"request", terms_.attempt_id},
                           {"from", source.id},
-                          {"to", move_target_->listed.id},
+                          {"to", migration_.target->listed.id},
                           {"status", response ? response->status : 0},
                           {"error", response ? "" : response.error().text},
                           {"stopped", !move.moved_run.empty()},
                           {"copied", move.copied},
-                          {"after_event", last_event_id_}});
+                          {"after_event", position_.last_id()}});
     if (move.moved_run.empty())
     {
         // The stream stays on its server, unless its response ended during the
         // request.
-        move_state_ = move_state::none;
-        may_be_stopped_ = may_be_stopped_ || !move.not_stopped;
-        const auto ended = std::exchange(ended_during_move_, std::nullopt);
+        const auto ended = migration_.on_declined(move);
         return ended ? on_attempt_end(*ended) : void();
     }
     // The last events may still be in transit; they arrive within a round trip.
     constexpr milliseconds last_events_delay{50};
-    move_state_ = move_state::stopped;
-    moved_run_ = move.moved_run;
-    state_copied_ = move.copied;
+    migration_.on_stopped(move);
     core_.counters.moved.add();
-    if (ended_during_move_)
+    if (migration_.source_end)
     {
-        return resume_on(state_copied_ ? move_target_ : move_source_);
+        return resume_on(migration_.resuming_server());
     }
     idle_timer_ =
         core_.loop.after(last_events_delay, [self = this->shared_from_this()] {
             if (!self->finished_)
             {
                 self->attempt_call_.cancel();
-                self->resume_on(self->state_copied_ ? self->move_target_
-                                                    : self->move_source_);
+                self->resume_on(self->migration_.resuming_server());
             }
         });
 }
@@ -1641,29 +1569,28 @@
 void request_flow<Dialect>::on_moved_stream_closed(
     const transport::http1_call_end& result)
 {
-    ended_during_move_ = result;
-    if (move_state_ == move_state::stopped)
+    migration_.source_end = result;
+    if (migration_.state == stream_migration::stage::stopped)
     {
-        resume_on(state_copied_ ? move_target_ : move_source_);
+        resume_on(migration_.resuming_server());
     }
 }
 
 template <caller_dialect Dialect>
-void request_flow<Dialect>::resume_on(
-    const std::shared_ptr<known_server>& server)
+void request_flow<Dialect>::resume_on(std::shared_ptr<known_server> server)
 {
     release_server();
-    move_state_ = move_state::none;
+    migration_.end();
     if (core_.servers.evacuated().contains(server->listed.failure_domain) ||
         !core_.servers.cold().may_send(core_.clock.monotonic_now(),
                                        server->listed))
     {
         // The domain was evacuated, or the server became cold, during the move.
-        choice_.server = server;
+        choice_.server = std::move(server);
         return on_move_refused();
     }
     placement_choice choice;
-    choice.server = server;
+    choice.server = std::move(server);
     choice.prompt_tokens = terms_.size.prompt_tokens;
     start_attempt(choice);
 }
@@ -1673,9 +1600,9 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_move_refused()
 {
-    if (std::exchange(state_copied_, false) && choice_.server != move_source_)
+    if (auto source = migration_.on_not_resumed(choice_.server))
     {
-        return resume_on(move_source_);
+        return resume_on(std::move(source));
     }
     if (retryable() && try_reserve_retry())
     {
@@ -1691,7 +1618,7 @@
 {
     while (auto event = event_splitter_.next_event())
     {
-        if (!accept_event(*event))
+        if (!position_.accept(*event))
         {
             continue;
         }
@@ -1736,39 +1663,6 @@
     }
 }
 
-/// Remembers the id of an event, from which another server can resume.
-///
-/// @return Whether the event is to be relayed; false if its number shows that
-///     the caller already has it.
-template <caller_dialect Dialect>
-bool request_flow<Dialect>::accept_event(const std::string& event)
-{
-    const auto id = event_splitter::event_id(event);
-    if (id.empty())
-    {
-        resume_point_known_ =
-            resume_point_known_ && !event_splitter::has_fields(event);
-        return true;
-    }
-    std::uint64_t number = 0;
-    const auto parsed =
-        std::from_chars(id.data(), id.data() + id.size(), number);
-    const bool has_number =
-        parsed.ec == std::errc{} && parsed.ptr == id.data() + id.size();
-    received_number_ = has_number ? number : received_number_;
-    numbers_went_back_ =
-        numbers_went_back_ ||
-        (has_number && attempt_events_ > 0 && number < last_event_number_);
-    if (has_number && !last_event_id_.empty() && number <= last_event_number_)
-    {
-        return false;
-    }
-    last_event_number_ = has_number ? number : last_event_number_;
-    last_event_id_ = id;
-    resume_point_known_ = true;
-    return true;
-}
-
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_first_event()
 {
@@ -1782,7 +1676,7 @@
     first_event_at_ = now;
     time_to_first_event_ =
         std::chrono::duration_cast<milliseconds>(now - sent_at_);
-    if (moved_run_.empty() && occupies_slot_)
+    if (migration_.run.empty() && occupies_slot_)
     {
         core_.servers.on_first_event(choice_, time_to_first_event_);
         core_.counters.prediction_error.add(
@@ -1950,7 +1844,7 @@
     core_.remove_request(registration_);
     deadline_timer_.cancel();
     idle_timer_.cancel();
-    move_call_.cancel();
+    migration_.reset();
     liveness_call_.cancel();
     transport::log_event(
         "request.ended",
@@ -1969,7 +1863,7 @@
          {"timing", latency_outcome()},
          {"orders_age_ms", core_.control_age()},
          {"arrivals", delivered_attempts_},
-         {"moves", move_attempts_},
+         {"moves", migration_.attempts},
          {"took_ms", elapsed_time()}});
 }
 
