Log limit: one class for lines that any client may cause

Cause: byte_budget had a limit of its own for its log lines, by windows of a second, which admits twenty lines around the end of a window. Other lines that any client may cause need a limit too.

Change: transport/log_limit admits at most ten lines in any second, counts all occurrences and tells with each line how many were left out before it. byte_budget uses it.

--- a/include/hyssopdeal/transport/byte_budget.hpp
+++ b/include/hyssopdeal/transport/byte_budget.hpp
@@ -58,7 +58,7 @@
 
     /// Counts a refusal.
     ///
-    /// @return Whether to log it; of each second's, the first ten.
+    /// @return Whether to log it; ten in any second are.
     [[nodiscard]] bool count_refusal(monotonic_time now);
 
     /// @return Counters in the format of the metrics address.
--- a/src/transport/byte_budget.cpp
+++ b/src/transport/byte_budget.cpp
@@ -9,6 +9,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include <hyssopdeal/transport/log_limit.hpp>
 #include <hyssopdeal/transport/metrics.hpp>
 
 #include "transport/byte_budget_service.hpp"
@@ -22,7 +23,6 @@
 {
 
 constexpr std::size_t least_bytes_per_s = 65'536;
-constexpr std::uint64_t logged_per_s = 10;
 // Readers below it count as reading nothing. A quarter of the least rate of
 // requests, as a refused request can be sent again and a cut response cannot.
 constexpr std::size_t least_read_per_s = 16'384;
@@ -53,9 +53,7 @@
     mutable std::mutex lock; // shares are of several threads
     std::size_t limit = 0;
     std::size_t held = 0;
-    std::uint64_t refusals = 0;
-    std::uint64_t logged = 0;
-    monotonic_time logged_since{};
+    log_limit refusals;
     std::unordered_set<byte_share*> shares;
     std::unordered_map<const void*, monotonic_time> sampled; // by loop
 
@@ -183,14 +181,7 @@
 
 bool byte_budget::count_refusal(monotonic_time now)
 {
-    const std::lock_guard guard{impl_->lock};
-    ++impl_->refusals;
-    if (now - impl_->logged_since >= std::chrono::seconds{1})
-    {
-        impl_->logged_since = now;
-        impl_->logged = 0;
-    }
-    return ++impl_->logged <= logged_per_s;
+    return impl_->refusals.count(now).has_value();
 }
 
 std::string byte_budget::metrics() const
@@ -200,7 +191,7 @@
     out.family("hyssopdeal_caller_budget_refusals_total", "counter",
                "Requests refused and connections closed as too many bytes were "
                "held for callers");
-    out.sample(static_cast<double>(impl_->refusals));
+    out.sample(static_cast<double>(impl_->refusals.total()));
     out.family("hyssopdeal_held_caller_bytes", "gauge",
                "Bytes held for callers");
     out.sample(static_cast<double>(impl_->held));
