Links and relays: at most ten log lines a second for unknown peers

Cause: anyone can connect to the ports of links and relays, and each such connection wrote a line: "Closed a link for bad input" or relay.refused.

Change: both are bounded by log_limit; `suppressed` in the next line is the number left out. Hubs of one process share a limit, as hyssop-entryd has one hub for each thread. hyssopdeal_bad_input_links_total (entries of both kinds and hyssop-platform-controld) and hyssopdeal_relay_refusals_total (hyssop-platform-entryd) on the metrics address count all. hyssop-controld has no metrics address; its lines are bounded all the same.

Result: peer_hub_test and http1_test pass, each with a test of 30 unknown peers that are all counted.

--- a/include/hyssopdeal/protocol/peer_hub.hpp
+++ b/include/hyssopdeal/protocol/peer_hub.hpp
@@ -5,7 +5,7 @@
 /// Authenticated links between hyssopdeal's own processes: length-framed
 /// Thrift messages over TCP.
 ///
-/// Index: [peer_channel] [settings] [peer_hub]
+/// Index: [peer_channel] [settings] [peer_hub] [metrics]
 ///
 /// Both sides prove that they hold the shared key by an HMAC challenge before
 /// the first message. Messages between two processes on one link keep their
@@ -21,6 +21,7 @@
 
 #include <hyssopdeal/transport/event_loop.hpp>
 #include <hyssopdeal/transport/failure.hpp>
+#include <hyssopdeal/transport/log_limit.hpp>
 
 namespace hyssopdeal::protocol
 {
@@ -71,6 +72,10 @@
     /// Slowest sending that still counts as progress: a fifth of the slowest
     /// network link in use, 10 Mbit/s.
     std::size_t slowest_bytes_per_s = 250'000;
+    /// Counts links closed for bad input and bounds their log lines: anyone
+    /// may connect. Hubs of one process share it.
+    std::shared_ptr<transport::log_limit> bad_input =
+        std::make_shared<transport::log_limit>();
 };
 
 // [peer_hub] -----------------------------------------------------------------
@@ -120,11 +125,21 @@
     /// @return Links that are open or being opened, of both sides.
     [[nodiscard]] std::size_t open_links() const;
 
+    /// @return Links closed for bad input.
+    [[nodiscard]] const transport::log_limit& bad_input() const noexcept;
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
 };
 
+// [metrics] ------------------------------------------------------------------
+
+/// @return The counter of links closed for bad input, in the format of the
+///     metrics address.
+[[nodiscard]] std::string
+bad_input_metrics(const transport::log_limit& bad_input);
+
 } // namespace hyssopdeal::protocol
 
 #endif
--- a/include/hyssopdeal/transport/tcp_relay.hpp
+++ b/include/hyssopdeal/transport/tcp_relay.hpp
@@ -93,6 +93,10 @@
     /// @return Connections relayed since the start.
     [[nodiscard]] std::uint64_t relayed() const noexcept;
 
+    /// @return Requests refused since the start, which `relay.refused` tells
+    ///     of ten times a second at most.
+    [[nodiscard]] std::uint64_t refused() const;
+
 private:
     std::shared_ptr<impl> impl_;
 };
--- a/src/coordination/cluster/cluster_process.cpp
+++ b/src/coordination/cluster/cluster_process.cpp
@@ -557,7 +557,9 @@
     out.sample(static_cast<double>(impl_->cold.granted()));
     gauge("hyssopdeal_reporting_entries",
           static_cast<double>(impl_->loads.entries()), "Entries that report");
-    return out.text();
+    return impl_->hub ? out.text() +
+                            protocol::bad_input_metrics(impl_->hub->bad_input())
+                      : out.text();
 }
 
 } // namespace hyssopdeal::coordination
--- a/src/coordination/entry_inspection.cpp
+++ b/src/coordination/entry_inspection.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <hyssopdeal/protocol/peer_hub.hpp>
 #include <hyssopdeal/transport/byte_budget.hpp>
 #include <hyssopdeal/transport/json_text.hpp>
 
@@ -289,12 +290,13 @@
     text.sample(shared.catalog.read([](const auto& catalog) {
         return static_cast<double>(catalog.view().evacuations.size());
     }));
+    const auto links = protocol::bad_input_metrics(*shared.bad_input);
     if (shared.shards.empty())
     {
-        return text.text();
+        return text.text() + links;
     }
     const auto budget = transport::byte_budget_of(shared.shards.front()->loop);
-    return text.text() + budget->metrics();
+    return text.text() + links + budget->metrics();
 }
 
 void answer_debug(entry_shard& shard, std::string_view page,
--- a/src/coordination/entry_links.cpp
+++ b/src/coordination/entry_links.cpp
@@ -51,27 +51,30 @@
 
 } // namespace
 
-protocol::peer_hub_settings hub_settings_of(const entry_settings& settings,
-                                            std::string_view shared_key)
+protocol::peer_hub_settings
+hub_settings_of(const entry_settings& settings, std::string_view shared_key,
+                std::shared_ptr<transport::log_limit> bad_input)
 {
     protocol::peer_hub_settings hub;
     hub.self = settings.name;
     hub.address = settings.peer_address_ip;
     hub.port = settings.peer_port;
     hub.shared_key = shared_key;
+    hub.bad_input = std::move(bad_input);
     return hub;
 }
 
 entry_links::entry_links(transport::event_loop& loop,
                          const transport::clock& clock,
                          const entry_settings& settings, std::string shared_key,
+                         std::shared_ptr<transport::log_limit> bad_input,
                          entry_links_handlers handlers)
     : loop_(loop),
       clock_(clock),
       settings_(settings),
       shared_key_(std::move(shared_key)),
       handlers_(std::move(handlers)),
-      hub_(loop, hub_settings_of(settings, shared_key_))
+      hub_(loop, hub_settings_of(settings, shared_key_, std::move(bad_input)))
 {}
 
 entry_links::~entry_links() = default;
--- a/src/coordination/entry_links.hpp
+++ b/src/coordination/entry_links.hpp
@@ -18,6 +18,7 @@
 #include <hyssopdeal/transport/clock.hpp>
 #include <hyssopdeal/transport/event_loop.hpp>
 #include <hyssopdeal/transport/failure.hpp>
+#include <hyssopdeal/transport/log_limit.hpp>
 
 namespace hyssopdeal::coordination
 {
@@ -41,6 +42,7 @@
 public:
     entry_links(transport::event_loop& loop, const transport::clock& clock,
                 const entry_settings& settings, std::string shared_key,
+                std::shared_ptr<transport::log_limit> bad_input,
                 entry_links_handlers handlers);
     entry_links(const entry_links&) = delete;
     entry_links& operator=(const entry_links&) = delete;
@@ -69,9 +71,11 @@
     std::unique_ptr<membership_runner> members_;
 };
 
+/// @param bad_input The same for all hubs of the process.
 /// @return Settings of a hub of this process; the port is for listening hubs.
 [[nodiscard]] protocol::peer_hub_settings
-hub_settings_of(const entry_settings& settings, std::string_view shared_key);
+hub_settings_of(const entry_settings& settings, std::string_view shared_key,
+                std::shared_ptr<transport::log_limit> bad_input);
 
 } // namespace hyssopdeal::coordination
 
--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -250,7 +250,8 @@
         running->shard.link(*key);
     }
     links = std::make_unique<entry_links>(loop, shared.clock, shared.settings,
-                                          std::move(*key), links_handlers());
+                                          std::move(*key), shared.bad_input,
+                                          links_handlers());
     exchange =
         std::make_unique<stream_exchange>(loop, shared.clock, links->hub());
     auto started = links->start();
--- a/src/coordination/entry_shard.cpp
+++ b/src/coordination/entry_shard.cpp
@@ -106,7 +106,8 @@
 
 void entry_shard::link(std::string_view shared_key)
 {
-    peers.emplace(loop, hub_settings_of(shared.settings, shared_key));
+    peers.emplace(
+        loop, hub_settings_of(shared.settings, shared_key, shared.bad_input));
     watch_members();
     if (shared.settings.control_replicas.empty())
     {
--- a/src/coordination/entry_shard.hpp
+++ b/src/coordination/entry_shard.hpp
@@ -26,6 +26,7 @@
 #include <hyssopdeal/transport/clock.hpp>
 #include <hyssopdeal/transport/event_loop.hpp>
 #include <hyssopdeal/transport/http_client.hpp>
+#include <hyssopdeal/transport/log_limit.hpp>
 #include <hyssopdeal/transport/rcu_cell.hpp>
 
 #include "entry_metrics.hpp"
@@ -65,6 +66,8 @@
     std::atomic<const transport::rcu_cell<member_view>*> members{
         nullptr}; // written by the main thread before the shards run
     std::vector<entry_shard*> shards; ///< Set before the threads run.
+    const std::shared_ptr<transport::log_limit> bad_input =
+        std::make_shared<transport::log_limit>(); ///< Of all hubs.
     std::atomic<entry_readiness> readiness{
         entry_readiness::starting}; // written by the process's main thread
 };
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -14,6 +14,7 @@
 #include <hyssopdeal/protocol/peer_hub.hpp>
 #include <hyssopdeal/transport/byte_budget.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
+#include <hyssopdeal/transport/metrics.hpp>
 #include <hyssopdeal/transport/tcp_relay.hpp>
 
 namespace hyssopdeal::coordination
@@ -101,6 +102,7 @@
     std::unique_ptr<transport::http1_server>
     make_server(listener_kind kind, std::uint16_t port,
                 std::function<void(http1_exchange)> handler);
+    [[nodiscard]] std::string link_metrics() const;
     void handle_request(http1_exchange exchange);
     [[nodiscard]] milliseconds
     report_interval_for(const std::string& address,
@@ -191,14 +193,14 @@
     {
         return {};
     }
-    metrics =
-        make_server(listener_kind::probes, core.settings.metrics_port,
-                    [this, budget = transport::byte_budget_of(loop)](
-                        http1_exchange exchange) {
-                        exchange.send({200,
-                                       {{"Content-Type", "text/plain"}},
-                                       core.metrics() + budget->metrics()});
-                    });
+    metrics = make_server(listener_kind::probes, core.settings.metrics_port,
+                          [this, budget = transport::byte_budget_of(loop)](
+                              http1_exchange exchange) {
+                              exchange.send({200,
+                                             {{"Content-Type", "text/plain"}},
+                                             core.metrics() + link_metrics() +
+                                                 budget->metrics()});
+                          });
     const auto port = metrics->start();
     return port ? transport::result<void>{} : tl::make_unexpected(port.error());
 }
@@ -274,6 +276,21 @@
     return {};
 }
 
+/// @return What was closed or refused at the ports of links and relays.
+std::string gateway_process::impl::link_metrics() const
+{
+    auto text = protocol::bad_input_metrics(hub->bad_input());
+    if (relay)
+    {
+        transport::prometheus_text out;
+        out.family("hyssopdeal_relay_refusals_total", "counter",
+                   "Requests for relayed connections that were refused");
+        out.sample(static_cast<double>(relay->refused()));
+        text += out.text();
+    }
+    return text;
+}
+
 void gateway_process::impl::handle_request(http1_exchange exchange)
 {
     const auto serving_period = std::chrono::duration_cast<milliseconds>(
--- a/src/protocol/peer_hub.cpp
+++ b/src/protocol/peer_hub.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 
 #include <hyssopdeal/transport/logging.hpp>
+#include <hyssopdeal/transport/metrics.hpp>
 #include <hyssopdeal/transport/unproved_connections.hpp>
 
 #include "peer_link.hpp"
@@ -356,6 +357,11 @@
     return impl_->accepted.size() + static_cast<std::size_t>(dialled);
 }
 
+const transport::log_limit& peer_hub::bad_input() const noexcept
+{
+    return *impl_->settings.bad_input;
+}
+
 void peer_hub::on_message(peer_channel channel, message_handler handler)
 {
     impl_->channels[channel] = std::move(handler);
@@ -398,4 +404,13 @@
         time_limit, [this, correlation] { impl_->time_out(correlation); });
 }
 
+std::string bad_input_metrics(const transport::log_limit& bad_input)
+{
+    transport::prometheus_text out;
+    out.family("hyssopdeal_bad_input_links_total", "counter",
+               "Links to other processes closed for bad input");
+    out.sample(static_cast<double>(bad_input.total()));
+    return out.text();
+}
+
 } // namespace hyssopdeal::protocol
--- a/src/protocol/peer_link.cpp
+++ b/src/protocol/peer_link.cpp
@@ -214,8 +214,13 @@
         const auto frame = splitter_.next();
         if (!frame || (frame->has_value() && !take_frame(**frame)))
         {
-            log_warning(log_part::peer, "Closed a link for bad input. peer={}",
-                        peer_);
+            if (const auto suppressed = settings_.bad_input->count())
+            {
+                log_warning(
+                    log_part::peer,
+                    "Closed a link for bad input. peer={} suppressed={}", peer_,
+                    *suppressed);
+            }
             close();
             return;
         }
--- a/src/transport/tcp_relay.cpp
+++ b/src/transport/tcp_relay.cpp
@@ -15,6 +15,7 @@
 
 #include <hyssopdeal/transport/digest.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
+#include <hyssopdeal/transport/log_limit.hpp>
 #include <hyssopdeal/transport/unproved_connections.hpp>
 
 #include "transport/http1_reader.hpp"
@@ -65,6 +66,7 @@
     timer_handle accept_pause;
     std::size_t open = 0; ///< Of these, connected to a server.
     std::uint64_t relayed = 0;
+    log_limit refused; ///< Anyone may connect and be refused.
     bool draining = false;
 };
 
@@ -241,9 +243,13 @@
     void refuse(int status, std::string_view why)
     {
         timer_.cancel();
-        log_event(
-            "relay.refused",
-            {{"target", reader_.target()}, {"status", status}, {"error", why}});
+        if (const auto suppressed = relay_->refused.count())
+        {
+            log_event("relay.refused", {{"target", reader_.target()},
+                                        {"status", status},
+                                        {"error", why},
+                                        {"suppressed", *suppressed}});
+        }
         respond(status, {}, [](auto& self) {
             asio::error_code ignored;
             self.client_.close(ignored);
@@ -417,4 +423,9 @@
     return impl_->relayed;
 }
 
+std::uint64_t tcp_relay::refused() const
+{
+    return impl_->refused.total();
+}
+
 } // namespace hyssopdeal::transport
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -474,6 +474,21 @@
     CHECK_TRUE(runs());
 }
 
+// Guards against refusals that show nowhere once their log lines are bounded.
+TEST(http1_client_tests, relay_counts_each_request_that_it_refuses)
+{
+    transport::tcp_relay relay{loop, {}, [](const auto&) { return true; }};
+    const auto port = relay.start().value();
+    for (int stranger = 0; stranger < 30; ++stranger)
+    {
+        const auto response = tests::raw_exchange(
+            loop, port, "CONNECT 127.0.0.1:1 HTTP/1.1\r\n\r\n");
+        STRCMP_CONTAINS("HTTP/1.1 407", response.c_str());
+    }
+    LONGS_EQUAL(30, relay.refused());
+    LONGS_EQUAL(0, relay.relayed());
+}
+
 TEST(http1_client_tests, cut_and_spoiled_answers_may_have_run)
 {
     reply = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\npart";
--- a/tests/peer_hub_test.cpp
+++ b/tests/peer_hub_test.cpp
@@ -360,6 +360,20 @@
     LONGS_EQUAL(1, received.size());
 }
 
+// Guards against one log line for each unknown peer that connects: 30 at once
+// are counted, in the limit that bounds the lines to ten a second.
+TEST(peer_hub_tests, links_closed_for_bad_input_are_counted)
+{
+    for (int stranger = 0; stranger < 30; ++stranger)
+    {
+        raw_exchange(loop, port, std::string("\0\0\0\4abcd", 8));
+    }
+    LONGS_EQUAL(30, server->bad_input().total());
+    STRCMP_CONTAINS("\nhyssopdeal_bad_input_links_total 30\n",
+                    bad_input_metrics(server->bad_input()).c_str());
+    LONGS_EQUAL(0, client.bad_input().total());
+}
+
 TEST(peer_hub_tests, silent_connection_is_closed_in_time)
 {
     raw_exchange(loop, port, "");
