Tests: the slow server and the plain client in a file of their own

Cause: a test of hyssop-entryd needs the server that held_bytes_test has.

Result: held_bytes_test passes, with the same bounds.

--- a/tests/held_bytes_test.cpp
+++ b/tests/held_bytes_test.cpp
@@ -4,19 +4,14 @@
 /// cut although its caller reads. Starts a real entry and a real replica on
 /// loopback, with a server and an instance list of its own.
 ///
-/// Index: [server] [system] [callers] [tests]
+/// Index: [system] [callers] [tests]
 
-#include <fcntl.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <atomic>
-#include <charconv>
-#include <functional>
 #include <memory>
-#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -31,16 +26,20 @@
 #include "platform/counterpart.hpp"
 #include "platform/settings.hpp"
 #include "process_group.hpp"
+#include "slow_server.hpp"
 
 using namespace hyssopdeal;
 using namespace std::chrono_literals;
+using tests::large_response;
+using tests::response_to;
+using tests::slow_server;
+using tests::small_buffer;
 using tests::target;
+using tests::wait_for;
 
 namespace
 {
 
-using steady = std::chrono::steady_clock;
-
 constexpr std::uint16_t callers_port = 8'080;
 constexpr std::uint16_t link_port = 7'600;
 constexpr std::uint16_t platform_port = 9'000;
@@ -48,184 +47,6 @@
 constexpr std::size_t max_descriptors = 512;
 constexpr std::size_t most_memory_mb = 64;
 constexpr std::size_t largest_body = 4'194'304;
-constexpr std::size_t large_response = 4'000'000;
-constexpr std::size_t small_buffer = 65'536;
-
-bool wait_for(const std::function<bool()>& done)
-{
-    const auto end = steady::now() + tests::crowd_time_limit;
-    while (!done() && steady::now() < end)
-    {
-        std::this_thread::sleep_for(20ms);
-    }
-    return done();
-}
-
-void send_all(int file, std::string_view bytes)
-{
-    while (!bytes.empty())
-    {
-        const auto sent =
-            ::send(file, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (sent <= 0)
-        {
-            return;
-        }
-        bytes.remove_prefix(static_cast<std::size_t>(sent));
-    }
-}
-
-std::string header_of(const std::string& head, const std::string& name)
-{
-    const auto key = "\r\n" + name + ": ";
-    const auto at = head.find(key);
-    return at == std::string::npos
-               ? std::string{}
-               : head.substr(at + key.size(),
-                             head.find("\r\n", at + 2) - at - key.size());
-}
-
-// [server] -------------------------------------------------------------------
-
-// A backend server that reads large bodies slowly. Its response to a target
-// that ends in "large" is large.
-class slow_server
-{
-public:
-    explicit slow_server(const target& at)
-    {
-        listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        const int yes = 1;
-        const int buffer = small_buffer;
-        ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-        // Connections take it over; the kernel reads little ahead.
-        ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
-        tests::bind_to(listener_, at);
-        ::listen(listener_, SOMAXCONN);
-        accepting_ = std::thread{[this] { accept(); }};
-    }
-
-    slow_server(const slow_server&) = delete;
-    slow_server& operator=(const slow_server&) = delete;
-
-    ~slow_server()
-    {
-        ended_ = true;
-        accepting_.join();
-        for (auto& one : serving_)
-        {
-            one.join();
-        }
-        ::close(listener_);
-    }
-
-    // Large bodies of which the head has come.
-    [[nodiscard]] std::size_t begun() const
-    {
-        return begun_;
-    }
-
-    // Large bodies that came whole and unchanged.
-    [[nodiscard]] std::size_t whole() const
-    {
-        return whole_;
-    }
-
-private:
-    void accept()
-    {
-        while (!ended_)
-        {
-            pollfd wait{listener_, POLLIN, 0};
-            const int file = ::poll(&wait, 1, 20) == 1
-                                 ? ::accept(listener_, nullptr, nullptr)
-                                 : -1;
-            if (file >= 0)
-            {
-                serving_.emplace_back([this, file] { serve(file); });
-            }
-        }
-    }
-
-    // Appends what comes; false at the end of the connection.
-    bool read(int file, std::string& into)
-    {
-        char in[16'384];
-        while (!ended_)
-        {
-            pollfd wait{file, POLLIN, 0};
-            if (::poll(&wait, 1, 20) == 1)
-            {
-                const auto length = ::recv(file, in, sizeof(in), 0);
-                into.append(in,
-                            length > 0 ? static_cast<std::size_t>(length) : 0);
-                return length > 0;
-            }
-        }
-        return false;
-    }
-
-    void serve(int file)
-    {
-        std::string bytes;
-        while (serve_one(file, bytes))
-        {}
-        ::close(file);
-    }
-
-    bool serve_one(int file, std::string& bytes)
-    {
-        while (bytes.find("\r\n\r\n") == std::string::npos)
-        {
-            if (!read(file, bytes))
-            {
-                return false;
-            }
-        }
-        const auto head = bytes.substr(0, bytes.find("\r\n\r\n") + 4);
-        bytes.erase(0, head.size());
-        const auto stated = header_of(head, "Content-Length");
-        std::size_t length = 0;
-        std::from_chars(stated.data(), stated.data() + stated.size(), length);
-        const bool large = length > small_buffer;
-        begun_ += large ? 1 : 0;
-        while (bytes.size() < length)
-        {
-            std::this_thread::sleep_for(large ? 5ms : 0ms);
-            if (!read(file, bytes))
-            {
-                return false;
-            }
-        }
-        const auto body = bytes.substr(0, length);
-        bytes.erase(0, length);
-        whole_ += large && body.find_first_not_of('x') == std::string::npos;
-        respond(file, head);
-        return true;
-    }
-
-    static void respond(int file, const std::string& head)
-    {
-        const auto id = header_of(head, "X-Attempt-Id");
-        const auto target = head.substr(0, head.find(" HTTP/"));
-        const std::string body(target.ends_with("large") ? large_response : 2,
-                               'y');
-        std::string out = "HTTP/1.1 200 OK\r\n";
-        for (const auto& [name, value] : platform::answer_headers(id))
-        {
-            out += fmt::format("{}: {}\r\n", name, value);
-        }
-        send_all(file, fmt::format("{}Content-Length: {}\r\n\r\n{}", out,
-                                   body.size(), body));
-    }
-
-    int listener_ = -1;
-    std::atomic<bool> ended_ = false;
-    std::atomic<std::size_t> begun_ = 0;
-    std::atomic<std::size_t> whole_ = 0;
-    std::thread accepting_;
-    std::vector<std::thread> serving_; // of the accepting thread until its end
-};
 
 // [system] -------------------------------------------------------------------
 
@@ -307,40 +128,6 @@
                        method, path, ++sent, body.size(), body);
 }
 
-// Reads until the other side closes.
-std::string read_all(int file, std::size_t most_at_once,
-                     std::chrono::milliseconds pause)
-{
-    std::string all;
-    std::string in(most_at_once, '\0');
-    const auto limit =
-        std::chrono::milliseconds{tests::crowd_time_limit}.count();
-    pollfd wait{file, POLLIN, 0};
-    while (::poll(&wait, 1, static_cast<int>(limit)) == 1)
-    {
-        const auto length = ::recv(file, in.data(), in.size(), 0);
-        if (length <= 0)
-        {
-            break;
-        }
-        all.append(in, 0, static_cast<std::size_t>(length));
-        std::this_thread::sleep_for(pause);
-    }
-    ::close(file);
-    return all;
-}
-
-std::string response_to(const target& with, const std::string& request)
-{
-    const int file = tests::connect_to(with);
-    if (file < 0)
-    {
-        return {};
-    }
-    send_all(file, request);
-    return read_all(file, small_buffer, 0ms);
-}
-
 } // namespace
 
 TEST_GROUP(held_bytes)
@@ -455,11 +242,12 @@
     start(memory_mb);
     const auto ask = [&] {
         const int file = tests::connect_to(entry, small_buffer);
-        send_all(file, request_text("GET", "/x/large", ""));
+        tests::send_all(file, request_text("GET", "/x/large", ""));
         return file;
     };
     std::string answer;
-    std::thread slow{[&] { answer = read_all(ask(), small_buffer / 4, 50ms); }};
+    std::thread slow{
+        [&] { answer = tests::read_all(ask(), small_buffer / 4, 50ms); }};
     std::vector<int> crowd;
     for (std::size_t at = 0; at < crowd_size; ++at)
     {
