hyssop-entryd: hold and count a caller's body once

Cause: a body was counted twice while it was read, as the request handed on was a copy, and each call to a server made another that nobody counted.

Change: with http_server_settings::shares_body the server hands on RESTinio's own bytes (http_responder::take_body); http_call_settings::body sends them without a copy, and their byte_share goes with them until the last call releases them, also when the caller has left or the response has begun. Bodies of announced length, which RESTinio allocates in their size, count once; request_framing tells them from bodies in chunks, which grow twofold and count as before. Servers without the setting, such as hyssop-controld's, count as before.

Bodies of streams are now counted as long as the stream runs; before, they were held but not counted once the response had begun. The copy of a stream's body for other entries (stream_record) is held beside it and not counted, as before.

--- a/include/hyssopdeal/transport/http_client.hpp
+++ b/include/hyssopdeal/transport/http_client.hpp
@@ -40,6 +40,9 @@
     std::chrono::milliseconds total_time_limit{60'000};  ///< Whole answer.
     std::size_t max_body_bytes = 16'777'216;             ///< Whole answer.
     end_proof proves_end = has_whole_json;               ///< For fetch().
+    /// Sent in place of the request's body, without a copy; kept until the call
+    /// ends. Null: the request's own.
+    std::shared_ptr<const std::string> body;
 };
 
 // [handlers] -----------------------------------------------------------------
--- a/include/hyssopdeal/transport/http_server.hpp
+++ b/include/hyssopdeal/transport/http_server.hpp
@@ -37,6 +37,9 @@
     std::size_t max_body_bytes = 1'048'576; ///< Larger bodies get 413.
     std::chrono::milliseconds read_time_limit{10'000};  ///< Head and body.
     std::chrono::milliseconds write_time_limit{10'000}; ///< One write.
+    /// Requests are handed on without their body, which is not copied but taken
+    /// by http_responder::take_body().
+    bool shares_body = false;
 };
 
 // [http_responder] -----------------------------------------------------------
@@ -62,6 +65,12 @@
     http_responder& operator=(const http_responder&);
     http_responder& operator=(http_responder&&) noexcept;
 
+    /// Takes the request's body. It is counted in the loop's byte_budget until
+    /// nobody keeps it. Call it on the loop's thread.
+    ///
+    /// @return Not null; empty unless the server's settings say `shares_body`.
+    [[nodiscard]] std::shared_ptr<const std::string> take_body();
+
     /// Sends a whole answer.
     void send(http_response response);
 
--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -52,6 +52,7 @@
     settings.max_body_bytes = from.max_body_bytes;
     settings.read_time_limit = from.read_time_limit;
     settings.write_time_limit = from.write_time_limit;
+    settings.shares_body = true;
     return settings;
 }
 
--- a/src/coordination/entry_service.cpp
+++ b/src/coordination/entry_service.cpp
@@ -214,7 +214,7 @@
                             "This instance is shutting down."}));
         return;
     }
-    auto accepted = accept(std::move(request));
+    auto accepted = accept(std::move(request), responder.take_body());
     if (!accepted)
     {
         shard_.metrics.count(accepted.error());
@@ -226,7 +226,9 @@
         ->start();
 }
 
-result<accepted_request> entry_service::accept(http_request request)
+result<accepted_request>
+entry_service::accept(http_request request,
+                      std::shared_ptr<const std::string> body)
 {
     const auto target = split_target(request.target);
     const auto rest = target.path.substr(api_prefix.size());
@@ -268,7 +270,7 @@
     }
     if (found->kind == protocol::service_kind::model)
     {
-        auto chat = protocol::read_chat(request.body);
+        auto chat = protocol::read_chat(*body);
         if (!chat)
         {
             return tl::unexpected(chat.error());
@@ -293,6 +295,7 @@
     accepted.route = std::move(found->route);
     accepted.idempotency_key = find_header(request.headers, "Idempotency-Key");
     accepted.http = std::move(request);
+    accepted.body = std::move(body);
     return accepted;
 }
 
@@ -347,8 +350,9 @@
             opened.method = "POST";
             opened.target = copy->origin.target;
             opened.headers = request.headers;
-            opened.body = copy->origin.body;
-            auto accepted = accept(std::move(opened));
+            auto accepted =
+                accept(std::move(opened),
+                       std::make_shared<const std::string>(copy->origin.body));
             if (!accepted)
             {
                 answer.send(failure_answer(accepted.error()));
--- a/src/coordination/entry_service.hpp
+++ b/src/coordination/entry_service.hpp
@@ -35,7 +35,8 @@
 
 private:
     [[nodiscard]] transport::result<accepted_request>
-    accept(transport::http_request request);
+    accept(transport::http_request request,
+           std::shared_ptr<const std::string> body);
     void serve(transport::http_request request,
                transport::http_responder responder);
     void resume(const transport::http_request& request, std::string_view id,
--- a/src/coordination/request_flow.cpp
+++ b/src/coordination/request_flow.cpp
@@ -71,7 +71,6 @@
          std::to_string(remaining_time(request.deadline, now).count())});
     outgoing.headers.push_back(
         {"traceparent", protocol::to_traceparent(request.trace)});
-    outgoing.body = request.http.body;
     return outgoing;
 }
 
@@ -208,6 +207,7 @@
             {"Hyssopdeal-Attempt", to_string(shard_.next_id())});
     }
     auto limits = limits_for_server(request_, shard_);
+    limits.body = request_.body;
     // Bodies of any form: the head of a refusal is all that proves itself.
     limits.proves_end = [](const auto& response) {
         return is_refusal(response.status, response.headers);
--- a/src/coordination/request_flow.hpp
+++ b/src/coordination/request_flow.hpp
@@ -37,7 +37,8 @@
 /// A validated request of a known organisation for a known route.
 struct accepted_request
 {
-    transport::http_request http; ///< As received from the caller.
+    transport::http_request http;            ///< As received, without the body.
+    std::shared_ptr<const std::string> body; ///< Not null.
     std::string organisation;
     double retry_ratio = 0; ///< From the contract.
     std::string service;
@@ -52,7 +53,7 @@
     std::uint64_t caller_span = 0; ///< 0 if the trace starts at this entry.
 };
 
-/// @return The request to send to a backend server.
+/// @return The request to send to a backend server, without its body.
 [[nodiscard]] transport::http_request
 request_for_server(const accepted_request& request,
                    transport::monotonic_time now);
--- a/src/coordination/request_flow_claims.cpp
+++ b/src/coordination/request_flow_claims.cpp
@@ -66,8 +66,7 @@
     span_started_ = shard_.now();
     shard_.ledger->claim(request_.organisation, request_.idempotency_key,
                          ledger_digest(request_.http.method,
-                                       request_.http.target,
-                                       request_.http.body),
+                                       request_.http.target, *request_.body),
                          [self = shared_from_this()](ledger_answer answer) {
                              self->on_claim(std::move(answer));
                          });
--- a/src/coordination/stream_session.cpp
+++ b/src/coordination/stream_session.cpp
@@ -146,7 +146,7 @@
         origin.service = request_.service;
         origin.version = choice_->version;
         origin.target = request_.http.target;
-        origin.body = request_.http.body;
+        origin.body = *request_.body;
         origin.priority = request_.route.priority;
         origin.prompt_tokens = choice_->prompt_tokens;
         origin.max_new_tokens = request_.chat.max_tokens;
@@ -160,17 +160,23 @@
     pump();
 }
 
-transport::result<std::string> stream_session::body_for_attempt() const
+transport::result<std::shared_ptr<const std::string>>
+stream_session::body_for_attempt() const
 {
     if (text_events_ == 0)
     {
-        return request_.http.body;
+        return request_.body;
     }
     const auto text = record_->text();
     protocol::chat_progress progress;
     progress.text = text;
     progress.tokens = static_cast<std::uint32_t>(text_events_);
-    return protocol::continue_chat(request_.http.body, progress);
+    auto body = protocol::continue_chat(*request_.body, progress);
+    if (!body)
+    {
+        return tl::unexpected(body.error());
+    }
+    return std::make_shared<const std::string>(std::move(*body));
 }
 
 void stream_session::launch()
@@ -184,7 +190,7 @@
     attempt_order order;
     order.address = server_address_;
     order.request = request_for_server(request_, shard_.now());
-    order.request.body = std::move(*body);
+    order.limits.body = std::move(*body);
     order.request.headers.push_back(
         {"Hyssopdeal-Attempt", to_string(record_->attempt())});
     order.attempt = record_->attempt();
@@ -220,7 +226,9 @@
     shard_.metrics.attempts.add();
     attempt_started_ = shard_.now();
     paused_ = false;
-    order.limits = limits_for_server(request_, shard_);
+    auto limits = limits_for_server(request_, shard_);
+    limits.body = std::move(order.limits.body);
+    order.limits = std::move(limits);
     const std::weak_ptr<stream_session> weak = weak_from_this();
     engine_attempt::handlers called;
     called.on_event = [weak](engine_event event) {
--- a/src/coordination/stream_session.hpp
+++ b/src/coordination/stream_session.hpp
@@ -96,7 +96,8 @@
     void retry_first(const transport::failure& error);
     void retry_later(const transport::failure& error);
     void end_choice(attempt_outcome outcome);
-    [[nodiscard]] transport::result<std::string> body_for_attempt() const;
+    [[nodiscard]] transport::result<std::shared_ptr<const std::string>>
+    body_for_attempt() const;
 
     // The caller.
     void begin_answer();
--- a/src/coordination/version_copies.cpp
+++ b/src/coordination/version_copies.cpp
@@ -176,8 +176,9 @@
         made.end = std::move(ended);
         end(number);
     };
-    made.call = shard_.client.start(made.choice.address, sent,
-                                    limits_for_server(request, shard_),
+    auto limits = limits_for_server(request, shard_);
+    limits.body = request.body;
+    made.call = shard_.client.start(made.choice.address, sent, limits,
                                     std::move(handlers));
 }
 
--- a/src/transport/byte_budget_service.hpp
+++ b/src/transport/byte_budget_service.hpp
@@ -30,6 +30,9 @@
 
     std::shared_ptr<byte_budget> budget = std::make_shared<byte_budget>();
 
+    /// Whether a server of the context copies bodies when it hands on requests.
+    bool copies_bodies = false;
+
 private:
     void shutdown() override {}
 };
--- a/src/transport/curl_call.cpp
+++ b/src/transport/curl_call.cpp
@@ -114,7 +114,11 @@
                                 const http_request& request)
 {
     auto* const handle = easy.get();
-    body = request.body;
+    if (!settings.body)
+    {
+        settings.body = std::make_shared<const std::string>(request.body);
+    }
+    const auto& body = *settings.body;
     bodyless_method = request.method == "HEAD";
     lines = header_lines(request);
     const auto url = fmt::format("http://{}{}", address, request.target);
@@ -342,6 +346,7 @@
     const auto keep = shared_from_this();
     loop = nullptr;
     running->erase(keep);
+    settings.body.reset();
     const auto called = std::exchange(handlers, nullptr);
     if (!cancelled && called && called->on_end)
     {
--- a/src/transport/curl_call.hpp
+++ b/src/transport/curl_call.hpp
@@ -50,12 +50,11 @@
 {
     curl_multi_loop* loop = nullptr; // emptied at the end of the call
     std::unordered_set<std::shared_ptr<impl>>* running = nullptr;
-    http_call_settings settings;
+    http_call_settings settings; // with the body that is sent
     /// Shared, so that a handler that cancels its call outlives itself.
     std::shared_ptr<http_call_handlers> handlers; // null once over
     easy_ptr easy;
     slist_ptr lines;
-    std::string body;
     std::vector<http_header> head;
     std::size_t head_bytes = 0;
     std::size_t body_bytes = 0;
--- a/src/transport/http_refusal.cpp
+++ b/src/transport/http_refusal.cpp
@@ -22,7 +22,8 @@
 constexpr std::chrono::seconds linger_time_limit{1};
 constexpr std::size_t linger_buffer_bytes = 16'384;
 
-// RESTinio's body grows twofold, and the request that is handed on is a copy.
+// RESTinio's body grows twofold unless its length is announced, and the request
+// that is handed on is a copy, but for bodies of servers that share them.
 constexpr std::size_t copies_of_request = 2;
 
 // RESTinio notes 16 bytes for each chunk, in a vector that grows twofold and is
@@ -66,6 +67,10 @@
 // same call.
 thread_local std::optional<refusal> pending_refusal;
 
+// Set while the socket's read is handled, in which a whole request is handed
+// on; null otherwise.
+thread_local refusing_socket* socket_being_read = nullptr;
+
 /// Reads and drops what still comes, then closes: closing with unread bytes
 /// would reset the connection and take the answer with it.
 class lingerer : public std::enable_shared_from_this<lingerer>
@@ -204,6 +209,7 @@
     received_ += bytes.size();
     line_ends_ +=
         static_cast<std::size_t>(std::count(bytes.begin(), bytes.end(), '\r'));
+    framing_.feed(bytes);
     if (taken_back_ || !share_)
     {
         return !taken_back_;
@@ -211,14 +217,40 @@
     const auto now = std::chrono::steady_clock::now();
     share_->allow_taking_back(false);
     share_->progress(now, bytes.size());
-    if (!share_->resize(now, received_ * copies_of_request +
-                                 line_ends_ * bytes_for_line_end))
+    if (!share_->resize(now, counted_bytes()))
     {
         taken_back_ = true;
     }
     return !taken_back_;
 }
 
+/// @return What the bytes received take when the request is handed on.
+std::size_t refusing_socket::counted_bytes() const
+{
+    const bool copies =
+        asio::use_service<byte_budget_service>(*context_).copies_bodies;
+    const auto body = copies ? 0 : framing_.body_bytes();
+    const auto lines = line_ends_ - (copies ? 0 : framing_.body_line_ends());
+    return body + (received_ - body) * copies_of_request +
+           lines * bytes_for_line_end;
+}
+
+std::unique_ptr<byte_share> refusing_socket::take_request_share() noexcept
+{
+    return socket_being_read != nullptr ? std::move(socket_being_read->share_)
+                                        : nullptr;
+}
+
+refusing_socket::reading_scope::reading_scope(refusing_socket* socket) noexcept
+{
+    socket_being_read = socket;
+}
+
+refusing_socket::reading_scope::~reading_scope()
+{
+    socket_being_read = nullptr;
+}
+
 /// The pending read ends with an error.
 void refusing_socket::take_back()
 {
@@ -231,6 +263,7 @@
 {
     received_ = 0;
     line_ends_ = 0;
+    framing_.begin_next();
     bool logs = true;
     if (taken_back_ && share_)
     {
--- a/src/transport/http_refusal.hpp
+++ b/src/transport/http_refusal.hpp
@@ -23,6 +23,8 @@
 #include <hyssopdeal/transport/byte_budget.hpp>
 #include <hyssopdeal/transport/failure.hpp>
 
+#include "transport/request_framing.hpp"
+
 namespace hyssopdeal::transport
 {
 
@@ -103,11 +105,14 @@
                 [this, read, run = std::forward<Handler>(handler)](
                     const asio::error_code& error, std::size_t length) mutable {
                     ended_ = error == asio::error::eof;
-                    // An error of another kind would leave the
-                    // connection open.
-                    has_room({read, length})
-                        ? run(error, length)
-                        : run(asio::error::no_buffer_space, 0);
+                    if (!has_room({read, length}))
+                    {
+                        // An error of another kind would leave the
+                        // connection open.
+                        return run(asio::error::no_buffer_space, 0);
+                    }
+                    const reading_scope scope{this};
+                    run(error, length);
                 }));
     }
 
@@ -116,6 +121,7 @@
     {
         received_ = 0;
         line_ends_ = 0;
+        framing_.begin_next();
         share_.reset();
         base::async_write_some(buffers, std::forward<Handler>(handler));
     }
@@ -123,13 +129,33 @@
     void shutdown(shutdown_type what, asio::error_code& error);
     void close();
 
+    /// For a handler that keeps the request's bytes: takes over what is counted
+    /// for them.
+    ///
+    /// @return Null unless the request was completed by the read that is being
+    ///     handled on this thread.
+    [[nodiscard]] static std::unique_ptr<byte_share>
+    take_request_share() noexcept;
+
 private:
+    /// Names the socket whose read is being handled.
+    class reading_scope
+    {
+    public:
+        explicit reading_scope(refusing_socket* socket) noexcept;
+        reading_scope(const reading_scope&) = delete;
+        reading_scope& operator=(const reading_scope&) = delete;
+        ~reading_scope();
+    };
+
     void refuse(const refusal& cause);
     void begin_reading();
     [[nodiscard]] bool has_room(std::string_view bytes);
     void take_back();
+    [[nodiscard]] std::size_t counted_bytes() const;
 
     asio::io_context* context_;
+    request_framing framing_;
     std::unique_ptr<byte_share> share_; ///< Of a request until it is answered.
     bool taken_back_ = false;
     std::size_t line_ends_ = 0; ///< Of the bytes received.
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -9,6 +9,7 @@
 #include <restinio/all.hpp>
 
 #include "http_refusal.hpp"
+#include "transport/byte_budget_service.hpp"
 
 namespace hyssopdeal::transport
 {
@@ -76,7 +77,8 @@
             http_status_str(static_cast<http_status>(status))};
 }
 
-http_request to_request(const restinio::request_handle_t& handle)
+http_request to_request(const restinio::request_handle_t& handle,
+                        bool shares_body)
 {
     http_request request;
     request.method = handle->header().method().c_str();
@@ -84,10 +86,43 @@
     handle->header().for_each_field([&](const auto& field) {
         request.headers.push_back({field.name(), field.value()});
     });
-    request.body = handle->body();
+    if (!shares_body)
+    {
+        request.body = handle->body();
+    }
     return request;
 }
 
+/// A request that is kept for its body, and what is counted for it.
+struct kept_request
+{
+    restinio::request_handle_t handle;
+    std::unique_ptr<byte_share> share;
+};
+
+std::shared_ptr<const std::string>
+body_of(asio::io_context& context, const restinio::request_handle_t& handle)
+{
+    if (handle->body().empty())
+    {
+        return nullptr;
+    }
+    auto share = refusing_socket::take_request_share();
+    if (!share)
+    {
+        // The bytes were read together with the request before, which is
+        // answered; they fit RESTinio's buffer.
+        share = std::make_unique<byte_share>(
+            asio::use_service<byte_budget_service>(context).budget, &context,
+            std::chrono::steady_clock::now(), nullptr);
+        share->force(handle->body().capacity());
+    }
+    share->allow_taking_back(false);
+    auto kept =
+        std::make_shared<kept_request>(kept_request{handle, std::move(share)});
+    return {kept, &kept->handle->body()};
+}
+
 std::size_t header_bytes(const http_request& request) noexcept
 {
     std::size_t total = 0;
@@ -398,6 +433,7 @@
     std::shared_ptr<open_answers> others;
     bool writing = false;
     bool caller_left = false;
+    std::shared_ptr<const std::string> body; ///< Null: none, or taken.
     std::string pending; // framed bytes that wait for the write under way
     std::vector<write_callback> waiting;
 };
@@ -423,6 +459,17 @@
 http_responder& http_responder::operator=(const http_responder&) = default;
 http_responder& http_responder::operator=(http_responder&&) noexcept = default;
 
+std::shared_ptr<const std::string> http_responder::take_body()
+{
+    static const auto none = std::make_shared<const std::string>();
+    auto body = std::exchange(state_->body, nullptr);
+    if (!body)
+    {
+        return none;
+    }
+    return body;
+}
+
 void http_responder::send(http_response response)
 {
     asio::dispatch(state_->context,
@@ -475,9 +522,10 @@
 
     void handle(const restinio::request_handle_t& handle)
     {
-        http_responder responder{
-            std::make_shared<http_responder::impl>(context, *handle, answers)};
-        auto request = to_request(handle);
+        auto state =
+            std::make_shared<http_responder::impl>(context, *handle, answers);
+        http_responder responder{state};
+        auto request = to_request(handle, settings.shares_body);
         if (!on_request)
         {
             responder.send(error_response(503, reason::draining,
@@ -498,6 +546,11 @@
         }
         else
         {
+            if (settings.shares_body)
+            {
+                state->body = body_of(context, handle);
+            }
+            state.reset();
             on_request(std::move(request), std::move(responder));
         }
     }
@@ -546,7 +599,11 @@
               std::make_shared<connection_counter>()})),
           server(restinio::external_io_context(loop.context()),
                  [this](auto& configured) { configure(configured); })
-    {}
+    {
+        auto& counting = asio::use_service<byte_budget_service>(loop.context());
+        counting.copies_bodies =
+            counting.copies_bodies || !shared->settings.shares_body;
+    }
 
     void configure(restinio::server_settings_t<server_traits>& configured)
     {
--- /dev/null
+++ b/src/transport/request_framing.hpp
@@ -0,0 +1,54 @@
+#ifndef HYSSOPDEAL_SRC_TRANSPORT_REQUEST_FRAMING_HPP
+#define HYSSOPDEAL_SRC_TRANSPORT_REQUEST_FRAMING_HPP
+
+/// @file
+/// Internal: tells how much of a connection's bytes are bodies of announced
+/// length. RESTinio allocates these at once in their size; a body in chunks
+/// grows twofold, and notes are kept of each chunk.
+///
+/// Index: [request_framing]
+
+#include <cstddef>
+#include <string_view>
+
+#include <http_parser.h>
+
+namespace hyssopdeal::transport
+{
+
+// [request_framing] ----------------------------------------------------------
+
+/// Parses the same bytes as RESTinio, by the same parser.
+class request_framing
+{
+public:
+    request_framing();
+
+    /// Takes the next bytes of the connection.
+    void feed(std::string_view bytes);
+
+    /// The requests so far are answered; later ones are counted from 0.
+    void begin_next() noexcept;
+
+    /// @return Bytes of bodies of announced length; 0 when a body has chunks
+    ///     or its framing is not known.
+    [[nodiscard]] std::size_t body_bytes() const noexcept;
+
+    /// @return Carriage returns among these.
+    [[nodiscard]] std::size_t body_line_ends() const noexcept;
+
+private:
+    static const http_parser_settings& callbacks();
+    static request_framing& self(http_parser* parser);
+
+    http_parser parser_{};
+    std::size_t body_bytes_ = 0;
+    std::size_t body_line_ends_ = 0;
+    bool open_ = false;    ///< A request has begun and is not whole.
+    bool chunked_ = false; ///< One of the requests counted.
+    bool failed_ = false;  ///< What follows cannot be parsed.
+};
+
+} // namespace hyssopdeal::transport
+
+#endif
--- a/tests/http_loopback_test.cpp
+++ b/tests/http_loopback_test.cpp
@@ -5,12 +5,15 @@
 #include <hyssopdeal/transport/http_client.hpp>
 #include <hyssopdeal/transport/http_server.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
 
+#include <hyssopdeal/transport/byte_budget.hpp>
+
 #include "loop_helper.hpp"
 #include "raw_peer.hpp"
 
@@ -368,6 +371,92 @@
     CHECK_FALSE(find_header((*got)->headers, "Retry-After").empty());
 }
 
+// Guards against bytes of a request that nobody counts once it is answered,
+// while a call still sends them.
+TEST_GROUP(http_shared_body_tests)
+{
+    event_loop loop;
+    std::shared_ptr<byte_budget> budget = std::make_shared<byte_budget>();
+    std::vector<std::shared_ptr<const std::string>> kept;
+    std::unique_ptr<http_server> server;
+    std::uint16_t port = 0;
+
+    void setup() override
+    {
+        set_byte_budget(loop, budget);
+        auto settings = small_limits();
+        settings.max_body_bytes = 100'000;
+        settings.shares_body = true;
+        server = std::make_unique<http_server>(
+            loop, settings,
+            [this](const http_request& request, http_responder responder) {
+                CHECK_TRUE(request.body.empty());
+                kept.push_back(responder.take_body());
+                responder.send({200, {}, "ok"});
+            });
+        port = server->start().value();
+    }
+
+    std::size_t answered(const std::string& requests)
+    {
+        const auto got = raw_exchange(loop, port, requests);
+        std::size_t count = 0;
+        for (auto at = got.find("200 OK"); at != std::string::npos;
+             at = got.find("200 OK", at + 1))
+        {
+            ++count;
+        }
+        return count;
+    }
+};
+
+TEST(http_shared_body_tests, body_of_announced_length_is_counted_once)
+{
+    const std::string body(50'000, 'x');
+    LONGS_EQUAL(1, answered("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                            "50000\r\nConnection: close\r\n\r\n" +
+                            body));
+    CHECK_TRUE(*kept.at(0) == body);
+    CHECK_TRUE(budget->held() >= body.size());
+    CHECK_TRUE(budget->held() < body.size() + 1'000);
+    kept.clear();
+    LONGS_EQUAL(0, budget->held());
+}
+
+TEST(http_shared_body_tests, body_in_chunks_is_counted_as_it_grows)
+{
+    const std::string body(50'000, 'x');
+    LONGS_EQUAL(1, answered("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+                            "chunked\r\nConnection: close\r\n\r\nc350\r\n" +
+                            body + "\r\n0\r\n\r\n"));
+    CHECK_TRUE(*kept.at(0) == body);
+    CHECK_TRUE(budget->held() >= 2 * body.size());
+    kept.clear();
+    LONGS_EQUAL(0, budget->held());
+}
+
+TEST(http_shared_body_tests, bodies_of_pipelined_requests_are_all_counted)
+{
+    const std::string first =
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 300\r\n";
+    LONGS_EQUAL(2,
+                answered(first + "\r\n" + std::string(300, 'x') + first +
+                         "Connection: close\r\n\r\n" + std::string(300, 'y')));
+    LONGS_EQUAL(2, kept.size());
+    CHECK_TRUE(*kept.at(1) == std::string(300, 'y'));
+    CHECK_TRUE(budget->held() >= 600);
+    kept.clear();
+    LONGS_EQUAL(0, budget->held());
+}
+
+TEST(http_shared_body_tests, request_without_a_body_has_an_empty_one)
+{
+    LONGS_EQUAL(1, answered("GET / HTTP/1.1\r\nHost: a\r\nConnection: "
+                            "close\r\n\r\n"));
+    CHECK_TRUE(kept.at(0)->empty());
+    LONGS_EQUAL(0, budget->held());
+}
+
 TEST_GROUP(http_client_peer_tests)
 {
     event_loop loop;
