--- a/src/coordination/entry_process.cpp
+++ b/src/coordination/entry_process.cpp
@@ -52,6 +52,7 @@
     settings.max_body_bytes = from.max_body_bytes;
     settings.read_time_limit = from.read_time_limit;
     settings.write_time_limit = from.write_time_limit;
+    settings.shares_body = true;
     return settings;
 }
 
@@ -250,7 +251,8 @@
         running->shard.link(*key);
     }
     links = std::make_unique<entry_links>(loop, shared.clock, shared.settings,
-                                          std::move(*key), links_handlers());
+                                          std::move(*key), shared.bad_input,
+                                          links_handlers());
     exchange =
         std::make_unique<stream_exchange>(loop, shared.clock, links->hub());
     auto started = links->start();
