Tests: counters of unknown peers on the metrics address

Cause: only the counters' classes were tested, not that hyssop-platform-entryd shows them.

Change: 50 unknown peers at each of the two ports of the real program; both counters are read from its metrics address.

--- a/tests/hostile_callers_test.cpp
+++ b/tests/hostile_callers_test.cpp
@@ -25,6 +25,7 @@
 #include "platform/counterpart.hpp"
 #include "platform/settings.hpp"
 #include "process_group.hpp"
+#include "slow_server.hpp"
 #include "standins/free_ports.hpp"
 
 using namespace hyssopdeal;
@@ -359,6 +360,37 @@
     run_cases(platform_subject(false, link_port), stranger_cases());
 }
 
+// Guards against unknown peers that show nowhere once their log lines are
+// bounded.
+TEST(hostile_callers, unknown_peers_are_counted_at_the_metrics_address)
+{
+    constexpr int peers = 50; // At each of the two ports.
+    const auto subject = platform_subject(true, link_port);
+    tests::process_group group;
+    subject.start(group);
+    CHECK_FALSE(answer_to(subject.asked, subject.path).empty());
+    const auto& address = subject.attacked.address;
+    for (int peer = 0; peer < peers; ++peer)
+    {
+        (void)tests::response_to({address, link_port},
+                                 std::string("\0\0\0\4abcd", 8));
+        (void)tests::response_to({address, link_port + 1},
+                                 "CONNECT 127.0.0.1:1 HTTP/1.1\r\n\r\n");
+    }
+    const auto metrics = tests::response_to(
+        {address, platform::metrics_port},
+        "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    for (const auto* name : {"hyssopdeal_bad_input_links_total",
+                             "hyssopdeal_relay_refusals_total"})
+    {
+        STRCMP_CONTAINS(fmt::format("\n{} {}\n", name, peers).c_str(),
+                        metrics.c_str());
+    }
+    const auto log = group.output("it");
+    STRCMP_CONTAINS("Closed a link for bad input.", log.c_str());
+    STRCMP_CONTAINS("\"relay.refused\"", log.c_str());
+}
+
 // Guards against bounds that hold for each port but together exceed the
 // descriptors of the instance.
 TEST(hostile_callers, strangers_at_all_ports_leave_descriptors)
