Reserves, bodies: mend what the review of the merged parts found

By reading, each with the sequence that shows it: - RESTinio's request, kept for its body, kept the connection as well, and with it a place among max_connections, until a stream's session was erased. The answer now takes the connection out of the request. An ended stream lets go of its body, and a body sent to a path that reads none is released at once. - A new leader named organisations as exhausted while it did not know the reserves, and lost what entries returned to its small bucket. An entry forgot the use of such an organisation, so its next reserve was too small.

--- a/include/hyssopdeal/coordination/admission/token_reserve.hpp
+++ b/include/hyssopdeal/coordination/admission/token_reserve.hpp
@@ -5,7 +5,9 @@
 /// Tokens that a gateway takes from the leader in advance, for the time in which
 /// no leader answers. A gateway's share covers a part of its use; without a
 /// reserve, requests beyond the share are refused while the leader is silent,
-/// although their organisation is within its quota. Performs no I/O.
+/// although their organisation is within its quota. A reserve is also used when
+/// the leader declines a request, as it is taken from what the leader can lend.
+/// Performs no I/O.
 ///
 /// Index: [settings] [token_reserve]
 ///
--- a/include/hyssopdeal/transport/byte_budget.hpp
+++ b/include/hyssopdeal/transport/byte_budget.hpp
@@ -16,9 +16,9 @@
 /// `least_bytes_per_s` counts as making no progress for part of that time, so
 /// that one byte now and then protects nobody. A response whose caller reads
 /// at least `least_read_per_s` is kept while there are others to take back
-/// whose callers do not. It takes a second or so to know whether a caller
-/// reads; until then a response is kept as well, up to a quarter over the
-/// budget.
+/// whose callers do not. An acknowledgement covers up to 64 KiB, so whether a
+/// caller reads is known after it, or after a second without one; until then a
+/// response is kept as well, up to a quarter over the budget.
 
 #include <chrono>
 #include <cstddef>
--- a/src/coordination/admission/reserve_ledger.cpp
+++ b/src/coordination/admission/reserve_ledger.cpp
@@ -34,7 +34,12 @@
 void reserve_ledger::on_declined(monotonic_time now,
                                  const std::string& organisation)
 {
-    declined_at_[organisation] = now;
+    // Until the reserves of a former leader are known, the bucket is small, and
+    // what is returned to it would be lost.
+    if (!assuming_)
+    {
+        declined_at_[organisation] = now;
+    }
 }
 
 bool reserve_ledger::exhausted(monotonic_time now,
--- a/src/coordination/admission/token_reserve.cpp
+++ b/src/coordination/admission/token_reserve.cpp
@@ -83,7 +83,7 @@
         reported.returned = std::max(0.0, item.held - reported.wanted);
         item.held -= reported.returned;
         reported.held = item.held;
-        if (reported.wanted <= 0 && reported.returned <= 0)
+        if (item.uses.empty() && reported.returned <= 0 && item.held <= 0)
         {
             at = reserves_.erase(at);
             continue;
--- a/src/coordination/entry_service.cpp
+++ b/src/coordination/entry_service.cpp
@@ -157,6 +157,8 @@
     const auto target = split_target(request.target);
     if (target.path.starts_with(stream_prefix))
     {
+        // A body means nothing here and must not be kept as long as the stream.
+        (void)responder.take_body();
         const std::string id{target.path.substr(stream_prefix.size())};
         resume(request, id, std::move(responder));
     }
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -577,7 +577,8 @@
                    {{"rank", std::to_string(rank)}});
     }
     total("hyssopdeal_reserve_tokens_used_total", counters.reserve_tokens_used,
-          "Tokens of quotas used from the reserve while the leader was silent");
+          "Tokens of quotas used from the reserve, as the leader was silent or "
+          "declined");
     total("hyssopdeal_relayed_attempts_total", counters.relayed_attempts,
           "Attempts sent through another gateway");
     out.family("hyssopdeal_unreached_servers", "gauge",
--- a/src/coordination/stream_session.cpp
+++ b/src/coordination/stream_session.cpp
@@ -711,6 +711,8 @@
                                              : protocol::span_status::error);
     end_choice(attempt_outcome::succeeded);
     responder_.reset();
+    // The session is kept for callers that resume; no call sends it again.
+    request_.body = std::make_shared<const std::string>();
     keep_alive_timer_.cancel();
     if (permit_)
     {
--- a/src/transport/byte_budget.cpp
+++ b/src/transport/byte_budget.cpp
@@ -31,8 +31,7 @@
 constexpr milliseconds sample_interval{100};
 // The kernel of a caller that reads nothing fills its buffer in this time.
 constexpr milliseconds buffer_fill_time{300};
-// A caller that reads at the least rate of requests acknowledges a window of
-// 64 KiB in this time.
+// A caller that reads 64 KiB/s acknowledges a window of 64 KiB in this time.
 constexpr milliseconds unread_proof_time{1'000};
 // A part of the budget is kept for small shares, so that a few large requests
 // that are being run do not shut out all other callers.
--- a/src/transport/http_refusal.cpp
+++ b/src/transport/http_refusal.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t linger_buffer_bytes = 16'384;
 
 // RESTinio's body grows twofold unless its length is announced, and the request
-// that is handed on is a copy, but for bodies of servers that share them.
+// that is handed on is a copy, except on servers with `shares_body`.
 constexpr std::size_t copies_of_request = 2;
 
 // RESTinio notes 16 bytes for each chunk, in a vector that grows twofold and is
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -210,7 +210,8 @@
     impl(asio::io_context& on_context, restinio::request_t& request,
          std::shared_ptr<open_answers> known)
         : context(on_context),
-          connection(restinio::impl::access_req_connection(request)),
+          // Taken from the request, which may be kept longer for its body.
+          connection(std::move(restinio::impl::access_req_connection(request))),
           request_id(request.request_id()),
           keeps_open(request.header().should_keep_alive()),
           others(std::move(known))
--- a/tests/caller_crowd.hpp
+++ b/tests/caller_crowd.hpp
@@ -90,9 +90,9 @@
 
 [[nodiscard]] std::size_t descriptors_of(int id);
 
-/// The address sanitizer keeps freed memory back and adds to what is in use, so
-/// the resident set of its builds says nothing of the product's.
-#ifdef __SANITIZE_ADDRESS__
+/// The sanitizers keep freed memory back and add to what is in use, so the
+/// resident set of their builds says nothing of the product's.
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
 inline constexpr bool memory_is_measured = false;
 #else
 inline constexpr bool memory_is_measured = true;
