--- a/tests/rank_admission_test.cpp
+++ b/tests/rank_admission_test.cpp
@@ -281,9 +281,10 @@
     DOUBLES_EQUAL(2, read->reserves.by_organisation.at("o").wanted, 0);
     protocol::entry_orders orders;
     orders.turns = {{"s", {{2, 0.25}}}};
-    orders.reserves = {4, {{"o", 5}}};
+    orders.reserves = {4, {{"o", 5}}, {"p"}};
     const auto told = protocol::decode_entry_orders(protocol::encode(orders));
     CHECK_TRUE(told.has_value());
     DOUBLES_EQUAL(0.25, told->turns.at("s").at(2), 0);
     DOUBLES_EQUAL(5, told->reserves.tokens.at("o"), 0);
+    CHECK_TRUE(told->reserves.exhausted.contains("p"));
 }
--- a/tests/token_reserve_test.cpp
+++ b/tests/token_reserve_test.cpp
@@ -382,7 +382,8 @@
     reserve.on_granted(monotonic_time{1s}, "o", 100);
     const auto first = reserve.report(monotonic_time{1s});
     (void)reserve.report(monotonic_time{1'100ms});
-    reserve.set_orders(monotonic_time{1'150ms}, {first.number, {{"o", 100}}});
+    reserve.set_orders(monotonic_time{1'150ms},
+                       {first.number, {{"o", 100}}, {}});
     CHECK_FALSE(reserve.take(monotonic_time{1'200ms}, "o", 1));
 }
 
@@ -392,7 +393,8 @@
     token_reserve reserve;
     reserve.on_granted(monotonic_time{1s}, "o", 100);
     const auto report = reserve.report(monotonic_time{1s});
-    reserve.set_orders(monotonic_time{1'500ms}, {report.number, {{"o", 100}}});
+    reserve.set_orders(monotonic_time{1'500ms},
+                       {report.number, {{"o", 100}}, {}});
     CHECK_TRUE(reserve.take(monotonic_time{4'749ms}, "o", 50));
     CHECK_FALSE(reserve.take(monotonic_time{4'750ms}, "o", 50));
 }
