--- a/src/transport/byte_budget.cpp
+++ b/src/transport/byte_budget.cpp
@@ -57,6 +57,9 @@
     std::unordered_map<const void*, monotonic_time> sampled; // by loop
 
     void sample_readers(monotonic_time now, const void* loop);
+    template <class Condition>
+    byte_share* heaviest(monotonic_time now, const void* loop,
+                         Condition condition) const;
     byte_share* choose(monotonic_time now, const void* loop) const;
     bool has_response_not_read(monotonic_time now, const void* loop) const;
 };
@@ -89,53 +92,50 @@
     });
 }
 
-byte_share* byte_budget::impl::choose(monotonic_time now,
-                                      const void* loop) const
+/// @return The share with the largest product of its bytes and its time without
+///     progress, among those that may be taken back and meet a condition; null
+///     if there is none.
+template <class Condition>
+byte_share* byte_budget::impl::heaviest(monotonic_time now, const void* loop,
+                                        Condition condition) const
 {
-    using reading = byte_share::reading;
-    byte_share* worst = nullptr;
-    byte_share* unread = nullptr;  // of responses
-    byte_share* unknown = nullptr; // of responses
-    const auto weight = [now](const byte_share& share) {
-        const std::chrono::duration<double> time =
-            now - share.progressed_ + milliseconds{1};
-        return static_cast<double>(share.bytes_) * time.count();
-    };
-    const auto keep_heavier = [&](byte_share*& kept, byte_share* share) {
-        if (kept == nullptr || weight(*share) > weight(*kept))
-        {
-            kept = share;
-        }
-    };
+    byte_share* found = nullptr;
+    double most = 0;
     for (auto* const share : shares)
     {
+        const auto stalled = now - share->progressed_;
         if (share->loop_ != loop || !share->allowed_ || share->bytes_ == 0 ||
-            now - share->progressed_ < share->stalled_for_)
+            stalled < share->stalled_for_ || !condition(*share))
         {
             continue;
         }
-        keep_heavier(worst, share);
-        if (share->total_read_)
+        const std::chrono::duration<double> time = stalled + milliseconds{1};
+        const auto weight = static_cast<double>(share->bytes_) * time.count();
+        if (found == nullptr || weight > most)
         {
-            switch (share->reading_at(now))
-            {
-            case reading::no:
-                keep_heavier(unread, share);
-                break;
-            case reading::not_known:
-                keep_heavier(unknown, share);
-                break;
-            case reading::yes:
-                break;
-            }
+            found = share;
+            most = weight;
         }
     }
+    return found;
+}
+
+byte_share* byte_budget::impl::choose(monotonic_time now,
+                                      const void* loop) const
+{
+    using reading = byte_share::reading;
+    const auto is_response = [now](reading state) {
+        return [now, state](const byte_share& share) {
+            return share.total_read_ && share.reading_at(now) == state;
+        };
+    };
+    auto* const worst = heaviest(now, loop, [](const auto&) { return true; });
     if (worst == nullptr || !worst->total_read_ ||
         worst->reading_at(now) == reading::no)
     {
         return worst;
     }
-    if (unread != nullptr)
+    if (auto* const unread = heaviest(now, loop, is_response(reading::no)))
     {
         return unread;
     }
@@ -145,6 +145,7 @@
     {
         return nullptr;
     }
+    auto* const unknown = heaviest(now, loop, is_response(reading::not_known));
     return unknown != nullptr ? unknown : worst;
 }
 
