Placement by work where servers state how long work takes

Change: it takes effect for services whose servers state the fourth figure of their load, how long work takes there.

--- a/include/hyssopdeal/coordination/gateway/placement.hpp
+++ b/include/hyssopdeal/coordination/gateway/placement.hpp
@@ -9,8 +9,8 @@
 ///
 /// Index: [prompt] [settings] [server_load] [choice] [placement]
 ///
-/// For services whose servers state their load, the prediction is made from the
-/// work left at a server and its speed (coordination/cost).
+/// For services whose servers state how long work takes there, the prediction
+/// is made from the work left at a server and its speed (coordination/cost).
 
 #include <chrono>
 #include <cstdint>
@@ -92,8 +92,8 @@
     /// held meanwhile.
     double connection_setup_penalty_ms = 10;
     double failure_penalty_ms = 400; ///< Multiplied by the failure rate.
-    /// Predicts from the work left at servers that state their load. Off by
-    /// default: it serves large deployments worse (docs/design/0064).
+    /// Predicts from the work left at all servers that state their load, not
+    /// only where they also state how long work takes (docs/design/0064).
     bool predict_by_work = false;
     /// Of a stream whose expected largest gap is the target; grows with the
     /// square of their ratio. With half of it, 1.2 times as many streams are
--- a/src/coordination/gateway/placement_work.cpp
+++ b/src/coordination/gateway/placement_work.cpp
@@ -145,7 +145,7 @@
 void placement::on_load(monotonic_time now, const known_server& server,
                         std::string_view text)
 {
-    if (text.empty() || !settings_.predict_by_work)
+    if (text.empty())
     {
         return;
     }
@@ -154,6 +154,12 @@
     {
         return unreadable_loads_.add(now, server.listed.id, text);
     }
+    // Servers that state how long work takes are uneven; the others are served
+    // as well by the former prediction.
+    if (!load->slowdown_percent && !settings_.predict_by_work)
+    {
+        return;
+    }
     stating_services_.insert(server.listed.service);
     backlog_.on_stated(now, server.listed, *load);
     if (load->slowdown_percent)
--- a/tests/gateway_decisions_test.cpp
+++ b/tests/gateway_decisions_test.cpp
@@ -311,6 +311,19 @@
     }
 };
 
+// Placement by work serves uneven servers better and even ones no better.
+TEST(placement_tests, work_is_predicted_where_servers_state_how_long_it_takes)
+{
+    add("a");
+    const auto& server = *servers.servers().at("a");
+    prompt_size prompt;
+    prompt.prompt_tokens = 1'000;
+    servers.on_load(now, server, "3,0,8");
+    CHECK_FALSE(choose(prompt)->work.has_value());
+    servers.on_load(now, server, "3,0,8,100");
+    CHECK_TRUE(choose(prompt)->work.has_value());
+}
+
 // Gateways sent prompts of the same session to whichever server had slightly
 // less load, and each of these servers prefilled the shared prefix again.
 TEST(placement_tests, prompts_of_a_session_go_to_the_same_server)
