Tests: a metric of no leader is -1

Cause: crash_quarantine_test ended with std::out_of_range in a sanitizer run beside load: between two leaders, cluster_harness::leader() is no replica, and metric() looked it up. The test waits for a value, so it goes on waiting now.

--- a/tests/cluster_harness.hpp
+++ b/tests/cluster_harness.hpp
@@ -288,10 +288,16 @@
         return run_until(loop, [&] { return read(index) == bytes; });
     }
 
-    /// @return The value of a replica's metric, or -1 if there is none.
+    /// @return The value of a replica's metric, or -1 if there is no such
+    ///     replica, as with `no_leader`, or no such metric.
     double metric(std::size_t index, const std::string& name) const
     {
-        const auto text = replicas.at(index)->metrics();
+        const auto replica = replicas.find(index);
+        if (replica == replicas.end())
+        {
+            return -1;
+        }
+        const auto text = replica->second->metrics();
         const auto place = text.find("\n" + name + " ");
         return place == std::string::npos
                    ? -1
