--- a/tests/token_reserve_test.cpp
+++ b/tests/token_reserve_test.cpp
@@ -307,6 +307,19 @@
     return seen;
 }
 
+/// The part of the quota of one organisation, "o", that a leader lends.
+token_quota make_shared_quota(monotonic_time start)
+{
+    protocol::organisation_terms terms;
+    terms.name = "o";
+    terms.tokens_per_second = rate;
+    terms.burst_tokens = burst;
+    token_quota shared{tolerant()};
+    shared.set_organisations(start, {terms});
+    shared.set_shares(start, {{"o", 1 - allocated_fraction}}, start + 24h);
+    return shared;
+}
+
 } // namespace
 
 TEST_GROUP(token_reserve_tests){};
@@ -404,13 +417,7 @@
 TEST(token_reserve_tests, new_leader_grants_nothing_before_all_have_reported)
 {
     constexpr auto start = monotonic_time{1h};
-    protocol::organisation_terms terms;
-    terms.name = "o";
-    terms.tokens_per_second = rate;
-    terms.burst_tokens = burst;
-    token_quota shared{tolerant()};
-    shared.set_organisations(start, {terms});
-    shared.set_shares(start, {{"o", 0.65}}, start + 24h);
+    auto shared = make_shared_quota(start);
     reserve_ledger ledger{start};
     ledger.on_quota_changed(start, shared);
     const std::set<std::string> eligible{"a", "b"};
@@ -431,13 +438,7 @@
 TEST(token_reserve_tests, exhausted_quota_gets_its_reserves_back)
 {
     constexpr auto start = monotonic_time{1h};
-    protocol::organisation_terms terms;
-    terms.name = "o";
-    terms.tokens_per_second = rate;
-    terms.burst_tokens = burst;
-    token_quota shared{tolerant()};
-    shared.set_organisations(start, {terms});
-    shared.set_shares(start, {{"o", 0.65}}, start + 24h);
+    auto shared = make_shared_quota(start);
     reserve_ledger ledger{start};
     const std::set<std::string> eligible{"a"};
     token_reserve reserve;
@@ -478,13 +479,7 @@
 TEST(token_reserve_tests, new_leader_asks_for_no_reserves_it_does_not_know)
 {
     constexpr auto start = monotonic_time{1h};
-    protocol::organisation_terms terms;
-    terms.name = "o";
-    terms.tokens_per_second = rate;
-    terms.burst_tokens = burst;
-    token_quota shared{tolerant()};
-    shared.set_organisations(start, {terms});
-    shared.set_shares(start, {{"o", 0.65}}, start + 24h);
+    auto shared = make_shared_quota(start);
     reserve_ledger ledger{start};
     ledger.on_quota_changed(start, shared);
     ledger.on_declined(start, "o");
