Tests: the entry's own polls are no requests of callers

Cause: refuses_bad_bodies_and_deadlines expects no request at the backend server, but the harness also recorded the entry's polls of an engine (/v1/load, /v1/cache-events). Shown by waiting 6 s before the check: 7 polls of each kind, and nothing else. Change: the harness does not record these two.

--- a/tests/entry_harness.cpp
+++ b/tests/entry_harness.cpp
@@ -95,6 +95,14 @@
     return view;
 }
 
+/// @return Whether the entry asks for an engine's state, for no caller.
+bool is_poll(const http_request& request)
+{
+    return request.method == "GET" &&
+           (request.target == "/v1/load" ||
+            request.target.starts_with("/v1/cache-events?"));
+}
+
 } // namespace
 
 std::string engine_event_text(const std::string& attempt, int sequence,
@@ -119,7 +127,10 @@
     : trace_file(empty_trace_file()),
       backend(loop, {},
               [this](const http_request& request, http_responder responder) {
-                  backend_requests.push_back(request);
+                  if (!is_poll(request))
+                  {
+                      backend_requests.push_back(request);
+                  }
                   on_backend_request(request, std::move(responder));
               }),
       entry(std::make_unique<coordination::entry_process>(
--- a/tests/entry_harness.hpp
+++ b/tests/entry_harness.hpp
@@ -62,6 +62,7 @@
     const std::string trace_file; ///< Emptied at the start.
     transport::system_clock clock;
     transport::event_loop loop;
+    /// Without the entry's own polls, which come at any time.
     std::vector<transport::http_request> backend_requests;
     backend_handler on_backend_request;
     transport::http_server backend;
