--- a/review/support-2/small_world.cpp
+++ b/review/support-2/small_world.cpp
@@ -351,13 +351,15 @@
            R"("stream_resume":false,"target_gap_ms":400})";
 }
 
-std::string config_json(const std::string& routes, const std::string& service)
+std::string config_json(const std::string& routes, const std::string& service,
+                        const config_terms& terms)
 {
-    return R"({"version":1,"routes":[)" + routes + R"(],"services":[{"name":)" +
-           quoted(service) +
+    return R"({"version":)" + std::to_string(terms.version) + R"(,"routes":[)" +
+           routes + R"(],"services":[{"name":)" + quoted(service) +
            R"(,"health_path":"/health","max_connections":110,"protocol":"h1",)"
-           R"("tls":false}],"limits":{"max_header_bytes":16384,)"
-           R"("max_body_bytes":4194304,"header_timeout_ms":3000,)"
+           R"("tls":false}],"limits":{"max_header_bytes":)" +
+           std::to_string(terms.max_header_bytes) +
+           R"(,"max_body_bytes":4194304,"header_timeout_ms":3000,)"
            R"("idle_timeout_ms":15000},"tenants":[]})";
 }
 
--- a/review/support-2/small_world.hpp
+++ b/review/support-2/small_world.hpp
@@ -119,8 +119,16 @@
 std::string route_json(const std::string& name, const std::string& prefix,
                        const std::string& kind, const std::string& service);
 
+/// What a configuration says beside its routes.
+struct config_terms
+{
+    int version = 1;
+    int max_header_bytes = 16'384;
+};
+
 /// @return A configuration with these routes of host `h.example`.
-std::string config_json(const std::string& routes, const std::string& service);
+std::string config_json(const std::string& routes, const std::string& service,
+                        const config_terms& terms = {});
 
 } // namespace hyssopdeal::review
 
