--- a/review/support-2/small_world.cpp
+++ b/review/support-2/small_world.cpp
@@ -135,7 +135,7 @@
         items += R"({"id":)" + quoted(one.id) + R"(,"service":)" +
                  quoted(one.service) + R"(,"address":)" + quoted(one.address) +
                  R"(,"zone":"sul-a","version":"v1","slots":8,"state":"ready",)"
-                 R"("cold_remaining_ms":0,"born":1})";
+                 R"("cold_remaining_ms":0})";
     }
     const std::lock_guard hold{lock_};
     list_ = R"({"instances":[)" + items + R"(],"next_token":null})";
@@ -357,7 +357,11 @@
     return R"({"version":)" + std::to_string(terms.version) + R"(,"routes":[)" +
            routes + R"(],"services":[{"name":)" + quoted(service) +
            R"(,"health_path":"/health","max_connections":110,"protocol":"h1",)"
-           R"("tls":false}],"limits":{"max_header_bytes":)" +
+           R"("tls":false)" +
+           (terms.engine ? R"(,"engine":{"slots":64,"kv_capacity_tokens":)"
+                           R"(444000,"kv_token_bytes":35136,"moves":true})"
+                         : "") +
+           R"(}],"limits":{"max_header_bytes":)" +
            std::to_string(terms.max_header_bytes) +
            R"(,"max_body_bytes":4194304,"header_timeout_ms":3000,)"
            R"("idle_timeout_ms":15000},"tenants":[]})";
--- a/review/support-2/small_world.hpp
+++ b/review/support-2/small_world.hpp
@@ -124,6 +124,7 @@
 {
     int version = 1;
     int max_header_bytes = 16'384;
+    bool engine = false; ///< Of the service: a model server.
 };
 
 /// @return A configuration with these routes of host `h.example`.
