--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
 # Runs the case; see claim.txt. Exits with 1 if the rule was broken, 0 if it
-# held, 2 if the case could not run. TROUBLE=0: without the change of the limit.
+# held, 2 if the case could not run. TROUBLE=0: with POST for CONNECT.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-program=target/review-2/limits_case
+program=target/review-2/connect_case
 for needed in target/hyssop-platform-entryd target/hyssop-platform-controld \
     "$program"; do
     [ -x "$needed" ] || { echo "missing: $needed"; exit 2; }
