Listeners refuse CONNECT, whose body was run as a request

Cause: http_parser ends a CONNECT at its head, whatever its length, and tells so by its flag `upgrade`. The platform's listener and RESTinio's both began the next message with the bytes of the body. Ruled out: other methods with Upgrade, whose body is read.

Change: both listeners answer 501 and close; nothing after the head is read as a request.

--- a/src/transport/http1_connection.cpp
+++ b/src/transport/http1_connection.cpp
@@ -303,6 +303,11 @@
                    ? refuse(431, "The request's head is too large.")
                    : refuse(400, "The request is not valid HTTP.");
     }
+    if (reader_.method() == "CONNECT")
+    {
+        // The parser leaves its body unread, as that of another protocol.
+        return refuse(501, "CONNECT is not supported.");
+    }
     const auto announced = reader_.announced_bytes();
     if (std::max<std::uint64_t>(announced, reader_.body().size()) >
         server_->settings.limits.max_body_bytes)
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -143,6 +143,10 @@
     if (status == 503)
     {
         response.headers.push_back({"Retry-After", "1"});
+    }
+    if (status == 503 || status == 501)
+    {
+        // Nobody knows what the bytes after such a request are.
         response.headers.push_back({"Connection", "close"});
     }
     response.body = error_body(code, text, ran);
@@ -539,6 +543,12 @@
                                           "Too many connections are open.",
                                           verdict::not_run));
         }
+        else if (request.method == "CONNECT")
+        {
+            responder.send(error_response(501, reason::bad_request,
+                                          "CONNECT is not supported.",
+                                          verdict::not_run));
+        }
         else if (header_bytes(request) > settings.max_header_bytes)
         {
             responder.send(error_response(
