Messages that two readers read in two ways are refused

Cause: Debian's http_parser is not built strict, and libcurl takes names as they come. Names were compared exactly, so a length with a blank before its colon was none for the entry and one for others. Trailers are reported like headers.

Measured: on the code before, message_end_test failed with requests_that_readers_take_differently_are_refused, chunks_end_with_their_line_ends, trailers_are_no_headers and unclear_heads_are_broken_responses, request_flow_test with unreadable_responses_end_their_attempt_at_once.

--- a/src/transport/curl_call.cpp
+++ b/src/transport/curl_call.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "transport/head_check.hpp"
+
 namespace hyssopdeal::transport
 {
 
@@ -13,13 +15,6 @@
 
 constexpr std::size_t max_head_bytes = 65'536;
 
-bool has_control_characters(std::string_view text) noexcept
-{
-    return std::any_of(text.begin(), text.end(), [](unsigned char letter) {
-        return (letter < 0x20 && letter != '\t') || letter == 0x7f;
-    });
-}
-
 bool is_set_by_client(std::string_view name) noexcept
 {
     return same_header_name(name, "Host") ||
@@ -29,27 +24,6 @@
            same_header_name(name, "Expect");
 }
 
-/// @return Whether libcurl reads the body in chunks. It takes the coding at any
-///     place of any such header.
-bool is_chunked(const std::vector<http_header>& head)
-{
-    const auto names_chunks = [](std::string_view codings) {
-        constexpr std::string_view coding = "chunked";
-        for (; codings.size() >= coding.size(); codings.remove_prefix(1))
-        {
-            if (same_header_name(codings.substr(0, coding.size()), coding))
-            {
-                return true;
-            }
-        }
-        return false;
-    };
-    return std::any_of(head.begin(), head.end(), [&](const auto& header) {
-        return same_header_name(header.name, "Transfer-Encoding") &&
-               names_chunks(header.value);
-    });
-}
-
 void append_line(slist_ptr& list, const std::string& line)
 {
     auto* const longer = curl_slist_append(list.get(), line.c_str());
@@ -218,6 +192,41 @@
     return static_cast<impl*>(self)->take_data({data, size * count});
 }
 
+/// @return Whether it is a header, or goes on with the one before.
+bool http_call::impl::add_header(std::string_view line)
+{
+    const auto text = trim(line);
+    if (has_control_characters(text))
+    {
+        return false;
+    }
+    const bool continues = line.front() == ' ' || line.front() == '\t';
+    if (continues)
+    {
+        if (head.empty())
+        {
+            return false;
+        }
+        head.back().value.append(" ").append(text);
+        return true;
+    }
+    const auto colon = text.find(':');
+    if (colon == std::string_view::npos)
+    {
+        return false;
+    }
+    head.push_back({std::string{text.substr(0, colon)},
+                    std::string{trim(text.substr(colon + 1))}});
+    return true;
+}
+
+/// @return What tells libcurl to end the transfer.
+std::size_t http_call::impl::reject_head()
+{
+    stopped_by = reason::broken_answer;
+    return 0;
+}
+
 std::size_t http_call::impl::take_header(std::string_view line)
 {
     head_bytes += line.size();
@@ -226,24 +235,25 @@
         stopped_by = reason::too_large;
         return 0;
     }
-    if (line.starts_with("HTTP/"))
+    if (!in_head && status == 0)
     {
+        in_head = true; // the status line
         head.clear();
         return line.size();
     }
     const auto text = trim(line);
     if (!text.empty())
     {
-        const auto colon = text.find(':');
-        if (colon != std::string_view::npos && status == 0)
-        {
-            head.push_back({std::string{text.substr(0, colon)},
-                            std::string{trim(text.substr(colon + 1))}});
-        }
-        return line.size();
+        // Trailers come after the head was judged, so none of them counts.
+        return status != 0 || add_header(line) ? line.size() : reject_head();
     }
+    in_head = false;
     long code = 0;
     curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &code);
+    if (!has_clear_framing(head))
+    {
+        return reject_head();
+    }
     if (code >= 200 && status == 0)
     {
         status = static_cast<int>(code);
@@ -285,12 +295,16 @@
 failure http_call::impl::failure_for(CURLcode code) const
 {
     const auto ran = dispatches == 0 ? verdict::not_run : verdict::may_have_run;
-    if (stopped_by != reason::internal)
+    switch (stopped_by)
     {
-        return {ran, stopped_by,
-                stopped_by == reason::too_large
-                    ? "The answer is too large."
-                    : "The connection broke before the answer."};
+    case reason::internal:
+        break;
+    case reason::too_large:
+        return {ran, stopped_by, "The answer is too large."};
+    case reason::broken_answer:
+        return {ran, stopped_by, "The answer is not valid HTTP."};
+    default:
+        return {ran, stopped_by, "The connection broke before the answer."};
     }
     switch (code)
     {
@@ -324,7 +338,8 @@
     constexpr int not_modified = 304;
     curl_off_t length = -1;
     curl_easy_getinfo(easy.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
-    return length < 0 && !is_chunked(head) && !bodyless_method &&
+    const bool has_chunks = !find_header(head, "Transfer-Encoding").empty();
+    return length < 0 && !has_chunks && !bodyless_method &&
            status != no_content && status != not_modified;
 }
 
--- a/src/transport/curl_call.hpp
+++ b/src/transport/curl_call.hpp
@@ -59,7 +59,8 @@
     std::size_t head_bytes = 0;
     std::size_t body_bytes = 0;
     int status = 0;
-    int dispatches = 0; // times that libcurl was about to send the request
+    int dispatches = 0;   // times that libcurl was about to send the request
+    bool in_head = false; // between a status line and its empty line
     bool bodyless_method = false;
     bool cancelled = false;
     bool pauses = false;
@@ -74,6 +75,8 @@
     [[nodiscard]] bool ended_by_close() const;
 
     std::size_t take_header(std::string_view line);
+    bool add_header(std::string_view line);
+    std::size_t reject_head();
     std::size_t take_data(std::string_view piece);
 
     static std::size_t on_header(char* data, std::size_t size,
--- a/src/transport/http1_reader.cpp
+++ b/src/transport/http1_reader.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "transport/head_check.hpp"
+
 namespace hyssopdeal::transport
 {
 
@@ -35,6 +37,7 @@
     last_was_value_ = false;
     method_.clear();
     target_.clear();
+    paused_at_ = line_end::none;
     headers_.clear();
     if (headers_.capacity() * sizeof(http_header) > kept_capacity)
     {
@@ -87,6 +90,79 @@
     return head_too_large() ? 1 : 0;
 }
 
+/// @return Not zero, which ends parsing, when the name is not valid.
+int http1_reader::take_name(std::string_view piece)
+{
+    if (!has_only_token_characters(piece))
+    {
+        return 1;
+    }
+    // Trailers come after the head was judged, so none of them may count.
+    if (state_ == read_state::head)
+    {
+        if (last_was_value_ || headers_.empty())
+        {
+            headers_.emplace_back();
+            last_was_value_ = false;
+        }
+        headers_.back().name.append(piece);
+    }
+    return count_head(piece.size());
+}
+
+int http1_reader::take_value(std::string_view piece)
+{
+    if (state_ == read_state::head && !headers_.empty())
+    {
+        last_was_value_ = true;
+        headers_.back().value.append(piece);
+    }
+    return count_head(piece.size());
+}
+
+bool http1_reader::head_is_clear() const noexcept
+{
+    constexpr int major_version = 1;
+    const bool starts_well =
+        kind_ == message_kind::response || is_one_word(target_);
+    return parser_.http_major == major_version && starts_well &&
+           has_clear_framing(headers_, takes_chunks() ? chunk_support::yes
+                                                      : chunk_support::no);
+}
+
+/// @return Not zero, which ends parsing, when readers may differ on the head.
+int http1_reader::take_head()
+{
+    constexpr int refuse = -1;
+    method_ = http_method_str(static_cast<http_method>(parser_.method));
+    if (!head_is_clear())
+    {
+        return refuse;
+    }
+    state_ = read_state::body;
+    (void)pause_at(line_end::next);
+    return 0;
+}
+
+int http1_reader::pause_at(line_end place)
+{
+    paused_at_ = place;
+    http_parser_pause(&parser_, 1);
+    return 0;
+}
+
+bool http1_reader::line_end_is_valid(std::string_view bytes,
+                                     std::size_t used) const noexcept
+{
+    if (paused_at_ == line_end::next)
+    {
+        return bytes[used] == '\n';
+    }
+    const char before = used > 1 ? bytes[used - 2] : last_byte_;
+    return paused_at_ == line_end::none ||
+           (bytes[used - 1] == '\n' && before == '\r');
+}
+
 const http_parser_settings& http1_reader::callbacks()
 {
     static const http_parser_settings made = [] {
@@ -99,31 +175,22 @@
         };
         settings.on_header_field = [](http_parser* parser, const char* at,
                                       std::size_t length) {
-            auto& own = self(parser);
-            if (own.last_was_value_ || own.headers_.empty())
-            {
-                own.headers_.emplace_back();
-                own.last_was_value_ = false;
-            }
-            own.headers_.back().name.append(at, length);
-            return own.count_head(length);
+            return self(parser).take_name({at, length});
         };
         settings.on_header_value = [](http_parser* parser, const char* at,
                                       std::size_t length) {
-            auto& own = self(parser);
-            own.last_was_value_ = true;
-            if (!own.headers_.empty())
-            {
-                own.headers_.back().value.append(at, length);
-            }
-            return own.count_head(length);
+            return self(parser).take_value({at, length});
         };
         settings.on_headers_complete = [](http_parser* parser) {
-            auto& own = self(parser);
-            own.method_ =
-                http_method_str(static_cast<http_method>(parser->method));
-            own.state_ = read_state::body;
-            return 0;
+            return self(parser).take_head();
+        };
+        settings.on_chunk_header = [](http_parser* parser) {
+            return self(parser).pause_at(line_end::read);
+        };
+        settings.on_chunk_complete = [](http_parser* parser) {
+            const bool was_last = (parser->flags & F_TRAILING) != 0;
+            return self(parser).pause_at(was_last ? line_end::next
+                                                  : line_end::read);
         };
         settings.on_body = [](http_parser* parser, const char* at,
                               std::size_t length) {
@@ -144,19 +211,23 @@
 
 std::size_t http1_reader::feed(std::string_view bytes)
 {
-    if (bytes.empty() || state_ == read_state::complete ||
-        state_ == read_state::bad)
-    {
-        return 0;
-    }
-    head_bytes_ = head_bytes_ == 0 ? 1 : head_bytes_;
-    const auto used =
-        http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
-    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK &&
-        HTTP_PARSER_ERRNO(&parser_) != HPE_PAUSED)
+    std::size_t used = 0;
+    while (used < bytes.size() && state_ != read_state::complete &&
+           state_ != read_state::bad)
     {
-        state_ = read_state::bad;
+        head_bytes_ = head_bytes_ == 0 ? 1 : head_bytes_;
+        paused_at_ = line_end::none;
+        http_parser_pause(&parser_, 0);
+        used += http_parser_execute(&parser_, &callbacks(), bytes.data() + used,
+                                    bytes.size() - used);
+        const auto result = HTTP_PARSER_ERRNO(&parser_);
+        if ((result != HPE_OK && result != HPE_PAUSED) ||
+            !line_end_is_valid(bytes, used))
+        {
+            state_ = read_state::bad;
+        }
     }
+    last_byte_ = used > 0 ? bytes[used - 1] : last_byte_;
     return used;
 }
 
@@ -166,6 +237,7 @@
     {
         return;
     }
+    http_parser_pause(&parser_, 0);
     (void)http_parser_execute(&parser_, &callbacks(), nullptr, 0);
     if (state_ == read_state::complete)
     {
--- a/src/transport/http1_reader.hpp
+++ b/src/transport/http1_reader.hpp
@@ -4,7 +4,8 @@
 /// @file
 /// Internal: reads HTTP/1.1 messages piece by piece from a connection's bytes.
 /// Stops after each message, so that bytes of the next one, or bytes that
-/// belong to no message, are never mixed into it.
+/// belong to no message, are never mixed into it. A message whose end another
+/// reader might find elsewhere is bad.
 ///
 /// Index: [read_state] [http1_reader]
 
@@ -84,13 +85,13 @@
         return http_errno_name(HTTP_PARSER_ERRNO(&parser_));
     }
 
-    /// @return Whether the connection may carry another message afterwards.
     /// @return Whether feed_end() completed the message.
     [[nodiscard]] bool ended_by_close() const noexcept
     {
         return ended_by_close_;
     }
 
+    /// @return Whether the connection may carry another message afterwards.
     [[nodiscard]] bool keeps_alive() const noexcept
     {
         return keeps_alive_;
@@ -118,6 +119,7 @@
         return target_;
     }
 
+    /// @return Those of the head; trailers are dropped.
     [[nodiscard]] std::vector<http_header>& headers() noexcept
     {
         return headers_;
@@ -156,12 +158,29 @@
     }
 
 private:
+    /// Where the parser pauses, as it does not check all line ends by itself.
+    enum class line_end : std::uint8_t
+    {
+        none,
+        next, ///< The line feed comes next.
+        read  ///< The line feed was read.
+    };
+
     static http1_reader& self(http_parser* parser);
     static const http_parser_settings& callbacks();
     int count_head(std::size_t length);
+    int take_name(std::string_view piece);
+    int take_value(std::string_view piece);
+    int take_head();
+    int pause_at(line_end place);
+    [[nodiscard]] bool head_is_clear() const noexcept;
+    [[nodiscard]] bool line_end_is_valid(std::string_view bytes,
+                                         std::size_t used) const noexcept;
 
     http_parser parser_{};
     message_kind kind_;
+    line_end paused_at_ = line_end::none;
+    char last_byte_ = '\0'; ///< Of the bytes read before.
     std::size_t max_head_bytes_;
     read_state state_ = read_state::head;
     std::size_t head_bytes_ = 0;
--- a/src/transport/http_refusal.cpp
+++ b/src/transport/http_refusal.cpp
@@ -40,6 +40,9 @@
     400, reason::bad_request,
     "The connection was closed before the request was whole."};
 
+constexpr refusal invalid_refusal{400, reason::bad_request,
+                                  "The request is not valid HTTP."};
+
 /// What the parser's message holds, and the answer to it.
 struct refusal_rule
 {
@@ -58,8 +61,7 @@
      {413, reason::too_large, "The request's body is too large."}},
     {"HPE_CB_body",
      {413, reason::too_large, "The request's body is too large."}},
-    {"parser error",
-     {400, reason::bad_request, "The request is not valid HTTP."}},
+    {"parser error", invalid_refusal},
     {"read socket error", cut_off_refusal},
 }};
 
@@ -164,8 +166,9 @@
 {
     const auto logged = std::exchange(pending_refusal, std::nullopt);
     const auto cause =
-        taken_back_
-            ? no_room_refusal
+        taken_back_ ? no_room_refusal
+        : framing_.version_is_wrong()
+            ? invalid_refusal
             : logged.value_or(ended_ ? cut_off_refusal : timed_out_refusal);
     if (received_ > 0 && is_open())
     {
--- a/src/transport/http_refusal.hpp
+++ b/src/transport/http_refusal.hpp
@@ -100,20 +100,21 @@
             asio::mutable_buffer(*asio::buffer_sequence_begin(buffers)).data());
         base::async_read_some(
             buffers,
-            asio::bind_executor(
-                executor,
-                [this, read, run = std::forward<Handler>(handler)](
-                    const asio::error_code& error, std::size_t length) mutable {
-                    ended_ = error == asio::error::eof;
-                    if (!has_room({read, length}))
-                    {
-                        // An error of another kind would leave the
-                        // connection open.
-                        return run(asio::error::no_buffer_space, 0);
-                    }
-                    const reading_scope scope{this};
-                    run(error, length);
-                }));
+            asio::bind_executor(executor, [this, read,
+                                           run =
+                                               std::forward<Handler>(handler)](
+                                              const asio::error_code& error,
+                                              std::size_t length) mutable {
+                ended_ = error == asio::error::eof;
+                if (!has_room({read, length}) || framing_.version_is_wrong())
+                {
+                    // An error of another kind would leave the
+                    // connection open.
+                    return run(asio::error::no_buffer_space, 0);
+                }
+                const reading_scope scope{this};
+                run(error, length);
+            }));
     }
 
     template <class Buffers, class Handler>
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -10,6 +10,7 @@
 
 #include "http_refusal.hpp"
 #include "transport/byte_budget_service.hpp"
+#include "transport/head_check.hpp"
 
 namespace hyssopdeal::transport
 {
@@ -144,7 +145,7 @@
     {
         response.headers.push_back({"Retry-After", "1"});
     }
-    if (status == 503 || status == 501)
+    if (status == 503 || status == 400 || status == 501)
     {
         // Nobody knows what the bytes after such a request are.
         response.headers.push_back({"Connection", "close"});
@@ -153,6 +154,12 @@
     return response;
 }
 
+/// @return Whether all readers find the same headers and end of a request.
+bool is_clear(const http_request& request)
+{
+    return is_one_word(request.target) && has_clear_framing(request.headers);
+}
+
 bool is_framing_header(std::string_view name) noexcept
 {
     return same_header_name(name, "Connection") ||
@@ -549,6 +556,12 @@
                                           "CONNECT is not supported.",
                                           verdict::not_run));
         }
+        else if (!is_clear(request))
+        {
+            responder.send(error_response(400, reason::bad_request,
+                                          "The request is not valid HTTP.",
+                                          verdict::not_run));
+        }
         else if (header_bytes(request) > settings.max_header_bytes)
         {
             responder.send(error_response(
--- a/src/transport/request_framing.cpp
+++ b/src/transport/request_framing.cpp
@@ -58,7 +58,11 @@
         };
         settings.on_headers_complete = [](http_parser* parser) {
             auto& own = self(parser);
-            own.chunked_ = own.chunked_ || (parser->flags & F_CHUNKED) != 0;
+            const bool chunked = (parser->flags & F_CHUNKED) != 0;
+            own.chunked_ = own.chunked_ || chunked;
+            own.wrong_version_ = own.wrong_version_ ||
+                                 parser->http_major != 1 ||
+                                 (chunked && parser->http_minor == 0);
             return 0;
         };
         settings.on_body = [](http_parser* parser, const char* at,
--- a/src/transport/request_framing.hpp
+++ b/src/transport/request_framing.hpp
@@ -37,6 +37,15 @@
     /// @return Carriage returns among these.
     [[nodiscard]] std::size_t body_line_ends() const noexcept;
 
+    /// RESTinio does not tell the version of a request.
+    ///
+    /// @return Whether a request had another one than HTTP/1.1 and HTTP/1.0, or
+    ///     chunks with the latter, which has none.
+    [[nodiscard]] bool version_is_wrong() const noexcept
+    {
+        return wrong_version_;
+    }
+
 private:
     static const http_parser_settings& callbacks();
     static request_framing& self(http_parser* parser);
@@ -46,7 +55,8 @@
     std::size_t body_line_ends_ = 0;
     bool open_ = false;    ///< A request has begun and is not whole.
     bool chunked_ = false; ///< One of the requests counted.
-    bool failed_ = false;  ///< What follows cannot be parsed.
+    bool wrong_version_ = false;
+    bool failed_ = false; ///< What follows cannot be parsed.
 };
 
 } // namespace hyssopdeal::transport
--- a/tests/message_end_test.cpp
+++ b/tests/message_end_test.cpp
@@ -125,3 +125,186 @@
                        "HTTP/1.1 501");
     }
 }
+
+// Guards against bodies that end elsewhere for a server, or for a proxy before
+// this one.
+TEST(request_end_tests, requests_that_readers_take_differently_are_refused)
+{
+    for (const auto* header :
+         {"Content-Length : 5", "Content Length: 5", " Content-Length: 5",
+          "Transfer-Encoding : chunked", "X Y: z", "X-Tenant : t",
+          "Content-Length:", "Content-Length: ", "Content-Length: +5",
+          "Content-Length: 5, 5", "Content-Length: 5\r\nContent-Length: 5",
+          "Content-Length: 5\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: identity",
+          "Transfer-Encoding: xchunked", "Transfer-Encoding: chunked;q=1",
+          "Transfer-Encoding:", "Transfer-Encoding: chunked\r\n folded"})
+    {
+        expect_refusal(
+            fmt::format("POST / HTTP/1.1\r\n{}\r\n\r\n{}", header, inner),
+            "HTTP/1.1 400");
+    }
+    expect_refusal("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "0\r\n\r\n",
+                   "HTTP/1.1 400");
+    expect_refusal("POST / HTTP/2.0\r\nContent-Length: 0\r\n\r\n",
+                   "HTTP/1.1 400");
+    expect_refusal("POST /a\tHTTP/1.1 HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+                   "HTTP/1.1 400");
+}
+
+TEST(request_end_tests, chunks_end_with_their_line_ends)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto* body :
+         {"3\r\nabcXX0\r\n\r\n", "3\rXabc\r\n0\r\n\r\n", "3\r\nabc\rX0\r\n\r\n",
+          "3\r\nabcX\n0\r\n\r\n", "0\r\n\rX"})
+    {
+        const auto got = call(ports.front(), head + body);
+        STRCMP_CONTAINS("HTTP/1.1 400", got.c_str());
+        CHECK_TRUE(requests.empty());
+        // In the smallest pieces.
+        const auto caller = tests::raw_call(loop, ports.front());
+        for (const char byte : head + body)
+        {
+            caller->send({&byte, 1});
+            loop.run_for(1ms);
+        }
+        CHECK_TRUE(tests::run_until(
+            loop, [&] { return !caller->received.empty(); }, 3s));
+        STRCMP_CONTAINS("HTTP/1.1 400", caller->received.c_str());
+        CHECK_TRUE(requests.empty());
+    }
+    const auto caller = tests::raw_call(loop, ports.front());
+    for (const char byte : head + "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+    {
+        caller->send({&byte, 1});
+        loop.run_for(1ms);
+    }
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return requests.size() == 1; }, 3s));
+    STRCMP_EQUAL("abcde", requests.front().body.c_str());
+}
+
+// Guards against headers that come after the head was judged.
+TEST(request_end_tests, trailers_are_no_headers)
+{
+    for (const auto port : ports)
+    {
+        const auto got =
+            call(port, "POST / HTTP/1.1\r\nHost: h\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"
+                       "Authorization: Bearer key\r\nX-Late: 1\r\n\r\n");
+        STRCMP_CONTAINS("HTTP/1.1 200", got.c_str());
+        LONGS_EQUAL(1, requests.size());
+        STRCMP_EQUAL("abc", requests.front().body.c_str());
+        for (const auto* name : {"Authorization", "X-Late"})
+        {
+            CHECK_TRUE(find_header(requests.front().headers, name).empty());
+        }
+    }
+}
+
+// [responses] ----------------------------------------------------------------
+
+TEST_GROUP(response_end_of_message_tests)
+{
+    /// How a call ended, whichever client made it.
+    struct call_end
+    {
+        bool complete = false;
+        bool ended_by_close = false;
+        failure error;
+    };
+
+    event_loop loop;
+    system_clock clock;
+    http1_client client{loop, clock, {}};
+    http_client other_client{loop};
+    std::string bytes; ///< What the server sends once.
+    std::function<void(tests::raw_connection&)> after;
+    tests::raw_listener peer{loop, [this](tests::raw_connection& from) {
+                                 from.received.clear();
+                                 from.send(std::exchange(bytes, {}));
+                                 if (after)
+                                 {
+                                     after(from);
+                                 }
+                             }};
+    std::string body;
+    std::optional<call_end> end;
+
+    template <class End>
+    void on_end(const End& how)
+    {
+        end = call_end{how.complete, how.ended_by_close, how.error};
+    }
+
+    void wait_for_end()
+    {
+        CHECK_TRUE(tests::run_until(
+            loop, [&] { return end.has_value(); }, 3s));
+    }
+
+    /// Calls the server with both clients, one after the other.
+    void call_with_both(const http_request& request, const std::string& sent,
+                        const std::function<void()>& check,
+                        const http1_call_settings& settings = {})
+    {
+        const auto on_data = [this](std::string_view piece) { body += piece; };
+        bytes = sent;
+        body.clear();
+        end.reset();
+        http1_call_handlers handlers;
+        handlers.on_data = on_data;
+        handlers.on_end = [this](const auto& how) { on_end(how); };
+        const auto first = client.start(peer.address(), request, settings,
+                                        std::move(handlers));
+        wait_for_end();
+        check();
+        if (!settings.relay.empty())
+        {
+            return;
+        }
+        bytes = sent;
+        body.clear();
+        end.reset();
+        http_call_handlers other_handlers;
+        other_handlers.on_data = on_data;
+        other_handlers.on_end = [this](const auto& how) { on_end(how); };
+        const auto second = other_client.start(peer.address(), request, {},
+                                               std::move(other_handlers));
+        wait_for_end();
+        check();
+    }
+
+    void expect_broken(const std::string& sent)
+    {
+        call_with_both({"GET", "/", {{"Host", "h"}}, ""}, sent, [&] {
+            if (end->complete || end->error.code != reason::broken_answer ||
+                !body.empty())
+            {
+                FAIL(fmt::format("{:?}", sent).c_str());
+            }
+            CHECK_TRUE(end->error.ran == verdict::may_have_run);
+        });
+    }
+};
+
+// Guards against lines that some readers take for a length and others for a
+// header without meaning.
+TEST(response_end_of_message_tests, unclear_heads_are_broken_responses)
+{
+    for (const auto* header :
+         {"Content-Length : 2", "Content Length: 2", "X Y: z", "X-\x01Y: z",
+          "X-\tY: z", "X\x7f: z", ": z", "no colon", "X: a\x01z",
+          "Content-Length: +2",
+          "Content-Length:", "Content-Length: 2\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding : chunked", "Transfer-Encoding: gzip, chunked",
+          "Transfer-Encoding: identity", "HTTP/1.1 : z"})
+    {
+        expect_broken(fmt::format("HTTP/1.1 200 OK\r\n{}\r\n\r\nok", header));
+    }
+}
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -6,6 +6,8 @@
 #include <hyssopdeal/coordination/gateway/native_dialect.hpp>
 #include <hyssopdeal/coordination/gateway/request_flow.hpp>
 
+#include <fmt/format.h>
+
 #include <CppUTest/TestHarness.h>
 
 #include "loop_helper.hpp"
@@ -455,7 +457,27 @@
     LONGS_EQUAL(2, received_requests.size());
 }
 
-// Regression: half of a body was passed on as the whole of it.
+// Guards against a response that no caller can read and that kept its request
+// until the time limit.
+TEST(request_flow_tests, unreadable_responses_end_their_attempt_at_once)
+{
+    for (const std::string head :
+         {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+          "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n"})
+    {
+        listed_servers.clear();
+        add_server([&](tests::raw_connection& connection) {
+            connection.send(head + "Hyssopdeal-Attempt: id1\r\n\r\nok");
+        });
+        apply_configuration();
+        const auto start = std::chrono::steady_clock::now();
+        const auto response = fetch("/once/");
+        STRCMP_CONTAINS("HTTP/1.1 502", response.c_str());
+        STRCMP_CONTAINS("may_have_run", response.c_str());
+        CHECK(std::chrono::steady_clock::now() - start < 1s);
+    }
+}
+
 TEST(request_flow_tests, response_of_a_killed_server_is_no_success)
 {
     add_server(be_killed_after("half of "));
