A status below 100, or 101, is a broken response

Callers: a request that may run once and whose server answered with the status 000 waited until its time limit and got 504.

Cause: any status below 200 was read past as an interim answer. 000 is none, and 101 answers a request for another protocol, which is never made.

Change: the reader takes such a head for a broken response, the libcurl client as well, which ended such calls only with their connection.

Measured: message_end_test, unknown_statuses_are_broken_responses timed out before (000, 001, 099, 101, each with and without a length), and passes. The cases of request_flow_test, unreadable_responses_end_their_attempt_at_once get 502 within a second.

--- a/src/transport/curl_call.cpp
+++ b/src/transport/curl_call.cpp
@@ -250,7 +250,7 @@
     in_head = false;
     long code = 0;
     curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &code);
-    if (!has_clear_framing(head))
+    if (!is_expected_status(static_cast<int>(code)) || !has_clear_framing(head))
     {
         return reject_head();
     }
--- a/src/transport/head_check.cpp
+++ b/src/transport/head_check.cpp
@@ -98,4 +98,11 @@
     return lengths + codings <= 1;
 }
 
+bool is_expected_status(int status) noexcept
+{
+    constexpr int first_interim = 100;
+    constexpr int switching_protocols = 101;
+    return status >= first_interim && status != switching_protocols;
+}
+
 } // namespace hyssopdeal::transport
--- a/src/transport/head_check.hpp
+++ b/src/transport/head_check.hpp
@@ -7,7 +7,7 @@
 /// does, and others read what they accept in another way. Message framing is
 /// that of RFC 9112, section 6.
 ///
-/// Index: [characters] [framing]
+/// Index: [characters] [framing] [statuses]
 
 #include <cstdint>
 #include <string_view>
@@ -45,6 +45,12 @@
 has_clear_framing(const std::vector<http_header>& headers,
                   chunk_support chunks = chunk_support::yes) noexcept;
 
+// [statuses] -------------------------------------------------------------------
+
+/// @return Whether a client reads a response to the end: an interim one, or a
+///     final one to a request that did not ask for another protocol.
+[[nodiscard]] bool is_expected_status(int status) noexcept;
+
 } // namespace hyssopdeal::transport
 
 #endif
--- a/src/transport/http1_reader.cpp
+++ b/src/transport/http1_reader.cpp
@@ -123,8 +123,9 @@
 bool http1_reader::head_is_clear() const noexcept
 {
     constexpr int major_version = 1;
-    const bool starts_well =
-        kind_ == message_kind::response || is_one_word(target_);
+    const bool starts_well = kind_ == message_kind::request
+                                 ? is_one_word(target_)
+                                 : is_expected_status(status());
     return parser_.http_major == major_version && starts_well &&
            has_clear_framing(headers_, takes_chunks() ? chunk_support::yes
                                                       : chunk_support::no);
--- a/tests/message_end_test.cpp
+++ b/tests/message_end_test.cpp
@@ -293,6 +293,21 @@
     }
 };
 
+// Guards against statuses that no caller can read, and that kept their call
+// until its time limit.
+TEST(response_end_of_message_tests, unknown_statuses_are_broken_responses)
+{
+    for (const auto* status : {"000", "001", "099", "101"})
+    {
+        for (const auto* rest :
+             {"Content-Length: 2\r\n\r\nok", "\r\nok",
+              "Upgrade: other\r\nConnection: Upgrade\r\n\r\nok"})
+        {
+            expect_broken(fmt::format("HTTP/1.1 {} X\r\n{}", status, rest));
+        }
+    }
+}
+
 // Guards against lines that some readers take for a length and others for a
 // header without meaning.
 TEST(response_end_of_message_tests, unclear_heads_are_broken_responses)
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -462,7 +462,9 @@
 TEST(request_flow_tests, unreadable_responses_end_their_attempt_at_once)
 {
     for (const std::string head :
-         {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+         {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n",
+          "HTTP/1.1 101 X\r\nContent-Length: 2\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
           "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n"})
     {
         listed_servers.clear();
