HEAD, 204 and 304: responses without a body, read and written

Cause: no reader or writer knew the request's method. A length in the answer to HEAD or in a 304 was waited for; 204 and 304 were written with a length or chunks.

Change: has_no_body() decides for http1_reader, both listeners and libcurl's calls. HEAD goes out on a connection of its own, as a late answer to an earlier request would be read as one without a body.

Measured: message_end_test failed before with responses_without_a_body_leave_the_next_one_in_place, response_to_head_has_no_body and some_statuses_have_no_body, request_flow_test with response_to_head_has_no_body.

--- a/src/transport/curl_call.cpp
+++ b/src/transport/curl_call.cpp
@@ -334,13 +334,11 @@
 ///     which libcurl does not tell.
 bool http_call::impl::ended_by_close() const
 {
-    constexpr int no_content = 204;
-    constexpr int not_modified = 304;
     curl_off_t length = -1;
     curl_easy_getinfo(easy.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
     const bool has_chunks = !find_header(head, "Transfer-Encoding").empty();
-    return length < 0 && !has_chunks && !bodyless_method &&
-           status != no_content && status != not_modified;
+    return length < 0 && !has_chunks &&
+           !has_no_body(bodyless_method ? "HEAD" : "", status);
 }
 
 void http_call::impl::finish(CURLcode code)
--- a/src/transport/head_check.cpp
+++ b/src/transport/head_check.cpp
@@ -105,4 +105,20 @@
     return status >= first_interim && status != switching_protocols;
 }
 
+bool has_no_body(std::string_view request_method, int status) noexcept
+{
+    constexpr int first_final = 200;
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    return request_method == "HEAD" || status < first_final ||
+           status == no_content || status == not_modified;
+}
+
+bool states_length(std::string_view request_method,
+                   const http_response& response) noexcept
+{
+    return !has_no_body({}, response.status) &&
+           !(request_method == "HEAD" && response.body.empty());
+}
+
 } // namespace hyssopdeal::transport
--- a/src/transport/head_check.hpp
+++ b/src/transport/head_check.hpp
@@ -7,7 +7,7 @@
 /// does, and others read what they accept in another way. Message framing is
 /// that of RFC 9112, section 6.
 ///
-/// Index: [characters] [framing] [statuses]
+/// Index: [characters] [framing] [bodies]
 
 #include <cstdint>
 #include <string_view>
@@ -45,12 +45,22 @@
 has_clear_framing(const std::vector<http_header>& headers,
                   chunk_support chunks = chunk_support::yes) noexcept;
 
-// [statuses] -------------------------------------------------------------------
+// [bodies] -------------------------------------------------------------------
 
 /// @return Whether a client reads a response to the end: an interim one, or a
 ///     final one to a request that did not ask for another protocol.
 [[nodiscard]] bool is_expected_status(int status) noexcept;
 
+/// @return Whether a response has no body whatever its headers say.
+[[nodiscard]] bool has_no_body(std::string_view request_method,
+                               int status) noexcept;
+
+/// @return Whether the head of a response states the length of its body. A
+///     response to HEAD whose body is empty may be that of a server, and the
+///     length that it would have is not known here.
+[[nodiscard]] bool states_length(std::string_view request_method,
+                                 const http_response& response) noexcept;
+
 } // namespace hyssopdeal::transport
 
 #endif
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -204,12 +204,12 @@
         connect(to, with.connect_time_limit);
     }
 
-    void carry(const std::shared_ptr<call_state>& call, std::string bytes,
-               const http1_call_settings& settings)
+    void carry(const std::shared_ptr<call_state>& call, std::string_view method,
+               std::string bytes, const http1_call_settings& settings)
     {
         call_ = call;
         max_body_bytes_ = settings.max_body_bytes;
-        keep_connection_ = settings.keep_connection;
+        keep_connection_ = settings.keep_connection && method != "HEAD";
         body_bytes_ = 0;
         skipped_bytes_ = 0;
         out_ = std::move(bytes);
@@ -217,6 +217,7 @@
         sent_ = false;
         unanswered_ = true;
         reader_.reset();
+        reader_.expect_response_to(method);
         if (connected_)
         {
             write();
@@ -800,10 +801,13 @@
                      ? write_request_head(request, settings.body->size())
                      : write_request(request);
     const impl::path path{std::string{address}, settings.relay};
-    if (auto kept = take_idle(*impl_, path, settings.max_idle))
+    // A late response to an earlier request has a body, one to HEAD has none.
+    const auto max_idle =
+        request.method == "HEAD" ? milliseconds{0} : settings.max_idle;
+    if (auto kept = take_idle(*impl_, path, max_idle))
     {
         call->connection = kept;
-        kept->carry(call, std::move(bytes), settings);
+        kept->carry(call, request.method, std::move(bytes), settings);
         return http1_call{std::move(call)};
     }
     const auto endpoint = parse_endpoint<tcp::endpoint>(
@@ -823,7 +827,7 @@
     ++impl_->opened;
     const auto made = std::make_shared<client_connection>(impl_, path);
     call->connection = made;
-    made->carry(call, std::move(bytes), settings);
+    made->carry(call, request.method, std::move(bytes), settings);
     made->connect(*endpoint, settings.connect_time_limit);
     return http1_call{std::move(call)};
 }
--- a/src/transport/http1_connection.hpp
+++ b/src/transport/http1_connection.hpp
@@ -52,6 +52,7 @@
     /// of its connection would not tell a whole response from a cut one.
     std::optional<http_response> held;
     bool begun = false;
+    bool bodyless = false; ///< Known once begun.
     bool close_after = false;
 
     void end();
--- a/src/transport/http1_exchange.cpp
+++ b/src/transport/http1_exchange.cpp
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "transport/head_check.hpp"
 #include "transport/http1_connection.hpp"
 #include "transport/http1_writer.hpp"
 
@@ -59,7 +60,7 @@
                          : connection_use::close;
     state_->close_after = use == connection_use::close;
     const auto connection = state_->connection;
-    connection->send(write_response(response, use));
+    connection->send(write_response(response, use, request().method));
     if (!over())
     {
         state_->end();
@@ -77,18 +78,21 @@
                          : connection_use::close;
     state_->close_after = use == connection_use::close;
     state_->begun = true;
+    state_->bodyless = has_no_body(request().method, status);
     const auto connection = state_->connection;
     if (!connection->takes_chunks())
     {
         state_->held = http_response{status, headers, {}};
         return;
     }
-    connection->send(write_head(status, headers, body_framing::chunked, use));
+    const auto framing =
+        state_->bodyless ? body_framing::none : body_framing::chunked;
+    connection->send(write_head(status, headers, framing, use));
 }
 
 void http1_exchange::write(std::string_view piece)
 {
-    if (over() || piece.empty())
+    if (over() || piece.empty() || state_->bodyless)
     {
         return;
     }
@@ -116,7 +120,10 @@
         return send(*whole);
     }
     const auto connection = state_->connection;
-    connection->send(last_chunk);
+    if (!state_->bodyless)
+    {
+        connection->send(last_chunk);
+    }
     if (!over())
     {
         state_->end();
--- a/src/transport/http1_reader.cpp
+++ b/src/transport/http1_reader.cpp
@@ -50,6 +50,11 @@
     }
 }
 
+void http1_reader::expect_response_to(std::string_view method)
+{
+    request_method_ = method;
+}
+
 std::uint64_t http1_reader::announced_bytes() const noexcept
 {
     const bool known = state_ == read_state::body &&
@@ -131,7 +136,7 @@
                                                       : chunk_support::no);
 }
 
-/// @return Not zero, which ends parsing, when readers may differ on the head.
+/// @return What http_parser expects: 0 to go on, 1 to read no body.
 int http1_reader::take_head()
 {
     constexpr int refuse = -1;
@@ -142,7 +147,10 @@
     }
     state_ = read_state::body;
     (void)pause_at(line_end::next);
-    return 0;
+    return kind_ == message_kind::response &&
+                   has_no_body(request_method_, status())
+               ? 1
+               : 0;
 }
 
 int http1_reader::pause_at(line_end place)
--- a/src/transport/http1_reader.hpp
+++ b/src/transport/http1_reader.hpp
@@ -53,6 +53,9 @@
     /// Begins the next message; frees large buffers of the last.
     void reset();
 
+    /// Responses are read as those to requests of this method.
+    void expect_response_to(std::string_view method);
+
     /// Takes bytes until the message is complete.
     ///
     /// @return How many were taken.
@@ -179,6 +182,7 @@
 
     http_parser parser_{};
     message_kind kind_;
+    std::string request_method_; ///< Of the request that a response answers.
     line_end paused_at_ = line_end::none;
     char last_byte_ = '\0'; ///< Of the bytes read before.
     std::size_t max_head_bytes_;
--- a/src/transport/http1_writer.cpp
+++ b/src/transport/http1_writer.cpp
@@ -8,6 +8,8 @@
 #include <fmt/format.h>
 #include <http_parser.h>
 
+#include "transport/head_check.hpp"
+
 namespace hyssopdeal::transport
 {
 
@@ -52,7 +54,7 @@
     {
         out += "Connection: close\r\n";
     }
-    if (framing == body_framing::chunked)
+    if (framing != body_framing::length)
     {
         out += "\r\n";
     }
@@ -67,13 +69,22 @@
     return out;
 }
 
-std::string write_response(const http_response& response, connection_use use)
+std::string write_response(const http_response& response, connection_use use,
+                           std::string_view request_method)
 {
+    if (!states_length(request_method, response))
+    {
+        return write_head(response.status, response.headers, body_framing::none,
+                          use);
+    }
     auto out = write_head(response.status, response.headers,
                           body_framing::length, use);
     fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n\r\n",
                    response.body.size());
-    out += response.body;
+    if (!has_no_body(request_method, response.status))
+    {
+        out += response.body;
+    }
     return out;
 }
 
--- a/src/transport/http1_writer.hpp
+++ b/src/transport/http1_writer.hpp
@@ -22,7 +22,8 @@
 enum class body_framing : std::uint8_t
 {
     length, ///< The caller adds Content-Length.
-    chunked
+    chunked,
+    none ///< The response has no body.
 };
 
 /// What becomes of the connection afterwards.
@@ -45,9 +46,11 @@
 /// @return One chunk of a body; the piece must not be empty.
 [[nodiscard]] std::string write_chunk(std::string_view piece);
 
+/// @param request_method A response to HEAD has no body.
 /// @return A whole answer.
 [[nodiscard]] std::string write_response(const http_response& response,
-                                         connection_use use);
+                                         connection_use use,
+                                         std::string_view request_method = {});
 
 // [requests] -----------------------------------------------------------------
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -71,6 +71,7 @@
 using restinio_server = restinio::http_server_t<server_traits>;
 using restinio::response_connection_attr_t;
 using restinio::response_parts_attr_t;
+using length_field = restinio::impl::content_length_field_presence_t;
 
 restinio::http_status_line_t status_line(int status)
 {
@@ -224,6 +225,7 @@
           // Taken from the request, which may be kept longer for its body.
           connection(std::move(restinio::impl::access_req_connection(request))),
           request_id(request.request_id()),
+          method(request.header().method().c_str()),
           keeps_open(request.header().should_keep_alive()),
           others(std::move(known))
     {
@@ -263,8 +265,14 @@
         restinio::http_response_header_t head{status_line(response.status)};
         start_head(head, std::move(response.headers));
         head.content_length(response.body.size());
-        auto bytes = restinio::impl::create_header_string(head);
-        bytes += response.body;
+        auto bytes = restinio::impl::create_header_string(
+            head, states_length(method, response)
+                      ? length_field::add_content_length
+                      : length_field::skip_content_length);
+        if (!has_no_body(method, response.status))
+        {
+            bytes += response.body;
+        }
         write_out(std::move(bytes), response_parts_attr_t::final_parts, {});
     }
 
@@ -277,10 +285,13 @@
         now = stage::streaming;
         restinio::http_response_header_t head{status_line(status)};
         start_head(head, std::move(headers));
-        head.add_field("Transfer-Encoding", "chunked");
+        bodyless = has_no_body(method, status);
+        if (!bodyless)
+        {
+            head.add_field("Transfer-Encoding", "chunked");
+        }
         pending = restinio::impl::create_header_string(
-            head, restinio::impl::content_length_field_presence_t::
-                      skip_content_length);
+            head, length_field::skip_content_length);
         flush();
     }
 
@@ -316,7 +327,7 @@
 
     void append_chunk(std::string_view piece)
     {
-        if (piece.empty())
+        if (piece.empty() || bodyless)
         {
             return;
         }
@@ -376,7 +387,7 @@
         {
             return;
         }
-        pending += last_chunk;
+        pending += bodyless ? std::string_view{} : last_chunk;
         begin_ending();
     }
 
@@ -441,7 +452,9 @@
     restinio::impl::connection_handle_t connection;
     restinio::request_id_t request_id;
     stage now = stage::unanswered;
+    std::string method;
     bool keeps_open;
+    bool bodyless = false; ///< A streamed response; known once begun.
     std::shared_ptr<open_answers> others;
     bool writing = false;
     bool caller_left = false;
--- a/tests/message_end_test.cpp
+++ b/tests/message_end_test.cpp
@@ -207,6 +207,43 @@
     }
 }
 
+// Guards against a body where the caller reads the head of the next response.
+TEST(request_end_tests, responses_without_a_body_leave_the_next_one_in_place)
+{
+    struct expected_response
+    {
+        const char* method;
+        int status;
+    };
+    for (const auto port : ports)
+    {
+        for (const auto& [method, status] : {expected_response{"HEAD", 200},
+                                             {"HEAD", 404},
+                                             {"GET", 204},
+                                             {"GET", 304}})
+        {
+            for (const bool as_stream : {false, true})
+            {
+                streams = as_stream;
+                response.status = status;
+                const auto got =
+                    call(port, fmt::format("{} / HTTP/1.1\r\nHost: h\r\n\r\n"
+                                           "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                                           method));
+                LONGS_EQUAL(2, requests.size());
+                const auto head_end = got.find("\r\n\r\n");
+                CHECK_TRUE(got.substr(head_end + 4).starts_with("HTTP/1.1 "));
+                if (std::string_view{method} == "GET")
+                {
+                    LONGS_EQUAL(0, count(got, "Content-Length"));
+                    LONGS_EQUAL(0, count(got, "Transfer-Encoding"));
+                    LONGS_EQUAL(0, count(got, "done"));
+                }
+            }
+        }
+    }
+}
+
 // [responses] ----------------------------------------------------------------
 
 TEST_GROUP(response_end_of_message_tests)
@@ -323,3 +360,32 @@
         expect_broken(fmt::format("HTTP/1.1 200 OK\r\n{}\r\n\r\nok", header));
     }
 }
+
+TEST(response_end_of_message_tests, response_to_head_has_no_body)
+{
+    for (const auto* headers :
+         {"Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n", ""})
+    {
+        call_with_both({"HEAD", "/", {{"Host", "h"}}, ""},
+                       fmt::format("HTTP/1.1 200 OK\r\n{}\r\n", headers), [&] {
+                           CHECK_TRUE(end->complete);
+                           CHECK_FALSE(end->ended_by_close);
+                           STRCMP_EQUAL("", body.c_str());
+                       });
+    }
+}
+
+// Guards against a length that is the length of what did not change.
+TEST(response_end_of_message_tests, some_statuses_have_no_body)
+{
+    for (const auto* status : {"204", "304"})
+    {
+        call_with_both(
+            {"GET", "/", {{"Host", "h"}}, ""},
+            fmt::format("HTTP/1.1 {} X\r\nContent-Length: 9\r\n\r\n", status),
+            [&] {
+                CHECK_TRUE(end->complete);
+                CHECK_FALSE(end->ended_by_close);
+            });
+    }
+}
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -480,6 +480,31 @@
     }
 }
 
+// Guards against a wait for the body that the length of such a response
+// announces, and against one where the caller reads its next response.
+TEST(request_flow_tests, response_to_head_has_no_body)
+{
+    add_server([](tests::raw_connection& connection) {
+        connection.send(response_head("id1", "Content-Length: 9\r\n"));
+    });
+    apply_configuration();
+    for (const auto* path : {"/safe/", "/once/", "/nowhere/"})
+    {
+        const auto caller = tests::raw_call(loop, gateway_port);
+        caller->send(fmt::format("HEAD {}x HTTP/1.1\r\nHost: h\r\n"
+                                 "Authorization: Bearer key\r\n"
+                                 "Hyssopdeal-Attempt: id1\r\n\r\n",
+                                 path));
+        CHECK_TRUE(tests::run_until(
+            loop, [&] { return !caller->received.empty(); }, 1s));
+        loop.run_for(20ms);
+        CHECK_TRUE(caller->received.ends_with("\r\n\r\n"));
+        STRCMP_CONTAINS(std::string_view{path} == "/nowhere/" ? "HTTP/1.1 404"
+                                                              : "HTTP/1.1 200",
+                        caller->received.c_str());
+    }
+}
+
 TEST(request_flow_tests, response_of_a_killed_server_is_no_success)
 {
     add_server(be_killed_after("half of "));
