A reset during the request ends no response in good order

Cause: the kernel reports a reset once, to whichever call comes first. A write that fails takes the error off the socket, and the read after it sees an end in good order; the write's error was dropped. Ruled out: the check of the server after such an end, which found the server running, as it was.

Change: the client remembers the error of the write; an end read after it is a lost connection. EPIPE is left out: it comes only after an end in good order, so the early answer of a server that needs no more of the request stays whole. The slow callers of hyssop-load took a reset for such an end as well.

Measured: message_end_test failed before with reset_during_the_request_ends_no_response_in_good_order and slow_call_is_not_complete_after_a_reset, request_flow_test with response_cut_during_the_upload_is_no_success (a 200 for the caller). All pass, and response_that_ends_in_good_order_during_the_request_is_whole passes before and after.

--- a/programs/load/slow_call.cpp
+++ b/programs/load/slow_call.cpp
@@ -169,6 +169,12 @@
         {
             return;
         }
+        if (lost && lost != asio::error::eof)
+        {
+            end(transport::verdict::may_have_run);
+            return;
+        }
+        // No bytes tell the parser of the end of the connection.
         const auto taken =
             http_parser_execute(&parser, &hooks, buffer.data(), size);
         if (whole || lost || taken != size)
--- a/src/transport/http1_client.cpp
+++ b/src/transport/http1_client.cpp
@@ -366,6 +366,7 @@
                 std::string{}.swap(self->out_);
                 self->body_.reset();
                 // What the server sent before it closed is read first.
+                self->was_reset_ = error && error != asio::error::broken_pipe;
                 if (!error && self->done_)
                 {
                     self->go_idle();
@@ -549,7 +550,7 @@
         {
             return on_unrequested_end(error.message());
         }
-        if (error == asio::error::eof)
+        if (error == asio::error::eof && !was_reset_)
         {
             reader_.feed_end();
             if (reader_.state() == read_state::complete)
@@ -558,7 +559,9 @@
                 return close();
             }
         }
-        fail(reason::connection_lost, error.message());
+        fail(reason::connection_lost,
+             was_reset_ ? "The connection was lost during the request."
+                        : error.message());
     }
 
     /// Ends a connection that waits for no answer.
@@ -631,6 +634,10 @@
     bool sent_ = false;       ///< A byte may have left.
     bool unanswered_ = false; ///< Carries a call.
     bool writing_ = false;
+    /// A write failed with the error of the connection, which takes it off the
+    /// socket: the read after it sees an end in good order. EPIPE only comes
+    /// after such an end.
+    bool was_reset_ = false;
     bool head_seen_ = false;
     bool skipping_ = false;
     bool done_ = false; ///< Answered, the request's body still goes out.
--- a/tests/message_end_test.cpp
+++ b/tests/message_end_test.cpp
@@ -14,6 +14,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "load/slow_call.hpp"
 #include "loop_helper.hpp"
 #include "raw_peer.hpp"
 
@@ -330,6 +331,74 @@
     }
 };
 
+// Guards against a response that a reset cuts while the request is being sent:
+// the write that fails takes the error off the socket, and the read after it
+// sees an end in good order.
+TEST(response_end_of_message_tests,
+     reset_during_the_request_ends_no_response_in_good_order)
+{
+    const http_request upload{
+        "POST", "/", {{"Host", "h"}}, std::string(8'000'000, 'u')};
+    const auto part = "HTTP/1.1 200 OK\r\n\r\n" + std::string(600, 'a');
+    after = [](tests::raw_connection& from) { from.reset(); };
+    const auto check = [&] {
+        CHECK_FALSE(end->complete);
+        CHECK_TRUE(end->error.code == reason::connection_lost);
+        CHECK_TRUE(end->error.ran == verdict::may_have_run);
+    };
+    call_with_both(upload, part, check);
+    tcp_relay relay{loop, {}, [](const auto&) { return true; }};
+    http1_call_settings relayed;
+    relayed.relay = fmt::format("127.0.0.1:{}", relay.start().value());
+    call_with_both(upload, part, check, relayed);
+}
+
+// Guards against a reset that the parser takes for the end of the connection.
+TEST(response_end_of_message_tests, slow_call_is_not_complete_after_a_reset)
+{
+    const auto complete = [this] {
+        end.reset();
+        bytes = "HTTP/1.1 200 OK\r\n\r\npart";
+        http_call_handlers handlers;
+        handlers.on_head = [](int, const auto&) {};
+        handlers.on_data = [](std::string_view) {};
+        handlers.on_end = [this](const auto& how) { on_end(how); };
+        const load::slow_call running{loop,
+                                      peer.address(),
+                                      {"GET", "/", {}, ""},
+                                      1'000'000,
+                                      std::move(handlers)};
+        wait_for_end();
+        return end->complete;
+    };
+    after = [](tests::raw_connection& from) { from.close(); };
+    CHECK_TRUE(complete());
+    after = [](tests::raw_connection& from) { from.reset(); };
+    CHECK_FALSE(complete());
+}
+
+// The other side of the guard: such a server needs no more of the request.
+TEST(response_end_of_message_tests,
+     response_that_ends_in_good_order_during_the_request_is_whole)
+{
+    after = [](tests::raw_connection& from) {
+        asio::error_code ignored;
+        from.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    };
+    bytes = "HTTP/1.1 413 Too Large\r\n\r\nrefused";
+    http1_call_handlers handlers;
+    handlers.on_data = [this](std::string_view piece) { body += piece; };
+    handlers.on_end = [this](const auto& how) { on_end(how); };
+    const auto running = client.start(
+        peer.address(),
+        {"POST", "/", {{"Host", "h"}}, std::string(8'000'000, 'u')}, {},
+        std::move(handlers));
+    wait_for_end();
+    CHECK_TRUE(end->complete);
+    CHECK_TRUE(end->ended_by_close);
+    STRCMP_EQUAL("refused", body.c_str());
+}
+
 // Guards against statuses that no caller can read, and that kept their call
 // until its time limit.
 TEST(response_end_of_message_tests, unknown_statuses_are_broken_responses)
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -457,6 +457,39 @@
     LONGS_EQUAL(2, received_requests.size());
 }
 
+// Regression: half of a body was passed on as the whole of it.
+// Guards against a part of a response that looks whole because its server reset
+// the connection while the request was still being sent.
+TEST(request_flow_tests, response_cut_during_the_upload_is_no_success)
+{
+    const auto cut = [](tests::raw_connection& connection) {
+        connection.send(response_head("id1", "") + std::string(600, 'a'));
+        connection.reset();
+    };
+    add_server(cut);
+    add_server(cut);
+    apply_configuration();
+    const std::string body(4'000'000, 'u');
+    for (const auto* path : {"/once/", "/safe/", "/stream/"})
+    {
+        auto caller = tests::raw_call(loop, gateway_port);
+        caller->send(fmt::format("POST {}x HTTP/1.1\r\nHost: h\r\n"
+                                 "Authorization: Bearer key\r\n"
+                                 "Hyssopdeal-Attempt: id1\r\n"
+                                 "Content-Length: {}\r\n\r\n",
+                                 path, body.size()));
+        constexpr std::size_t piece = 50'000;
+        for (std::size_t at = 0; at < body.size(); at += piece)
+        {
+            caller->send(body.substr(at, piece));
+            loop.run_for(1ms);
+        }
+        CHECK_TRUE(tests::run_until(
+            loop, [&] { return !caller->received.empty(); }, 4s));
+        STRCMP_CONTAINS("HTTP/1.1 502", caller->received.c_str());
+    }
+}
+
 // Guards against a response that no caller can read and that kept its request
 // until the time limit.
 TEST(request_flow_tests, unreadable_responses_end_their_attempt_at_once)
