Soak: a stop that cuts a request tells how its call ended

A line of soak_planned_test (KNOWN-RED.txt) said only that a request had no answer some seconds after its entry was told to stop. Whether its connection was refused, reset or ran into the caller's own limit, and whether a server was still at work, could not be told apart. The line now has the kind of request, its status, how long it was under way, when its run ended, and the verdict and reason of the call.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -166,7 +166,7 @@
 {
     constexpr int first_error = 300;
     one->leaves.cancel();
-    world_.ledger.answered(one->id, one->status, how.complete);
+    world_.ledger.answered(one->id, one->status, how);
     open_.erase(one->number);
     const bool good = one->status > 0 && one->status < first_error;
     if (!good || !how.complete)
--- a/tests/soak/soak_ledger.cpp
+++ b/tests/soak/soak_ledger.cpp
@@ -27,6 +27,30 @@
            kind == route_kind::probe;
 }
 
+std::int64_t ms_between(monotonic_time from, monotonic_time to)
+{
+    return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
+/// What distinguishes the causes of a call without an answer.
+std::string describe(const request_record& seen)
+{
+    std::string run = "never";
+    if (seen.runs > 0)
+    {
+        run = seen.run_open
+                  ? "open"
+                  : fmt::format("ended {} ms before",
+                                ms_between(seen.run_ended, seen.ended));
+    }
+    return fmt::format(
+        "kind {}, status {}, sent {} ms before, run: {}; {}, {}: "
+        "{}",
+        static_cast<int>(seen.kind), seen.status,
+        ms_between(seen.sent, seen.ended), run, to_string(seen.lost.ran),
+        to_string(seen.lost.code), seen.lost.text);
+}
+
 } // namespace
 
 soak_ledger::soak_ledger(const transport::clock& clock, soak_bounds bounds)
@@ -90,12 +114,14 @@
     requests_[id] = record;
 }
 
-void soak_ledger::answered(const std::string& id, int status, bool complete)
+void soak_ledger::answered(const std::string& id, int status,
+                           const transport::http1_call_end& how)
 {
     auto& seen = requests_.at(id);
     seen.ended = clock_.monotonic_now();
     seen.status = status;
-    seen.complete = complete;
+    seen.complete = how.complete;
+    seen.lost = how.error;
     seen.over = true;
     if (seen.kind == route_kind::probe && status > 0 && status < first_error)
     {
@@ -512,12 +538,9 @@
         {
             broken("planned stops cut off nothing",
                    fmt::format("{} ended without an answer, {} ms after its "
-                               "entry was told to stop (passed on: {})",
-                               id,
-                               std::chrono::duration_cast<milliseconds>(
-                                   seen.ended - fault.from)
-                                   .count(),
-                               passed_on));
+                               "entry was told to stop ({})",
+                               id, ms_between(fault.from, seen.ended),
+                               describe(seen)));
             return;
         }
     }
--- a/tests/soak/soak_ledger.hpp
+++ b/tests/soak/soak_ledger.hpp
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include <hyssopdeal/transport/clock.hpp>
+#include <hyssopdeal/transport/http1_client.hpp>
 
 namespace hyssopdeal::soak
 {
@@ -73,6 +74,7 @@
     std::uint32_t runs = 0; ///< At servers, resumed ones left out.
     monotonic_time run_ended{};
     bool run_open = false;
+    transport::failure lost; ///< Why it is not complete.
 };
 
 // [soak_ledger] --------------------------------------------------------------
@@ -121,7 +123,8 @@
 
     // Callers.
     void sent(const std::string& id, request_record record);
-    void answered(const std::string& id, int status, bool complete);
+    void answered(const std::string& id, int status,
+                  const transport::http1_call_end& how);
     void left(const std::string& id);
 
     // Servers.
