Changed limits of callers hold on open connections

Cause: the reader of a connection kept the cap of the time when it was made. The timer of an idle connection was likewise set by the limit at the begin of the pause.

Change: the cap is taken when a message begins, and the limit in force decides when the timer of an idle connection ends.

--- a/src/transport/http1_connection.cpp
+++ b/src/transport/http1_connection.cpp
@@ -210,6 +210,13 @@
     {
         return refuse(408, "The request did not arrive in time.");
     }
+    // The limit may have been raised while the connection was idle.
+    const auto left =
+        waits_since_ + server_->settings.limits.idle_time_limit - now();
+    if (!closing_ && left > left.zero())
+    {
+        return wait(std::chrono::ceil<milliseconds>(left));
+    }
     close();
 }
 
@@ -284,6 +291,10 @@
 void server_connection::parse_some()
 {
     const bool fresh = !reader_.started();
+    if (fresh)
+    {
+        reader_.limit_head(server_->settings.limits.max_head_bytes);
+    }
     const auto before = reader_.state();
     if (before == read_state::body)
     {
--- a/src/transport/http1_reader.hpp
+++ b/src/transport/http1_reader.hpp
@@ -53,6 +53,12 @@
     /// Begins the next message; frees large buffers of the last.
     void reset();
 
+    /// Changes the cap of heads, before the next message begins.
+    void limit_head(std::size_t max_bytes) noexcept
+    {
+        max_head_bytes_ = max_bytes;
+    }
+
     /// Responses are read as those to requests of this method.
     void expect_response_to(std::string_view method);
 
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -295,6 +295,41 @@
     LONGS_EQUAL(0, bodies.size());
 }
 
+// Guards against limits of an old configuration on connections that were open
+// when it changed.
+TEST(http1_server_tests, changed_limits_hold_on_open_connections)
+{
+    const auto caller = tests::raw_call(loop, port);
+    const auto request = [&](std::size_t header_bytes) {
+        caller->received.clear();
+        caller->send("GET / HTTP/1.1\r\nA: " + std::string(header_bytes, 'a') +
+                     "\r\n\r\n");
+        CHECK_TRUE(tests::run_until(
+            loop, [&] { return !caller->received.empty(); }, 3s));
+        return caller->received.substr(0, 12);
+    };
+    STRCMP_EQUAL("HTTP/1.1 200", request(500).c_str());
+    transport::http1_caller_limits raised;
+    raised.max_head_bytes = 10'000;
+    raised.idle_time_limit = 1'500ms;
+    server->set_limits(raised);
+    loop.run_for(800ms); // More than the limit that was.
+    CHECK_FALSE(caller->closed);
+    STRCMP_EQUAL("HTTP/1.1 200", request(9'000).c_str());
+    auto lowered = raised;
+    lowered.max_head_bytes = 2'000;
+    server->set_limits(lowered);
+    STRCMP_EQUAL("HTTP/1.1 431", request(3'000).c_str());
+}
+
+TEST(http1_server_tests, idle_connections_are_closed)
+{
+    const auto caller = tests::raw_call(loop, port);
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return caller->closed; }, 2s));
+    STRCMP_EQUAL("", caller->received.c_str());
+}
+
 TEST(http1_server_tests, chunked_bodies_are_read_whole)
 {
     const auto caller = tests::raw_call(loop, port);
