--- a/src/transport/head_check.hpp
+++ b/src/transport/head_check.hpp
@@ -47,8 +47,8 @@
 
 // [bodies] -------------------------------------------------------------------
 
-/// @return Whether a client reads a response to the end: an interim one, or a
-///     final one to a request that did not ask for another protocol.
+/// @return Whether a response may have this status when its request asked for
+///     no other protocol. Below 200 it is interim.
 [[nodiscard]] bool is_expected_status(int status) noexcept;
 
 /// @return Whether a response has no body whatever its headers say.
--- a/src/transport/http_refusal.hpp
+++ b/src/transport/http_refusal.hpp
@@ -100,21 +100,20 @@
             asio::mutable_buffer(*asio::buffer_sequence_begin(buffers)).data());
         base::async_read_some(
             buffers,
-            asio::bind_executor(executor, [this, read,
-                                           run =
-                                               std::forward<Handler>(handler)](
-                                              const asio::error_code& error,
-                                              std::size_t length) mutable {
-                ended_ = error == asio::error::eof;
-                if (!has_room({read, length}) || framing_.version_is_wrong())
-                {
-                    // An error of another kind would leave the
-                    // connection open.
-                    return run(asio::error::no_buffer_space, 0);
-                }
-                const reading_scope scope{this};
-                run(error, length);
-            }));
+            asio::bind_executor(
+                executor,
+                [this, read, run = std::forward<Handler>(handler)](
+                    const asio::error_code& error, std::size_t length) mutable {
+                    ended_ = error == asio::error::eof;
+                    if (!accepts({read, length}))
+                    {
+                        // An error of another kind would leave the
+                        // connection open.
+                        return run(asio::error::no_buffer_space, 0);
+                    }
+                    const reading_scope scope{this};
+                    run(error, length);
+                }));
     }
 
     template <class Buffers, class Handler>
@@ -152,6 +151,13 @@
     void refuse(const refusal& cause);
     void begin_reading();
     [[nodiscard]] bool has_room(std::string_view bytes);
+
+    /// @return Whether what was read may be handed on.
+    [[nodiscard]] bool accepts(std::string_view bytes)
+    {
+        return has_room(bytes) && !framing_.version_is_wrong();
+    }
+
     void take_back();
     [[nodiscard]] std::size_t counted_bytes() const;
 
