caller.cut: connections that end with a request without a response

An entry that closed a caller's connection wrote nothing, so three hypotheses on requests without an answer could not be told apart: a stream that is given up, a connection that is closed by a planned stop, and one that is closed as too many bytes wait. The line has the cause, whether a request was open, and the bytes that were read after the last response and thrown away.

Nothing is decided differently.

--- a/src/transport/http1_connection.cpp
+++ b/src/transport/http1_connection.cpp
@@ -34,6 +34,33 @@
 // before the reset that closing with unread bytes would send.
 constexpr milliseconds linger_time{500};
 
+/// @return The cause as it is logged.
+std::string_view to_string(close_cause cause)
+{
+    switch (cause)
+    {
+    case close_cause::caller_left:
+        return "caller_left";
+    case close_cause::after_response:
+        return "after_response";
+    case close_cause::idle:
+        return "idle";
+    case close_cause::replaced:
+        return "replaced";
+    case close_cause::no_room:
+        return "no_room";
+    case close_cause::unread_response:
+        return "unread_response";
+    case close_cause::aborted:
+        return "aborted";
+    case close_cause::dropped:
+        return "dropped";
+    case close_cause::stop:
+        return "stop";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 server_connection::server_connection(server_impl& server, tcp::socket socket)
@@ -51,7 +78,9 @@
         // Not at once: whoever the caller is an exchange of may be what
         // asks for room.
         asio::post(self.socket_.get_executor(),
-                   [kept = self.shared_from_this()] { kept->close(); });
+                   [kept = self.shared_from_this()] {
+                       kept->close(close_cause::no_room);
+                   });
     });
     out_share_->watch_reader([this] {
         return taken_ -
@@ -76,7 +105,7 @@
     next_out_.append(bytes);
     if (next_out_.size() > server_->settings.max_unsent_bytes)
     {
-        return close();
+        return close(close_cause::unread_response);
     }
     flush();
 }
@@ -114,13 +143,21 @@
     }
 }
 
-void server_connection::close()
+void server_connection::close(close_cause cause)
 {
     if (closed_)
     {
         return;
     }
     closed_ = true;
+    const bool open = !open_.expired() || cause == close_cause::dropped;
+    const bool unanswered = open || (discarded_ > 0 && !refused_);
+    if (unanswered && cause != close_cause::caller_left)
+    {
+        log_event("caller.cut", {{"cause", to_string(cause)},
+                                 {"open_request", open},
+                                 {"discarded_bytes", discarded_}});
+    }
     const auto keep_alive = shared_from_this();
     asio::error_code ignored;
     socket_.close(ignored);
@@ -143,7 +180,7 @@
 
 void server_connection::orphan()
 {
-    close();
+    close(close_cause::stop);
     server_ = nullptr;
 }
 
@@ -217,7 +254,7 @@
     {
         return wait(std::chrono::ceil<milliseconds>(left));
     }
-    close();
+    close(closing_ ? close_cause::after_response : close_cause::idle);
 }
 
 void server_connection::read()
@@ -238,9 +275,14 @@
             }
             if (error)
             {
-                return self->close();
+                return self->close(self->closing_ ? close_cause::after_response
+                                                  : close_cause::caller_left);
+            }
+            if (self->closing_)
+            {
+                self->discarded_ += length;
             }
-            if (!self->closing_)
+            else
             {
                 self->take(length);
             }
@@ -386,6 +428,7 @@
                                      {"target_bytes", reader_.target().size()},
                                      {"body_bytes", reader_.body().size()}});
     }
+    refused_ = true;
     reader_.reset();
     std::string{}.swap(early_);
     in_share_.reset();
@@ -433,7 +476,7 @@
             }
             if (error)
             {
-                return self->close();
+                return self->close(close_cause::caller_left);
             }
             self->on_some_sent(length);
         });
--- a/src/transport/http1_connection.hpp
+++ b/src/transport/http1_connection.hpp
@@ -92,6 +92,20 @@
 
 inline constexpr std::size_t connection_read_bytes = 8'192;
 
+/// Why a caller's connection is closed.
+enum class close_cause : std::uint8_t
+{
+    caller_left,
+    after_response,  ///< It was not to be kept.
+    idle,            ///< For longer than allowed.
+    replaced,        ///< By a new connection.
+    no_room,         ///< In the byte budget, for what waits to be sent.
+    unread_response, ///< More of it waits than a caller may leave unread.
+    aborted,         ///< The response cannot be completed.
+    dropped,         ///< By its handler, without a response.
+    stop             ///< Of the server.
+};
+
 /// One caller's connection.
 class server_connection : public std::enable_shared_from_this<server_connection>
 {
@@ -109,7 +123,8 @@
     /// The answer is complete.
     void answered(bool keep);
 
-    void close();
+    /// Logs a request that gets no response by it, unless its caller has left.
+    void close(close_cause cause);
 
     /// The server is gone.
     void orphan();
@@ -209,10 +224,11 @@
     asio::steady_timer timer_;
     http1_reader reader_;
     std::array<char, connection_read_bytes> in_{};
-    std::string early_;       ///< Read and not yet parsed.
-    std::string out_;         ///< Being written.
-    std::size_t sent_ = 0;    ///< Of these.
-    std::uint64_t taken_ = 0; ///< By the kernel, since the start.
+    std::string early_;         ///< Read and not yet parsed.
+    std::string out_;           ///< Being written.
+    std::size_t sent_ = 0;      ///< Of these.
+    std::uint64_t taken_ = 0;   ///< By the kernel, since the start.
+    std::size_t discarded_ = 0; ///< Read after the last response.
     std::string next_out_;
     std::unique_ptr<byte_share> in_share_;
     std::unique_ptr<byte_share> out_share_;
@@ -223,6 +239,7 @@
     bool paused_ = false; ///< Nothing is read until the answer has ended.
     bool writing_ = false;
     bool closing_ = false;
+    bool refused_ = false;
     bool lingering_ = false;
     bool closed_ = false;
 };
--- a/src/transport/http1_exchange.cpp
+++ b/src/transport/http1_exchange.cpp
@@ -14,7 +14,7 @@
 {
     if (connection)
     {
-        connection->close();
+        connection->close(close_cause::dropped);
     }
 }
 
@@ -105,7 +105,7 @@
     state_->held->body += piece;
     if (state_->held->body.size() > connection->max_unsent_bytes())
     {
-        connection->close();
+        connection->close(close_cause::unread_response);
     }
 }
 
@@ -138,7 +138,7 @@
     }
     state_->left = nullptr;
     const auto connection = state_->connection;
-    connection->close();
+    connection->close(close_cause::aborted);
 }
 
 void http1_exchange::close_after()
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -40,7 +40,7 @@
     }
     if (longest)
     {
-        longest->close();
+        longest->close(close_cause::replaced);
     }
 }
 
@@ -150,7 +150,7 @@
     {
         if (connection->idle())
         {
-            connection->close();
+            connection->close(close_cause::stop);
         }
     }
 }
