Test: a request on a connection that a response keeps, during a stop

The head of a stream that began before the stop has no "Connection: close", and its end closes the connection all the same.

--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -322,6 +322,29 @@
     STRCMP_EQUAL("HTTP/1.1 431", request(3'000).c_str());
 }
 
+TEST(http1_server_tests, drain_closes_no_connection_that_a_response_keeps)
+{
+    answer_at_once = false;
+    const auto caller = tests::raw_call(loop, port);
+    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_TRUE(tests::run_until(loop, [&] { return !held.empty(); }));
+    held.back().begin(200, {});
+    held.back().write("piece");
+    server->drain();
+    answer_at_once = true;
+    held.back().finish();
+    CHECK_TRUE(tests::run_until(loop, [&] {
+        return caller->received.find("\r\n0\r\n") != std::string::npos;
+    }));
+    CHECK_TRUE(caller->received.find("Connection: close") == std::string::npos);
+    caller->received.clear();
+    caller->send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return caller->closed; }, 3s));
+    LONGS_EQUAL(1, answers(*caller));
+    STRCMP_CONTAINS("Connection: close", caller->received.c_str());
+}
+
 TEST(http1_server_tests, idle_connections_are_closed)
 {
     const auto caller = tests::raw_call(loop, port);
