A stop closes no connection that a response offered to keep

What callers saw: a request that was sent on a kept connection, right after a stream had ended there, got no answer when the entry was told to stop while the stream ran. The entry read the request, threw it away and closed the connection half a second later; a caller that must not repeat it lost it.

Cause: whether a connection is kept was decided twice, when the head of the response was written and again when its body had ended. A stop between the two turned the second decision, and the caller knows only the first.

The head's decision holds now. A stop shows in the next response that begins, which says "Connection: close"; late in the grace period that is 503 with "not run". Responses with a length were not affected: both decisions fell at the same moment. A connection that is kept counts as idle, so no process ends later for it.

--- a/src/transport/http1_connection.cpp
+++ b/src/transport/http1_connection.cpp
@@ -130,7 +130,7 @@
     --server_->open_requests;
     reader_.reset();
     wait_for_request();
-    if (!keep || server_->stopped)
+    if (!keep)
     {
         closing_ = true;
         std::string{}.swap(early_);
--- a/src/transport/http1_connection.hpp
+++ b/src/transport/http1_connection.hpp
@@ -83,7 +83,6 @@
     std::set<std::shared_ptr<server_connection>> connections;
     std::size_t open_requests = 0;
     bool draining = false;
-    bool stopped = false;
 };
 
 // [connection] ---------------------------------------------------------------
--- a/src/transport/http1_exchange.cpp
+++ b/src/transport/http1_exchange.cpp
@@ -22,7 +22,8 @@
 {
     left = nullptr;
     const auto from = std::exchange(connection, nullptr);
-    from->answered(from->keep_offered() && !close_after);
+    // As its head said: the caller may have sent the next request already.
+    from->answered(!close_after);
 }
 
 http1_exchange::http1_exchange(std::shared_ptr<impl> state) noexcept
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -141,7 +141,6 @@
 
 void http1_server::stop_accepting()
 {
-    impl_->stopped = true;
     impl_->draining = true;
     asio::error_code ignored;
     impl_->acceptor.close(ignored);
