A stop answers requests that were read behind an open one

What callers saw: a caller that sends its next request before it has the response to the last one got no answer to it when the entry was told to stop meanwhile. The entry had read the request, maybe seconds before.

The response to the first request said "Connection: close" as soon as the stop had begun, and what had been read behind it was thrown away with the connection.

While bytes of a later request are held, a response keeps its connection, also during a stop; the last one closes it. Requests late in the grace period get their own 503, "not run"; the gateway no longer closes the connection by a second rule. The end of the grace period bounds a caller that never stops.

--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -297,7 +297,6 @@
         core.settings.grace * serving_share_of_grace);
     if (draining && drain_elapsed() >= serving_period)
     {
-        exchange.close_after();
         return exchange.send(
             {503, {{"Retry-After", "0.1"}}, "not_run: stop\n"});
     }
--- a/src/transport/http1_connection.hpp
+++ b/src/transport/http1_connection.hpp
@@ -149,9 +149,11 @@
         return server_->settings.max_unsent_bytes;
     }
 
+    /// @return Whether a response that begins now may keep the connection. A
+    ///     stop waits for the responses to what was read already.
     [[nodiscard]] bool keep_offered() const noexcept
     {
-        return reader_.keeps_alive() && !server_->draining;
+        return reader_.keeps_alive() && (!server_->draining || !early_.empty());
     }
 
 private:
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -345,6 +345,23 @@
     STRCMP_CONTAINS("Connection: close", caller->received.c_str());
 }
 
+TEST(http1_server_tests, drain_discards_no_request_that_was_read)
+{
+    answer_at_once = false;
+    const auto caller = tests::raw_call(loop, port);
+    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                 "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_TRUE(tests::run_until(loop, [&] { return !held.empty(); }));
+    server->drain();
+    answer_at_once = true;
+    held.back().send({200, {}, "done"});
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return caller->closed; }, 3s));
+    LONGS_EQUAL(2, answers(*caller));
+    const auto last = caller->received.rfind("HTTP/1.1 200");
+    CHECK_TRUE(caller->received.find("Connection: close") > last);
+}
+
 TEST(http1_server_tests, idle_connections_are_closed)
 {
     const auto caller = tests::raw_call(loop, port);
