--- a/tests/cut_off_entry_test.cpp
+++ b/tests/cut_off_entry_test.cpp
@@ -76,8 +76,13 @@
                     answer(connection, std::exchange(connection.received, {}));
                 }
             }));
-        auto listed = tests::listed(fmt::format("w{}", index));
-        listed.address = servers.back()->address();
+        add_listed(fmt::format("w{}", index), servers.back()->address());
+    }
+
+    void add_listed(const std::string& id, const std::string& address)
+    {
+        auto listed = tests::listed(id);
+        listed.address = address;
         listed.slots = 8;
         cluster.list.push_back(listed);
     }
@@ -199,6 +204,21 @@
     check_callers_are_served();
 }
 
+// Guards against sound gateways that take silent servers for a sign that they
+// are cut off themselves, and so are no helpers any more.
+TEST(cut_off_entry_tests, callers_are_served_beside_silent_servers)
+{
+    const auto sound = std::exchange(cluster.list, {});
+    const tests::silent_listener first{loop()};
+    const tests::silent_listener second{loop()};
+    add_listed("silent0", first.address());
+    add_listed("silent1", second.address());
+    start_gateways(gateway_count / 2);
+    play(1s); // All gateways learn that the two are silent.
+    cluster.list.insert(cluster.list.end(), sound.begin(), sound.end());
+    check_callers_are_served();
+}
+
 TEST(cut_off_entry_tests, planned_stop_of_a_helper_cuts_off_no_relayed_request)
 {
     start_gateways(gateway_count - 2);
--- a/tests/raw_peer.hpp
+++ b/tests/raw_peer.hpp
@@ -6,7 +6,7 @@
 /// test scripts byte by byte, and a caller that sends bytes in pieces. All on
 /// the loop of the test.
 ///
-/// Index: [raw_connection] [raw_listener] [raw_caller]
+/// Index: [raw_connection] [raw_listener] [silent_listener] [raw_caller]
 
 #include <array>
 #include <functional>
@@ -145,6 +145,37 @@
     asio::ip::tcp::acceptor acceptor_;
 };
 
+// [silent_listener] ----------------------------------------------------------
+
+/// Neither accepts nor refuses connections, like an instance without power.
+class silent_listener
+{
+public:
+    explicit silent_listener(transport::event_loop& loop)
+        : acceptor_(loop.context())
+    {
+        acceptor_.open(asio::ip::tcp::v4());
+        acceptor_.bind({asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen(0);
+        // With a full queue the kernel answers no further connection.
+        for (int count = 0; count < 4; ++count)
+        {
+            waiting_.emplace_back(loop.context());
+            waiting_.back().async_connect(acceptor_.local_endpoint(),
+                                          [](const auto&) {});
+        }
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+private:
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<asio::ip::tcp::socket> waiting_;
+};
+
 // [raw_caller] ---------------------------------------------------------------
 
 /// Connects to a port of this machine, by default at 127.0.0.1.
--- a/tests/server_reach_test.cpp
+++ b/tests/server_reach_test.cpp
@@ -92,6 +92,36 @@
     CHECK_TRUE(reach.cut_off());
 }
 
+// Connections that are kept say nothing of new ones, so a gateway may have
+// reached no server for long when two of them fail.
+TEST(server_reach_tests, doubt_about_the_own_paths_is_settled_by_a_probe)
+{
+    reach.on_reached(now, "w5");
+    reach.on_unreached(now + 1s, "w0");
+    reach.on_unreached(now + 1s, "w1");
+    const auto due = reach.due_probes(now + 1s + 1ms);
+    const auto other =
+        std::find_if(due.begin(), due.end(), [](const auto& server) {
+            return server != "w0" && server != "w1";
+        });
+    CHECK_TRUE(other != due.end());
+    reach.on_reached(now + 1s + 2ms, *other);
+    CHECK_FALSE(reach.cut_off());
+    CHECK_FALSE(reach.relay_for(now + 1s + 3ms, "w5").has_value());
+}
+
+// Guards against callers who wait for the dead paths of their gateway: two
+// servers that a helper called down once hid the cut from all others.
+TEST(server_reach_tests, servers_that_are_down_do_not_hide_a_cut)
+{
+    reach.on_unreached(now, "w0");
+    reach.on_unreached(now, "w1");
+    reach.on_helper_unreached(now, "w0");
+    reach.on_helper_unreached(now, "w1");
+    CHECK_TRUE(reach.relay_for(now, "w2").has_value());
+    CHECK_FALSE(reach.relay_for(now, "w1").has_value());
+}
+
 TEST(server_reach_tests, failed_helper_is_paused_and_a_connected_one_preferred)
 {
     reach.on_unreached(now, "w0");
