--- a/include/hyssopdeal/coordination/gateway/server_reach.hpp
+++ b/include/hyssopdeal/coordination/gateway/server_reach.hpp
@@ -8,12 +8,18 @@
 ///
 /// Index: [settings] [server_reach]
 ///
-/// One server that cannot be connected to is probably down. When several cannot
-/// and none was reached since, the fault is probably this gateway's own: new
-/// connections then go through helpers, which are other gateways that the
-/// leader names. A helper that does not reach the server either shows that the
-/// server is down. Servers that were not reached directly are probed until they
-/// are.
+/// Three facts are kept apart, as none of them follows from another:
+/// - Which servers this gateway did not reach directly, and since when. One
+///   alone is probably down. To several, new connections go through helpers,
+///   which are other gateways that the leader names.
+/// - Whether any server was reached since several failed. If none was, the
+///   fault is probably this gateway's own: connections to all servers go
+///   through helpers, and this gateway is no helper to others. Connections that
+///   are kept say nothing of new ones, so another server is probed at once.
+/// - Which servers a helper, which reaches others, did not reach either: they
+///   are down, and helpers are not asked for them for a while.
+///
+/// Servers that were not reached directly are probed until they are.
 
 #include <chrono>
 #include <cstddef>
@@ -90,16 +96,16 @@
     relay_for(transport::monotonic_time now, const std::string& server,
               const relay_filter& connected = {});
 
-    /// @return Whether this gateway is partitioned from servers, so that its
-    ///     view of them says little about them.
-    [[nodiscard]] bool partitioned(transport::monotonic_time now) const;
+    /// @return Whether several servers were not reached directly: because they
+    ///     are down, or because this gateway is partitioned from them.
+    [[nodiscard]] bool partitioned() const;
 
-    /// @return Whether so many servers could not be reached since any was that
-    ///     this gateway is of no help to others.
+    /// @return Whether no server was reached directly since several failed, so
+    ///     that this gateway is of no help to others.
     [[nodiscard]] bool cut_off() const;
 
     /// @return Servers to connect to now, to learn whether they are reached
-    ///     directly again.
+    ///     directly again or, while it is in doubt, whether any is.
     [[nodiscard]] std::vector<std::string>
     due_probes(transport::monotonic_time now);
 
@@ -112,17 +118,18 @@
 private:
     struct unreached_server
     {
-        transport::monotonic_time first_at{}; ///< It was not reached.
         transport::monotonic_time since{};
         transport::monotonic_time probed_at{};
-        /// A helper did not reach it; until then it is not relayed to.
-        transport::monotonic_time down_until{};
     };
 
+    [[nodiscard]] std::optional<std::string> draw_not_failed();
+
     server_reach_settings settings_;
     std::mt19937_64 random_;
     std::map<std::string, std::string> listed_;         ///< Addresses by id.
     std::map<std::string, unreached_server> unreached_; ///< By id.
+    /// By id: helpers are not asked for the server until then.
+    std::map<std::string, transport::monotonic_time> down_until_;
     /// By relay address: not used until then.
     std::map<std::string, transport::monotonic_time> helpers_;
     transport::monotonic_time reached_at_{}; ///< Any server, directly.
--- a/include/hyssopdeal/protocol/follow_messages.hpp
+++ b/include/hyssopdeal/protocol/follow_messages.hpp
@@ -182,7 +182,7 @@
 struct relay_report
 {
     std::string address;      ///< Of its relay, `IP:port`; empty: none.
-    bool partitioned = false; ///< From servers, so that it cannot help others.
+    bool partitioned = false; ///< From all servers: it cannot help others.
     std::vector<std::string> helpers; ///< Relays that it was told of.
 };
 
--- a/src/coordination/gateway/gateway_core.cpp
+++ b/src/coordination/gateway/gateway_core.cpp
@@ -231,7 +231,7 @@
     result.brittle = servers.brittle().report(now);
     result.evacuation_revision = servers.evacuated().revision();
     result.work = work.totals();
-    result.relay = {relay_address, reach.partitioned(now), reach.helpers()};
+    result.relay = {relay_address, reach.cut_off(), reach.helpers()};
     if (purpose == report_purpose::inform_leader)
     {
         crashes.mark_reported(now);
--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -425,11 +425,9 @@
         }
         core.client.probe(server->second->listed.address, time_limit,
                           [this, id](bool reached) {
-                              if (reached)
-                              {
-                                  core.reach.on_reached(clock.monotonic_now(),
-                                                        id);
-                              }
+                              const auto ended = clock.monotonic_now();
+                              reached ? core.reach.on_reached(ended, id)
+                                      : core.reach.on_unreached(ended, id);
                           });
     }
 }
--- a/src/coordination/gateway/server_reach.cpp
+++ b/src/coordination/gateway/server_reach.cpp
@@ -28,16 +28,19 @@
     {
         next[server.id] = server.address;
     }
-    std::erase_if(unreached_, [&](const auto& item) {
+    const auto has_left = [&](const auto& item) {
         const auto listed = next.find(item.first);
         return listed == next.end() || listed->second != listed_[item.first];
-    });
+    };
+    std::erase_if(unreached_, has_left);
+    std::erase_if(down_until_, has_left);
     listed_ = std::move(next);
 }
 
 void server_reach::on_reached(monotonic_time now, const std::string& server)
 {
     reached_at_ = now;
+    down_until_.erase(server);
     if (unreached_.erase(server) > 0)
     {
         log_event("server.reached_directly",
@@ -53,34 +56,26 @@
     {
         return;
     }
-    const bool before = partitioned(now);
-    auto& state = unreached_[server];
-    if (state.since == monotonic_time{})
-    {
-        state.first_at = now;
-        state.probed_at = now;
-    }
-    state.since = now;
-    if (!before && partitioned(now))
+    const bool before = partitioned();
+    if (unreached_.try_emplace(server, unreached_server{now, now}).second &&
+        !before && partitioned())
     {
         log_event("servers.partitioned", {{"unreached", unreached_.size()},
+                                          {"cut_off", cut_off()},
                                           {"helpers", helpers_.size()}});
     }
 }
 
-bool server_reach::partitioned(monotonic_time now) const
+bool server_reach::partitioned() const
 {
-    return static_cast<std::size_t>(std::count_if(
-               unreached_.begin(), unreached_.end(), [&](const auto& item) {
-                   return item.second.down_until <= now;
-               })) >= settings_.min_unreached;
+    return unreached_.size() >= settings_.min_unreached;
 }
 
 bool server_reach::cut_off() const
 {
     return static_cast<std::size_t>(std::count_if(
                unreached_.begin(), unreached_.end(), [&](const auto& item) {
-                   return item.second.first_at > reached_at_;
+                   return item.second.since > reached_at_;
                })) >= settings_.min_unreached;
 }
 
@@ -133,9 +128,7 @@
 {
     if (listed_.contains(server))
     {
-        auto& state = unreached_[server];
-        state.since = now;
-        state.down_until = now + settings_.server_pause;
+        down_until_[server] = now + settings_.server_pause;
     }
 }
 
@@ -143,22 +136,10 @@
 server_reach::relay_for(monotonic_time now, const std::string& server,
                         const relay_filter& connected)
 {
-    if (!partitioned(now))
-    {
-        return std::nullopt;
-    }
-    const auto state = unreached_.find(server);
-    const auto latest_failure =
-        std::max_element(unreached_.begin(), unreached_.end(),
-                         [](const auto& left, const auto& right) {
-                             return left.second.since < right.second.since;
-                         });
-    // Another server was reached since, so this one probably is too.
-    const bool reachable =
-        state == unreached_.end() && reached_at_ > latest_failure->second.since;
-    const bool down =
-        state != unreached_.end() && state->second.down_until > now;
-    if (reachable || down)
+    const auto down = down_until_.find(server);
+    const bool may_help =
+        unreached_.contains(server) ? partitioned() : cut_off();
+    if (!may_help || (down != down_until_.end() && down->second > now))
     {
         return std::nullopt;
     }
@@ -209,7 +190,30 @@
             due.push_back(at->first);
         }
     }
+    if (const auto other = cut_off() ? draw_not_failed() : std::nullopt)
+    {
+        due.push_back(*other);
+    }
     return due;
 }
 
+/// @return A random server to which no connection has failed.
+std::optional<std::string> server_reach::draw_not_failed()
+{
+    std::vector<std::string> others;
+    for (const auto& [id, address] : listed_)
+    {
+        if (!unreached_.contains(id))
+        {
+            others.push_back(id);
+        }
+    }
+    if (others.empty())
+    {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> draw{0, others.size() - 1};
+    return others[draw(random_)];
+}
+
 } // namespace hyssopdeal::coordination
--- a/tests/server_reach_test.cpp
+++ b/tests/server_reach_test.cpp
@@ -40,7 +40,7 @@
 TEST(server_reach_tests, one_unreached_server_is_not_relayed_to)
 {
     reach.on_unreached(now, "w0");
-    CHECK_FALSE(reach.partitioned(now));
+    CHECK_FALSE(reach.partitioned());
     CHECK_FALSE(reach.relay_for(now, "w0").has_value());
 }
 
