Kept connections of a stopping server end soon unless a request comes

A connection that was kept by a response which began before the stop is closed 200 ms after that response has left, unless a request has come: the ones on their way are answered, later ones go to other entries. A response that its caller still reads keeps the connection as before.

--- a/include/hyssopdeal/transport/http1_server.hpp
+++ b/include/hyssopdeal/transport/http1_server.hpp
@@ -136,8 +136,8 @@
     /// Changes the limits for what is read from now on.
     void set_limits(const http1_caller_limits& limits);
 
-    /// Ends connections after the next answer that begins; new ones are still
-    /// accepted.
+    /// Ends connections after the next answer that begins, or soon after one
+    /// that had begun; new ones are still accepted.
     void drain();
 
     /// Stops accepting and closes connections that have no open request.
--- a/src/transport/http1_connection.cpp
+++ b/src/transport/http1_connection.cpp
@@ -30,6 +30,9 @@
 constexpr std::size_t max_backlog_bytes = 65'536;
 // An answer's caller who reads is not cut when the budget is short.
 constexpr milliseconds unread_time{500};
+// After a response that keeps its connection although the server drains: longer
+// than a round trip to a caller, whose next request may be on its way.
+constexpr milliseconds drain_idle_limit{200};
 // How long a refused caller may go on sending, so that it reads the refusal
 // before the reset that closing with unread bytes would send.
 constexpr milliseconds linger_time{500};
@@ -129,6 +132,7 @@
     paused_ = false;
     --server_->open_requests;
     reader_.reset();
+    ends_soon_ = keep && server_->draining;
     wait_for_request();
     if (!keep)
     {
@@ -219,7 +223,13 @@
 void server_connection::wait_for_request()
 {
     waits_since_ = now();
-    wait(server_->settings.limits.idle_time_limit);
+    wait(idle_limit());
+}
+
+milliseconds server_connection::idle_limit() const
+{
+    const auto limit = server_->settings.limits.idle_time_limit;
+    return ends_soon_ && idle() ? std::min(limit, drain_idle_limit) : limit;
 }
 
 void server_connection::wait(milliseconds limit)
@@ -248,8 +258,7 @@
         return refuse(408, "The request did not arrive in time.");
     }
     // The limit may have been raised while the connection was idle.
-    const auto left =
-        waits_since_ + server_->settings.limits.idle_time_limit - now();
+    const auto left = waits_since_ + idle_limit() - now();
     if (!closing_ && left > left.zero())
     {
         return wait(std::chrono::ceil<milliseconds>(left));
@@ -489,7 +498,7 @@
     out_share_->progress(now(), unlimited);
     if (open_.expired() && !reader_.started())
     {
-        wait(server_->settings.limits.idle_time_limit);
+        wait(idle_limit());
     }
     if (sent_ < out_.size())
     {
@@ -503,6 +512,10 @@
     }
     hold_unsent(0);
     flush();
+    if (ends_soon_ && idle())
+    {
+        wait_for_request();
+    }
     // Requests may have waited for their predecessors' answers.
     if (!closing_ && open_.expired())
     {
--- a/src/transport/http1_connection.hpp
+++ b/src/transport/http1_connection.hpp
@@ -187,6 +187,9 @@
 
     void wait_for_request();
 
+    /// @return How long the connection may wait for its next request.
+    [[nodiscard]] std::chrono::milliseconds idle_limit() const;
+
     void wait(std::chrono::milliseconds limit);
 
     void on_time();
@@ -241,6 +244,7 @@
     bool writing_ = false;
     bool closing_ = false;
     bool refused_ = false;
+    bool ends_soon_ = false; ///< Unless a request comes.
     bool lingering_ = false;
     bool closed_ = false;
 };
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -345,6 +345,46 @@
     STRCMP_CONTAINS("Connection: close", caller->received.c_str());
 }
 
+// Callers would go on to use a server that is to end.
+TEST(http1_server_tests, drain_soon_closes_an_idle_connection_that_was_kept)
+{
+    answer_at_once = false;
+    transport::http1_caller_limits limits;
+    limits.idle_time_limit = 10s;
+    server->set_limits(limits);
+    const auto caller = tests::raw_call(loop, port);
+    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_TRUE(tests::run_until(loop, [&] { return !held.empty(); }));
+    held.back().begin(200, {});
+    server->drain();
+    held.back().finish();
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return caller->closed; }, 1s));
+    STRCMP_CONTAINS("\r\n0\r\n", caller->received.c_str());
+}
+
+TEST(http1_server_tests, drain_waits_for_the_reader_of_a_kept_response)
+{
+    answer_at_once = false;
+    transport::http1_caller_limits limits;
+    limits.idle_time_limit = 10s;
+    server->set_limits(limits);
+    asio::ip::tcp::socket caller{loop.context()};
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size{4'096});
+    caller.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(caller,
+                asio::buffer(std::string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n"}));
+    CHECK_TRUE(tests::run_until(loop, [&] { return !held.empty(); }));
+    held.back().begin(200, {});
+    server->drain();
+    const std::size_t beyond_socket_buffers = 4'000'000;
+    held.back().write(std::string(beyond_socket_buffers, 'x'));
+    held.back().finish();
+    loop.run_for(800ms);
+    LONGS_EQUAL(1, server->busy_connections());
+}
+
 TEST(http1_server_tests, drain_discards_no_request_that_was_read)
 {
     answer_at_once = false;
