--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -297,7 +297,6 @@
         core.settings.grace * serving_share_of_grace);
     if (draining && drain_elapsed() >= serving_period)
     {
-        exchange.close_after();
         return exchange.send(
             {503, {{"Retry-After", "0.1"}}, "not_run: stop\n"});
     }
@@ -426,11 +425,9 @@
         }
         core.client.probe(server->second->listed.address, time_limit,
                           [this, id](bool reached) {
-                              if (reached)
-                              {
-                                  core.reach.on_reached(clock.monotonic_now(),
-                                                        id);
-                              }
+                              const auto ended = clock.monotonic_now();
+                              reached ? core.reach.on_reached(ended, id)
+                                      : core.reach.on_unreached(ended, id);
                           });
     }
 }
--- a/src/transport/http1_connection.cpp
+++ b/src/transport/http1_connection.cpp
@@ -30,10 +30,40 @@
 constexpr std::size_t max_backlog_bytes = 65'536;
 // An answer's caller who reads is not cut when the budget is short.
 constexpr milliseconds unread_time{500};
+// After a response that keeps its connection although the server drains: longer
+// than a round trip to a caller, whose next request may be on its way.
+constexpr milliseconds drain_idle_limit{200};
 // How long a refused caller may go on sending, so that it reads the refusal
 // before the reset that closing with unread bytes would send.
 constexpr milliseconds linger_time{500};
 
+/// @return The cause as it is logged.
+std::string_view to_string(close_cause cause)
+{
+    switch (cause)
+    {
+    case close_cause::caller_left:
+        return "caller_left";
+    case close_cause::after_response:
+        return "after_response";
+    case close_cause::idle:
+        return "idle";
+    case close_cause::replaced:
+        return "replaced";
+    case close_cause::no_room:
+        return "no_room";
+    case close_cause::unread_response:
+        return "unread_response";
+    case close_cause::aborted:
+        return "aborted";
+    case close_cause::dropped:
+        return "dropped";
+    case close_cause::stop:
+        return "stop";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 server_connection::server_connection(server_impl& server, tcp::socket socket)
@@ -51,7 +81,9 @@
         // Not at once: whoever the caller is an exchange of may be what
         // asks for room.
         asio::post(self.socket_.get_executor(),
-                   [kept = self.shared_from_this()] { kept->close(); });
+                   [kept = self.shared_from_this()] {
+                       kept->close(close_cause::no_room);
+                   });
     });
     out_share_->watch_reader([this] {
         return taken_ -
@@ -76,7 +108,7 @@
     next_out_.append(bytes);
     if (next_out_.size() > server_->settings.max_unsent_bytes)
     {
-        return close();
+        return close(close_cause::unread_response);
     }
     flush();
 }
@@ -100,8 +132,9 @@
     paused_ = false;
     --server_->open_requests;
     reader_.reset();
+    ends_soon_ = keep && server_->draining;
     wait_for_request();
-    if (!keep || server_->stopped)
+    if (!keep)
     {
         closing_ = true;
         std::string{}.swap(early_);
@@ -114,13 +147,21 @@
     }
 }
 
-void server_connection::close()
+void server_connection::close(close_cause cause)
 {
     if (closed_)
     {
         return;
     }
     closed_ = true;
+    const bool open = !open_.expired() || cause == close_cause::dropped;
+    const bool unanswered = open || (discarded_ > 0 && !refused_);
+    if (unanswered && cause != close_cause::caller_left)
+    {
+        log_event("caller.cut", {{"cause", to_string(cause)},
+                                 {"open_request", open},
+                                 {"discarded_bytes", discarded_}});
+    }
     const auto keep_alive = shared_from_this();
     asio::error_code ignored;
     socket_.close(ignored);
@@ -143,7 +184,7 @@
 
 void server_connection::orphan()
 {
-    close();
+    close(close_cause::stop);
     server_ = nullptr;
 }
 
@@ -182,7 +223,13 @@
 void server_connection::wait_for_request()
 {
     waits_since_ = now();
-    wait(server_->settings.limits.idle_time_limit);
+    wait(idle_limit());
+}
+
+milliseconds server_connection::idle_limit() const
+{
+    const auto limit = server_->settings.limits.idle_time_limit;
+    return ends_soon_ && idle() ? std::min(limit, drain_idle_limit) : limit;
 }
 
 void server_connection::wait(milliseconds limit)
@@ -211,13 +258,12 @@
         return refuse(408, "The request did not arrive in time.");
     }
     // The limit may have been raised while the connection was idle.
-    const auto left =
-        waits_since_ + server_->settings.limits.idle_time_limit - now();
+    const auto left = waits_since_ + idle_limit() - now();
     if (!closing_ && left > left.zero())
     {
         return wait(std::chrono::ceil<milliseconds>(left));
     }
-    close();
+    close(closing_ ? close_cause::after_response : close_cause::idle);
 }
 
 void server_connection::read()
@@ -238,9 +284,14 @@
             }
             if (error)
             {
-                return self->close();
+                return self->close(self->closing_ ? close_cause::after_response
+                                                  : close_cause::caller_left);
+            }
+            if (self->closing_)
+            {
+                self->discarded_ += length;
             }
-            if (!self->closing_)
+            else
             {
                 self->take(length);
             }
@@ -386,6 +437,7 @@
                                      {"target_bytes", reader_.target().size()},
                                      {"body_bytes", reader_.body().size()}});
     }
+    refused_ = true;
     reader_.reset();
     std::string{}.swap(early_);
     in_share_.reset();
@@ -433,7 +485,7 @@
             }
             if (error)
             {
-                return self->close();
+                return self->close(close_cause::caller_left);
             }
             self->on_some_sent(length);
         });
@@ -446,7 +498,7 @@
     out_share_->progress(now(), unlimited);
     if (open_.expired() && !reader_.started())
     {
-        wait(server_->settings.limits.idle_time_limit);
+        wait(idle_limit());
     }
     if (sent_ < out_.size())
     {
@@ -460,6 +512,10 @@
     }
     hold_unsent(0);
     flush();
+    if (ends_soon_ && idle())
+    {
+        wait_for_request();
+    }
     // Requests may have waited for their predecessors' answers.
     if (!closing_ && open_.expired())
     {
--- a/src/transport/http1_connection.hpp
+++ b/src/transport/http1_connection.hpp
@@ -83,7 +83,6 @@
     std::set<std::shared_ptr<server_connection>> connections;
     std::size_t open_requests = 0;
     bool draining = false;
-    bool stopped = false;
 };
 
 // [connection] ---------------------------------------------------------------
@@ -92,6 +91,20 @@
 
 inline constexpr std::size_t connection_read_bytes = 8'192;
 
+/// Why a caller's connection is closed.
+enum class close_cause : std::uint8_t
+{
+    caller_left,
+    after_response,  ///< It was not to be kept.
+    idle,            ///< For longer than allowed.
+    replaced,        ///< By a new connection.
+    no_room,         ///< In the byte budget, for what waits to be sent.
+    unread_response, ///< More of it waits than a caller may leave unread.
+    aborted,         ///< The response cannot be completed.
+    dropped,         ///< By its handler, without a response.
+    stop             ///< Of the server.
+};
+
 /// One caller's connection.
 class server_connection : public std::enable_shared_from_this<server_connection>
 {
@@ -109,7 +122,8 @@
     /// The answer is complete.
     void answered(bool keep);
 
-    void close();
+    /// Logs a request that gets no response by it, unless its caller has left.
+    void close(close_cause cause);
 
     /// The server is gone.
     void orphan();
@@ -135,9 +149,11 @@
         return server_->settings.max_unsent_bytes;
     }
 
+    /// @return Whether a response that begins now may keep the connection. A
+    ///     stop waits for the responses to what was read already.
     [[nodiscard]] bool keep_offered() const noexcept
     {
-        return reader_.keeps_alive() && !server_->draining;
+        return reader_.keeps_alive() && (!server_->draining || !early_.empty());
     }
 
 private:
@@ -171,6 +187,9 @@
 
     void wait_for_request();
 
+    /// @return How long the connection may wait for its next request.
+    [[nodiscard]] std::chrono::milliseconds idle_limit() const;
+
     void wait(std::chrono::milliseconds limit);
 
     void on_time();
@@ -209,10 +228,11 @@
     asio::steady_timer timer_;
     http1_reader reader_;
     std::array<char, connection_read_bytes> in_{};
-    std::string early_;       ///< Read and not yet parsed.
-    std::string out_;         ///< Being written.
-    std::size_t sent_ = 0;    ///< Of these.
-    std::uint64_t taken_ = 0; ///< By the kernel, since the start.
+    std::string early_;         ///< Read and not yet parsed.
+    std::string out_;           ///< Being written.
+    std::size_t sent_ = 0;      ///< Of these.
+    std::uint64_t taken_ = 0;   ///< By the kernel, since the start.
+    std::size_t discarded_ = 0; ///< Read after the last response.
     std::string next_out_;
     std::unique_ptr<byte_share> in_share_;
     std::unique_ptr<byte_share> out_share_;
@@ -223,6 +243,8 @@
     bool paused_ = false; ///< Nothing is read until the answer has ended.
     bool writing_ = false;
     bool closing_ = false;
+    bool refused_ = false;
+    bool ends_soon_ = false; ///< Unless a request comes.
     bool lingering_ = false;
     bool closed_ = false;
 };
--- a/src/transport/http1_exchange.cpp
+++ b/src/transport/http1_exchange.cpp
@@ -14,7 +14,7 @@
 {
     if (connection)
     {
-        connection->close();
+        connection->close(close_cause::dropped);
     }
 }
 
@@ -22,7 +22,8 @@
 {
     left = nullptr;
     const auto from = std::exchange(connection, nullptr);
-    from->answered(from->keep_offered() && !close_after);
+    // As its head said: the caller may have sent the next request already.
+    from->answered(!close_after);
 }
 
 http1_exchange::http1_exchange(std::shared_ptr<impl> state) noexcept
@@ -105,7 +106,7 @@
     state_->held->body += piece;
     if (state_->held->body.size() > connection->max_unsent_bytes())
     {
-        connection->close();
+        connection->close(close_cause::unread_response);
     }
 }
 
@@ -138,7 +139,7 @@
     }
     state_->left = nullptr;
     const auto connection = state_->connection;
-    connection->close();
+    connection->close(close_cause::aborted);
 }
 
 void http1_exchange::close_after()
--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -40,7 +40,7 @@
     }
     if (longest)
     {
-        longest->close();
+        longest->close(close_cause::replaced);
     }
 }
 
@@ -141,7 +141,6 @@
 
 void http1_server::stop_accepting()
 {
-    impl_->stopped = true;
     impl_->draining = true;
     asio::error_code ignored;
     impl_->acceptor.close(ignored);
@@ -150,7 +149,7 @@
     {
         if (connection->idle())
         {
-            connection->close();
+            connection->close(close_cause::stop);
         }
     }
 }
