Refuse numbers in messages that are no integers of their member's size

The input is a MessagePack list whose first element is a float.

Cause: nlohmann::json casts any number to the integer that is asked for. Fractions are cut off, negative counts wrap, and floats beyond the type are undefined behaviour, which x86-64 and arm64 resolve differently.

exact_json is nlohmann's class with a serializer that throws for a number that is no integer of the type, enums included; floats without a fraction are read as before. The decoders of messages use it, so no member can miss the check. Times that the platform and servers give may still have fractions. platform_fuzz also feeds what servers and the platform answer.

Both new tests failed before ("CHECK_FALSE(decode(2.5).has_value()) failed", "CHECK_FALSE(decode(0.5).has_value()) failed") and pass now.

--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Fuzzes what the platform's listeners and calls decode: the document, the
-/// instance list, version moves, settings, heads of requests, and the messages
-/// between our own processes.
+/// instance list, version moves, settings, heads of requests, what servers and
+/// the platform answer, and the messages between our own processes.
 
 #include <cstddef>
 #include <cstdint>
@@ -9,7 +9,9 @@
 
 #include <hyssopdeal/coordination/cluster/cluster_state.hpp>
 #include <hyssopdeal/coordination/gateway/event_splitter.hpp>
+#include <hyssopdeal/protocol/engine_orders.hpp>
 #include <hyssopdeal/protocol/follow_messages.hpp>
+#include <hyssopdeal/protocol/platform_api.hpp>
 
 #include "platform/documents.hpp"
 #include "platform/messages.hpp"
@@ -36,6 +38,10 @@
           {"X-Deadline-Ms", bytes},
           {"Connection", bytes}},
          ""});
+    (void)protocol::read_engine_status(bytes);
+    (void)protocol::read_engine_load(bytes);
+    (void)protocol::read_notices({200, {}, bytes});
+    (void)protocol::read_weight_answer({202, {}, bytes});
     (void)protocol::decode_entry_report(bytes);
     (void)protocol::decode_entry_orders(bytes);
     (void)protocol::unpack_text(bytes);
--- a/src/coordination/cluster/cluster_process_evacuation.cpp
+++ b/src/coordination/cluster/cluster_process_evacuation.cpp
@@ -54,7 +54,7 @@
         on_done(done);
     };
     impl_->submit(request_kind::put_evacuation,
-                  protocol::pack_message(nlohmann::json{
+                  protocol::pack_message(protocol::exact_json{
                       {"domain", domain}, {"evacuated", evacuated}}),
                   [finish](const auto& ended) {
                       ended ? finish({})
@@ -64,8 +64,8 @@
 
 /// Replicates an order. One that is in force already is replicated as well, so
 /// that the log decides between orders that arrive at the same time.
-void cluster_process::impl::propose_evacuation(const nlohmann::json& order,
-                                               const result_callback& on_done)
+void cluster_process::impl::propose_evacuation(
+    const protocol::exact_json& order, const result_callback& on_done)
 {
     put_evacuation_command command;
     order.at("domain").get_to(command.domain);
--- a/src/coordination/cluster/cluster_process_impl.hpp
+++ b/src/coordination/cluster/cluster_process_impl.hpp
@@ -22,8 +22,6 @@
 #include <set>
 #include <string>
 
-#include <nlohmann/json.hpp>
-
 #include <hyssopdeal/coordination/admission/reserve_ledger.hpp>
 #include <hyssopdeal/coordination/admission/shortage_controller.hpp>
 #include <hyssopdeal/coordination/cluster/brittle_directory.hpp>
@@ -36,6 +34,7 @@
 #include <hyssopdeal/coordination/cluster/version_rollout.hpp>
 #include <hyssopdeal/coordination/cold_start/cold_servers.hpp>
 #include <hyssopdeal/coordination/evacuation/evacuated_domains.hpp>
+#include <hyssopdeal/protocol/exact_json.hpp>
 #include <hyssopdeal/protocol/follow_messages.hpp>
 #include <hyssopdeal/protocol/peer_hub.hpp>
 #include <hyssopdeal/transport/digest.hpp>
@@ -164,7 +163,7 @@
     // cluster_process_evacuation.cpp
     [[nodiscard]] transport::result<void>
     check_domain(const std::string& domain) const;
-    void propose_evacuation(const nlohmann::json& order,
+    void propose_evacuation(const protocol::exact_json& order,
                             const result_callback& on_done);
     [[nodiscard]] std::set<std::string> evacuated() const;
     void log_entries_behind();
--- a/src/coordination/cluster/cluster_process_serving.cpp
+++ b/src/coordination/cluster/cluster_process_serving.cpp
@@ -5,8 +5,6 @@
 
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include <hyssopdeal/transport/event_log.hpp>
 
 #include "coordination/cluster/rollout_json.hpp"
@@ -15,7 +13,7 @@
 namespace hyssopdeal::coordination
 {
 
-using nlohmann::json;
+using json = protocol::exact_json;
 using protocol::pack_message;
 using protocol::peer_channel;
 using transport::fail;
@@ -23,7 +21,7 @@
 using transport::reason;
 using transport::verdict;
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(versioned_document, version, bytes)
+HYSSOPDEAL_EXACT_JSON(versioned_document, version, bytes)
 
 namespace
 {
--- a/src/coordination/cluster/cluster_state.cpp
+++ b/src/coordination/cluster/cluster_state.cpp
@@ -5,28 +5,24 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
-
 #include "coordination/cluster/rollout_json.hpp"
 #include "protocol/message_pack.hpp"
 
 namespace hyssopdeal::coordination
 {
 
-using nlohmann::json;
+using json = protocol::exact_json;
 using transport::fail;
 using transport::reason;
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_document_command, version, bytes)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(decide_usage_command, window, counts)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_rollout_command, record)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(set_entries_command, entries)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_record, parts, until_ms,
-                                   duration_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_quarantine_command, record)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(lift_quarantine_command, parts)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(put_evacuation_command, domain, evacuated,
-                                   at_ms)
+HYSSOPDEAL_EXACT_JSON(put_document_command, version, bytes)
+HYSSOPDEAL_EXACT_JSON(decide_usage_command, window, counts)
+HYSSOPDEAL_EXACT_JSON(put_rollout_command, record)
+HYSSOPDEAL_EXACT_JSON(set_entries_command, entries)
+HYSSOPDEAL_EXACT_JSON(quarantine_record, parts, until_ms, duration_ms)
+HYSSOPDEAL_EXACT_JSON(put_quarantine_command, record)
+HYSSOPDEAL_EXACT_JSON(lift_quarantine_command, parts)
+HYSSOPDEAL_EXACT_JSON(put_evacuation_command, domain, evacuated, at_ms)
 
 // [commands] -----------------------------------------------------------------
 
--- a/src/coordination/cluster/rollout_json.hpp
+++ b/src/coordination/cluster/rollout_json.hpp
@@ -7,9 +7,8 @@
 ///
 /// Index: [rollout_record]
 
-#include <nlohmann/json.hpp>
-
 #include <hyssopdeal/coordination/cluster/cluster_state.hpp>
+#include <hyssopdeal/protocol/exact_json.hpp>
 
 namespace hyssopdeal::coordination
 {
@@ -18,9 +17,8 @@
 
 // Missing members get their defaults: logs written by earlier versions lack the
 // members that were added last.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(rollout_record, service, target,
-                                                duration_ms, started_ms, state,
-                                                retired)
+HYSSOPDEAL_EXACT_JSON_WITH_DEFAULT(rollout_record, service, target, duration_ms,
+                                   started_ms, state, retired)
 
 } // namespace hyssopdeal::coordination
 
--- a/src/coordination/load_estimate_feed.cpp
+++ b/src/coordination/load_estimate_feed.cpp
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <hyssopdeal/protocol/exact_json.hpp>
+
 namespace hyssopdeal::coordination
 {
 
@@ -30,13 +33,15 @@
     return settings;
 }
 
-/// @return The named member, or the fallback if it is missing or no number.
-template <class Number>
-Number number_or(const json& object, const char* name, Number fallback)
+/// @return The named member, or the fallback if it is missing or no integer of
+/// that size.
+template <class Integer>
+Integer integer_or(const json& object, const char* name, Integer fallback)
 {
     const auto found = object.find(name);
-    return found != object.end() && found->is_number() ? found->get<Number>()
-                                                       : fallback;
+    return found == object.end()
+               ? fallback
+               : protocol::number_as<Integer>(*found).value_or(fallback);
 }
 
 /// @return The hexadecimal block hash of a cache event, or 0 if it is invalid.
@@ -173,15 +178,18 @@
         return;
     }
     // The age is clamped because the clocks of engine and node can differ.
-    const transport::wall_time taken_at{
-        milliseconds{number_or<std::int64_t>(report, "taken_at_ms", 0)}};
-    const auto age = std::clamp(clock_.wall_now() - taken_at, milliseconds{0},
-                                max_report_age);
+    const auto found = report.find("taken_at_ms");
+    const double taken_ms =
+        found != report.end() && found->is_number() ? found->get<double>() : 0;
+    const auto now_ms = clock_.wall_now().time_since_epoch().count();
+    const milliseconds age{
+        std::llround(std::clamp(static_cast<double>(now_ms) - taken_ms, 0.0,
+                                static_cast<double>(max_report_age.count())))};
     load_report load;
     load.taken_at = clock_.monotonic_now() - age;
-    load.running = number_or<std::uint32_t>(report, "running", 0);
-    load.queued = number_or<std::uint32_t>(report, "queued", 0);
-    load.slots = number_or<std::uint32_t>(report, "slots", 0);
+    load.running = integer_or<std::uint32_t>(report, "running", 0);
+    load.queued = integer_or<std::uint32_t>(report, "queued", 0);
+    load.slots = integer_or<std::uint32_t>(report, "slots", 0);
     router_.on_report(clock_.monotonic_now(), server, load);
     on_change_();
 }
@@ -202,7 +210,7 @@
             continue;
         }
         cache_event parsed;
-        parsed.number = number_or<std::uint64_t>(event, "number", 0);
+        parsed.number = integer_or<std::uint64_t>(event, "number", 0);
         parsed.block = parse_block_hash(event);
         const auto kind = event.find("kind");
         parsed.kind = kind != event.end() && *kind == "evicted"
@@ -214,7 +222,7 @@
         }
     }
     engine.next_event =
-        number_or<std::uint64_t>(response, "next", engine.next_event);
+        integer_or<std::uint64_t>(response, "next", engine.next_event);
 }
 
 } // namespace hyssopdeal::coordination
--- a/src/protocol/engine_orders.cpp
+++ b/src/protocol/engine_orders.cpp
@@ -1,4 +1,5 @@
 #include <hyssopdeal/protocol/engine_orders.hpp>
+#include <hyssopdeal/protocol/exact_json.hpp>
 #include <hyssopdeal/transport/json_text.hpp>
 
 #include <nlohmann/json.hpp>
@@ -37,7 +38,7 @@
     return name == "failed" ? load_state::failed : load_state::loading;
 }
 
-engine_status read_status(const nlohmann::json& body)
+engine_status read_status(const exact_json& body)
 {
     engine_status status;
     for (const auto& item : body.at("loaded"))
@@ -91,14 +92,14 @@
 {
     try
     {
-        auto status = read_status(nlohmann::json::parse(body));
+        auto status = read_status(exact_json::parse(body));
         if (status.versions.size() <= max_listed &&
             status.adapters.size() <= max_listed)
         {
             return status;
         }
     }
-    catch (const nlohmann::json::exception&)
+    catch (const exact_json::exception&)
     {
         // Told below: the answer is not understood.
     }
@@ -118,12 +119,12 @@
 {
     try
     {
-        const auto read = nlohmann::json::parse(body);
+        const auto read = exact_json::parse(body);
         return engine_load{read.at("running").get<std::uint32_t>(),
                            read.at("queued").get<std::uint32_t>(),
                            read.at("slots").get<std::uint32_t>()};
     }
-    catch (const nlohmann::json::exception&)
+    catch (const exact_json::exception&)
     {
         return transport::fail(transport::reason::broken_answer,
                                "The server's load is not understood.",
--- a/src/protocol/follow_messages.cpp
+++ b/src/protocol/follow_messages.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <new>
 
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
 #include <zlib.h>
 
@@ -15,9 +14,9 @@
 namespace hyssopdeal::protocol
 {
 
-using nlohmann::json;
+using json = exact_json;
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(usage_count, window, counts)
+HYSSOPDEAL_EXACT_JSON(usage_count, window, counts)
 
 // Numbers without names: most of what entries and replicas tell is loads.
 void to_json(json& out, const sent_load& value)
@@ -70,44 +69,35 @@
     from.at(5).get_to(value.late);
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(version_order, target, started_ms, running,
-                                   target_share, target_most, retired)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(version_counts, started_ms, sent,
-                                   target_sent, others_ended, others_bad,
-                                   target_ended, target_bad)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(broken_prompt, number, server, born,
-                                   sent_age_ms, broken_age_ms, parts)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(crash_report, broken, answered, disproved)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(prompt_quarantine, parts, remaining_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(crash_orders, suspects, quarantine)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stated_rate_limit, born, per_s, age_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rate_limit_report, stated, wanted)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(rate_limit_orders, stated, permits,
-                                   permits_valid_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cold_statement, born, remaining_ms, age_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cold_report, stated, wanted)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cold_orders, stated, permits,
-                                   permits_valid_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(brittle_service, rejections_per_s, age_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(relay_report, address, partitioned, helpers)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(organisation_reserve, held,
-                                                wanted, returned)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(reserve_report, number,
-                                                by_organisation)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(reserve_orders, number, tokens,
-                                                exhausted)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(rank_pressure, asked, late,
-                                                turn)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_server, id, born, service, address,
-                                   failure_domain, version, slots, state,
-                                   reclaimable, cold_remaining_ms, leaves_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(server_listing, digest, servers, read_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(token_request, organisation, tokens)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(token_answer, granted, wait_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_message, id, address, operators,
-                                   failure_domain)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_answer, state, leader, next_id,
-                                   replicas)
+HYSSOPDEAL_EXACT_JSON(version_order, target, started_ms, running, target_share,
+                      target_most, retired)
+HYSSOPDEAL_EXACT_JSON(version_counts, started_ms, sent, target_sent,
+                      others_ended, others_bad, target_ended, target_bad)
+HYSSOPDEAL_EXACT_JSON(broken_prompt, number, server, born, sent_age_ms,
+                      broken_age_ms, parts)
+HYSSOPDEAL_EXACT_JSON(crash_report, broken, answered, disproved)
+HYSSOPDEAL_EXACT_JSON(prompt_quarantine, parts, remaining_ms)
+HYSSOPDEAL_EXACT_JSON(crash_orders, suspects, quarantine)
+HYSSOPDEAL_EXACT_JSON(stated_rate_limit, born, per_s, age_ms)
+HYSSOPDEAL_EXACT_JSON(rate_limit_report, stated, wanted)
+HYSSOPDEAL_EXACT_JSON(rate_limit_orders, stated, permits, permits_valid_ms)
+HYSSOPDEAL_EXACT_JSON(cold_statement, born, remaining_ms, age_ms)
+HYSSOPDEAL_EXACT_JSON(cold_report, stated, wanted)
+HYSSOPDEAL_EXACT_JSON(cold_orders, stated, permits, permits_valid_ms)
+HYSSOPDEAL_EXACT_JSON(brittle_service, rejections_per_s, age_ms)
+HYSSOPDEAL_EXACT_JSON(relay_report, address, partitioned, helpers)
+HYSSOPDEAL_EXACT_JSON_WITH_DEFAULT(organisation_reserve, held, wanted, returned)
+HYSSOPDEAL_EXACT_JSON_WITH_DEFAULT(reserve_report, number, by_organisation)
+HYSSOPDEAL_EXACT_JSON_WITH_DEFAULT(reserve_orders, number, tokens, exhausted)
+HYSSOPDEAL_EXACT_JSON_WITH_DEFAULT(rank_pressure, asked, late, turn)
+HYSSOPDEAL_EXACT_JSON(listed_server, id, born, service, address, failure_domain,
+                      version, slots, state, reclaimable, cold_remaining_ms,
+                      leaves_ms)
+HYSSOPDEAL_EXACT_JSON(server_listing, digest, servers, read_ms)
+HYSSOPDEAL_EXACT_JSON(token_request, organisation, tokens)
+HYSSOPDEAL_EXACT_JSON(token_answer, granted, wait_ms)
+HYSSOPDEAL_EXACT_JSON(join_message, id, address, operators, failure_domain)
+HYSSOPDEAL_EXACT_JSON(join_answer, state, leader, next_id, replicas)
 
 namespace
 {
--- a/src/protocol/json_members.cpp
+++ b/src/protocol/json_members.cpp
@@ -5,6 +5,8 @@
 
 #include <cmath>
 
+#include <hyssopdeal/protocol/exact_json.hpp>
+
 namespace hyssopdeal::protocol
 {
 
@@ -67,20 +69,12 @@
 
 std::uint64_t whole(const json& object, const char* name)
 {
-    // Larger floating-point numbers are not exact.
-    constexpr double max_exact = 9'007'199'254'740'992;
-    const auto& value = member(object, name);
-    if (value.is_number_unsigned())
-    {
-        return value.get<std::uint64_t>();
-    }
-    if (!value.is_number_float() || value.get<double>() < 0 ||
-        value.get<double>() > max_exact ||
-        std::floor(value.get<double>()) != value.get<double>())
+    const auto value = number_as<std::uint64_t>(member(object, name));
+    if (!value)
     {
         throw bad_member{fmt::format("{} is no whole number.", name)};
     }
-    return static_cast<std::uint64_t>(value.get<double>());
+    return *value;
 }
 
 std::uint32_t small_whole(const json& object, const char* name)
--- a/src/protocol/message_pack.hpp
+++ b/src/protocol/message_pack.hpp
@@ -8,18 +8,18 @@
 
 #include <string>
 
-#include <nlohmann/json.hpp>
+#include <hyssopdeal/protocol/exact_json.hpp>
 
 namespace hyssopdeal::protocol
 {
 
 // [pack_message] -------------------------------------------------------------
 
-/// @return The value's bytes; nlohmann's from_msgpack() reads them.
-inline std::string pack_message(const nlohmann::json& value)
+/// @return The value's bytes; exact_json::from_msgpack() reads them.
+inline std::string pack_message(const exact_json& value)
 {
     std::string bytes;
-    nlohmann::json::to_msgpack(value, bytes);
+    exact_json::to_msgpack(value, bytes);
     return bytes;
 }
 
--- a/src/protocol/platform_api.cpp
+++ b/src/protocol/platform_api.cpp
@@ -1,8 +1,10 @@
+#include <hyssopdeal/protocol/exact_json.hpp>
 #include <hyssopdeal/protocol/platform_api.hpp>
 #include <hyssopdeal/transport/json_text.hpp>
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 #include <nlohmann/json.hpp>
 
@@ -59,9 +61,10 @@
                                  : price_class::on_demand;
 }
 
-milliseconds bounded(std::int64_t wait)
+milliseconds bounded(double wait_ms)
 {
-    return std::clamp(milliseconds{wait}, milliseconds{0}, longest_wait);
+    const auto longest = static_cast<double>(longest_wait.count());
+    return milliseconds{std::llround(std::clamp(wait_ms, 0.0, longest))};
 }
 
 milliseconds retry_after(const http_response& answer)
@@ -69,10 +72,12 @@
     const auto text = transport::find_header(answer.headers, "Retry-After");
     std::int64_t seconds = 1;
     std::from_chars(text.data(), text.data() + text.size(), seconds);
-    return bounded(std::clamp<std::int64_t>(seconds, 0, 3'600) * 1'000);
+    const auto longest = std::chrono::floor<std::chrono::seconds>(longest_wait);
+    return std::chrono::seconds{
+        std::clamp<std::int64_t>(seconds, 0, longest.count())};
 }
 
-cloud_instance_info instance_of(const json& item)
+cloud_instance_info instance_of(const exact_json& item)
 {
     return {item.at("name").get<std::string>(),
             item.value("address", std::string{}),
@@ -90,7 +95,7 @@
     }
     try
     {
-        const auto body = json::parse(answer.body);
+        const auto body = exact_json::parse(answer.body);
         const auto& items = body.at(key);
         std::vector<Item> result;
         if (items.size() > max_lines)
@@ -103,7 +108,7 @@
         }
         return result;
     }
-    catch (const json::exception&)
+    catch (const exact_json::exception&)
     {
         return broken("The platform's list is not understood.");
     }
@@ -129,11 +134,11 @@
     }
     try
     {
-        const auto wait = json::parse(answer.body).at("ready_in_ms");
+        const auto wait = exact_json::parse(answer.body).at("ready_in_ms");
         return weight_fetch{fetch_answer::accepted,
-                            bounded(wait.get<std::int64_t>())};
+                            bounded(wait.get<double>())};
     }
-    catch (const json::exception&)
+    catch (const exact_json::exception&)
     {
         return broken("The weight store's answer is not understood.");
     }
@@ -162,13 +167,13 @@
     }
     try
     {
-        auto info = instance_of(json::parse(answer.body));
+        auto info = instance_of(exact_json::parse(answer.body));
         if (!info.name.empty() && !info.address.empty())
         {
             return info;
         }
     }
-    catch (const json::exception&)
+    catch (const exact_json::exception&)
     {
         // Told below.
     }
@@ -212,18 +217,19 @@
 transport::result<std::vector<reclaim_notice>>
 read_notices(const http_response& answer)
 {
-    return read_list<reclaim_notice>(answer, "notices", [](const json& item) {
-        return reclaim_notice{
-            item.at("number").get<std::uint64_t>(),
-            item.at("instance").get<std::string>(),
-            bounded(item.at("reclaim_in_ms").get<std::int64_t>())};
-    });
+    return read_list<reclaim_notice>(
+        answer, "notices", [](const exact_json& item) {
+            return reclaim_notice{
+                item.at("number").get<std::uint64_t>(),
+                item.at("instance").get<std::string>(),
+                bounded(item.at("reclaim_in_ms").get<double>())};
+        });
 }
 
 transport::result<std::vector<price_info>>
 read_prices(const http_response& answer)
 {
-    return read_list<price_info>(answer, "prices", [](const json& item) {
+    return read_list<price_info>(answer, "prices", [](const exact_json& item) {
         return price_info{item.at("failure_domain").get<std::string>(),
                           class_of(item.at("class").get<std::string>()),
                           item.at("price_per_hour").get<double>()};
@@ -233,13 +239,14 @@
 transport::result<std::vector<instance_line>>
 read_instance_list(const http_response& answer)
 {
-    return read_list<instance_line>(answer, "instances", [](const json& item) {
-        const auto state = item.at("state").get<std::string>();
-        return instance_line{item.at("name").get<std::string>(),
-                             state == "leaving" ? instance_state::leaving
-                                                : instance_state::live,
-                             item.value("incarnation", std::uint64_t{0})};
-    });
+    return read_list<instance_line>(
+        answer, "instances", [](const exact_json& item) {
+            const auto state = item.at("state").get<std::string>();
+            return instance_line{item.at("name").get<std::string>(),
+                                 state == "leaving" ? instance_state::leaving
+                                                    : instance_state::live,
+                                 item.value("incarnation", std::uint64_t{0})};
+        });
 }
 
 } // namespace hyssopdeal::protocol
--- a/tests/cluster_decisions_test.cpp
+++ b/tests/cluster_decisions_test.cpp
@@ -240,6 +240,19 @@
     CHECK_FALSE(decode_cluster_command("\xc1junk").has_value());
 }
 
+TEST(cluster_state_tests, command_of_a_kind_that_is_no_integer_is_refused)
+{
+    const auto decode = [](const nlohmann::json& kind) {
+        const auto packed = nlohmann::json::to_msgpack(
+            nlohmann::json::array({kind, {{"version", 3}, {"bytes", "x"}}}));
+        return decode_cluster_command(
+            std::string{packed.begin(), packed.end()});
+    };
+    CHECK_TRUE(decode(0).has_value());
+    CHECK_FALSE(decode(0.5).has_value());
+    CHECK_FALSE(decode(-6.6e6).has_value());
+}
+
 TEST(cluster_state_tests, quarantines_are_lifted_and_forgotten)
 {
     cluster.apply(put_quarantine_command{{{1}, 9'000, 600}});
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -6,8 +6,11 @@
 #include <hyssopdeal/protocol/follow_messages.hpp>
 #include <hyssopdeal/protocol/sse_parser.hpp>
 
+#include <limits>
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace hyssopdeal::protocol;
@@ -154,3 +157,17 @@
     other[0] = static_cast<char>(other[0] + 1);
     CHECK_FALSE(unpack_text(other).has_value());
 }
+
+TEST(follow_message_tests, numbers_that_are_no_integers_are_refused)
+{
+    const auto decode = [](const nlohmann::json& wait_ms) {
+        const auto packed = nlohmann::json::to_msgpack(
+            {{"granted", true}, {"wait_ms", wait_ms}});
+        return decode_token_answer(std::string{packed.begin(), packed.end()});
+    };
+    LONGS_EQUAL(3, decode(3)->wait_ms);
+    LONGS_EQUAL(3, decode(3.0)->wait_ms);
+    CHECK_FALSE(decode(2.5).has_value());
+    CHECK_FALSE(decode(1e30).has_value());
+    CHECK_FALSE(decode(std::numeric_limits<std::uint64_t>::max()).has_value());
+}
