--- a/tests/cut_off_entry_test.cpp
+++ b/tests/cut_off_entry_test.cpp
@@ -44,6 +44,8 @@
     std::size_t sent = 0;
     std::size_t arrived = 0;
     std::chrono::milliseconds response_time = 30ms;
+    bool full = false; ///< Servers have no room and ask for a pause.
+    bool connections_kept = true;
 
     void setup() override
     {
@@ -90,13 +92,22 @@
     void answer(raw_connection & connection, const std::string& head)
     {
         ++arrived;
-        answers.push_back(
-            loop().after(response_time, [attempt = tests::attempt_in(head),
-                                         open = connection.shared_from_this()] {
+        if (full)
+        {
+            return connection.send(fmt::format(
+                "HTTP/1.1 503 Service Unavailable\r\n"
+                "Hyssopdeal-Attempt: {}\r\nHyssopdeal-Verdict: not_run\r\n"
+                "Retry-After: 3\r\nContent-Length: 0\r\n"
+                "Connection: close\r\n\r\n",
+                tests::attempt_in(head)));
+        }
+        answers.push_back(loop().after(
+            response_time, [this, attempt = tests::attempt_in(head),
+                            open = connection.shared_from_this()] {
                 open->send(fmt::format(
                     "HTTP/1.1 200 OK\r\nHyssopdeal-Attempt: {}\r\n"
-                    "Content-Length: 19\r\n\r\nid: 1\ndata: whole\n\n",
-                    attempt));
+                    "Content-Length: 19\r\n{}\r\nid: 1\ndata: whole\n\n",
+                    attempt, connections_kept ? "" : "Connection: close\r\n"));
             }));
     }
 
@@ -219,6 +230,30 @@
     check_callers_are_served();
 }
 
+// Guards against helpers that refuse to relay to servers which asked them for a
+// pause, as if these could not be reached.
+TEST(cut_off_entry_tests, servers_that_paused_the_helper_are_relayed_to)
+{
+    start_gateways(1, 2);
+    connections_kept = false;
+    play(2s);
+    full = true;
+    for (std::size_t round = 0; round < 3 * server_count; ++round)
+    {
+        send(1);
+        loop().run_for(20ms);
+    }
+    full = false;
+    forget_callers();
+    for (std::size_t round = 0; round < 20; ++round)
+    {
+        send(0);
+        loop().run_for(50ms);
+    }
+    loop().run_for(200ms);
+    CHECK_EQUAL(callers.at(0).size(), served(0));
+}
+
 TEST(cut_off_entry_tests, planned_stop_of_a_helper_cuts_off_no_relayed_request)
 {
     start_gateways(gateway_count - 2);
