--- a/src/coordination/gateway/gateway_process.cpp
+++ b/src/coordination/gateway/gateway_process.cpp
@@ -256,13 +256,13 @@
     relay = std::make_unique<transport::tcp_relay>(
         loop, settings,
         [this](const auto& target) {
-            const auto now = clock.monotonic_now();
+            // Also to a server that has paused this gateway: the pause tells
+            // of the server's room, not of the path to it.
             const auto& servers = core.servers.servers();
-            return std::any_of(
-                servers.begin(), servers.end(), [&](const auto& item) {
-                    return item.second->listed.address == target &&
-                           item.second->paused_until <= now;
-                });
+            return std::any_of(servers.begin(), servers.end(),
+                               [&](const auto& item) {
+                                   return item.second->listed.address == target;
+                               });
         },
         [this](const auto& target, bool connected) {
             return on_relay_connect(target, connected);
