--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -62,6 +62,24 @@
         }
         return count;
     }
+
+    /// Sends requests; the first one is held without an answer.
+    std::shared_ptr<tests::raw_connection> call_held(
+        const std::string& requests = "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    {
+        answer_at_once = false;
+        auto caller = tests::raw_call(loop, port);
+        caller->send(requests);
+        CHECK_TRUE(tests::run_until(loop, [&] { return !held.empty(); }));
+        return caller;
+    }
+
+    void raise_idle_limit()
+    {
+        transport::http1_caller_limits limits;
+        limits.idle_time_limit = 10s;
+        server->set_limits(limits);
+    }
 };
 
 // An answer from within the read's handler once started a second read into the
@@ -324,10 +342,7 @@
 
 TEST(http1_server_tests, drain_closes_no_connection_that_a_response_keeps)
 {
-    answer_at_once = false;
-    const auto caller = tests::raw_call(loop, port);
-    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
-    CHECK_TRUE(tests::run_until(loop, [&] { return !held.empty(); }));
+    const auto caller = call_held();
     held.back().begin(200, {});
     held.back().write("piece");
     server->drain();
@@ -348,13 +363,8 @@
 // Callers would go on to use a server that is to end.
 TEST(http1_server_tests, drain_soon_closes_an_idle_connection_that_was_kept)
 {
-    answer_at_once = false;
-    transport::http1_caller_limits limits;
-    limits.idle_time_limit = 10s;
-    server->set_limits(limits);
-    const auto caller = tests::raw_call(loop, port);
-    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
-    CHECK_TRUE(tests::run_until(loop, [&] { return !held.empty(); }));
+    raise_idle_limit();
+    const auto caller = call_held();
     held.back().begin(200, {});
     server->drain();
     held.back().finish();
@@ -366,9 +376,7 @@
 TEST(http1_server_tests, drain_waits_for_the_reader_of_a_kept_response)
 {
     answer_at_once = false;
-    transport::http1_caller_limits limits;
-    limits.idle_time_limit = 10s;
-    server->set_limits(limits);
+    raise_idle_limit();
     asio::ip::tcp::socket caller{loop.context()};
     caller.open(asio::ip::tcp::v4());
     caller.set_option(asio::socket_base::receive_buffer_size{4'096});
@@ -387,11 +395,8 @@
 
 TEST(http1_server_tests, drain_discards_no_request_that_was_read)
 {
-    answer_at_once = false;
-    const auto caller = tests::raw_call(loop, port);
-    caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
-                 "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
-    CHECK_TRUE(tests::run_until(loop, [&] { return !held.empty(); }));
+    const auto caller = call_held("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                                  "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
     server->drain();
     answer_at_once = true;
     held.back().send({200, {}, "done"});
