attempt.broken names why a request was not sent on

The line told that a request ended, not which rule denied the retry: attempts, budget, an untried server, the position in the stream. Adds that, the time that the server was silent, and the configuration under which the request was routed beside the one in force. heard_ago_ms is -1 for a server that was never heard; it was the age of the clock.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -28,6 +28,7 @@
 #include <hyssopdeal/coordination/gateway/event_splitter.hpp>
 #include <hyssopdeal/coordination/gateway/gateway_core.hpp>
 #include <hyssopdeal/coordination/gateway/response_end.hpp>
+#include <hyssopdeal/coordination/gateway/retry_denial.hpp>
 #include <hyssopdeal/coordination/gateway/selection_failure.hpp>
 #include <hyssopdeal/coordination/gateway/stream_migration.hpp>
 #include <hyssopdeal/coordination/gateway/stream_position.hpp>
@@ -119,7 +120,7 @@
     void release_server();
     void release_slot();
     void update_server_state(const response_metadata& response);
-    bool try_reserve_retry();
+    [[nodiscard]] retry_denial reserve_retry();
     [[nodiscard]] bool retryable() const;
     [[nodiscard]] milliseconds remaining_time() const;
     [[nodiscard]] milliseconds elapsed_time() const;
@@ -1198,7 +1199,7 @@
     auto& server = *choice_.server;
     failed ? core_.servers.on_failure(core_.clock.monotonic_now(), server)
            : core_.servers.on_success(server);
-    if (failed && retryable() && !response_started_ && try_reserve_retry())
+    if (failed && !response_started_ && reserve_retry() == retry_denial::none)
     {
         release_server();
         transport::log_event("attempt.failed", {{"request", terms_.attempt_id},
@@ -1325,10 +1326,16 @@
     {
         return on_move_refused();
     }
-    const bool retry = not_run
-                           ? failed_connects_ < max_connect_failures
-                           : retryable() && !position_.numbers_went_back() &&
-                                 !runs_on_ && try_reserve_retry();
+    const auto denial = !not_run ? reserve_retry()
+                        : failed_connects_ < max_connect_failures
+                            ? retry_denial::none
+                            : retry_denial::attempts;
+    const bool retry = denial == retry_denial::none;
+    const auto heard_ago =
+        server.last_heard == monotonic_time{}
+            ? milliseconds{-1}
+            : std::chrono::duration_cast<milliseconds>(now - server.last_heard);
+    const auto table = core_.table();
     transport::log_event("attempt.broken",
                          {{"request", terms_.attempt_id},
                           {"server", server.listed.id},
@@ -1341,8 +1348,12 @@
                           {"relay", call_settings_.relay},
                           {"server_running", running_before},
                           {"server_state", server_state_name(server)},
-                          {"heard_ago_ms", now - server.last_heard},
-                          {"next", retry ? "repeat" : "end"}});
+                          {"heard_ago_ms", heard_ago},
+                          {"silent_ms", now - last_activity_},
+                          {"document", route_table_->document().version},
+                          {"in_force", table ? table->document().version : 0},
+                          {"next", retry ? "repeat" : "end"},
+                          {"denied", to_string(denial)}});
     if (retry)
     {
         if (response_started_)
@@ -1356,13 +1367,37 @@
         : refuse(503, "no_connection", no_connection_retry_after);
 }
 
+/// Takes a retry from the budget, for an attempt that may have run.
 template <caller_dialect Dialect>
-bool request_flow<Dialect>::try_reserve_retry()
+retry_denial request_flow<Dialect>::reserve_retry()
 {
-    return position_.is_known() && core_.may_attempt() &&
-           possible_runs_ < route_->max_attempts &&
-           core_.servers.has_untried(service_, tried_servers_) &&
-           core_.repeats.take(core_.clock.monotonic_now(), service_);
+    if (!retryable())
+    {
+        return retry_denial::not_retryable;
+    }
+    if (!position_.can_resume())
+    {
+        return retry_denial::position_unknown;
+    }
+    if (runs_on_)
+    {
+        return retry_denial::still_running;
+    }
+    if (!core_.may_attempt())
+    {
+        return retry_denial::shutdown;
+    }
+    if (possible_runs_ >= route_->max_attempts)
+    {
+        return retry_denial::attempts;
+    }
+    if (!core_.servers.has_untried(service_, tried_servers_))
+    {
+        return retry_denial::no_server;
+    }
+    return core_.repeats.take(core_.clock.monotonic_now(), service_)
+               ? retry_denial::none
+               : retry_denial::budget;
 }
 
 /// Records how an attempt ended while its service is rolling out a version.
@@ -1604,7 +1639,7 @@
     {
         return resume_on(std::move(source));
     }
-    if (retryable() && try_reserve_retry())
+    if (reserve_retry() == retry_denial::none)
     {
         return start_next_attempt();
     }
