Tests: requests whose server is silent for a while (fails)

A begun stream and a plain safe request are given up after the idle timeout although no other attempt is certain. 7 of the 10 new tests fail: without a retry budget, without room elsewhere, and when the second server refuses, is silent or is lost. The other three guard what has to stay.

--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -1331,6 +1331,197 @@
     second->close();
 }
 
+// [silent servers] -----------------------------------------------------------
+
+TEST_GROUP_BASE(silent_server_tests, TEST_GROUP_CppUTestGrouprequest_flow_tests)
+{
+    /// Connections on which the servers got the request, in order.
+    std::vector<std::shared_ptr<tests::raw_connection>> attempts;
+
+    /// Adds two servers. The first that gets the request sends some bytes and
+    /// is silent; the other one runs a script.
+    void add_silent_server_and(const std::string& sent,
+                               const server_script& respond)
+    {
+        const auto script = [this, sent,
+                             respond](tests::raw_connection& connection) {
+            attempts.push_back(connection.shared_from_this());
+            attempts.size() == 1 ? connection.send(sent) : respond(connection);
+        };
+        add_server(script);
+        add_server(script);
+        apply_configuration();
+    }
+
+    /// Lets the first server send the rest of the response after a silence that
+    /// is longer than the idle timeout.
+    ///
+    /// @return What the caller received.
+    std::string finish_after_silence(
+        const std::shared_ptr<tests::raw_connection>& caller,
+        const std::string& rest, std::chrono::milliseconds silence)
+    {
+        loop.run_for(silence);
+        attempts.at(0)->send(rest);
+        (void)tests::run_until(
+            loop, [&] { return gateway_server->open_requests() == 0; }, 500ms);
+        loop.run_for(20ms);
+        return caller->received;
+    }
+
+    std::string finish_stream_after_silence(
+        const std::shared_ptr<tests::raw_connection>& caller)
+    {
+        return finish_after_silence(caller,
+                                    "b\r\nid: 2\ndata:\r\n"
+                                    "4\r\n b\n\n\r\n0\r\n\r\n",
+                                    1'300ms);
+    }
+
+    static std::string first_event()
+    {
+        return response_head("id1", "Transfer-Encoding: chunked\r\n") +
+               "f\r\nid: 1\ndata: a\n\n\r\n";
+    }
+
+    static void refuse_as_full(tests::raw_connection & connection)
+    {
+        connection.send(
+            "HTTP/1.1 503 Busy\r\nHyssopdeal-Attempt: id1\r\n"
+            "Hyssopdeal-Verdict: not_run\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    static void check_both_events(const std::string& response)
+    {
+        STRCMP_CONTAINS("data: a", response.c_str());
+        STRCMP_CONTAINS("data: b", response.c_str());
+        STRCMP_CONTAINS("\r\n0\r\n", response.c_str());
+    }
+};
+
+TEST(silent_server_tests, begun_stream_without_a_retry_budget_goes_on)
+{
+    gateway_settings settings;
+    settings.repeats.ratio = 0;
+    settings.repeats.base = 0;
+    start_gateway(settings);
+    add_silent_server_and(first_event(), refuse_as_full);
+    const auto caller = send("/resume/");
+    check_both_events(finish_stream_after_silence(caller));
+    LONGS_EQUAL(1, attempts.size());
+}
+
+TEST(silent_server_tests, begun_stream_goes_on_if_the_second_server_refuses_it)
+{
+    add_silent_server_and(first_event(), refuse_as_full);
+    const auto caller = send("/resume/");
+    check_both_events(finish_stream_after_silence(caller));
+    LONGS_EQUAL(2, attempts.size());
+}
+
+TEST(silent_server_tests, begun_stream_goes_on_if_no_other_server_has_room)
+{
+    add_silent_server_and(first_event(), refuse_as_full);
+    const auto caller = send("/resume/");
+    CHECK_TRUE(tests::run_until(loop, [&] { return attempts.size() == 1; }));
+    for (const auto& [id, server] : core->servers.servers())
+    {
+        core->servers.on_pause(clock.monotonic_now(), *server, 5s);
+    }
+    check_both_events(finish_stream_after_silence(caller));
+    LONGS_EQUAL(1, attempts.size());
+}
+
+TEST(silent_server_tests, begun_stream_goes_on_if_the_second_server_is_silent)
+{
+    add_silent_server_and(first_event(), [](auto&) {});
+    const auto caller = send("/resume/");
+    check_both_events(finish_stream_after_silence(caller));
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return attempts.at(1)->closed; }, 400ms));
+}
+
+TEST(silent_server_tests, begun_stream_goes_on_if_the_second_server_is_lost)
+{
+    add_silent_server_and(first_event(),
+                          [](auto& connection) { connection.reset(); });
+    const auto caller = send("/resume/");
+    check_both_events(finish_stream_after_silence(caller));
+}
+
+// The first attempt must end within 400 ms of the start of the second run.
+TEST(silent_server_tests, silent_stream_ends_when_another_server_resumes_it)
+{
+    add_silent_server_and(first_event(), [](auto& connection) {
+        connection.send(response_head("id1", "Content-Length: 15\r\n") +
+                        "id: 2\ndata: b\n\n");
+    });
+    const auto caller = send("/resume/");
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return attempts.size() == 2; }, 1'500ms));
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return attempts.at(0)->closed; }, 400ms));
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return gateway_server->open_requests() == 0; }, 500ms));
+    loop.run_for(20ms);
+    check_both_events(caller->received);
+    STRCMP_CONTAINS("Last-Event-ID: 1", received_requests.at(1).c_str());
+}
+
+TEST(silent_server_tests, second_attempt_continues_if_the_silent_server_is_lost)
+{
+    add_silent_server_and(first_event(), [](auto&) {});
+    const auto caller = send("/resume/");
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return attempts.size() == 2; }, 1'500ms));
+    attempts.at(0)->reset();
+    loop.run_for(50ms);
+    attempts.at(1)->send(response_head("id1", "Content-Length: 15\r\n") +
+                         "id: 2\ndata: b\n\n");
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return gateway_server->open_requests() == 0; }, 500ms));
+    loop.run_for(20ms);
+    check_both_events(caller->received);
+    LONGS_EQUAL(2, attempts.size());
+}
+
+TEST(silent_server_tests, both_attempts_end_when_the_caller_disconnects)
+{
+    add_silent_server_and(first_event(), [](auto&) {});
+    const auto caller = send("/resume/");
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return attempts.size() == 2; }, 1'500ms));
+    caller->close();
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return attempts.at(0)->closed && attempts.at(1)->closed; },
+        400ms));
+}
+
+TEST(silent_server_tests, safe_request_is_answered_if_the_second_server_refuses)
+{
+    add_silent_server_and("", refuse_as_full);
+    const auto caller = send("/safe/");
+    const auto response = finish_after_silence(
+        caller, response_head("id1", "Content-Length: 2\r\n") + "ok", 450ms);
+    STRCMP_CONTAINS("HTTP/1.1 200", response.c_str());
+    STRCMP_CONTAINS("ok", response.c_str());
+    LONGS_EQUAL(2, attempts.size());
+}
+
+TEST(silent_server_tests, safe_request_without_a_retry_budget_is_answered)
+{
+    gateway_settings settings;
+    settings.repeats.ratio = 0;
+    settings.repeats.base = 0;
+    start_gateway(settings);
+    add_silent_server_and("", refuse_as_full);
+    const auto caller = send("/safe/");
+    const auto response = finish_after_silence(
+        caller, response_head("id1", "Content-Length: 2\r\n") + "ok", 450ms);
+    STRCMP_CONTAINS("HTTP/1.1 200", response.c_str());
+    LONGS_EQUAL(1, attempts.size());
+}
+
 // [stream moves] -------------------------------------------------------------
 
 TEST_GROUP_BASE(stream_move_tests, TEST_GROUP_CppUTestGrouprequest_flow_tests)
