A silent server's answer ends only when another server answers

What callers saw: the connection of a stream that had begun was closed in the middle of the answer, or a plain safe request got 502, although the server was well and only slow (a queue, preemption, a burst of prompts).

Cause: after the idle timeout the attempt was cancelled before another one was certain. The retry budget, the choice of a server, its permits and room came afterwards, and a second server that refused left nothing to go back to. The budget is emptiest when servers are slowest.

Change: after the idle timeout the request is sent to another server beside the silent one, once the attempts, the server and the budget allow it. The first to respond is kept and the other one is cancelled; if the silent one is lost, the second continues. Requests that must not run twice are never sent beside each other, as before.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -30,6 +30,7 @@
 #include <hyssopdeal/coordination/gateway/response_end.hpp>
 #include <hyssopdeal/coordination/gateway/retry_denial.hpp>
 #include <hyssopdeal/coordination/gateway/selection_failure.hpp>
+#include <hyssopdeal/coordination/gateway/sent_attempt.hpp>
 #include <hyssopdeal/coordination/gateway/stream_migration.hpp>
 #include <hyssopdeal/coordination/gateway/stream_position.hpp>
 #include <hyssopdeal/transport/event_log.hpp>
@@ -81,18 +82,30 @@
     void refuse_without_server();
     [[nodiscard]] std::optional<placement_choice> select_server();
     void start_attempt(const placement_choice& choice);
-    void record_attempt_outcome(answer_kind outcome);
+    [[nodiscard]] sent_attempt send_to(const placement_choice& choice,
+                                       const std::string& moved_run);
+    void make_current(sent_attempt attempt);
+    void record_attempt_outcome(const sent_attempt& attempt,
+                                answer_kind outcome);
     void record_first_event_delay(monotonic_time now);
     void record_event_gap();
     [[nodiscard]] bool survived_start() const;
     void record_survived_start();
     void arm_idle_timer();
     [[nodiscard]] milliseconds stream_idle_timeout() const;
-    [[nodiscard]] bool should_fail_over();
     [[nodiscard]] bool predicted_late(const placement_choice& choice) const;
     void on_idle_timeout();
-    transport::head_choice on_response_head(int status,
-                                            const headers& response_headers);
+    [[nodiscard]] retry_denial start_standby();
+    void replace_current(std::uint64_t number);
+    [[nodiscard]] bool continue_on_standby();
+    void on_standby_end(sent_attempt standby,
+                        const transport::http1_call_end& result);
+    void cancel_standbys();
+    [[nodiscard]] transport::head_choice
+    on_head(std::uint64_t number, int status, const headers& response_headers);
+    [[nodiscard]] transport::head_choice
+    take_head(sent_attempt& attempt, int status,
+              const headers& response_headers);
     void on_response_data(std::string_view data);
     void on_attempt_end(const transport::http1_call_end& result);
     [[nodiscard]] received_response summarize_response() const;
@@ -105,21 +118,30 @@
     void check_again(const transport::http1_call_settings& path);
     [[nodiscard]] milliseconds time_since_end() const;
     void on_path_failed(const transport::http1_call_settings& path);
-    /// @return Whether the attempt with a number is under way.
-    [[nodiscard]] bool is_current(std::uint32_t attempt) const
+    /// @return Whether the attempt with a number is the current one, and under
+    ///     way.
+    [[nodiscard]] bool is_current(std::uint64_t number) const
     {
-        return !finished_ && attempt_active_ && delivered_attempts_ == attempt;
+        return !finished_ && attempt_active_ && attempt_.number == number;
     }
     [[nodiscard]] static transport::head_filter own_head_filter();
     void on_complete_response();
     void on_attempt_refused();
-    [[nodiscard]] transport::http1_call_settings choose_path();
-    [[nodiscard]] bool record_connect_failure(bool relay_failed);
+    void choose_path(sent_attempt& attempt);
+    [[nodiscard]] bool record_connect_failure(const sent_attempt& attempt,
+                                              bool relay_failed);
+    void record_refusal(const sent_attempt& attempt);
+    void record_error(const sent_attempt& attempt,
+                      const transport::failure& error, bool relay_failed);
+    void log_broken(const sent_attempt& attempt,
+                    const transport::failure& error, std::uint32_t running,
+                    std::string_view next, retry_denial denial);
     void on_attempt_error(const transport::failure& error,
                           bool relay_failed = false);
     void release_server();
     void release_slot();
-    void update_server_state(const response_metadata& response);
+    void update_server_state(const sent_attempt& attempt,
+                             const response_metadata& response);
     [[nodiscard]] retry_denial reserve_retry();
     [[nodiscard]] bool retryable() const;
     [[nodiscard]] milliseconds remaining_time() const;
@@ -197,16 +219,11 @@
     std::uint32_t failed_connects_ = 0;
 
     // Current attempt, and timing of the request.
-    transport::http1_call attempt_call_;
-    placement_choice choice_;
-    transport::http1_call_settings call_settings_;
+    sent_attempt attempt_;
+    standby_attempts standbys_;
+    std::uint64_t attempt_number_ = 0; ///< Of the latest attempt.
     transport::http1_call liveness_call_;
-    bool opened_connection_ = false; ///< The attempt began without one.
-    /// Load of the server when the attempt started.
-    load_bucket load_at_start_ = load_bucket::light;
     bool attempt_active_ = false;
-    bool occupies_slot_ = false; ///< Counts as running on its server.
-    monotonic_time sent_at_{};
     monotonic_time first_event_at_{};
     /// Of the latest attempt that had an event; -1: none.
     milliseconds time_to_first_event_{-1};
@@ -217,10 +234,6 @@
     milliseconds time_to_response_{-1};
     milliseconds max_event_gap_{0}; ///< Between two relayed events.
     monotonic_time last_event_at_{};
-    int response_status_ = 0;
-    headers response_headers_;
-    response_metadata response_terms_;
-    bool head_received_ = false;
     std::string response_body_;
     event_splitter event_splitter_;
     /// Whether this attempt had its first event or its complete response.
@@ -229,8 +242,7 @@
     bool runs_on_ = false; ///< Its server still works on it after its end.
     bool gap_recorded_ = false;
     bool start_recorded_ = false; ///< The prompt did not crash the server.
-    monotonic_time last_activity_{};
-    monotonic_time ended_at_{}; ///< Its connection closed in good order.
+    monotonic_time ended_at_{};   ///< Its connection closed in good order.
 
     stream_migration migration_;
 
@@ -631,28 +643,23 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::start_attempt(const placement_choice& choice)
 {
-    const auto now = core_.clock.monotonic_now();
-    choice_ = choice;
     if (is_stream() && delivered_attempts_ == 0 && failed_connects_ == 0)
     {
         core_.work.on_placed(service_, choice.prefill, lateness_limit());
     }
-    tried_servers_.insert(choice.server->listed.id);
-    core_.servers.on_sent(now, choice, terms_.size);
-    core_.versions.on_sent(service_, choice.server->listed.version);
-    load_at_start_ =
-        bucket_of(choice.server->running + choice.server->peer_load.running,
-                  choice.server->listed.slots);
+    make_current(send_to(choice, migration_.run));
+}
+
+/// Makes an attempt the one whose response is relayed.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::make_current(sent_attempt attempt)
+{
+    attempt_ = std::move(attempt);
     attempt_active_ = true;
-    occupies_slot_ = true;
-    sent_at_ = now;
-    last_activity_ = now;
     if (time_to_first_attempt_.count() < 0)
     {
         time_to_first_attempt_ = elapsed_time();
     }
-    response_status_ = 0;
-    head_received_ = false;
     event_received_ = false;
     attempt_events_ = 0;
     position_.on_attempt();
@@ -663,13 +670,34 @@
     event_splitter_.discard_remainder();
     core_.set_buffered_bytes(registration_, 0);
     liveness_call_.cancel();
+    arm_idle_timer();
+}
+
+/// @param moved_run Handle of the stopped run to resume; empty: none.
+template <caller_dialect Dialect>
+sent_attempt request_flow<Dialect>::send_to(const placement_choice& choice,
+                                            const std::string& moved_run)
+{
+    const auto now = core_.clock.monotonic_now();
+    sent_attempt attempt;
+    attempt.number = ++attempt_number_;
+    attempt.choice = choice;
+    tried_servers_.insert(choice.server->listed.id);
+    core_.servers.on_sent(now, choice, terms_.size);
+    core_.versions.on_sent(service_, choice.server->listed.version);
+    attempt.load_at_start =
+        bucket_of(choice.server->running + choice.server->peer_load.running,
+                  choice.server->listed.slots);
+    attempt.occupies_slot = true;
+    attempt.sent_at = now;
+    attempt.last_activity = now;
     ++delivered_attempts_;
     if (delivered_attempts_ > 1)
     {
         core_.counters.repeats.add();
     }
     core_.servers.cold().take(now, choice.server->listed);
-    if (migration_.run.empty() &&
+    if (moved_run.empty() &&
         core_.servers.permits().take(now, choice.server->listed))
     {
         (delivered_attempts_ > 1 ? core_.counters.rate_limited_retries
@@ -682,41 +710,52 @@
     terms.time_limit = remaining_time();
     terms.rank = rank_;
     terms.resume_after = position_.last_id();
-    terms.moved_run = migration_.run;
-    call_settings_ = choose_path();
+    terms.moved_run = moved_run;
+    choose_path(attempt);
     transport::http1_call_handlers handlers;
-    const auto self = this->shared_from_this();
-    handlers.on_head = [self](int status, const headers& response_headers) {
-        return self->on_response_head(status, response_headers);
-    };
-    handlers.on_data = [self](std::string_view data) {
-        self->on_response_data(data);
-    };
-    handlers.on_end = [self](const transport::http1_call_end& result) {
-        self->on_attempt_end(result);
+    handlers.on_head =
+        [self = this->shared_from_this(),
+         number = attempt.number](int status, const headers& response_headers) {
+            return self->on_head(number, status, response_headers);
+        };
+    handlers.on_data = [self = this->shared_from_this(),
+                        number = attempt.number](std::string_view data) {
+        if (self->is_current(number))
+        {
+            self->on_response_data(data);
+        }
     };
-    call_settings_.body = exchange_.shared_body();
-    attempt_call_ =
+    handlers.on_end =
+        [self = this->shared_from_this(),
+         number = attempt.number](const transport::http1_call_end& result) {
+            self->standbys_.find(number) != nullptr
+                ? self->on_standby_end(self->standbys_.take(number), result)
+                : self->on_attempt_end(result);
+        };
+    attempt.settings.body = exchange_.shared_body();
+    attempt.call =
         core_.client.start(choice.server->listed.address,
                            Dialect::make_request(exchange_.request(), terms),
-                           call_settings_, std::move(handlers));
-    arm_idle_timer();
+                           attempt.settings, std::move(handlers));
+    return attempt;
 }
 
 /// Decides how the chosen server is connected to.
 template <caller_dialect Dialect>
-transport::http1_call_settings request_flow<Dialect>::choose_path()
+void request_flow<Dialect>::choose_path(sent_attempt& attempt)
 {
-    const auto& server = choice_.server->listed;
-    auto settings = make_call_settings();
+    const auto& server = attempt.choice.server->listed;
+    auto& settings = attempt.settings;
+    settings = make_call_settings();
     if (!used_addresses_.insert(server.address).second)
     {
         // On a connection that carried the request before, an earlier response
         // to it may come again, and its attempt id is the same.
         settings.max_idle = milliseconds{0};
     }
-    opened_connection_ = !core_.client.keeps(server.address, settings.max_idle);
-    if (opened_connection_)
+    attempt.opened_connection =
+        !core_.client.keeps(server.address, settings.max_idle);
+    if (attempt.opened_connection)
     {
         settings.relay =
             core_.reach
@@ -732,22 +771,22 @@
         core_.counters.relayed_attempts.add();
         settings.connect_time_limit = relayed_connect_time_limit;
     }
-    return settings;
 }
 
 /// @return Whether the server can be tried again on another path.
 template <caller_dialect Dialect>
-bool request_flow<Dialect>::record_connect_failure(bool relay_failed)
+bool request_flow<Dialect>::record_connect_failure(const sent_attempt& attempt,
+                                                   bool relay_failed)
 {
     const auto now = core_.clock.monotonic_now();
-    const auto& id = choice_.server->listed.id;
-    if (call_settings_.relay.empty())
+    const auto& id = attempt.choice.server->listed.id;
+    if (attempt.settings.relay.empty())
     {
         core_.reach.on_unreached(now, id);
     }
     else if (relay_failed)
     {
-        core_.reach.on_helper_failed(now, call_settings_.relay);
+        core_.reach.on_helper_failed(now, attempt.settings.relay);
     }
     else
     {
@@ -771,7 +810,7 @@
             ? stream_idle_timeout()
             : std::max(min_call_idle_timeout, route_->target_latency);
     const auto idle_time = std::chrono::duration_cast<milliseconds>(
-        core_.clock.monotonic_now() - last_activity_);
+        core_.clock.monotonic_now() - attempt_.last_activity);
     // A silent server that is kept after the timeout is checked again soon.
     const auto delay = idle_time < timeout ? timeout - idle_time : timeout / 4;
     idle_timer_ =
@@ -781,8 +820,8 @@
             {
                 return;
             }
-            const auto current_idle_time =
-                self->core_.clock.monotonic_now() - self->last_activity_;
+            const auto current_idle_time = self->core_.clock.monotonic_now() -
+                                           self->attempt_.last_activity;
             current_idle_time >= timeout ? self->on_idle_timeout()
                                          : self->arm_idle_timer();
         });
@@ -802,65 +841,213 @@
            2;
 }
 
+/// A silent server may only be slow. The request is sent to another one as well,
+/// and its attempt ends when that one responds.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_idle_timeout()
+{
+    const auto denial = start_standby();
+    const bool waits = denial != retry_denial::none && standbys_.size() > 0;
+    if (!waits && attempt_.logged_denial != denial)
+    {
+        attempt_.logged_denial = denial;
+        transport::log_event(
+            "attempt.silent",
+            {{"request", terms_.attempt_id},
+             {"server", attempt_.choice.server->listed.id},
+             {"silent_ms",
+              core_.clock.monotonic_now() - attempt_.last_activity},
+             {"had_event", event_received_},
+             {"next", denial == retry_denial::none ? "second_attempt" : "wait"},
+             {"denied", to_string(denial)}});
+    }
+    arm_idle_timer();
+}
+
 /// Distinguishes an unresponsive server from an overloaded fleet. A stream that
-/// is queued on a live server would be queued again on another one, and its
-/// prefill so far would be lost. A stream without events therefore stays if its
-/// server has sent an event to any request of this gateway since the attempt
-/// started, or if no other server is predicted to start it in time.
+/// is queued on a live server would be queued again on another one. A stream
+/// without events therefore stays if its server has sent an event to any request
+/// of this gateway since the attempt started, or if no other server is predicted
+/// to start it in time.
+template <caller_dialect Dialect>
+retry_denial request_flow<Dialect>::start_standby()
+{
+    const auto now = core_.clock.monotonic_now();
+    if (migration_.in_progress())
+    {
+        return retry_denial::still_running;
+    }
+    if (!position_.can_resume())
+    {
+        return retry_denial::position_unknown;
+    }
+    if (!core_.may_attempt())
+    {
+        return retry_denial::shutdown;
+    }
+    if (possible_runs_ + 1 + standbys_.size() >= route_->max_attempts)
+    {
+        return retry_denial::attempts;
+    }
+    const bool queued = is_stream() && !event_received_;
+    if (queued && attempt_.choice.server->last_heard > attempt_.sent_at)
+    {
+        return retry_denial::server_alive;
+    }
+    const auto choice = select_server();
+    if (!choice)
+    {
+        return retry_denial::no_server;
+    }
+    if (queued && predicted_late(*choice))
+    {
+        return retry_denial::late;
+    }
+    if (!core_.repeats.take(now, service_))
+    {
+        return retry_denial::budget;
+    }
+    // The next requests would wait for the silent server as well.
+    core_.servers.on_unreachable(now, *attempt_.choice.server);
+    standbys_.add(send_to(*choice, {}));
+    return retry_denial::none;
+}
+
+/// Gives up the current attempt for another one that has responded.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::replace_current(std::uint64_t number)
+{
+    auto standby = standbys_.take(number);
+    cancel_standbys();
+    attempt_.call.cancel();
+    idle_timer_.cancel();
+    ++possible_runs_;
+    (event_received_ ? core_.counters.broken_after_event
+                     : core_.counters.broken_before_event)
+        .add();
+    record_attempt_outcome(attempt_, answer_kind::broken);
+    log_broken(attempt_,
+               {transport::verdict::may_have_run, transport::reason::timed_out,
+                "Another server responded after the idle timeout."},
+               attempt_.choice.server->running, "replaced", retry_denial::none);
+    release_server();
+    if (response_started_)
+    {
+        core_.counters.resumed.add();
+    }
+    migration_.reset();
+    make_current(std::move(standby));
+}
+
+/// Continues with the latest attempt beside the current one, which has ended.
 ///
-/// @return Whether to send the request to another server after an idle timeout.
+/// @return Whether there is one.
 template <caller_dialect Dialect>
-bool request_flow<Dialect>::should_fail_over()
+bool request_flow<Dialect>::continue_on_standby()
 {
-    if (event_received_ || route_->rule != protocol::repeat_rule::stream)
+    auto standby = standbys_.take_latest();
+    if (!standby)
+    {
+        return false;
+    }
+    if (response_started_)
     {
-        return true;
+        core_.counters.resumed.add();
     }
-    const bool alive = choice_.server->last_heard > sent_at_;
-    const auto other = select_server();
-    return !alive && other && !predicted_late(*other);
+    migration_.reset();
+    make_current(std::move(*standby));
+    return true;
 }
 
+/// Handles the end of an attempt beside the current one, which had no response
+/// to relay.
 template <caller_dialect Dialect>
-void request_flow<Dialect>::on_idle_timeout()
+void request_flow<Dialect>::on_standby_end(
+    sent_attempt standby, const transport::http1_call_end& result)
 {
-    if (migration_.in_progress())
+    const auto& metadata = standby.head.metadata;
+    if (result.complete && (metadata.not_executed || metadata.other_server))
     {
-        return arm_idle_timer();
+        record_refusal(standby);
+        transport::log_event("attempt.refused",
+                             {{"request", terms_.attempt_id},
+                              {"server", standby.choice.server->listed.id},
+                              {"status", standby.head.status},
+                              {"other_server", metadata.other_server},
+                              {"next", "wait"}});
     }
-    if (position_.can_resume() && core_.may_attempt() &&
-        possible_runs_ + 1 < route_->max_attempts &&
-        core_.servers.has_untried(service_, tried_servers_) &&
-        should_fail_over())
+    else
     {
-        attempt_call_.cancel();
-        return on_attempt_error(
-            {transport::verdict::may_have_run, transport::reason::timed_out,
-             "No data from the server within the idle timeout."});
+        const auto error =
+            result.complete
+                ? transport::failure{transport::verdict::ran,
+                                     transport::reason::broken_answer,
+                                     "The server responded with an error."}
+                : result.error;
+        record_error(standby, error, result.relay_failed);
+        log_broken(standby, error, standby.choice.server->running, "wait",
+                   retry_denial::none);
+    }
+    core_.servers.on_ended(standby.choice, false);
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::cancel_standbys()
+{
+    while (auto standby = standbys_.take_latest())
+    {
+        standby->call.cancel();
+        ++possible_runs_;
+        core_.servers.on_ended(standby->choice, false);
     }
-    arm_idle_timer();
 }
 
 template <caller_dialect Dialect>
 transport::head_choice
-request_flow<Dialect>::on_response_head(int status,
-                                        const headers& response_headers)
+request_flow<Dialect>::on_head(std::uint64_t number, int status,
+                               const headers& response_headers)
+{
+    auto* const standby = standbys_.find(number);
+    const auto choice = take_head(standby != nullptr ? *standby : attempt_,
+                                  status, response_headers);
+    const auto& head = standby != nullptr ? standby->head : attempt_.head;
+    if (choice == transport::head_choice::take && !head.metadata.not_executed &&
+        may_relay(status, response_started_))
+    {
+        if (standby != nullptr)
+        {
+            replace_current(number);
+        }
+        else if (!is_stream())
+        {
+            cancel_standbys();
+        }
+    }
+    return choice;
+}
+
+/// Judges and keeps the head of a response.
+template <caller_dialect Dialect>
+transport::head_choice
+request_flow<Dialect>::take_head(sent_attempt& attempt, int status,
+                                 const headers& response_headers)
 {
     constexpr int first_error_status = 300;
+    const auto now = core_.clock.monotonic_now();
     const auto response = Dialect::parse_response(status, response_headers);
-    if (opened_connection_ && call_settings_.relay.empty())
+    const auto& server = attempt.choice.server;
+    if (attempt.opened_connection && attempt.settings.relay.empty())
     {
-        core_.reach.on_reached(core_.clock.monotonic_now(),
-                               choice_.server->listed.id);
+        core_.reach.on_reached(now, server->listed.id);
     }
     // The server's state holds even if the response is to another request.
-    update_server_state(response);
+    update_server_state(attempt, response);
     if (!response.attempt_id.empty() &&
         response.attempt_id != terms_.attempt_id)
     {
-        transport::log_event("attempt.foreign_answer",
-                             {{"request", terms_.attempt_id},
-                              {"server", choice_.server->listed.id}});
+        transport::log_event(
+            "attempt.foreign_answer",
+            {{"request", terms_.attempt_id}, {"server", server->listed.id}});
         return transport::head_choice::skip;
     }
     const bool unproven = status < first_error_status &&
@@ -871,27 +1058,25 @@
     {
         return transport::head_choice::reject;
     }
-    response_status_ = status;
-    response_headers_ = response_headers;
-    response_terms_ = response;
-    head_received_ = true;
-    last_activity_ = core_.clock.monotonic_now();
+    attempt.head = {status, response_headers, response};
+    attempt.head_received = true;
+    attempt.last_activity = now;
     if (route_->rule != protocol::repeat_rule::stream)
     {
-        choice_.server->last_heard = last_activity_;
+        server->last_heard = now;
     }
     return transport::head_choice::take;
 }
 
 template <caller_dialect Dialect>
 void request_flow<Dialect>::update_server_state(
-    const response_metadata& response)
+    const sent_attempt& attempt, const response_metadata& response)
 {
     if (response.other_server)
     {
         return;
     }
-    auto& server = *choice_.server;
+    auto& server = *attempt.choice.server;
     if (response.leaving && !server.said_leaving)
     {
         core_.servers.on_leaving(server);
@@ -910,7 +1095,7 @@
     }
     // The time of the request that another response belongs to is not known.
     const bool own = response.attempt_id == terms_.attempt_id;
-    const auto sent_at = own ? std::optional{sent_at_} : std::nullopt;
+    const auto sent_at = own ? std::optional{attempt.sent_at} : std::nullopt;
     const auto now = core_.clock.monotonic_now();
     core_.servers.permits().on_response(now, server.listed, response.rate_limit,
                                         sent_at);
@@ -933,9 +1118,9 @@
 void request_flow<Dialect>::on_response_data(std::string_view data)
 {
     constexpr int first_error_status = 300;
-    if (!is_stream() || response_status_ >= first_error_status)
+    if (!is_stream() || attempt_.head.status >= first_error_status)
     {
-        last_activity_ = core_.clock.monotonic_now();
+        attempt_.last_activity = core_.clock.monotonic_now();
         response_body_ += data;
     }
     else
@@ -962,7 +1147,7 @@
     {
         return;
     }
-    attempt_call_.cancel();
+    attempt_.call.cancel();
     liveness_call_.cancel();
     core_.set_buffered_bytes(registration_, 0);
     on_attempt_error({transport::verdict::may_have_run,
@@ -1008,8 +1193,8 @@
 received_response request_flow<Dialect>::summarize_response() const
 {
     constexpr int first_error_status = 300;
-    return {response_terms_,
-            is_stream() && response_status_ < first_error_status,
+    return {attempt_.head.metadata,
+            is_stream() && attempt_.head.status < first_error_status,
             event_splitter_.remainder(),
             event_received_,
             !position_.last_id().empty() || !terms_.resume_after.empty(),
@@ -1023,8 +1208,8 @@
 {
     ended_at_ = core_.clock.monotonic_now();
     release_slot();
-    call_settings_.relay_start = result.relay_start;
-    check_path(call_settings_);
+    attempt_.settings.relay_start = result.relay_start;
+    check_path(attempt_.settings);
 }
 
 /// Completes the response if the processes on the path that carried it still
@@ -1033,9 +1218,9 @@
 void request_flow<Dialect>::check_path(
     const transport::http1_call_settings& path)
 {
-    core_.client.check_path(choice_.server->listed.address, path,
+    core_.client.check_path(attempt_.choice.server->listed.address, path,
                             [self = this->shared_from_this(), path,
-                             attempt = delivered_attempts_](bool runs) {
+                             attempt = attempt_.number](bool runs) {
                                 if (self->is_current(attempt))
                                 {
                                     runs ? self->check_server(path)
@@ -1065,14 +1250,14 @@
                    : on_complete_response();
     }
     liveness_call_ = core_.client.fetch(
-        choice_.server->listed.address, *request,
+        attempt_.choice.server->listed.address, *request,
         {.time_limit = time_limit,
          .relay = path.relay,
          .on_head = own_head_filter(),
          .proves_end = transport::needs_no_end,
          .keep_connection = false},
         [self = this->shared_from_this(), path, asked_after,
-         attempt = delivered_attempts_](const auto& response) {
+         attempt = attempt_.number](const auto& response) {
             if (self->is_current(attempt))
             {
                 self->on_server_checked(path, asked_after, response);
@@ -1089,7 +1274,7 @@
     const transport::http1_call_settings& path, milliseconds asked_after,
     const transport::result<transport::http_response>& response)
 {
-    const auto& listed = choice_.server->listed;
+    const auto& listed = attempt_.choice.server->listed;
     const auto parsed =
         response ? Dialect::parse_liveness(response->status, response->body,
                                            terms_.attempt_id)
@@ -1137,7 +1322,7 @@
 {
     idle_timer_ = core_.loop.after(
         min_confirmation_age,
-        [self = this->shared_from_this(), path, attempt = delivered_attempts_] {
+        [self = this->shared_from_this(), path, attempt = attempt_.number] {
             if (self->is_current(attempt))
             {
                 self->check_path(path);
@@ -1172,7 +1357,7 @@
     const transport::http1_call_settings& path)
 {
     const auto relay = core_.reach.relay_for(core_.clock.monotonic_now(),
-                                             choice_.server->listed.id);
+                                             attempt_.choice.server->listed.id);
     if (path.relay.empty() && relay)
     {
         auto relayed = path;
@@ -1194,26 +1379,30 @@
     constexpr int first_error_status = 300;
     constexpr int first_server_error_status = 500;
     ++possible_runs_;
-    const bool failed = response_status_ >= first_server_error_status;
-    record_attempt_outcome(failed ? answer_kind::failed : answer_kind::whole);
-    auto& server = *choice_.server;
+    const bool failed = attempt_.head.status >= first_server_error_status;
+    record_attempt_outcome(attempt_,
+                           failed ? answer_kind::failed : answer_kind::whole);
+    auto& server = *attempt_.choice.server;
     failed ? core_.servers.on_failure(core_.clock.monotonic_now(), server)
            : core_.servers.on_success(server);
-    if (failed && !response_started_ && reserve_retry() == retry_denial::none)
+    const bool relayable = may_relay(attempt_.head.status, response_started_);
+    if ((!relayable && standbys_.size() > 0) ||
+        (failed && !response_started_ && reserve_retry() == retry_denial::none))
     {
         release_server();
-        transport::log_event("attempt.failed", {{"request", terms_.attempt_id},
-                                                {"server", server.listed.id},
-                                                {"status", response_status_},
-                                                {"next", "repeat"}});
-        return start_next_attempt();
+        transport::log_event("attempt.failed",
+                             {{"request", terms_.attempt_id},
+                              {"server", server.listed.id},
+                              {"status", attempt_.head.status},
+                              {"next", "repeat"}});
+        return continue_on_standby() ? void() : start_next_attempt();
     }
-    if (response_started_ && response_status_ >= first_error_status)
+    if (response_started_ && attempt_.head.status >= first_error_status)
     {
         release_server();
         return fail(502, "resume_failed");
     }
-    if (implies_not_run(response_status_))
+    if (implies_not_run(attempt_.head.status))
     {
         // Callers would conclude that the request has not run, but the server
         // did not mark the response as such.
@@ -1221,7 +1410,7 @@
         return fail(502, "refused_without_mark");
     }
     on_first_event();
-    if (response_status_ < first_error_status)
+    if (attempt_.head.status < first_error_status)
     {
         record_survived_start();
     }
@@ -1235,54 +1424,59 @@
 void request_flow<Dialect>::on_attempt_refused()
 {
     const auto now = core_.clock.monotonic_now();
-    auto& server = *choice_.server;
-    if (response_terms_.other_server)
-    {
-        server.usable = false;
-    }
-    else
-    {
-        core_.servers.on_full(now, server);
-    }
+    const auto server_id = attempt_.choice.server->listed.id;
+    record_refusal(attempt_);
     release_server();
     if (!migration_.run.empty())
     {
         return on_move_refused();
     }
-    const bool retry = core_.repeats.take(now, service_);
+    const bool retry =
+        standbys_.size() > 0 || core_.repeats.take(now, service_);
     transport::log_event("attempt.refused",
                          {{"request", terms_.attempt_id},
-                          {"server", server.listed.id},
-                          {"status", response_status_},
-                          {"other_server", response_terms_.other_server},
+                          {"server", server_id},
+                          {"status", attempt_.head.status},
+                          {"other_server", attempt_.head.metadata.other_server},
                           {"next", retry ? "repeat" : "refuse"}});
     if (retry)
     {
-        return start_next_attempt();
+        return continue_on_standby() ? void() : start_next_attempt();
     }
     possible_runs_ > 0
         ? fail(502, "servers_full")
         : refuse_for_room("servers_full", servers_full_retry_after);
 }
 
-/// Handles an attempt that ended without a complete response.
+/// Records that a server did not run the request.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::record_refusal(const sent_attempt& attempt)
+{
+    auto& server = *attempt.choice.server;
+    if (attempt.head.metadata.other_server)
+    {
+        server.usable = false;
+    }
+    else
+    {
+        core_.servers.on_full(core_.clock.monotonic_now(), server);
+    }
+}
+
+/// Records an attempt that ended without a complete response.
 ///
 /// @param relay_failed As in transport::http1_call_end.
 template <caller_dialect Dialect>
-void request_flow<Dialect>::on_attempt_error(const transport::failure& error,
-                                             bool relay_failed)
+void request_flow<Dialect>::record_error(const sent_attempt& attempt,
+                                         const transport::failure& error,
+                                         bool relay_failed)
 {
-    constexpr std::uint32_t max_connect_failures = 4;
-    constexpr milliseconds no_connection_retry_after{300};
-    idle_timer_.cancel();
-    // The move ends with the attempt that it was to continue.
-    migration_.end();
     const auto now = core_.clock.monotonic_now();
-    auto& server = *choice_.server;
+    auto& server = *attempt.choice.server;
     const bool not_run = error.ran == transport::verdict::not_run;
     const bool unreachable =
         not_run || error.code == transport::reason::timed_out;
-    if (not_run && record_connect_failure(relay_failed))
+    if (not_run && record_connect_failure(attempt, relay_failed))
     {
         tried_servers_.erase(server.listed.id);
     }
@@ -1293,8 +1487,9 @@
         // A server that closes an idle connection has not restarted. Its close
         // arrives within a round trip of the request that it crosses.
         constexpr milliseconds idle_close_window{50};
-        const bool idle_close = !opened_connection_ && !head_received_ &&
-                                now - sent_at_ <= idle_close_window;
+        const bool idle_close = !attempt.opened_connection &&
+                                !attempt.head_received &&
+                                now - attempt.sent_at <= idle_close_window;
         if (!idle_close &&
             (not_run || error.code == transport::reason::connection_lost))
         {
@@ -1305,55 +1500,61 @@
     {
         --delivered_attempts_;
         ++failed_connects_;
+        return;
     }
-    else
-    {
-        ++possible_runs_;
-        (event_received_ ? core_.counters.broken_after_event
-                         : core_.counters.broken_before_event)
-            .add();
-        record_attempt_outcome(answer_kind::broken);
-    }
-    if (!not_run && !survived_start() && !start_recorded_ &&
-        migration_.run.empty() &&
+    const bool current = attempt.number == attempt_.number;
+    ++possible_runs_;
+    (current && event_received_ ? core_.counters.broken_after_event
+                                : core_.counters.broken_before_event)
+        .add();
+    record_attempt_outcome(attempt, answer_kind::broken);
+    const bool survived = current && (survived_start() || start_recorded_);
+    if (!survived && migration_.run.empty() &&
         error.code == transport::reason::connection_lost)
     {
-        core_.crashes.on_broken(now, sent_at_, choice_.server, *content_);
+        core_.crashes.on_broken(now, attempt.sent_at, attempt.choice.server,
+                                *content_);
     }
-    const auto running_before = server.running;
+}
+
+/// Handles the current attempt if it ended without a complete response.
+///
+/// @param relay_failed As in transport::http1_call_end.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::on_attempt_error(const transport::failure& error,
+                                             bool relay_failed)
+{
+    constexpr std::uint32_t max_connect_failures = 4;
+    constexpr milliseconds no_connection_retry_after{300};
+    idle_timer_.cancel();
+    // The move ends with the attempt that it was to continue.
+    migration_.end();
+    const bool not_run = error.ran == transport::verdict::not_run;
+    record_error(attempt_, error, relay_failed);
+    const auto running_before = attempt_.choice.server->running;
     release_server();
     if (not_run && !migration_.run.empty())
     {
         return on_move_refused();
     }
-    const auto denial = !not_run ? reserve_retry()
+    const bool continued =
+        standbys_.size() > 0 && !position_.numbers_went_back();
+    const auto denial = continued  ? retry_denial::none
+                        : !not_run ? reserve_retry()
                         : failed_connects_ < max_connect_failures
                             ? retry_denial::none
                             : retry_denial::attempts;
     const bool retry = denial == retry_denial::none;
-    const auto heard_ago =
-        server.last_heard == monotonic_time{}
-            ? milliseconds{-1}
-            : std::chrono::duration_cast<milliseconds>(now - server.last_heard);
-    const auto table = core_.table();
-    transport::log_event("attempt.broken",
-                         {{"request", terms_.attempt_id},
-                          {"server", server.listed.id},
-                          {"verdict", transport::to_string(error.ran)},
-                          {"error", error.text},
-                          {"after_event", position_.last_id()},
-                          {"had_event", event_received_},
-                          {"prompt_parts", format_parts(terms_.size)},
-                          {"digest", fmt::format("{:x}", content_->digest)},
-                          {"relay", call_settings_.relay},
-                          {"server_running", running_before},
-                          {"server_state", server_state_name(server)},
-                          {"heard_ago_ms", heard_ago},
-                          {"silent_ms", now - last_activity_},
-                          {"document", route_table_->document().version},
-                          {"in_force", table ? table->document().version : 0},
-                          {"next", retry ? "repeat" : "end"},
-                          {"denied", to_string(denial)}});
+    log_broken(attempt_, error, running_before,
+               continued ? "second_attempt"
+               : retry   ? "repeat"
+                         : "end",
+               denial);
+    if (continued)
+    {
+        (void)continue_on_standby();
+        return;
+    }
     if (retry)
     {
         if (response_started_)
@@ -1367,6 +1568,42 @@
         : refuse(503, "no_connection", no_connection_retry_after);
 }
 
+/// @param running Requests on the server before the end of the attempt.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::log_broken(const sent_attempt& attempt,
+                                       const transport::failure& error,
+                                       std::uint32_t running,
+                                       std::string_view next,
+                                       retry_denial denial)
+{
+    const auto now = core_.clock.monotonic_now();
+    const auto& server = *attempt.choice.server;
+    const auto heard_ago =
+        server.last_heard == monotonic_time{}
+            ? milliseconds{-1}
+            : std::chrono::duration_cast<milliseconds>(now - server.last_heard);
+    const auto table = core_.table();
+    transport::log_event(
+        "attempt.broken",
+        {{"request", terms_.attempt_id},
+         {"server", server.listed.id},
+         {"verdict", transport::to_string(error.ran)},
+         {"error", error.text},
+         {"after_event", position_.last_id()},
+         {"had_event", attempt.number == attempt_.number && event_received_},
+         {"prompt_parts", format_parts(terms_.size)},
+         {"digest", fmt::format("{:x}", content_->digest)},
+         {"relay", attempt.settings.relay},
+         {"server_running", running},
+         {"server_state", server_state_name(server)},
+         {"heard_ago_ms", heard_ago},
+         {"silent_ms", now - attempt.last_activity},
+         {"document", route_table_->document().version},
+         {"in_force", table ? table->document().version : 0},
+         {"next", next},
+         {"denied", to_string(denial)}});
+}
+
 /// Takes a retry from the budget, for an attempt that may have run.
 template <caller_dialect Dialect>
 retry_denial request_flow<Dialect>::reserve_retry()
@@ -1387,7 +1624,7 @@
     {
         return retry_denial::shutdown;
     }
-    if (possible_runs_ >= route_->max_attempts)
+    if (possible_runs_ + standbys_.size() >= route_->max_attempts)
     {
         return retry_denial::attempts;
     }
@@ -1402,17 +1639,26 @@
 
 /// Records how an attempt ended while its service is rolling out a version.
 template <caller_dialect Dialect>
-void request_flow<Dialect>::record_attempt_outcome(answer_kind outcome)
+void request_flow<Dialect>::record_attempt_outcome(const sent_attempt& attempt,
+                                                   answer_kind outcome)
 {
     if (!core_.versions.moves(service_))
     {
         return;
     }
-    record_event_gap();
-    const auto& version = choice_.server->listed.version;
+    if (attempt.number == attempt_.number)
+    {
+        record_event_gap();
+    }
+    const auto& version = attempt.choice.server->listed.version;
     core_.versions.on_ended(service_, version, outcome != answer_kind::whole);
-    core_.rollouts.observer.on_answer(
-        {service_, version, route_->name, load_at_start_, outcome, {}, {}});
+    core_.rollouts.observer.on_answer({service_,
+                                       version,
+                                       route_->name,
+                                       attempt.load_at_start,
+                                       outcome,
+                                       {},
+                                       {}});
 }
 
 /// Records, during a rollout, the time from the start of the attempt to now: to
@@ -1423,10 +1669,10 @@
     if (attempt_active_ && core_.versions.moves(service_))
     {
         core_.rollouts.observer.on_first_token(
-            service_, choice_.server->listed.version, route_->name,
-            load_at_start_,
-            std::chrono::duration_cast<std::chrono::microseconds>(now -
-                                                                  sent_at_));
+            service_, attempt_.choice.server->listed.version, route_->name,
+            attempt_.load_at_start,
+            std::chrono::duration_cast<std::chrono::microseconds>(
+                now - attempt_.sent_at));
     }
 }
 
@@ -1459,8 +1705,8 @@
         core_.versions.moves(service_))
     {
         core_.rollouts.observer.on_token_gap(
-            service_, choice_.server->listed.version, route_->name,
-            load_at_start_,
+            service_, attempt_.choice.server->listed.version, route_->name,
+            attempt_.load_at_start,
             std::chrono::duration_cast<std::chrono::microseconds>(
                 (last_event_at_ - first_event_at_) / (attempt_events_ - 1)));
     }
@@ -1478,12 +1724,12 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::release_slot()
 {
-    if (std::exchange(occupies_slot_, false))
+    if (std::exchange(attempt_.occupies_slot, false))
     {
         const auto time_since_first_event =
             core_.clock.monotonic_now() - first_event_at_;
         core_.servers.on_ended(
-            choice_, event_received_,
+            attempt_.choice, event_received_,
             std::chrono::duration_cast<milliseconds>(time_since_first_event));
     }
 }
@@ -1501,7 +1747,7 @@
     // all other streams of the server.
     constexpr milliseconds move_window{1'000};
     constexpr std::uint32_t max_move_attempts = 3; ///< Including failed ones.
-    const auto& ends_at = choice_.server->ends_at;
+    const auto& ends_at = attempt_.choice.server->ends_at;
     if (!ends_at || migration_.in_progress() ||
         migration_.attempts >= max_move_attempts ||
         position_.last_id().empty() || !position_.can_resume())
@@ -1523,10 +1769,11 @@
     // by its running load only.
     const auto choice = core_.servers.choose(
         now, service_, {1, terms_.size.max_output_tokens, {}},
-        {choice_.server->listed.id});
+        {attempt_.choice.server->listed.id});
     // Another version would continue with different model weights.
     if (!choice ||
-        choice->server->listed.version != choice_.server->listed.version ||
+        choice->server->listed.version !=
+            attempt_.choice.server->listed.version ||
         // Its permit could expire before the run is resumed.
         core_.servers.cold().is_cold(now, choice->server->listed) ||
         !core_.repeats.take(now, service_))
@@ -1535,7 +1782,7 @@
     }
     // The resumed run is one more request to the target.
     core_.servers.permits().take(now, choice->server->listed);
-    migration_.begin(choice_.server, choice->server);
+    migration_.begin(attempt_.choice.server, choice->server);
     const auto& source = *migration_.source;
     const auto remaining =
         std::chrono::duration_cast<milliseconds>(*source.ends_at - now);
@@ -1592,7 +1839,7 @@
         core_.loop.after(last_events_delay, [self = this->shared_from_this()] {
             if (!self->finished_)
             {
-                self->attempt_call_.cancel();
+                self->attempt_.call.cancel();
                 self->resume_on(self->migration_.resuming_server());
             }
         });
@@ -1621,7 +1868,7 @@
                                        server->listed))
     {
         // The domain was evacuated, or the server became cold, during the move.
-        choice_.server = std::move(server);
+        attempt_.choice.server = std::move(server);
         return on_move_refused();
     }
     placement_choice choice;
@@ -1635,10 +1882,14 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_move_refused()
 {
-    if (auto source = migration_.on_not_resumed(choice_.server))
+    if (auto source = migration_.on_not_resumed(attempt_.choice.server))
     {
         return resume_on(std::move(source));
     }
+    if (continue_on_standby())
+    {
+        return;
+    }
     if (reserve_retry() == retry_denial::none)
     {
         return start_next_attempt();
@@ -1659,24 +1910,25 @@
         }
         // Only complete events count as activity: a stalled server may still
         // send single bytes.
-        last_activity_ = core_.clock.monotonic_now();
-        choice_.server->last_heard = last_activity_;
+        attempt_.last_activity = core_.clock.monotonic_now();
+        attempt_.choice.server->last_heard = attempt_.last_activity;
+        cancel_standbys();
         on_first_event();
-        core_.servers.on_event(last_activity_, choice_);
+        core_.servers.on_event(attempt_.last_activity, attempt_.choice);
         if (response_started_)
         {
-            max_event_gap_ = std::max(max_event_gap_,
-                                      std::chrono::duration_cast<milliseconds>(
-                                          last_activity_ - last_event_at_));
+            max_event_gap_ = std::max(
+                max_event_gap_, std::chrono::duration_cast<milliseconds>(
+                                    attempt_.last_activity - last_event_at_));
         }
         else
         {
             response_started_ = true;
             time_to_response_ = elapsed_time();
-            exchange_.begin(response_status_,
-                            Dialect::caller_headers(response_headers_));
+            exchange_.begin(attempt_.head.status,
+                            Dialect::caller_headers(attempt_.head.headers));
         }
-        last_event_at_ = last_activity_;
+        last_event_at_ = attempt_.last_activity;
         if (survived_start())
         {
             record_survived_start();
@@ -1706,20 +1958,21 @@
         return;
     }
     // A response that ended with its connection waits for a confirmation.
-    const auto now = occupies_slot_ ? core_.clock.monotonic_now() : ended_at_;
+    const auto now =
+        attempt_.occupies_slot ? core_.clock.monotonic_now() : ended_at_;
     record_first_event_delay(now);
     first_event_at_ = now;
     time_to_first_event_ =
-        std::chrono::duration_cast<milliseconds>(now - sent_at_);
-    if (migration_.run.empty() && occupies_slot_)
+        std::chrono::duration_cast<milliseconds>(now - attempt_.sent_at);
+    if (migration_.run.empty() && attempt_.occupies_slot)
     {
-        core_.servers.on_first_event(choice_, time_to_first_event_);
+        core_.servers.on_first_event(attempt_.choice, time_to_first_event_);
         core_.counters.prediction_error.add(
-            std::chrono::abs(time_to_first_event_ - choice_.predicted));
+            std::chrono::abs(time_to_first_event_ - attempt_.choice.predicted));
     }
     if (!std::exchange(usage_counted_, true))
     {
-        core_.count_usage(organisation_, is_stream() ? now : sent_at_);
+        core_.count_usage(organisation_, is_stream() ? now : attempt_.sent_at);
         core_.counters.first_event.add(now - exchange_.received_at());
     }
 }
@@ -1729,36 +1982,37 @@
 void request_flow<Dialect>::finish_response()
 {
     constexpr int first_error_status = 300;
-    const bool streamed = is_stream() && response_status_ < first_error_status;
+    const bool streamed =
+        is_stream() && attempt_.head.status < first_error_status;
     if (streamed)
     {
         if (!response_started_)
         {
             response_started_ = true;
-            exchange_.begin(response_status_,
-                            Dialect::caller_headers(response_headers_));
+            exchange_.begin(attempt_.head.status,
+                            Dialect::caller_headers(attempt_.head.headers));
         }
         exchange_.write(event_splitter_.remainder());
         exchange_.finish();
     }
     else
     {
-        exchange_.send({response_status_,
-                        Dialect::caller_headers(response_headers_),
+        exchange_.send({attempt_.head.status,
+                        Dialect::caller_headers(attempt_.head.headers),
                         std::move(response_body_)});
     }
     if (time_to_response_.count() < 0)
     {
         time_to_response_ = elapsed_time();
     }
-    const bool success = response_status_ < first_error_status;
+    const bool success = attempt_.head.status < first_error_status;
     (success ? core_.counters.served : core_.counters.forwarded_errors).add();
     core_.counters.whole_answer.add(core_.clock.monotonic_now() -
                                     exchange_.received_at());
     if (success)
     {
         core_.servers.on_served(
-            choice_, terms_.size,
+            attempt_.choice, terms_.size,
             {time_to_first_event_, max_event_gap_, elapsed_time()},
             delivered_attempts_ == 1);
         if (is_stream())
@@ -1766,7 +2020,7 @@
             core_.work.on_ended(service_, latency_outcome() != "in_time");
         }
     }
-    finish(success ? "served" : "passed_failure", response_status_);
+    finish(success ? "served" : "passed_failure", attempt_.head.status);
 }
 
 // [completion] ---------------------------------------------------------------
@@ -1818,7 +2072,7 @@
 {
     if (!std::exchange(usage_counted_, true))
     {
-        core_.count_usage(organisation_, sent_at_);
+        core_.count_usage(organisation_, attempt_.sent_at);
     }
     core_.counters.failed.add();
     if (response_started_)
@@ -1854,7 +2108,7 @@
         return;
     }
     const bool may_have_run = attempt_active_ || possible_runs_ > 0;
-    attempt_call_.cancel();
+    attempt_.call.cancel();
     release_server();
     may_have_run ? fail(504, reason) : refuse(503, reason, retry_after);
 }
@@ -1867,7 +2121,7 @@
         return;
     }
     core_.counters.left.add();
-    attempt_call_.cancel();
+    attempt_.call.cancel();
     release_server();
     finish("caller_left", 0);
 }
@@ -1876,6 +2130,7 @@
 void request_flow<Dialect>::finish(std::string_view outcome, int status)
 {
     finished_ = true;
+    cancel_standbys();
     core_.remove_request(registration_);
     deadline_timer_.cancel();
     idle_timer_.cancel();
@@ -1889,9 +2144,10 @@
          {"route", route_ == nullptr ? std::string_view{} : route_->name},
          {"organisation", organisation_},
          {"document", route_table_ ? route_table_->document().version : 0},
-         {"server", choice_.server ? choice_.server->listed.id : ""},
-         {"relay", call_settings_.relay},
-         {"predicted_ms", choice_.predicted},
+         {"server",
+          attempt_.choice.server ? attempt_.choice.server->listed.id : ""},
+         {"relay", attempt_.settings.relay},
+         {"predicted_ms", attempt_.choice.predicted},
          {"first_event_ms", time_to_first_event_},
          {"sent_after_ms", time_to_first_attempt_},
          {"largest_gap_ms", max_event_gap_},
