Second attempts are not started for quarantined requests

A request that crashes servers may silence its server first. The second attempt after the idle timeout was started without asking for a quarantine, and shortly before the time limit. quarantined_request_gets_no_second_attempt failed before (two attempts) and passes.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -63,6 +63,8 @@
 
     /// The load balancer sends the retry to another gateway.
     static constexpr milliseconds shutdown_retry_after{100};
+    /// A server cannot complete a request in less time.
+    static constexpr milliseconds min_attempt_time{20};
     /// The time limit of the relay for its own connection, and a round trip.
     static constexpr milliseconds relayed_connect_time_limit{400};
 
--- a/include/hyssopdeal/coordination/gateway/request_flow_attempts.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow_attempts.hpp
@@ -72,8 +72,6 @@
 template <caller_dialect Dialect>
 void request_flow<Dialect>::start_next_attempt()
 {
-    // A server cannot complete a request in less time.
-    constexpr milliseconds min_attempt_time{20};
     if (remaining_time() < min_attempt_time)
     {
         return possible_runs_ > 0
@@ -401,10 +399,14 @@
     {
         return retry_denial::position_unknown;
     }
-    if (!core_.may_attempt())
+    if (!core_.may_attempt() || remaining_time() < min_attempt_time)
     {
         return retry_denial::shutdown;
     }
+    if (core_.crashes.quarantine_of(now, *content_))
+    {
+        return retry_denial::quarantined;
+    }
     if (possible_runs_ + 1 + standbys_.size() >= route_->max_attempts)
     {
         return retry_denial::attempts;
--- a/include/hyssopdeal/coordination/gateway/retry_denial.hpp
+++ b/include/hyssopdeal/coordination/gateway/retry_denial.hpp
@@ -20,7 +20,8 @@
     not_retryable,    ///< It must not run twice.
     position_unknown, ///< Where to resume the stream is not known.
     still_running,    ///< Its server still works on it.
-    shutdown,         ///< This gateway stops soon.
+    shutdown,         ///< This gateway stops soon, or the time limit is near.
+    quarantined,      ///< It may be what crashed its server.
     attempts,         ///< The route allows no more.
     no_server,        ///< No server that may get it now, or all were tried.
     late,             ///< No server is predicted to start it in time.
@@ -43,6 +44,8 @@
         return "still_running";
     case retry_denial::shutdown:
         return "shutdown";
+    case retry_denial::quarantined:
+        return "quarantined";
     case retry_denial::attempts:
         return "attempts";
     case retry_denial::no_server:
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -1485,6 +1485,21 @@
     LONGS_EQUAL(2, attempts.size());
 }
 
+// A server that crashes under a prompt may fall silent.
+TEST(silent_server_tests, quarantined_request_gets_no_second_attempt)
+{
+    add_silent_server_and(first_event(), [](auto&) {});
+    const auto caller = send("/resume/");
+    CHECK_TRUE(tests::run_until(loop, [&] { return attempts.size() == 1; }));
+    const request_content content{
+        {"POST", "/resume/x", {{"Host", "h"}}, ""}, "o", {}};
+    protocol::crash_orders orders;
+    orders.quarantine = {{{content.digest}, 60'000}};
+    core->crashes.set_orders(clock.monotonic_now(), orders);
+    loop.run_for(1'300ms);
+    LONGS_EQUAL(1, attempts.size());
+}
+
 TEST(silent_server_tests, both_attempts_end_when_the_caller_disconnects)
 {
     add_silent_server_and(first_event(), [](auto&) {});
