A second attempt that has an error is not continued

If the silent attempt was lost while the second server's error was being read, the second attempt took its place without the bytes read before: the caller got 500 with 7 of 10 bytes.

--- a/include/hyssopdeal/coordination/gateway/request_flow_attempts.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow_attempts.hpp
@@ -461,13 +461,13 @@
     make_current(std::move(standby));
 }
 
-/// Continues with the latest attempt beside the current one, which has ended.
+/// Continues with an attempt beside the current one, which has ended.
 ///
 /// @return Whether there is one.
 template <caller_dialect Dialect>
 bool request_flow<Dialect>::continue_on_standby()
 {
-    auto standby = standbys_.take_latest();
+    auto standby = standbys_.take_unanswered();
     if (!standby)
     {
         return false;
--- a/include/hyssopdeal/coordination/gateway/request_flow_ends.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow_ends.hpp
@@ -245,7 +245,7 @@
     failed ? core_.servers.on_failure(core_.clock.monotonic_now(), server)
            : core_.servers.on_success(server);
     const bool relayable = may_relay(attempt_.head.status, response_started_);
-    if ((!relayable && standbys_.size() > 0) ||
+    if ((!relayable && standbys_.any_unanswered()) ||
         (failed && !response_started_ && reserve_retry() == retry_denial::none))
     {
         release_server();
@@ -291,7 +291,7 @@
         return on_move_refused();
     }
     const bool retry =
-        standbys_.size() > 0 || core_.repeats.take(now, service_);
+        standbys_.any_unanswered() || core_.repeats.take(now, service_);
     transport::log_event("attempt.refused",
                          {{"request", terms_.attempt_id},
                           {"server", server_id},
@@ -397,7 +397,7 @@
         return on_move_refused();
     }
     const bool continued =
-        standbys_.size() > 0 && !position_.numbers_went_back();
+        standbys_.any_unanswered() && !position_.numbers_went_back();
     const auto denial = continued  ? retry_denial::none
                         : !not_run ? reserve_retry()
                         : failed_connects_ < max_connect_failures
--- a/include/hyssopdeal/coordination/gateway/sent_attempt.hpp
+++ b/include/hyssopdeal/coordination/gateway/sent_attempt.hpp
@@ -69,6 +69,20 @@
         return attempts_.size();
     }
 
+    /// @return Whether an attempt has had no response yet.
+    [[nodiscard]] bool any_unanswered() const noexcept
+    {
+        return latest_unanswered() != 0;
+    }
+
+    /// Removes the latest attempt that has had no response yet. One that has is
+    /// about to end: its response is an error or a refusal.
+    [[nodiscard]] std::optional<sent_attempt> take_unanswered()
+    {
+        const auto number = latest_unanswered();
+        return number == 0 ? std::nullopt : std::optional{take(number)};
+    }
+
     /// @return The attempt with a number, or null.
     [[nodiscard]] sent_attempt* find(std::uint64_t number) noexcept
     {
@@ -104,6 +118,17 @@
     }
 
 private:
+    /// @return Its number; 0: none.
+    [[nodiscard]] std::uint64_t latest_unanswered() const noexcept
+    {
+        std::uint64_t number = 0;
+        for (const auto& attempt : attempts_)
+        {
+            number = attempt.head_received ? number : attempt.number;
+        }
+        return number;
+    }
+
     std::vector<sent_attempt> attempts_;
 };
 
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -1523,6 +1523,26 @@
     LONGS_EQUAL(2, attempts.size());
 }
 
+TEST(silent_server_tests, error_of_the_second_server_is_not_relayed_in_part)
+{
+    const auto error =
+        "HTTP/1.1 500 Internal Server Error\r\nHyssopdeal-Attempt: id1\r\n"
+        "Content-Length: 10\r\n\r\nabc";
+    add_silent_server_and(
+        "", [error](auto& connection) { connection.send(error); });
+    const auto caller = send("/safe/");
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return attempts.size() == 2; }, 600ms));
+    loop.run_for(20ms);
+    attempts.at(0)->reset();
+    loop.run_for(20ms);
+    attempts.at(1)->send("defghij");
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return gateway_server->open_requests() == 0; }, 500ms));
+    loop.run_for(20ms);
+    STRCMP_CONTAINS("HTTP/1.1 502", caller->received.c_str());
+}
+
 TEST(silent_server_tests, safe_request_without_a_retry_budget_is_answered)
 {
     gateway_settings settings;
