A refused second attempt is sent to a third server at once

After a refusal, or a server that cannot be reached, the next server was tried only a quarter of the idle timeout later; without a silent server it was tried at once. refused_second_attempt_is_sent_to_a_third_server failed before and passes; 13 of 13 silent_server_tests pass.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -63,6 +63,7 @@
 
     /// The load balancer sends the retry to another gateway.
     static constexpr milliseconds shutdown_retry_after{100};
+    static constexpr std::uint32_t max_connect_failures = 4;
     /// A server cannot complete a request in less time.
     static constexpr milliseconds min_attempt_time{20};
     /// The time limit of the relay for its own connection, and a round trip.
@@ -98,6 +99,7 @@
     [[nodiscard]] milliseconds stream_idle_timeout() const;
     [[nodiscard]] bool predicted_late(const placement_choice& choice) const;
     void on_idle_timeout();
+    void try_standby();
     [[nodiscard]] retry_denial start_standby();
     void replace_current(std::uint64_t number);
     [[nodiscard]] bool continue_on_standby();
--- a/include/hyssopdeal/coordination/gateway/request_flow_attempts.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow_attempts.hpp
@@ -363,6 +363,13 @@
 /// and its attempt ends when that one responds.
 template <caller_dialect Dialect>
 void request_flow<Dialect>::on_idle_timeout()
+{
+    try_standby();
+    arm_idle_timer();
+}
+
+template <caller_dialect Dialect>
+void request_flow<Dialect>::try_standby()
 {
     const auto denial = start_standby();
     const bool waits = denial != retry_denial::none && standbys_.size() > 0;
@@ -379,7 +386,6 @@
              {"next", denial == retry_denial::none ? "second_attempt" : "wait"},
              {"denied", to_string(denial)}});
     }
-    arm_idle_timer();
 }
 
 /// Distinguishes an unresponsive server from an overloaded fleet. A stream that
@@ -416,7 +422,9 @@
     {
         return retry_denial::server_alive;
     }
-    const auto choice = select_server();
+    const auto choice = failed_connects_ < max_connect_failures
+                            ? select_server()
+                            : std::nullopt;
     if (!choice)
     {
         return retry_denial::no_server;
@@ -511,6 +519,11 @@
                    retry_denial::none);
     }
     core_.servers.on_ended(standby.choice, false);
+    // Its server is known to be no help, another one may be.
+    if (attempt_active_ && attempt_.occupies_slot)
+    {
+        try_standby();
+    }
 }
 
 template <caller_dialect Dialect>
--- a/include/hyssopdeal/coordination/gateway/request_flow_ends.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow_ends.hpp
@@ -383,7 +383,6 @@
 void request_flow<Dialect>::on_attempt_error(const transport::failure& error,
                                              bool relay_failed)
 {
-    constexpr std::uint32_t max_connect_failures = 4;
     constexpr milliseconds no_connection_retry_after{300};
     idle_timer_.cancel();
     // The move ends with the attempt that it was to continue.
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -1441,6 +1441,36 @@
         loop, [&] { return attempts.at(1)->closed; }, 400ms));
 }
 
+TEST(silent_server_tests, refused_second_attempt_is_sent_to_a_third_server)
+{
+    gateway_settings settings;
+    settings.repeats.base = 5;
+    start_gateway(settings);
+    const server_script script = [this](tests::raw_connection& connection) {
+        attempts.push_back(connection.shared_from_this());
+        if (attempts.size() == 1)
+        {
+            return connection.send(first_event());
+        }
+        attempts.size() == 2
+            ? refuse_as_full(connection)
+            : connection.send(response_head("id1", "Content-Length: 15\r\n") +
+                              "id: 2\ndata: b\n\n");
+    };
+    add_server(script);
+    add_server(script);
+    add_server(script);
+    apply_configuration();
+    const auto caller = send("/resume/");
+    // The idle timeout is 1 s, and its next check 250 ms later.
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return attempts.size() == 3; }, 1'200ms));
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return gateway_server->open_requests() == 0; }, 500ms));
+    loop.run_for(20ms);
+    check_both_events(caller->received);
+}
+
 TEST(silent_server_tests, begun_stream_goes_on_if_the_second_server_is_lost)
 {
     add_silent_server_and(first_event(),
