Remove an attempt from its list by position

The linter reads the address of a moved-from element as a use after the move. 13 of 13 silent_server_tests pass.

--- a/include/hyssopdeal/coordination/gateway/sent_attempt.hpp
+++ b/include/hyssopdeal/coordination/gateway/sent_attempt.hpp
@@ -99,9 +99,9 @@
     /// Removes the attempt with a number, which must exist.
     [[nodiscard]] sent_attempt take(std::uint64_t number)
     {
-        auto& found = *find(number);
-        auto attempt = std::move(found);
-        attempts_.erase(attempts_.begin() + (&found - attempts_.data()));
+        const auto position = find(number) - attempts_.data();
+        auto attempt = std::move(attempts_.at(position));
+        attempts_.erase(attempts_.begin() + position);
         return attempt;
     }
 
