A request whose second attempt may have run is not refused as not run

If the silent server refused the request while the second one's error was being read, and the retry budget was used up, the caller got 503 with not_run although the second server had run it. request_that_ran_on_the_second_server_is_not_refused failed before and passes; 75 of 75 of request_flow_test pass.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -795,7 +795,8 @@
                                    milliseconds retry_after)
 {
     constexpr double ms_per_s = 1'000;
-    if (response_started_)
+    // A second attempt that has not ended may have run.
+    if (response_started_ || standbys_.size() > 0)
     {
         return fail(502, reason);
     }
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -1573,6 +1573,24 @@
     STRCMP_CONTAINS("HTTP/1.1 502", caller->received.c_str());
 }
 
+TEST(silent_server_tests, request_that_ran_on_the_second_server_is_not_refused)
+{
+    add_silent_server_and("", [](auto& connection) {
+        connection.send("HTTP/1.1 500 Internal Server Error\r\n"
+                        "Hyssopdeal-Attempt: id1\r\n"
+                        "Content-Length: 10\r\n\r\nabc");
+    });
+    const auto caller = send("/safe/");
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return attempts.size() == 2; }, 600ms));
+    loop.run_for(20ms);
+    refuse_as_full(*attempts.at(0));
+    CHECK_TRUE(tests::run_until(
+        loop, [&] { return gateway_server->open_requests() == 0; }, 500ms));
+    loop.run_for(20ms);
+    STRCMP_CONTAINS("HTTP/1.1 502", caller->received.c_str());
+}
+
 TEST(silent_server_tests, safe_request_without_a_retry_budget_is_answered)
 {
     gateway_settings settings;
