One list of refusing statuses, one count of broken attempts

may_relay repeated the statuses of implies_not_run; the count of an attempt without a complete response and the change to a second attempt stood twice; the tests had their own copy of refuse(). Each stands once now, behaviour and assertions are the same.

--- a/include/hyssopdeal/coordination/gateway/request_flow.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow.hpp
@@ -103,6 +103,7 @@
     [[nodiscard]] retry_denial start_standby();
     void replace_current(std::uint64_t number);
     [[nodiscard]] bool continue_on_standby();
+    void continue_with(sent_attempt standby);
     void on_standby_end(sent_attempt standby,
                         const transport::http1_call_end& result);
     void cancel_standbys();
@@ -136,6 +137,7 @@
     [[nodiscard]] bool record_connect_failure(const sent_attempt& attempt,
                                               bool relay_failed);
     void record_refusal(const sent_attempt& attempt);
+    void count_broken(const sent_attempt& attempt);
     void record_error(const sent_attempt& attempt,
                       const transport::failure& error, bool relay_failed);
     void log_broken(const sent_attempt& attempt,
@@ -184,13 +186,6 @@
                                : "gone";
     }
 
-    /// @return Whether callers may conclude from the status that the request
-    ///     has not run.
-    [[nodiscard]] static constexpr bool implies_not_run(int status)
-    {
-        return status == 408 || status == 421 || status == 429 || status == 503;
-    }
-
     // [responses]
     void give_up_response();
     void relay_events();
--- a/include/hyssopdeal/coordination/gateway/request_flow_attempts.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow_attempts.hpp
@@ -451,22 +451,13 @@
     cancel_standbys();
     attempt_.call.cancel();
     idle_timer_.cancel();
-    ++possible_runs_;
-    (event_received_ ? core_.counters.broken_after_event
-                     : core_.counters.broken_before_event)
-        .add();
-    record_attempt_outcome(attempt_, answer_kind::broken);
+    count_broken(attempt_);
     log_broken(attempt_,
                {transport::verdict::may_have_run, transport::reason::timed_out,
                 "Another server responded after the idle timeout."},
                attempt_.choice.server->running, "replaced", retry_denial::none);
     release_server();
-    if (response_started_)
-    {
-        core_.counters.resumed.add();
-    }
-    migration_.reset();
-    make_current(std::move(standby));
+    continue_with(std::move(standby));
 }
 
 /// Continues with an attempt beside the current one, which has ended.
@@ -480,13 +471,20 @@
     {
         return false;
     }
+    continue_with(std::move(*standby));
+    return true;
+}
+
+/// Makes an attempt beside the current one, which has ended, the current one.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::continue_with(sent_attempt standby)
+{
     if (response_started_)
     {
         core_.counters.resumed.add();
     }
     migration_.reset();
-    make_current(std::move(*standby));
-    return true;
+    make_current(std::move(standby));
 }
 
 /// Handles the end of an attempt beside the current one, which had no response
--- a/include/hyssopdeal/coordination/gateway/request_flow_ends.hpp
+++ b/include/hyssopdeal/coordination/gateway/request_flow_ends.hpp
@@ -322,6 +322,18 @@
     }
 }
 
+/// Counts an attempt that may have run and has no complete response.
+template <caller_dialect Dialect>
+void request_flow<Dialect>::count_broken(const sent_attempt& attempt)
+{
+    const bool had_event = attempt.number == attempt_.number && event_received_;
+    ++possible_runs_;
+    (had_event ? core_.counters.broken_after_event
+               : core_.counters.broken_before_event)
+        .add();
+    record_attempt_outcome(attempt, answer_kind::broken);
+}
+
 /// Records an attempt that ended without a complete response.
 ///
 /// @param relay_failed As in transport::http1_call_end.
@@ -361,12 +373,8 @@
         ++failed_connects_;
         return;
     }
+    count_broken(attempt);
     const bool current = attempt.number == attempt_.number;
-    ++possible_runs_;
-    (current && event_received_ ? core_.counters.broken_after_event
-                                : core_.counters.broken_before_event)
-        .add();
-    record_attempt_outcome(attempt, answer_kind::broken);
     const bool survived = current && (survived_start() || start_recorded_);
     if (!survived && migration_.run.empty() &&
         error.code == transport::reason::connection_lost)
--- a/include/hyssopdeal/coordination/gateway/sent_attempt.hpp
+++ b/include/hyssopdeal/coordination/gateway/sent_attempt.hpp
@@ -132,6 +132,13 @@
     std::vector<sent_attempt> attempts_;
 };
 
+/// @return Whether callers may conclude from the status that the request has
+///     not run.
+[[nodiscard]] constexpr bool implies_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /// @param response_started Whether the caller has a part of the response.
 /// @return Whether a response with this status, of an attempt beside the
 ///     current one, is one to relay.
@@ -139,12 +146,10 @@
 {
     constexpr int first_error_status = 300;
     constexpr int first_server_error_status = 500;
-    // A refusal without a mark, after which the other attempt may still answer.
-    const bool refused =
-        status == 408 || status == 421 || status == 429 || status == 503;
+    // After a refusal without a mark the other attempt may still answer.
     return status < (response_started ? first_error_status
                                       : first_server_error_status) &&
-           !refused;
+           !implies_not_run(status);
 }
 
 } // namespace hyssopdeal::coordination
--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -1384,13 +1384,6 @@
                "f\r\nid: 1\ndata: a\n\n\r\n";
     }
 
-    static void refuse_as_full(tests::raw_connection & connection)
-    {
-        connection.send(
-            "HTTP/1.1 503 Busy\r\nHyssopdeal-Attempt: id1\r\n"
-            "Hyssopdeal-Verdict: not_run\r\nContent-Length: 0\r\n\r\n");
-    }
-
     static void check_both_events(const std::string& response)
     {
         STRCMP_CONTAINS("data: a", response.c_str());
@@ -1405,7 +1398,7 @@
     settings.repeats.ratio = 0;
     settings.repeats.base = 0;
     start_gateway(settings);
-    add_silent_server_and(first_event(), refuse_as_full);
+    add_silent_server_and(first_event(), refuse());
     const auto caller = send("/resume/");
     check_both_events(finish_stream_after_silence(caller));
     LONGS_EQUAL(1, attempts.size());
@@ -1413,7 +1406,7 @@
 
 TEST(silent_server_tests, begun_stream_goes_on_if_the_second_server_refuses_it)
 {
-    add_silent_server_and(first_event(), refuse_as_full);
+    add_silent_server_and(first_event(), refuse());
     const auto caller = send("/resume/");
     check_both_events(finish_stream_after_silence(caller));
     LONGS_EQUAL(2, attempts.size());
@@ -1421,7 +1414,7 @@
 
 TEST(silent_server_tests, begun_stream_goes_on_if_no_other_server_has_room)
 {
-    add_silent_server_and(first_event(), refuse_as_full);
+    add_silent_server_and(first_event(), refuse());
     const auto caller = send("/resume/");
     CHECK_TRUE(tests::run_until(loop, [&] { return attempts.size() == 1; }));
     for (const auto& [id, server] : core->servers.servers())
@@ -1453,7 +1446,7 @@
             return connection.send(first_event());
         }
         attempts.size() == 2
-            ? refuse_as_full(connection)
+            ? refuse()(connection)
             : connection.send(response_head("id1", "Content-Length: 15\r\n") +
                               "id: 2\ndata: b\n\n");
     };
@@ -1544,7 +1537,7 @@
 
 TEST(silent_server_tests, safe_request_is_answered_if_the_second_server_refuses)
 {
-    add_silent_server_and("", refuse_as_full);
+    add_silent_server_and("", refuse());
     const auto caller = send("/safe/");
     const auto response = finish_after_silence(
         caller, response_head("id1", "Content-Length: 2\r\n") + "ok", 450ms);
@@ -1584,7 +1577,7 @@
     CHECK_TRUE(tests::run_until(
         loop, [&] { return attempts.size() == 2; }, 600ms));
     loop.run_for(20ms);
-    refuse_as_full(*attempts.at(0));
+    refuse()(*attempts.at(0));
     CHECK_TRUE(tests::run_until(
         loop, [&] { return gateway_server->open_requests() == 0; }, 500ms));
     loop.run_for(20ms);
@@ -1597,7 +1590,7 @@
     settings.repeats.ratio = 0;
     settings.repeats.base = 0;
     start_gateway(settings);
-    add_silent_server_and("", refuse_as_full);
+    add_silent_server_and("", refuse());
     const auto caller = send("/safe/");
     const auto response = finish_after_silence(
         caller, response_head("id1", "Content-Length: 2\r\n") + "ok", 450ms);
